Serve a request over the whole path, thin

Cause: the repository was empty; the first issue asks for one request from caller to engine before anything is thickened.

Change: a workspace of two modules. coord holds the decision packages (outcome, contract, catalogue, slots, placement, membership, state); the root module holds the roles entry, agent and control, the stand-in engine and service, JSON-RPC between processes, our own relay, settings, traces and the two binaries. Control keeps its state in memory on one instance for now.

By hand, control, agent, entry and a stand-in engine as four processes on loopback: a contract and an adapter written by an operator, one streamed chat completion answered by x@1 with outcome "answered", and all three daemons stopped on SIGTERM.

Conclusion: the path stands; durability, limits, once-only calls and the policy are still missing.

--- /dev/null
+++ b/cmd/rosemaryd/main.go
@@ -0,0 +1,158 @@
+// Command rosemaryd is the rosemarypass daemon.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/internal/daemon"
+	"github.com/rosemarypass/rosemarypass/internal/demo"
+	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
+	"github.com/rosemarypass/rosemarypass/internal/standin/service"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+type serveCommand struct {
+	Settings string `arg:"--settings,required" help:"settings file (JSON with comments)"`
+}
+
+type checkCommand struct {
+	Settings string `arg:"--settings,required" help:"settings file to check"`
+}
+
+type demoCommand struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:8080" help:"address of the callers' interface"`
+}
+
+type standinCommand struct {
+	Engine  string `arg:"--engine" help:"address of a stand-in engine"`
+	Service string `arg:"--service" help:"address of a stand-in plain service"`
+	Model   string `arg:"--model" default:"base" help:"the stand-in engine's base model"`
+	Slots   int    `arg:"--slots" default:"4" help:"the stand-in engine's adapter slots"`
+}
+
+type arguments struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run the roles that the settings name"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run everything in one process on loopback"`
+	Standin *standinCommand `arg:"subcommand:standin" help:"run stand-in backend servers, for trials"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "rosemaryd serves very many LoRA adapters before a fleet of model engines."
+}
+
+// demoStopTimeout bounds the demo's drain.
+const demoStopTimeout = 30 * time.Second
+
+// Timing of the stand-in engine.
+const (
+	standinTokenTime = 10 * time.Millisecond
+	standinLoadTime  = 250 * time.Millisecond
+)
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	if err := run(args, parser); err != nil {
+		fmt.Fprintln(os.Stderr, "rosemaryd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments, parser *arg.Parser) error {
+	switch {
+	case args.Serve != nil:
+		return serve(args.Serve.Settings)
+	case args.Check != nil:
+		return check(args.Check.Settings)
+	case args.Demo != nil:
+		return runDemo(args.Demo.Listen)
+	case args.Standin != nil:
+		return runStandin(*args.Standin)
+	default:
+		parser.WriteHelp(os.Stdout)
+		return errors.New("a subcommand is required")
+	}
+}
+
+func check(path string) error {
+	if _, err := settings.Load(path); err != nil {
+		return err
+	}
+	fmt.Println(path + ": ok")
+	return nil
+}
+
+func serve(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(s.Instance)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.Start(s, log)
+	if err != nil {
+		return err
+	}
+	stopOnSignal(s.DrainTimeout(), d.Stop)
+	return nil
+}
+
+func runDemo(listen string) error {
+	d, err := demo.Start(listen, zap.NewNop())
+	if err != nil {
+		return err
+	}
+	fmt.Println("rosemarypass demo: all roles, a stand-in engine and a stand-in service are running. Try:")
+	fmt.Println(d.CurlLine())
+	stopOnSignal(demoStopTimeout, d.Stop)
+	return nil
+}
+
+func runStandin(c standinCommand) error {
+	failures := make(chan error, 2)
+	listen := func(address string, handler http.Handler) {
+		server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Second}
+		failures <- server.ListenAndServe()
+	}
+	if c.Engine != "" {
+		options := engine.Options{BaseModel: c.Model, Slots: c.Slots, TokenTime: standinTokenTime, LoadTime: standinLoadTime}
+		go listen(c.Engine, engine.New(options).Handler())
+	}
+	if c.Service != "" {
+		go listen(c.Service, service.New(service.Options{}))
+	}
+	if c.Engine == "" && c.Service == "" {
+		return errors.New("standin: one of --engine, --service is required")
+	}
+	return <-failures
+}
+
+// stopOnSignal waits for a signal, then stops within the timeout; a second
+// signal cuts what is still in flight.
+func stopOnSignal(timeout time.Duration, stop func(context.Context)) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	stop(ctx)
+}
--- /dev/null
+++ b/coord/contract/contract.go
@@ -0,0 +1,86 @@
+// Package contract holds the aggregate from which every limit of a customer
+// follows. No other value in the system refuses a customer.
+package contract
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+)
+
+// Limits are the clauses that bound a customer's use across all entries.
+type Limits struct {
+	// RequestsPerSecond is the sustained rate of admitted requests.
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	// TokensPerMinute bounds prompt and generated tokens together.
+	TokensPerMinute int64 `json:"tokensPerMinute"`
+	// Concurrency is the most requests in flight at once.
+	Concurrency int `json:"concurrency"`
+	// MaxWait is the longest that a request may wait before it is refused, in nanoseconds.
+	MaxWait time.Duration `json:"maxWait"`
+}
+
+// Contract is one customer's agreement.
+type Contract struct {
+	// ID names the contract; it never changes.
+	ID string `json:"id"`
+	// Revision is the log index of the change that wrote this state. A
+	// writer must name the revision that it read.
+	Revision uint64 `json:"revision"`
+	// KeyHashes are the hex SHA-256 digests of the caller keys.
+	KeyHashes []string `json:"keyHashes"`
+	// Adapters lists allowed adapter names; a trailing '*' allows a prefix.
+	Adapters []string `json:"adapters"`
+	// Services lists allowed plain services by the same rule.
+	Services []string `json:"services"`
+	Limits   Limits   `json:"limits"`
+	// Priority is passed to engines; higher is served first.
+	Priority int `json:"priority"`
+	// Share is the weight in fair queueing when capacity is short.
+	Share int `json:"share"`
+	// Retired contracts admit nothing and keep their ID.
+	Retired bool `json:"retired,omitempty"`
+}
+
+// Validate reports the first rule that the contract breaks.
+func (c Contract) Validate() error {
+	if err := catalogue.CheckName(c.ID); err != nil {
+		return errors.Wrap(err, "contract id")
+	}
+	if c.Limits.RequestsPerSecond <= 0 {
+		return errors.Errorf("contract %s: requestsPerSecond must be above 0", c.ID)
+	}
+	if c.Limits.TokensPerMinute <= 0 {
+		return errors.Errorf("contract %s: tokensPerMinute must be above 0", c.ID)
+	}
+	if c.Limits.Concurrency <= 0 {
+		return errors.Errorf("contract %s: concurrency must be above 0", c.ID)
+	}
+	if c.Limits.MaxWait <= 0 {
+		return errors.Errorf("contract %s: maxWait must be above 0", c.ID)
+	}
+	if c.Share <= 0 {
+		return errors.Errorf("contract %s: share must be above 0", c.ID)
+	}
+	return nil
+}
+
+// AllowsAdapter reports whether the contract covers the adapter.
+func (c Contract) AllowsAdapter(name string) bool { return allows(c.Adapters, name) }
+
+// AllowsService reports whether the contract covers the plain service.
+func (c Contract) AllowsService(name string) bool { return allows(c.Services, name) }
+
+func allows(patterns []string, name string) bool {
+	return slices.ContainsFunc(patterns, func(pattern string) bool {
+		prefix, wildcard := strings.CutSuffix(pattern, "*")
+		if wildcard {
+			return strings.HasPrefix(name, prefix)
+		}
+		return pattern == name
+	})
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// maxReportBytes bounds what is read of an engine's answer to an order.
+const maxReportBytes = 1 << 20
+
+// engineReport is the engine's answer at /load.
+type engineReport struct {
+	Incarnation uint64   `json:"incarnation"`
+	Running     int      `json:"running"`
+	Waiting     int      `json:"waiting"`
+	Capacity    int      `json:"capacity"`
+	Adapters    []string `json:"adapters"`
+}
+
+// orderClient gives orders to an engine.
+type orderClient struct {
+	base    string
+	client  *http.Client
+	timeout time.Duration
+	fencing uint64
+}
+
+type adapterOrder struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path,omitempty"`
+}
+
+func (c *orderClient) load(ctx context.Context, ref catalogue.Ref, source string) error {
+	return c.order(ctx, "/v1/load_lora_adapter", adapterOrder{Name: ref.String(), Path: source})
+}
+
+func (c *orderClient) unload(ctx context.Context, ref catalogue.Ref) error {
+	return c.order(ctx, "/v1/unload_lora_adapter", adapterOrder{Name: ref.String()})
+}
+
+func (c *orderClient) order(ctx context.Context, path string, body adapterOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "build order")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(wire.HeaderFencing, strconv.FormatUint(c.fencing, 10))
+	response, err := c.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send order")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+		return errors.Errorf("engine answered %s: %s", response.Status, bytes.TrimSpace(text))
+	}
+	return nil
+}
+
+func (c *orderClient) report(ctx context.Context) (engineReport, error) {
+	var report engineReport
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/load", nil)
+	if err != nil {
+		return report, errors.Wrap(err, "build report request")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return report, errors.Wrap(err, "read report")
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
+	return report, errors.Wrap(err, "decode report")
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,206 @@
+// Package daemon wires the roles that the settings name into one process and
+// stops them gracefully.
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/internal/agent"
+	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/entry"
+	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+// readHeaderTimeout bounds how long a peer may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// stopGrace is how long an entry keeps its listener open after it reports that
+// it is not ready, so that the balancer sees it before connections are refused.
+const stopGrace = 500 * time.Millisecond
+
+// entryListen is the setting of the callers' address.
+const entryListen = "entry.listen"
+
+// Daemon is one process with its roles.
+type Daemon struct {
+	settings settings.Settings
+	log      *zap.Logger
+	duties   sync.WaitGroup
+	stop     context.CancelFunc
+	drains   []func(context.Context)
+	control  *control.Control
+	// addresses are the listeners' actual addresses, by setting; they differ
+	// from the settings when those leave the port to the system.
+	addresses map[string]string
+}
+
+// Start opens the listeners and starts the duties of every role.
+func Start(s settings.Settings, log *zap.Logger) (*Daemon, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{settings: s, log: log, stop: cancel, addresses: make(map[string]string)}
+	flush, err := telemetry.StartTraces(ctx, telemetry.TraceOptions{
+		Target:   telemetry.TraceTarget(s.Telemetry.Traces),
+		Path:     s.Telemetry.TraceFile,
+		Endpoint: s.Telemetry.TraceEndpoint,
+		Instance: s.Instance,
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	starts := []func(context.Context) error{d.startControl, d.startAgent, d.startEntry}
+	for _, start := range starts {
+		if err := start(ctx); err != nil {
+			d.Stop(ctx)
+			return nil, err
+		}
+	}
+	d.drains = append(d.drains, func(ctx context.Context) { _ = flush(ctx) })
+	log.Info("started")
+	return d, nil
+}
+
+// Stop drains every role in the order entry, agent, control and returns when
+// nothing is in flight or ctx ends.
+func (d *Daemon) Stop(ctx context.Context) {
+	for i := len(d.drains) - 1; i >= 0; i-- {
+		d.drains[i](ctx)
+	}
+	d.stop()
+	d.duties.Wait()
+	d.log.Info("stopped")
+}
+
+// Control is the control role, nil when this daemon has none.
+func (d *Daemon) Control() *control.Control { return d.control }
+
+// EntryAddress is the address of the callers' interface, empty without the
+// entry role.
+func (d *Daemon) EntryAddress() string { return d.addresses[entryListen] }
+
+func (d *Daemon) startControl(ctx context.Context) error {
+	s := d.settings.Control
+	if s == nil {
+		return nil
+	}
+	c := control.New(control.Options{
+		ServerLease:       time.Duration(s.ServerLease),
+		OperatorKeyHashes: s.OperatorKeyHashes,
+	}, d.log)
+	listener, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "control.peerListen")
+	}
+	server := rpc.NewServer(c.Handlers())
+	d.duties.Go(func() { _ = server.Serve(ctx, listener) })
+	d.duties.Go(func() { c.Run(ctx) })
+	d.drains = append(d.drains, func(context.Context) {
+		_ = listener.Close()
+		server.Close()
+	})
+	d.control = c
+	return d.serveHTTP("control.operatorListen", s.OperatorListen, withDebug(c.OperatorHandler()), func(context.Context) {})
+}
+
+func (d *Daemon) startAgent(ctx context.Context) error {
+	s := d.settings.Agent
+	if s == nil {
+		return nil
+	}
+	a := agent.New(agent.Options{
+		Server:           s.Server,
+		Pool:             s.Pool,
+		DataCentre:       d.settings.DataCentre,
+		BaseModel:        s.BaseModel,
+		Address:          s.Listen,
+		Engine:           s.Engine,
+		Slots:            s.Slots,
+		Queue:            s.Queue,
+		LoadTimeout:      time.Duration(s.LoadTimeout),
+		AnnounceInterval: time.Duration(s.AnnounceInterval),
+		ControlPeers:     d.settings.ControlPeers,
+	}, &http.Client{Transport: relay.NewTransport(time.Second)}, d.log)
+	d.duties.Go(func() { a.Run(ctx) })
+	return d.serveHTTP("agent.listen", s.Listen, withDebug(a.Handler()), func(ctx context.Context) {
+		a.Leave()
+		wait(ctx, a.Wait)
+	})
+}
+
+func (d *Daemon) startEntry(ctx context.Context) error {
+	s := d.settings.Entry
+	if s == nil {
+		return nil
+	}
+	follower := follow.New(follow.Options{Daemon: d.settings.Instance, Peers: d.settings.ControlPeers}, d.log)
+	transport := relay.NewTransport(time.Duration(s.DialTimeout))
+	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, &http.Client{Transport: transport}, d.log)
+	d.duties.Go(func() { follower.Run(ctx) })
+	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
+		e.Drain()
+		pause(ctx, stopGrace)
+		wait(ctx, e.Wait)
+	})
+}
+
+// serveHTTP serves a handler and registers its drain, which runs before the
+// server shuts down.
+func (d *Daemon) serveHTTP(setting, address string, handler http.Handler, drain func(context.Context)) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, setting)
+	}
+	d.addresses[setting] = listener.Addr().String()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	d.duties.Go(func() { _ = server.Serve(listener) })
+	d.drains = append(d.drains, func(ctx context.Context) {
+		drain(ctx)
+		if err := server.Shutdown(ctx); err != nil {
+			d.log.Warn("requests were cut by the drain timeout", zap.String("listener", setting))
+			_ = server.Close()
+		}
+	})
+	return nil
+}
+
+func withDebug(handler http.Handler) http.Handler {
+	router := chi.NewRouter()
+	router.Get("/debug/vars", expvar.Handler().ServeHTTP)
+	router.Mount("/", handler)
+	return router
+}
+
+// wait returns when f returns or ctx ends.
+func wait(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	go func() {
+		f()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/entry/failure.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+)
+
+// Code is the stable machine-readable code of an error answer.
+type Code string
+
+const (
+	codeUnknownKey     Code = "unknown_key"
+	codeMalformed      Code = "malformed_request"
+	codeBodyTooLarge   Code = "body_too_large"
+	codeNotInContract  Code = "not_in_contract"
+	codeUnknownModel   Code = "unknown_model"
+	codeUnknownService Code = "unknown_service"
+	codeUnknownRoute   Code = "unknown_route"
+	codeKeyRequired    Code = "idempotency_key_required"
+	codeNoServer       Code = "no_server"
+	codeDraining       Code = "entry_draining"
+	codeUnknownOutcome Code = "unknown_outcome"
+	codeWrongModel     Code = "wrong_model"
+)
+
+// failure is an error answer to a caller.
+type failure struct {
+	status  int
+	code    Code
+	message string
+	// retryAfter is in seconds; 0 sends no header.
+	retryAfter int
+}
+
+type errorObject struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    Code   `json:"code"`
+}
+
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+func fail(w http.ResponseWriter, f failure) {
+	said := outcome.NotRun
+	if f.code == codeUnknownOutcome || f.code == codeWrongModel {
+		said = outcome.Unknown
+	}
+	if said == outcome.NotRun {
+		notRunCount.Add(1)
+	} else {
+		unknownCount.Add(1)
+	}
+	w.Header().Set(outcome.Header, said.String())
+	w.Header().Set("Content-Type", "application/json")
+	if f.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(f.retryAfter))
+	}
+	w.WriteHeader(f.status)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code}})
+}
+
+func errorType(status int) string {
+	if status >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
+
+// neverSent reports whether the connection was refused before any byte of the
+// request could leave.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,163 @@
+// Package rpc carries typed control messages between the system's processes
+// over JSON-RPC 2.0 on TCP.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler answers one method. The returned value is sent as the result.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Typed adapts a function over typed messages to a Handler.
+func Typed[In, Out any](f func(context.Context, In) (Out, error)) Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var in In
+		if err := json.Unmarshal(params, &in); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, in)
+	}
+}
+
+// Server answers calls on every connection of a listener.
+type Server struct {
+	handlers map[string]Handler
+	mu       sync.Mutex
+	conns    map[*jsonrpc2.Conn]struct{}
+	closed   bool
+}
+
+// NewServer returns a server for the given methods.
+func NewServer(handlers map[string]Handler) *Server {
+	return &Server{handlers: handlers, conns: make(map[*jsonrpc2.Conn]struct{})}
+}
+
+// Serve accepts connections until the listener closes.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		s.attach(ctx, conn)
+	}
+}
+
+func (s *Server) attach(ctx context.Context, conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch)))
+	s.conns[rpc] = struct{}{}
+	go s.forget(rpc)
+}
+
+func (s *Server) forget(rpc *jsonrpc2.Conn) {
+	<-rpc.DisconnectNotify()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, rpc)
+}
+
+func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	handler, ok := s.handlers[request.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + request.Method}
+	}
+	params := json.RawMessage("null")
+	if request.Params != nil {
+		params = *request.Params
+	}
+	return handler(ctx, params)
+}
+
+// Close closes every connection.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for rpc := range s.conns {
+		_ = rpc.Close()
+	}
+}
+
+// Client calls one address and reconnects when the connection is lost.
+type Client struct {
+	address string
+	mu      sync.Mutex
+	conn    *jsonrpc2.Conn
+}
+
+// NewClient returns a client that connects on its first call.
+func NewClient(address string) *Client { return &Client{address: address} }
+
+// Call sends one request and waits for its answer or the end of ctx.
+func (c *Client) Call(ctx context.Context, method string, in, out any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	if err := conn.Call(ctx, method, in, out); err != nil {
+		c.dropIfBroken(conn, err)
+		return errors.Wrapf(err, "%s at %s", method, c.address)
+	}
+	return nil
+}
+
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	c.conn = jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(refuse))
+	return c.conn, nil
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers no calls"}
+}
+
+// dropIfBroken closes the connection unless the peer answered. A connection
+// that timed out may be cut off silently, and only a new one finds out.
+func (c *Client) dropIfBroken(conn *jsonrpc2.Conn, err error) {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	_ = conn.Close()
+}
+
+// Close closes the current connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func newStream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,71 @@
+// Package service is a small stand-in for a plain service such as a booking
+// desk. It records every call that it ran.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// maxBody bounds a call's body, in bytes.
+const maxBody = 1 << 20
+
+// Options shape the stand-in.
+type Options struct {
+	// CallTime is how long a call takes.
+	CallTime time.Duration
+}
+
+// Call is one call that the service ran.
+type Call struct {
+	Method string
+	Path   string
+	Body   string
+	Key    string
+}
+
+// Service is the stand-in.
+type Service struct {
+	options Options
+	mu      sync.Mutex
+	calls   []Call
+}
+
+// New returns a service that has run no calls.
+func New(options Options) *Service { return &Service{options: options} }
+
+// Calls returns the calls that ran, in order.
+func (s *Service) Calls() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
+// Receipt is the answer to a call.
+type Receipt struct {
+	Number int    `json:"number"`
+	Path   string `json:"path"`
+}
+
+// ServeHTTP runs a call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	call := Call{Method: r.Method, Path: r.URL.Path, Body: string(body), Key: r.Header.Get(wire.HeaderIdempotencyKey)}
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	number := len(s.calls)
+	s.mu.Unlock()
+	time.Sleep(s.options.CallTime)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Receipt{Number: number, Path: r.URL.Path})
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,115 @@
+// Package telemetry sets up logs, counters and traces.
+package telemetry
+
+import (
+	"context"
+	"expvar"
+	"os"
+	"sync"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	semconv "go.opentelemetry.io/otel/semconv/v1.26.0"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+)
+
+// TraceTarget says where spans go.
+type TraceTarget string
+
+const (
+	// TraceOff records no spans.
+	TraceOff TraceTarget = "off"
+	// TraceStdout prints spans to standard output.
+	TraceStdout TraceTarget = "stdout"
+	// TraceFile appends spans to a file.
+	TraceFile TraceTarget = "file"
+	// TraceOTLP sends spans to a collector by OTLP over HTTP.
+	TraceOTLP TraceTarget = "otlp"
+)
+
+// TraceOptions configure tracing.
+type TraceOptions struct {
+	Target TraceTarget
+	// Path is the file for TraceFile.
+	Path string
+	// Endpoint is the collector's URL for TraceOTLP.
+	Endpoint string
+	// Instance is reported as the service instance.
+	Instance string
+}
+
+// Tracer is the tracer that every hop uses.
+func Tracer() trace.Tracer { return otel.Tracer("rosemarypass") }
+
+// Propagator reads and writes the W3C trace context.
+func Propagator() propagation.TextMapPropagator { return propagation.TraceContext{} }
+
+// StartTraces installs the global tracer provider. The returned function
+// flushes pending spans.
+func StartTraces(ctx context.Context, options TraceOptions) (func(context.Context) error, error) {
+	if options.Target == TraceOff || options.Target == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	exporter, err := newExporter(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithResource(resource.NewSchemaless(
+			semconv.ServiceName("rosemarypass"),
+			semconv.ServiceInstanceID(options.Instance),
+		)),
+	)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
+
+func newExporter(ctx context.Context, options TraceOptions) (sdktrace.SpanExporter, error) {
+	switch options.Target {
+	case TraceStdout:
+		return stdouttrace.New()
+	case TraceFile:
+		file, err := os.OpenFile(options.Path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open trace file")
+		}
+		return stdouttrace.New(stdouttrace.WithWriter(file))
+	case TraceOTLP:
+		return otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(options.Endpoint))
+	default:
+		return nil, errors.Errorf("unknown trace target %q", options.Target)
+	}
+}
+
+// NewLogger returns a logger that writes JSON lines to standard error.
+func NewLogger(instance string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	config.Sampling = nil
+	logger, err := config.Build()
+	if err != nil {
+		return nil, errors.Wrap(err, "build logger")
+	}
+	return logger.With(zap.String("instance", instance)), nil
+}
+
+// countersMu makes look-up and creation one step: expvar ends the process when
+// a name is published twice.
+var countersMu sync.Mutex
+
+// Counter returns the expvar counter of that name, creating it on first use.
+// Several roles in one process, as in the demo, share a counter.
+func Counter(name string) *expvar.Int {
+	countersMu.Lock()
+	defer countersMu.Unlock()
+	if existing, ok := expvar.Get(name).(*expvar.Int); ok {
+		return existing
+	}
+	return expvar.NewInt(name)
+}
