Split wiring and settings by role

Cause: five pieces of work start at once, and each touches the wiring of its role; one file each for daemon and settings would conflict at every landing.

Change: moved startControl, startAgent and startEntry, and the settings of each role, into files of their own. No behaviour changed.

--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+)
+
+func (d *Daemon) startControl(ctx context.Context) error {
+	s := d.settings.Control
+	if s == nil {
+		return nil
+	}
+	c := control.New(control.Options{
+		ServerLease:       time.Duration(s.ServerLease),
+		OperatorKeyHashes: s.OperatorKeyHashes,
+	}, d.log)
+	listener, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "control.peerListen")
+	}
+	server := rpc.NewServer(c.Handlers())
+	d.duties.Go(func() { _ = server.Serve(ctx, listener) })
+	d.duties.Go(func() { c.Run(ctx) })
+	d.drains = append(d.drains, func(context.Context) {
+		_ = listener.Close()
+		server.Close()
+	})
+	d.control = c
+	return d.serveHTTP("control.operatorListen", s.OperatorListen, withDebug(c.OperatorHandler()), func(context.Context) {})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,12 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/rosemarypass/rosemarypass/internal/agent"
 	"github.com/rosemarypass/rosemarypass/internal/control"
-	"github.com/rosemarypass/rosemarypass/internal/entry"
-	"github.com/rosemarypass/rosemarypass/internal/follow"
-	"github.com/rosemarypass/rosemarypass/internal/relay"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -91,71 +86,6 @@
 // entry role.
 func (d *Daemon) EntryAddress() string { return d.addresses[entryListen] }
 
-func (d *Daemon) startControl(ctx context.Context) error {
-	s := d.settings.Control
-	if s == nil {
-		return nil
-	}
-	c := control.New(control.Options{
-		ServerLease:       time.Duration(s.ServerLease),
-		OperatorKeyHashes: s.OperatorKeyHashes,
-	}, d.log)
-	listener, err := net.Listen("tcp", s.PeerListen)
-	if err != nil {
-		return errors.Wrap(err, "control.peerListen")
-	}
-	server := rpc.NewServer(c.Handlers())
-	d.duties.Go(func() { _ = server.Serve(ctx, listener) })
-	d.duties.Go(func() { c.Run(ctx) })
-	d.drains = append(d.drains, func(context.Context) {
-		_ = listener.Close()
-		server.Close()
-	})
-	d.control = c
-	return d.serveHTTP("control.operatorListen", s.OperatorListen, withDebug(c.OperatorHandler()), func(context.Context) {})
-}
-
-func (d *Daemon) startAgent(ctx context.Context) error {
-	s := d.settings.Agent
-	if s == nil {
-		return nil
-	}
-	a := agent.New(agent.Options{
-		Server:           s.Server,
-		Pool:             s.Pool,
-		DataCentre:       d.settings.DataCentre,
-		BaseModel:        s.BaseModel,
-		Address:          s.Listen,
-		Engine:           s.Engine,
-		Slots:            s.Slots,
-		Queue:            s.Queue,
-		LoadTimeout:      time.Duration(s.LoadTimeout),
-		AnnounceInterval: time.Duration(s.AnnounceInterval),
-		ControlPeers:     d.settings.ControlPeers,
-	}, &http.Client{Transport: relay.NewTransport(time.Second)}, d.log)
-	d.duties.Go(func() { a.Run(ctx) })
-	return d.serveHTTP("agent.listen", s.Listen, withDebug(a.Handler()), func(ctx context.Context) {
-		a.Leave()
-		wait(ctx, a.Wait)
-	})
-}
-
-func (d *Daemon) startEntry(ctx context.Context) error {
-	s := d.settings.Entry
-	if s == nil {
-		return nil
-	}
-	follower := follow.New(follow.Options{Daemon: d.settings.Instance, Peers: d.settings.ControlPeers}, d.log)
-	transport := relay.NewTransport(time.Duration(s.DialTimeout))
-	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, &http.Client{Transport: transport}, d.log)
-	d.duties.Go(func() { follower.Run(ctx) })
-	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
-		e.Drain()
-		pause(ctx, stopGrace)
-		wait(ctx, e.Wait)
-	})
-}
-
 // serveHTTP serves a handler and registers its drain, which runs before the
 // server shuts down.
 func (d *Daemon) serveHTTP(setting, address string, handler http.Handler, drain func(context.Context)) error {
@@ -182,25 +112,3 @@
 	router.Mount("/", handler)
 	return router
 }
-
-// wait returns when f returns or ctx ends.
-func wait(ctx context.Context, f func()) {
-	done := make(chan struct{})
-	go func() {
-		f()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"os"
 	"time"
 
@@ -47,55 +46,6 @@
 	Telemetry Telemetry `json:"telemetry"`
 }
 
-// Entry configures the entry role.
-type Entry struct {
-	// Listen is the callers' address.
-	Listen string `json:"listen"`
-	// MaxBodyBytes bounds a request body.
-	MaxBodyBytes int64 `json:"maxBodyBytes"`
-	// DialTimeout bounds connecting to the next hop.
-	DialTimeout Duration `json:"dialTimeout"`
-	// DrainTimeout bounds a planned stop.
-	DrainTimeout Duration `json:"drainTimeout"`
-}
-
-// Agent configures the agent role.
-type Agent struct {
-	// Listen is the address that entries send requests to.
-	Listen string `json:"listen"`
-	// Server and Pool name the backend server and its group.
-	Server string `json:"server"`
-	Pool   string `json:"pool"`
-	// Engine is the engine's base URL.
-	Engine string `json:"engine"`
-	// BaseModel is the model that the engine serves.
-	BaseModel string `json:"baseModel"`
-	// Slots is the number of adapter slots of the engine.
-	Slots int `json:"slots"`
-	// Queue bounds the requests that wait for a slot.
-	Queue int `json:"queue"`
-	// LoadTimeout bounds one adapter load.
-	LoadTimeout Duration `json:"loadTimeout"`
-	// AnnounceInterval is the time between announcements.
-	AnnounceInterval Duration `json:"announceInterval"`
-	// DrainTimeout bounds a planned stop.
-	DrainTimeout Duration `json:"drainTimeout"`
-}
-
-// Control configures the control role.
-type Control struct {
-	// PeerListen is the JSON-RPC address.
-	PeerListen string `json:"peerListen"`
-	// OperatorListen is the operators' HTTP address.
-	OperatorListen string `json:"operatorListen"`
-	// OperatorKeyHashes are hex SHA-256 digests of operators' keys.
-	OperatorKeyHashes []string `json:"operatorKeyHashes"`
-	// DataFolder holds the durable state.
-	DataFolder string `json:"dataFolder"`
-	// ServerLease is how long a server stays listed after its last announcement.
-	ServerLease Duration `json:"serverLease"`
-}
-
 // Telemetry configures traces.
 type Telemetry struct {
 	// Traces is one of off, stdout, file, otlp.
@@ -188,22 +138,6 @@
 	return nil
 }
 
-func (a *Agent) check() error {
-	required := []struct{ name, value string }{
-		{"listen", a.Listen}, {"server", a.Server}, {"pool", a.Pool},
-		{"engine", a.Engine}, {"baseModel", a.BaseModel},
-	}
-	for _, field := range required {
-		if field.value == "" {
-			return fmt.Errorf("agent.%s: a value is required", field.name)
-		}
-	}
-	if a.Slots <= 0 {
-		return errors.New("agent.slots: must be above 0")
-	}
-	return nil
-}
-
 // DrainTimeout is the longest that a planned stop may take.
 func (s *Settings) DrainTimeout() time.Duration {
 	longest := Duration(defaultDrainTimeout)
