Check settings by their document, with file, line and remedy

Cause: the decoder stopped at the first error, guessed its line from the decoder's offset, and semantic checks had no line at all. An operator mended a file one run at a time.

Change: settings are decoded from the parsed document, which knows where each value stands. Unknown keys (with the nearest known one), repeated keys, wrong types, bare numbers for durations, values out of range, missing and clashing values are all reported together as file:line: path: message. Each role checks its own part. Certificates between processes are required unless the file says "plaintextPeers": true.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -117,9 +117,10 @@
 		return settings.Settings{}, err
 	}
 	return settings.Settings{
-		Instance:     "demo",
-		DataCentre:   "demo-a",
-		ControlPeers: []string{addresses[0]},
+		Instance:       "demo",
+		DataCentre:     "demo-a",
+		ControlPeers:   []string{addresses[0]},
+		PlaintextPeers: true,
 		Entry: &settings.Entry{
 			Listen:       listen,
 			MaxBodyBytes: 4 << 20,
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -1,9 +1,8 @@
 package settings
 
 import (
-	"fmt"
-
-	"github.com/pkg/errors"
+	"net/url"
+	"time"
 )
 
 // Agent configures the agent role.
@@ -29,18 +28,33 @@
 	DrainTimeout Duration `json:"drainTimeout"`
 }
 
-func (a *Agent) check() error {
-	required := []struct{ name, value string }{
-		{"listen", a.Listen}, {"server", a.Server}, {"pool", a.Pool},
-		{"engine", a.Engine}, {"baseModel", a.BaseModel},
-	}
-	for _, field := range required {
-		if field.value == "" {
-			return fmt.Errorf("agent.%s: a value is required", field.name)
-		}
-	}
-	if a.Slots <= 0 {
-		return errors.New("agent.slots: must be above 0")
+const (
+	defaultQueue            = 256
+	defaultLoadTimeout      = 10 * time.Second
+	defaultAnnounceInterval = 500 * time.Millisecond
+	// maxAnnounceInterval keeps two announcements within the shortest lease, so
+	// that one lost message does not make a living server vanish.
+	maxAnnounceInterval = time.Second
+)
+
+func (a *Agent) setDefaults() {
+	setDefault(&a.Queue, defaultQueue)
+	setDefault(&a.LoadTimeout, Duration(defaultLoadTimeout))
+	setDefault(&a.AnnounceInterval, Duration(defaultAnnounceInterval))
+	setDefault(&a.DrainTimeout, Duration(defaultDrainTimeout))
+}
+
+func (a *Agent) check(p *problems) {
+	p.checkAddress("agent.listen", a.Listen)
+	p.checkName("agent.server", a.Server)
+	p.checkName("agent.pool", a.Pool)
+	p.checkName("agent.baseModel", a.BaseModel)
+	p.checkPositive("agent.slots", int64(a.Slots))
+	p.checkPositive("agent.queue", int64(a.Queue))
+	p.checkDuration("agent.loadTimeout", a.LoadTimeout, time.Millisecond, time.Hour)
+	p.checkDuration("agent.announceInterval", a.AnnounceInterval, 10*time.Millisecond, maxAnnounceInterval)
+	p.checkDuration("agent.drainTimeout", a.DrainTimeout, time.Second, maxDrainTimeout)
+	if u, err := url.Parse(a.Engine); err != nil || u.Scheme != "http" || u.Host == "" {
+		p.add("agent.engine", `the engine's base URL is required, such as "http://127.0.0.1:9000"`)
 	}
-	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,10 +5,10 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 )
 
 // Duration is written as text with a unit, such as "250ms".
@@ -39,6 +39,10 @@
 	DataCentre string `json:"dataCentre"`
 	// ControlPeers are the JSON-RPC addresses of the control instances.
 	ControlPeers []string `json:"controlPeers"`
+	// PeerTLS secures the traffic between the system's processes.
+	PeerTLS *PeerTLS `json:"peerTLS,omitempty"`
+	// PlaintextPeers allows that traffic without TLS.
+	PlaintextPeers bool `json:"plaintextPeers,omitempty"`
 
 	Entry     *Entry    `json:"entry,omitempty"`
 	Agent     *Agent    `json:"agent,omitempty"`
@@ -46,16 +50,6 @@
 	Telemetry Telemetry `json:"telemetry"`
 }
 
-// Telemetry configures traces.
-type Telemetry struct {
-	// Traces is one of off, stdout, file, otlp.
-	Traces string `json:"traces"`
-	// TraceFile is the path for "file".
-	TraceFile string `json:"traceFile,omitempty"`
-	// TraceEndpoint is the collector's URL for "otlp".
-	TraceEndpoint string `json:"traceEndpoint,omitempty"`
-}
-
 // Load reads, parses and checks a settings file.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -65,51 +59,35 @@
 	return Parse(path, data)
 }
 
-// Parse parses and checks settings; name is used in error messages.
+// Parse parses and checks settings; name is used in error messages. Settings
+// that break a rule give an *InvalidError with every problem found.
 func Parse(name string, data []byte) (Settings, error) {
-	standard, err := hujson.Standardize(bytes.Clone(data))
+	parsed, err := parseDocument(bytes.Clone(data))
 	if err != nil {
 		return Settings{}, errors.Wrap(err, name)
 	}
+	p := &problems{file: name, document: parsed}
 	var s Settings
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		line := 1 + bytes.Count(standard[:decoder.InputOffset()], []byte("\n"))
-		return Settings{}, errors.Wrapf(err, "%s:%d", name, line)
+	parsed.decode(&s, p)
+	if err := p.err(); err != nil {
+		return Settings{}, err
 	}
 	s.setDefaults()
-	if err := s.check(); err != nil {
-		return Settings{}, errors.Wrap(err, name)
-	}
-	return s, nil
+	s.check(p)
+	return s, p.err()
 }
 
-const (
-	defaultMaxBodyBytes     = 4 << 20
-	defaultQueue            = 256
-	defaultDialTimeout      = time.Second
-	defaultLoadTimeout      = 10 * time.Second
-	defaultDrainTimeout     = 2 * time.Minute
-	defaultAnnounceInterval = 500 * time.Millisecond
-	defaultServerLease      = 2500 * time.Millisecond
-)
-
 func (s *Settings) setDefaults() {
 	if s.Entry != nil {
-		setDefault(&s.Entry.MaxBodyBytes, defaultMaxBodyBytes)
-		setDefault(&s.Entry.DialTimeout, Duration(defaultDialTimeout))
-		setDefault(&s.Entry.DrainTimeout, Duration(defaultDrainTimeout))
+		s.Entry.setDefaults()
 	}
 	if s.Agent != nil {
-		setDefault(&s.Agent.Queue, defaultQueue)
-		setDefault(&s.Agent.LoadTimeout, Duration(defaultLoadTimeout))
-		setDefault(&s.Agent.AnnounceInterval, Duration(defaultAnnounceInterval))
-		setDefault(&s.Agent.DrainTimeout, Duration(defaultDrainTimeout))
+		s.Agent.setDefaults()
 	}
 	if s.Control != nil {
-		setDefault(&s.Control.ServerLease, Duration(defaultServerLease))
+		s.Control.setDefaults()
 	}
+	setDefault(&s.Telemetry.Traces, TracesOff)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -119,23 +97,43 @@
 	}
 }
 
-func (s *Settings) check() error {
-	if s.Instance == "" {
-		return errors.New("instance: a name is required")
-	}
+func (s *Settings) check(p *problems) {
+	p.checkName("instance", s.Instance)
+	p.checkName("dataCentre", s.DataCentre)
 	if s.Entry == nil && s.Agent == nil && s.Control == nil {
-		return errors.New("one of entry, agent, control is required")
-	}
-	if len(s.ControlPeers) == 0 {
-		return errors.New("controlPeers: at least one address is required")
+		p.add("", "one of entry, agent, control is required")
 	}
-	if s.Entry != nil && s.Entry.Listen == "" {
-		return errors.New("entry.listen: an address is required")
+	s.checkPeers(p)
+	if s.Entry != nil {
+		s.Entry.check(p)
 	}
 	if s.Agent != nil {
-		return s.Agent.check()
+		s.Agent.check(p)
+	}
+	if s.Control != nil {
+		s.Control.check(p)
+	}
+	s.Telemetry.check(p)
+}
+
+func (s *Settings) checkPeers(p *problems) {
+	if len(s.ControlPeers) == 0 {
+		p.add("controlPeers", "the address of at least one control instance is required")
+	}
+	for i, peer := range s.ControlPeers {
+		p.checkAddress("controlPeers", peer)
+		if slices.Contains(s.ControlPeers[:i], peer) {
+			p.add("controlPeers", peer+" is listed twice: keep one")
+		}
+	}
+	switch {
+	case s.PeerTLS != nil && s.PlaintextPeers:
+		p.add("plaintextPeers", "clashes with peerTLS: keep one of them")
+	case s.PeerTLS == nil && !s.PlaintextPeers:
+		p.add("peerTLS", `certificates are required between processes; write "plaintextPeers": true to go without`)
+	case s.PeerTLS != nil:
+		s.PeerTLS.check(p)
 	}
-	return nil
 }
 
 // DrainTimeout is the longest that a planned stop may take.
