Hold the whole configuration in a deterministic state machine

Change: coord/state by aggregate (contracts and keys, catalogue with base models and retirement, servers' wanted state and fencing numbers, operation ids). Time enters with commands; the machine's clock is the highest seen, and operation ids expire by it after 24 h. The feed's index moves only with changes that daemons follow.

Compatibility: PutService names the revision that was read, and an adapter needs its base model in the catalogue (PutModel), so a misspelt one is refused at once instead of never finding a server.

Ruled out: JSON for commands (answers of claims would grow by base64); forgetting the oldest operation ids at the bound (a resend would run twice).

Conclusion: the machine is ready for the replicated log to be bound to it.

--- a/coord/catalogue/catalogue.go
+++ b/coord/catalogue/catalogue.go
@@ -11,6 +11,9 @@
 // MaxNameLength bounds every name in the catalogue, in bytes.
 const MaxNameLength = 128
 
+// MaxSourceLength bounds an adapter's place in the weight store, in bytes.
+const MaxSourceLength = 1024
+
 // Ref names exactly one adapter in exactly one version. Its text form
 // "adapter@version" is also the name under which an engine loads it, so an
 // engine that lost its adapters in a restart refuses the name instead of
@@ -66,6 +69,16 @@
 	return nil
 }
 
+// Model is a base model that adapters were trained for and engines serve.
+type Model struct {
+	Name string `json:"name"`
+}
+
+// Validate reports the first rule that the model breaks.
+func (m Model) Validate() error {
+	return errors.Wrap(CheckName(m.Name), "base model")
+}
+
 // Adapter is one immutable version of a LoRA adapter.
 type Adapter struct {
 	Ref Ref `json:"ref"`
@@ -73,6 +86,8 @@
 	BaseModel string `json:"baseModel"`
 	// Source is the location in the weight store that engines load from.
 	Source string `json:"source"`
+	// Retired versions are served no more; their name stays taken.
+	Retired bool `json:"retired,omitempty"`
 }
 
 // Validate reports the first rule that the adapter breaks.
@@ -83,8 +98,8 @@
 	if err := CheckName(a.BaseModel); err != nil {
 		return errors.Wrap(err, "base model")
 	}
-	if a.Source == "" {
-		return errors.Errorf("adapter %s has no source in the weight store", a.Ref)
+	if a.Source == "" || len(a.Source) > MaxSourceLength {
+		return errors.Errorf("adapter %s: its source in the weight store must have 1 to %d bytes", a.Ref, MaxSourceLength)
 	}
 	return nil
 }
@@ -105,6 +120,8 @@
 type Service struct {
 	Name   string  `json:"name"`
 	Routes []Route `json:"routes"`
+	// Revision is the log index of the change that wrote this state.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Validate reports the first rule that the service breaks.
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -1,92 +1,76 @@
-// Package state is the replicated state machine: contracts, the catalogue and
-// the results of operations. It is deterministic, so that every control
-// instance that applies the same log holds the same state.
+// Package state is the replicated state machine: contracts, the catalogue, the
+// wanted state of backend servers, fencing numbers and the results of
+// operations. It is deterministic, so that every control instance that applies
+// the same log holds the same state, byte for byte.
+//
+// Time enters only with commands. The machine's clock is the highest proposer's
+// time among the applied commands, so that whether something has expired is the
+// same on every instance and after every restart.
 package state
 
 import (
-	"github.com/rosemarypass/rosemarypass/coord/catalogue"
-	"github.com/rosemarypass/rosemarypass/coord/contract"
-)
-
-// Command is one accepted change. Exactly one of the pointers is set.
-type Command struct {
-	// OperationID makes a resent command return the first result.
-	OperationID string `json:"operationId,omitempty"`
+	"time"
 
-	PutContract *PutContract       `json:"putContract,omitempty"`
-	PutAdapter  *catalogue.Adapter `json:"putAdapter,omitempty"`
-	PutService  *catalogue.Service `json:"putService,omitempty"`
-}
-
-// PutContract creates or changes a contract. Expected is the revision that the
-// writer read: 0 creates. A retirement is a change that sets Retired.
-type PutContract struct {
-	Expected uint64            `json:"expected"`
-	Contract contract.Contract `json:"contract"`
-}
-
-// Code classifies the result of a command.
-type Code string
-
-const (
-	// CodeOK means that the change is committed.
-	CodeOK Code = "ok"
-	// CodeConflict means that another writer changed the object first.
-	CodeConflict Code = "conflict"
-	// CodeInvalid means that the change breaks a rule of its aggregate.
-	CodeInvalid Code = "invalid"
+	"github.com/pkg/errors"
 )
 
-// Result is the answer to a command, kept for resends.
-type Result struct {
-	Code Code `json:"code"`
-	// Index is the log index of the change; the contract's new revision.
-	Index   uint64 `json:"index"`
-	Message string `json:"message,omitempty"`
-	// Winner is the contract as it stands when Code is CodeConflict.
-	Winner *contract.Contract `json:"winner,omitempty"`
-}
-
-// Change is one object as it stands after the command at Index.
-type Change struct {
-	Index    uint64             `json:"index"`
-	Contract *contract.Contract `json:"contract,omitempty"`
-	Adapter  *catalogue.Adapter `json:"adapter,omitempty"`
-	Service  *catalogue.Service `json:"service,omitempty"`
-}
-
-// Machine is the state after a prefix of the log. One duty owns it.
+// Machine is the state after a prefix of the log. It is not safe for
+// concurrent use: one duty owns it.
 type Machine struct {
-	index     uint64
-	contracts map[string]contract.Contract
-	adapters  map[catalogue.Ref]catalogue.Adapter
-	services  map[string]catalogue.Service
-	results   map[string]Result
+	index       uint64
+	configIndex uint64
+	clock       int64
+
+	contracts  contracts
+	catalogue  catalogueTable
+	servers    servers
+	operations operations
 }
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	return &Machine{
-		contracts: make(map[string]contract.Contract),
-		adapters:  make(map[catalogue.Ref]catalogue.Adapter),
-		services:  make(map[string]catalogue.Service),
-		results:   make(map[string]Result),
+		contracts:  newContracts(),
+		catalogue:  newCatalogue(),
+		servers:    newServers(),
+		operations: newOperations(),
 	}
 }
 
 // Index is the log index of the last applied command.
 func (m *Machine) Index() uint64 { return m.index }
 
-// Apply executes the command at the given index. It returns the result for the
-// operator and the change for the daemons, which is nil when nothing changed.
+// ConfigIndex is the log index of the last command that changed something
+// that daemons follow. Commands that change nothing for daemons leave it as it
+// is, so that they wake nobody.
+func (m *Machine) ConfigIndex() uint64 { return m.configIndex }
+
+// Clock is the highest proposer's time seen; it never steps back.
+func (m *Machine) Clock() time.Time { return time.UnixMilli(m.clock).UTC() }
+
+// Apply executes the command at the given index, which must be above Index. It
+// returns the result for the operator and the change for the daemons, which is
+// nil when nothing changed for them.
 func (m *Machine) Apply(index uint64, command Command) (Result, *Change) {
+	if index <= m.index {
+		panic("state: the log went back")
+	}
 	m.index = index
-	if first, seen := m.results[command.OperationID]; seen && command.OperationID != "" {
+	m.clock = max(m.clock, command.Time)
+	m.operations.expire(m.clock)
+
+	first, seen := m.operations.find(command)
+	if seen {
 		return first, nil
 	}
+	if refusal := m.operations.refuse(command); refusal != nil {
+		refusal.Index = index
+		return *refusal, nil
+	}
 	result, change := m.execute(index, command)
-	if command.OperationID != "" {
-		m.results[command.OperationID] = result
+	m.operations.record(command, result, m.clock)
+	if change != nil {
+		m.configIndex = index
 	}
 	return result, change
 }
@@ -94,76 +78,22 @@
 func (m *Machine) execute(index uint64, command Command) (Result, *Change) {
 	switch {
 	case command.PutContract != nil:
-		return m.putContract(index, *command.PutContract)
+		return m.contracts.put(index, *command.PutContract)
+	case command.ChangeKeys != nil:
+		return m.contracts.changeKeys(index, *command.ChangeKeys)
+	case command.PutModel != nil:
+		return m.catalogue.putModel(index, *command.PutModel)
 	case command.PutAdapter != nil:
-		return m.putAdapter(index, *command.PutAdapter)
+		return m.catalogue.putAdapter(index, *command.PutAdapter)
+	case command.RetireAdapter != nil:
+		return m.catalogue.retireAdapter(index, *command.RetireAdapter)
 	case command.PutService != nil:
-		return m.putService(index, *command.PutService)
+		return m.catalogue.putService(index, *command.PutService)
+	case command.PutServer != nil:
+		return m.servers.put(index, *command.PutServer)
+	case command.Fence != nil:
+		return m.servers.fence(index, *command.Fence), nil
 	default:
-		return Result{Code: CodeInvalid, Index: index, Message: "empty command"}, nil
-	}
-}
-
-func (m *Machine) putContract(index uint64, put PutContract) (Result, *Change) {
-	current, exists := m.contracts[put.Contract.ID]
-	if current.Revision != put.Expected {
-		result := Result{Code: CodeConflict, Index: index, Message: "the contract was changed by another writer"}
-		if exists {
-			result.Winner = &current
-		}
-		return result, nil
-	}
-	if err := put.Contract.Validate(); err != nil {
-		return invalid(index, err), nil
-	}
-	next := put.Contract
-	next.Revision = index
-	m.contracts[next.ID] = next
-	return Result{Code: CodeOK, Index: index}, &Change{Index: index, Contract: &next}
-}
-
-func (m *Machine) putAdapter(index uint64, adapter catalogue.Adapter) (Result, *Change) {
-	if err := adapter.Validate(); err != nil {
-		return invalid(index, err), nil
-	}
-	known, exists := m.adapters[adapter.Ref]
-	if exists && known != adapter {
-		return Result{Code: CodeConflict, Index: index, Message: "adapter versions are immutable"}, nil
-	}
-	m.adapters[adapter.Ref] = adapter
-	return Result{Code: CodeOK, Index: index}, &Change{Index: index, Adapter: &adapter}
-}
-
-func (m *Machine) putService(index uint64, service catalogue.Service) (Result, *Change) {
-	if err := service.Validate(); err != nil {
-		return invalid(index, err), nil
-	}
-	m.services[service.Name] = service
-	return Result{Code: CodeOK, Index: index}, &Change{Index: index, Service: &service}
-}
-
-func invalid(index uint64, err error) Result {
-	return Result{Code: CodeInvalid, Index: index, Message: err.Error()}
-}
-
-// Contract returns a contract by ID.
-func (m *Machine) Contract(id string) (contract.Contract, bool) {
-	c, ok := m.contracts[id]
-	return c, ok
-}
-
-// Snapshot returns every object, in no order. It is what a daemon that follows
-// the feed for the first time receives.
-func (m *Machine) Snapshot() []Change {
-	changes := make([]Change, 0, len(m.contracts)+len(m.adapters)+len(m.services))
-	for _, c := range m.contracts {
-		changes = append(changes, Change{Index: m.index, Contract: &c})
-	}
-	for _, a := range m.adapters {
-		changes = append(changes, Change{Index: m.index, Adapter: &a})
-	}
-	for _, s := range m.services {
-		changes = append(changes, Change{Index: m.index, Service: &s})
+		return invalid(index, errors.New("empty command")), nil
 	}
-	return changes
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,12 +18,6 @@
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
-// Log makes commands durable and applies them in one order.
-type Log interface {
-	// Propose commits a command and returns its result.
-	Propose(ctx context.Context, command state.Command) (state.Result, error)
-}
-
 // Options configure a control instance.
 type Options struct {
 	// ServerLease is how long a server stays listed after its last announcement.
@@ -46,6 +40,7 @@
 type Control struct {
 	options Options
 	log     *zap.Logger
+	durable Log
 
 	mu        sync.Mutex
 	machine   *state.Machine
@@ -65,7 +60,7 @@
 	if options.TailLength == 0 {
 		options.TailLength = defaultTailLength
 	}
-	return &Control{
+	c := &Control{
 		options:   options,
 		log:       log,
 		machine:   state.NewMachine(),
@@ -73,6 +68,8 @@
 		epoch:     uint64(time.Now().UnixNano()),
 		changed:   make(chan struct{}),
 	}
+	c.durable = &localLog{control: c}
+	return c
 }
 
 // Handlers returns the JSON-RPC methods that daemons call.
@@ -97,18 +94,6 @@
 	}
 }
 
-// Propose commits a command on this instance alone.
-func (c *Control) Propose(_ context.Context, command state.Command) (state.Result, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	result, change := c.machine.Apply(c.machine.Index()+1, command)
-	if change != nil {
-		c.appendTail(*change)
-	}
-	c.notify()
-	return result, nil
-}
-
 func (c *Control) appendTail(change state.Change) {
 	c.tail = append(c.tail, change)
 	if excess := len(c.tail) - c.options.TailLength; excess > 0 {
@@ -187,7 +172,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply := wire.WatchReply{
-		ConfigIndex:      c.machine.Index(),
+		ConfigIndex:      c.machine.ConfigIndex(),
 		DirectoryEpoch:   c.epoch,
 		DirectoryVersion: c.version,
 	}
@@ -205,7 +190,7 @@
 // changesAfter returns the tail after an index, or a snapshot when the tail no
 // longer reaches back that far.
 func (c *Control) changesAfter(index uint64) (changes []state.Change, snapshot bool) {
-	oldest := c.machine.Index() + 1
+	oldest := c.machine.ConfigIndex() + 1
 	if len(c.tail) > 0 {
 		oldest = c.tail[0].Index
 	}
--- /dev/null
+++ b/internal/control/log.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+// Log makes commands durable and hands them, in one order, to Control.Apply on
+// every control instance.
+type Log interface {
+	// Propose commits an encoded command and returns what Apply answered on
+	// this or another instance. An error means that the fate is unknown
+	// unless the log says otherwise.
+	Propose(ctx context.Context, data []byte) ([]byte, error)
+}
+
+var undecodedCount = telemetry.Counter("control_commands_undecoded")
+
+// UseLog replaces the log, before Run. Without it commands are applied on this
+// instance alone and are lost when it stops.
+func (c *Control) UseLog(log Log) { c.durable = log }
+
+// Propose commits a command through the log and returns its result.
+func (c *Control) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	if command.Time == 0 {
+		command.Time = time.Now().UnixMilli()
+	}
+	data, err := command.Encode()
+	if err != nil {
+		return state.Result{}, err
+	}
+	answer, err := c.durable.Propose(ctx, data)
+	if err != nil {
+		return state.Result{}, err
+	}
+	return state.DecodeResult(answer)
+}
+
+// Apply executes one committed command and returns its encoded result. The log
+// calls it in the order of the indexes.
+func (c *Control) Apply(index uint64, data []byte) []byte {
+	command, err := state.DecodeCommand(data)
+	if err != nil {
+		// An instance of another program version may have written it. Every
+		// instance of this version refuses it alike, as an empty command.
+		undecodedCount.Add(1)
+		c.log.Error("a committed command cannot be read", zap.Uint64("index", index), zap.Error(err))
+		command = state.Command{}
+	}
+	result := c.apply(index, command)
+	answer, err := result.Encode()
+	if err != nil {
+		panic("control: a result cannot be encoded: " + err.Error())
+	}
+	return answer
+}
+
+func (c *Control) apply(index uint64, command state.Command) state.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result, change := c.machine.Apply(index, command)
+	if change != nil {
+		c.appendTail(*change)
+		c.notify()
+	}
+	return result
+}
+
+// Snapshot returns the encoded state for the log's compaction.
+func (c *Control) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Encode()
+}
+
+// Restore replaces the state by a snapshot. Daemons that are behind it get a
+// snapshot too, as the changes in between are not known.
+func (c *Control) Restore(data []byte) error {
+	machine, err := state.Decode(data)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machine = machine
+	c.tail = nil
+	c.notify()
+	return nil
+}
+
+// localLog applies commands at once on this instance alone.
+type localLog struct {
+	control *Control
+	mu      sync.Mutex
+	index   uint64
+}
+
+// Propose implements Log.
+func (l *localLog) Propose(_ context.Context, data []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	return l.control.Apply(l.index, data), nil
+}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -100,7 +100,7 @@
 	if !readBody(w, r, &service) {
 		return
 	}
-	c.propose(w, r, state.Command{PutService: &service})
+	c.propose(w, r, state.Command{PutService: &state.PutService{Expected: service.Revision, Service: service}})
 }
 
 func (c *Control) listServers(w http.ResponseWriter, _ *http.Request) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -186,10 +186,11 @@
 			},
 			Share: 1,
 		}}},
-		{PutService: &catalogue.Service{Name: ServiceName, Routes: []catalogue.Route{
+		{PutModel: &catalogue.Model{Name: BaseModel}},
+		{PutService: &state.PutService{Service: catalogue.Service{Name: ServiceName, Routes: []catalogue.Route{
 			{Method: http.MethodGet, PathPrefix: "/", Idempotent: true},
 			{Method: http.MethodPost, PathPrefix: "/deposits", RequireKey: true},
-		}}},
+		}}}},
 	}
 	for _, name := range Adapters {
 		ref, err := catalogue.ParseRef(name)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,6 +73,8 @@
 	switch {
 	case change.Contract != nil:
 		c.putContract(*change.Contract)
+	case change.Adapter != nil && change.Adapter.Retired:
+		delete(c.adapters, change.Adapter.Ref)
 	case change.Adapter != nil:
 		c.adapters[change.Adapter.Ref] = *change.Adapter
 	case change.Service != nil:
