Hold adapters packed, so that a copy of all of them stays small

Change: catalogue.Table keeps records in byte chunks behind an open-addressing hash of 4-byte positions; base models and the common forms of sources are interned. Versions are immutable, retirement is final, and Put is monotone, so a late message cannot bring a version back. The state machine uses it too.

Ruled out: look-up on demand with a cache in each entry. It saves 4 MB but a sleeping adapter would be unknown while control cannot be reached, and negative answers need a confirmation each.

Conclusion: every entry can hold the whole catalogue.

--- a/coord/state/catalogue.go
+++ b/coord/state/catalogue.go
@@ -11,14 +11,14 @@
 // catalogueTable is the aggregate of base models, adapters and services.
 type catalogueTable struct {
 	models   map[string]catalogue.Model
-	adapters map[catalogue.Ref]catalogue.Adapter
+	adapters *catalogue.Table
 	services map[string]catalogue.Service
 }
 
 func newCatalogue() catalogueTable {
 	return catalogueTable{
 		models:   make(map[string]catalogue.Model),
-		adapters: make(map[catalogue.Ref]catalogue.Adapter),
+		adapters: catalogue.NewTable(),
 		services: make(map[string]catalogue.Service),
 	}
 }
@@ -46,19 +46,19 @@
 	if _, exists := t.models[adapter.BaseModel]; !exists {
 		return notFound(index, "base model "+adapter.BaseModel), nil
 	}
-	known, exists := t.adapters[adapter.Ref]
+	known, exists := t.adapters.Get(adapter.Ref)
 	if exists && known == adapter {
 		return ok(index), nil
 	}
 	if exists {
 		return conflict(index, "adapter versions are immutable", &Change{Index: index, Adapter: &known}), nil
 	}
-	t.adapters[adapter.Ref] = adapter
+	t.adapters.Put(adapter)
 	return ok(index), &Change{Index: index, Adapter: &adapter}
 }
 
 func (t *catalogueTable) retireAdapter(index uint64, retire RetireAdapter) (Result, *Change) {
-	adapter, exists := t.adapters[retire.Ref]
+	adapter, exists := t.adapters.Get(retire.Ref)
 	if !exists {
 		return notFound(index, "adapter "+retire.Ref.String()), nil
 	}
@@ -66,7 +66,7 @@
 		return ok(index), nil
 	}
 	adapter.Retired = true
-	t.adapters[retire.Ref] = adapter
+	t.adapters.Put(adapter)
 	return ok(index), &Change{Index: index, Adapter: &adapter}
 }
 
@@ -97,8 +97,7 @@
 
 // Adapter returns an adapter version, retired ones included.
 func (m *Machine) Adapter(ref catalogue.Ref) (catalogue.Adapter, bool) {
-	adapter, found := m.catalogue.adapters[ref]
-	return adapter, found
+	return m.catalogue.adapters.Get(ref)
 }
 
 // Service returns a plain service by name.
@@ -112,9 +111,9 @@
 	return sortedValues(m.catalogue.models, identity)
 }
 
-// Adapters returns all adapter versions, by their text form.
+// Adapters returns all adapter versions, by name and version.
 func (m *Machine) Adapters() []catalogue.Adapter {
-	return sortedValues(m.catalogue.adapters, catalogue.Ref.String)
+	return m.catalogue.adapters.Sorted()
 }
 
 // Services returns all plain services, by name.
--- a/coord/state/codec.go
+++ b/coord/state/codec.go
@@ -104,7 +104,7 @@
 		m.catalogue.models[model.Name] = model
 	}
 	for _, adapter := range s.Adapters {
-		m.catalogue.adapters[adapter.Ref] = adapter
+		m.catalogue.adapters.Put(adapter)
 	}
 	for _, service := range s.Services {
 		m.catalogue.services[service.Name] = service
