Hand the directory out as versioned deltas, with loads coalesced

Cause: each announcement sent the whole directory to every daemon. A control instance that restarted handed out an empty one, a daemon that moved to a lagging instance forgot that a server leaves, and an announcement replayed after a server's lease listed it again. Nothing bounded what is announced.

Change: Directory has versions and gives Deltas in which numbers stand for servers; load is shown at Publish only. View takes deltas in: an instance that is not warm (younger than a lease) only adds, a leave outlives a move for one lease. Departed servers' last stamps are remembered. Names, addresses, resident lists, slots and servers are bounded.

Conclusion: what a daemon receives grows with what changed.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -1,11 +1,17 @@
 // Package membership keeps the directory of backend servers that have
 // announced themselves. There is no list of servers: a server is present while
 // its lease runs, and gone within one lease after its last announcement.
+//
+// Control instances hold a Directory each and hand out Deltas; entries hold a
+// View that takes them in.
 package membership
 
 import (
+	"reflect"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 )
 
@@ -56,50 +62,242 @@
 	Load    Load `json:"load"`
 }
 
-func (a Announcement) olderThan(b Announcement) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation < b.Incarnation
+// Bounds of an announcement. An announcer that exceeds them is refused, so that
+// a faulty or foreign process cannot grow the directory of every daemon.
+const (
+	MaxAddressLength = 256
+	MaxResident      = 1024
+	MaxSlots         = 1024
+)
+
+// Validate reports the first rule that the announcement breaks.
+func (a Announcement) Validate() error {
+	if err := catalogue.CheckName(a.Server); err != nil {
+		return errors.Wrap(err, "server")
+	}
+	if a.Kind != KindEngine && a.Kind != KindService {
+		return errors.Errorf("server %s: kind %q is none of engine, service", a.Server, a.Kind)
+	}
+	for _, name := range []string{a.Pool, a.DataCentre, a.BaseModel} {
+		if len(name) > catalogue.MaxNameLength {
+			return errors.Errorf("server %s: a name is longer than %d bytes", a.Server, catalogue.MaxNameLength)
+		}
+	}
+	if a.Address == "" || len(a.Address) > MaxAddressLength {
+		return errors.Errorf("server %s: the address must have 1 to %d bytes", a.Server, MaxAddressLength)
 	}
-	return a.Sequence <= b.Sequence
+	if len(a.Load.Resident) > MaxResident || a.Slots < 0 || a.Slots > MaxSlots {
+		return errors.Errorf("server %s: more than %d resident adapters or slots", a.Server, MaxResident)
+	}
+	for _, ref := range a.Load.Resident {
+		if _, err := catalogue.ParseRef(ref.String()); err != nil {
+			return errors.Wrapf(err, "server %s: resident", a.Server)
+		}
+	}
+	return nil
+}
+
+// newerThan orders announcements of one server.
+func (a Announcement) newerThan(b Announcement) bool { return a.stamp().after(b.stamp()) }
+
+func (a Announcement) stamp() stamp { return stamp{a.Incarnation, a.Sequence} }
+
+// sameIdentity reports whether two announcements differ in load and number only.
+func (a Announcement) sameIdentity(b Announcement) bool {
+	a.Load, b.Load = Load{}, Load{}
+	a.Sequence, b.Sequence = 0, 0
+	return reflect.DeepEqual(a, b)
 }
 
-// Directory is a soft-state table of announced servers. It is not safe for
-// concurrent use: one duty owns it.
+// stamp orders the announcements of one server.
+type stamp struct{ incarnation, sequence uint64 }
+
+func (s stamp) after(o stamp) bool {
+	if s.incarnation != o.incarnation {
+		return s.incarnation > o.incarnation
+	}
+	return s.sequence > o.sequence
+}
+
+// Errors of Announce.
+var (
+	// ErrStale means that a newer announcement of the server is known.
+	ErrStale = errors.New("a newer announcement of this server is known")
+	// ErrFull means that the directory holds its most servers.
+	ErrFull = errors.New("the directory holds its most servers")
+)
+
+// Options configure a directory.
+type Options struct {
+	// Lease is how long a server stays listed after its last announcement.
+	Lease time.Duration
+	// MaxServers bounds the servers, and the departed ones that are remembered.
+	MaxServers int
+}
+
+const defaultMaxServers = 4096
+
+// Directory is a soft-state table of announced servers with versions. It is
+// not safe for concurrent use: one duty owns it.
 type Directory struct {
-	lease   time.Duration
-	members map[string]member
+	options Options
+	epoch   uint64
+	started time.Time
+	// warm is what daemons were told of Warm.
+	warm    bool
+	version uint64
+	nextID  uint32
+	members map[string]*member
+	// departures tell daemons that are behind which members have gone.
+	departures []departure
+	// departed keeps the last stamp of servers that went, so that a delayed
+	// announcement does not list a stopped server again.
+	departed      map[string]stamp
+	departedOrder []string
 }
 
 type member struct {
+	id           uint32
 	announcement Announcement
 	expires      time.Time
+	// identityAt, residentAt and loadAt are the versions of the last change.
+	identityAt, residentAt, loadAt uint64
+	// shown is the load that daemons were told; the announcement's is newer.
+	shown Load
 }
 
-// NewDirectory returns an empty directory whose members expire a lease after
-// their last announcement.
-func NewDirectory(lease time.Duration) *Directory {
-	return &Directory{lease: lease, members: make(map[string]member)}
+type departure struct {
+	version uint64
+	id      uint32
 }
 
-// Announce takes an announcement into account and reports whether it was newer
-// than what was known.
-func (d *Directory) Announce(a Announcement, now time.Time) bool {
+// NewDirectory returns an empty directory. Epoch tells it apart from every
+// earlier directory, whose versions mean nothing in this one.
+func NewDirectory(options Options, epoch uint64, now time.Time) *Directory {
+	if options.MaxServers == 0 {
+		options.MaxServers = defaultMaxServers
+	}
+	return &Directory{
+		options:  options,
+		epoch:    epoch,
+		started:  now,
+		members:  make(map[string]*member),
+		departed: make(map[string]stamp),
+	}
+}
+
+// Epoch tells the directory apart from those of other control instances.
+func (d *Directory) Epoch() uint64 { return d.epoch }
+
+// Version moves when daemons have something to learn.
+func (d *Directory) Version() uint64 { return d.version }
+
+// Announce takes an announcement into account. A change of load is shown to
+// daemons at the next Publish only, other changes at once.
+func (d *Directory) Announce(a Announcement, now time.Time) error {
+	if err := a.Validate(); err != nil {
+		return err
+	}
 	known, present := d.members[a.Server]
-	if present && a.olderThan(known.announcement) {
+	if !present {
+		return d.join(a, now)
+	}
+	if !a.newerThan(known.announcement) {
+		return ErrStale
+	}
+	if !a.sameIdentity(known.announcement) {
+		d.version++
+		known.identityAt = d.version
+		known.shown = a.Load
+	}
+	known.announcement = a
+	known.expires = now.Add(d.options.Lease)
+	return nil
+}
+
+func (d *Directory) join(a Announcement, now time.Time) error {
+	if last, remembered := d.departed[a.Server]; remembered && !a.stamp().after(last) {
+		return ErrStale
+	}
+	if len(d.members) >= d.options.MaxServers {
+		return ErrFull
+	}
+	d.version++
+	d.nextID++
+	d.members[a.Server] = &member{
+		id:           d.nextID,
+		announcement: a,
+		expires:      now.Add(d.options.Lease),
+		identityAt:   d.version,
+		shown:        a.Load,
+	}
+	return nil
+}
+
+// Publish drops expired members and shows daemons the loads that changed since
+// the last call.
+func (d *Directory) Publish(now time.Time) {
+	d.Expire(now)
+	next := d.version + 1
+	if !d.warm && d.Warm(now) {
+		d.warm = true
+		d.version = next
+	}
+	for _, m := range d.members {
+		if d.showLoad(m, next) {
+			d.version = next
+		}
+	}
+}
+
+func (d *Directory) showLoad(m *member, version uint64) bool {
+	latest := m.announcement.Load
+	if reflect.DeepEqual(latest, m.shown) {
 		return false
 	}
-	d.members[a.Server] = member{announcement: a, expires: now.Add(d.lease)}
+	if !reflect.DeepEqual(latest.Resident, m.shown.Resident) {
+		m.residentAt = version
+	}
+	m.loadAt = version
+	m.shown = latest
 	return true
 }
 
-// Live drops expired members and returns the others, in no order.
-func (d *Directory) Live(now time.Time) []Announcement {
-	live := make([]Announcement, 0, len(d.members))
+// Expire drops the members whose lease has run out.
+func (d *Directory) Expire(now time.Time) {
 	for server, m := range d.members {
-		if !now.Before(m.expires) {
-			delete(d.members, server)
+		if now.Before(m.expires) {
 			continue
 		}
+		delete(d.members, server)
+		d.version++
+		d.departures = append(d.departures, departure{version: d.version, id: m.id})
+		d.remember(server, m.announcement.stamp())
+	}
+	if excess := len(d.departures) - d.options.MaxServers; excess > 0 {
+		d.departures = d.departures[excess:]
+	}
+}
+
+func (d *Directory) remember(server string, last stamp) {
+	if _, known := d.departed[server]; !known {
+		d.departedOrder = append(d.departedOrder, server)
+	}
+	d.departed[server] = last
+	if len(d.departedOrder) > d.options.MaxServers {
+		delete(d.departed, d.departedOrder[0])
+		d.departedOrder = d.departedOrder[1:]
+	}
+}
+
+// Warm reports whether every living server has had a whole lease to announce
+// itself since the directory began. Before that, absence proves nothing.
+func (d *Directory) Warm(now time.Time) bool { return now.Sub(d.started) >= d.options.Lease }
+
+// Live returns the members' last announcements, in no order.
+func (d *Directory) Live() []Announcement {
+	live := make([]Announcement, 0, len(d.members))
+	for _, m := range d.members {
 		live = append(live, m.announcement)
 	}
 	return live
--- /dev/null
+++ b/coord/membership/membership_test.go
@@ -0,0 +1,205 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+)
+
+const lease = 2 * time.Second
+
+var start = time.Unix(1_000, 0)
+
+func announcement(server string, sequence uint64) membership.Announcement {
+	return membership.Announcement{Server: server, Kind: membership.KindEngine, Address: server + ":1", Incarnation: 1, Sequence: sequence}
+}
+
+func leaving(server string, sequence uint64) membership.Announcement {
+	a := announcement(server, sequence)
+	a.Leaving = true
+	return a
+}
+
+func newDirectory(epoch uint64) *membership.Directory {
+	return membership.NewDirectory(membership.Options{Lease: lease, MaxServers: 8}, epoch, start)
+}
+
+func mustAnnounce(t interface{ Fatal(...any) }, d *membership.Directory, a membership.Announcement, now time.Time) {
+	if err := d.Announce(a, now); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func names(servers []membership.Announcement) []string {
+	all := make([]string, 0, len(servers))
+	for _, s := range servers {
+		all = append(all, s.Server)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// A server says that it leaves and stops. An earlier announcement was held up
+// on the way and arrives afterwards, before or after the server's lease ran
+// out. Taking it in would send callers to a server that is gone.
+func TestDelayedAnnouncementIsRefused(t *testing.T) {
+	d := newDirectory(1)
+	mustAnnounce(t, d, leaving("a", 5), start)
+	if err := d.Announce(announcement("a", 4), start); err != membership.ErrStale {
+		t.Errorf("before the lease ran out: %v", err)
+	}
+	gone := start.Add(lease)
+	d.Expire(gone)
+	if err := d.Announce(announcement("a", 4), gone); err != membership.ErrStale {
+		t.Errorf("after the lease ran out: %v", err)
+	}
+	restarted := announcement("a", 1)
+	restarted.Incarnation = 2
+	mustAnnounce(t, d, restarted, gone)
+}
+
+// A control instance restarts with an empty directory, or all of them do. An
+// entry that took the empty directory at its word would refuse every caller
+// until the servers have announced themselves again.
+func TestRestartedControlInstanceDoesNotEmptyTheView(t *testing.T) {
+	old, view := newDirectory(1), membership.NewView()
+	mustAnnounce(t, old, announcement("a", 1), start)
+	mustAnnounce(t, old, announcement("b", 1), start)
+	view.Apply(old.Delta(0, 0, start), start)
+
+	restarted := newDirectory(2)
+	mustAnnounce(t, restarted, announcement("a", 2), start)
+	view.Apply(restarted.Delta(view.Epoch(), view.Version(), start), start)
+	if got := names(view.Servers()); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("while the instance is not warm: %v", got)
+	}
+	warm := start.Add(lease)
+	mustAnnounce(t, restarted, announcement("a", 3), warm.Add(-1))
+	restarted.Publish(warm)
+	view.Apply(restarted.Delta(view.Epoch(), view.Version(), warm), warm)
+	if got := names(view.Servers()); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("once it is warm: %v", got)
+	}
+}
+
+// An entry moves to a control instance that has not yet heard that a server
+// leaves. Choosing that server again would send it work that it refuses.
+func TestLaggingControlInstanceDoesNotUndoALeave(t *testing.T) {
+	ahead, behind, view := newDirectory(1), newDirectory(2), membership.NewView()
+	mustAnnounce(t, ahead, leaving("a", 2), start)
+	mustAnnounce(t, behind, announcement("a", 1), start)
+	view.Apply(ahead.Delta(0, 0, start), start)
+	view.Apply(behind.Delta(view.Epoch(), view.Version(), start), start)
+	if servers := view.Servers(); !servers[0].Leaving {
+		t.Errorf("got %+v", servers)
+	}
+}
+
+func TestAnnouncementsAreBounded(t *testing.T) {
+	cases := map[string]func(*membership.Announcement){
+		"no server":         func(a *membership.Announcement) { a.Server = "" },
+		"bad name":          func(a *membership.Announcement) { a.Server = "a b" },
+		"unknown kind":      func(a *membership.Announcement) { a.Kind = "disk" },
+		"long pool":         func(a *membership.Announcement) { a.Pool = strings.Repeat("p", 129) },
+		"no address":        func(a *membership.Announcement) { a.Address = "" },
+		"long address":      func(a *membership.Announcement) { a.Address = strings.Repeat("1", 257) },
+		"many slots":        func(a *membership.Announcement) { a.Slots = 1025 },
+		"many residents":    func(a *membership.Announcement) { a.Load.Resident = make([]catalogue.Ref, 1025) },
+		"unnamed residents": func(a *membership.Announcement) { a.Load.Resident = make([]catalogue.Ref, 1) },
+	}
+	for name, spoil := range cases {
+		a := announcement("a", 1)
+		spoil(&a)
+		if err := newDirectory(1).Announce(a, start); err == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+	d := newDirectory(1)
+	for i := range 8 {
+		mustAnnounce(t, d, announcement(fmt.Sprint("s", i), 1), start)
+	}
+	if err := d.Announce(announcement("one-more", 1), start); err != membership.ErrFull {
+		t.Errorf("a ninth server: %v", err)
+	}
+}
+
+// Load reports arrive several times a second from each server; daemons must
+// hear of them once for each publication.
+func TestLoadsAreCoalesced(t *testing.T) {
+	d, view := newDirectory(1), membership.NewView()
+	mustAnnounce(t, d, announcement("a", 1), start)
+	view.Apply(d.Delta(0, 0, start), start)
+	before := d.Version()
+	for sequence := uint64(2); sequence < 6; sequence++ {
+		a := announcement("a", sequence)
+		a.Load.Running = int(sequence)
+		mustAnnounce(t, d, a, start)
+	}
+	if d.Version() != before {
+		t.Error("a load report moved the version")
+	}
+	d.Publish(start)
+	delta := d.Delta(view.Epoch(), view.Version(), start)
+	if len(delta.Loads) != 1 || len(delta.Joined) != 0 || delta.Whole {
+		t.Errorf("delta %+v", delta)
+	}
+	view.Apply(delta, start)
+	if got := view.Servers()[0].Load.Running; got != 5 {
+		t.Errorf("running %d", got)
+	}
+}
+
+// Random announcements, expiries and deltas taken at random moments must leave
+// a view with exactly the directory's servers and their last loads.
+func TestViewAgreesWithDirectory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		directories := []*membership.Directory{newDirectory(1), newDirectory(2)}
+		view, sequence := membership.NewView(), uint64(0)
+		var followed *membership.Directory
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			sequence++
+			a := announcement(fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "server")), sequence)
+			a.Leaving = rapid.Bool().Draw(t, "leaving")
+			a.Load.Running = rapid.IntRange(0, 2).Draw(t, "running")
+			a.Load.Resident = rapid.SampledFrom([][]catalogue.Ref{nil, {{Adapter: "x", Version: "1"}}}).Draw(t, "resident")
+			followed = directories[rapid.IntRange(0, 1).Draw(t, "directory")]
+			mustAnnounce(t, followed, a, now)
+			if rapid.Bool().Draw(t, "publish") {
+				followed.Publish(now)
+			}
+			if rapid.Bool().Draw(t, "poll") {
+				view.Apply(followed.Delta(view.Epoch(), view.Version(), now), now)
+			}
+		}
+		// A lease later everything that another directory told is settled.
+		live := followed.Live()
+		now = now.Add(lease)
+		for _, a := range live {
+			sequence++
+			a.Sequence = sequence
+			mustAnnounce(t, followed, a, now)
+		}
+		followed.Publish(now)
+		view.Apply(followed.Delta(view.Epoch(), view.Version(), now), now)
+		want := followed.Live()
+		got := view.Servers()
+		if !slices.Equal(names(got), names(want)) {
+			t.Fatalf("servers %v, want %v", names(got), names(want))
+		}
+		for _, w := range want {
+			i := slices.IndexFunc(got, func(g membership.Announcement) bool { return g.Server == w.Server })
+			if got[i].Leaving != w.Leaving || got[i].Load.Running != w.Load.Running || len(got[i].Load.Resident) != len(w.Load.Resident) {
+				t.Fatalf("%s: load %+v, want %+v", w.Server, got[i].Load, w.Load)
+			}
+		}
+	})
+}
