Follow control by pages and tail, with a proof in each answer

The log has a Barrier for confirmations and a Standing. Followers merge objects by revision, so that a lagging or late message changes nothing; they start at different instances, probe all when their proof ages, and leave an unconfirmed one for a confirmed one. Agents can follow their own server's wanted state only. Entries refuse as "not run" (configuration_unconfirmed) while they cannot confirm. The demo waits for the entry's directory instead of control's, which came earlier.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/contract"
@@ -20,22 +18,56 @@
 
 // Options configure a control instance.
 type Options struct {
+	// Instance names this control instance.
+	Instance string
+	// Peers are the JSON-RPC addresses of all control instances.
+	Peers []string
 	// ServerLease is how long a server stays listed after its last announcement.
 	ServerLease time.Duration
+	// LoadInterval is the time between publications of load reports.
+	LoadInterval time.Duration
+	// DaemonLease is how long a daemon counts as living after its last call.
+	DaemonLease time.Duration
+	// MaxServers and MaxDaemons bound what strangers can make it remember.
+	MaxServers int
+	MaxDaemons int
 	// OperatorKeyHashes are hex SHA-256 digests of operators' keys.
 	OperatorKeyHashes []string
-	// TailLength is how many changes are kept for daemons that fall behind;
-	// one further behind gets a snapshot.
+	// TailLength is how many changes are kept for daemons that fall behind.
 	TailLength int
+	// MessageBytes bounds the changes in one message to a daemon.
+	MessageBytes int
 }
 
 const (
-	defaultServerLease = 2500 * time.Millisecond
-	defaultTailLength  = 1024
-	expiryInterval     = 250 * time.Millisecond
-	maxPollWait        = 30 * time.Second
+	defaultServerLease  = 2500 * time.Millisecond
+	defaultLoadInterval = time.Second
+	defaultDaemonLease  = 5 * time.Second
+	defaultMaxServers   = 4096
+	defaultMaxDaemons   = 8192
+	defaultTailLength   = 4096
+	defaultMessageBytes = 64 << 10
+	expiryInterval      = 250 * time.Millisecond
+	maxPollWait         = 30 * time.Second
 )
 
+func (o *Options) setDefaults() {
+	setDefault(&o.ServerLease, defaultServerLease)
+	setDefault(&o.LoadInterval, defaultLoadInterval)
+	setDefault(&o.DaemonLease, defaultDaemonLease)
+	setDefault(&o.MaxServers, defaultMaxServers)
+	setDefault(&o.MaxDaemons, defaultMaxDaemons)
+	setDefault(&o.TailLength, defaultTailLength)
+	setDefault(&o.MessageBytes, defaultMessageBytes)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
 // Control is one control instance.
 type Control struct {
 	options Options
@@ -44,61 +76,53 @@
 
 	mu        sync.Mutex
 	machine   *state.Machine
-	tail      []state.Change
-	directory *membership.Directory
-	servers   []membership.Announcement
-	epoch     uint64
-	version   uint64
-	changed   chan struct{}
+	tail      tail
+	pages     *pages
+	directory *directoryFeed
+	daemons   *daemonTable
+	// confirmed is when a quorum last confirmed that every change accepted
+	// until then is in the machine.
+	confirmed time.Time
+	// configChanged and directoryChanged are closed to wake waiting polls.
+	configChanged    chan struct{}
+	directoryChanged chan struct{}
 }
 
 // New returns a control instance with empty state.
 func New(options Options, log *zap.Logger) *Control {
-	if options.ServerLease == 0 {
-		options.ServerLease = defaultServerLease
-	}
-	if options.TailLength == 0 {
-		options.TailLength = defaultTailLength
-	}
+	options.setDefaults()
+	now := time.Now()
 	c := &Control{
-		options:   options,
-		log:       log,
-		machine:   state.NewMachine(),
-		directory: membership.NewDirectory(options.ServerLease),
-		epoch:     uint64(time.Now().UnixNano()),
-		changed:   make(chan struct{}),
+		options:          options,
+		log:              log,
+		machine:          state.NewMachine(),
+		tail:             tail{limit: options.TailLength},
+		directory:        newDirectoryFeed(options, now),
+		daemons:          newDaemonTable(options.DaemonLease, options.MaxDaemons),
+		configChanged:    make(chan struct{}),
+		directoryChanged: make(chan struct{}),
 	}
 	c.durable = &localLog{control: c}
 	return c
 }
 
-// Handlers returns the JSON-RPC methods that daemons call.
+// Handlers returns the JSON-RPC methods that daemons and other control
+// instances call.
 func (c *Control) Handlers() map[string]rpc.Handler {
 	return map[string]rpc.Handler{
 		wire.MethodAnnounce: rpc.Typed(c.announce),
 		wire.MethodWatch:    rpc.Typed(c.watch),
+		wire.MethodStanding: rpc.Typed(c.answerStanding),
+		wire.MethodDaemons:  rpc.Typed(c.answerDaemons),
 	}
 }
 
-// Run expires servers until ctx ends.
+// Run expires servers, publishes loads and seeks confirmations until ctx ends.
 func (c *Control) Run(ctx context.Context) {
-	ticker := time.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			c.refreshDirectory(now)
-		}
-	}
-}
-
-func (c *Control) appendTail(change state.Change) {
-	c.tail = append(c.tail, change)
-	if excess := len(c.tail) - c.options.TailLength; excess > 0 {
-		c.tail = slices.Delete(c.tail, 0, excess)
-	}
+	var duties sync.WaitGroup
+	duties.Go(func() { c.runDirectory(ctx) })
+	duties.Go(func() { c.runConfirmations(ctx) })
+	duties.Wait()
 }
 
 // Contract reads a contract.
@@ -108,97 +132,23 @@
 	return c.machine.Contract(id)
 }
 
-// Servers reads the directory.
-func (c *Control) Servers() []membership.Announcement {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.servers)
-}
-
-// notify wakes every waiting poll. The caller holds mu.
-func (c *Control) notify() {
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
-
-func (c *Control) announce(_ context.Context, in wire.Announce) (wire.AnnounceReply, error) {
-	if in.Announcement.Server == "" {
-		return wire.AnnounceReply{}, errors.New("an announcement needs a server")
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	accepted := c.directory.Announce(in.Announcement, time.Now())
-	if accepted {
-		c.publishDirectory(time.Now())
-	}
-	return wire.AnnounceReply{Accepted: accepted}, nil
-}
-
-func (c *Control) refreshDirectory(now time.Time) {
+// read calls f with the state, which f must neither keep nor change.
+func (c *Control) read(f func(*state.Machine)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.directory.Live(now)) != len(c.servers) {
-		c.publishDirectory(now)
-	}
+	f(c.machine)
 }
 
-// publishDirectory makes the current directory visible to polls. The caller holds mu.
-func (c *Control) publishDirectory(now time.Time) {
-	c.servers = c.directory.Live(now)
-	c.version++
-	c.notify()
-}
-
-func (c *Control) watch(ctx context.Context, in wire.Watch) (wire.WatchReply, error) {
-	wait := min(time.Duration(in.WaitMillis)*time.Millisecond, maxPollWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		reply, news, changed := c.delta(in)
-		if news {
-			return reply, nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return reply, nil
-		case <-ctx.Done():
-			return wire.WatchReply{}, ctx.Err()
-		}
-	}
-}
-
-func (c *Control) delta(in wire.Watch) (wire.WatchReply, bool, <-chan struct{}) {
+// Servers reads the directory.
+func (c *Control) Servers() []membership.Announcement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	reply := wire.WatchReply{
-		ConfigIndex:      c.machine.ConfigIndex(),
-		DirectoryEpoch:   c.epoch,
-		DirectoryVersion: c.version,
-	}
-	configNews := in.ConfigIndex < reply.ConfigIndex
-	if configNews {
-		reply.Changes, reply.Snapshot = c.changesAfter(in.ConfigIndex)
-	}
-	directoryNews := in.DirectoryEpoch != c.epoch || in.DirectoryVersion != c.version
-	if directoryNews {
-		reply.Directory = c.servers
-	}
-	return reply, configNews || directoryNews, c.changed
+	return c.directory.Live()
 }
 
-// changesAfter returns the tail after an index, or a snapshot when the tail no
-// longer reaches back that far.
-func (c *Control) changesAfter(index uint64) (changes []state.Change, snapshot bool) {
-	oldest := c.machine.ConfigIndex() + 1
-	if len(c.tail) > 0 {
-		oldest = c.tail[0].Index
-	}
-	if index == 0 || index+1 < oldest {
-		return c.machine.Snapshot(), true
-	}
-	from, _ := slices.BinarySearchFunc(c.tail, index+1, func(change state.Change, at uint64) int {
-		return int(change.Index) - int(at)
-	})
-	return slices.Clone(c.tail[from:]), false
+// wake wakes the polls that wait on a channel and returns its successor. The
+// caller holds mu.
+func wake(waiting chan struct{}) chan struct{} {
+	close(waiting)
+	return make(chan struct{})
 }
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -18,6 +20,13 @@
 	// this or another instance. An error means that the fate is unknown
 	// unless the log says otherwise.
 	Propose(ctx context.Context, data []byte) ([]byte, error)
+	// Barrier returns nil once a quorum has confirmed that every command
+	// committed anywhere before the call has been applied on this instance.
+	Barrier(ctx context.Context) error
+	// Standing describes the log on this instance: its term, last entry,
+	// applied entry, leader and number of voters. It must not block, and must
+	// never name as applied what Apply has not returned from.
+	Standing() freshness.Standing
 }
 
 var undecodedCount = telemetry.Counter("control_commands_undecoded")
@@ -66,8 +75,8 @@
 	defer c.mu.Unlock()
 	result, change := c.machine.Apply(index, command)
 	if change != nil {
-		c.appendTail(*change)
-		c.notify()
+		c.tail.append(*change)
+		c.configChanged = wake(c.configChanged)
 	}
 	return result
 }
@@ -89,8 +98,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machine = machine
-	c.tail = nil
-	c.notify()
+	c.pages = nil
+	c.tail.restart(machine.ConfigIndex())
+	c.configChanged = wake(c.configChanged)
 	return nil
 }
 
@@ -99,6 +109,7 @@
 	control *Control
 	mu      sync.Mutex
 	index   uint64
+	applied atomic.Uint64
 }
 
 // Propose implements Log.
@@ -106,5 +117,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.index++
-	return l.control.Apply(l.index, data), nil
+	answer := l.control.Apply(l.index, data)
+	l.applied.Store(l.index)
+	return answer, nil
+}
+
+// Barrier implements Log: the one instance is its own quorum.
+func (l *localLog) Barrier(context.Context) error { return nil }
+
+// Standing implements Log.
+func (l *localLog) Standing() freshness.Standing {
+	applied := l.applied.Load()
+	return freshness.Standing{LastIndex: applied, Applied: applied, Leader: l.control.options.Instance, Voters: 1}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -17,6 +17,8 @@
 		return nil
 	}
 	c := control.New(control.Options{
+		Instance:          d.settings.Instance,
+		Peers:             d.settings.ControlPeers,
 		ServerLease:       time.Duration(s.ServerLease),
 		OperatorKeyHashes: s.OperatorKeyHashes,
 	}, d.log)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -37,6 +38,7 @@
 	stop     context.CancelFunc
 	drains   []func(context.Context)
 	control  *control.Control
+	follower *follow.Follower
 	// addresses are the listeners' actual addresses, by setting; they differ
 	// from the settings when those leave the port to the system.
 	addresses map[string]string
@@ -82,6 +84,9 @@
 // Control is the control role, nil when this daemon has none.
 func (d *Daemon) Control() *control.Control { return d.control }
 
+// Follower is what the entry role follows, nil when this daemon has none.
+func (d *Daemon) Follower() *follow.Follower { return d.follower }
+
 // EntryAddress is the address of the callers' interface, empty without the
 // entry role.
 func (d *Daemon) EntryAddress() string { return d.addresses[entryListen] }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -19,6 +19,7 @@
 	transport := relay.NewTransport(time.Duration(s.DialTimeout))
 	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, &http.Client{Transport: transport}, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
+	d.follower = follower
 	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
 		e.Drain()
 		pause(ctx, stopGrace)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -245,7 +245,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK && len(d.daemon.Control().Servers()) == 2
+	return response.StatusCode == http.StatusOK && len(d.daemon.Follower().Servers()) == 2
 }
 
 // CurlLine is a command that gets a whole answer from the demo.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -98,7 +98,7 @@
 func (e *Entry) Wait() { e.inFlight.Wait() }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() || e.follower.Config().Index() == 0 {
+	if e.draining.Load() || !e.follower.Freshness().MayAdmit() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -120,6 +120,10 @@
 			fail(w, failure{status: http.StatusServiceUnavailable, code: codeDraining, message: "this entry is stopping"})
 			return
 		}
+		if problem := e.unconfirmed(); problem != nil {
+			fail(w, *problem)
+			return
+		}
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -25,6 +25,7 @@
 	codeKeyRequired    Code = "idempotency_key_required"
 	codeNoServer       Code = "no_server"
 	codeDraining       Code = "entry_draining"
+	codeUnconfirmed    Code = "configuration_unconfirmed"
 	codeUnknownOutcome Code = "unknown_outcome"
 	codeWrongModel     Code = "wrong_model"
 )
--- /dev/null
+++ b/internal/follow/config.go
@@ -0,0 +1,155 @@
+package follow
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/state"
+)
+
+// Config is a copy of the configuration at one index. It is safe for
+// concurrent use.
+//
+// Of each object the copy keeps the state with the highest revision, in
+// whatever order changes arrive. Nothing is ever removed from the
+// configuration, only retired, so that a change that is delivered late, twice
+// or by a control instance that lags can do no harm.
+type Config struct {
+	mu        sync.RWMutex
+	index     uint64
+	contracts map[string]contract.Contract
+	byKeyHash map[string]string
+	models    map[string]struct{}
+	adapters  *catalogue.Table
+	services  map[string]catalogue.Service
+	servers   map[string]state.Server
+}
+
+// NewConfig returns an empty copy at index 0.
+func NewConfig() *Config {
+	return &Config{
+		contracts: make(map[string]contract.Contract),
+		byKeyHash: make(map[string]string),
+		models:    make(map[string]struct{}),
+		adapters:  catalogue.NewTable(),
+		services:  make(map[string]catalogue.Service),
+		servers:   make(map[string]state.Server),
+	}
+}
+
+// Index is the index that the copy stands at: every change up to it is in force.
+func (c *Config) Index() uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.index
+}
+
+// Merge takes changes in without moving the index, as parts of a snapshot do.
+func (c *Config) Merge(changes []state.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, change := range changes {
+		c.merge(change)
+	}
+}
+
+// Apply takes changes in and moves the index to where they lead. It never
+// moves back.
+func (c *Config) Apply(changes []state.Change, index uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, change := range changes {
+		c.merge(change)
+	}
+	c.index = max(c.index, index)
+}
+
+func (c *Config) merge(change state.Change) {
+	switch {
+	case change.Contract != nil:
+		c.putContract(*change.Contract)
+	case change.Model != nil:
+		c.models[change.Model.Name] = struct{}{}
+	case change.Adapter != nil:
+		c.adapters.Put(*change.Adapter)
+	case change.Service != nil && change.Service.Revision > c.services[change.Service.Name].Revision:
+		c.services[change.Service.Name] = *change.Service
+	case change.Server != nil && change.Server.Revision > c.servers[change.Server.Name].Revision:
+		c.servers[change.Server.Name] = *change.Server
+	}
+}
+
+func (c *Config) putContract(next contract.Contract) {
+	known := c.contracts[next.ID]
+	if next.Revision <= known.Revision {
+		return
+	}
+	for _, hash := range known.KeyHashes {
+		if c.byKeyHash[hash] == next.ID {
+			delete(c.byKeyHash, hash)
+		}
+	}
+	c.contracts[next.ID] = next
+	if next.Retired {
+		return
+	}
+	for _, hash := range next.KeyHashes {
+		c.byKeyHash[hash] = next.ID
+	}
+}
+
+// HashKey returns the stored form of a caller's or operator's key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// ContractByKey finds the contract of a caller's key. The look-up is by
+// digest, so its timing tells nothing about the key.
+func (c *Config) ContractByKey(key string) (contract.Contract, bool) {
+	hash := HashKey(key)
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	id, ok := c.byKeyHash[hash]
+	if !ok {
+		return contract.Contract{}, false
+	}
+	return c.contracts[id], true
+}
+
+// Contract finds a contract by ID, retired ones included.
+func (c *Config) Contract(id string) (contract.Contract, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	found, ok := c.contracts[id]
+	return found, ok
+}
+
+// Adapter finds an adapter version that is not retired.
+func (c *Config) Adapter(ref catalogue.Ref) (catalogue.Adapter, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	adapter, ok := c.adapters.Get(ref)
+	return adapter, ok && !adapter.Retired
+}
+
+// Service finds a plain service.
+func (c *Config) Service(name string) (catalogue.Service, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	service, ok := c.services[name]
+	return service, ok
+}
+
+// Wanted is what operators want of a backend server.
+func (c *Config) Wanted(server string) state.Wanted {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if known, ok := c.servers[server]; ok {
+		return known.Wanted
+	}
+	return state.WantedServing
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,134 +1,31 @@
 // Package follow keeps a daemon's copy of the configuration and the directory
-// of backend servers up to date from the control instances.
+// of backend servers up to date from the control instances, and knows how far
+// the copy can be relied on.
 package follow
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/rosemarypass/rosemarypass/coord/catalogue"
-	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
-// Config is a copy of the configuration at one index. It is safe for
-// concurrent use and never steps back to a lower index.
-type Config struct {
-	mu        sync.RWMutex
-	index     uint64
-	contracts map[string]contract.Contract
-	byKeyHash map[string]string
-	adapters  map[catalogue.Ref]catalogue.Adapter
-	services  map[string]catalogue.Service
-}
-
-// NewConfig returns an empty copy at index 0.
-func NewConfig() *Config {
-	c := &Config{}
-	c.reset()
-	return c
-}
-
-func (c *Config) reset() {
-	c.contracts = make(map[string]contract.Contract)
-	c.byKeyHash = make(map[string]string)
-	c.adapters = make(map[catalogue.Ref]catalogue.Adapter)
-	c.services = make(map[string]catalogue.Service)
-}
-
-// Index is the index that the copy stands at.
-func (c *Config) Index() uint64 {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.index
-}
-
-// Apply takes a reply into account. A reply that would step back, from a
-// control instance that lags, is ignored.
-func (c *Config) Apply(reply wire.WatchReply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reply.ConfigIndex <= c.index {
-		return
-	}
-	if reply.Snapshot {
-		c.reset()
-	}
-	for _, change := range reply.Changes {
-		c.apply(change)
-	}
-	c.index = reply.ConfigIndex
-}
-
-func (c *Config) apply(change state.Change) {
-	switch {
-	case change.Contract != nil:
-		c.putContract(*change.Contract)
-	case change.Adapter != nil && change.Adapter.Retired:
-		delete(c.adapters, change.Adapter.Ref)
-	case change.Adapter != nil:
-		c.adapters[change.Adapter.Ref] = *change.Adapter
-	case change.Service != nil:
-		c.services[change.Service.Name] = *change.Service
-	}
-}
-
-func (c *Config) putContract(next contract.Contract) {
-	for _, hash := range c.contracts[next.ID].KeyHashes {
-		delete(c.byKeyHash, hash)
-	}
-	c.contracts[next.ID] = next
-	if next.Retired {
-		return
-	}
-	for _, hash := range next.KeyHashes {
-		c.byKeyHash[hash] = next.ID
-	}
-}
-
-// HashKey returns the stored form of a caller's or operator's key.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-// ContractByKey finds the contract of a caller's key. The look-up is by
-// digest, so its timing tells nothing about the key.
-func (c *Config) ContractByKey(key string) (contract.Contract, bool) {
-	hash := HashKey(key)
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	id, ok := c.byKeyHash[hash]
-	if !ok {
-		return contract.Contract{}, false
-	}
-	return c.contracts[id], true
-}
-
-// Adapter finds an adapter version.
-func (c *Config) Adapter(ref catalogue.Ref) (catalogue.Adapter, bool) {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	adapter, ok := c.adapters[ref]
-	return adapter, ok
-}
-
-// Service finds a plain service.
-func (c *Config) Service(name string) (catalogue.Service, bool) {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	service, ok := c.services[name]
-	return service, ok
-}
+var (
+	pollCount       = telemetry.Counter("follow_polls")
+	pollFailedCount = telemetry.Counter("follow_polls_failed")
+	moveCount       = telemetry.Counter("follow_moves")
+)
 
 // Options configure a follower.
 type Options struct {
@@ -136,29 +33,46 @@
 	Daemon string
 	// Peers are the control instances' addresses.
 	Peers []string
-	// PollWait is how long one poll may wait for news.
+	// Server is set by an agent, which follows only its own server's wanted
+	// state; empty follows everything.
+	Server string
+	// PollWait is how long one poll may wait for news. It must stay well
+	// below Lease, as each poll brings a new proof of freshness.
 	PollWait time.Duration
 	// RetryDelay is the pause after a failed poll.
 	RetryDelay time.Duration
+	// Lease is how old a proof of freshness may be.
+	Lease time.Duration
 }
 
 const (
-	defaultPollWait   = 5 * time.Second
-	defaultRetryDelay = 200 * time.Millisecond
+	defaultPollWait   = time.Second
+	defaultRetryDelay = 100 * time.Millisecond
 	// pollSlack is how much longer than its wait a poll may take before its
 	// control instance counts as cut off.
-	pollSlack = 2 * time.Second
+	pollSlack = time.Second
 )
 
-// Follower polls control instances, one at a time, and moves to the next when
-// a poll fails.
+// Follower polls control instances, one at a time, and moves to another when a
+// poll fails or when another one can prove more.
 type Follower struct {
 	options Options
 	log     *zap.Logger
 	config  *Config
 	servers atomic.Pointer[[]membership.Announcement]
-	epoch   uint64
-	version uint64
+	changed chan struct{}
+	// snapshot is how far a paged snapshot has been read.
+	snapshot struct {
+		index uint64
+		page  int
+	}
+	view *membership.View
+
+	mu      sync.Mutex
+	tracker *freshness.Tracker
+	// confirmed is a peer that a quorum stands behind, by the last probe.
+	confirmed string
+	kind      freshness.Kind
 }
 
 // New returns a follower that has not polled yet.
@@ -169,7 +83,14 @@
 	if options.RetryDelay == 0 {
 		options.RetryDelay = defaultRetryDelay
 	}
-	f := &Follower{options: options, log: log, config: NewConfig()}
+	f := &Follower{
+		options: options,
+		log:     log,
+		config:  NewConfig(),
+		changed: make(chan struct{}, 1),
+		view:    membership.NewView(),
+		tracker: freshness.NewTracker(freshness.Options{Instances: len(options.Peers), Lease: options.Lease}),
+	}
 	f.servers.Store(&[]membership.Announcement{})
 	return f
 }
@@ -177,50 +98,162 @@
 // Config is the followed configuration.
 func (f *Follower) Config() *Config { return f.config }
 
-// Servers is the last known directory. The slice must not be changed.
+// Servers is the last known directory; a server that operators want drained or
+// stopped is leaving. The slice must not be changed. It outlives the loss of
+// every control instance.
 func (f *Follower) Servers() []membership.Announcement { return *f.servers.Load() }
 
+// Changed receives after changes of the configuration were applied. Several
+// changes may give one receipt.
+func (f *Follower) Changed() <-chan struct{} { return f.changed }
+
+// Freshness is what the follower can prove now. Requests may be admitted under
+// the configuration only while it says so.
+func (f *Follower) Freshness() freshness.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.State(time.Now())
+}
+
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	for next := 0; ctx.Err() == nil; next++ {
-		peer := f.options.Peers[next%len(f.options.Peers)]
-		f.followPeer(ctx, peer)
+	var duties sync.WaitGroup
+	duties.Go(func() { f.runPolls(ctx) })
+	duties.Go(func() { f.runProbes(ctx) })
+	duties.Wait()
+}
+
+// runPolls follows one peer after the other. Daemons begin with different
+// ones, so that they spread over the control instances.
+func (f *Follower) runPolls(ctx context.Context) {
+	first := int(xxhash.Sum64String(f.options.Daemon) % uint64(len(f.options.Peers)))
+	for next := first; ctx.Err() == nil; next++ {
+		peer := f.confirmedPeer()
+		if peer == "" {
+			peer = f.options.Peers[next%len(f.options.Peers)]
+		}
+		err := f.followPeer(ctx, peer)
+		if ctx.Err() != nil {
+			return
+		}
+		moveCount.Add(1)
+		f.log.Info("moving to another control instance", zap.String("from", peer), zap.Error(err))
+		f.forgetPeer(peer)
 		sleep(ctx, f.options.RetryDelay)
 	}
 }
 
-func (f *Follower) followPeer(ctx context.Context, peer string) {
+// errUnconfirmed means that another control instance can prove more.
+var errUnconfirmed = errors.New("no quorum stands behind the control instance, and one stands behind another")
+
+func (f *Follower) followPeer(ctx context.Context, peer string) error {
 	client := rpc.NewClient(peer)
 	defer client.Close()
-	for ctx.Err() == nil {
-		if err := f.poll(ctx, client); err != nil {
-			if ctx.Err() == nil {
-				f.log.Info("control instance lost", zap.String("peer", peer), zap.Error(err))
-			}
-			return
+	for {
+		standing, err := f.poll(ctx, client)
+		if err != nil {
+			pollFailedCount.Add(1)
+			return err
+		}
+		if other := f.confirmedPeer(); !standing.Confirmed && other != "" && other != peer {
+			return errUnconfirmed
 		}
 	}
 }
 
-func (f *Follower) poll(ctx context.Context, client *rpc.Client) error {
+func (f *Follower) poll(ctx context.Context, client *rpc.Client) (freshness.Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.PollWait+pollSlack)
 	defer cancel()
+	pollCount.Add(1)
+	sent := time.Now()
+	var reply wire.WatchReply
+	if err := client.Call(ctx, wire.MethodWatch, f.question(), &reply); err != nil {
+		return freshness.Standing{}, err
+	}
+	if err := f.apply(reply); err != nil {
+		return freshness.Standing{}, err
+	}
+	f.answered(reply.Standing, sent)
+	return reply.Standing, nil
+}
+
+func (f *Follower) question() wire.Watch {
 	watch := wire.Watch{
 		Daemon:           f.options.Daemon,
+		Scope:            wire.ScopeAll,
 		ConfigIndex:      f.config.Index(),
-		DirectoryEpoch:   f.epoch,
-		DirectoryVersion: f.version,
+		SnapshotIndex:    f.snapshot.index,
+		SnapshotPage:     f.snapshot.page,
+		DirectoryEpoch:   f.view.Epoch(),
+		DirectoryVersion: f.view.Version(),
 		WaitMillis:       f.options.PollWait.Milliseconds(),
+		Freshness:        f.Freshness(),
 	}
-	var reply wire.WatchReply
-	if err := client.Call(ctx, wire.MethodWatch, watch, &reply); err != nil {
+	if f.options.Server != "" {
+		watch.Scope, watch.Server = wire.ScopeServer, f.options.Server
+	}
+	return watch
+}
+
+// apply takes a reply in.
+func (f *Follower) apply(reply wire.WatchReply) error {
+	before := f.config.Index()
+	f.config.Apply(reply.Changes, reply.ConfigIndex)
+	if reply.Snapshot != nil {
+		if err := f.applyPage(*reply.Snapshot); err != nil {
+			return err
+		}
+	}
+	moved := f.config.Index() != before
+	if moved {
+		select {
+		case f.changed <- struct{}{}:
+		default:
+		}
+	}
+	return f.applyDirectory(reply.Directory, moved)
+}
+
+// applyPage merges one page of a snapshot. Only the last page moves the index:
+// until then the copy lacks objects, and the tail must follow from the
+// snapshot's own index.
+func (f *Follower) applyPage(page wire.SnapshotPage) error {
+	var changes []state.Change
+	if err := wire.Unpack(page.Changes, &changes); err != nil {
 		return err
 	}
-	f.config.Apply(reply)
-	if reply.DirectoryEpoch != f.epoch || reply.DirectoryVersion != f.version {
-		f.servers.Store(&reply.Directory)
-		f.epoch, f.version = reply.DirectoryEpoch, reply.DirectoryVersion
+	expected := page.Index == f.snapshot.index && page.Page == f.snapshot.page
+	if !expected && page.Page != 0 {
+		return errors.Errorf("page %d of snapshot %d was not asked for", page.Page, page.Index)
+	}
+	f.config.Merge(changes)
+	f.snapshot.index, f.snapshot.page = page.Index, page.Page+1
+	if page.Last {
+		f.config.Apply(nil, page.Index)
+		f.snapshot.index, f.snapshot.page = 0, 0
+	}
+	return nil
+}
+
+func (f *Follower) applyDirectory(packed []byte, configMoved bool) error {
+	changed := configMoved
+	if packed != nil {
+		var delta membership.Delta
+		if err := wire.Unpack(packed, &delta); err != nil {
+			return err
+		}
+		changed = f.view.Apply(delta, time.Now()) || changed
+	}
+	if !changed {
+		return nil
+	}
+	servers := f.view.Servers()
+	for i := range servers {
+		if f.config.Wanted(servers[i].Server) != state.WantedServing {
+			servers[i].Leaving = true
+		}
 	}
+	f.servers.Store(&servers)
 	return nil
 }
 
--- /dev/null
+++ b/internal/follow/probe.go
@@ -0,0 +1,130 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+const (
+	// probeInterval is how often the need of a probe is looked at.
+	probeInterval = 250 * time.Millisecond
+	// probeTimeout bounds one question of a probe.
+	probeTimeout = 700 * time.Millisecond
+)
+
+var probeCount = telemetry.Counter("follow_probes")
+
+// answered takes in what a control instance said of itself.
+func (f *Follower) answered(standing freshness.Standing, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Advance(f.config.Index())
+	f.tracker.Answer(standing, sent)
+	f.logChange(time.Now())
+}
+
+// logChange logs a change of what the follower can prove. The caller holds mu.
+func (f *Follower) logChange(now time.Time) {
+	state := f.tracker.State(now)
+	if state.Kind == f.kind {
+		return
+	}
+	f.kind = state.Kind
+	f.log.Info("configuration "+string(state.Kind), zap.String("reason", state.Reason), zap.Time("asOf", state.AsOf))
+}
+
+// confirmedPeer is a peer that a quorum stands behind, empty when unknown.
+func (f *Follower) confirmedPeer() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// forgetPeer drops a peer that failed from what the last probe found.
+func (f *Follower) forgetPeer(peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmed == peer {
+		f.confirmed = ""
+	}
+}
+
+// runProbes asks every control instance whenever the followed one has not
+// brought a proof for a while.
+func (f *Follower) runProbes(ctx context.Context) {
+	clients := make([]*rpc.Client, len(f.options.Peers))
+	for i, peer := range f.options.Peers {
+		clients[i] = rpc.NewClient(peer)
+		defer clients[i].Close()
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, probeInterval)
+		if f.probeDue() {
+			f.probe(ctx, clients)
+		}
+	}
+}
+
+func (f *Follower) probeDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.logChange(time.Now())
+	return f.tracker.ProbeDue(time.Now())
+}
+
+// probed is the outcome of one question.
+type probed struct {
+	peer     string
+	standing freshness.Standing
+	err      error
+}
+
+func (f *Follower) probe(ctx context.Context, clients []*rpc.Client) {
+	probeCount.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	sent := time.Now()
+	results := make([]probed, len(clients))
+	var questions sync.WaitGroup
+	for i, client := range clients {
+		questions.Go(func() {
+			var reply wire.StandingReply
+			err := client.Call(ctx, wire.MethodStanding, wire.StandingRequest{}, &reply)
+			results[i] = probed{peer: f.options.Peers[i], standing: reply.Standing, err: err}
+		})
+	}
+	questions.Wait()
+	f.probed(sent, results)
+}
+
+func (f *Follower) probed(sent time.Time, results []probed) {
+	round := freshness.Round{Sent: sent}
+	confirmed := ""
+	for _, result := range results {
+		switch {
+		case result.err == nil:
+			round.Answers = append(round.Answers, result.standing)
+		case errors.Is(result.err, syscall.ECONNREFUSED):
+			round.Refused++
+		}
+		if result.err == nil && result.standing.Confirmed {
+			confirmed = result.peer
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmed = confirmed
+	f.tracker.Advance(f.config.Index())
+	f.tracker.Probe(round)
+	f.logChange(time.Now())
+}
--- /dev/null
+++ b/internal/wire/feed.go
@@ -0,0 +1,90 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/coord/state"
+)
+
+// Scope is the part of the configuration that a daemon follows.
+type Scope string
+
+const (
+	// ScopeAll is the whole configuration and the directory; entries need it.
+	ScopeAll Scope = "all"
+	// ScopeServer is the wanted state of one backend server; its agent needs it.
+	ScopeServer Scope = "server"
+)
+
+// Watch asks for everything after ConfigIndex and DirectoryVersion, waiting
+// until there is something or WaitMillis have passed.
+type Watch struct {
+	Daemon string `json:"daemon"`
+	Scope  Scope  `json:"scope"`
+	// Server is the backend server of ScopeServer.
+	Server string `json:"server,omitempty"`
+	// ConfigIndex is the index that is in force at the daemon.
+	ConfigIndex uint64 `json:"configIndex"`
+	// SnapshotIndex and SnapshotPage ask for a page of a snapshot that the
+	// daemon has begun to read.
+	SnapshotIndex    uint64 `json:"snapshotIndex,omitempty"`
+	SnapshotPage     int    `json:"snapshotPage,omitempty"`
+	DirectoryEpoch   uint64 `json:"directoryEpoch,omitempty"`
+	DirectoryVersion uint64 `json:"directoryVersion,omitempty"`
+	WaitMillis       int64  `json:"waitMillis"`
+	// Freshness is what the daemon can prove, for operators to see.
+	Freshness freshness.State `json:"freshness"`
+}
+
+// WatchReply answers Watch. At most one of Changes and Snapshot is set, and
+// neither grows beyond a bound: what is left comes with the next call.
+type WatchReply struct {
+	// ConfigIndex is the index that Changes bring the daemon to.
+	ConfigIndex uint64         `json:"configIndex"`
+	Changes     []state.Change `json:"changes,omitempty"`
+	Snapshot    *SnapshotPage  `json:"snapshot,omitempty"`
+	// Directory is a packed membership.Delta, nil when nothing changed.
+	Directory []byte             `json:"directory,omitempty"`
+	Standing  freshness.Standing `json:"standing"`
+}
+
+// SnapshotPage is a part of the configuration as it stood at Index.
+type SnapshotPage struct {
+	Index uint64 `json:"index"`
+	// Page counts from 0; Last is set on the last one.
+	Page int  `json:"page"`
+	Last bool `json:"last,omitempty"`
+	// Changes is a packed []state.Change.
+	Changes []byte `json:"changes"`
+}
+
+// StandingRequest asks for a control instance's standing.
+type StandingRequest struct{}
+
+// StandingReply answers StandingRequest.
+type StandingReply struct {
+	Instance string             `json:"instance"`
+	Standing freshness.Standing `json:"standing"`
+}
+
+// DaemonsRequest asks which daemons follow a control instance.
+type DaemonsRequest struct{}
+
+// DaemonsReply answers DaemonsRequest.
+type DaemonsReply struct {
+	Instance string   `json:"instance"`
+	Daemons  []Daemon `json:"daemons"`
+}
+
+// Daemon is what a control instance knows of a daemon that follows it.
+type Daemon struct {
+	Name        string          `json:"name"`
+	Scope       Scope           `json:"scope"`
+	ConfigIndex uint64          `json:"configIndex"`
+	Freshness   freshness.State `json:"freshness"`
+	// Unseen is the time since its last call; Lost is set once that is
+	// longer than the lease.
+	Unseen time.Duration `json:"unseen"`
+	Lost   bool          `json:"lost,omitempty"`
+}
--- /dev/null
+++ b/internal/wire/pack.go
@@ -0,0 +1,43 @@
+package wire
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxUnpacked bounds a packed message once it is unpacked, in bytes.
+const maxUnpacked = 16 << 20
+
+// Pack encodes bulk data compactly: msgpack with structs as lists, deflated.
+// Fields may only be added at the end of a struct that is packed.
+func Pack(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	deflate, err := flate.NewWriter(&buffer, flate.DefaultCompression)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	encoder := msgpack.NewEncoder(deflate)
+	encoder.SetCustomStructTag("json")
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	if err := deflate.Close(); err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	return buffer.Bytes(), nil
+}
+
+// Unpack decodes what Pack wrote. Data that unpacks to more than a bound is
+// refused, so that a small message cannot fill the memory.
+func Unpack(data []byte, into any) error {
+	limited := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxUnpacked)
+	decoder := msgpack.NewDecoder(limited)
+	decoder.SetCustomStructTag("json")
+	return errors.Wrap(decoder.Decode(into), "unpack")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"github.com/rosemarypass/rosemarypass/coord/membership"
-	"github.com/rosemarypass/rosemarypass/coord/state"
 )
 
 // Methods of the JSON-RPC interface that control instances offer.
@@ -13,6 +12,10 @@
 	MethodAnnounce = "directory.announce"
 	// MethodWatch is a long poll for configuration and directory changes.
 	MethodWatch = "feed.watch"
+	// MethodStanding asks a control instance for its standing in the log.
+	MethodStanding = "control.standing"
+	// MethodDaemons lists the daemons that follow a control instance.
+	MethodDaemons = "control.daemons"
 )
 
 // HTTP headers between entry, agent and engine.
@@ -42,25 +45,3 @@
 	// Accepted is false when a newer announcement was already known.
 	Accepted bool `json:"accepted"`
 }
-
-// Watch asks for everything after ConfigIndex and DirectoryVersion, waiting
-// until there is something or WaitMillis have passed.
-type Watch struct {
-	Daemon           string `json:"daemon"`
-	ConfigIndex      uint64 `json:"configIndex"`
-	DirectoryEpoch   uint64 `json:"directoryEpoch"`
-	DirectoryVersion uint64 `json:"directoryVersion"`
-	WaitMillis       int64  `json:"waitMillis"`
-}
-
-// WatchReply answers Watch.
-type WatchReply struct {
-	// ConfigIndex is the index that Changes bring the daemon to.
-	ConfigIndex uint64         `json:"configIndex"`
-	Snapshot    bool           `json:"snapshot,omitempty"`
-	Changes     []state.Change `json:"changes,omitempty"`
-	// Directory is the whole directory when DirectoryVersion moved, else nil.
-	DirectoryEpoch   uint64                    `json:"directoryEpoch"`
-	DirectoryVersion uint64                    `json:"directoryVersion"`
-	Directory        []membership.Announcement `json:"directory,omitempty"`
-}
