--- /dev/null
+++ b/cmd/rosemaryctl/ask.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+type askCommand struct {
+	Prompt    string `arg:"positional,required"`
+	Entry     string `arg:"--entry,env:ROSEMARY_ENTRY" default:"http://127.0.0.1:8080" help:"URL of an entry"`
+	CallerKey string `arg:"--caller-key,env:ROSEMARY_CALLER_KEY" help:"caller's key"`
+	Model     string `arg:"--model,required" placeholder:"ADAPTER@VERSION" help:"adapter and version"`
+	MaxTokens int    `arg:"--max-tokens" default:"64" help:"tokens to generate at most"`
+	Stream    bool   `arg:"--stream" help:"print the stream's events as they come"`
+}
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream,omitempty"`
+}
+
+type completionAnswer struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// askReport is what ask prints for programs.
+type askReport struct {
+	Status    int    `json:"status"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"requestId"`
+	Body      string `json:"body"`
+}
+
+func (c *askCommand) run(ctx context.Context, t *tool) error {
+	response, err := c.send(ctx)
+	if err != nil {
+		return errors.Wrap(errOutcome, err.Error())
+	}
+	defer response.Body.Close()
+	report := askReport{
+		Status:    response.StatusCode,
+		Outcome:   response.Header.Get(outcome.Header),
+		RequestID: response.Header.Get(wire.HeaderRequestID),
+	}
+	if c.Stream && !t.json {
+		_, err = io.Copy(t.out, response.Body)
+	} else {
+		err = t.showAnswer(&report, response.Body)
+	}
+	if err != nil {
+		return errors.Wrap(errOutcome, err.Error())
+	}
+	return report.verdict()
+}
+
+func (c *askCommand) send(ctx context.Context) (*http.Response, error) {
+	body, err := json.Marshal(completionRequest{Model: c.Model, Prompt: c.Prompt, MaxTokens: c.MaxTokens, Stream: c.Stream})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Entry+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.CallerKey)
+	request.Header.Set("Content-Type", "application/json")
+	return http.DefaultClient.Do(request)
+}
+
+func (t *tool) showAnswer(report *askReport, body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	report.Body = string(data)
+	t.show(report, func() {
+		var answer completionAnswer
+		if json.Unmarshal(data, &answer) == nil && len(answer.Choices) > 0 {
+			fmt.Fprintln(t.out, answer.Choices[0].Text)
+		} else {
+			fmt.Fprintln(t.out, report.Body)
+		}
+		fmt.Fprintf(t.errors, "status %d, outcome %s, request %s\n", report.Status, report.Outcome, report.RequestID)
+	})
+	return nil
+}
+
+func (r askReport) verdict() error {
+	said, err := outcome.Parse(r.Outcome)
+	switch {
+	case err != nil || said == outcome.Unknown:
+		return errOutcome
+	case said == outcome.NotRun:
+		return errNotRun
+	default:
+		return nil
+	}
+}
--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -2,138 +2,143 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
-	"text/tabwriter"
+	"os/signal"
+	"runtime/debug"
 	"time"
 
 	"github.com/alexflint/go-arg"
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
-	"github.com/rosemarypass/rosemarypass/coord/contract"
-	"github.com/rosemarypass/rosemarypass/coord/membership"
-	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
 )
 
-type contractGet struct {
-	ID string `arg:"positional,required"`
+type arguments struct {
+	Control     []string      `arg:"--control,env:ROSEMARY_CONTROL" help:"operators' URLs of control instances, tried in turn [default: http://127.0.0.1:7300]"`
+	OperatorKey string        `arg:"--key,env:ROSEMARY_KEY" help:"operator key"`
+	JSON        bool          `arg:"--json" help:"print JSON for programs"`
+	Operation   string        `arg:"--operation" help:"operation id of a change; sending it again returns the first answer"`
+	Wait        bool          `arg:"--wait" help:"return once the change is in force in every living daemon"`
+	Timeout     time.Duration `arg:"--timeout" default:"30s" help:"longest time for --wait"`
+
+	Contract   *contractCommand   `arg:"subcommand:contract" help:"contracts"`
+	Key        *keyCommand        `arg:"subcommand:key" help:"callers' and operators' keys"`
+	Adapter    *adapterCommand    `arg:"subcommand:adapter" help:"adapter versions"`
+	Model      *modelCommand      `arg:"subcommand:model" help:"base models"`
+	Service    *serviceCommand    `arg:"subcommand:service" help:"plain services"`
+	Server     *serverCommand     `arg:"subcommand:server" help:"backend servers"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"control instances, daemons and servers"`
+	Watch      *watchCommand      `arg:"subcommand:watch" help:"status, again and again"`
+	Config     *configCommand     `arg:"subcommand:config" help:"the whole configuration in a file"`
+	Ask        *askCommand        `arg:"subcommand:ask" help:"send a request to an entry as a caller"`
+	Completion *completionCommand `arg:"subcommand:completion" help:"print a shell completion script"`
 }
 
-type contractPut struct {
-	File string `arg:"positional,required" help:"contract as JSON; its revision is the one that was read, 0 to create"`
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "rosemaryctl drives rosemarypass: contracts, adapters, backend servers and the control instances."
 }
 
-type contractCommand struct {
-	Get *contractGet `arg:"subcommand:get" help:"show a contract"`
-	Put *contractPut `arg:"subcommand:put" help:"create or change a contract"`
+// Version is shown by --version.
+func (arguments) Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "rosemaryctl, of an unknown build"
+	}
+	revision, modified := "unknown", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			revision = setting.Value
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			modified = ", modified"
+		}
+	}
+	return fmt.Sprintf("rosemaryctl %s, revision %s%s, %s", info.Main.Version, revision, modified, info.GoVersion)
 }
 
-type serverList struct{}
+const defaultControl = "http://127.0.0.1:7300"
 
-type serverCommand struct {
-	List *serverList `arg:"subcommand:list" help:"list the announced backend servers"`
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, t *tool) error
 }
 
-type arguments struct {
-	Control  string           `arg:"--control,env:ROSEMARY_CONTROL" default:"http://127.0.0.1:7300" help:"operators' URL of a control instance"`
-	Key      string           `arg:"--key,env:ROSEMARY_KEY" help:"operator key"`
-	Contract *contractCommand `arg:"subcommand:contract" help:"contracts"`
-	Server   *serverCommand   `arg:"subcommand:server" help:"backend servers"`
+// tool is what commands work with.
+type tool struct {
+	client  *operator.Client
+	out     io.Writer
+	errors  io.Writer
+	json    bool
+	wait    bool
+	timeout time.Duration
 }
 
-const callTimeout = 10 * time.Second
-
 func main() {
-	var args arguments
-	parser := arg.MustParse(&args)
-	if err := run(args, parser); err != nil {
-		fmt.Fprintln(os.Stderr, "rosemaryctl:", err)
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
 }
 
-func run(args arguments, parser *arg.Parser) error {
-	c := client{base: args.Control, key: args.Key}
-	switch {
-	case args.Contract != nil && args.Contract.Get != nil:
-		return c.show(http.MethodGet, "/admin/v1/contracts/"+args.Contract.Get.ID, nil)
-	case args.Contract != nil && args.Contract.Put != nil:
-		return putContract(c, args.Contract.Put.File)
-	case args.Server != nil && args.Server.List != nil:
-		return listServers(c)
-	default:
-		parser.WriteHelp(os.Stdout)
-		return errors.New("a subcommand is required")
-	}
-}
-
-func putContract(c client, file string) error {
-	data, err := os.ReadFile(file)
+// execute runs one command line and returns the exit code.
+func execute(ctx context.Context, line []string, out, errOut io.Writer) exitCode {
+	var args arguments
+	parser, err := arg.NewParser(arg.Config{Program: "rosemaryctl", Out: out}, &args)
 	if err != nil {
-		return errors.Wrap(err, "read contract")
-	}
-	var next contract.Contract
-	if err := json.Unmarshal(data, &next); err != nil {
-		return errors.Wrap(err, "parse contract")
+		panic("rosemaryctl: its arguments are declared wrongly: " + err.Error())
 	}
-	return c.show(http.MethodPut, "/admin/v1/contracts/"+next.ID, data)
-}
-
-func listServers(c client) error {
-	data, err := c.call(http.MethodGet, "/admin/v1/servers", nil)
-	if err != nil {
-		return err
+	if code, done := parse(parser, args, line, out, errOut); done {
+		return code
 	}
-	var servers []membership.Announcement
-	if err := json.Unmarshal(data, &servers); err != nil {
-		return errors.Wrap(err, "parse servers")
+	chosen := find(parser.Subcommand())
+	if chosen == nil {
+		_ = parser.WriteHelpForSubcommand(errOut, parser.SubcommandNames()...)
+		return exitUsage
 	}
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVER\tPOOL\tDATA CENTRE\tADDRESS\tRUNNING\tWAITING\tLEAVING")
-	for _, s := range servers {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%t\n", s.Server, s.Pool, s.DataCentre, s.Address, s.Load.Running, s.Load.Waiting, s.Leaving)
+	t := newTool(args, out, errOut)
+	if err := chosen.run(ctx, t); err != nil {
+		return t.fail(err)
 	}
-	return table.Flush()
+	t.warnUnconfirmed()
+	return exitDone
 }
 
-// client calls the operators' interface.
-type client struct{ base, key string }
-
-func (c client) show(method, path string, body []byte) error {
-	data, err := c.call(method, path, body)
-	if err != nil {
-		return err
+func parse(parser *arg.Parser, args arguments, line []string, out, errOut io.Writer) (exitCode, bool) {
+	switch err := parser.Parse(line); err {
+	case nil:
+		return exitDone, false
+	case arg.ErrHelp:
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitDone, true
+	case arg.ErrVersion:
+		fmt.Fprintln(out, args.Version())
+		return exitDone, true
+	default:
+		_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+		fmt.Fprintln(errOut, "rosemaryctl:", err)
+		return exitUsage, true
 	}
-	_, err = os.Stdout.Write(data)
-	return err
 }
 
-func (c client) call(method, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Wrap(err, "build call")
-	}
-	request.Header.Set("Authorization", "Bearer "+c.key)
-	request.Header.Set(control.OperationHeader, uuid.NewString())
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "call control")
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
+func find(subcommand any) command {
+	chosen, _ := subcommand.(command)
+	return chosen
+}
+
+func newTool(args arguments, out, errOut io.Writer) *tool {
+	urls := args.Control
+	if len(urls) == 0 {
+		urls = []string{defaultControl}
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("%s: %s", response.Status, bytes.TrimSpace(data))
+	return &tool{
+		client:  operator.NewClient(operator.Options{URLs: urls, Key: args.OperatorKey, Operation: args.Operation}),
+		out:     out,
+		errors:  errOut,
+		json:    args.JSON,
+		wait:    args.Wait,
+		timeout: args.Timeout,
 	}
-	return data, nil
 }
--- /dev/null
+++ b/cmd/rosemaryctl/main_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+)
+
+const operatorKey = "operator-key"
+
+// startControl runs one control instance and returns its operators' URL.
+func startControl(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := control.New(control.Options{
+		Instance:          "control-0",
+		Peers:             []string{listener.Addr().String()},
+		OperatorKeyHashes: []string{follow.HashKey(operatorKey)},
+	}, zap.NewNop())
+	peers := rpc.NewServer(c.Handlers())
+	go func() { _ = peers.Serve(t.Context(), listener) }()
+	go c.Run(t.Context())
+	web := httptest.NewServer(c.OperatorHandler())
+	t.Cleanup(func() {
+		web.Close()
+		_ = listener.Close()
+		peers.Close()
+	})
+	return web.URL
+}
+
+// ctl runs one command line and returns its exit code and outputs.
+func ctl(t *testing.T, url string, line ...string) (exitCode, string, string) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	line = append([]string{"--control", url, "--key", operatorKey}, line...)
+	code := execute(t.Context(), line, &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const serviceFile = `{
+  // A booking is not idempotent.
+  "name": "booking-desk",
+  "routes": [{ "method": "POST", "pathPrefix": "/deposits", "requireKey": true }],
+}`
+
+func TestEachCommandWorksAndExitsAsDocumented(t *testing.T) {
+	url := startControl(t)
+	service := writeFile(t, serviceFile)
+	limits := []string{"--rate", "5", "--tokens-per-minute", "1000", "--concurrency", "4", "--max-wait", "10s"}
+	steps := []struct {
+		line []string
+		code exitCode
+		want string
+	}{
+		{append([]string{"contract", "create", "cascade", "--adapter", "quote-*"}, limits...), exitDone, "accepted at index 1"},
+		{[]string{"contract", "get", "cascade"}, exitDone, `"requestsPerSecond": 5`},
+		{[]string{"contract", "change", "cascade", "--rate", "9"}, exitDone, "accepted"},
+		{[]string{"contract", "change", "cascade", "--rate", "10", "--revision", "1"}, exitConflict, `"requestsPerSecond": 9`},
+		{[]string{"contract", "create", "cascade", "--rate", "1"}, exitConflict, "another writer"},
+		{[]string{"contract", "change", "cascade", "--rate", "0"}, exitInvalid, "requestsPerSecond must be above 0"},
+		{[]string{"contract", "change", "nobody", "--rate", "1"}, exitNotFound, "no such contract"},
+		{[]string{"contract", "list"}, exitDone, "cascade"},
+		{[]string{"model", "add", "base"}, exitDone, "accepted"},
+		{[]string{"model", "list"}, exitDone, "base"},
+		{[]string{"adapter", "add", "quote-draft@1", "--model", "base", "--source", "store://1"}, exitDone, "accepted"},
+		{[]string{"adapter", "add", "quote-draft@1", "--model", "base", "--source", "store://2"}, exitConflict, "immutable"},
+		{[]string{"adapter", "add", "quote-draft", "--model", "base", "--source", "s"}, exitUsage, "adapter@version"},
+		{[]string{"adapter", "list", "quote"}, exitDone, "quote-draft@1"},
+		{[]string{"adapter", "retire", "quote-draft@1"}, exitDone, "accepted"},
+		{[]string{"adapter", "retire", "quote-draft@2"}, exitNotFound, "quote-draft@2"},
+		{[]string{"service", "put", service}, exitDone, "accepted"},
+		{[]string{"service", "put", service}, exitDone, "accepted"},
+		{[]string{"service", "list"}, exitDone, "/deposits"},
+		{[]string{"service", "get", "booking-desk"}, exitDone, `"requireKey": true`},
+		{[]string{"server", "drain", "floor-1"}, exitDone, "accepted"},
+		{[]string{"server", "stop", "floor-1", "--role", "decode"}, exitDone, "accepted"},
+		{[]string{"server", "list"}, exitDone, "stopped"},
+		{[]string{"server", "start", "floor-1"}, exitDone, "accepted"},
+		{[]string{"--wait", "--timeout", "5s", "contract", "retire", "cascade"}, exitDone, "in force in every living daemon"},
+		{[]string{"contract", "change", "cascade", "--rate", "3"}, exitInvalid, "retired"},
+		{[]string{"status"}, exitDone, "control-0"},
+		{[]string{"--json", "status"}, exitDone, `"confirmed": true`},
+		{[]string{"completion", "bash"}, exitDone, `"contract") words="create get list change retire"`},
+		{[]string{"completion", "fish"}, exitUsage, "fish"},
+		{[]string{"--version"}, exitDone, "revision"},
+		{[]string{"contract"}, exitUsage, "create"},
+		{[]string{"contract", "alter"}, exitUsage, "alter"},
+		{[]string{"--key", "wrong", "contract", "list"}, exitUnauthorized, "operator key"},
+		{[]string{"--control", "http://127.0.0.1:1", "--operation", "op-1", "model", "add", "m"}, exitUnknown, "--operation op-1"},
+	}
+	for _, step := range steps {
+		code, out, errOut := ctl(t, url, step.line...)
+		if code != step.code || !strings.Contains(out+errOut, step.want) {
+			t.Errorf("%v: exit %d, want %d with %q\n%s%s", step.line, code, step.code, step.want, out, errOut)
+		}
+	}
+}
+
+func TestKeysArePrintedOnceAndStoredHashed(t *testing.T) {
+	url := startControl(t)
+	ctl(t, url, "contract", "create", "cascade", "--rate", "5", "--tokens-per-minute", "1", "--concurrency", "1", "--max-wait", "1s")
+	var made madeKey
+	_, out, _ := ctl(t, url, "--json", "key", "add", "cascade")
+	if err := json.NewDecoder(strings.NewReader(out)).Decode(&made); err != nil || follow.HashKey(made.Key) != made.Hash {
+		t.Fatalf("%v: %s", err, out)
+	}
+	_, shown, _ := ctl(t, url, "contract", "get", "cascade")
+	if strings.Contains(shown, made.Key) || !strings.Contains(shown, made.Hash) {
+		t.Errorf("the contract shows %s", shown)
+	}
+	if code, _, errOut := ctl(t, url, "key", "rotate", "cascade", "--hash", made.Hash); code != exitDone {
+		t.Errorf("rotate: %d %s", code, errOut)
+	}
+	if code, _, _ := ctl(t, url, "key", "remove", "cascade", "--hash", made.Hash); code != exitNotFound {
+		t.Errorf("removing a rotated key: %d", code)
+	}
+	var rotated contract.Contract
+	_, shown, _ = ctl(t, url, "contract", "get", "cascade")
+	if err := json.Unmarshal([]byte(shown), &rotated); err != nil || len(rotated.KeyHashes) != 1 {
+		t.Errorf("%v: %s", err, shown)
+	}
+	if _, out, _ := ctl(t, url, "key", "make"); !strings.Contains(out, "rp_") {
+		t.Errorf("make: %s", out)
+	}
+}
+
+// An operator moves a configuration to another deployment and, unsure whether
+// all of it arrived, imports it once more.
+func TestImportingTwiceChangesNothing(t *testing.T) {
+	source, target := startControl(t), startControl(t)
+	service := writeFile(t, serviceFile)
+	for _, line := range [][]string{
+		{"model", "add", "base"},
+		{"adapter", "add", "a@1", "--model", "base", "--source", "s"},
+		{"adapter", "add", "a@2", "--model", "base", "--source", "s"},
+		{"adapter", "retire", "a@1"},
+		{"service", "put", service},
+		{"server", "drain", "floor-1"},
+		{"contract", "create", "c", "--rate", "1", "--tokens-per-minute", "1", "--concurrency", "1", "--max-wait", "1s"},
+	} {
+		if code, out, errOut := ctl(t, source, line...); code != exitDone {
+			t.Fatalf("%v: %d %s%s", line, code, out, errOut)
+		}
+	}
+	_, exported, _ := ctl(t, source, "config", "export")
+	file := writeFile(t, exported)
+	if code, out, errOut := ctl(t, target, "config", "import", file); code != exitDone || !strings.Contains(out, "6 written, 0 unchanged, 0 failed") {
+		t.Errorf("first import: %d %s%s", code, out, errOut)
+	}
+	if code, out, _ := ctl(t, target, "config", "import", file); code != exitDone || !strings.Contains(out, "0 written, 6 unchanged, 0 failed") {
+		t.Errorf("second import: %d %s", code, out)
+	}
+	if _, again, _ := ctl(t, target, "config", "export"); again != exported {
+		t.Errorf("exported\n%s\nwant\n%s", again, exported)
+	}
+	// Other weights under a known version are reported, not written.
+	spoiled := writeFile(t, strings.Replace(exported, `"source": "s"`, `"source": "other"`, 1))
+	if code, out, _ := ctl(t, target, "config", "import", spoiled); code != exitFailed || !strings.Contains(out, "1 failed") {
+		t.Errorf("spoiled import: %d %s", code, out)
+	}
+}
+
+func TestAskTellsTheOutcome(t *testing.T) {
+	cases := []struct {
+		outcome outcome.Outcome
+		status  int
+		code    exitCode
+	}{
+		{outcome.Answered, http.StatusOK, exitDone},
+		{outcome.NotRun, http.StatusServiceUnavailable, exitNotRun},
+		{outcome.Unknown, http.StatusBadGateway, exitOutcome},
+	}
+	for _, c := range cases {
+		entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(outcome.Header, c.outcome.String())
+			w.WriteHeader(c.status)
+			_, _ = w.Write([]byte(`{"choices":[{"text":"a plan"}]}`))
+		}))
+		code, out, _ := ctl(t, "http://127.0.0.1:1", "ask", "--entry", entry.URL, "--model", "a@1", "hello")
+		if code != c.code || !strings.Contains(out, "a plan") {
+			t.Errorf("%s: exit %d, %s", c.outcome, code, out)
+		}
+		entry.Close()
+	}
+}
+
+func TestStatusNamesASilentControlInstance(t *testing.T) {
+	var out bytes.Buffer
+	tool := &tool{out: &out, client: operator.NewClient(operator.Options{})}
+	tool.showStatus(operator.Status{Instances: []operator.Instance{{Address: "10.0.0.1:7201", Error: "timeout"}}})
+	if !strings.Contains(out.String(), "no answer") {
+		t.Error(out.String())
+	}
+}
--- /dev/null
+++ b/cmd/rosemaryctl/output.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+)
+
+func writeJSON(w io.Writer, value any) {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
+// table prints rows for people.
+func (t *tool) table(header string, rows [][]string) {
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(strings.Split(header, ","), "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	_ = w.Flush()
+}
+
+// show prints a value for programs, or calls people for people.
+func (t *tool) show(value any, people func()) {
+	if t.json {
+		writeJSON(t.out, value)
+		return
+	}
+	people()
+}
+
+// accepted is what a change prints.
+type accepted struct {
+	state.Result
+	Operation string `json:"operation"`
+}
+
+// finish reports an accepted change and waits for it when asked to.
+func (t *tool) finish(ctx context.Context, result state.Result, err error) error {
+	if err != nil {
+		return err
+	}
+	t.show(accepted{Result: result, Operation: t.client.Operation()}, func() {
+		fmt.Fprintf(t.out, "accepted at index %d, operation %s\n", result.Index, t.client.Operation())
+	})
+	return t.waitFor(ctx, result.Index)
+}
+
+// waitFor waits until an index is in force everywhere, when asked to.
+func (t *tool) waitFor(ctx context.Context, index uint64) error {
+	if !t.wait || index == 0 {
+		return nil
+	}
+	report, err := t.client.InForce(ctx, index, t.timeout)
+	if err != nil {
+		return errors.Wrapf(err, "accepted at index %d", index)
+	}
+	t.show(report, func() { t.showInForce(report) })
+	if !report.Done {
+		return errNotInForce
+	}
+	return nil
+}
+
+func (t *tool) showInForce(report operator.InForce) {
+	if report.Done {
+		fmt.Fprintln(t.out, "in force in every living daemon")
+	}
+	for _, daemon := range report.Waiting {
+		fmt.Fprintf(t.out, "waiting for %s, at index %d, %s\n", daemon.Name, daemon.ConfigIndex, daemon.Freshness.Kind)
+	}
+	for _, daemon := range report.Lost {
+		fmt.Fprintf(t.out, "lost: %s, unseen for %s; it admits nothing without a proof\n", daemon.Name, rounded(daemon.Unseen))
+	}
+	for _, instance := range report.Silent {
+		fmt.Fprintf(t.out, "control instance %s does not answer; daemons that follow only it are unknown\n", instance)
+	}
+}
+
+// readFile reads JSON with comments; "-" is the standard input.
+func readFile(path string, into any) error {
+	data, err := readAll(path)
+	if err != nil {
+		return err
+	}
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(standard)))
+	decoder.DisallowUnknownFields()
+	return errors.Wrap(decoder.Decode(into), path)
+}
+
+func readAll(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	data, err := os.ReadFile(path)
+	return data, errors.Wrap(err, "read file")
+}
--- /dev/null
+++ b/cmd/rosemaryctl/server.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+)
+
+type serverCommand struct {
+	List  *serverList  `arg:"subcommand:list" help:"list backend servers, as announced and as wanted"`
+	Drain *serverDrain `arg:"subcommand:drain" help:"give a server no new work; what is in flight finishes"`
+	Start *serverStart `arg:"subcommand:start" help:"give a server work again"`
+	Stop  *serverStop  `arg:"subcommand:stop" help:"drain a server that is to be switched off"`
+}
+
+type serverList struct{}
+
+// serverName names the server of an order.
+type serverName struct {
+	Name string `arg:"positional,required"`
+	Role string `arg:"--role" help:"the engine's role; left out keeps it"`
+}
+
+type serverDrain struct{ serverName }
+type serverStart struct{ serverName }
+type serverStop struct{ serverName }
+
+func (*serverList) run(ctx context.Context, t *tool) error {
+	all, err := t.client.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	t.show(all, func() { t.showServers(all) })
+	return nil
+}
+
+func (t *tool) showServers(all []operator.Server) {
+	rows := make([][]string, 0, len(all))
+	for _, server := range all {
+		rows = append(rows, serverRow(server))
+	}
+	t.table("SERVER,KIND,POOL,DATA CENTRE,ADDRESS,WANTED,STATE,RUNNING,WAITING,CAPACITY,ADAPTERS,SLOTS", rows)
+}
+
+func serverRow(server operator.Server) []string {
+	a := server.Announced
+	if a == nil {
+		return []string{server.Name, "", "", "", "", string(server.Wanted.Wanted), "absent", "", "", "", "", ""}
+	}
+	reported := "serving"
+	if a.Leaving {
+		reported = "leaving"
+	}
+	return []string{
+		server.Name, string(a.Kind), a.Pool, a.DataCentre, a.Address, string(server.Wanted.Wanted), reported,
+		fmt.Sprint(a.Load.Running), fmt.Sprint(a.Load.Waiting), fmt.Sprint(a.Load.Capacity),
+		fmt.Sprint(len(a.Load.Resident)), fmt.Sprint(a.Slots),
+	}
+}
+
+func (c *serverDrain) run(ctx context.Context, t *tool) error {
+	return c.want(ctx, t, state.WantedDraining)
+}
+
+func (c *serverStart) run(ctx context.Context, t *tool) error {
+	return c.want(ctx, t, state.WantedServing)
+}
+
+func (c *serverStop) run(ctx context.Context, t *tool) error {
+	return c.want(ctx, t, state.WantedStopped)
+}
+
+func (n serverName) want(ctx context.Context, t *tool, wanted state.Wanted) error {
+	current, err := t.client.Server(ctx, n.Name)
+	if err != nil && !errors.Is(err, operator.ErrNotFound) {
+		return err
+	}
+	next := current.Wanted
+	next.Name, next.Wanted = n.Name, wanted
+	if n.Role != "" {
+		next.Role = n.Role
+	}
+	result, err := t.client.PutServer(ctx, next)
+	return t.finish(ctx, result, err)
+}
--- /dev/null
+++ b/cmd/rosemaryctl/status.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+)
+
+type statusCommand struct{}
+
+type watchCommand struct {
+	Interval time.Duration `arg:"--interval" default:"1s" help:"time between two looks"`
+}
+
+// clearScreen moves the cursor home and clears what follows.
+const clearScreen = "\x1b[H\x1b[2J"
+
+func (*statusCommand) run(ctx context.Context, t *tool) error {
+	status, err := t.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	t.show(status, func() { t.showStatus(status) })
+	return nil
+}
+
+func (c *watchCommand) run(ctx context.Context, t *tool) error {
+	ticker := time.NewTicker(max(c.Interval, 100*time.Millisecond))
+	defer ticker.Stop()
+	for {
+		status, err := t.client.Status(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		t.show(status, func() {
+			fmt.Fprint(t.out, clearScreen, time.Now().Format(time.TimeOnly), "\n")
+			t.showStatus(status)
+		})
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *tool) showStatus(status operator.Status) {
+	fmt.Fprintf(t.out, "answered by %s at index %d: %d contracts, %d adapters, %d models, %d services\n\n",
+		status.Instance, status.ConfigIndex, status.Counts.Contracts, status.Counts.Adapters, status.Counts.Models, status.Counts.Services)
+	t.showInstances(status.Instances)
+	fmt.Fprintln(t.out)
+	t.showDaemons(status)
+	fmt.Fprintln(t.out)
+	t.showServers(status.Servers)
+}
+
+func (t *tool) showInstances(instances []operator.Instance) {
+	rows := make([][]string, 0, len(instances))
+	for _, instance := range instances {
+		s := instance.Standing
+		if instance.Error != "" {
+			rows = append(rows, []string{instance.Address, "", "no answer", "", "", "", "", ""})
+			continue
+		}
+		rows = append(rows, []string{
+			instance.Address, instance.Name, quorum(instance), s.Leader, fmt.Sprint(s.Term),
+			fmt.Sprint(s.LastIndex), fmt.Sprint(s.Applied), fmt.Sprint(s.ConfigIndex),
+		})
+	}
+	t.table("CONTROL,NAME,QUORUM,LEADER,TERM,LAST,APPLIED,CONFIG", rows)
+}
+
+func quorum(instance operator.Instance) string {
+	if instance.Standing.Confirmed {
+		return "confirmed"
+	}
+	return "not confirmed"
+}
+
+// showDaemons shows every daemon with its index, lag and proof.
+func (t *tool) showDaemons(status operator.Status) {
+	rows := make([][]string, 0, len(status.Daemons))
+	for _, daemon := range status.Daemons {
+		lag := int64(status.ConfigIndex) - int64(daemon.ConfigIndex)
+		seen := "living"
+		if daemon.Lost {
+			seen = "lost"
+		}
+		rows = append(rows, []string{
+			daemon.Name, string(daemon.Scope), seen, rounded(daemon.Unseen), fmt.Sprint(daemon.ConfigIndex), fmt.Sprint(max(lag, 0)),
+			string(daemon.Freshness.Kind), daemon.Freshness.Reason,
+		})
+	}
+	t.table("DAEMON,FOLLOWS,SEEN,UNSEEN,INDEX,BEHIND,COPY,REASON", rows)
+}
+
+func rounded(d time.Duration) string { return d.Round(100 * time.Millisecond).String() }
--- a/coord/catalogue/catalogue.go
+++ b/coord/catalogue/catalogue.go
@@ -26,6 +26,14 @@
 // String returns "adapter@version".
 func (r Ref) String() string { return r.Adapter + "@" + r.Version }
 
+// Compare orders versions by adapter, then by version.
+func (r Ref) Compare(o Ref) int {
+	if c := strings.Compare(r.Adapter, o.Adapter); c != 0 {
+		return c
+	}
+	return strings.Compare(r.Version, o.Version)
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (r Ref) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
 
--- a/coord/catalogue/table.go
+++ b/coord/catalogue/table.go
@@ -75,12 +75,7 @@
 			all = append(all, t.read(t.record(slot-1)))
 		}
 	}
-	slices.SortFunc(all, func(a, b Adapter) int {
-		if c := strings.Compare(a.Ref.Adapter, b.Ref.Adapter); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Ref.Version, b.Ref.Version)
-	})
+	slices.SortFunc(all, func(a, b Adapter) int { return a.Ref.Compare(b.Ref) })
 	return all
 }
 
--- a/coord/state/catalogue.go
+++ b/coord/state/catalogue.go
@@ -116,6 +116,9 @@
 	return m.catalogue.adapters.Sorted()
 }
 
+// AdapterCount is the number of adapter versions, retired ones included.
+func (m *Machine) AdapterCount() int { return m.catalogue.adapters.Len() }
+
 // Services returns all plain services, by name.
 func (m *Machine) Services() []catalogue.Service {
 	return sortedValues(m.catalogue.services, identity)
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,6 +27,7 @@
 // It stands in for the replicated log.
 type sharedLog struct {
 	members []*member
+	mu      sync.Mutex
 	index   uint64
 }
 
@@ -42,6 +44,8 @@
 	if m.cut.Load() {
 		return nil, errors.New("no quorum")
 	}
+	m.log.mu.Lock()
+	defer m.log.mu.Unlock()
 	m.log.index++
 	var answer []byte
 	for _, other := range m.log.members {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -1,41 +1,77 @@
 package control
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/rosemarypass/rosemarypass/coord/catalogue"
-	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
-// OperationHeader carries the operator's operation id.
-const OperationHeader = "Rosemarypass-Operation"
-
 // maxOperatorBody bounds a body that an operator sends, in bytes.
 const maxOperatorBody = 1 << 20
 
+// readBarrierTimeout bounds how long a reading waits for a quorum before it is
+// answered as unconfirmed.
+const readBarrierTimeout = time.Second
+
+var (
+	operatorRefusedCount = telemetry.Counter("control_operator_unauthorized")
+	proposedCount        = telemetry.Counter("control_proposals")
+	proposeFailedCount   = telemetry.Counter("control_proposals_failed")
+	unconfirmedReadCount = telemetry.Counter("control_reads_unconfirmed")
+)
+
 // OperatorHandler serves the operators' HTTP interface.
 func (c *Control) OperatorHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Use(c.authenticateOperator)
-	router.Get("/admin/v1/contracts/{id}", c.getContract)
-	router.Put("/admin/v1/contracts/{id}", c.putContract)
-	router.Put("/admin/v1/adapters/{ref}", c.putAdapter)
-	router.Put("/admin/v1/services/{name}", c.putService)
-	router.Get("/admin/v1/servers", c.listServers)
+	router.Route("/admin/v1", func(admin chi.Router) {
+		admin.Group(func(readings chi.Router) {
+			readings.Use(c.confirmReading)
+			c.routeReadings(readings)
+		})
+		c.routeChanges(admin)
+		admin.Get("/status", c.getStatus)
+		admin.Get("/in-force/{index}", c.getInForce)
+	})
 	return router
 }
 
+func (c *Control) routeReadings(router chi.Router) {
+	router.Get("/contracts", c.listContracts)
+	router.Get("/contracts/{id}", c.getContract)
+	router.Get("/models", c.listModels)
+	router.Get("/adapters", c.listAdapters)
+	router.Get("/services", c.listServices)
+	router.Get("/services/{name}", c.getService)
+	router.Get("/servers", c.listServers)
+	router.Get("/servers/{name}", c.getServer)
+}
+
+func (c *Control) routeChanges(router chi.Router) {
+	router.Put("/contracts/{id}", c.putContract)
+	router.Post("/contracts/{id}/keys", c.changeKeys)
+	router.Put("/models/{name}", c.putModel)
+	router.Put("/adapters/{ref}", c.putAdapter)
+	router.Post("/adapters/{ref}/retire", c.retireAdapter)
+	router.Put("/services/{name}", c.putService)
+	router.Put("/servers/{name}", c.putServer)
+}
+
 func (c *Control) authenticateOperator(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !c.knowsOperator(key) {
+			operatorRefusedCount.Add(1)
 			writeError(w, http.StatusUnauthorized, "unknown operator key")
 			return
 		}
@@ -52,9 +88,19 @@
 	return known == 1
 }
 
-// ErrorBody is what an operator reads when a call fails.
-type ErrorBody struct {
-	Error string `json:"error"`
+// confirmReading lets a reading see every change accepted before it. Without a
+// quorum it is answered all the same and says so: an operator needs to look
+// most of all when control is in trouble.
+func (c *Control) confirmReading(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), readBarrierTimeout)
+		defer cancel()
+		if err := c.durable.Barrier(ctx); err != nil {
+			unconfirmedReadCount.Add(1)
+			w.Header().Set(operator.UnconfirmedHeader, "true")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
@@ -64,53 +110,15 @@
 }
 
 func writeError(w http.ResponseWriter, status int, message string) {
-	writeJSON(w, status, ErrorBody{Error: message})
-}
-
-func (c *Control) getContract(w http.ResponseWriter, r *http.Request) {
-	found, ok := c.Contract(chi.URLParam(r, "id"))
-	if !ok {
-		writeError(w, http.StatusNotFound, "no such contract")
-		return
-	}
-	writeJSON(w, http.StatusOK, found)
-}
-
-// putContract takes the whole contract; its Revision is the one that the
-// writer read, 0 to create.
-func (c *Control) putContract(w http.ResponseWriter, r *http.Request) {
-	var next contract.Contract
-	if !readBody(w, r, &next) {
-		return
-	}
-	next.ID = chi.URLParam(r, "id")
-	c.propose(w, r, state.Command{PutContract: &state.PutContract{Expected: next.Revision, Contract: next}})
-}
-
-func (c *Control) putAdapter(w http.ResponseWriter, r *http.Request) {
-	var adapter catalogue.Adapter
-	if !readBody(w, r, &adapter) {
-		return
-	}
-	c.propose(w, r, state.Command{PutAdapter: &adapter})
-}
-
-func (c *Control) putService(w http.ResponseWriter, r *http.Request) {
-	var service catalogue.Service
-	if !readBody(w, r, &service) {
-		return
-	}
-	c.propose(w, r, state.Command{PutService: &state.PutService{Expected: service.Revision, Service: service}})
-}
-
-func (c *Control) listServers(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, c.Servers())
+	writeJSON(w, status, operator.Failure{Error: message})
 }
 
 func (c *Control) propose(w http.ResponseWriter, r *http.Request, command state.Command) {
-	command.OperationID = r.Header.Get(OperationHeader)
+	proposedCount.Add(1)
+	command.OperationID = r.Header.Get(operator.OperationHeader)
 	result, err := c.Propose(r.Context(), command)
 	if err != nil {
+		proposeFailedCount.Add(1)
 		writeError(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
@@ -123,6 +131,8 @@
 		return http.StatusOK
 	case state.CodeConflict:
 		return http.StatusConflict
+	case state.CodeNotFound:
+		return http.StatusNotFound
 	default:
 		return http.StatusUnprocessableEntity
 	}
--- /dev/null
+++ b/internal/control/operator_test.go
@@ -0,0 +1,181 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+const operatorKey = "operator-key"
+
+var operatorOptions = control.Options{
+	OperatorKeyHashes: []string{follow.HashKey(operatorKey)},
+	DaemonLease:       400 * time.Millisecond,
+}
+
+// serveOperators returns the operators' URL of each instance. An instance whose
+// answers are lost runs what it is asked and cuts the connection.
+func (c *cluster) serveOperators(lost ...*atomic.Bool) []string {
+	var urls []string
+	for i, m := range c.members {
+		handler := m.control.OperatorHandler()
+		web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if i < len(lost) && lost[i].Load() {
+				handler.ServeHTTP(httptest.NewRecorder(), r)
+				panic(http.ErrAbortHandler)
+			}
+			handler.ServeHTTP(w, r)
+		}))
+		c.t.Cleanup(web.Close)
+		urls = append(urls, web.URL)
+	}
+	return urls
+}
+
+func sample(revision uint64, rate float64) contract.Contract {
+	next := putContract(0, rate).PutContract.Contract
+	next.Revision = revision
+	return next
+}
+
+// Many operators change the same contract at the same moment, all from the
+// revision that they read. All but one must learn who won.
+func TestOfManyRacingOperatorsOneWins(t *testing.T) {
+	c := newCluster(t, 1, operatorOptions)
+	urls := c.serveOperators()
+	first := c.propose(0, putContract(0, 1))
+	var wins, conflicts atomic.Int32
+	var operators sync.WaitGroup
+	for i := range 8 {
+		operators.Go(func() {
+			client := operator.NewClient(operator.Options{URLs: urls, Key: operatorKey})
+			_, err := client.PutContract(context.Background(), sample(first.Index, float64(10+i)))
+			var refused *operator.RefusedError
+			switch {
+			case err == nil:
+				wins.Add(1)
+			case errors.As(err, &refused) && refused.Result.Winner.Contract.Limits.RequestsPerSecond >= 10:
+				conflicts.Add(1)
+			}
+		})
+	}
+	operators.Wait()
+	if wins.Load() != 1 || conflicts.Load() != 7 {
+		t.Errorf("%d wins, %d conflicts", wins.Load(), conflicts.Load())
+	}
+}
+
+// A control instance commits a change and its answer is lost. The operators'
+// tool goes on to another instance, which must give the first answer rather
+// than a conflict with the operator's own change.
+func TestResendAfterALostAnswerGetsTheFirstAnswer(t *testing.T) {
+	c := newCluster(t, 2, operatorOptions)
+	var lost atomic.Bool
+	lost.Store(true)
+	urls := c.serveOperators(&lost)
+	first := c.propose(0, putContract(0, 1))
+	client := operator.NewClient(operator.Options{URLs: urls, Key: operatorKey, Operation: "op-7"})
+	result, err := client.PutContract(context.Background(), sample(first.Index, 2))
+	if err != nil || result.Index != first.Index+1 {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	// Hours later, by hand, at the first instance, after another change.
+	lost.Store(false)
+	c.propose(1, putContract(result.Index, 3))
+	again := operator.NewClient(operator.Options{URLs: urls, Key: operatorKey, Operation: "op-7"})
+	resent, err := again.PutContract(context.Background(), sample(first.Index, 2))
+	if err != nil || resent != result {
+		t.Errorf("resent %+v, %v; want %+v", resent, err, result)
+	}
+	if now, _ := c.members[0].control.Contract("cascade"); now.Limits.RequestsPerSecond != 3 {
+		t.Errorf("the resend undid the later change: %+v", now.Limits)
+	}
+}
+
+// An instance without a quorum cannot tell what was accepted elsewhere. The
+// operator's reading from it must say so, and a change must go to another.
+func TestIsolatedInstanceSaysSoToOperators(t *testing.T) {
+	c := newCluster(t, 2, operatorOptions)
+	urls := c.serveOperators()
+	first := c.propose(0, putContract(0, 1))
+	c.members[0].cut.Store(true)
+	client := operator.NewClient(operator.Options{URLs: urls, Key: operatorKey})
+	read, err := client.Contract(context.Background(), "cascade")
+	if err != nil || !client.Unconfirmed() {
+		t.Errorf("%+v, %v, unconfirmed %t", read, err, client.Unconfirmed())
+	}
+	result, err := client.PutContract(context.Background(), sample(first.Index, 2))
+	if err != nil || result.Index != first.Index+1 {
+		t.Errorf("%+v, %v", result, err)
+	}
+	nowhere := operator.NewClient(operator.Options{URLs: urls[:1], Key: operatorKey, Rounds: 1})
+	if _, err := nowhere.PutContract(context.Background(), sample(first.Index, 4)); !errors.Is(err, operator.ErrUnknown) {
+		t.Errorf("a change at the isolated instance: %v", err)
+	}
+}
+
+// A daemon hangs without following the feed any more, another one vanished.
+// The operator waits for a change and must learn which daemons still work
+// without it.
+func TestWaitNamesTheDaemonsItWaitsFor(t *testing.T) {
+	options := operatorOptions
+	options.DaemonLease = time.Minute
+	c := newCluster(t, 2, options)
+	client := operator.NewClient(operator.Options{URLs: c.serveOperators(), Key: operatorKey})
+	first := c.propose(0, putContract(0, 1))
+	following := c.follow("entry-following", c.peers...)
+	eventually(t, "the first contract", func() bool { return following.Config().Index() == first.Index })
+	watch(t, c.members[1].control, wire.Watch{Daemon: "entry-hanging", ConfigIndex: first.Index})
+	second := c.propose(0, putContract(first.Index, 2))
+
+	report, err := client.InForce(context.Background(), second.Index, 500*time.Millisecond)
+	if err != nil || report.Done || len(report.Waiting) != 1 || report.Waiting[0].Name != "entry-hanging" {
+		t.Errorf("%+v, %v", report, err)
+	}
+	watch(t, c.members[0].control, wire.Watch{Daemon: "entry-hanging", ConfigIndex: second.Index})
+	report, err = client.InForce(context.Background(), second.Index, 10*time.Second)
+	if err != nil || !report.Done {
+		t.Errorf("%+v, %v", report, err)
+	}
+}
+
+func TestVanishedDaemonIsNamedAsLost(t *testing.T) {
+	c := newCluster(t, 1, operatorOptions)
+	client := operator.NewClient(operator.Options{URLs: c.serveOperators(), Key: operatorKey})
+	first := c.propose(0, putContract(0, 1))
+	watch(t, c.members[0].control, wire.Watch{Daemon: "entry-gone", Freshness: freshness.State{Kind: freshness.Fresh}})
+	report, err := client.InForce(context.Background(), first.Index, 10*time.Second)
+	if err != nil || !report.Done || len(report.Lost) != 1 || report.Lost[0].Name != "entry-gone" {
+		t.Errorf("%+v, %v", report, err)
+	}
+}
+
+// A process that is not ours announces itself again and again under new names.
+func TestAnnouncedServersAreBounded(t *testing.T) {
+	c := newCluster(t, 1, control.Options{MaxServers: 3})
+	handler := c.members[0].control.Handlers()[wire.MethodAnnounce]
+	refused := 0
+	for i := range 5 {
+		in := wire.Announce{Announcement: announcement(fmt.Sprint("stranger-", i), 1)}
+		if _, err := handler(context.Background(), mustJSON(t, in)); err != nil {
+			refused++
+		}
+	}
+	if refused != 2 || len(c.members[0].control.Servers()) != 3 {
+		t.Errorf("%d refused, %d listed", refused, len(c.members[0].control.Servers()))
+	}
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,234 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/state"
+)
+
+// Errors that end a call. Test for them with errors.Is.
+var (
+	// ErrConflict means that another writer changed the object first.
+	ErrConflict = errors.New("another writer changed the object first")
+	// ErrInvalid means that control refused the change by a rule.
+	ErrInvalid = errors.New("the change was refused")
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrUnauthorized means that the operator key is unknown.
+	ErrUnauthorized = errors.New("the operator key is unknown")
+	// ErrUnknown means that no control instance answered: a change may or may
+	// not have been accepted. Sending it again under the same operation id
+	// is safe.
+	ErrUnknown = errors.New("no control instance answered; the change may or may not have been accepted")
+)
+
+const (
+	defaultAttemptTimeout = 5 * time.Second
+	defaultRounds         = 3
+	roundPause            = 300 * time.Millisecond
+	maxAnswerBytes        = 64 << 20
+)
+
+// Options configure a client.
+type Options struct {
+	// URLs are the operators' addresses of the control instances, tried in turn.
+	URLs []string
+	// Key is the operator key.
+	Key string
+	// Operation is the operation id of the next change; empty draws one.
+	Operation string
+	// AttemptTimeout bounds one attempt at one instance.
+	AttemptTimeout time.Duration
+	// Rounds is how often all instances are tried.
+	Rounds int
+	HTTP   *http.Client
+}
+
+// Client calls the operators' interface.
+type Client struct {
+	options     Options
+	unconfirmed atomic.Bool
+}
+
+// NewClient returns a client.
+func NewClient(options Options) *Client {
+	if options.AttemptTimeout == 0 {
+		options.AttemptTimeout = defaultAttemptTimeout
+	}
+	if options.Rounds == 0 {
+		options.Rounds = defaultRounds
+	}
+	if options.HTTP == nil {
+		options.HTTP = http.DefaultClient
+	}
+	if options.Operation == "" {
+		options.Operation = uuid.NewString()
+	}
+	return &Client{options: options}
+}
+
+// Operation is the operation id that changes are sent under.
+func (c *Client) Operation() string { return c.options.Operation }
+
+// Unconfirmed reports whether an answer came from an instance that no quorum
+// had confirmed, so that a later change may be missing from it.
+func (c *Client) Unconfirmed() bool { return c.unconfirmed.Load() }
+
+// RefusedError is a result other than ok. It wraps one of the errors above.
+type RefusedError struct {
+	Result state.Result
+	cause  error
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.cause.Error() + ": " + e.Result.Message }
+
+// Unwrap implements errors.Unwrap.
+func (e *RefusedError) Unwrap() error { return e.cause }
+
+// Get reads an object.
+func (c *Client) Get(ctx context.Context, path string, into any) error {
+	return c.call(ctx, call{method: http.MethodGet, path: path, into: into, timeout: c.options.AttemptTimeout})
+}
+
+// Wait reads an object whose answer may take up to the given time longer.
+func (c *Client) Wait(ctx context.Context, path string, longer time.Duration, into any) error {
+	return c.call(ctx, call{method: http.MethodGet, path: path, into: into, timeout: c.options.AttemptTimeout + longer})
+}
+
+// Change sends a change under the client's operation id.
+func (c *Client) Change(ctx context.Context, method, path string, body any) (state.Result, error) {
+	return c.ChangeAs(ctx, c.options.Operation, method, path, body)
+}
+
+// ChangeAs sends a change under the given operation id.
+func (c *Client) ChangeAs(ctx context.Context, operation, method, path string, body any) (state.Result, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return state.Result{}, errors.Wrap(err, "encode change")
+	}
+	var result state.Result
+	err = c.call(ctx, call{
+		method:    method,
+		path:      path,
+		operation: operation,
+		body:      data,
+		into:      &result,
+		timeout:   c.options.AttemptTimeout,
+	})
+	return result, err
+}
+
+type call struct {
+	method, path, operation string
+	body                    []byte
+	into                    any
+	timeout                 time.Duration
+}
+
+// call tries the instances in turn until one answers. An instance that has no
+// quorum answers 503; another one may have it.
+func (c *Client) call(ctx context.Context, request call) error {
+	var last error
+	for round := range c.options.Rounds {
+		if round > 0 {
+			pause(ctx, roundPause)
+		}
+		for _, url := range c.options.URLs {
+			answered, err := c.attempt(ctx, url, request)
+			if answered {
+				return err
+			}
+			last = err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return errors.Wrap(ErrUnknown, last.Error())
+}
+
+// attempt reports whether the answer is final.
+func (c *Client) attempt(ctx context.Context, url string, request call) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.timeout)
+	defer cancel()
+	response, err := c.send(ctx, url, request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return false, errors.Wrap(err, "read answer")
+	}
+	if response.Header.Get(UnconfirmedHeader) != "" {
+		c.unconfirmed.Store(true)
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return false, errors.Errorf("%s: %s", response.Status, failureText(data))
+	}
+	return true, c.finish(response.StatusCode, data, request)
+}
+
+func (c *Client) send(ctx context.Context, url string, request call) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, request.method, url+request.path, bytes.NewReader(request.body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build call")
+	}
+	r.Header.Set("Authorization", "Bearer "+c.options.Key)
+	if request.operation != "" {
+		r.Header.Set(OperationHeader, request.operation)
+	}
+	return c.options.HTTP.Do(r)
+}
+
+func (c *Client) finish(status int, data []byte, request call) error {
+	switch status {
+	case http.StatusOK:
+		return errors.Wrap(json.Unmarshal(data, request.into), "parse answer")
+	case http.StatusUnauthorized:
+		return ErrUnauthorized
+	}
+	var result state.Result
+	if err := json.Unmarshal(data, &result); err != nil || result.Code == "" {
+		return errors.Wrap(causeOf(status), failureText(data))
+	}
+	return &RefusedError{Result: result, cause: causeOf(status)}
+}
+
+func causeOf(status int) error {
+	switch status {
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusNotFound:
+		return ErrNotFound
+	default:
+		return ErrInvalid
+	}
+}
+
+func failureText(data []byte) string {
+	var failure Failure
+	if err := json.Unmarshal(data, &failure); err != nil || failure.Error == "" {
+		return string(bytes.TrimSpace(data))
+	}
+	return failure.Error
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
