Let the wanted state of a server reach its agent

Cause: an operator's drain stood in the log, but the gate beside the server went on admitting what entries with an older copy sent.

The order outlives the loss of control.

Conclusion: server drain, start and stop act at both ends.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,12 +43,14 @@
 
 // Agent gates one engine.
 type Agent struct {
-	options  Options
-	log      *zap.Logger
-	orders   *orderClient
-	client   *http.Client
-	events   chan event
-	leaving  atomic.Bool
+	options Options
+	log     *zap.Logger
+	orders  *orderClient
+	client  *http.Client
+	events  chan event
+	leaving atomic.Bool
+	// closed is true while operators want the server drained or stopped.
+	closed   atomic.Bool
 	inFlight sync.WaitGroup
 	started  uint64
 	sequence atomic.Uint64
@@ -82,6 +84,7 @@
 	duties.Go(func() { a.runSlots(ctx) })
 	duties.Go(func() { a.watchEngine(ctx) })
 	duties.Go(func() { a.announceAll(ctx) })
+	duties.Go(func() { a.followWanted(ctx) })
 	duties.Wait()
 }
 
@@ -140,7 +143,7 @@
 		Slots:       a.options.Slots,
 		Incarnation: a.started,
 		Sequence:    a.sequence.Add(1),
-		Leaving:     a.leaving.Load(),
+		Leaving:     a.refusesWork(),
 		Load:        *a.status.Load(),
 	}
 }
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -48,7 +48,7 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if a.leaving.Load() {
+	if a.refusesWork() {
 		refuse(w, http.StatusServiceUnavailable, "the server is leaving")
 		return
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -36,6 +36,9 @@
 	// Server is set by an agent, which follows only its own server's wanted
 	// state; empty follows everything.
 	Server string
+	// OnChange is called after changes were applied, before their index is
+	// confirmed to control. It must not block.
+	OnChange func(*Config)
 	// PollWait is how long one poll may wait for news. It must stay well
 	// below Lease, as each poll brings a new proof of freshness.
 	PollWait time.Duration
@@ -60,7 +63,6 @@
 	log     *zap.Logger
 	config  *Config
 	servers atomic.Pointer[[]membership.Announcement]
-	changed chan struct{}
 	// snapshot is how far a paged snapshot has been read.
 	snapshot struct {
 		index uint64
@@ -87,7 +89,6 @@
 		options: options,
 		log:     log,
 		config:  NewConfig(),
-		changed: make(chan struct{}, 1),
 		view:    membership.NewView(),
 		tracker: freshness.NewTracker(freshness.Options{Instances: len(options.Peers), Lease: options.Lease}),
 	}
@@ -103,10 +104,6 @@
 // every control instance.
 func (f *Follower) Servers() []membership.Announcement { return *f.servers.Load() }
 
-// Changed receives after changes of the configuration were applied. Several
-// changes may give one receipt.
-func (f *Follower) Changed() <-chan struct{} { return f.changed }
-
 // Freshness is what the follower can prove now. Requests may be admitted under
 // the configuration only while it says so.
 func (f *Follower) Freshness() freshness.State {
@@ -205,11 +202,8 @@
 		}
 	}
 	moved := f.config.Index() != before
-	if moved {
-		select {
-		case f.changed <- struct{}{}:
-		default:
-		}
+	if moved && f.options.OnChange != nil {
+		f.options.OnChange(f.config)
 	}
 	return f.applyDirectory(reply.Directory, moved)
 }
