Add the replicated log's core with seeded fault schedules

Cause: a control instance keeps its state in memory alone, so a pulled plug loses every accepted contract. Ruled out: configurations in effect on apply, as a leader could then not tell which quorum its successor uses. Conclusion: the core is ready for its I/O.

--- /dev/null
+++ b/coord/replog/election.go
@@ -0,0 +1,145 @@
+package replog
+
+func (n *Node) becomeFollower(term uint64, leader ID) {
+	if term > n.term {
+		n.term, n.vote, n.hardDirty = term, "", true
+	}
+	n.role, n.leader = Follower, leader
+	n.reset()
+}
+
+func (n *Node) reset() {
+	n.elapsed, n.heartbeat = 0, 0
+	n.timeout = n.options.ElectionTicks + n.options.Random.IntN(n.options.ElectionTicks)
+	n.votes = nil
+	n.transferee, n.transferred = "", false
+	n.progress = nil
+	n.ready.FailedReads = append(n.ready.FailedReads, n.reads.clear()...)
+}
+
+// startElection first asks whether an election could be won. Without that
+// question a member that was cut off would come back with a high term and
+// depose a leader that works.
+func (n *Node) startElection() {
+	if n.options.faults.noPreVote {
+		n.campaign(false)
+		return
+	}
+	n.role, n.leader = PreCandidate, ""
+	n.reset()
+	n.votes = make(map[ID]bool)
+	n.requestVotes(Message{Kind: KindPreVote, Term: n.term + 1}, n.send)
+	n.countVote(n.options.ID, true)
+}
+
+// campaign enters a new term as a candidate. Its own vote counts, and its
+// requests go out, only once the vote is synced.
+func (n *Node) campaign(transfer bool) {
+	n.role, n.leader = Candidate, ""
+	n.reset()
+	n.term++
+	n.vote, n.hardDirty = n.options.ID, true
+	n.votes = make(map[ID]bool)
+	n.requestVotes(Message{Kind: KindVote, Term: n.term, Transfer: transfer}, n.sendAfterSync)
+}
+
+func (n *Node) requestVotes(request Message, send func(Message)) {
+	request.Index, request.LogTerm = n.log.lastIndex(), n.log.lastTerm()
+	for _, m := range n.Config().Voters {
+		if m.ID != n.options.ID {
+			request.To = m.ID
+			send(request)
+		}
+	}
+}
+
+func (n *Node) answerVote(m Message) {
+	pre := m.Kind == KindPreVote
+	free := n.vote == m.From || n.vote == "" && n.leader == "" || pre && m.Term > n.term
+	grant := free && n.upToDate(m.Index, m.LogTerm)
+	reply := Message{Kind: KindVoteReply, To: m.From, Reject: !grant}
+	if pre {
+		reply.Kind = KindPreVoteReply
+		if grant {
+			reply.Term = m.Term
+		}
+		n.send(reply)
+		return
+	}
+	if grant && n.vote == "" {
+		n.vote, n.hardDirty = m.From, true
+		n.elapsed = 0
+	}
+	n.sendAfterSync(reply)
+}
+
+// upToDate reports whether a log with that last entry holds every entry that
+// this node may have acknowledged.
+func (n *Node) upToDate(index, term uint64) bool {
+	if term != n.log.lastTerm() {
+		return term > n.log.lastTerm()
+	}
+	return index >= n.log.lastIndex()
+}
+
+func (n *Node) takeVote(m Message) {
+	expected := n.role == Candidate && m.Kind == KindVoteReply || n.role == PreCandidate && m.Kind == KindPreVoteReply
+	if !expected || !n.Config().Voter(m.From) {
+		return
+	}
+	if m.Kind == KindPreVoteReply && !m.Reject && m.Term != n.term+1 {
+		return
+	}
+	n.countVote(m.From, !m.Reject)
+}
+
+func (n *Node) countVote(from ID, granted bool) {
+	n.votes[from] = granted
+	yes, no := 0, 0
+	for _, vote := range n.votes {
+		if vote {
+			yes++
+		} else {
+			no++
+		}
+	}
+	quorum := n.Config().Quorum()
+	switch {
+	case yes >= quorum && n.role == PreCandidate:
+		n.campaign(false)
+	case yes >= quorum:
+		n.becomeLeader()
+	case no >= quorum:
+		n.becomeFollower(n.term, "")
+	}
+}
+
+func (n *Node) becomeLeader() {
+	n.role, n.leader = Leader, n.options.ID
+	n.reset()
+	n.progress = make(map[ID]*progress)
+	n.uncommitted = n.log.bytesAfter(n.commit)
+	n.followConfig()
+	// The leader may only count entries of its own term as committed; an empty
+	// one lets it commit those of earlier terms along with it.
+	n.appendOwn(Entry{})
+	n.sendHeartbeats()
+}
+
+// followConfig makes the leader's progress match the configuration.
+func (n *Node) followConfig() {
+	config := n.Config()
+	for _, m := range config.Members() {
+		if n.progress[m.ID] == nil {
+			n.progress[m.ID] = &progress{next: n.log.lastIndex() + 1, contactTick: n.tick}
+		}
+	}
+	for id := range n.progress {
+		if !config.Voter(id) && !config.Learner(id) {
+			delete(n.progress, id)
+		}
+	}
+	if p := n.progress[n.options.ID]; p != nil {
+		p.acknowledge(n.stable)
+	}
+}
--- /dev/null
+++ b/coord/replog/read.go
@@ -0,0 +1,92 @@
+package replog
+
+import "slices"
+
+// readQueue holds reads that a quorum has not confirmed yet.
+type readQueue struct {
+	// round numbers the heartbeats; one that was sent after a read arrived
+	// confirms it.
+	round   uint64
+	pending []pendingRead
+	// unsent is true while the latest round waits for the next heartbeat.
+	unsent bool
+}
+
+type pendingRead struct {
+	id    uint64
+	round uint64
+	// index is 0 until the leader has committed an entry of its own term.
+	index uint64
+}
+
+func (q *readQueue) clear() []uint64 {
+	failed := make([]uint64, 0, len(q.pending))
+	for _, r := range q.pending {
+		failed = append(failed, r.id)
+	}
+	q.pending, q.unsent = nil, false
+	return failed
+}
+
+// ReadIndex asks for the index that a linearizable read must wait for; the
+// answer comes in Ready.Reads or Ready.FailedReads. The ID is the caller's.
+func (n *Node) ReadIndex(id uint64) error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if n.options.faults.unconfirmedRead {
+		n.ready.Reads = append(n.ready.Reads, Read{ID: id, Index: n.commit})
+		return nil
+	}
+	if !n.reads.unsent {
+		n.reads.unsent = true
+		n.reads.round++
+	}
+	n.reads.pending = append(n.reads.pending, pendingRead{id: id, round: n.reads.round})
+	n.confirmReads()
+	return nil
+}
+
+// confirmReads answers the reads that a quorum has confirmed. A deposed leader
+// that does not know it yet would otherwise answer with old state.
+func (n *Node) confirmReads() {
+	if term, ok := n.log.term(n.commit); !ok || term != n.term {
+		return
+	}
+	confirmed := n.confirmedRound()
+	waiting := n.reads.pending[:0]
+	for _, r := range n.reads.pending {
+		if r.index == 0 {
+			r.index = n.commit
+		}
+		if r.round <= confirmed {
+			n.ready.Reads = append(n.ready.Reads, Read{ID: r.id, Index: r.index})
+		} else {
+			waiting = append(waiting, r)
+		}
+	}
+	n.reads.pending = waiting
+}
+
+func (n *Node) confirmedRound() uint64 {
+	return n.quorumValue(n.reads.round, func(p *progress) uint64 { return p.confirmedRead })
+}
+
+// quorumValue is the highest value that a quorum of voters has reached; own is
+// this node's value.
+func (n *Node) quorumValue(own uint64, value func(*progress) uint64) uint64 {
+	config := n.Config()
+	if len(config.Voters) == 0 {
+		return 0
+	}
+	values := make([]uint64, 0, len(config.Voters))
+	for _, m := range config.Voters {
+		if m.ID == n.options.ID {
+			values = append(values, own)
+		} else {
+			values = append(values, value(n.progress[m.ID]))
+		}
+	}
+	slices.Sort(values)
+	return values[len(values)-config.Quorum()]
+}
