--- /dev/null
+++ b/coord/broker/broker_test.go
@@ -0,0 +1,144 @@
+package broker
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drive keeps a store with a knee busy through a window for a while and
+// returns the mean limit over the last half.
+func drive(w *Window, knee int, base time.Duration, loads int) float64 {
+	random := rand.New(rand.NewPCG(1, 1))
+	now, sum := time.Unix(0, 0), 0.0
+	for i := range loads {
+		n := w.Limit()
+		took := time.Duration(float64(base) * max(1, float64(n)/float64(knee)) * (1 + 0.05*random.Float64()))
+		now = now.Add(took / time.Duration(n))
+		w.Observe(took, n, now)
+		if i >= loads/2 {
+			sum += w.limit
+		}
+	}
+	return sum / float64(loads-loads/2)
+}
+
+// The store's knee is not in any settings: a wrong guess would leave the store
+// idle while callers wait, or slow every load down.
+func TestWindowFindsTheKneeOfAnyStore(t *testing.T) {
+	for _, knee := range []int{1, 2, 8, 24} {
+		w := NewWindow(WindowOptions{})
+		mean := drive(w, knee, 250*time.Millisecond, 4000)
+		if mean < 0.7*float64(knee) || mean > 1.5*float64(knee)+1 {
+			t.Errorf("knee %d: mean limit %.1f", knee, mean)
+		}
+	}
+}
+
+// A store that turns slower for good must not close the window for ever.
+func TestWindowFollowsAStoreThatBecomesSlower(t *testing.T) {
+	w := NewWindow(WindowOptions{})
+	drive(w, 8, 250*time.Millisecond, 2000)
+	if mean := drive(w, 8, 2*time.Second, 4000); mean < 5 {
+		t.Errorf("mean limit %.1f for a slower store with a knee of 8", mean)
+	}
+}
+
+func key(agent string, order uint64) Key { return Key{Agent: agent, Incarnation: 1, Order: order} }
+
+// An agent that dies with permits would else keep the others from loading.
+func TestPermitsOfADeadAgentComeBack(t *testing.T) {
+	b := New(Options{Window: WindowOptions{Initial: 1, Max: 1}})
+	now := time.Unix(0, 0)
+	b.Ask(Ask{Key: key("dead", 1)}, now)
+	if got := b.Ask(Ask{Key: key("live", 1)}, now); len(got) != 0 {
+		t.Fatalf("granted beyond the limit: %v", got)
+	}
+	now = now.Add(defaultLease - time.Second)
+	b.Ask(Ask{Key: key("live", 1)}, now)
+	got := b.Tick(now.Add(time.Second))
+	if len(got) != 1 || got[0].Key != key("live", 1) || b.Expired() != 1 {
+		t.Fatalf("the permit did not come back: %v", got)
+	}
+}
+
+func TestMostWaitersGoFirstButNoneStarves(t *testing.T) {
+	b := New(Options{Window: WindowOptions{Initial: 1, Max: 1}})
+	now := time.Unix(0, 0)
+	b.Ask(Ask{Key: key("a", 1), Waiters: 1}, now)
+	b.Ask(Ask{Key: key("b", 1), Waiters: 1}, now)
+	b.Ask(Ask{Key: key("c", 1), Waiters: 5}, now)
+	if got := b.Loaded(key("a", 1), time.Second, now); got[0].Key != key("c", 1) {
+		t.Fatalf("five waiters did not go first: %v", got)
+	}
+	now = now.Add(10 * time.Second)
+	b.Ask(Ask{Key: key("d", 1), Waiters: 9}, now)
+	if got := b.Loaded(key("c", 1), time.Second, now); got[0].Key != key("b", 1) {
+		t.Fatalf("an old wish was passed over: %v", got)
+	}
+}
+
+// TestSyncKeepsPermitsWithinTheLimit drives random reports of agents that die,
+// restart and repeat themselves. More loads in flight than the limit would
+// slow every load at the site down.
+func TestSyncKeepsPermitsWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 2
+		b := New(Options{Window: WindowOptions{Initial: limit, Max: limit}})
+		now := time.Unix(0, 0)
+		agents := []string{"a", "b", "c"}
+		reports := map[string]*Report{}
+		for _, name := range agents {
+			reports[name] = &Report{Agent: name, Incarnation: 1}
+		}
+		order := uint64(0)
+		held := func() int {
+			n := 0
+			for _, r := range reports {
+				n += len(r.Held)
+			}
+			return n
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"want": func(t *rapid.T) {
+				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
+				order++
+				r.Wanted = append(r.Wanted, Want{Order: order, Waiters: 1})
+			},
+			"sync": func(t *rapid.T) {
+				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
+				grants := b.Sync(*r, now)
+				r.Finished = nil
+				for _, g := range grants {
+					r.Wanted = slices.DeleteFunc(r.Wanted, func(w Want) bool { return w.Order == g.Order })
+					r.Held = append(r.Held, g.Order)
+				}
+				if held() > limit {
+					t.Fatalf("%d loads in flight with a limit of %d", held(), limit)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
+				if len(r.Held) > 0 {
+					r.Finished = append(r.Finished, Finished{Order: r.Held[0], Took: time.Second})
+					r.Held = r.Held[1:]
+				}
+			},
+			"restart": func(t *rapid.T) {
+				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
+				*r = Report{Agent: r.Agent, Incarnation: r.Incarnation + 1}
+				b.Sync(*r, now)
+			},
+		})
+		for _, r := range reports {
+			*r = Report{Agent: r.Agent, Incarnation: r.Incarnation}
+			b.Sync(*r, now)
+		}
+		if b.InFlight() != 0 || b.Queued() != 0 {
+			t.Fatalf("%d permits and %d wishes are left of agents that want nothing", b.InFlight(), b.Queued())
+		}
+	})
+}
--- /dev/null
+++ b/coord/experiment/meter.go
@@ -0,0 +1,176 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+)
+
+// Result is what one run measured, after the warm-up.
+type Result struct {
+	// StallP50 to StallP99 are quantiles, over all requests to engines, of the
+	// time a request waits for its adapter to arrive.
+	StallP50, StallP95, StallP99 time.Duration
+	// Stalled is the share of requests that waited for an adapter at all.
+	Stalled float64
+	// StartP99 is the 99th percentile of the time from arrival to the batch,
+	// stall and queue included.
+	StartP99 time.Duration
+	// Occupancy is the share of batch places used in the steps that ran.
+	Occupancy float64
+	// LoadsPerRequest counts loads begun at the weight store.
+	LoadsPerRequest float64
+	// ServersInUse is the mean number of engines that ran a step within 10 s.
+	ServersInUse float64
+	// Fairness is Jain's index over contracts of the share of requests that
+	// started within a second.
+	Fairness float64
+	// Requests and Failed count requests to engines.
+	Requests, Failed int
+}
+
+// meter collects measurements.
+type meter struct {
+	stalls, starts []time.Duration
+	stalled        int
+	requests       int
+	failures       int
+	inTime, total  [contracts]int
+	loadsAtWarmUp  int
+	warm           bool
+	inUse, samples int
+	trace          []demand
+}
+
+// demand is one request as the bound needs it.
+type demand struct {
+	ref    catalogue.Ref
+	at     time.Duration
+	length time.Duration
+}
+
+func newMeter() *meter { return &meter{} }
+
+func (m *meter) demand(_ *world, r *request) {
+	m.trace = append(m.trace, demand{ref: r.ref, at: r.arrived, length: r.length})
+}
+
+func (m *meter) started(w *world, r *request) {
+	if r.service || r.arrived < warmUp {
+		return
+	}
+	wait := w.at - r.arrived
+	m.requests++
+	m.total[r.contract]++
+	if wait <= patience {
+		m.inTime[r.contract]++
+	}
+	if r.stall > 0 {
+		m.stalled++
+	}
+	m.stalls = append(m.stalls, r.stall)
+	m.starts = append(m.starts, wait)
+}
+
+func (m *meter) failed(w *world, r *request) {
+	if r.service || r.arrived < warmUp {
+		return
+	}
+	m.requests++
+	m.failures++
+	m.total[r.contract]++
+	m.stalls = append(m.stalls, w.at-r.arrived)
+	m.starts = append(m.starts, w.at-r.arrived)
+}
+
+// inUseWithin is how recently an engine must have run a step to be in use.
+const inUseWithin = 10 * time.Second
+
+func (m *meter) sample(w *world) func() {
+	return func() {
+		if w.at < warmUp {
+			return
+		}
+		if !m.warm {
+			m.warm = true
+			m.loadsAtWarmUp = w.store.started
+		}
+		m.samples++
+		for _, s := range w.servers {
+			if s.engine && (s.batch.running > 0 || s.batch.lastActive > 0 && w.at-s.batch.lastActive < inUseWithin) {
+				m.inUse++
+			}
+		}
+	}
+}
+
+func (m *meter) result(w *world) Result {
+	var busy, filled float64
+	for _, s := range w.servers {
+		s.batch.account()
+		if s.engine {
+			busy += s.batch.busy
+			filled += s.batch.filled
+		}
+	}
+	m.countWaiting(w)
+	return Result{
+		StallP50:        quantile(m.stalls, 0.50),
+		StallP95:        quantile(m.stalls, 0.95),
+		StallP99:        quantile(m.stalls, 0.99),
+		Stalled:         float64(m.stalled) / float64(m.requests),
+		StartP99:        quantile(m.starts, 0.99),
+		Occupancy:       filled / busy,
+		LoadsPerRequest: float64(w.store.started-m.loadsAtWarmUp) / float64(m.requests),
+		ServersInUse:    float64(m.inUse) / float64(m.samples),
+		Fairness:        m.jain(),
+		Requests:        m.requests,
+		Failed:          m.failures,
+	}
+}
+
+// countWaiting counts requests that still wait at the end, else the worst
+// policy would look best.
+func (m *meter) countWaiting(w *world) {
+	for _, s := range w.servers {
+		for _, waiting := range s.waiting {
+			r := waiting.request
+			if r.arrived < warmUp {
+				continue
+			}
+			m.requests++
+			m.stalled++
+			m.total[r.contract]++
+			m.stalls = append(m.stalls, r.stall+w.at-waiting.since)
+			m.starts = append(m.starts, w.at-r.arrived)
+		}
+	}
+}
+
+func (m *meter) jain() float64 {
+	var sum, squares float64
+	n := 0
+	for i, total := range m.total {
+		if total == 0 {
+			continue
+		}
+		x := float64(m.inTime[i]) / float64(total)
+		sum += x
+		squares += x * x
+		n++
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / (float64(n) * squares)
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/coord/experiment/world.go
@@ -0,0 +1,362 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/broker"
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/slots"
+)
+
+const (
+	baseModel   = "base"
+	servicePool = "desk"
+)
+
+// world is one run.
+type world struct {
+	clock
+	deployment Deployment
+	scenario   Scenario
+	policy     Policy
+	arrivals   *rand.Rand
+	routing    *rand.Rand
+	popularity *zipf
+	store      *store
+	permits    Permits
+	servers    []*server
+	byName     map[string]*server
+	entries    []Chooser
+	announced  []membership.Announcement
+	lastID     slots.RequestID
+	meter      *meter
+}
+
+// request is one call on its way.
+type request struct {
+	ref      catalogue.Ref
+	service  bool
+	contract int
+	length   time.Duration
+	arrived  time.Duration
+	// stall is the time spent waiting for an adapter so far.
+	stall    time.Duration
+	attempts int
+	tried    []string
+	entry    Chooser
+}
+
+func newWorld(d Deployment, s Scenario, p Policy, seed uint64) *world {
+	w := &world{
+		deployment: d,
+		scenario:   s,
+		policy:     p,
+		arrivals:   newRand(seed, 1),
+		routing:    newRand(seed, 2),
+		permits:    p.Permits(),
+		byName:     make(map[string]*server),
+		meter:      newMeter(),
+	}
+	w.popularity = newZipf(d.Adapters, d.Skew, newRand(seed, 3))
+	w.store = newStore(&w.clock)
+	for i := range d.Engines + d.Services {
+		server := newServer(w, i)
+		w.servers = append(w.servers, server)
+		w.byName[server.name] = server
+		w.announced = append(w.announced, server.announcement())
+	}
+	for i := range s.Entries {
+		w.entries = append(w.entries, p.Chooser(d, uint64(i)))
+	}
+	return w
+}
+
+func (w *world) start() {
+	w.publish()
+	for i, server := range w.servers {
+		w.startReports(i, server)
+	}
+	w.every(tickEvery, func() {
+		w.deliver(w.permits.Tick(w.now()))
+		for _, server := range w.servers {
+			server.perform(server.table.Tick(w.now()))
+		}
+	})
+	w.every(time.Second, w.meter.sample(w))
+	w.nextArrival(false)
+	w.nextArrival(true)
+	w.after(w.scenario.At, w.strike)
+}
+
+// startReports publishes a server's load again and again.
+func (w *world) startReports(i int, server *server) {
+	interval := w.scenario.ReportEvery
+	if w.scenario.StaleEvery > 0 && i%2 == 0 {
+		interval = w.scenario.StaleEvery
+	}
+	offset := time.Duration(0)
+	if !w.scenario.Together {
+		offset = interval * time.Duration(i) / time.Duration(len(w.servers))
+	}
+	w.after(offset, func() {
+		w.every(interval, func() {
+			report := server.announcement()
+			w.after(reportDelay, func() {
+				w.announced[i] = report
+				w.publish()
+			})
+		})
+	})
+}
+
+// reportDelay is the time from a report's making to the entries.
+const reportDelay = 100 * time.Millisecond
+
+func (w *world) publish() {
+	for _, entry := range w.entries {
+		entry.Observe(w.announced, w.now())
+	}
+}
+
+func (w *world) strike() {
+	if w.scenario.Shift {
+		w.popularity.shuffle()
+	}
+	if w.scenario.Restart {
+		for i := 0; i < w.deployment.Engines; i += 3 {
+			w.servers[i].restart()
+		}
+	}
+	if w.scenario.SlowStore {
+		w.store.setKnee(1)
+		w.after(2*time.Minute, func() { w.store.setKnee(storeKnee) })
+	}
+}
+
+// fadingShare is the share of demand that is left at the end of fading.
+const fadingShare = 0.25
+
+func (w *world) rate(service bool) float64 {
+	rate := w.deployment.Rate
+	if service {
+		rate = w.deployment.ServiceRate
+	}
+	if w.scenario.Fading {
+		rate *= 1 - (1-fadingShare)*w.at.Seconds()/w.scenario.Length.Seconds()
+	}
+	return rate
+}
+
+func (w *world) nextArrival(service bool) {
+	gap := time.Duration(w.arrivals.ExpFloat64() / w.rate(service) * float64(time.Second))
+	w.after(gap, func() {
+		w.send(w.newRequest(service))
+		w.nextArrival(service)
+	})
+}
+
+func (w *world) newRequest(service bool) *request {
+	r := &request{service: service, arrived: w.at, entry: w.entries[w.arrivals.IntN(len(w.entries))]}
+	if service {
+		r.contract = w.arrivals.IntN(contracts)
+		r.length = time.Duration(w.arrivals.ExpFloat64() * float64(serviceTime))
+		return r
+	}
+	adapter := w.popularity.draw(w.arrivals)
+	r.ref = catalogue.Ref{Adapter: fmt.Sprintf("adapter-%d", adapter), Version: "1"}
+	r.contract = adapter % contracts
+	tokens := math.Ceil(w.arrivals.ExpFloat64() * w.deployment.Tokens)
+	r.length = time.Duration(tokens) * tokenTime
+	w.meter.demand(w, r)
+	return r
+}
+
+// send offers a request to a server, as an entry does.
+func (w *world) send(r *request) {
+	question := placement.Request{Kind: membership.KindEngine, Ref: r.ref, BaseModel: baseModel, Exclude: r.tried}
+	if r.service {
+		question = placement.Request{Kind: membership.KindService, Pool: servicePool, Exclude: r.tried}
+	}
+	chosen, ok := r.entry.Pick(question)
+	if !ok || r.attempts == maxAttempts {
+		w.meter.failed(w, r)
+		return
+	}
+	r.attempts++
+	r.entry.Dispatched(chosen.Server, r.ref, w.now())
+	w.after(hop, func() { w.byName[chosen.Server].receive(r) })
+}
+
+// refused takes a request back that did not run on a server.
+func (w *world) refused(r *request, s *server) {
+	w.after(hop, func() {
+		r.entry.Finished(s.name, r.ref, 0, w.now())
+		r.tried = append(r.tried, s.name)
+		w.send(r)
+	})
+}
+
+func (w *world) deliver(grants []broker.Grant) {
+	for _, g := range grants {
+		w.after(hop, func() { w.byName[g.Agent].granted(g) })
+	}
+}
+
+// server is a backend server and the agent beside it.
+type server struct {
+	world       *world
+	name        string
+	engine      bool
+	table       *slots.Table
+	batch       *batch
+	waiting     map[slots.RequestID]*waiter
+	loads       map[slots.OrderID]func()
+	incarnation uint64
+	sequence    uint64
+	loadTime    time.Duration
+	asked       map[slots.OrderID]time.Duration
+}
+
+type waiter struct {
+	request *request
+	since   time.Duration
+}
+
+func newServer(w *world, i int) *server {
+	options := w.policy.Slots
+	options.Slots, options.Queue = w.deployment.Slots, queueBound
+	return &server{
+		world:   w,
+		name:    fmt.Sprintf("server-%02d", i),
+		engine:  i < w.deployment.Engines,
+		table:   slots.NewTable(options),
+		batch:   newBatch(&w.clock, w.deployment.Capacity),
+		waiting: make(map[slots.RequestID]*waiter),
+		loads:   make(map[slots.OrderID]func()),
+		asked:   make(map[slots.OrderID]time.Duration),
+	}
+}
+
+func (s *server) announcement() membership.Announcement {
+	s.sequence++
+	a := membership.Announcement{Server: s.name, Kind: membership.KindService, Pool: servicePool, Sequence: s.sequence}
+	a.Load = membership.Load{Running: s.batch.running, Waiting: len(s.batch.queue), Capacity: s.batch.capacity}
+	if !s.engine {
+		return a
+	}
+	report := s.table.Report()
+	a.Kind, a.Pool, a.BaseModel, a.Slots = membership.KindEngine, "llm", baseModel, s.world.deployment.Slots
+	a.Load.Running, a.Load.Waiting = report.Running, report.Waiting
+	a.Load.Resident, a.Load.Loading = report.Resident, report.Loading
+	a.Load.Obtainable = report.Obtainable
+	a.Load.LoadMillis = int(s.loadTime.Milliseconds())
+	return a
+}
+
+func (s *server) receive(r *request) {
+	w := s.world
+	if r.service {
+		s.runJob(r, 0)
+		return
+	}
+	w.lastID++
+	s.waiting[w.lastID] = &waiter{request: r, since: w.at}
+	s.perform(s.table.Request(w.lastID, r.ref, w.now()))
+}
+
+func (s *server) perform(actions []slots.Action) {
+	w := s.world
+	for _, action := range actions {
+		switch a := action.(type) {
+		case slots.Start:
+			s.begin(a.Request)
+		case slots.Refuse:
+			r := s.take(a.Request)
+			w.refused(r, s)
+		case slots.Ask:
+			if _, again := s.asked[a.Order]; !again {
+				s.asked[a.Order] = w.at
+			}
+			ask := broker.Ask{Key: s.key(a.Order), Waiters: a.Waiters}
+			w.after(hop, func() { w.deliver(w.permits.Ask(ask, w.now())) })
+		case slots.Return:
+			s.giveBack(a.Order)
+		case slots.Load:
+			s.load(a)
+		case slots.Unload:
+			w.after(hop, func() { s.perform(s.table.Unloaded(a.Order, w.now())) })
+		}
+	}
+}
+
+func (s *server) key(order slots.OrderID) broker.Key {
+	return broker.Key{Agent: s.name, Incarnation: s.incarnation, Order: uint64(order)}
+}
+
+func (s *server) take(id slots.RequestID) *request {
+	waiting := s.waiting[id]
+	delete(s.waiting, id)
+	waiting.request.stall += s.world.at - waiting.since
+	return waiting.request
+}
+
+func (s *server) begin(id slots.RequestID) {
+	s.runJob(s.take(id), id)
+}
+
+func (s *server) runJob(r *request, id slots.RequestID) {
+	w := s.world
+	s.batch.add(&job{
+		length: r.length,
+		begun:  func() { w.meter.started(w, r) },
+		cut:    func() { w.refused(r, s) },
+		done: func() {
+			s.perform(s.table.Release(id, w.now()))
+			w.after(hop, func() { r.entry.Finished(s.name, r.ref, r.length, w.now()) })
+		},
+	})
+}
+
+func (s *server) granted(g broker.Grant) {
+	if g.Incarnation == s.incarnation {
+		s.perform(s.table.Granted(slots.OrderID(g.Order), s.world.now()))
+	}
+}
+
+func (s *server) giveBack(order slots.OrderID) {
+	w, key := s.world, s.key(order)
+	delete(s.asked, order)
+	if cancel, loading := s.loads[order]; loading {
+		cancel()
+		delete(s.loads, order)
+	}
+	w.after(hop, func() { w.deliver(w.permits.Return(key, w.now())) })
+}
+
+// loadGain is the weight of a new measurement of the load time.
+const loadGain = 0.2
+
+func (s *server) load(a slots.Load) {
+	w, key, began := s.world, s.key(a.Order), s.world.at
+	s.loads[a.Order] = w.store.begin(func() {
+		delete(s.loads, a.Order)
+		took := w.at - began
+		total := w.at - s.asked[a.Order]
+		delete(s.asked, a.Order)
+		s.loadTime += time.Duration(loadGain * float64(total-s.loadTime))
+		w.after(hop, func() { w.deliver(w.permits.Loaded(key, took, w.now())) })
+		s.perform(s.table.Loaded(a.Order, w.now()))
+	})
+}
+
+// restart empties the engine: what ran is cut and its callers' entries send
+// it to another server.
+func (s *server) restart() {
+	s.batch.crash()
+	s.perform(s.table.EngineRestarted())
+}
--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -34,6 +34,12 @@
 	Capacity int `json:"capacity"`
 	// Resident lists the loaded adapters.
 	Resident []catalogue.Ref `json:"resident,omitempty"`
+	// Loading lists the adapters on their way.
+	Loading []catalogue.Ref `json:"loading,omitempty"`
+	// Obtainable counts the adapter slots that another adapter could get now.
+	Obtainable int `json:"obtainable,omitempty"`
+	// LoadMillis is the recent time of a load, permit included.
+	LoadMillis int `json:"loadMillis,omitempty"`
 }
 
 // Announcement is what a backend server, or the agent beside it, says of itself.
--- /dev/null
+++ b/coord/placement/ledger.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+)
+
+// maxLedger bounds the dispatches that are remembered of one server whose
+// reports have stopped.
+const maxLedger = 256
+
+// ledger counts one viewer's own dispatches to a server since its last report.
+type ledger struct {
+	inFlight    int
+	incarnation uint64
+	sequence    uint64
+	seen        time.Time
+	records     []record
+	sum         int
+}
+
+type record struct {
+	at time.Time
+	// ref is set for a dispatch and empty for an end.
+	ref   catalogue.Ref
+	delta int
+	// cold is true when the adapter was not known to be there.
+	cold bool
+}
+
+func (l *ledger) add(ref catalogue.Ref, cold bool, now time.Time) {
+	l.inFlight++
+	l.note(record{at: now, ref: ref, delta: 1, cold: cold})
+}
+
+func (l *ledger) end(now time.Time) {
+	l.inFlight--
+	l.note(record{at: now, delta: -1})
+}
+
+func (l *ledger) note(r record) {
+	if len(l.records) == maxLedger {
+		l.records = slices.Delete(l.records, 0, maxLedger/2)
+	}
+	l.records = append(l.records, r)
+	l.sum += r.delta
+}
+
+// reported drops what a new report includes: all that happened before upTo.
+func (l *ledger) reported(a *membership.Announcement, upTo time.Time) {
+	if a.Incarnation == l.incarnation && a.Sequence == l.sequence {
+		return
+	}
+	l.incarnation, l.sequence, l.seen = a.Incarnation, a.Sequence, upTo
+	l.records = slices.DeleteFunc(l.records, func(r record) bool { return r.at.Before(upTo) })
+	l.sum = 0
+	for _, r := range l.records {
+		l.sum += r.delta
+	}
+}
+
+// delta is the change of the requests in flight since the report.
+func (l *ledger) delta() int { return l.sum }
+
+// since reports whether the adapter was sent there since the report, and how
+// many dispatches of other adapters each take a slot.
+func (l *ledger) since(ref catalogue.Ref) (sent bool, taken int) {
+	for i := range l.records {
+		r := &l.records[i]
+		switch {
+		case r.delta < 0:
+		case r.ref == ref:
+			sent = true
+		case r.cold:
+			taken++
+		}
+	}
+	return sent, taken
+}
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -1,27 +1,18 @@
-// Package placement chooses a backend server for a request by filters and
-// scorers over an immutable view of the announced servers.
+// Package placement chooses a backend server for a request.
+//
+// A View is an immutable picture of the announced servers. Filters rule
+// servers out, scorers say how many seconds the request would wait on each,
+// and Picker takes the server with the least. Selector keeps what one entry
+// knows beyond the view: its own dispatches since each load report.
 package placement
 
 import (
-	"slices"
+	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 )
 
-// Server is one candidate in a view.
-type Server struct {
-	membership.Announcement
-	// Outstanding counts the viewer's own dispatches that the load report
-	// does not include yet.
-	Outstanding int
-}
-
-// View is an immutable picture of the servers at one moment.
-type View struct {
-	Servers []Server
-}
-
 // Request is what placement needs to know about a request.
 type Request struct {
 	Kind membership.Kind
@@ -34,11 +25,35 @@
 	Exclude []string
 }
 
+// Estimates are what the viewer has learnt about the site.
+type Estimates struct {
+	// LoadTime is how long an adapter takes to arrive, permit included.
+	LoadTime time.Duration
+	// ServiceTime is how long a request runs.
+	ServiceTime time.Duration
+	// Active is how many servers the work should be packed on; 0 is all.
+	Active int
+}
+
+// Candidate is a server as the viewer believes it to be now.
+type Candidate struct {
+	*Server
+	// InFlight counts requests there, corrected by the viewer's own dispatches.
+	InFlight float64
+	// Resident is true when the adapter is loaded; Arriving when it is on its way.
+	Resident bool
+	Arriving bool
+	// Obtainable counts slots that the adapter could get.
+	Obtainable int
+	// Preference is the server's place in the adapter's rendezvous order, from 0.
+	Preference int
+}
+
 // Filter says whether a server may run the request.
-type Filter func(Request, Server) bool
+type Filter func(*Request, *Server) bool
 
-// Scorer rates a server for the request; higher is better.
-type Scorer func(Request, Server) float64
+// Scorer says how many seconds the request would wait on a candidate for one cause.
+type Scorer func(*Candidate, *Estimates) float64
 
 // Picker combines filters and scorers.
 type Picker struct {
@@ -49,27 +64,18 @@
 // NewPicker returns a picker with the standard filters and scorers.
 func NewPicker() *Picker {
 	return &Picker{
-		filters: []Filter{serves, notLeaving, notExcluded},
-		scorers: []Scorer{residency, load},
+		filters: []Filter{Serves, NotLeaving, NotExcluded},
+		scorers: []Scorer{QueueWait, LoadWait, Affinity, Packing},
 	}
 }
 
-// Pick returns the best server, or false when none passes the filters.
-func (p *Picker) Pick(request Request, view View) (Server, bool) {
-	best, bestScore, found := Server{}, 0.0, false
-	for _, server := range view.Servers {
-		if !p.passes(request, server) {
-			continue
-		}
-		score := p.score(request, server)
-		if !found || score > bestScore {
-			best, bestScore, found = server, score, true
-		}
-	}
-	return best, found
+// NewCustomPicker returns a picker with other filters and scorers.
+func NewCustomPicker(filters []Filter, scorers []Scorer) *Picker {
+	return &Picker{filters: filters, scorers: scorers}
 }
 
-func (p *Picker) passes(request Request, server Server) bool {
+// Passes reports whether every filter lets the server run the request.
+func (p *Picker) Passes(request *Request, server *Server) bool {
 	for _, filter := range p.filters {
 		if !filter(request, server) {
 			return false
@@ -78,44 +84,11 @@
 	return true
 }
 
-func (p *Picker) score(request Request, server Server) float64 {
+// Cost is the expected wait on a candidate, in seconds.
+func (p *Picker) Cost(candidate *Candidate, estimates *Estimates) float64 {
 	total := 0.0
 	for _, scorer := range p.scorers {
-		total += scorer(request, server)
+		total += scorer(candidate, estimates)
 	}
 	return total
 }
-
-func serves(request Request, server Server) bool {
-	if request.Kind != server.Kind {
-		return false
-	}
-	if request.Kind == membership.KindService {
-		return server.Pool == request.Pool
-	}
-	return server.BaseModel == request.BaseModel
-}
-
-func notLeaving(_ Request, server Server) bool { return !server.Leaving }
-
-func notExcluded(request Request, server Server) bool {
-	return !slices.Contains(request.Exclude, server.Server)
-}
-
-const residentBonus = 1.0
-
-func residency(request Request, server Server) float64 {
-	if request.Kind != membership.KindEngine {
-		return 0
-	}
-	if slices.Contains(server.Load.Resident, request.Ref) {
-		return residentBonus
-	}
-	return 0
-}
-
-func load(_ Request, server Server) float64 {
-	capacity := max(server.Load.Capacity, 1)
-	inFlight := server.Load.Running + server.Load.Waiting + server.Outstanding
-	return -float64(inFlight) / float64(capacity)
-}
--- /dev/null
+++ b/coord/slots/report.go
@@ -0,0 +1,29 @@
+package slots
+
+import "github.com/rosemarypass/rosemarypass/coord/catalogue"
+
+// Report is what a table tells about itself.
+type Report struct {
+	// Resident and Loading are adapters, sorted.
+	Resident []catalogue.Ref
+	Loading  []catalogue.Ref
+	// Obtainable counts the slots that another adapter could get now.
+	Obtainable int
+	// Running and Waiting count requests.
+	Running int
+	Waiting int
+}
+
+// Report describes the table.
+func (t *Table) Report() Report {
+	r := Report{Running: len(t.running), Waiting: t.waiting, Obtainable: max(t.obtainable(), 0)}
+	for _, ref := range t.refs() {
+		switch t.slots[ref].phase {
+		case phaseLoaded:
+			r.Resident = append(r.Resident, ref)
+		case phaseLoading:
+			r.Loading = append(r.Loading, ref)
+		}
+	}
+	return r
+}
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -1,13 +1,19 @@
 // Package slots decides which adapters occupy an engine's few adapter slots.
 //
-// Table is a pure state machine: typed events go in, typed actions come out,
-// and the owner performs the actions and feeds their results back. It never
-// evicts an adapter that serves a request (a pinned adapter), and it asks for
-// each adapter at most one load at a time, however many requests wait for it.
+// Table is a pure state machine: typed events go in with the time, typed
+// actions come out, and the owner performs the actions and feeds their results
+// back. It never evicts an adapter that serves a request (a pinned adapter),
+// asks for each adapter at most one load at a time however many requests wait
+// for it, and loads only with a permit of the site's load broker.
+//
+// Every load and unload carries an order number that is never used twice. A
+// result that names an order the table no longer knows is ignored, so that the
+// late end of an order to a dead engine incarnation cannot corrupt the table.
 package slots
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 )
@@ -15,6 +21,9 @@
 // RequestID identifies a request within one table.
 type RequestID uint64
 
+// OrderID identifies one load or unload; it is never used twice in a table.
+type OrderID uint64
+
 // Action is something that the owner of the table must do.
 type Action interface{ action() }
 
@@ -27,14 +36,34 @@
 	Reason  Reason
 }
 
+// Ask requests a permit to load; the owner answers with Granted. An Ask with
+// the order of an earlier one updates it.
+type Ask struct {
+	Order OrderID
+	Ref   catalogue.Ref
+	// Waiters counts the requests that wait for the adapter now.
+	Waiters int
+}
+
+// Return gives an asked or granted permit back.
+type Return struct{ Order OrderID }
+
 // Load orders the engine to load an adapter into a free slot.
-type Load struct{ Ref catalogue.Ref }
+type Load struct {
+	Order OrderID
+	Ref   catalogue.Ref
+}
 
 // Unload orders the engine to free the slot of an idle adapter.
-type Unload struct{ Ref catalogue.Ref }
+type Unload struct {
+	Order OrderID
+	Ref   catalogue.Ref
+}
 
 func (Start) action()  {}
 func (Refuse) action() {}
+func (Ask) action()    {}
+func (Return) action() {}
 func (Load) action()   {}
 func (Unload) action() {}
 
@@ -50,14 +79,41 @@
 	ReasonEngineRestarted Reason = "engine_restarted"
 )
 
-// Options bound a table.
+// Eviction names the rule that chooses which idle adapter to unload.
+type Eviction uint8
+
+const (
+	// EvictLeastValuable unloads the adapter with the lowest decayed use
+	// times its load time.
+	EvictLeastValuable Eviction = iota
+	// EvictLeastRecent unloads the least recently used adapter.
+	EvictLeastRecent
+)
+
+// Options bound a table. Zero durations take the package's defaults.
 type Options struct {
 	// Slots is the number of adapters that the engine holds at once.
 	Slots int
 	// Queue is the most requests that may wait.
-	Queue int
+	Queue    int
+	Eviction Eviction
+	// HalfLife is the time in which an adapter's past use loses half its weight.
+	HalfLife time.Duration
+	// Patience is how long an adapter may wait while every slot is pinned
+	// before one slot stops taking new requests for its sake.
+	Patience time.Duration
+	// RetryMin and RetryMax bound the pause after failed loads of an adapter.
+	RetryMin time.Duration
+	RetryMax time.Duration
 }
 
+const (
+	defaultHalfLife = time.Minute
+	defaultPatience = 2 * time.Second
+	defaultRetryMin = time.Second
+	defaultRetryMax = time.Minute
+)
+
 type phase uint8
 
 const (
@@ -67,205 +123,320 @@
 )
 
 type slot struct {
-	phase    phase
-	pins     int
+	phase phase
+	order OrderID
+	pins  int
+	// foreign is true while requests of an earlier agent may run on it.
+	foreign bool
+	// closed is true while new requests must wait, so that a slot frees.
+	closed   bool
 	lastUsed uint64
+	ordered  time.Time
 }
 
-type waiter struct {
-	request RequestID
+func (s *slot) idle() bool { return s.phase == phaseLoaded && s.pins == 0 && !s.foreign }
+
+// want is the demand for one adapter that is not loaded.
+type want struct {
 	ref     catalogue.Ref
+	waiters []RequestID
+	since   time.Time
+	// order is the asked permit, 0 when none is asked.
+	order   OrderID
+	granted bool
 }
 
-// Table is the slot table of one engine incarnation. One duty owns it.
+// Table is the slot table of one engine. One duty owns it.
 type Table struct {
-	options Options
-	slots   map[catalogue.Ref]*slot
-	waiting []waiter
-	running map[RequestID]catalogue.Ref
-	clock   uint64
+	options   Options
+	slots     map[catalogue.Ref]*slot
+	wants     []*want
+	waiting   int
+	running   map[RequestID]*slot
+	usage     *usage
+	failures  map[catalogue.Ref]failure
+	clock     uint64
+	lastOrder OrderID
 }
 
 // NewTable returns an empty table.
 func NewTable(options Options) *Table {
+	setDefault(&options.HalfLife, defaultHalfLife)
+	setDefault(&options.Patience, defaultPatience)
+	setDefault(&options.RetryMin, defaultRetryMin)
+	setDefault(&options.RetryMax, defaultRetryMax)
 	return &Table{
-		options: options,
-		slots:   make(map[catalogue.Ref]*slot),
-		running: make(map[RequestID]catalogue.Ref),
+		options:  options,
+		slots:    make(map[catalogue.Ref]*slot),
+		running:  make(map[RequestID]*slot),
+		usage:    newUsage(options.HalfLife, options.Slots*ghostsPerSlot),
+		failures: make(map[catalogue.Ref]failure),
+	}
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
 	}
 }
 
 // Request asks to run a request on an adapter.
-func (t *Table) Request(id RequestID, ref catalogue.Ref) []Action {
-	if s, ok := t.slots[ref]; ok && s.phase == phaseLoaded {
-		return []Action{t.start(id, ref, s)}
+func (t *Table) Request(id RequestID, ref catalogue.Ref, now time.Time) []Action {
+	t.usage.touch(ref, now)
+	if s, ok := t.slots[ref]; ok && s.phase == phaseLoaded && !s.closed {
+		return []Action{t.start(id, s)}
+	}
+	if f, ok := t.failures[ref]; ok && now.Before(f.until) {
+		return []Action{Refuse{Request: id, Reason: ReasonLoadFailed}}
 	}
-	if len(t.waiting) >= t.options.Queue {
+	if t.waiting >= t.options.Queue {
 		return []Action{Refuse{Request: id, Reason: ReasonQueueFull}}
 	}
-	t.waiting = append(t.waiting, waiter{request: id, ref: ref})
-	return t.fill()
+	t.waiting++
+	w := t.wantOf(ref)
+	if w == nil {
+		w = &want{ref: ref, since: now}
+		t.wants = append(t.wants, w)
+	}
+	w.waiters = append(w.waiters, id)
+	if w.order != 0 && !w.granted {
+		return append(t.plan(now), Ask{Order: w.order, Ref: ref, Waiters: len(w.waiters)})
+	}
+	return t.plan(now)
 }
 
 // Cancel forgets a request that still waits. A running request is unaffected.
-func (t *Table) Cancel(id RequestID) []Action {
-	t.waiting = slices.DeleteFunc(t.waiting, func(w waiter) bool { return w.request == id })
+func (t *Table) Cancel(id RequestID, now time.Time) []Action {
+	for _, w := range t.wants {
+		i := slices.Index(w.waiters, id)
+		if i < 0 {
+			continue
+		}
+		w.waiters = slices.Delete(w.waiters, i, i+1)
+		t.waiting--
+		if len(w.waiters) > 0 {
+			return nil
+		}
+		return append(t.drop(w), t.plan(now)...)
+	}
 	return nil
 }
 
 // Release ends a running request and unpins its adapter.
-func (t *Table) Release(id RequestID) []Action {
-	ref, ok := t.running[id]
+func (t *Table) Release(id RequestID, now time.Time) []Action {
+	s, ok := t.running[id]
 	if !ok {
 		return nil
 	}
 	delete(t.running, id)
-	if s, ok := t.slots[ref]; ok {
-		s.pins--
+	s.pins--
+	return t.plan(now)
+}
+
+// Granted reports that the broker permits a load.
+func (t *Table) Granted(order OrderID, now time.Time) []Action {
+	i := slices.IndexFunc(t.wants, func(w *want) bool { return w.order == order })
+	if i < 0 || t.wants[i].granted {
+		return []Action{Return{Order: order}}
 	}
-	return t.fill()
+	t.wants[i].granted = true
+	return t.plan(now)
 }
 
 // Loaded reports that the engine finished a load.
-func (t *Table) Loaded(ref catalogue.Ref) []Action {
-	s, ok := t.slots[ref]
-	if !ok || s.phase != phaseLoading {
+func (t *Table) Loaded(order OrderID, now time.Time) []Action {
+	ref, s := t.ordered(order, phaseLoading)
+	if s == nil {
 		return nil
 	}
 	s.phase = phaseLoaded
-	var actions []Action
-	t.waiting = slices.DeleteFunc(t.waiting, func(w waiter) bool {
-		if w.ref != ref {
-			return false
-		}
-		actions = append(actions, t.start(w.request, ref, s))
-		return true
-	})
-	return append(actions, t.fill()...)
+	delete(t.failures, ref)
+	t.usage.loaded(ref, now.Sub(s.ordered))
+	actions := []Action{Return{Order: order}}
+	return append(append(actions, t.startWaiters(ref, s)...), t.plan(now)...)
 }
 
-// LoadFailed reports that the engine refused or failed a load. Requests that
-// waited for the adapter are refused at once, so that they can go elsewhere.
-func (t *Table) LoadFailed(ref catalogue.Ref) []Action {
-	delete(t.slots, ref)
-	actions := t.refuseWaiters(ReasonLoadFailed, func(w waiter) bool { return w.ref == ref })
-	return append(actions, t.fill()...)
+// LoadFailed reports that a load did not succeed. Requests that waited for the
+// adapter are refused at once, so that they can go elsewhere. When the engine
+// may yet finish the load, as after a timeout, absent is false and the slot
+// stays taken until an unload has made sure.
+func (t *Table) LoadFailed(order OrderID, absent bool, now time.Time) []Action {
+	ref, s := t.ordered(order, phaseLoading)
+	if s == nil {
+		return nil
+	}
+	t.backOff(ref, now)
+	actions := []Action{Return{Order: order}}
+	actions = append(actions, t.refuseWaiters(ReasonLoadFailed, ref)...)
+	if absent {
+		delete(t.slots, ref)
+	} else {
+		actions = append(actions, t.unload(ref, s, now))
+	}
+	return append(actions, t.plan(now)...)
 }
 
 // Unloaded reports that the engine freed a slot.
-func (t *Table) Unloaded(ref catalogue.Ref) []Action {
+func (t *Table) Unloaded(order OrderID, now time.Time) []Action {
+	ref, s := t.ordered(order, phaseUnloading)
+	if s == nil {
+		return nil
+	}
 	delete(t.slots, ref)
-	return t.fill()
+	return t.plan(now)
+}
+
+// UnloadFailed reports that the engine did not confirm an unload. The slot
+// counts as taken, else a load would be ordered into a full engine; Tick
+// orders the unload again after RetryMin.
+func (t *Table) UnloadFailed(order OrderID, now time.Time) []Action {
+	if _, s := t.ordered(order, phaseUnloading); s != nil {
+		s.order = 0
+		s.ordered = now
+	}
+	return nil
+}
+
+// Tick repeats unconfirmed unloads, ends back-offs and frees a slot for
+// adapters that have waited too long. Call it a few times a second.
+func (t *Table) Tick(now time.Time) []Action {
+	var actions []Action
+	for _, ref := range t.refs() {
+		s := t.slots[ref]
+		if s.phase == phaseUnloading && s.order == 0 && now.Sub(s.ordered) >= t.options.RetryMin {
+			actions = append(actions, t.unload(ref, s, now))
+		}
+	}
+	t.forgetFailures(now)
+	return append(actions, t.plan(now)...)
 }
 
 // EngineRestarted empties the table: a restarted engine holds no adapters.
 func (t *Table) EngineRestarted() []Action {
+	var actions []Action
+	for _, ref := range t.refs() {
+		if s := t.slots[ref]; s.phase == phaseLoading {
+			actions = append(actions, Return{Order: s.order})
+		}
+	}
 	clear(t.slots)
 	clear(t.running)
-	return t.refuseWaiters(ReasonEngineRestarted, func(waiter) bool { return true })
+	for len(t.wants) > 0 {
+		actions = append(actions, t.refuseWaiters(ReasonEngineRestarted, t.wants[0].ref)...)
+	}
+	return actions
+}
+
+// Lost reports that the engine denied having an adapter that the table counts
+// as loaded. Without this every request for it would be sent there in vain.
+func (t *Table) Lost(ref catalogue.Ref, now time.Time) []Action {
+	if s, ok := t.slots[ref]; ok && s.phase == phaseLoaded {
+		delete(t.slots, ref)
+	}
+	return t.plan(now)
 }
 
 // Adopt records an adapter that the engine already held when its agent
 // started. Without this a restarted agent would order loads into full slots.
-func (t *Table) Adopt(ref catalogue.Ref) {
-	t.slots[ref] = &slot{phase: phaseLoaded}
+// While inUse is true, requests of the earlier agent may still run on it, and
+// it is not evicted until InUse says otherwise.
+func (t *Table) Adopt(ref catalogue.Ref, inUse bool) {
+	if _, known := t.slots[ref]; !known {
+		t.slots[ref] = &slot{phase: phaseLoaded, foreign: inUse}
+	}
 }
 
-// Resident returns the loaded adapters, in no order.
-func (t *Table) Resident() []catalogue.Ref {
-	var refs []catalogue.Ref
+// InUse takes the engine's word on which adapters serve requests. Requests of
+// an earlier agent only ever end, so a report that lags keeps an adapter
+// longer than needed and never frees one too early.
+func (t *Table) InUse(refs []catalogue.Ref, now time.Time) []Action {
 	for ref, s := range t.slots {
-		if s.phase == phaseLoaded {
-			refs = append(refs, ref)
+		if s.foreign && !slices.Contains(refs, ref) {
+			s.foreign = false
 		}
 	}
-	return refs
+	return t.plan(now)
 }
 
-// Running and Waiting count requests.
-func (t *Table) Running() int { return len(t.running) }
-
-// Waiting counts requests that have not started.
-func (t *Table) Waiting() int { return len(t.waiting) }
-
-func (t *Table) start(id RequestID, ref catalogue.Ref, s *slot) Action {
+func (t *Table) start(id RequestID, s *slot) Action {
 	t.clock++
 	s.pins++
 	s.lastUsed = t.clock
-	t.running[id] = ref
+	t.running[id] = s
 	return Start{Request: id}
 }
 
-func (t *Table) refuseWaiters(reason Reason, match func(waiter) bool) []Action {
-	var actions []Action
-	t.waiting = slices.DeleteFunc(t.waiting, func(w waiter) bool {
-		if !match(w) {
-			return false
-		}
-		actions = append(actions, Refuse{Request: w.request, Reason: reason})
-		return true
-	})
+func (t *Table) startWaiters(ref catalogue.Ref, s *slot) []Action {
+	w := t.wantOf(ref)
+	if w == nil {
+		return nil
+	}
+	actions := make([]Action, 0, len(w.waiters))
+	for _, id := range w.waiters {
+		actions = append(actions, t.start(id, s))
+	}
+	t.waiting -= len(w.waiters)
+	t.remove(w)
 	return actions
 }
 
-// fill starts loads for waiting adapters in order of arrival while slots are
-// free, and frees idle slots for those that remain.
-func (t *Table) fill() []Action {
+func (t *Table) refuseWaiters(reason Reason, ref catalogue.Ref) []Action {
+	w := t.wantOf(ref)
+	if w == nil {
+		return nil
+	}
 	var actions []Action
-	unloading := t.count(phaseUnloading)
-	for _, w := range t.waiting {
-		if _, present := t.slots[w.ref]; present {
-			continue
-		}
-		if len(t.slots) < t.options.Slots {
-			t.slots[w.ref] = &slot{phase: phaseLoading}
-			actions = append(actions, Load{Ref: w.ref})
-			continue
-		}
-		if unloading > 0 {
-			unloading--
-			continue
-		}
-		victim, ok := t.leastRecentlyUsedIdle()
-		if !ok {
-			break
-		}
-		t.slots[victim].phase = phaseUnloading
-		actions = append(actions, Unload{Ref: victim})
+	for _, id := range w.waiters {
+		actions = append(actions, Refuse{Request: id, Reason: reason})
 	}
-	return actions
+	t.waiting -= len(w.waiters)
+	return append(actions, t.drop(w)...)
 }
 
-func (t *Table) count(p phase) int {
-	n := 0
-	for _, s := range t.slots {
-		if s.phase == p {
-			n++
+// drop removes a want and gives back its permit when no load uses it.
+func (t *Table) drop(w *want) []Action {
+	t.remove(w)
+	if w.order == 0 {
+		return nil
+	}
+	return []Action{Return{Order: w.order}}
+}
+
+func (t *Table) remove(w *want) {
+	t.wants = slices.DeleteFunc(t.wants, func(other *want) bool { return other == w })
+}
+
+func (t *Table) wantOf(ref catalogue.Ref) *want {
+	for _, w := range t.wants {
+		if w.ref == ref {
+			return w
 		}
 	}
-	return n
+	return nil
 }
 
-func (t *Table) leastRecentlyUsedIdle() (catalogue.Ref, bool) {
-	best, found := catalogue.Ref{}, false
+// ordered finds the slot of an order that is still current.
+func (t *Table) ordered(order OrderID, p phase) (catalogue.Ref, *slot) {
 	for ref, s := range t.slots {
-		if s.phase != phaseLoaded || s.pins > 0 || t.wanted(ref) {
-			continue
-		}
-		if !found || older(s, ref, t.slots[best], best) {
-			best, found = ref, true
+		if s.order == order && s.phase == p && order != 0 {
+			return ref, s
 		}
 	}
-	return best, found
+	return catalogue.Ref{}, nil
 }
 
-func older(a *slot, aRef catalogue.Ref, b *slot, bRef catalogue.Ref) bool {
-	if a.lastUsed != b.lastUsed {
-		return a.lastUsed < b.lastUsed
-	}
-	return aRef.String() < bRef.String()
+func (t *Table) newOrder() OrderID {
+	t.lastOrder++
+	return t.lastOrder
 }
 
-func (t *Table) wanted(ref catalogue.Ref) bool {
-	return slices.ContainsFunc(t.waiting, func(w waiter) bool { return w.ref == ref })
+// refs returns the adapters in slots in a fixed order, so that the same events
+// always yield the same actions.
+func (t *Table) refs() []catalogue.Ref {
+	refs := make([]catalogue.Ref, 0, len(t.slots))
+	for ref := range t.slots {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, compareRefs)
+	return refs
 }
--- /dev/null
+++ b/coord/slots/usage.go
@@ -0,0 +1,106 @@
+package slots
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+)
+
+// ghostsPerSlot is how many adapters per slot the table remembers the use of,
+// loaded or not: one that comes back soon after its eviction is worth keeping.
+const ghostsPerSlot = 16
+
+// usage estimates how often each adapter is asked for, with exponential decay.
+type usage struct {
+	halfLife time.Duration
+	limit    int
+	entries  map[catalogue.Ref]usageEntry
+}
+
+type usageEntry struct {
+	weight float64
+	at     time.Time
+	// loadTime is the last measured load, in seconds; 0 when none was.
+	loadTime float64
+}
+
+func newUsage(halfLife time.Duration, limit int) *usage {
+	return &usage{halfLife: halfLife, limit: limit, entries: make(map[catalogue.Ref]usageEntry)}
+}
+
+func (u *usage) touch(ref catalogue.Ref, now time.Time) {
+	e := u.entries[ref]
+	e.weight = u.decayed(e, now) + 1
+	e.at = now
+	u.entries[ref] = e
+	if len(u.entries) > 2*u.limit {
+		u.prune(now)
+	}
+}
+
+func (u *usage) loaded(ref catalogue.Ref, took time.Duration) {
+	if e, ok := u.entries[ref]; ok {
+		e.loadTime = took.Seconds()
+		u.entries[ref] = e
+	}
+}
+
+// value is the load time, in seconds, that keeping the adapter is expected to save.
+func (u *usage) value(ref catalogue.Ref, now time.Time) float64 {
+	e := u.entries[ref]
+	cost := e.loadTime
+	if cost == 0 {
+		cost = 1
+	}
+	return u.decayed(e, now) * cost
+}
+
+func (u *usage) decayed(e usageEntry, now time.Time) float64 {
+	if e.weight == 0 {
+		return 0
+	}
+	return e.weight * math.Exp2(-now.Sub(e.at).Seconds()/u.halfLife.Seconds())
+}
+
+// prune forgets adapters with less than the mean weight until limit remain, so
+// that memory is bounded however many adapters the catalogue has.
+func (u *usage) prune(now time.Time) {
+	for len(u.entries) > u.limit {
+		total := 0.0
+		for _, e := range u.entries {
+			total += u.decayed(e, now)
+		}
+		mean := total / float64(len(u.entries))
+		for ref, e := range u.entries {
+			if u.decayed(e, now) <= mean {
+				delete(u.entries, ref)
+			}
+		}
+	}
+}
+
+// failure is the back-off of an adapter whose load failed.
+type failure struct {
+	pause time.Duration
+	until time.Time
+}
+
+// backOff refuses the adapter for a while, doubled with each failure in a row:
+// without it every request for a broken adapter would cost the store a load.
+func (t *Table) backOff(ref catalogue.Ref, now time.Time) {
+	pause := t.options.RetryMin
+	if f, ok := t.failures[ref]; ok {
+		pause = min(2*f.pause, t.options.RetryMax)
+	}
+	t.failures[ref] = failure{pause: pause, until: now.Add(pause)}
+}
+
+// forgetFailures drops back-offs that ended more than RetryMax ago.
+func (t *Table) forgetFailures(now time.Time) {
+	for ref, f := range t.failures {
+		if now.Sub(f.until) > t.options.RetryMax {
+			delete(t.failures, ref)
+		}
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,9 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
-	"github.com/rosemarypass/rosemarypass/coord/slots"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -47,8 +45,17 @@
 	log     *zap.Logger
 	orders  *orderClient
 	client  *http.Client
-	events  chan event
-	leaving atomic.Bool
+	// requests is the ring of new and cancelled requests. A request that
+	// finds it full is refused as not run.
+	requests chan event
+	// ends is the ring of releases and of the results of orders. The slot
+	// duty empties it first and never waits, so that bulk work in requests
+	// cannot hold a release up.
+	ends chan event
+	// stopped is closed when the slot duty has ended and reads no ring.
+	stopped  chan struct{}
+	permits  *permitClient
+	leaving  atomic.Bool
 	// closed is true while operators want the server drained or stopped.
 	closed   atomic.Bool
 	inFlight sync.WaitGroup
@@ -63,26 +70,30 @@
 // New returns an agent; Run starts its duties.
 func New(options Options, client *http.Client, log *zap.Logger) *Agent {
 	a := &Agent{
-		options: options,
-		log:     log,
-		orders:  &orderClient{base: options.Engine, client: client, timeout: options.LoadTimeout},
-		client:  client,
-		events:  make(chan event, options.Queue+eventSlack),
-		started: uint64(time.Now().UnixNano()),
+		options:  options,
+		log:      log,
+		orders:   &orderClient{base: options.Engine, client: client, timeout: options.LoadTimeout},
+		client:   client,
+		requests: make(chan event, options.Queue+eventSlack),
+		ends:     make(chan event, options.Queue+eventSlack),
+		stopped:  make(chan struct{}),
+		started:  uint64(time.Now().UnixNano()),
 	}
 	a.status.Store(&membership.Load{})
+	a.permits = newPermitClient(options, a.started)
 	return a
 }
 
-// eventSlack is the room in the slot duty's ring beyond one event per queued request.
+// eventSlack is the room in the slot duty's rings beyond one event per queued request.
 const eventSlack = 64
 
-// Run starts the slot duty, the engine watch and the announcements, and
-// returns when ctx ends.
+// Run starts the slot duty, the engine watch, the permit duty and the
+// announcements, and returns when ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	duties.Go(func() { a.runSlots(ctx) })
 	duties.Go(func() { a.watchEngine(ctx) })
+	duties.Go(func() { a.permits.run(ctx, a.sendEnd) })
 	duties.Go(func() { a.announceAll(ctx) })
 	duties.Go(func() { a.followWanted(ctx) })
 	duties.Wait()
@@ -96,15 +107,9 @@
 
 // watchEngine learns the engine's load and notices its restarts.
 func (a *Agent) watchEngine(ctx context.Context) {
-	var incarnation uint64
 	for ctx.Err() == nil {
-		report, err := a.orders.report(ctx)
-		if err == nil {
-			if report.Incarnation != incarnation {
-				a.send(ctx, engineSeen{report: report, restarted: incarnation != 0})
-				incarnation = report.Incarnation
-			}
-			a.send(ctx, loadSeen{running: report.Running, waiting: report.Waiting, capacity: report.Capacity})
+		if report, err := a.orders.report(ctx); err == nil {
+			a.sendEnd(engineSeen{report: report})
 		}
 		sleep(ctx, a.options.AnnounceInterval)
 	}
@@ -157,151 +162,4 @@
 	}
 }
 
-// event is an input of the slot duty.
-type event interface {
-	apply(*slotDuty) []slots.Action
-}
-
-type requested struct {
-	id    slots.RequestID
-	ref   catalogue.Ref
-	reply chan<- verdict
-}
-
-type cancelled struct{ id slots.RequestID }
-type released struct{ id slots.RequestID }
-type loadDone struct {
-	ref catalogue.Ref
-	err error
-}
-type unloadDone struct{ ref catalogue.Ref }
-type engineSeen struct {
-	report    engineReport
-	restarted bool
-}
-type loadSeen struct{ running, waiting, capacity int }
-
-// verdict tells a waiting request whether it may run.
-type verdict struct {
-	start  bool
-	reason slots.Reason
-}
-
-// slotDuty owns the slot table; no other goroutine touches it.
-type slotDuty struct {
-	agent    *Agent
-	table    *slots.Table
-	replies  map[slots.RequestID]chan<- verdict
-	capacity int
-}
-
-func (a *Agent) runSlots(ctx context.Context) {
-	duty := &slotDuty{
-		agent:   a,
-		table:   slots.NewTable(slots.Options{Slots: a.options.Slots, Queue: a.options.Queue}),
-		replies: make(map[slots.RequestID]chan<- verdict),
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-a.events:
-			duty.perform(ctx, e.apply(duty))
-			duty.publish()
-		}
-	}
-}
-
-func (a *Agent) send(ctx context.Context, e event) {
-	select {
-	case a.events <- e:
-	case <-ctx.Done():
-	}
-}
-
-func (d *slotDuty) publish() {
-	d.agent.status.Store(&membership.Load{
-		Running:  d.table.Running(),
-		Waiting:  d.table.Waiting(),
-		Capacity: d.capacity,
-		Resident: d.table.Resident(),
-	})
-}
-
-func (d *slotDuty) perform(ctx context.Context, actions []slots.Action) {
-	for _, action := range actions {
-		switch action := action.(type) {
-		case slots.Start:
-			d.answer(action.Request, verdict{start: true})
-		case slots.Refuse:
-			d.answer(action.Request, verdict{reason: action.Reason})
-		case slots.Load:
-			go d.agent.load(ctx, action.Ref)
-		case slots.Unload:
-			go d.agent.unload(ctx, action.Ref)
-		}
-	}
-}
-
-func (d *slotDuty) answer(id slots.RequestID, v verdict) {
-	d.replies[id] <- v
-	delete(d.replies, id)
-}
-
-func (a *Agent) load(ctx context.Context, ref catalogue.Ref) {
-	source, _ := a.sources.Load(ref)
-	text, _ := source.(string)
-	err := a.orders.load(ctx, ref, text)
-	if err != nil {
-		a.log.Warn("adapter load failed", zap.Stringer("adapter", ref), zap.Error(err))
-	}
-	a.send(ctx, loadDone{ref: ref, err: err})
-}
-
-func (a *Agent) unload(ctx context.Context, ref catalogue.Ref) {
-	if err := a.orders.unload(ctx, ref); err != nil {
-		a.log.Warn("adapter unload failed", zap.Stringer("adapter", ref), zap.Error(err))
-	}
-	a.send(ctx, unloadDone{ref: ref})
-}
-
-func (e requested) apply(d *slotDuty) []slots.Action {
-	d.replies[e.id] = e.reply
-	return d.table.Request(e.id, e.ref)
-}
-
-func (e cancelled) apply(d *slotDuty) []slots.Action {
-	delete(d.replies, e.id)
-	return append(d.table.Cancel(e.id), d.table.Release(e.id)...)
-}
-
-func (e released) apply(d *slotDuty) []slots.Action { return d.table.Release(e.id) }
-
-func (e loadDone) apply(d *slotDuty) []slots.Action {
-	if e.err != nil {
-		return d.table.LoadFailed(e.ref)
-	}
-	return d.table.Loaded(e.ref)
-}
-
-func (e unloadDone) apply(d *slotDuty) []slots.Action { return d.table.Unloaded(e.ref) }
-
-func (e engineSeen) apply(d *slotDuty) []slots.Action {
-	if e.restarted {
-		d.agent.log.Info("engine restarted", zap.Uint64("incarnation", e.report.Incarnation))
-		return d.table.EngineRestarted()
-	}
-	for _, name := range e.report.Adapters {
-		if ref, err := catalogue.ParseRef(name); err == nil {
-			d.table.Adopt(ref)
-		}
-	}
-	return nil
-}
-
-func (e loadSeen) apply(d *slotDuty) []slots.Action {
-	d.capacity = e.capacity
-	return nil
-}
-
 var errNotRun = errors.New("the request was not run")
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -73,7 +73,7 @@
 func (a *Agent) acquire(r *http.Request, id slots.RequestID, ref catalogue.Ref) error {
 	reply := make(chan verdict, 1)
 	select {
-	case a.events <- requested{id: id, ref: ref, reply: reply}:
+	case a.requests <- requested{id: id, ref: ref, reply: reply}:
 	default:
 		return errors.Wrap(errNotRun, string(slots.ReasonQueueFull))
 	}
@@ -84,12 +84,12 @@
 		}
 		return nil
 	case <-r.Context().Done():
-		a.events <- cancelled{id: id}
+		a.sendCancel(cancelled{id: id})
 		return errors.Wrap(errNotRun, "the caller left")
 	}
 }
 
-func (a *Agent) release(id slots.RequestID) { a.events <- released{id: id} }
+func (a *Agent) release(id slots.RequestID) { a.sendEnd(released{id: id}) }
 
 func (a *Agent) dispatch(w http.ResponseWriter, r *http.Request, ref catalogue.Ref) {
 	request, err := relay.NewRequest(r.Context(), r.Method, a.options.Engine+r.URL.Path, r.Body, r.ContentLength)
@@ -107,6 +107,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusNotFound {
+		a.sendEnd(adapterLost{ref: ref})
 		refuse(w, http.StatusServiceUnavailable, "the engine lost the adapter")
 		return
 	}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -25,6 +25,9 @@
 	Waiting     int      `json:"waiting"`
 	Capacity    int      `json:"capacity"`
 	Adapters    []string `json:"adapters"`
+	// InUse lists the adapters that serve requests; an engine that does not
+	// tell leaves it nil.
+	InUse []string `json:"inUse"`
 }
 
 // orderClient gives orders to an engine.
@@ -68,11 +71,31 @@
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-		return errors.Errorf("engine answered %s: %s", response.Status, bytes.TrimSpace(text))
+		return &orderRefused{status: response.StatusCode, text: string(bytes.TrimSpace(text))}
 	}
 	return nil
 }
 
+// orderRefused is the engine's own word that it did not carry out an order.
+// Any other error leaves open whether it did or will.
+type orderRefused struct {
+	status int
+	text   string
+}
+
+func (e *orderRefused) Error() string {
+	return "engine answered " + strconv.Itoa(e.status) + ": " + e.text
+}
+
+// refusedBy reports the status with which the engine refused an order, or 0.
+func refusedBy(err error) int {
+	var refused *orderRefused
+	if errors.As(err, &refused) {
+		return refused.status
+	}
+	return 0
+}
+
 func (c *orderClient) report(ctx context.Context) (engineReport, error) {
 	var report engineReport
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,8 +7,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemarypass/rosemarypass/coord/broker"
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 func (d *Daemon) startControl(ctx context.Context) error {
@@ -26,7 +28,11 @@
 	if err != nil {
 		return errors.Wrap(err, "control.peerListen")
 	}
-	server := rpc.NewServer(c.Handlers())
+	loads := control.NewLoadBroker(broker.Options{})
+	handlers := c.Handlers()
+	handlers[wire.MethodLoads] = rpc.Typed(loads.Sync)
+	server := rpc.NewServer(handlers)
+	d.duties.Go(func() { loads.Run(ctx) })
 	d.duties.Go(func() { _ = server.Serve(ctx, listener) })
 	d.duties.Go(func() { c.Run(ctx) })
 	d.drains = append(d.drains, func(context.Context) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
@@ -44,6 +45,8 @@
 	MaxBodyBytes int64
 	// MaxAttempts is the most servers that one request is offered to.
 	MaxAttempts int
+	// Placement tunes the choice of backend servers.
+	Placement placement.SelectorOptions
 }
 
 const defaultMaxAttempts = 3
@@ -54,12 +57,9 @@
 	log      *zap.Logger
 	follower *follow.Follower
 	client   *http.Client
-	picker   *placement.Picker
+	placer   *placer
 	inFlight sync.WaitGroup
 	draining atomic.Bool
-
-	mu          sync.Mutex
-	outstanding map[string]int
 }
 
 // New returns an entry that reads its configuration from the follower.
@@ -68,12 +68,11 @@
 		options.MaxAttempts = defaultMaxAttempts
 	}
 	return &Entry{
-		options:     options,
-		log:         log,
-		follower:    follower,
-		client:      client,
-		picker:      placement.NewPicker(),
-		outstanding: make(map[string]int),
+		options:  options,
+		log:      log,
+		follower: follower,
+		client:   client,
+		placer:   newPlacer(options.Placement, follower.Servers),
 	}
 }
 
@@ -248,7 +247,7 @@
 // send offers the call to servers until one may have run it.
 func (e *Entry) send(w http.ResponseWriter, r *http.Request, c call) {
 	for range e.options.MaxAttempts {
-		server, ok := e.picker.Pick(c.request, e.view())
+		server, ok := e.placer.pick(c.request)
 		if !ok {
 			break
 		}
@@ -260,31 +259,12 @@
 	fail(w, failure{status: http.StatusServiceUnavailable, code: codeNoServer, message: "no backend server can take the request now", retryAfter: 1})
 }
 
-func (e *Entry) view() placement.View {
-	announced := e.follower.Servers()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	servers := make([]placement.Server, len(announced))
-	for i, a := range announced {
-		servers[i] = placement.Server{Announcement: a, Outstanding: e.outstanding[a.Server]}
-	}
-	return placement.View{Servers: servers}
-}
-
-func (e *Entry) track(server string, delta int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.outstanding[server] += delta
-	if e.outstanding[server] == 0 {
-		delete(e.outstanding, server)
-	}
-}
-
 // attempt offers the call to one server. It returns false only when the server
 // certainly did not run it and nothing was written to the caller.
 func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) bool {
-	e.track(server.Server, 1)
-	defer e.track(server.Server, -1)
+	ran := time.Duration(0)
+	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
+	began := time.Now()
 	response, err := e.forward(r.Context(), r, c, server)
 	if err != nil {
 		return e.afterError(w, c, err)
@@ -293,6 +273,7 @@
 	if said, _ := outcome.Parse(response.Header.Get(outcome.Header)); said == outcome.NotRun {
 		return false
 	}
+	defer func() { ran = time.Since(began) }()
 	e.relayAnswer(w, c, response)
 	return true
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -76,6 +76,8 @@
 	Waiting     int      `json:"waiting"`
 	Capacity    int      `json:"capacity"`
 	Adapters    []string `json:"adapters"`
+	// InUse lists the adapters that serve requests now.
+	InUse []string `json:"inUse"`
 }
 
 // New returns an engine in its first incarnation.
@@ -224,12 +226,25 @@
 			Waiting:     e.waiting,
 			Capacity:    e.options.Capacity,
 			Adapters:    slices.Clone(e.loaded),
+			InUse:       e.servingAdapters(),
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(e.report)
 }
 
+// servingAdapters lists the adapters in use. The caller holds mu.
+func (e *Engine) servingAdapters() []string {
+	names := []string{}
+	for name, users := range e.inUse {
+		if users > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 type completionRequest struct {
 	Model     string          `json:"model"`
 	Prompt    json.RawMessage `json:"prompt"`
