Keep a load whose permit is granted twice; evict the least valuable site-wide

(2) A load that was permitted when every slot had become pinned went back to the end of the broker's queue. (3) A slot was closed for a starving adapter although only the store was slow, which added loads to a store that had too many. (4) Each server evicted on its own: one lost popular adapters while another kept rare ones. Conclusion: the property test found the first fault once it repeated grants.

--- a/coord/broker/broker.go
+++ b/coord/broker/broker.go
@@ -29,6 +29,10 @@
 	Waiters int
 	// Weight is the waiting contracts' share of the site; 0 counts as 1.
 	Weight float64
+	// Waited is how long the first of them has waited already. A wish whose
+	// permit had to go back for want of a slot would else start at the end
+	// of the queue, again and again.
+	Waited time.Duration
 }
 
 // Grant permits one load until its lease ends.
@@ -96,7 +100,7 @@
 		b.queue[i].ask, b.queue[i].seen = ask, now
 		return b.grant(now)
 	}
-	b.queue = append(b.queue, pending{ask: ask, since: now, seen: now})
+	b.queue = append(b.queue, pending{ask: ask, since: now.Add(-ask.Waited), seen: now})
 	return b.grant(now)
 }
 
@@ -117,6 +121,8 @@
 	Order   uint64  `json:"order"`
 	Waiters int     `json:"waiters"`
 	Weight  float64 `json:"weight,omitempty"`
+	// Waited is how long the first of them has waited, in nanoseconds.
+	Waited time.Duration `json:"waited,omitempty"`
 }
 
 // Finished is one ended load in a Report.
@@ -149,7 +155,7 @@
 	}
 	for _, w := range r.Wanted {
 		key := Key{Agent: r.Agent, Incarnation: r.Incarnation, Order: w.Order}
-		b.Ask(Ask{Key: key, Waiters: w.Waiters, Weight: w.Weight}, now)
+		b.Ask(Ask{Key: key, Waiters: w.Waiters, Weight: w.Weight, Waited: w.Waited}, now)
 	}
 	b.grant(now)
 	return b.grantsFor(r)
--- a/coord/experiment/world.go
+++ b/coord/experiment/world.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/broker"
@@ -94,6 +95,11 @@
 			server.perform(server.table.Tick(w.now()))
 		}
 	})
+	w.every(renewEvery, func() {
+		for _, server := range w.servers {
+			server.renew()
+		}
+	})
 	w.every(time.Second, w.meter.sample(w))
 	w.nextArrival(false)
 	w.nextArrival(true)
@@ -225,6 +231,8 @@
 	sequence    uint64
 	loadTime    time.Duration
 	asked       map[slots.OrderID]time.Duration
+	// wanted are the wishes without a permit.
+	wanted []slots.Ask
 }
 
 type waiter struct {
@@ -254,11 +262,11 @@
 	if !s.engine {
 		return a
 	}
-	report := s.table.Report()
+	report := s.table.Report(s.world.now())
 	a.Kind, a.Pool, a.BaseModel, a.Slots = membership.KindEngine, "llm", baseModel, s.world.deployment.Slots
 	a.Load.Running, a.Load.Waiting = report.Running, report.Waiting
 	a.Load.Resident, a.Load.Loading = report.Resident, report.Loading
-	a.Load.Obtainable = report.Obtainable
+	a.Load.Obtainable, a.Load.VictimUse = report.Obtainable, report.VictimUse
 	a.Load.LoadMillis = int(s.loadTime.Milliseconds())
 	return a
 }
@@ -287,8 +295,9 @@
 			if _, again := s.asked[a.Order]; !again {
 				s.asked[a.Order] = w.at
 			}
-			ask := broker.Ask{Key: s.key(a.Order), Waiters: a.Waiters}
-			w.after(hop, func() { w.deliver(w.permits.Ask(ask, w.now())) })
+			s.unwant(a.Order)
+			s.wanted = append(s.wanted, a)
+			s.ask(a)
 		case slots.Return:
 			s.giveBack(a.Order)
 		case slots.Load:
@@ -299,6 +308,23 @@
 	}
 }
 
+func (s *server) ask(a slots.Ask) {
+	w := s.world
+	ask := broker.Ask{Key: s.key(a.Order), Waiters: a.Waiters, Waited: w.now().Sub(a.Since)}
+	w.after(hop, func() { w.deliver(w.permits.Ask(ask, w.now())) })
+}
+
+// renew repeats the wishes, as agents do: the broker forgets silent ones.
+func (s *server) renew() {
+	for _, a := range s.wanted {
+		s.ask(a)
+	}
+}
+
+func (s *server) unwant(order slots.OrderID) {
+	s.wanted = slices.DeleteFunc(s.wanted, func(a slots.Ask) bool { return a.Order == order })
+}
+
 func (s *server) key(order slots.OrderID) broker.Key {
 	return broker.Key{Agent: s.name, Incarnation: s.incarnation, Order: uint64(order)}
 }
@@ -329,6 +355,7 @@
 
 func (s *server) granted(g broker.Grant) {
 	if g.Incarnation == s.incarnation {
+		s.unwant(slots.OrderID(g.Order))
 		s.perform(s.table.Granted(slots.OrderID(g.Order), s.world.now()))
 	}
 }
@@ -336,6 +363,7 @@
 func (s *server) giveBack(order slots.OrderID) {
 	w, key := s.world, s.key(order)
 	delete(s.asked, order)
+	s.unwant(order)
 	if cancel, loading := s.loads[order]; loading {
 		cancel()
 		delete(s.loads, order)
--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -38,6 +38,9 @@
 	Loading []catalogue.Ref `json:"loading,omitempty"`
 	// Obtainable counts the adapter slots that another adapter could get now.
 	Obtainable int `json:"obtainable,omitempty"`
+	// VictimUse is the decayed use, in requests, of the adapter that the next
+	// load would evict; 0 when a slot is free.
+	VictimUse float64 `json:"victimUse,omitempty"`
 	// LoadMillis is the recent time of a load, permit included.
 	LoadMillis int `json:"loadMillis,omitempty"`
 }
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -65,7 +65,7 @@
 func NewPicker() *Picker {
 	return &Picker{
 		filters: []Filter{Serves, NotLeaving, NotExcluded},
-		scorers: []Scorer{QueueWait, LoadWait, Affinity, Packing},
+		scorers: []Scorer{QueueWait, LoadWait, EvictionCost, Affinity, Packing},
 	}
 }
 
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -62,6 +62,9 @@
 	server := func(rank int) *Server {
 		return &Server{Announcement: engine("s", membership.Load{Capacity: 10}), Rank: rank}
 	}
+	victim := func(use float64) *Server {
+		return &Server{Announcement: engine("s", membership.Load{VictimUse: use})}
+	}
 	cases := []struct {
 		name      string
 		scorer    Scorer
@@ -75,6 +78,9 @@
 		{"free slot", LoadWait, Candidate{Server: server(0), Obtainable: 1}, 1},
 		{"no free slot", LoadWait, Candidate{Server: server(0)}, 1.25},
 		{"overbooked slots", LoadWait, Candidate{Server: server(0), Obtainable: -3}, 2},
+		{"a rare adapter goes", EvictionCost, Candidate{Server: victim(1)}, evictionCost},
+		{"a popular adapter goes", EvictionCost, Candidate{Server: victim(1000)}, maxEvictionCost},
+		{"nothing goes", EvictionCost, Candidate{Server: victim(1000), Resident: true}, 0},
 		{"second choice", Affinity, Candidate{Server: server(0), Preference: 1}, affinityStep},
 		{"active", Packing, Candidate{Server: server(1)}, 0},
 		{"beyond the active", Packing, Candidate{Server: server(2)}, packingCost},
--- a/coord/slots/plan.go
+++ b/coord/slots/plan.go
@@ -24,7 +24,7 @@
 		}
 		room--
 		w.order = t.newOrder()
-		actions = append(actions, Ask{Order: w.order, Ref: w.ref, Waiters: len(w.waiters)})
+		actions = append(actions, w.ask())
 	}
 	return append(actions, t.relieve(now)...)
 }
@@ -89,9 +89,11 @@
 // relieve prevents starvation. Popular adapters that always have a request
 // running would hold every slot for ever, and a request for another adapter
 // would time out with its caller none the wiser; so after Patience the least
-// used pinned slot takes no new requests until it has been reused.
+// used pinned slot takes no new requests until it has been reused. A wait for
+// a permit is no reason: taking slots then only adds loads to a store that
+// has too many.
 func (t *Table) relieve(now time.Time) []Action {
-	starving := t.starving(now)
+	starving := t.starving(now) && !t.hasRoom()
 	closed, isClosed := t.least(now, func(_ catalogue.Ref, s *slot) bool { return s.closed && s.phase == phaseLoaded })
 	switch {
 	case starving && !isClosed:
@@ -116,6 +118,19 @@
 	return false
 }
 
+// hasRoom tells whether any slot but a closed one is free or can be freed.
+func (t *Table) hasRoom() bool {
+	if len(t.slots) < t.options.Slots {
+		return true
+	}
+	for ref, s := range t.slots {
+		if s.phase == phaseUnloading || !s.closed && t.evictable(ref, s) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) count(p phase) int {
 	n := 0
 	for _, s := range t.slots {
--- a/coord/slots/report.go
+++ b/coord/slots/report.go
@@ -1,6 +1,10 @@
 package slots
 
-import "github.com/rosemarypass/rosemarypass/coord/catalogue"
+import (
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+)
 
 // Report is what a table tells about itself.
 type Report struct {
@@ -9,13 +13,16 @@
 	Loading  []catalogue.Ref
 	// Obtainable counts the slots that another adapter could get now.
 	Obtainable int
+	// VictimUse is the decayed use of the adapter that the next load would
+	// evict; 0 when a slot is free.
+	VictimUse float64
 	// Running and Waiting count requests.
 	Running int
 	Waiting int
 }
 
 // Report describes the table.
-func (t *Table) Report() Report {
+func (t *Table) Report(now time.Time) Report {
 	r := Report{Running: len(t.running), Waiting: t.waiting, Obtainable: max(t.obtainable(), 0)}
 	for _, ref := range t.refs() {
 		switch t.slots[ref].phase {
@@ -25,5 +32,10 @@
 			r.Loading = append(r.Loading, ref)
 		}
 	}
+	if len(t.slots) == t.options.Slots {
+		if victim, ok := t.victim(now); ok {
+			r.VictimUse = t.usage.use(victim, now)
+		}
+	}
 	return r
 }
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -43,6 +43,8 @@
 	Ref   catalogue.Ref
 	// Waiters counts the requests that wait for the adapter now.
 	Waiters int
+	// Since is when the first of them came.
+	Since time.Time
 }
 
 // Return gives an asked or granted permit back.
@@ -146,6 +148,10 @@
 	granted bool
 }
 
+func (w *want) ask() Ask {
+	return Ask{Order: w.order, Ref: w.ref, Waiters: len(w.waiters), Since: w.since}
+}
+
 // Table is the slot table of one engine. One duty owns it.
 type Table struct {
 	options   Options
@@ -200,7 +206,7 @@
 	}
 	w.waiters = append(w.waiters, id)
 	if w.order != 0 && !w.granted {
-		return append(t.plan(now), Ask{Order: w.order, Ref: ref, Waiters: len(w.waiters)})
+		return append(t.plan(now), w.ask())
 	}
 	return t.plan(now)
 }
@@ -233,10 +239,18 @@
 	return t.plan(now)
 }
 
-// Granted reports that the broker permits a load.
+// Granted reports that the broker permits a load. A grant may come twice; were
+// the second answered with a Return, the permit of a load under way would go
+// to another server and this one's load be given up.
 func (t *Table) Granted(order OrderID, now time.Time) []Action {
+	if _, s := t.ordered(order, phaseLoading); s != nil {
+		return nil
+	}
 	i := slices.IndexFunc(t.wants, func(w *want) bool { return w.order == order })
-	if i < 0 || t.wants[i].granted {
+	if i >= 0 && t.wants[i].granted {
+		return nil
+	}
+	if i < 0 {
 		return []Action{Return{Order: order}}
 	}
 	t.wants[i].granted = true
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -60,6 +60,9 @@
 			}
 		case Return:
 			e.asked = slices.DeleteFunc(e.asked, func(o OrderID) bool { return o == a.Order })
+			if slices.ContainsFunc(e.orders, func(o engineOrder) bool { return o.order == a.Order && !o.unload }) {
+				e.t.Fatalf("the permit of a load under way was given back")
+			}
 		case Load:
 			e.order(engineOrder{order: a.Order, ref: a.Ref})
 		case Unload:
@@ -199,6 +202,12 @@
 					e.finish(pick(len(e.orders), "order"), rapid.SampledFrom(outcomes).Draw(t, "how"))
 				}
 			},
+			"grant again": func(*rapid.T) {
+				order := OrderID(pick(int(e.table.lastOrder)+1, "granted again"))
+				if order > 0 {
+					e.perform(e.table.Granted(order, e.now))
+				}
+			},
 			"late": func(*rapid.T) {
 				if len(e.late) > 0 {
 					e.tell(e.late[pick(len(e.late), "late")], rapid.SampledFrom(outcomes).Draw(t, "how"))
--- a/coord/slots/usage.go
+++ b/coord/slots/usage.go
@@ -56,6 +56,9 @@
 	return u.decayed(e, now) * cost
 }
 
+// use is the decayed count of requests for the adapter.
+func (u *usage) use(ref catalogue.Ref, now time.Time) float64 { return u.decayed(u.entries[ref], now) }
+
 func (u *usage) decayed(e usageEntry, now time.Time) float64 {
 	if e.weight == 0 {
 		return 0
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,9 +53,9 @@
 	// cannot hold a release up.
 	ends chan event
 	// stopped is closed when the slot duty has ended and reads no ring.
-	stopped  chan struct{}
-	permits  *permitClient
-	leaving  atomic.Bool
+	stopped chan struct{}
+	permits *permitClient
+	leaving atomic.Bool
 	// closed is true while operators want the server drained or stopped.
 	closed   atomic.Bool
 	inFlight sync.WaitGroup
--- a/internal/agent/slotduty.go
+++ b/internal/agent/slotduty.go
@@ -101,7 +101,7 @@
 		if e, ok := duty.next(ctx, ticker.C); ok {
 			now := time.Now()
 			duty.perform(ctx, e.apply(duty, now), now)
-			duty.publish()
+			duty.publish(now)
 		}
 	}
 }
@@ -143,8 +143,8 @@
 	}
 }
 
-func (d *slotDuty) publish() {
-	report := d.table.Report()
+func (d *slotDuty) publish(now time.Time) {
+	report := d.table.Report(now)
 	d.agent.status.Store(&membership.Load{
 		Running:    report.Running,
 		Waiting:    report.Waiting,
@@ -152,6 +152,7 @@
 		Resident:   report.Resident,
 		Loading:    report.Loading,
 		Obtainable: report.Obtainable,
+		VictimUse:  report.VictimUse,
 		LoadMillis: int(d.loadTime.Milliseconds()),
 	})
 }
@@ -301,8 +302,8 @@
 // adapter is taken at its total: beyond this agent's own requests, any adopted
 // adapter may be in use.
 func (d *slotDuty) inUse(report engineReport) []catalogue.Ref {
-	if report.InUse == nil && report.Running > d.table.Report().Running {
-		return d.table.Report().Resident
+	if report.InUse == nil && report.Running > d.table.Report(d.adopted).Running {
+		return d.table.Report(d.adopted).Resident
 	}
 	refs := make([]catalogue.Ref, 0, len(report.InUse))
 	for _, name := range report.InUse {
