Add certificates of both sides between processes

Cause: any process that reached a control instance's port could announce a server, and later vote or give orders. The settings demand certificates but nothing read them.

JSON-RPC clients take an identity.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/rosemarypass/rosemarypass/internal/peertls"
 )
 
 // Handler answers one method. The returned value is sent as the result.
@@ -93,13 +95,28 @@
 
 // Client calls one address and reconnects when the connection is lost.
 type Client struct {
-	address string
-	mu      sync.Mutex
-	conn    *jsonrpc2.Conn
+	address  string
+	identity *peertls.Identity
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+}
+
+// ClientOption changes how a client connects.
+type ClientOption func(*Client)
+
+// WithIdentity secures the client's connections; nil stands for plaintext.
+func WithIdentity(identity *peertls.Identity) ClientOption {
+	return func(c *Client) { c.identity = identity }
 }
 
 // NewClient returns a client that connects on its first call.
-func NewClient(address string) *Client { return &Client{address: address} }
+func NewClient(address string, options ...ClientOption) *Client {
+	c := &Client{address: address}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
 
 // Call sends one request and waits for its answer or the end of ctx.
 func (c *Client) Call(ctx context.Context, method string, in, out any) error {
@@ -120,8 +137,7 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	raw, err := c.identity.Dial(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
