--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,346 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// cpuTime is the processor time of this process, which holds both ends.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func announceAll(b *testing.B, c *control.Control, servers, round int) {
+	handler := c.Handlers()[wire.MethodAnnounce]
+	for i := range servers {
+		if _, err := handler(context.Background(), mustJSON(b, wire.Announce{Announcement: engine(i, round)})); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// engine is a server with eight resident adapters, one of which changes in one
+// of ten rounds.
+func engine(i, round int) membership.Announcement {
+	a := membership.Announcement{
+		Server: fmt.Sprintf("dabke-llm-%03d", i), Kind: membership.KindEngine, Pool: "dabke-llm", DataCentre: fmt.Sprint("amman-", i%8),
+		Address: fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250), Agent: true, BaseModel: "dabke-base", Slots: 8,
+		Incarnation: 1_796_000_000_000_000_000 + uint64(i), Sequence: uint64(round + 1),
+	}
+	a.Load = membership.Load{Running: (i*7 + round*13) % 60, Waiting: (i + round) % 5, Capacity: 64}
+	for slot := range 8 {
+		number := i*8 + slot
+		if slot == 0 {
+			number += (round + i) / 10 * 4801
+		}
+		a.Load.Resident = append(a.Load.Resident, catalogue.Ref{Adapter: fmt.Sprintf("rehearsal-plan-%06d", number%130_000), Version: "1"})
+	}
+	return a
+}
+
+// BenchmarkInForce measures a change from its proposal until it is in force in
+// every daemon, with the bytes and the processor time of both ends.
+func BenchmarkInForce(b *testing.B) {
+	for _, daemons := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("daemons=", daemons), func(b *testing.B) {
+			var bytes atomic.Int64
+			c := newCluster(b, 1, control.Options{}, &bytes)
+			followers := make([]*follow.Follower, daemons)
+			for i := range followers {
+				followers[i] = c.follow(fmt.Sprint("entry-", i), c.peers...)
+			}
+			last := c.propose(0, putContract(0, 1)).Index
+			awaitAll(followers, last)
+			bytes.Store(0)
+			cpu, changes := cpuTime(), 0
+			for b.Loop() {
+				changes++
+				last = c.propose(0, putContract(last, float64(changes+1))).Index
+				awaitAll(followers, last)
+			}
+			perDaemon := float64(changes * daemons)
+			b.ReportMetric(float64(bytes.Load())/perDaemon, "B/daemon/change")
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/perDaemon, "cpu-µs/daemon/change")
+		})
+	}
+}
+
+func awaitAll(followers []*follow.Follower, index uint64) {
+	for _, f := range followers {
+		for f.Config().Index() < index {
+			time.Sleep(50 * time.Microsecond)
+		}
+	}
+}
+
+// BenchmarkAtRest measures what daemons cost while no change comes and every
+// server's load changes in every interval of a second.
+func BenchmarkAtRest(b *testing.B) {
+	const daemons, rounds = 20, 5
+	for _, servers := range []int{0, 22, 600} {
+		b.Run(fmt.Sprint("servers=", servers), func(b *testing.B) {
+			var bytes atomic.Int64
+			c := newCluster(b, 1, control.Options{ServerLease: time.Minute}, &bytes)
+			announceAll(b, c.members[0].control, servers, 0)
+			last := c.propose(0, putContract(0, 1)).Index
+			followers := make([]*follow.Follower, daemons)
+			for i := range followers {
+				followers[i] = c.follow(fmt.Sprint("entry-", i), c.peers...)
+			}
+			awaitAll(followers, last)
+			for b.Loop() {
+				bytes.Store(0)
+				cpu, started := cpuTime(), time.Now()
+				var announcing time.Duration
+				for round := range rounds {
+					before := cpuTime()
+					announceAll(b, c.members[0].control, servers, round+1)
+					announcing += cpuTime() - before
+					time.Sleep(time.Second)
+				}
+				seconds := time.Since(started).Seconds() * daemons
+				b.ReportMetric(float64(bytes.Load())/seconds, "B/s/daemon")
+				b.ReportMetric(float64((cpuTime()-cpu-announcing).Microseconds())/seconds, "cpu-µs/s/daemon")
+			}
+		})
+	}
+}
+
+// BenchmarkDirectoryDelta measures the packed delta when every load changed,
+// and the whole directory, at both ends.
+func BenchmarkDirectoryDelta(b *testing.B) {
+	now := time.Unix(1_000, 0)
+	for _, servers := range []int{22, 600} {
+		directory := membership.NewDirectory(membership.Options{Lease: time.Minute}, 1, now)
+		announce := func(round int) {
+			for i := range servers {
+				_ = directory.Announce(engine(i, round), now)
+			}
+			directory.Publish(now)
+		}
+		announce(0)
+		whole := directory.Delta(0, 0, now)
+		before := directory.Version()
+		announce(1)
+		loads := directory.Delta(1, before, now)
+		for name, delta := range map[string]membership.Delta{"whole": whole, "loads": loads} {
+			b.Run(fmt.Sprintf("%s/servers=%d/pack", name, servers), func(b *testing.B) {
+				var data []byte
+				for b.Loop() {
+					data, _ = wire.Pack(delta)
+				}
+				b.ReportMetric(float64(len(data)), "B")
+			})
+			b.Run(fmt.Sprintf("%s/servers=%d/apply", name, servers), func(b *testing.B) {
+				data, _ := wire.Pack(delta)
+				for b.Loop() {
+					view := membership.NewView()
+					view.Apply(whole, now)
+					var got membership.Delta
+					if err := wire.Unpack(data, &got); err != nil {
+						b.Fatal(err)
+					}
+					view.Apply(got, now)
+					view.Servers()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkAnnounce measures one announcement at a control instance.
+func BenchmarkAnnounce(b *testing.B) {
+	c := newCluster(b, 1, control.Options{ServerLease: time.Minute})
+	handler := c.members[0].control.Handlers()[wire.MethodAnnounce]
+	announceAll(b, c.members[0].control, 600, 0)
+	size, round := 0, 0
+	for b.Loop() {
+		round++
+		data := mustJSON(b, wire.Announce{Announcement: engine(7, round)})
+		size = len(data)
+		if _, err := handler(context.Background(), data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "B/announcement")
+}
+
+// seededControl returns a control instance with many adapters.
+func seededControl(b *testing.B, adapters int) *cluster {
+	c := newCluster(b, 1, control.Options{})
+	c.propose(0, putModel)
+	for i := range adapters {
+		c.propose(0, putAdapter(i))
+	}
+	return c
+}
+
+// readSnapshot reads all pages into a copy and returns their bytes.
+func readSnapshot(b *testing.B, c *cluster, config *follow.Config) (bytes, pages int) {
+	in := wire.Watch{Daemon: "d"}
+	for config.Index() == 0 {
+		page := watch(b, c.members[0].control, in).Snapshot
+		var changes []state.Change
+		if err := wire.Unpack(page.Changes, &changes); err != nil {
+			b.Fatal(err)
+		}
+		config.Merge(changes)
+		bytes, pages = bytes+len(page.Changes), pages+1
+		in.SnapshotIndex, in.SnapshotPage = page.Index, page.Page+1
+		if page.Last {
+			config.Apply(nil, page.Index)
+		}
+	}
+	return bytes, pages
+}
+
+// BenchmarkSnapshot measures a daemon's first copy: the pages' bytes, and the
+// time to build (first reader) and to read them.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, adapters := range []int{3_000, 130_000} {
+		b.Run(fmt.Sprint("adapters=", adapters), func(b *testing.B) {
+			c := seededControl(b, adapters)
+			started := time.Now()
+			bytes, pages := readSnapshot(b, c, follow.NewConfig())
+			first := time.Since(started)
+			for b.Loop() {
+				readSnapshot(b, c, follow.NewConfig())
+			}
+			b.ReportMetric(float64(bytes), "B")
+			b.ReportMetric(float64(pages), "pages")
+			b.ReportMetric(float64(first.Milliseconds()), "first-ms")
+		})
+	}
+}
+
+// heapOf returns the live heap that build's value holds, in bytes.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	value := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(value)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkMemory measures the live heap for each object in an entry's copy and
+// in a control instance's state.
+func BenchmarkMemory(b *testing.B) {
+	report := func(name string, count int, build func() any) {
+		b.Run(fmt.Sprintf("%s=%d", name, count), func(b *testing.B) {
+			for b.Loop() {
+				total := heapOf(build)
+				b.ReportMetric(total/float64(count), "B/object")
+				b.ReportMetric(total/(1<<20), "MiB")
+			}
+		})
+	}
+	for _, adapters := range []int{3_000, 130_000} {
+		report("entry/adapters", adapters, func() any {
+			config := follow.NewConfig()
+			for i := range adapters {
+				config.Merge([]state.Change{{Adapter: putAdapter(i).PutAdapter}})
+			}
+			return config
+		})
+		report("control/adapters", adapters, func() any {
+			machine := state.NewMachine()
+			machine.Apply(1, putModel)
+			for i := range adapters {
+				machine.Apply(uint64(i+2), putAdapter(i))
+			}
+			return machine
+		})
+	}
+	const contracts = 2_000
+	report("entry/contracts", contracts, func() any {
+		config := follow.NewConfig()
+		for i := range contracts {
+			next := customer(i)
+			next.Revision = 1
+			config.Merge([]state.Change{{Contract: &next}})
+		}
+		return config
+	})
+	report("control/contracts", contracts, func() any {
+		machine := state.NewMachine()
+		for i := range contracts {
+			machine.Apply(uint64(i+1), state.Command{PutContract: &state.PutContract{Contract: customer(i)}, OperationID: fmt.Sprintf("operation-%036d", i)})
+		}
+		return machine
+	})
+	const servers = 600
+	now := time.Unix(1_000, 0)
+	report("entry/servers", servers, func() any {
+		view := membership.NewView()
+		for i := range servers {
+			view.Apply(membership.Delta{Epoch: 1, Version: uint64(i + 1), Whole: i == 0, Joined: []membership.Joined{{ID: uint32(i), Announcement: engine(i, 0)}}}, now)
+		}
+		return []any{view, view.Servers()}
+	})
+	report("control/servers", servers, func() any {
+		directory := membership.NewDirectory(membership.Options{Lease: time.Minute}, 1, now)
+		for i := range servers {
+			_ = directory.Announce(engine(i, 0), now)
+		}
+		return directory
+	})
+}
+
+// customer is a contract with two keys and a few clauses.
+func customer(i int) contract.Contract {
+	return contract.Contract{
+		ID:        fmt.Sprintf("customer-%05d", i),
+		KeyHashes: []string{follow.HashKey(fmt.Sprint("a", i)), follow.HashKey(fmt.Sprint("b", i))},
+		Adapters:  []string{"rehearsal-plan-*", "costume-advice-*"},
+		Services:  []string{"booking-desk"},
+		Limits:    contract.Limits{RequestsPerSecond: 5, TokensPerMinute: 1000, Concurrency: 4, MaxWait: time.Second},
+		Share:     1,
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -73,6 +73,7 @@
 	options Options
 	log     *zap.Logger
 	durable Log
+	builder pageBuilder
 
 	mu        sync.Mutex
 	machine   *state.Machine
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -12,15 +12,10 @@
 )
 
 var (
-	watchCount         = telemetry.Counter("control_watches")
-	tailSentCount      = telemetry.Counter("control_changes_sent")
-	pageSentCount      = telemetry.Counter("control_snapshot_pages_sent")
-	snapshotBuiltCount = telemetry.Counter("control_snapshots_built")
+	watchCount    = telemetry.Counter("control_watches")
+	tailSentCount = telemetry.Counter("control_changes_sent")
 )
 
-// snapshotPageChanges is how many objects one page of a snapshot holds.
-const snapshotPageChanges = 4096
-
 // tail holds the last changes for daemons that fall behind.
 type tail struct {
 	limit   int
@@ -66,45 +61,6 @@
 	return t.changes[from:], bytes, true
 }
 
-// pages is a snapshot in packed pages. It is kept and sent with the tail that
-// follows it, because building it costs far more than a page.
-type pages struct {
-	index uint64
-	data  [][]byte
-	bytes int
-}
-
-func buildPages(machine *state.Machine) (*pages, error) {
-	snapshotBuiltCount.Add(1)
-	built := &pages{index: machine.ConfigIndex()}
-	for chunk := range slices.Chunk(machine.Snapshot(), snapshotPageChanges) {
-		data, err := wire.Pack(chunk)
-		if err != nil {
-			return nil, err
-		}
-		built.data = append(built.data, data)
-		built.bytes += len(data)
-	}
-	return built, nil
-}
-
-// snapshotPages returns the kept pages while the tail after them is short. The
-// caller holds mu.
-func (c *Control) snapshotPages() (*pages, error) {
-	if c.pages != nil {
-		_, bytes, reaches := c.tail.after(c.pages.index)
-		if reaches && bytes <= max(c.pages.bytes, c.options.MessageBytes) {
-			return c.pages, nil
-		}
-	}
-	built, err := buildPages(c.machine)
-	if err != nil {
-		return nil, err
-	}
-	c.pages = built
-	return built, nil
-}
-
 // watch answers a long poll.
 func (c *Control) watch(ctx context.Context, in wire.Watch) (wire.WatchReply, error) {
 	watchCount.Add(1)
@@ -113,6 +69,9 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		if err := c.preparePages(in); err != nil {
+			return wire.WatchReply{}, err
+		}
 		reply, news, err := c.reply(in, arrived)
 		if err != nil || news.have {
 			return reply, err
@@ -141,9 +100,7 @@
 	c.daemons.seen(in, time.Now())
 	reply := wire.WatchReply{ConfigIndex: in.ConfigIndex, Standing: c.standing(arrived)}
 	more := news{config: c.configChanged}
-	if err := c.addConfig(&reply, in); err != nil {
-		return reply, more, err
-	}
+	c.addConfig(&reply, in)
 	more.have = reply.ConfigIndex > in.ConfigIndex || reply.Snapshot != nil
 	if in.Scope == wire.ScopeServer {
 		return reply, more, nil
@@ -160,34 +117,17 @@
 // addConfig adds what brings the daemon further: the tail or a page of a
 // snapshot, whichever is less. A daemon that is ahead of this instance gets
 // nothing.
-func (c *Control) addConfig(reply *wire.WatchReply, in wire.Watch) error {
+func (c *Control) addConfig(reply *wire.WatchReply, in wire.Watch) {
 	switch {
 	case in.Scope == wire.ScopeServer:
 		c.addServer(reply, in)
-		return nil
 	case in.ConfigIndex >= c.machine.ConfigIndex():
-		return nil
-	case in.ConfigIndex == 0:
-		return c.addPage(reply, in)
-	}
-	changes, bytes, reaches := c.tail.after(in.ConfigIndex)
-	if reaches && c.tailIsLess(bytes) {
+	case c.wantsPages(in.ConfigIndex):
+		c.addPage(reply, in)
+	default:
+		changes, _, _ := c.tail.after(in.ConfigIndex)
 		c.addTail(reply, changes)
-		return nil
-	}
-	return c.addPage(reply, in)
-}
-
-func (c *Control) tailIsLess(bytes int) bool {
-	if bytes <= c.options.MessageBytes {
-		return true
-	}
-	built, err := c.snapshotPages()
-	if err != nil {
-		return true
 	}
-	_, rest, _ := c.tail.after(built.index)
-	return bytes <= built.bytes+rest
 }
 
 func (c *Control) addTail(reply *wire.WatchReply, changes []tailChange) {
@@ -203,25 +143,6 @@
 	}
 }
 
-func (c *Control) addPage(reply *wire.WatchReply, in wire.Watch) error {
-	built, err := c.snapshotPages()
-	if err != nil {
-		return err
-	}
-	page := 0
-	if in.SnapshotIndex == built.index && in.SnapshotPage < len(built.data) {
-		page = in.SnapshotPage
-	}
-	reply.Snapshot = &wire.SnapshotPage{
-		Index:   built.index,
-		Page:    page,
-		Last:    page == len(built.data)-1,
-		Changes: built.data[page],
-	}
-	pageSentCount.Add(1)
-	return nil
-}
-
 // addServer tells an agent the wanted state of its own server. The agent
 // confirms every index, so that operators can wait for it too.
 func (c *Control) addServer(reply *wire.WatchReply, in wire.Watch) {
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -75,7 +75,8 @@
 	peers   []string
 }
 
-func newCluster(t testing.TB, instances int, options control.Options) *cluster {
+// newCluster starts control instances; counters take the bytes of their traffic.
+func newCluster(t testing.TB, instances int, options control.Options, counters ...*atomic.Int64) *cluster {
 	c := &cluster{t: t}
 	shared := &sharedLog{}
 	listeners := make([]net.Listener, instances)
@@ -85,6 +86,9 @@
 			t.Fatal(err)
 		}
 		listeners[i] = listener
+		for _, counter := range counters {
+			listeners[i] = countingListener{listener, counter}
+		}
 		c.peers = append(c.peers, listener.Addr().String())
 	}
 	for i, listener := range listeners {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -175,5 +175,5 @@
 }
 
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	return jsonrpc2.NewBufferedStream(conn, boundedCodec{})
 }
