Make the freshness lease a setting that control knows

Cause: an operator may prefer serving on through a long partition to the strict bound, and a wait for a change must not call a daemon with a longer lease harmless too early. What a daemon says of itself was not bounded.

Change: entry.freshnessLease (3 s by default, 2.5 s to 1 h). Watches carry the lease; a daemon counts as lost only once its lease and a poll's way are over, and a silent instance settles after the longest lease known. Questions to all instances do not slow down with a longer lease. Names, reasons and leases in watches are bounded.

Ruled out: a switch "serve when cut off".

Conclusion: the bound is one number that operators choose.

--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -202,8 +202,11 @@
 }
 
 // ProbeDue reports whether the proof is old enough to ask every instance. Half
-// the lease is left for the answers.
-func (t *Tracker) ProbeDue(now time.Time) bool { return now.Sub(t.proven) >= t.options.Lease/2 }
+// the lease is left for the answers. A longer lease than the default delays no
+// question: changes are to be learned as soon as with the default.
+func (t *Tracker) ProbeDue(now time.Time) bool {
+	return now.Sub(t.proven) >= min(t.options.Lease, DefaultLease)/2
+}
 
 // State returns what the daemon knows now.
 func (t *Tracker) State(now time.Time) State {
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -64,6 +67,9 @@
 // watch answers a long poll.
 func (c *Control) watch(ctx context.Context, in wire.Watch) (wire.WatchReply, error) {
 	watchCount.Add(1)
+	if err := checkWatch(in); err != nil {
+		return wire.WatchReply{}, err
+	}
 	arrived := time.Now()
 	wait := min(time.Duration(in.WaitMillis)*time.Millisecond, maxPollWait)
 	timer := time.NewTimer(wait)
@@ -88,6 +94,23 @@
 	}
 }
 
+// Bounds of what a daemon says of itself; control remembers it for each.
+const (
+	maxDaemonName = 256
+	maxReason     = 256
+	maxLease      = time.Hour
+)
+
+func checkWatch(in wire.Watch) error {
+	if in.Daemon == "" || len(in.Daemon) > maxDaemonName || len(in.Server) > catalogue.MaxNameLength {
+		return errors.Errorf("a daemon's name must have 1 to %d bytes", maxDaemonName)
+	}
+	if len(in.Freshness.Reason) > maxReason || in.Lease < 0 || in.Lease > maxLease {
+		return errors.Errorf("daemon %s: its freshness is out of bounds", in.Daemon)
+	}
+	return nil
+}
+
 // news says whether a reply holds any, or else what to wait for.
 type news struct {
 	have              bool
--- a/internal/control/operator_test.go
+++ b/internal/control/operator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -179,3 +180,22 @@
 		t.Errorf("%d refused, %d listed", refused, len(c.members[0].control.Servers()))
 	}
 }
+
+// A process that is not ours follows the feed with what would grow the table
+// of daemons or hold up every operator's wait.
+func TestWatchesAreBounded(t *testing.T) {
+	c := newCluster(t, 1, control.Options{})
+	handler := c.members[0].control.Handlers()[wire.MethodWatch]
+	long := strings.Repeat("x", 300)
+	for _, in := range []wire.Watch{
+		{},
+		{Daemon: long},
+		{Daemon: "d", Server: long},
+		{Daemon: "d", Freshness: freshness.State{Reason: long}},
+		{Daemon: "d", Lease: 2 * time.Hour},
+	} {
+		if _, err := handler(context.Background(), mustJSON(t, in)); err == nil {
+			t.Errorf("%+v was taken", in)
+		}
+	}
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -132,6 +132,12 @@
 	}
 }
 
+func (c *Control) longestLease() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.daemons.longestLease()
+}
+
 func (c *Control) inForce(ctx context.Context, index uint64, waited time.Duration) operator.InForce {
 	survey := c.survey(ctx)
 	report := operator.InForce{Index: index, Silent: survey.silent}
@@ -145,8 +151,8 @@
 		}
 	}
 	// Daemons that follow a silent instance are not known here. They stop
-	// admitting within the freshness lease, which is below the daemons' lease.
-	settled := len(survey.silent) == 0 || waited >= c.options.DaemonLease
+	// admitting within their freshness lease.
+	settled := len(survey.silent) == 0 || waited >= c.longestLease()
 	report.Done = len(report.Waiting) == 0 && settled
 	return report
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,7 +15,11 @@
 	if s == nil {
 		return nil
 	}
-	follower := follow.New(follow.Options{Daemon: d.settings.Instance, Peers: d.settings.ControlPeers}, d.log)
+	follower := follow.New(follow.Options{
+		Daemon: d.settings.Instance,
+		Peers:  d.settings.ControlPeers,
+		Lease:  time.Duration(s.FreshnessLease),
+	}, d.log)
 	transport := relay.NewTransport(time.Duration(s.DialTimeout))
 	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, &http.Client{Transport: transport}, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -85,6 +85,9 @@
 	if options.RetryDelay == 0 {
 		options.RetryDelay = defaultRetryDelay
 	}
+	if options.Lease == 0 {
+		options.Lease = freshness.DefaultLease
+	}
 	f := &Follower{
 		options: options,
 		log:     log,
@@ -185,6 +188,7 @@
 		DirectoryVersion: f.view.Version(),
 		WaitMillis:       f.options.PollWait.Milliseconds(),
 		Freshness:        f.Freshness(),
+		Lease:            f.options.Lease,
 	}
 	if f.options.Server != "" {
 		watch.Scope, watch.Server = wire.ScopeServer, f.options.Server
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -12,6 +12,10 @@
 	DialTimeout Duration `json:"dialTimeout"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout Duration `json:"drainTimeout"`
+	// FreshnessLease is how old the proof may be that no contract was changed
+	// unseen, before the entry admits nothing. A change is in force everywhere
+	// one lease after it was accepted, at the latest.
+	FreshnessLease Duration `json:"freshnessLease"`
 }
 
 // Bounds and defaults that roles share.
@@ -21,12 +25,19 @@
 	defaultDialTimeout  = time.Second
 	defaultDrainTimeout = 2 * time.Minute
 	maxDrainTimeout     = time.Hour
+
+	defaultFreshnessLease = 3 * time.Second
+	// minFreshnessLease leaves time for one poll and one round of questions
+	// to all control instances.
+	minFreshnessLease = 2500 * time.Millisecond
+	maxFreshnessLease = time.Hour
 )
 
 func (e *Entry) setDefaults() {
 	setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&e.DialTimeout, Duration(defaultDialTimeout))
 	setDefault(&e.DrainTimeout, Duration(defaultDrainTimeout))
+	setDefault(&e.FreshnessLease, Duration(defaultFreshnessLease))
 }
 
 func (e *Entry) check(p *problems) {
@@ -36,5 +47,6 @@
 		p.add("entry.maxBodyBytes", "must be at most 1073741824 (1 GiB)")
 	}
 	p.checkDuration("entry.dialTimeout", e.DialTimeout, time.Millisecond, time.Minute)
+	p.checkDuration("entry.freshnessLease", e.FreshnessLease, minFreshnessLease, maxFreshnessLease)
 	p.checkDuration("entry.drainTimeout", e.DrainTimeout, time.Second, maxDrainTimeout)
 }
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -35,6 +35,8 @@
 	WaitMillis       int64  `json:"waitMillis"`
 	// Freshness is what the daemon can prove, for operators to see.
 	Freshness freshness.State `json:"freshness"`
+	// Lease is how long the daemon admits after its last proof.
+	Lease time.Duration `json:"lease"`
 }
 
 // WatchReply answers Watch. At most one of Changes and Snapshot is set, and
@@ -83,8 +85,10 @@
 	Scope       Scope           `json:"scope"`
 	ConfigIndex uint64          `json:"configIndex"`
 	Freshness   freshness.State `json:"freshness"`
-	// Unseen is the time since its last call; Lost is set once that is
-	// longer than the lease.
+	// Lease is how long it admits after its last proof.
+	Lease time.Duration `json:"lease"`
+	// Unseen is the time since its last call. Lost is set once that is so
+	// long that it admits nothing any more.
 	Unseen time.Duration `json:"unseen"`
 	Lost   bool          `json:"lost,omitempty"`
 }
