--- /dev/null
+++ b/internal/wal/memfs_test.go
@@ -0,0 +1,153 @@
+package wal
+
+import (
+	"bytes"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"golang.org/x/sys/unix"
+)
+
+// memFS is a file system in memory that tells what a crash would leave: synced
+// bytes of synced names. It can fail from a given operation on.
+type memFS struct {
+	files   map[string]*memFile
+	durable map[string]*memFile
+	// failAt is the operation that fails first with failure, 0 for none.
+	failAt     int
+	failure    error
+	operations int
+}
+
+type memFile struct {
+	data   []byte
+	synced []byte
+}
+
+func newMemFS() *memFS {
+	return &memFS{files: make(map[string]*memFile), durable: make(map[string]*memFile)}
+}
+
+// step counts an operation that changes the disk and tells whether it fails.
+func (fs *memFS) step() error {
+	fs.operations++
+	if fs.failAt > 0 && fs.operations >= fs.failAt {
+		return fs.failure
+	}
+	return nil
+}
+
+// crash returns what is left: synced names and bytes, or, when extra is above 0,
+// all names and so many bytes of what each file had beyond the synced ones.
+func (fs *memFS) crash(extra int) *memFS {
+	left := newMemFS()
+	names := fs.durable
+	if extra > 0 {
+		names = fs.files
+	}
+	for name, file := range names {
+		data := slices.Clone(file.synced)
+		if bytes.HasPrefix(file.data, file.synced) {
+			data = slices.Clone(file.data[:min(len(file.data), len(file.synced)+extra)])
+		}
+		kept := &memFile{data: data, synced: slices.Clone(data)}
+		left.files[name], left.durable[name] = kept, kept
+	}
+	return left
+}
+
+func (fs *memFS) MkdirAll(string) error { return nil }
+
+func (fs *memFS) ReadDir(folder string) ([]string, error) {
+	var names []string
+	for name := range fs.files {
+		if rest, ok := strings.CutPrefix(name, folder+"/"); ok {
+			names = append(names, rest)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (fs *memFS) Open(path string) (File, error) {
+	file, ok := fs.files[path]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return &memHandle{fs: fs, file: file, reader: bytes.NewReader(file.data)}, nil
+}
+
+func (fs *memFS) Create(path string) (File, error) {
+	if err := fs.step(); err != nil {
+		return nil, err
+	}
+	fs.files[path] = &memFile{}
+	return fs.Open(path)
+}
+
+func (fs *memFS) Append(path string) (File, error) { return fs.Open(path) }
+
+func (fs *memFS) Rename(from, to string) error {
+	if err := fs.step(); err != nil {
+		return err
+	}
+	fs.files[to] = fs.files[from]
+	delete(fs.files, from)
+	return nil
+}
+
+func (fs *memFS) Remove(path string) error {
+	if err := fs.step(); err != nil {
+		return err
+	}
+	delete(fs.files, path)
+	return nil
+}
+
+func (fs *memFS) SyncDir(string) error {
+	if err := fs.step(); err != nil {
+		return err
+	}
+	fs.durable = maps.Clone(fs.files)
+	return nil
+}
+
+func (fs *memFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+type memHandle struct {
+	fs     *memFS
+	file   *memFile
+	reader *bytes.Reader
+}
+
+func (h *memHandle) Read(into []byte) (int, error) { return h.reader.Read(into) }
+
+// Write fails half-way, as a full disk does.
+func (h *memHandle) Write(data []byte) (int, error) {
+	if err := h.fs.step(); err != nil {
+		h.file.data = append(h.file.data, data[:len(data)/2]...)
+		return len(data) / 2, err
+	}
+	h.file.data = append(h.file.data, data...)
+	return len(data), nil
+}
+
+func (h *memHandle) Sync() error {
+	if err := h.fs.step(); err != nil {
+		return err
+	}
+	h.file.synced = slices.Clone(h.file.data)
+	return nil
+}
+
+func (h *memHandle) Truncate(size int64) error {
+	h.file.data = h.file.data[:size]
+	return nil
+}
+
+func (h *memHandle) Close() error { return nil }
+
+var errNoSpace error = unix.ENOSPC
