Run the replicated log over loopback: disk, apply and peer duties

Cause: the core and the disk need duties around them before control can use them. Propose and ReadIndex work on any instance and tell 'not committed' from 'unknown'. A first log is founded once every peer has answered that it has none; an instance without a log waits to be added. After a failed disk the instance steps out and says why. Proved by: loopback tests of a lost disk and a second loss, a restart of all, a full disk, a planned stop and reads through followers, with -race. Conclusion: ready to be wired.

--- a/coord/replog/status.go
+++ b/coord/replog/status.go
@@ -39,6 +39,12 @@
 	Survivable int `json:"survivable"`
 }
 
+// Role is what the node does now.
+func (n *Node) Role() Role { return n.role }
+
+// Leader is the leader that the node follows, empty when it knows none.
+func (n *Node) Leader() ID { return n.leader }
+
 // Status returns the node's present state.
 func (n *Node) Status() Status {
 	s := Status{
--- /dev/null
+++ b/internal/replica/core.go
@@ -0,0 +1,268 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+var (
+	droppedMessages = telemetry.Counter("replica_messages_dropped")
+	leaderChanges   = telemetry.Counter("replica_leader_changes")
+	committedCount  = telemetry.Counter("replica_entries_committed")
+)
+
+// drainLimit bounds how many inputs are taken before their common work is done.
+const drainLimit = 512
+
+// request is something that a caller wants of the core. Exactly one of serve
+// and refuse is called.
+type request interface {
+	serve(*core)
+	refuse(error)
+}
+
+// waiter is a caller that waits for its entry to be applied.
+type waiter struct {
+	term  uint64
+	reply chan<- proposeAnswer
+}
+
+// core is the duty that owns the node.
+type core struct {
+	*Replica
+	// toDisk and toApply wait for room in the rings.
+	toDisk  []diskItem
+	toApply []applyItem
+	waiters map[uint64]waiter
+	reads   map[uint64]chan<- readAnswer
+	read    uint64
+	leader  replog.ID
+	role    replog.Role
+}
+
+func newCore(r *Replica) *core {
+	return &core{Replica: r, waiters: make(map[uint64]waiter), reads: make(map[uint64]chan<- readAnswer)}
+}
+
+func (c *core) run(ctx context.Context) {
+	ticker := time.NewTicker(c.options.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.end(errStopped)
+			return
+		case err := <-c.failed:
+			c.stepOut(ctx, err)
+			return
+		case <-ticker.C:
+			c.node.Tick()
+			c.publish()
+		case messages := <-c.inbox:
+			c.step(messages)
+		case r := <-c.requests:
+			r.serve(c)
+		case sequence := <-c.synced:
+			c.node.Synced(sequence)
+		case s := <-c.taken:
+			c.compact(s)
+		case c.diskRing() <- c.firstDisk():
+			c.toDisk = c.toDisk[1:]
+		case c.applyRing() <- c.firstApply():
+			c.toApply = c.toApply[1:]
+		}
+		c.drain()
+		c.process()
+	}
+}
+
+// drain takes what else has arrived, so that it shares messages and a sync.
+func (c *core) drain() {
+	for range drainLimit {
+		select {
+		case messages := <-c.inbox:
+			c.step(messages)
+		case r := <-c.requests:
+			r.serve(c)
+		case sequence := <-c.synced:
+			c.node.Synced(sequence)
+		default:
+			return
+		}
+	}
+}
+
+// diskRing is nil, which a select passes over, when nothing waits.
+func (c *core) diskRing() chan<- diskItem {
+	if len(c.toDisk) == 0 {
+		return nil
+	}
+	return c.disk
+}
+
+func (c *core) firstDisk() diskItem {
+	if len(c.toDisk) == 0 {
+		return diskItem{}
+	}
+	return c.toDisk[0]
+}
+
+func (c *core) applyRing() chan<- applyItem {
+	if len(c.toApply) == 0 {
+		return nil
+	}
+	return c.apply
+}
+
+func (c *core) firstApply() applyItem {
+	if len(c.toApply) == 0 {
+		return applyItem{}
+	}
+	return c.toApply[0]
+}
+
+// backlogged is true when the disk or the state machine is far behind. Appends
+// and proposals are then pushed back; heartbeats and votes are not.
+func (c *core) backlogged() bool {
+	return len(c.toDisk) >= maxBacklog || len(c.toApply) >= maxBacklog
+}
+
+func (c *core) step(messages []replog.Message) {
+	for _, m := range messages {
+		bulk := m.Kind == replog.KindAppend || m.Kind == replog.KindSnapshot
+		if bulk && c.backlogged() {
+			droppedMessages.Add(1)
+			continue
+		}
+		c.node.Step(m)
+	}
+}
+
+// process hands out the node's work.
+func (c *core) process() {
+	for ready, ok := c.node.Ready(); ok; ready, ok = c.node.Ready() {
+		config := c.node.Config()
+		c.peers.send(config, ready.Messages)
+		if ready.NeedsSync() || len(ready.AfterSync) > 0 {
+			c.toDisk = append(c.toDisk, diskItem{ready: ready, config: config})
+		}
+		if ready.Snapshot != nil {
+			c.toApply = append(c.toApply, applyItem{snapshot: ready.Snapshot})
+			c.endCovered(ready.Snapshot.Index)
+		}
+		c.handOutCommitted(ready.Committed)
+		c.answerReads(ready)
+	}
+	c.noteLeader()
+}
+
+// handOutCommitted gives entries to the state machine, with their waiters.
+func (c *core) handOutCommitted(entries []replog.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	committedCount.Add(int64(len(entries)))
+	item := applyItem{entries: entries}
+	for _, e := range entries {
+		w, waits := c.waiters[e.Index]
+		if !waits {
+			continue
+		}
+		delete(c.waiters, e.Index)
+		if w.term == e.Term {
+			item.replies = append(item.replies, indexedReply{index: e.Index, reply: w.reply})
+		} else {
+			w.reply <- proposeAnswer{err: notCommitted(errors.New("another leader's entry took the place"))}
+		}
+	}
+	c.toApply = append(c.toApply, item)
+}
+
+// endCovered answers the waiters whose entries a snapshot covers: whether they
+// are in it is not known here.
+func (c *core) endCovered(index uint64) {
+	for at, w := range c.waiters {
+		if at <= index {
+			delete(c.waiters, at)
+			w.reply <- proposeAnswer{err: unknownFate(errors.New("a snapshot took the place of the entry"))}
+		}
+	}
+}
+
+func (c *core) answerReads(ready replog.Ready) {
+	for _, read := range ready.Reads {
+		if reply := c.reads[read.ID]; reply != nil {
+			reply <- readAnswer{index: read.Index}
+			delete(c.reads, read.ID)
+		}
+	}
+	for _, id := range ready.FailedReads {
+		if reply := c.reads[id]; reply != nil {
+			reply <- readAnswer{err: replog.ErrNotLeader}
+			delete(c.reads, id)
+		}
+	}
+}
+
+// noteLeader publishes and logs changes of the leader and of the own role.
+func (c *core) noteLeader() {
+	role, leader := c.node.Role(), c.node.Leader()
+	if role == c.role && leader == c.leader {
+		return
+	}
+	c.publish()
+	if leader != c.leader && leader != "" {
+		leaderChanges.Add(1)
+		c.log.Info("leader", zap.String("leader", string(leader)), zap.Uint64("term", c.Status().Term))
+	}
+	c.role, c.leader = role, leader
+}
+
+func (c *core) compact(s takenSnapshot) {
+	snapshot := c.node.Compact(s.index, s.data)
+	c.toDisk = append(c.toDisk, diskItem{compact: &snapshot})
+}
+
+// end answers everyone who waits.
+func (c *core) end(cause error) {
+	for index, w := range c.waiters {
+		delete(c.waiters, index)
+		w.reply <- proposeAnswer{err: unknownFate(cause)}
+	}
+	for id, reply := range c.reads {
+		delete(c.reads, id)
+		reply <- readAnswer{err: cause}
+	}
+}
+
+// stepOut stops voting, acknowledging and leading after the disk or the state
+// machine has failed: whatever this member said from now on could be a lie
+// after a restart. The others notice by missing heartbeats.
+func (c *core) stepOut(ctx context.Context, cause error) {
+	reason := cause.Error()
+	c.failure.Store(&reason)
+	c.log.Error("stepped out of the replicated log; restart the instance after the repair", zap.Error(cause))
+	stepOuts.Add(1)
+	status := c.Status()
+	status.Role, status.Leader, status.LeaseTicks, status.Members = replog.Follower, "", 0, nil
+	status.Survivable = 0
+	c.status.Store(&status)
+	c.end(errSteppedOut)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.inbox:
+		case <-c.taken:
+		case <-c.synced:
+		case r := <-c.requests:
+			r.refuse(errSteppedOut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/handlers.go
@@ -0,0 +1,86 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// forwardedTimeout bounds a forwarded call at the leader; the caller's own limit
+// does not come along.
+const forwardedTimeout = 10 * time.Second
+
+var foreignMessages = telemetry.Counter("replica_messages_foreign")
+
+// Handlers returns the JSON-RPC methods that other control instances call.
+func (r *Replica) Handlers() map[string]rpc.Handler {
+	return map[string]rpc.Handler{
+		wire.MethodReplicaMessages: rpc.Typed(r.takeEnvelope),
+		wire.MethodReplicaHello:    rpc.Typed(r.takeHello),
+		wire.MethodReplicaPropose:  rpc.Typed(r.takeProposal),
+		wire.MethodReplicaRead:     rpc.Typed(r.takeRead),
+		wire.MethodReplicaMembers:  rpc.Typed(r.takeMembers),
+		wire.MethodReplicaChange:   rpc.Typed(r.takeChange),
+	}
+}
+
+// takeEnvelope gives messages to the core. Those of another log are dropped: a
+// data folder or an address that was mixed up must not join two logs.
+func (r *Replica) takeEnvelope(_ context.Context, in wire.Envelope) (wire.Empty, error) {
+	own := r.Status().Config.Cluster
+	if own != "" && in.Cluster != "" && own != in.Cluster {
+		foreignMessages.Add(int64(len(in.Messages)))
+		return wire.Empty{}, nil
+	}
+	for _, m := range in.Messages {
+		if m.To == r.self.ID {
+			r.peers.learn(m.From, in.Address)
+		}
+	}
+	select {
+	case r.inbox <- in.Messages:
+	default:
+		droppedMessages.Add(int64(len(in.Messages)))
+	}
+	return wire.Empty{}, nil
+}
+
+func (r *Replica) takeHello(_ context.Context, in wire.Hello) (wire.Hello, error) {
+	if in.Cluster == "" {
+		r.waiting.add(replog.Member{ID: in.ID, Address: in.Address})
+	}
+	return r.hello(), nil
+}
+
+// takeProposal commits a forwarded command. It is not forwarded again, so that
+// two instances that take each other for the leader do not loop.
+func (r *Replica) takeProposal(ctx context.Context, in wire.Propose) (wire.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardedTimeout)
+	defer cancel()
+	index, result, err := r.proposeHere(ctx, in.Data)
+	code, message := codeOf(err)
+	return wire.ProposeReply{Code: code, Message: message, Index: index, Result: result}, nil
+}
+
+func (r *Replica) takeRead(ctx context.Context, _ wire.Empty) (wire.ReadReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardedTimeout)
+	defer cancel()
+	index, err := r.confirmHere(ctx)
+	code, message := codeOf(err)
+	return wire.ReadReply{Code: code, Message: message, Index: index}, nil
+}
+
+func (r *Replica) takeMembers(context.Context, wire.Empty) (wire.MemberList, error) {
+	return r.ownMembers(r.Status()), nil
+}
+
+func (r *Replica) takeChange(ctx context.Context, in wire.MemberChange) (wire.MemberChangeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardedTimeout)
+	defer cancel()
+	code, message := codeOf(r.changeHere(ctx, in))
+	return wire.MemberChangeReply{Code: code, Message: message}, nil
+}
--- /dev/null
+++ b/internal/replica/propose.go
@@ -0,0 +1,197 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// Errors of Propose and of the members' calls. A caller distinguishes them with
+// errors.Is.
+var (
+	// ErrNotCommitted means that the command was not committed and never will be.
+	ErrNotCommitted = errors.New("not committed")
+	// ErrUnknown means that the command may have been committed or may still be.
+	// A resend is safe if the command itself can be told from its copy.
+	ErrUnknown = errors.New("unknown whether it was committed")
+	// ErrRefused means that a rule of the membership forbids a change.
+	ErrRefused = errors.New("refused")
+	// ErrBusy means that a bounded ring is full; nothing was committed.
+	ErrBusy = errors.New("too many calls wait")
+)
+
+var (
+	errStopped    = errors.New("the instance stops")
+	errSteppedOut = errors.New("the instance has stepped out of the log")
+	errNoLeader   = errors.New("no leader is known")
+)
+
+// fateError is ErrNotCommitted, ErrUnknown or ErrRefused with its cause.
+type fateError struct{ fate, cause error }
+
+// Error implements error.
+func (e *fateError) Error() string { return e.fate.Error() + ": " + e.cause.Error() }
+
+// Unwrap gives both to errors.Is.
+func (e *fateError) Unwrap() []error { return []error{e.fate, e.cause} }
+
+func notCommitted(cause error) error { return &fateError{ErrNotCommitted, cause} }
+func unknownFate(cause error) error  { return &fateError{ErrUnknown, cause} }
+func refused(cause error) error      { return &fateError{ErrRefused, cause} }
+
+// leaderPause is the wait before another try while no leader is known.
+const leaderPause = 50 * time.Millisecond
+
+type proposeAnswer struct {
+	index  uint64
+	result []byte
+	err    error
+}
+
+type proposeRequest struct {
+	data  []byte
+	reply chan proposeAnswer
+}
+
+func (p proposeRequest) serve(c *core) {
+	if c.backlogged() {
+		p.refuse(ErrBusy)
+		return
+	}
+	index, term, err := c.node.Propose(p.data)
+	if err != nil {
+		p.refuse(err)
+		return
+	}
+	c.waiters[index] = waiter{term: term, reply: p.reply}
+}
+
+func (p proposeRequest) refuse(err error) { p.reply <- proposeAnswer{err: notCommitted(err)} }
+
+// Propose commits a command, here or through the leader, and returns the index
+// and what the state machine answered. While it is certain that nothing was
+// committed it tries again until ctx ends. Errors are ErrNotCommitted or
+// ErrUnknown.
+func (r *Replica) Propose(ctx context.Context, data []byte) (index uint64, result []byte, err error) {
+	if len(data) == 0 {
+		return 0, nil, notCommitted(errors.New("the command is empty"))
+	}
+	for {
+		index, result, err = r.proposeOnce(ctx, data)
+		if err == nil || !errors.Is(err, ErrNotCommitted) || !passing(err) {
+			return index, result, err
+		}
+		pause(ctx, leaderPause)
+		if ctx.Err() != nil {
+			return 0, nil, err
+		}
+	}
+}
+
+// passing is true for what a later try may not meet any more.
+func passing(err error) bool {
+	return !errors.Is(err, errSteppedOut) && !errors.Is(err, errStopped) && !errors.Is(err, ErrBusy)
+}
+
+func (r *Replica) proposeOnce(ctx context.Context, data []byte) (uint64, []byte, error) {
+	status := r.Status()
+	if status.Role == replog.Leader {
+		return r.proposeHere(ctx, data)
+	}
+	address, err := r.leaderAddress(status)
+	if err != nil {
+		return 0, nil, notCommitted(err)
+	}
+	var reply wire.ProposeReply
+	if err := forward(ctx, address, wire.MethodReplicaPropose, wire.Propose{Data: data}, &reply); err != nil {
+		return 0, nil, err
+	}
+	return reply.Index, reply.Result, codeError(reply.Code, reply.Message)
+}
+
+func (r *Replica) proposeHere(ctx context.Context, data []byte) (uint64, []byte, error) {
+	p := proposeRequest{data: data, reply: make(chan proposeAnswer, 1)}
+	if err := r.submit(p); err != nil {
+		return 0, nil, notCommitted(err)
+	}
+	select {
+	case answer := <-p.reply:
+		return answer.index, answer.result, answer.err
+	case <-ctx.Done():
+		return 0, nil, unknownFate(ctx.Err())
+	}
+}
+
+// submit gives the core a request, or refuses it when the ring is full.
+func (r *Replica) submit(request request) error {
+	if r.Failure() != "" {
+		return errSteppedOut
+	}
+	select {
+	case r.requests <- request:
+		return nil
+	default:
+		return ErrBusy
+	}
+}
+
+func (r *Replica) leaderAddress(status replog.Status) (string, error) {
+	if r.Failure() != "" {
+		return "", errSteppedOut
+	}
+	for _, m := range status.Config.Members() {
+		if m.ID == status.Leader && m.ID != r.self.ID {
+			return m.Address, nil
+		}
+	}
+	return "", errNoLeader
+}
+
+// forward calls the leader. A connection that could not be made has carried
+// nothing; after any other failure the leader may have taken the call.
+func forward(ctx context.Context, address, method string, in, out any) error {
+	client := rpc.NewClient(address)
+	defer client.Close()
+	err := client.Call(ctx, method, in, out)
+	var dial *net.OpError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return notCommitted(err)
+	default:
+		return unknownFate(err)
+	}
+}
+
+func codeError(code wire.ReplicaCode, message string) error {
+	switch code {
+	case wire.ReplicaOK:
+		return nil
+	case wire.ReplicaNotCommitted:
+		return notCommitted(errors.New(message))
+	case wire.ReplicaRefused:
+		return refused(errors.New(message))
+	default:
+		return unknownFate(errors.New(message))
+	}
+}
+
+func codeOf(err error) (code wire.ReplicaCode, message string) {
+	switch {
+	case err == nil:
+		return wire.ReplicaOK, ""
+	case errors.Is(err, ErrNotCommitted):
+		return wire.ReplicaNotCommitted, err.Error()
+	case errors.Is(err, ErrRefused):
+		return wire.ReplicaRefused, err.Error()
+	default:
+		return wire.ReplicaUnknown, err.Error()
+	}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,317 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/replica"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wal"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// journal is a state machine that remembers every command.
+type journal struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (j *journal) Apply(_ uint64, data []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = append(j.lines, string(data))
+	return fmt.Append(nil, len(j.lines))
+}
+
+func (j *journal) Snapshot() ([]byte, error) { return []byte(j.text()), nil }
+
+func (j *journal) Restore(data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = strings.Split(string(data), "\n")
+	return nil
+}
+
+func (j *journal) text() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return strings.Join(j.lines, "\n")
+}
+
+// failingFS is the system's file system until its disk breaks.
+type failingFS struct {
+	wal.OS
+	broken *atomic.Bool
+}
+
+func (fs failingFS) Create(path string) (wal.File, error) { return fs.wrap(fs.OS.Create(path)) }
+func (fs failingFS) Append(path string) (wal.File, error) { return fs.wrap(fs.OS.Append(path)) }
+
+func (fs failingFS) wrap(file wal.File, err error) (wal.File, error) {
+	return failingFile{file, fs.broken}, err
+}
+
+type failingFile struct {
+	wal.File
+	broken *atomic.Bool
+}
+
+func (f failingFile) Write(data []byte) (int, error) {
+	if f.broken.Load() {
+		return 0, unix.ENOSPC
+	}
+	return f.File.Write(data)
+}
+
+// instance is one control instance on loopback.
+type instance struct {
+	*replica.Replica
+	journal *journal
+	broken  atomic.Bool
+	address string
+	stop    func()
+}
+
+type cluster struct {
+	t         testing.TB
+	options   replica.Options
+	folders   []string
+	addresses []string
+	instances []*instance
+}
+
+func newCluster(t testing.TB, size int, options replica.Options) *cluster {
+	t.Helper()
+	c := &cluster{t: t, options: options, instances: make([]*instance, size)}
+	for range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.addresses = append(c.addresses, listener.Addr().String())
+		c.folders = append(c.folders, t.TempDir())
+		_ = listener.Close()
+	}
+	for i := range size {
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		for _, one := range c.instances {
+			one.stop()
+		}
+	})
+	return c
+}
+
+// start starts an instance on its folder.
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	one := &instance{journal: &journal{}, address: c.addresses[i]}
+	options := c.options
+	options.Instance = fmt.Sprintf("control-%d", i)
+	options.Address, options.Peers = c.addresses[i], c.addresses
+	options.Bootstrap = i == 0
+	options.Folder = c.folders[i]
+	options.FS = failingFS{broken: &one.broken}
+	var err error
+	if one.Replica, err = replica.Open(options, one.journal, zap.NewNop()); err != nil {
+		c.t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", one.address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := rpc.NewServer(one.Handlers())
+	var duties sync.WaitGroup
+	duties.Go(func() { _ = server.Serve(ctx, listener) })
+	duties.Go(func() { one.Run(ctx) })
+	one.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = listener.Close()
+		server.Close()
+		duties.Wait()
+	})
+	c.instances[i] = one
+}
+
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("waited in vain for: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) leader() int {
+	c.t.Helper()
+	found := -1
+	c.await("a leader", func() bool {
+		for i, one := range c.instances {
+			if one.Status().Role == replog.Leader {
+				found = i
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+func (c *cluster) propose(i int, command string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if _, _, err := c.instances[i].Propose(ctx, []byte(command)); err != nil {
+		c.t.Fatalf("%s at %d: %v", command, i, err)
+	}
+}
+
+func (c *cluster) expect(i int, text string) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("instance %d to have %q", i, text), func() bool { return c.instances[i].journal.text() == text })
+}
+
+func (c *cluster) change(action wire.MemberAction, member string) {
+	c.t.Helper()
+	var err error
+	c.await(fmt.Sprint(action, " ", member), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		err = c.instances[c.leader()].ChangeMembers(ctx, wire.MemberChange{Action: action, Member: member})
+		return err == nil
+	})
+}
+
+var fast = replica.Options{TickInterval: 5 * time.Millisecond, SnapshotEntries: 5}
+
+// A control instance loses its disk and comes back empty; after the repair a
+// second one is lost. Operators must not lose an accepted change, and see when
+// the second loss is survivable.
+func TestLostDiskIsReplacedAndASecondLossSurvived(t *testing.T) {
+	c := newCluster(t, 3, fast)
+	want := ""
+	for i := range 12 {
+		command := fmt.Sprint("command ", i)
+		c.propose(i%3, command)
+		want = strings.TrimPrefix(want+"\n"+command, "\n")
+	}
+	for i := range 3 {
+		c.expect(i, want)
+	}
+
+	lost := (c.leader() + 1) % 3
+	old := c.instances[lost].ID()
+	c.instances[lost].stop()
+	c.folders[lost] = t.TempDir()
+	c.start(lost)
+	replacement := c.instances[lost].ID()
+	if replacement == old {
+		t.Fatal("the lost disk came back under its old identity")
+	}
+	c.change(wire.MemberAdd, string(replacement))
+	c.change(wire.MemberRemove, string(old))
+	c.change(wire.MemberPromote, string(replacement))
+	c.await("redundancy", func() bool { return c.instances[c.leader()].Members(context.Background()).Survivable == 1 })
+	c.expect(lost, want)
+
+	second := c.leader()
+	c.instances[second].stop()
+	survivor := (second + 1) % 3
+	c.propose(survivor, "after the second loss")
+	for i := range 3 {
+		if i != second {
+			c.expect(i, want+"\nafter the second loss")
+		}
+	}
+}
+
+// All control instances lose power. Every accepted change is there again.
+func TestRestartKeepsEveryAcceptedChange(t *testing.T) {
+	c := newCluster(t, 3, fast)
+	for i := range 7 {
+		c.propose(0, fmt.Sprint(i))
+	}
+	for _, one := range c.instances {
+		one.stop()
+	}
+	for i := range c.instances {
+		c.start(i)
+	}
+	c.propose(1, "more")
+	for i := range c.instances {
+		c.expect(i, "0\n1\n2\n3\n4\n5\n6\nmore")
+	}
+}
+
+// The leader's disk is full. It must neither acknowledge nor lead any longer;
+// operators see why, and the others go on.
+func TestFullDiskStepsOut(t *testing.T) {
+	c := newCluster(t, 3, fast)
+	c.propose(0, "before")
+	full := c.leader()
+	c.instances[full].broken.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if _, _, err := c.instances[full].Propose(ctx, []byte("unlucky")); !errors.Is(err, replica.ErrUnknown) {
+		t.Errorf("a command that met the full disk: %v", err)
+	}
+	c.await("the failure", func() bool { return c.instances[full].Failure() != "" })
+	if _, _, err := c.instances[full].Propose(ctx, []byte("late")); !errors.Is(err, replica.ErrNotCommitted) {
+		t.Errorf("a command after the failure: %v", err)
+	}
+	if _, err := c.instances[full].ReadIndex(ctx); err == nil {
+		t.Error("a read was confirmed after the failure")
+	}
+	if failure := c.instances[full].Members(ctx).Failure; !strings.Contains(failure, "no space") {
+		t.Errorf("operators see %q", failure)
+	}
+	c.propose((full+1)%3, "after")
+}
+
+// An instance is stopped as planned. The others must not go without a leader
+// for an election timeout, so it hands over first.
+func TestStopHandsTheLeadershipOver(t *testing.T) {
+	slow := fast
+	slow.ElectionTicks = 200
+	c := newCluster(t, 3, slow)
+	c.await("all caught up", func() bool { return c.instances[c.leader()].Status().Survivable == 1 })
+	leader := c.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c.instances[leader].Stop(ctx)
+	if next := c.leader(); next == leader {
+		t.Error("the leader still leads")
+	}
+}
+
+// Reads through a member that lags must show what was accepted elsewhere.
+func TestReadIndexSeesEarlierCommits(t *testing.T) {
+	c := newCluster(t, 3, fast)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for i := range 10 {
+		command := fmt.Sprint(i)
+		c.propose(i%3, command)
+		reader := c.instances[(i+1)%3]
+		if _, err := reader.ReadIndex(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if text := reader.journal.text(); !strings.HasSuffix(text, command) {
+			t.Fatalf("after %s was accepted, a read shows %q", command, text)
+		}
+	}
+}
