Retry reads while leaders change

Cause: a read through a follower failed at once when it arrived between two leaders; the loopback test met that once in five runs under load. Change: ReadIndex tries again until its context ends, as Propose does. Measured: go test -race -count=5 ./internal/replica passes. Ruled out: a retry in the test alone, as every caller would need it.

--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -29,13 +29,19 @@
 
 // ReadIndex returns once a quorum has confirmed an index and every entry up to
 // it is applied here: a read of the state machine that follows sees every
-// command that was committed anywhere before the call.
+// command that was committed anywhere before the call. It tries again until ctx
+// ends, as leaders change.
 func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
-	index, err := r.confirmIndex(ctx)
-	if err != nil {
-		return 0, err
+	for {
+		index, err := r.confirmIndex(ctx)
+		if err == nil {
+			return index, r.applied.wait(ctx, index)
+		}
+		if !passing(err) || ctx.Err() != nil {
+			return 0, err
+		}
+		pause(ctx, leaderPause)
 	}
-	return index, r.applied.wait(ctx, index)
 }
 
 func (r *Replica) confirmIndex(ctx context.Context) (uint64, error) {
