--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 		Path:     s.Telemetry.TraceFile,
 		Endpoint: s.Telemetry.TraceEndpoint,
 		Instance: s.Instance,
+		Share:    s.Telemetry.TraceShare,
 	})
 	if err != nil {
 		cancel()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -42,6 +42,9 @@
 	Endpoint string
 	// Instance is reported as the service instance.
 	Instance string
+	// Share is the share of requests without a sampling decision of their own
+	// that are traced, from 0 to 1; 0 stands for 1.
+	Share float64
 }
 
 // Tracer is the tracer that every hop uses.
@@ -62,6 +65,7 @@
 	}
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sampler(options.Share)),
 		sdktrace.WithResource(resource.NewSchemaless(
 			semconv.ServiceName("rosemarypass"),
 			semconv.ServiceInstanceID(options.Instance),
@@ -71,6 +75,15 @@
 	return provider.Shutdown, nil
 }
 
+// sampler keeps the decision that came with a request and decides by share for
+// the others.
+func sampler(share float64) sdktrace.Sampler {
+	if share == 0 {
+		share = 1
+	}
+	return sdktrace.ParentBased(sdktrace.TraceIDRatioBased(share))
+}
+
 func newExporter(ctx context.Context, options TraceOptions) (sdktrace.SpanExporter, error) {
 	switch options.Target {
 	case TraceStdout:
