Decide a request's outcome in one place, from evidence

Cause: an entry took any dial error as "not run" and any later error of a repeatable call as if nothing had happened, trusted the outcome header of a plain service, followed redirects, and offered calls that must not repeat on kept-alive connections, where a connection that the service had closed left the caller in doubt. The agent told what ran from its own table, not from the engine's word, and began to run a request before its body was there. Change: relay.Transport counts the writes of each connection and seals it when a request is given up, so "not sent" cannot become untrue later; a call that must not repeat gets its own connection. outcome.Decide turns evidence into an outcome for entries and agents. The agent reads the whole body, then the model that the answer names, before it relays a byte. Silent next hops, slow callers and slow bodies are bounded. A drain gate counts and refuses in one step, and an entry serves on for its grace after it reports that it is not ready. Ruled out: httptrace.WroteRequest as the sign that bytes left, because it may come after the request was given up; a flag beside a WaitGroup for drains, because a request can pass between them. Conclusion: tests cut the connection at each step and compare what the caller was told with what ran; net/http's silent replay is shown and prevented.

--- a/coord/outcome/outcome.go
+++ b/coord/outcome/outcome.go
@@ -50,3 +50,28 @@
 		return Unknown, errors.Errorf("outcome %q is none of answered, not-run, unknown", text)
 	}
 }
+
+// Evidence is what one hop knows about a request that it tried to pass on.
+type Evidence struct {
+	// Sent is false only when no byte of the request left this hop and none
+	// can any more.
+	Sent bool
+	// Refused is true when the next hop, a gate of this system, vouches
+	// that it did not pass the request on.
+	Refused bool
+	// Whole is true when the whole answer was relayed.
+	Whole bool
+}
+
+// Decide is the only place where evidence becomes an outcome. What the
+// evidence does not prove is Unknown.
+func Decide(e Evidence) Outcome {
+	switch {
+	case !e.Sent || e.Refused:
+		return NotRun
+	case e.Whole:
+		return Answered
+	default:
+		return Unknown
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -55,10 +56,9 @@
 	// stopped is closed when the slot duty has ended and reads no ring.
 	stopped chan struct{}
 	permits *permitClient
-	leaving atomic.Bool
+	gate    *drain.Gate
 	// closed is true while operators want the server drained or stopped.
 	closed   atomic.Bool
-	inFlight sync.WaitGroup
 	started  uint64
 	sequence atomic.Uint64
 	status   atomic.Pointer[membership.Load]
@@ -78,6 +78,7 @@
 		ends:     make(chan event, options.Queue+eventSlack),
 		stopped:  make(chan struct{}),
 		started:  uint64(time.Now().UnixNano()),
+		gate:     drain.NewGate(),
 	}
 	a.status.Store(&membership.Load{})
 	a.permits = newPermitClient(options, a.started)
@@ -99,12 +100,6 @@
 	duties.Wait()
 }
 
-// Leave refuses new work from now on.
-func (a *Agent) Leave() { a.leaving.Store(true) }
-
-// Wait returns when no request is in flight.
-func (a *Agent) Wait() { a.inFlight.Wait() }
-
 // watchEngine learns the engine's load and notices its restarts.
 func (a *Agent) watchEngine(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 
@@ -11,7 +13,6 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/slots"
-	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -21,8 +22,13 @@
 var (
 	admittedCount = telemetry.Counter("agent_requests_admitted")
 	refusedCount  = telemetry.Counter("agent_requests_refused")
+	unknownCount  = telemetry.Counter("agent_requests_unknown")
 )
 
+// maxBodyBytes bounds a request's body; entries refuse larger ones by a lower
+// bound from their settings.
+const maxBodyBytes = 64 << 20
+
 // HeaderSource carries the adapter's place in the weight store from the entry.
 const HeaderSource = "Rosemarypass-Source"
 
@@ -35,9 +41,23 @@
 	return router
 }
 
+// Leave refuses new work from now on.
+func (a *Agent) Leave() { a.gate.Close() }
+
+// Wait refuses new work, returns when no request is in flight or ctx ends, and
+// says how many are left.
+func (a *Agent) Wait(ctx context.Context) int { return a.gate.Wait(ctx) }
+
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
-	a.inFlight.Add(1)
-	defer a.inFlight.Done()
+	if !a.gate.Enter() {
+		refuse(w, http.StatusServiceUnavailable, "the server is leaving")
+		return
+	}
+	defer a.gate.Leave()
+	if a.closed.Load() {
+		refuse(w, http.StatusServiceUnavailable, "operators want no work here")
+		return
+	}
 	ctx := telemetry.Propagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := telemetry.Tracer().Start(ctx, "agent.serve")
 	defer span.End()
@@ -48,8 +68,9 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if a.refusesWork() {
-		refuse(w, http.StatusServiceUnavailable, "the server is leaving")
+	body, err := readWhole(w, r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	a.sources.Store(ref, r.Header.Get(HeaderSource))
@@ -60,9 +81,18 @@
 	}
 	defer a.release(id)
 	admittedCount.Add(1)
-	a.dispatch(w, r, ref)
+	a.dispatch(w, r, ref, body)
+}
+
+// readWhole reads a request's body before anything is done for it. net/http
+// notices that a peer left only once the body is read, and half a request must
+// never reach the engine.
+func readWhole(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	return body, errors.Wrap(err, "read body")
 }
 
+// refuse answers a request that did not run and will not.
 func refuse(w http.ResponseWriter, status int, message string) {
 	refusedCount.Add(1)
 	w.Header().Set(outcome.Header, outcome.NotRun.String())
@@ -84,37 +114,11 @@
 		}
 		return nil
 	case <-r.Context().Done():
+		// The request may have been started meanwhile: cancelled follows
+		// requested through the same ring and releases it in either case.
 		a.sendCancel(cancelled{id: id})
 		return errors.Wrap(errNotRun, "the caller left")
 	}
 }
 
 func (a *Agent) release(id slots.RequestID) { a.sendEnd(released{id: id}) }
-
-func (a *Agent) dispatch(w http.ResponseWriter, r *http.Request, ref catalogue.Ref) {
-	request, err := relay.NewRequest(r.Context(), r.Method, a.options.Engine+r.URL.Path, r.Body, r.ContentLength)
-	if err != nil {
-		refuse(w, http.StatusInternalServerError, err.Error())
-		return
-	}
-	relay.CopyHeader(request.Header, r.Header)
-	telemetry.Propagator().Inject(r.Context(), propagation.HeaderCarrier(request.Header))
-	response, err := a.client.Do(request)
-	if err != nil {
-		w.Header().Set(outcome.Header, outcome.Unknown.String())
-		http.Error(w, "the engine gave no answer", http.StatusBadGateway)
-		return
-	}
-	defer response.Body.Close()
-	if response.StatusCode == http.StatusNotFound {
-		a.sendEnd(adapterLost{ref: ref})
-		refuse(w, http.StatusServiceUnavailable, "the engine lost the adapter")
-		return
-	}
-	relay.CopyHeader(w.Header(), response.Header)
-	w.Header().Set(wire.HeaderRan, ref.String())
-	w.WriteHeader(response.StatusCode)
-	if _, err := relay.Stream(w, response.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
--- /dev/null
+++ b/internal/agent/gate_test.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// fakeEngine answers orders and completions after a virtual time.
+type fakeEngine struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	loaded   map[string]bool
+	inUse    map[string]int
+	evicted  int
+	unloaded int
+}
+
+func (e *fakeEngine) RoundTrip(r *http.Request) (*http.Response, error) {
+	data, _ := io.ReadAll(r.Body)
+	var body struct {
+		Name  string `json:"lora_name"`
+		Model string `json:"model"`
+	}
+	_ = json.Unmarshal(data, &body)
+	if err := e.pause(r.Context(), body.Model); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch r.URL.Path {
+	case "/v1/load_lora_adapter":
+		e.loaded[body.Name] = true
+	case "/v1/unload_lora_adapter":
+		e.unloaded++
+		if e.inUse[body.Name] > 0 {
+			e.evicted++
+		}
+		delete(e.loaded, body.Name)
+	case "/v1/completions":
+		if !e.loaded[body.Model] {
+			return answer(http.StatusNotFound, ""), nil
+		}
+		return answer(http.StatusOK, fmt.Sprintf(`{"model":%q}`, body.Model)), nil
+	}
+	return answer(http.StatusOK, `{"incarnation":1,"capacity":4}`), nil
+}
+
+func (e *fakeEngine) pause(ctx context.Context, model string) error {
+	e.mu.Lock()
+	d := time.Duration(e.random.IntN(50)) * time.Millisecond
+	e.inUse[model]++
+	e.mu.Unlock()
+	sleep(ctx, d)
+	e.mu.Lock()
+	e.inUse[model]--
+	e.mu.Unlock()
+	return ctx.Err()
+}
+
+func answer(status int, body string) *http.Response {
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func engineRequest(ctx context.Context, model string) *http.Request {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", strings.NewReader(fmt.Sprintf(`{"model":%q}`, model)))
+	r.Header.Set(wire.HeaderModel, model)
+	return r
+}
+
+// Callers leave at every moment: while queued, in the instant when they are
+// started, while their request runs. A pin that outlives its request would
+// hold a slot for ever, until the engine loads nothing any more.
+func TestPinsNeverOutliveTheirRequests(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			random := rand.New(rand.NewPCG(seed, 1))
+			engine := &fakeEngine{random: rand.New(rand.NewPCG(seed, 2)), loaded: map[string]bool{}, inUse: map[string]int{}}
+			a := New(Options{Server: "s", Slots: 2, Queue: 64, LoadTimeout: time.Second, AnnounceInterval: time.Second}, &http.Client{Transport: engine}, zap.NewNop())
+			go a.runSlots(ctx)
+			go a.permits.run(ctx, a.sendEnd)
+			var requests sync.WaitGroup
+			for range 100 {
+				model := fmt.Sprintf("m%d@1", random.IntN(5))
+				callerCtx, leave := context.WithTimeout(ctx, time.Duration(random.IntN(120))*time.Millisecond)
+				requests.Go(func() {
+					defer leave()
+					a.Handler().ServeHTTP(httptest.NewRecorder(), engineRequest(callerCtx, model))
+				})
+				time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+			}
+			requests.Wait()
+			time.Sleep(time.Second)
+			a.sendEnd(ticked{})
+			synctest.Wait()
+			if load := a.status.Load(); load.Running != 0 || load.Waiting != 0 {
+				t.Errorf("seed %d: %d running and %d waiting are left", seed, load.Running, load.Waiting)
+			}
+			if engine.evicted != 0 || engine.unloaded == 0 {
+				t.Errorf("seed %d: %d of %d evictions hit a serving adapter", seed, engine.evicted, engine.unloaded)
+			}
+			cancel()
+		})
+	}
+}
+
+// The agent is told to stop, and a request arrives that an entry sent before
+// it heard. It must be refused as not run, so that the entry goes elsewhere.
+func TestALeavingAgentRefusesAsNotRun(t *testing.T) {
+	a := New(Options{Server: "s", Slots: 1, Queue: 1}, &http.Client{}, zap.NewNop())
+	a.Leave()
+	recorder := httptest.NewRecorder()
+	a.Handler().ServeHTTP(recorder, engineRequest(t.Context(), "m@1"))
+	if got := recorder.Header().Get(outcome.Header); got != outcome.NotRun.String() {
+		t.Errorf("told %q", got)
+	}
+	if left := a.Wait(t.Context()); left != 0 {
+		t.Errorf("%d requests are in flight", left)
+	}
+}
+
+func TestPeekModelReadsTheEnginesOwnWord(t *testing.T) {
+	cases := []struct{ name, answer, want string }{
+		{"json", `{"id":"1","choices":[{"text":"{\"model\":\"no\"}"}],"model":"a@1"}`, "a@1"},
+		{"event", "data: {\"model\":\"a@1\"}\n\ndata: [DONE]\n\n", "a@1"},
+		{"event after a comment", ": hello\r\nevent: x\r\ndata:{\"model\":\"a@1\"}\r\n\r\n", "a@1"},
+		{"nested only", `{"choices":[{"model":"a@1"}]}`, ""},
+		{"no object", "data: [DONE]\n\n", ""},
+		{"empty", "", ""},
+	}
+	for _, c := range cases {
+		got, whole, err := peekModel(strings.NewReader(c.answer))
+		if got != c.want || (err != nil) != (c.want == "") {
+			t.Errorf("%s: %q, %v", c.name, got, err)
+			continue
+		}
+		if err == nil {
+			if data, _ := io.ReadAll(whole); string(data) != c.answer {
+				t.Errorf("%s: relayed %q", c.name, data)
+			}
+		}
+	}
+}
--- a/internal/agent/wanted.go
+++ b/internal/agent/wanted.go
@@ -35,4 +35,4 @@
 
 // refusesWork reports whether the gate is closed, by a planned stop of this
 // process or by an operator's order.
-func (a *Agent) refusesWork() bool { return a.leaving.Load() || a.closed.Load() }
+func (a *Agent) refusesWork() bool { return a.gate.Closed() || a.closed.Load() }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/internal/agent"
@@ -26,10 +25,10 @@
 		LoadTimeout:      time.Duration(s.LoadTimeout),
 		AnnounceInterval: time.Duration(s.AnnounceInterval),
 		ControlPeers:     d.settings.ControlPeers,
-	}, &http.Client{Transport: relay.NewTransport(time.Second)}, d.log)
+	}, relay.NewClient(time.Second), d.log)
 	d.duties.Go(func() { a.Run(ctx) })
-	return d.serveHTTP("agent.listen", s.Listen, withDebug(a.Handler()), func(ctx context.Context) {
+	return d.serveHTTP(agentListen, s.Listen, withDebug(a.Handler()), func(ctx context.Context) {
 		a.Leave()
-		wait(ctx, a.Wait)
+		d.reportCut(agentListen, a.Wait(ctx))
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,8 +27,14 @@
 // it is not ready, so that the balancer sees it before connections are refused.
 const stopGrace = 500 * time.Millisecond
 
-// entryListen is the setting of the callers' address.
-const entryListen = "entry.listen"
+// Settings that name a listener's address.
+const (
+	entryListen = "entry.listen"
+	agentListen = "agent.listen"
+)
+
+// cutByStop counts requests that a stop cut off at its deadline.
+var cutByStop = telemetry.Counter("stop_requests_cut")
 
 // Daemon is one process with its roles.
 type Daemon struct {
@@ -105,13 +111,21 @@
 	d.drains = append(d.drains, func(ctx context.Context) {
 		drain(ctx)
 		if err := server.Shutdown(ctx); err != nil {
-			d.log.Warn("requests were cut by the drain timeout", zap.String("listener", setting))
 			_ = server.Close()
 		}
 	})
 	return nil
 }
 
+// reportCut tells an operator what a stop could not finish in its time.
+func (d *Daemon) reportCut(listener string, requests int) {
+	if requests == 0 {
+		return
+	}
+	cutByStop.Add(int64(requests))
+	d.log.Warn("the stop cut requests off", zap.String("listener", listener), zap.Int("requests", requests))
+}
+
 func withDebug(handler http.Handler) http.Handler {
 	router := chi.NewRouter()
 	router.Get("/debug/vars", expvar.Handler().ServeHTTP)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/internal/entry"
@@ -20,13 +19,13 @@
 		Peers:  d.settings.ControlPeers,
 		Lease:  time.Duration(s.FreshnessLease),
 	}, d.log)
-	transport := relay.NewTransport(time.Duration(s.DialTimeout))
-	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, &http.Client{Transport: transport}, d.log)
+	client := relay.NewClient(time.Duration(s.DialTimeout))
+	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.follower = follower
 	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
 		e.Drain()
 		pause(ctx, stopGrace)
-		wait(ctx, e.Wait)
+		d.reportCut(entryListen, e.Wait(ctx))
 	})
 }
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// attempt offers the call to one server. Answered means that the caller has
+// its answer; after any other outcome nothing was written to the caller.
+func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) outcome.Outcome {
+	began, ran := time.Now(), time.Duration(0)
+	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
+	ctx, watchdog := relay.Watch(r.Context(), e.options.FirstByteTimeout)
+	defer watchdog.Stop()
+	response, err := e.forward(ctx, r, c, server)
+	if err != nil {
+		return outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)})
+	}
+	defer response.Body.Close()
+	if said := judge(c, server, response); said != outcome.Answered {
+		return said
+	}
+	defer func() { ran = time.Since(began) }()
+	e.relayAnswer(w, c, response, watchdog)
+	return outcome.Answered
+}
+
+func (e *Entry) forward(ctx context.Context, r *http.Request, c call, server placement.Server) (*http.Response, error) {
+	url := "http://" + server.Address + c.path
+	if r.URL.RawQuery != "" {
+		url += "?" + r.URL.RawQuery
+	}
+	request, err := relay.NewRequest(ctx, r.Method, url, bytes.NewReader(c.body), int64(len(c.body)))
+	if err != nil {
+		return nil, err
+	}
+	relay.CopyHeader(request.Header, r.Header)
+	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	request.Close = !c.idempotent
+	return e.client.Do(request)
+}
+
+// judge says whether an answer may go to the caller. An answer of an engine
+// must come from the adapter and version that the request asked for.
+func judge(c call, server placement.Server, response *http.Response) outcome.Outcome {
+	if !gated(server.Announcement) {
+		return outcome.Answered
+	}
+	said, err := outcome.Parse(response.Header.Get(outcome.Header))
+	if err != nil || said != outcome.Answered {
+		return said
+	}
+	succeeded := response.StatusCode < http.StatusBadRequest
+	if c.request.Kind == membership.KindEngine && succeeded && response.Header.Get(wire.HeaderRan) != c.request.Ref.String() {
+		wrongModelCount.Add(1)
+		return outcome.Unknown
+	}
+	return outcome.Answered
+}
+
+// relayAnswer passes an answer on. Once its first byte is out, a failure can
+// only be shown by cutting the caller's connection: a clean end would make a
+// part look like the whole.
+func (e *Entry) relayAnswer(w http.ResponseWriter, c call, response *http.Response, watchdog *relay.Watchdog) {
+	ran := response.Header.Get(wire.HeaderRan)
+	dropInternal(response.Header)
+	response.Header.Del(wire.HeaderRequestID)
+	relay.CopyHeader(w.Header(), response.Header)
+	if c.request.Kind == membership.KindEngine {
+		w.Header().Set(wire.HeaderRan, ran)
+	}
+	w.Header().Set(outcome.Header, outcome.Answered.String())
+	w.WriteHeader(response.StatusCode)
+	_, err := relay.Stream(w, watchdog.Reader(response.Body, e.options.StallTimeout), e.options.WriteTimeout)
+	if err != nil {
+		countCut(err)
+		panic(http.ErrAbortHandler)
+	}
+	relay.CopyTrailer(w, response.Trailer)
+	answeredCount.Add(1)
+}
--- /dev/null
+++ b/internal/entry/caller.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/agent"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// internalHeaders are spoken between entries and agents only.
+var internalHeaders = []string{
+	outcome.Header, wire.HeaderModel, wire.HeaderRan, wire.HeaderFencing,
+	wire.HeaderIncarnation, agent.HeaderSource,
+}
+
+// dropInternal removes the headers that only this system's processes may set.
+// A plain service that echoes a caller's headers could otherwise make the
+// entry believe that a booking was not run, and the entry would run it again.
+func dropInternal(header http.Header) {
+	for _, name := range internalHeaders {
+		header.Del(name)
+	}
+}
+
+func (e *Entry) authenticate(r *http.Request) (contract.Contract, *failure) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return contract.Contract{}, &failure{status: http.StatusUnauthorized, code: codeUnknownKey, message: "a key is required: Authorization: Bearer KEY"}
+	}
+	customer, ok := e.follower.Config().ContractByKey(key)
+	if !ok {
+		return contract.Contract{}, &failure{status: http.StatusUnauthorized, code: codeUnknownKey, message: "the key belongs to no contract"}
+	}
+	r.Header.Del("Authorization")
+	return customer, nil
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(e.options.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBodyBytes))
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, message: "the body is larger than this entry accepts"}
+	}
+	if err != nil {
+		return nil, &failure{status: http.StatusBadRequest, code: codeMalformed, message: "the body could not be read"}
+	}
+	// The body is here: the next hop must not be asked whether it wants it.
+	r.Header.Del("Expect")
+	return body, nil
+}
--- /dev/null
+++ b/internal/entry/complete.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/internal/agent"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+type callerBody struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+func (e *Entry) complete(w http.ResponseWriter, r *http.Request) {
+	customer, problem := e.authenticate(r)
+	if problem != nil {
+		fail(w, *problem)
+		return
+	}
+	body, problem := e.readBody(w, r)
+	if problem != nil {
+		fail(w, *problem)
+		return
+	}
+	adapter, problem := e.resolve(customer, body)
+	if problem != nil {
+		fail(w, *problem)
+		return
+	}
+	r.Header.Set(wire.HeaderModel, adapter.Ref.String())
+	r.Header.Set(agent.HeaderSource, adapter.Source)
+	e.send(w, r, call{
+		request:    placement.Request{Kind: membership.KindEngine, Ref: adapter.Ref, BaseModel: adapter.BaseModel},
+		contract:   customer.ID,
+		path:       r.URL.Path,
+		body:       body,
+		idempotent: true,
+	})
+}
+
+func (e *Entry) resolve(customer contract.Contract, body []byte) (catalogue.Adapter, *failure) {
+	var parsed callerBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return catalogue.Adapter{}, &failure{status: http.StatusBadRequest, code: codeMalformed, message: "the body is not valid JSON"}
+	}
+	ref, err := catalogue.ParseRef(parsed.Model)
+	if err != nil {
+		return catalogue.Adapter{}, &failure{status: http.StatusBadRequest, code: codeMalformed, message: err.Error()}
+	}
+	if !customer.AllowsAdapter(ref.Adapter) {
+		return catalogue.Adapter{}, &failure{status: http.StatusForbidden, code: codeNotInContract, message: "the contract does not cover adapter " + ref.Adapter}
+	}
+	adapter, ok := e.follower.Config().Adapter(ref)
+	if !ok {
+		return catalogue.Adapter{}, &failure{status: http.StatusNotFound, code: codeUnknownModel, message: "there is no adapter " + ref.String()}
+	}
+	return adapter, nil
+}
--- /dev/null
+++ b/internal/entry/cut_test.go
@@ -0,0 +1,172 @@
+package entry_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/entry"
+)
+
+// cutPoint is the step at which a backend server's connection is cut.
+type cutPoint int
+
+const (
+	cutNever cutPoint = iota
+	cutDial
+	cutBeforeFirstByte
+	cutAfterHeaders
+	cutMidBody
+	cutAfterBody
+	cutMidAnswer
+)
+
+// cuttingServer is a plain service whose connections are cut at one step. It
+// runs a call once it has the whole body, as the worst case for its caller.
+type cuttingServer struct {
+	listener net.Listener
+	cut      cutPoint
+	mu       sync.Mutex
+	ran      int
+}
+
+func startCutting(t *testing.T, cut cutPoint) *cuttingServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &cuttingServer{listener: listener, cut: cut}
+	if cut == cutDial {
+		_ = listener.Close()
+		return s
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go s.accept()
+	return s
+}
+
+func (s *cuttingServer) address() string { return s.listener.Addr().String() }
+
+func (s *cuttingServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *cuttingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	if s.cut == cutBeforeFirstByte {
+		return
+	}
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil || s.cut == cutAfterHeaders {
+		return
+	}
+	if s.cut == cutMidBody {
+		_, _ = io.CopyN(io.Discard, request.Body, request.ContentLength/2)
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.ran++
+	s.mu.Unlock()
+	if s.cut == cutAfterBody {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwh")
+	if s.cut != cutMidAnswer {
+		_, _ = io.WriteString(conn, "ole")
+	}
+}
+
+func (s *cuttingServer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran
+}
+
+// The connection to a backend server is cut at some step of a call. A caller
+// that is told "not run" though the call ran books a second truck; one that is
+// given half an answer as if it were whole loses the rest without noticing.
+func TestWhatACallerIsToldAtEachCutHoldsAtTheServer(t *testing.T) {
+	cases := []struct {
+		name string
+		cut  cutPoint
+		path string
+		// want is what the caller is told; the second server is whole.
+		want   outcome.Outcome
+		broken bool
+		second int
+	}{
+		{"dial", cutDial, "/once", outcome.Answered, false, 1},
+		{"before the first byte", cutBeforeFirstByte, "/once", outcome.Unknown, false, 0},
+		{"after the headers", cutAfterHeaders, "/once", outcome.Unknown, false, 0},
+		{"in the body", cutMidBody, "/once", outcome.Unknown, false, 0},
+		{"after the body", cutAfterBody, "/once", outcome.Unknown, false, 0},
+		{"in the answer", cutMidAnswer, "/once", outcome.Unknown, true, 0},
+		{"repeatable, dial", cutDial, "/again", outcome.Answered, false, 1},
+		{"repeatable, before the first byte", cutBeforeFirstByte, "/again", outcome.Answered, false, 1},
+		{"repeatable, in the body", cutMidBody, "/again", outcome.Answered, false, 1},
+		{"repeatable, after the body", cutAfterBody, "/again", outcome.Answered, false, 1},
+		{"repeatable, in the answer", cutMidAnswer, "/again", outcome.Unknown, true, 0},
+	}
+	body := strings.Repeat("x", 1<<20)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := startCutting(t, c.cut), startCutting(t, cutNever)
+			_, server := newEntry(t, entry.Options{}, newSource(service("first", first.address(), 0), service("second", second.address(), 9)))
+			got := call(t, server, http.MethodPost, "/services/desk"+c.path, "key", body)
+			if got.cut != c.broken || !c.broken && got.outcome != c.want {
+				t.Errorf("told %v, cut %v; want %v, cut %v", got.outcome, got.cut, c.want, c.broken)
+			}
+			if got.outcome == outcome.NotRun && first.count()+second.count() > 0 {
+				t.Error("told not run, but it ran")
+			}
+			if second.count() != c.second {
+				t.Errorf("the second server ran %d, want %d", second.count(), c.second)
+			}
+			if c.path == "/once" && first.count()+second.count() > 1 {
+				t.Error("ran twice")
+			}
+		})
+	}
+}
+
+// Every server refuses the connection. The caller may send its deposit again
+// without fear, so it must be told so, and when.
+func TestNoServerReachedIsNotRun(t *testing.T) {
+	first := startCutting(t, cutDial)
+	_, server := newEntry(t, entry.Options{}, newSource(service("first", first.address(), 0)))
+	got := call(t, server, http.MethodPost, "/services/desk/once", "", "x")
+	if got.outcome != outcome.NotRun || got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("told %v with %d, Retry-After %q", got.outcome, got.status, got.header.Get("Retry-After"))
+	}
+}
+
+// A booking desk echoes its caller's headers, and the caller sent the system's
+// own outcome header. Believing it would run the booking on a second server.
+func TestAPlainServiceCannotSayThatACallWasNotRun(t *testing.T) {
+	ran := 0
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran++
+		w.Header().Set(outcome.Header, outcome.NotRun.String())
+	})
+	desk := startHandler(t, handler)
+	_, server := newEntry(t, entry.Options{}, newSource(service("a", desk, 0), service("b", desk, 0)))
+	got := call(t, server, http.MethodPost, "/services/desk/once", "", "x")
+	if ran != 1 || got.outcome != outcome.Answered {
+		t.Errorf("ran %d times, told %v", ran, got.outcome)
+	}
+}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
 // Code is the stable machine-readable code of an error answer.
@@ -27,7 +27,6 @@
 	codeDraining       Code = "entry_draining"
 	codeUnconfirmed    Code = "configuration_unconfirmed"
 	codeUnknownOutcome Code = "unknown_outcome"
-	codeWrongModel     Code = "wrong_model"
 )
 
 // failure is an error answer to a caller.
@@ -51,7 +50,7 @@
 
 func fail(w http.ResponseWriter, f failure) {
 	said := outcome.NotRun
-	if f.code == codeUnknownOutcome || f.code == codeWrongModel {
+	if f.code == codeUnknownOutcome {
 		said = outcome.Unknown
 	}
 	if said == outcome.NotRun {
@@ -75,9 +74,12 @@
 	return "invalid_request_error"
 }
 
-// neverSent reports whether the connection was refused before any byte of the
-// request could leave.
-func neverSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// countCut counts an answer that ended early by the side that failed.
+func countCut(err error) {
+	var caller *relay.CallerError
+	if errors.As(err, &caller) {
+		callerGone.Add(1)
+		return
+	}
+	cutCount.Add(1)
 }
--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,161 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/agent"
+	"github.com/rosemarypass/rosemarypass/internal/entry"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+func startHandler(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// startAgent runs an agent before an engine and returns both its addresses.
+func startAgent(t *testing.T, engineHandler http.Handler) (*agent.Agent, string) {
+	t.Helper()
+	a := agent.New(agent.Options{
+		Server: "floor-1", BaseModel: baseModel, Engine: "http://" + startHandler(t, engineHandler),
+		Slots: 2, Queue: 256, LoadTimeout: 5 * time.Second, AnnounceInterval: 20 * time.Millisecond, ControlPeers: []string{"127.0.0.1:1"},
+	}, relay.NewClient(time.Second), zap.NewNop())
+	go a.Run(t.Context())
+	return a, startHandler(t, a.Handler())
+}
+
+func completion(prompt string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":%v}`, model, prompt, tokens, stream)
+}
+
+// Many answers share the connections between entry and agent and end in
+// another order than they began. A mix-up would hand one customer's draft to
+// another.
+func TestEachCallerGetsItsOwnAnswerWhenAnswersCross(t *testing.T) {
+	e := engine.New(engine.Options{BaseModel: baseModel, Slots: 2, Capacity: 64, TokenTime: time.Millisecond})
+	_, address := startAgent(t, e.Handler())
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", address)))
+	var callers sync.WaitGroup
+	for i := range 48 {
+		callers.Go(func() {
+			tokens := 1 + (i*7)%23
+			got := call(t, server, http.MethodPost, "/v1/completions", "", completion("x", tokens, i%2 == 0))
+			id := got.header.Get(wire.HeaderRequestID)
+			for token := range tokens {
+				if !strings.Contains(got.body, engine.TokenText(model, id, token)) {
+					t.Errorf("caller %d: token %d of its own answer is missing in %q", i, token, got.body)
+				}
+			}
+			if strings.Count(got.body, model+"/") != tokens || got.outcome != outcome.Answered {
+				t.Errorf("caller %d: %v, %q", i, got.outcome, got.body)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// The engine restarts empty after its adapter was loaded and just before the
+// request arrives. An engine that falls back to its base model would answer a
+// quote request in the wrong words, and nobody would see it.
+func TestAnEngineThatLostItsAdapterNeverAnswersByItsBaseModel(t *testing.T) {
+	fallsBack := func(e *engine.Engine) http.Handler {
+		inner := e.Handler()
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/completions") {
+				e.Restart()
+				fmt.Fprintf(w, `{"id":"x","model":%q,"choices":[{"text":"secret"}]}`, baseModel)
+				return
+			}
+			inner.ServeHTTP(w, r)
+		})
+	}
+	refuses := func(e *engine.Engine) http.Handler {
+		inner := e.Handler()
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/completions") {
+				e.Restart()
+			}
+			inner.ServeHTTP(w, r)
+		})
+	}
+	cases := []struct {
+		name string
+		wrap func(*engine.Engine) http.Handler
+		want outcome.Outcome
+	}{{"falls back", fallsBack, outcome.Unknown}, {"refuses", refuses, outcome.NotRun}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := engine.New(engine.Options{BaseModel: baseModel, Slots: 2})
+			_, address := startAgent(t, c.wrap(e))
+			_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", address)))
+			got := call(t, server, http.MethodPost, "/v1/completions", "", completion("x", 2, false))
+			if got.outcome != c.want || got.status < http.StatusInternalServerError || strings.Contains(got.body, "secret") {
+				t.Errorf("told %v with %d: %s", got.outcome, got.status, got.body)
+			}
+			if len(e.Ran()) != 0 {
+				t.Errorf("ran %v", e.Ran())
+			}
+		})
+	}
+}
+
+// The caller hangs up in the middle of a stream. An engine that generates on
+// spends its batch on an answer that nobody reads.
+func TestACallerWhoLeavesCancelsTheEnginesWork(t *testing.T) {
+	e := engine.New(engine.Options{BaseModel: baseModel, Slots: 2, TokenTime: 2 * time.Millisecond})
+	_, address := startAgent(t, e.Handler())
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", address)))
+	request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/completions", strings.NewReader(completion("x", 1<<20, true)))
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := response.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	eventually(t, "the engine's work is cancelled", func() bool { return e.Cancelled() == 1 })
+}
+
+// A stream ends at the engine before its last token. A clean end of the
+// caller's connection would pass a part off as the whole.
+func TestAStreamCutAtTheEngineIsVisibleToTheCaller(t *testing.T) {
+	e := engine.New(engine.Options{BaseModel: baseModel, Slots: 2, TokenTime: 2 * time.Millisecond})
+	_, address := startAgent(t, e.Handler())
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", address)))
+	done := make(chan told, 1)
+	go func() {
+		done <- call(t, server, http.MethodPost, "/v1/completions", "", completion("x", 1<<20, true))
+	}()
+	eventually(t, "the stream runs", func() bool { return len(e.Ran()) == 1 })
+	time.Sleep(20 * time.Millisecond)
+	e.Restart()
+	if got := <-done; !got.cut && got.outcome == outcome.Answered {
+		t.Errorf("the caller saw a clean end: %d", got.status)
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 500 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
--- /dev/null
+++ b/internal/entry/send.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/placement"
+)
+
+// call is a request that was admitted and may be offered to servers.
+type call struct {
+	request placement.Request
+	// contract is the ID of the caller's contract.
+	contract   string
+	path       string
+	body       []byte
+	idempotent bool
+}
+
+// send offers the call to servers until one answers, one may have run a call
+// that must not run twice, or no further attempt is allowed.
+func (e *Entry) send(w http.ResponseWriter, r *http.Request, c call) {
+	doubt := false
+	for range e.options.MaxAttempts {
+		server, ok := e.placer.pick(c.request)
+		if !ok {
+			break
+		}
+		said := e.attempt(w, r, c, server)
+		if said == outcome.Answered {
+			return
+		}
+		if said == outcome.Unknown {
+			doubt = true
+		}
+		if r.Context().Err() != nil || doubt && !c.idempotent {
+			break
+		}
+		c.request.Exclude = append(c.request.Exclude, server.Server)
+	}
+	fail(w, gaveUp(doubt))
+}
+
+// gaveUp is the answer when no attempt brought one. doubt is true when a
+// server may have run the call.
+func gaveUp(doubt bool) failure {
+	if doubt {
+		return failure{status: http.StatusBadGateway, code: codeUnknownOutcome, message: "no server gave an answer; the call may have run"}
+	}
+	return failure{status: http.StatusServiceUnavailable, code: codeNoServer, message: "no backend server can take the request now", retryAfter: 1}
+}
+
+// gated reports whether a gate of this system stands before the server, whose
+// word on a request's outcome counts. A plain service may set any header.
+func gated(server membership.Announcement) bool { return server.Agent }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,19 +42,12 @@
 	}
 }
 
-// NewTransport returns a transport that never replays a request by itself.
-//
-// net/http silently sends a request again when a kept-alive connection dies and
-// the method is idempotent or an Idempotency-Key is present. The first copy may
-// have run, so a booking would run twice. Bodies without GetBody are not
-// replayed, which Send ensures; requests without a body are sent with one of
-// unknown length for the same reason.
-func NewTransport(dialTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     90 * time.Second,
-		DisableCompression:  true,
-		TLSHandshakeTimeout: dialTimeout,
+// CopyTrailer sends the trailers of an answer whose body was relayed whole.
+func CopyTrailer(w http.ResponseWriter, trailer http.Header) {
+	for name, values := range trailer {
+		for _, value := range values {
+			w.Header().Add(http.TrailerPrefix+name, value)
+		}
 	}
 }
 
@@ -63,7 +56,8 @@
 
 func (onceBody) Close() error { return nil }
 
-// NewRequest builds a request whose body can be sent only once.
+// NewRequest builds a request whose body can be sent only once. An empty body
+// is wrapped too, because net/http replays a request without a body.
 func NewRequest(ctx context.Context, method, url string, body io.Reader, length int64) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, onceBody{body})
 	if err != nil {
@@ -79,9 +73,11 @@
 }}
 
 // Stream copies an answer's body to the caller and flushes after each read, so
-// that a token is not held back until a buffer fills. It returns the bytes
-// written; the error tells which side failed by its type.
-func Stream(w http.ResponseWriter, body io.Reader) (int64, error) {
+// that a token is not held back until a buffer fills. Reading waits for
+// writing, so a slow caller holds back the next hop. writeTimeout bounds one
+// write; 0 sets no bound. Stream returns the bytes written; the error tells
+// which side failed by its type.
+func Stream(w http.ResponseWriter, body io.Reader, writeTimeout time.Duration) (int64, error) {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	controller := http.NewResponseController(w)
@@ -89,13 +85,10 @@
 	for {
 		n, readErr := body.Read(*buffer)
 		if n > 0 {
-			m, err := w.Write((*buffer)[:n])
+			m, err := writeFlush(w, controller, (*buffer)[:n], writeTimeout)
 			written += int64(m)
 			if err != nil {
-				return written, &CallerError{errors.Wrap(err, "write to caller")}
-			}
-			if err := controller.Flush(); err != nil {
-				return written, &CallerError{errors.Wrap(err, "flush to caller")}
+				return written, &CallerError{err}
 			}
 		}
 		if readErr == io.EOF {
@@ -107,6 +100,18 @@
 	}
 }
 
+func writeFlush(w io.Writer, controller *http.ResponseController, data []byte, timeout time.Duration) (int, error) {
+	if timeout > 0 {
+		// Recorders in tests have no deadline to set; a connection does.
+		_ = controller.SetWriteDeadline(time.Now().Add(timeout))
+	}
+	n, err := w.Write(data)
+	if err != nil {
+		return n, errors.Wrap(err, "write to caller")
+	}
+	return n, errors.Wrap(controller.Flush(), "flush to caller")
+}
+
 // CallerError marks a failure on the caller's side of a relay.
 type CallerError struct{ error }
 
