Set the weight of batches against stalls per deployment; read loads without numbers

Cause: the weight of batch efficiency against load stalls was no setting; and placement told a new load report by its announcement's sequence, which a directory that sends only changes need not repeat. Ruled out: a number inside each load report; it would make every report of an idle server news to every entry.

--- a/coord/placement/ledger.go
+++ b/coord/placement/ledger.go
@@ -17,7 +17,7 @@
 	inFlight    int
 	incarnation uint64
 	sequence    uint64
-	seen        time.Time
+	load        membership.Load
 	records     []record
 	sum         int
 }
@@ -49,12 +49,17 @@
 	l.sum += r.delta
 }
 
+// maxReportAge is how old the load report of an announced server may be. A
+// directory that sends only what changed does not repeat a report which is the
+// same as the last, so what is older counts as reported.
+const maxReportAge = 5 * time.Second
+
 // reported drops what a new report includes: all that happened before upTo.
 func (l *ledger) reported(a *membership.Announcement, upTo time.Time) {
-	if a.Incarnation == l.incarnation && a.Sequence == l.sequence {
-		return
+	if !l.isNew(a) {
+		upTo = upTo.Add(-maxReportAge)
 	}
-	l.incarnation, l.sequence, l.seen = a.Incarnation, a.Sequence, upTo
+	l.incarnation, l.sequence, l.load = a.Incarnation, a.Sequence, a.Load
 	l.records = slices.DeleteFunc(l.records, func(r record) bool { return r.at.Before(upTo) })
 	l.sum = 0
 	for _, r := range l.records {
@@ -62,6 +67,16 @@
 	}
 }
 
+func (l *ledger) isNew(a *membership.Announcement) bool {
+	return a.Incarnation != l.incarnation || a.Sequence != l.sequence || !sameLoad(&a.Load, &l.load)
+}
+
+func sameLoad(a, b *membership.Load) bool {
+	return a.Running == b.Running && a.Waiting == b.Waiting && a.Obtainable == b.Obtainable &&
+		a.VictimUse == b.VictimUse && a.LoadMillis == b.LoadMillis &&
+		slices.Equal(a.Resident, b.Resident) && slices.Equal(a.Loading, b.Loading)
+}
+
 // delta is the change of the requests in flight since the report.
 func (l *ledger) delta() int { return l.sum }
 
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -148,10 +148,16 @@
 	if c.InFlight != 2 || !c.Arriving {
 		t.Errorf("in flight %v, arriving %t; want the reported one and the later one", c.InFlight, c.Arriving)
 	}
-	s.Observe([]membership.Announcement{next}, start.Add(9*time.Second))
+	s.Observe([]membership.Announcement{next}, start.Add(7*time.Second))
 	if c := s.candidate(&s.view.servers[0], adapter(1), 0); c.InFlight != 2 {
 		t.Errorf("the same report came again: in flight %v, want 2", c.InFlight)
 	}
+	changed := next
+	changed.Load.Running = 2
+	s.Observe([]membership.Announcement{changed}, start.Add(8*time.Second))
+	if c := s.candidate(&s.view.servers[0], adapter(1), 0); c.InFlight != 2 || c.Arriving {
+		t.Errorf("a report without a new number changed: in flight %v, want the 2 reported", c.InFlight)
+	}
 }
 
 // A server back from a restart has no load and no adapters. It must get work
--- a/coord/slots/report.go
+++ b/coord/slots/report.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
@@ -14,7 +15,8 @@
 	// Obtainable counts the slots that another adapter could get now.
 	Obtainable int
 	// VictimUse is the decayed use of the adapter that the next load would
-	// evict; 0 when a slot is free.
+	// evict, rounded to a power of two so that its decay is not news all the
+	// time; 0 when a slot is free.
 	VictimUse float64
 	// Running and Waiting count requests.
 	Running int
@@ -34,8 +36,18 @@
 	}
 	if len(t.slots) == t.options.Slots {
 		if victim, ok := t.victim(now); ok {
-			r.VictimUse = t.usage.use(victim, now)
+			r.VictimUse = roundToPower(t.usage.use(victim, now))
 		}
 	}
 	return r
 }
+
+// leastUse is the use below which an adapter counts as unused.
+const leastUse = 0.25
+
+func roundToPower(use float64) float64 {
+	if use < leastUse {
+		return 0
+	}
+	return math.Exp2(math.Round(math.Log2(use)))
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemarypass/rosemarypass/coord/placement"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
@@ -21,6 +24,11 @@
 	}, d.log)
 	client := relay.NewClient(time.Duration(s.DialTimeout))
 	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, client, d.log)
+	transport := relay.NewTransport(time.Duration(s.DialTimeout))
+	e := entry.New(entry.Options{
+		MaxBodyBytes: s.MaxBodyBytes,
+		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
+	}, follower, &http.Client{Transport: transport}, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.follower = follower
 	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,12 @@
 	// PlaintextPeers allows that traffic without TLS.
 	PlaintextPeers bool `json:"plaintextPeers,omitempty"`
 
+	// Packing weighs batch efficiency against load stalls, from 0 to 1; one
+	// value for the whole deployment. At 0 work is spread over all backend
+	// servers, so that most adapters stay loaded; at 1 it is packed on as few
+	// as can carry it, so that their batches are full.
+	Packing float64 `json:"packing,omitempty"`
+
 	Entry     *Entry    `json:"entry,omitempty"`
 	Agent     *Agent    `json:"agent,omitempty"`
 	Control   *Control  `json:"control,omitempty"`
@@ -104,6 +110,9 @@
 		p.add("", "one of entry, agent, control is required")
 	}
 	s.checkPeers(p)
+	if s.Packing < 0 || s.Packing > 1 {
+		p.add("packing", "is out of range: from 0 (least load stalls) to 1 (fullest batches)")
+	}
 	if s.Entry != nil {
 		s.Entry.check(p)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{"missing value", `"instance": "entry-1",`, ``, "f:1: instance: a name is required"},
 		{"missing in a role", `"listen": "127.0.0.1:8080",`, ``, "f:7: entry.listen: an address is required"},
 		{"host name", `127.0.0.1:8080`, `localhost:8080`, "must name its host by IP number"},
+		{"packing", `"plaintextPeers": true,`, `"plaintextPeers": true, "packing": 1.5,`, "f:6: packing: is out of range: from 0"},
 		{"no port", `127.0.0.1:8080`, `127.0.0.1`, `f:8: entry.listen: "127.0.0.1" is not an address`},
 		{"written twice", `"dialTimeout": "250ms",`, `"listen": "127.0.0.1:1",`, "f:9: entry.listen: is written twice"},
 		{"no TLS decision", `"plaintextPeers": true,`, ``, "f:1: peerTLS: certificates are required"},
