Let agents survive hung loads and restarts of their engines

Cause: (1) a load that hung past its timeout could happen after its unload; the adapter then took a slot unseen and the engine refused every later load. (2) Between an engine's restart and the agent's notice of it, requests could load adapters again; the notice then emptied the table, and later loads found the engine full. Change: a load refused for want of a slot makes the agent compare its table with the engine's list; on a new incarnation it adopts that list, pinned until the engine has said for certain that it serves nothing on it. Ruled out: reading the engine's list on every report; reports lag, and an adapter just unloaded would come back to the table.

--- a/internal/agent/slotduty.go
+++ b/internal/agent/slotduty.go
@@ -51,8 +51,10 @@
 	released    struct{ id slots.RequestID }
 	adapterLost struct{ ref catalogue.Ref }
 	engineSeen  struct{ report engineReport }
-	permitted   struct{ order slots.OrderID }
-	loadDone    struct {
+	// engineFull is the report after an engine refused a load for want of a slot.
+	engineFull struct{ report engineReport }
+	permitted  struct{ order slots.OrderID }
+	loadDone   struct {
 		action slots.Load
 		err    error
 	}
@@ -206,6 +208,18 @@
 		a.log.Warn("adapter load failed", zap.Stringer("adapter", action.Ref), zap.Error(err))
 	}
 	a.sendEnd(loadDone{action: action, err: err})
+	if refusedBy(err) == http.StatusConflict {
+		a.reconcile(ctx)
+	}
+}
+
+// reconcile finds the adapters that the engine holds and the table does not
+// know: an order that hung may have been carried out after it was undone. The
+// engine would refuse every load for want of a slot.
+func (a *Agent) reconcile(ctx context.Context) {
+	if report, err := a.orders.report(ctx); err == nil {
+		a.sendEnd(engineFull{report: report})
+	}
 }
 
 func (a *Agent) unload(ctx context.Context, action slots.Unload) {
@@ -276,7 +290,11 @@
 		d.incarnation = e.report.Incarnation
 		engineRestartCount.Add(1)
 		d.agent.log.Info("engine restarted", zap.Uint64("incarnation", e.report.Incarnation))
-		return d.table.EngineRestarted()
+		actions := d.table.EngineRestarted()
+		// Until the restart was noticed, requests may have loaded adapters
+		// again and run on them; the engine's list says which.
+		d.adopt(e.report, now)
+		return actions
 	case now.Sub(d.adopted) < settleTime:
 		return nil
 	default:
@@ -298,6 +316,13 @@
 	}
 }
 
+func (e engineFull) apply(d *slotDuty, now time.Time) []slots.Action {
+	if e.report.Incarnation == d.incarnation {
+		d.adopt(e.report, now)
+	}
+	return nil
+}
+
 // inUse reads which adapters serve requests. An engine that does not tell by
 // adapter is taken at its total: beyond this agent's own requests, any adopted
 // adapter may be in use.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,12 +23,10 @@
 		Lease:  time.Duration(s.FreshnessLease),
 	}, d.log)
 	client := relay.NewClient(time.Duration(s.DialTimeout))
-	e := entry.New(entry.Options{MaxBodyBytes: s.MaxBodyBytes}, follower, client, d.log)
-	transport := relay.NewTransport(time.Duration(s.DialTimeout))
 	e := entry.New(entry.Options{
 		MaxBodyBytes: s.MaxBodyBytes,
 		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
-	}, follower, &http.Client{Transport: transport}, d.log)
+	}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.follower = follower
 	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -34,6 +34,8 @@
 	LoadTime time.Duration
 	// EnforceFencing refuses orders with a number below the highest seen.
 	EnforceFencing bool
+	// SlowLoads gives some names a load time of their own.
+	SlowLoads map[string]time.Duration
 	// FailLoads makes loads of these names fail.
 	FailLoads []string
 	// ReportLag delays the load report.
@@ -133,6 +135,13 @@
 	return slices.Clone(e.ran)
 }
 
+// Loaded returns the adapters that the engine holds.
+func (e *Engine) Loaded() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.loaded)
+}
+
 // Cancelled counts requests whose caller left before the end.
 func (e *Engine) Cancelled() int {
 	e.mu.Lock()
@@ -161,7 +170,7 @@
 	dead := e.dead
 	e.mu.Unlock()
 	select {
-	case <-time.After(e.options.LoadTime):
+	case <-time.After(e.loadTime(o.Name)):
 	case <-dead:
 		panic(http.ErrAbortHandler)
 	}
@@ -183,6 +192,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+func (e *Engine) loadTime(name string) time.Duration {
+	if slow, ok := e.options.SlowLoads[name]; ok {
+		return slow
+	}
+	return e.options.LoadTime
+}
+
 func (e *Engine) unload(w http.ResponseWriter, r *http.Request) {
 	o, ok := e.readOrder(w, r)
 	if !ok {
