Wire the replicated log to control, settings and rosemaryctl members

Cause: control applied changes in memory on one instance. Change: a control instance with a data folder proposes through the replica; members list, add, promote, remove and transfer on any instance; a planned stop hands the leadership over first. The settings name the own peer address among controlPeers and which instance may found the log. Ruled out: a list of names beside controlPeers, as the instances tell their names themselves. Conclusion: next a trial with three processes.

--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -29,6 +29,7 @@
 	Model      *modelCommand      `arg:"subcommand:model" help:"base models"`
 	Service    *serviceCommand    `arg:"subcommand:service" help:"plain services"`
 	Server     *serverCommand     `arg:"subcommand:server" help:"backend servers"`
+	Members    *membersCommand    `arg:"subcommand:members" help:"members of the replicated log"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"control instances, daemons and servers"`
 	Watch      *watchCommand      `arg:"subcommand:watch" help:"status, again and again"`
 	Config     *configCommand     `arg:"subcommand:config" help:"the whole configuration in a file"`
--- a/coord/replog/status.go
+++ b/coord/replog/status.go
@@ -45,6 +45,12 @@
 // Leader is the leader that the node follows, empty when it knows none.
 func (n *Node) Leader() ID { return n.leader }
 
+// Term is the node's current term.
+func (n *Node) Term() uint64 { return n.term }
+
+// LastIndex is the index of the last entry, committed or not.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
 // Status returns the node's present state.
 func (n *Node) Status() Status {
 	s := Status{
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -74,6 +74,7 @@
 	log     *zap.Logger
 	durable Log
 	builder pageBuilder
+	members Membership
 
 	mu        sync.Mutex
 	machine   *state.Machine
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -40,6 +40,7 @@
 			c.routeReadings(readings)
 		})
 		c.routeChanges(admin)
+		c.routeMembers(admin)
 		admin.Get("/status", c.getStatus)
 		admin.Get("/in-force/{index}", c.getInForce)
 	})
--- /dev/null
+++ b/internal/control/replicated.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/internal/replica"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// Membership is the replicated log's membership as operators see and change it.
+type Membership interface {
+	// Members returns the leader's view, or this instance's own without one.
+	Members(ctx context.Context) wire.MemberList
+	// ChangeMembers returns once a change is committed, or has begun in the
+	// case of a transfer.
+	ChangeMembers(ctx context.Context, change wire.MemberChange) error
+}
+
+// UseReplica makes the commands durable in the replicated log, before Run.
+func (c *Control) UseReplica(r *replica.Replica) {
+	c.UseLog(replicatedLog{r})
+	c.members = r
+}
+
+// replicatedLog is a replica as a Log.
+type replicatedLog struct{ replica *replica.Replica }
+
+// Propose implements Log.
+func (l replicatedLog) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	_, answer, err := l.replica.Propose(ctx, data)
+	return answer, err
+}
+
+// Barrier implements Log.
+func (l replicatedLog) Barrier(ctx context.Context) error {
+	_, err := l.replica.ReadIndex(ctx)
+	return err
+}
+
+// Standing implements Log.
+func (l replicatedLog) Standing() freshness.Standing {
+	applied := l.replica.Applied()
+	end, status := l.replica.End(), l.replica.Status()
+	return freshness.Standing{
+		Term:      end.Term,
+		LastIndex: end.Last,
+		Applied:   applied,
+		Leader:    string(status.Leader),
+		Voters:    len(status.Config.Voters),
+	}
+}
+
+func (c *Control) routeMembers(router chi.Router) {
+	router.Get("/members", c.listMembers)
+	router.Post("/members", c.changeMembers)
+}
+
+func (c *Control) listMembers(w http.ResponseWriter, r *http.Request) {
+	if c.members == nil {
+		writeError(w, http.StatusNotFound, errNoMembers)
+		return
+	}
+	writeJSON(w, http.StatusOK, c.members.Members(r.Context()))
+}
+
+// errNoMembers is what an instance without a data folder answers.
+const errNoMembers = "this control instance keeps its state in memory alone and has no members"
+
+func (c *Control) changeMembers(w http.ResponseWriter, r *http.Request) {
+	var change wire.MemberChange
+	if !readBody(w, r, &change) {
+		return
+	}
+	if c.members == nil {
+		writeError(w, http.StatusNotFound, errNoMembers)
+		return
+	}
+	err := c.members.ChangeMembers(r.Context(), change)
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, wire.MemberChangeReply{Code: wire.ReplicaOK})
+	case errors.Is(err, replica.ErrRefused):
+		writeError(w, http.StatusUnprocessableEntity, err.Error())
+	default:
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/broker"
 	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -28,8 +30,13 @@
 	if err != nil {
 		return errors.Wrap(err, "control.peerListen")
 	}
-	loads := control.NewLoadBroker(broker.Options{})
 	handlers := c.Handlers()
+	handOver, err := d.startLog(ctx, c, handlers)
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	loads := control.NewLoadBroker(broker.Options{})
 	handlers[wire.MethodLoads] = rpc.Typed(loads.Sync)
 	server := rpc.NewServer(handlers)
 	d.duties.Go(func() { loads.Run(ctx) })
@@ -40,5 +47,35 @@
 		server.Close()
 	})
 	d.control = c
-	return d.serveHTTP("control.operatorListen", s.OperatorListen, withDebug(c.OperatorHandler()), func(context.Context) {})
+	return d.serveHTTP("control.operatorListen", s.OperatorListen, withDebug(c.OperatorHandler()), handOver)
+}
+
+// startLog replicates the state when the settings name a data folder. It adds
+// the log's methods to the handlers and returns what a planned stop does first.
+func (d *Daemon) startLog(ctx context.Context, c *control.Control, handlers map[string]rpc.Handler) (func(context.Context), error) {
+	s := d.settings.Control
+	if s.DataFolder == "" {
+		return func(context.Context) {}, nil
+	}
+	r, err := replica.Open(replica.Options{
+		Instance:  d.settings.Instance,
+		Address:   s.PeerAddress,
+		Peers:     d.settings.ControlPeers,
+		Bootstrap: s.Bootstrap,
+		Folder:    s.DataFolder,
+	}, c, d.log)
+	if err != nil {
+		return nil, errors.Wrap(err, "control.dataFolder")
+	}
+	c.UseReplica(r)
+	maps.Copy(handlers, r.Handlers())
+	d.duties.Go(func() { r.Run(ctx) })
+	return func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+		defer cancel()
+		r.Stop(ctx)
+	}, nil
 }
+
+// handOverTimeout bounds the transfer of the leadership on a planned stop.
+const handOverTimeout = 3 * time.Second
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -147,6 +147,9 @@
 // process hands out the node's work.
 func (c *core) process() {
 	for ready, ok := c.node.Ready(); ok; ready, ok = c.node.Ready() {
+		if ready.NeedsSync() {
+			c.publishEnd()
+		}
 		config := c.node.Config()
 		c.peers.send(config, ready.Messages)
 		if ready.NeedsSync() || len(ready.AfterSync) > 0 {
--- a/internal/replica/enter.go
+++ b/internal/replica/enter.go
@@ -71,7 +71,7 @@
 func (r *Replica) greet(ctx context.Context, address string) (wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	client := rpc.NewClient(address)
+	client := rpc.NewClient(address, r.options.RPC...)
 	defer client.Close()
 	var reply wire.Hello
 	err := client.Call(ctx, wire.MethodReplicaHello, r.hello(), &reply)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -105,7 +105,7 @@
 		return notCommitted(err)
 	}
 	var reply wire.MemberChangeReply
-	if err := forward(ctx, address, wire.MethodReplicaChange, change, &reply); err != nil {
+	if err := r.forward(ctx, address, wire.MethodReplicaChange, change, &reply); err != nil {
 		return err
 	}
 	return codeError(reply.Code, reply.Message)
@@ -167,7 +167,7 @@
 	status := r.Status()
 	if address, err := r.leaderAddress(status); err == nil && status.Role != replog.Leader {
 		var list wire.MemberList
-		if forward(ctx, address, wire.MethodReplicaMembers, wire.Empty{}, &list) == nil {
+		if r.forward(ctx, address, wire.MethodReplicaMembers, wire.Empty{}, &list) == nil {
 			return list
 		}
 	}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -36,6 +36,7 @@
 // peers sends messages, by two lanes to each address.
 type peers struct {
 	address string
+	options []rpc.ClientOption
 	cluster atomic.Pointer[string]
 	stop    context.CancelFunc
 	ctx     context.Context
@@ -51,10 +52,10 @@
 	bulk    bool
 }
 
-func newPeers(address string) *peers {
+func newPeers(address string, options []rpc.ClientOption) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &peers{
-		address: address, ctx: ctx, stop: cancel,
+		address: address, options: options, ctx: ctx, stop: cancel,
 		addresses: make(map[replog.ID]string), lanes: make(map[laneKey]chan replog.Message),
 	}
 	p.cluster.Store(new(string))
@@ -116,7 +117,7 @@
 }
 
 func (p *peers) runLane(address string, lane <-chan replog.Message) {
-	client := rpc.NewClient(address)
+	client := rpc.NewClient(address, p.options...)
 	defer client.Close()
 	for {
 		select {
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -109,7 +109,7 @@
 		return 0, nil, notCommitted(err)
 	}
 	var reply wire.ProposeReply
-	if err := forward(ctx, address, wire.MethodReplicaPropose, wire.Propose{Data: data}, &reply); err != nil {
+	if err := r.forward(ctx, address, wire.MethodReplicaPropose, wire.Propose{Data: data}, &reply); err != nil {
 		return 0, nil, err
 	}
 	return reply.Index, reply.Result, codeError(reply.Code, reply.Message)
@@ -155,8 +155,8 @@
 
 // forward calls the leader. A connection that could not be made has carried
 // nothing; after any other failure the leader may have taken the call.
-func forward(ctx context.Context, address, method string, in, out any) error {
-	client := rpc.NewClient(address)
+func (r *Replica) forward(ctx context.Context, address, method string, in, out any) error {
+	client := rpc.NewClient(address, r.options.RPC...)
 	defer client.Close()
 	err := client.Call(ctx, method, in, out)
 	var dial *net.OpError
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -54,7 +54,7 @@
 		return 0, err
 	}
 	var reply wire.ReadReply
-	if err := forward(ctx, address, wire.MethodReplicaRead, wire.Empty{}, &reply); err != nil {
+	if err := r.forward(ctx, address, wire.MethodReplicaRead, wire.Empty{}, &reply); err != nil {
 		return 0, err
 	}
 	return reply.Index, codeError(reply.Code, reply.Message)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wal"
 )
 
@@ -52,6 +53,8 @@
 	SnapshotEntries uint64
 	// MaxGroup bounds how many batches share a sync.
 	MaxGroup int
+	// RPC are options of the connections to other control instances.
+	RPC []rpc.ClientOption
 }
 
 const (
@@ -116,6 +119,14 @@
 	status  atomic.Pointer[replog.Status]
 	failure atomic.Pointer[string]
 	applied *appliedIndex
+	end     atomic.Pointer[End]
+}
+
+// End is where a log ends.
+type End struct {
+	Term uint64
+	// Last is the last entry, committed or not.
+	Last uint64
 }
 
 // Open opens the data folder and restores the state machine. The folder stays
@@ -142,7 +153,7 @@
 		waiting:  newWaitingTable(),
 		applied:  newAppliedIndex(),
 	}
-	r.peers = newPeers(r.self.Address)
+	r.peers = newPeers(r.self.Address, options.RPC)
 	if err := r.restore(folder.Restored()); err != nil {
 		_ = folder.Close()
 		return nil, err
@@ -214,10 +225,20 @@
 	return ""
 }
 
+// End is where this instance's log ends. It is never behind what the instance
+// has acknowledged.
+func (r *Replica) End() End { return *r.end.Load() }
+
+// publishEnd makes the end of the log visible. Only the node's owner calls it.
+func (r *Replica) publishEnd() {
+	r.end.Store(&End{Term: r.node.Term(), Last: r.node.LastIndex()})
+}
+
 // publish makes the node's status visible. Only the node's owner calls it.
 func (r *Replica) publish() {
 	status := r.node.Status()
 	r.status.Store(&status)
+	r.publishEnd()
 }
 
 // Stop hands the leadership over, so that a planned stop does not cost the
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Control configures the control role.
 type Control struct {
@@ -13,8 +16,15 @@
 	// AnnounceKeyHashes are hex SHA-256 digests of the keys by which backend
 	// servers without an agent announce themselves over HTTP.
 	AnnounceKeyHashes []string `json:"announceKeyHashes,omitempty"`
-	// DataFolder holds the durable state.
+	// PeerAddress is where the other control instances reach this one, as
+	// controlPeers lists it; peerListen by default.
+	PeerAddress string `json:"peerAddress,omitempty"`
+	// DataFolder holds the durable state. Without it the state is kept in
+	// memory on this instance alone, for trials.
 	DataFolder string `json:"dataFolder"`
+	// Bootstrap lets this instance found the replicated log, once every other
+	// control instance has answered that it has none.
+	Bootstrap bool `json:"bootstrap,omitempty"`
 	// ServerLease is how long a server stays listed after its last announcement.
 	ServerLease Duration `json:"serverLease"`
 }
@@ -28,6 +38,22 @@
 
 func (c *Control) setDefaults() {
 	setDefault(&c.ServerLease, Duration(defaultServerLease))
+	setDefault(&c.PeerAddress, c.PeerListen)
+}
+
+// checkLog checks what the replicated log needs; peers are the addresses of all
+// control instances.
+func (c *Control) checkLog(p *problems, peers []string) {
+	if c.DataFolder == "" {
+		if c.Bootstrap {
+			p.add("control.bootstrap", "needs control.dataFolder: a log is founded on disk")
+		}
+		return
+	}
+	p.checkAddress("control.peerAddress", c.PeerAddress)
+	if !slices.Contains(peers, c.PeerAddress) {
+		p.add("control.peerAddress", c.PeerAddress+" is not in controlPeers: list every control instance there, this one too")
+	}
 }
 
 func (c *Control) check(p *problems) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,7 @@
 	}
 	if s.Control != nil {
 		s.Control.check(p)
+		s.Control.checkLog(p, s.ControlPeers)
 	}
 	s.Telemetry.check(p)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,6 +53,8 @@
 		{"no TLS decision", `"plaintextPeers": true,`, ``, "f:1: peerTLS: certificates are required"},
 		{"clash", `"plaintextPeers": true,`, `"plaintextPeers": true, "peerTLS": {},`, "f:6: plaintextPeers: clashes with peerTLS"},
 		{"trace file", `"plaintextPeers": true,`, `"plaintextPeers": true, "telemetry": {"traces": "file"},`, "f:6: telemetry.traceFile: a path is required"},
+		{"log not among the peers", `"plaintextPeers": true,`, `"plaintextPeers": true, "control": {"peerListen": "127.0.0.1:7202", "dataFolder": "d"},`, "f:6: control.peerAddress: 127.0.0.1:7202 is not in controlPeers"},
+		{"founding without a disk", `"plaintextPeers": true,`, `"plaintextPeers": true, "control": {"bootstrap": true},`, "f:6: control.bootstrap: needs control.dataFolder"},
 		{"operator key in clear", `"plaintextPeers": true,`, `"plaintextPeers": true, "control": {"operatorKeyHashes": ["secret"]},`, "f:6: control.operatorKeyHashes: must hold SHA-256 digests"},
 	}
 	for _, c := range cases {
