Spread daemons over the control instances by rendezvous

Cause: after a probe, every daemon moved to the last confirmed instance of the list, so the loss of one instance would have loaded one other with all its daemons.

Change: each daemon orders the instances by rendezvous hashing, for its first choice and for the one that it moves to. The announcement benchmark measures a connection too.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -192,21 +193,38 @@
 	}
 }
 
-// BenchmarkAnnounce measures one announcement at a control instance.
+// BenchmarkAnnounce measures one announcement, at the control instance alone
+// and over a connection with the processor time of both ends.
 func BenchmarkAnnounce(b *testing.B) {
-	c := newCluster(b, 1, control.Options{ServerLease: time.Minute})
-	handler := c.members[0].control.Handlers()[wire.MethodAnnounce]
+	var bytes atomic.Int64
+	c := newCluster(b, 1, control.Options{ServerLease: time.Minute}, &bytes)
 	announceAll(b, c.members[0].control, 600, 0)
-	size, round := 0, 0
-	for b.Loop() {
-		round++
-		data := mustJSON(b, wire.Announce{Announcement: engine(7, round)})
-		size = len(data)
-		if _, err := handler(context.Background(), data); err != nil {
-			b.Fatal(err)
+	round := 0
+	b.Run("handler", func(b *testing.B) {
+		handler := c.members[0].control.Handlers()[wire.MethodAnnounce]
+		for b.Loop() {
+			round++
+			if _, err := handler(context.Background(), mustJSON(b, wire.Announce{Announcement: engine(7, round)})); err != nil {
+				b.Fatal(err)
+			}
 		}
-	}
-	b.ReportMetric(float64(size), "B/announcement")
+	})
+	b.Run("connection", func(b *testing.B) {
+		client := rpc.NewClient(c.peers[0])
+		defer client.Close()
+		bytes.Store(0)
+		cpu, calls := cpuTime(), 0
+		for b.Loop() {
+			round++
+			calls++
+			var reply wire.AnnounceReply
+			if err := client.Call(context.Background(), wire.MethodAnnounce, wire.Announce{Announcement: engine(7, round)}, &reply); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(bytes.Load())/float64(calls), "B/announcement")
+		b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(calls), "cpu-µs/announcement")
+	})
 }
 
 // seededControl returns a control instance with many adapters.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -4,7 +4,9 @@
 package follow
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +90,7 @@
 	if options.Lease == 0 {
 		options.Lease = freshness.DefaultLease
 	}
+	options.Peers = spread(options.Daemon, options.Peers)
 	f := &Follower{
 		options: options,
 		log:     log,
@@ -123,11 +126,16 @@
 	duties.Wait()
 }
 
-// runPolls follows one peer after the other. Daemons begin with different
-// ones, so that they spread over the control instances.
+// spread orders the peers differently for each daemon (rendezvous hashing).
+// Daemons that all moved to the same instance after a loss would overload it.
+func spread(daemon string, peers []string) []string {
+	weight := func(peer string) uint64 { return xxhash.Sum64String(daemon + "\x00" + peer) }
+	return slices.SortedFunc(slices.Values(peers), func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
+}
+
+// runPolls follows one peer after the other.
 func (f *Follower) runPolls(ctx context.Context) {
-	first := int(xxhash.Sum64String(f.options.Daemon) % uint64(len(f.options.Peers)))
-	for next := first; ctx.Err() == nil; next++ {
+	for next := 0; ctx.Err() == nil; next++ {
 		peer := f.confirmedPeer()
 		if peer == "" {
 			peer = f.options.Peers[next%len(f.options.Peers)]
--- a/internal/follow/probe.go
+++ b/internal/follow/probe.go
@@ -117,7 +117,7 @@
 		case errors.Is(result.err, syscall.ECONNREFUSED):
 			round.Refused++
 		}
-		if result.err == nil && result.standing.Confirmed {
+		if confirmed == "" && result.err == nil && result.standing.Confirmed {
 			confirmed = result.peer
 		}
 	}
