Run a call with an Idempotency-Key at most once through any entry

Cause: a caller that resends a deposit through the balancer reaches another entry, which knows nothing of the first attempt and runs it again. Change: coord/claim decides in the replicated log whether an attempt may start; an entry sends a keyed call only after its claim is granted, keeps the answer (up to 16 KiB) for replay, and goes on when the caller leaves. A second attempt is granted only after the first said that it did not run. Expired keys leave a tombstone, or carry their own time (version 7 UUID). GET /claims/{key} tells a caller what became of its call. Ruled out: a separate "claimed" state with a lease for the start, which costs a second commit before each call and, without an agent, trusts clocks; takeover of a started claim after any time, because the first attempt may still run it. Conclusion: an entry that dies between grant and answer leaves its call in doubt until the key expires; nothing else is lost.

--- /dev/null
+++ b/coord/claim/claim_test.go
@@ -0,0 +1,176 @@
+package claim_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/rosemarypass/rosemarypass/coord/claim"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// timedKey is a version 7 UUID of that moment.
+func timedKey(at time.Time, n byte) string {
+	var id uuid.UUID
+	var millis [8]byte
+	binary.BigEndian.PutUint64(millis[:], uint64(at.UnixMilli()))
+	copy(id[:6], millis[2:])
+	id[6], id[8], id[15] = 0x70, 0x80, n
+	return id.String()
+}
+
+// naive remembers every claim for ever and knows no bounds.
+type naive map[string]*naiveClaim
+
+type naiveClaim struct {
+	fingerprint []byte
+	token       string
+	withdrawn   string
+	running     bool
+	finished    bool
+}
+
+func (n naive) begin(key string, b claim.Begin) bool {
+	c := n[key]
+	if c == nil {
+		c = &naiveClaim{}
+		n[key] = c
+	}
+	if c.finished || c.fingerprint != nil && !bytes.Equal(c.fingerprint, b.Fingerprint) || b.Token == c.withdrawn {
+		return false
+	}
+	if c.running {
+		return c.token == b.Token
+	}
+	c.running, c.token, c.fingerprint = true, b.Token, b.Fingerprint
+	return true
+}
+
+func (n naive) finish(key, token string) {
+	if c := n[key]; c != nil && c.running && c.token == token {
+		c.finished = true
+	}
+}
+
+func (n naive) release(key, token string) {
+	c := n[key]
+	if c == nil {
+		n[key] = &naiveClaim{withdrawn: token}
+		return
+	}
+	if c.running && !c.finished && c.token == token {
+		c.running, c.withdrawn = false, token
+	}
+}
+
+// Keys come back hours and days later, after answers were forgotten, through
+// instances that were restored from a snapshot. Whatever a table with bounds
+// forgets, it must never grant what one that remembers everything would refuse.
+func TestATableThatForgetsNeverGrantsMoreThanOneThatRemembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, model, now := claim.NewTable(claim.DefaultOptions), naive{}, start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 10, 1000, 2000}).Draw(t, "minutes")) * time.Minute)
+			if now.Sub(start) > claim.TombstoneAge {
+				return
+			}
+			key := fmt.Sprintf("plain-%d", rapid.IntRange(0, 2).Draw(t, "key"))
+			if rapid.Bool().Draw(t, "timed") {
+				key = timedKey(start.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "hour"))*time.Hour), 1)
+			}
+			id := claim.ID{Contract: "c", Key: key}
+			token := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "token"))
+			switch rapid.IntRange(0, 4).Draw(t, "command") {
+			case 0, 1:
+				b := claim.Begin{Token: token, Fingerprint: []byte{byte(rapid.IntRange(0, 1).Draw(t, "body"))}}
+				got := table.Apply(claim.Command{ID: id, Begin: &b}, now)
+				refusedByAge := got.Verdict == claim.TooOld || got.Verdict == claim.BadKey
+				if refusedByAge {
+					continue
+				}
+				if want := model.begin(key, b); (got.Verdict == claim.Granted) != want {
+					t.Fatalf("%s: %s, the one that remembers grants: %v", key, got.Verdict, want)
+				}
+			case 2:
+				model.finish(key, token)
+				table.Apply(claim.Command{ID: id, Finish: &claim.Finish{Token: token, Answer: claim.Answer{Status: 200, Kept: true, Body: []byte(token)}}}, now)
+			case 3:
+				if got := table.Apply(claim.Command{ID: id, Free: &claim.Done{Token: token}}, now); got.State != claim.Expired && got.Verdict != claim.BadKey && got.Verdict != claim.TooOld {
+					model.release(key, token)
+				}
+			case 4:
+				all := table.All()
+				table = claim.NewTable(claim.DefaultOptions)
+				table.Restore(all)
+				if !reflect.DeepEqual(all, table.All()) {
+					t.Fatal("a restored table holds other claims")
+				}
+			}
+		}
+	})
+}
+
+// A floor terminal was switched off with a release in its queue and sends it
+// days later. The release ran long ago, and its record has been dropped.
+func TestALateResendOfAnExpiredKeyDoesNotRun(t *testing.T) {
+	for _, key := range []string{"plain", timedKey(start, 1)} {
+		table := claim.NewTable(claim.DefaultOptions)
+		id := claim.ID{Contract: "c", Key: key}
+		begin := func(token string, at time.Time) claim.Verdict {
+			return table.Apply(claim.Command{ID: id, Begin: &claim.Begin{Token: token, Fingerprint: []byte{1}}}, at).Verdict
+		}
+		if got := begin("1", start); got != claim.Granted {
+			t.Fatalf("%s: first: %s", key, got)
+		}
+		table.Apply(claim.Command{ID: id, Finish: &claim.Finish{Token: "1", Answer: claim.Answer{Status: 200, Kept: true}}}, start)
+		steps := []struct {
+			at   time.Duration
+			want claim.Verdict
+		}{{claim.Age - time.Millisecond, claim.Replay}, {claim.Age, claim.TooOld}, {claim.TombstoneAge - time.Millisecond, claim.TooOld}}
+		for _, step := range steps {
+			if got := begin("2", start.Add(step.at)); got != step.want {
+				t.Errorf("%s after %s: %s, want %s", key, step.at, got, step.want)
+			}
+		}
+	}
+	table := claim.NewTable(claim.DefaultOptions)
+	late := claim.Command{ID: claim.ID{Contract: "c", Key: timedKey(start, 2)}, Begin: &claim.Begin{Token: "1"}}
+	if got := table.Apply(late, start.Add(400*24*time.Hour)); got.Verdict != claim.TooOld {
+		t.Errorf("a key of last year that nobody remembers: %s", got.Verdict)
+	}
+}
+
+func TestBoundsRefuseInsteadOfForgetting(t *testing.T) {
+	table := claim.NewTable(claim.Options{Claims: 1, AnswerBytes: 10})
+	apply := func(key string, c claim.Command) claim.Reply {
+		c.ID = claim.ID{Contract: "c", Key: key}
+		return table.Apply(c, start)
+	}
+	begin := claim.Command{Begin: &claim.Begin{Token: "1", Fingerprint: []byte{1}}}
+	apply("a", begin)
+	if got := apply("b", begin); got.Verdict != claim.Full {
+		t.Errorf("a second claim: %s", got.Verdict)
+	}
+	apply("a", claim.Command{Finish: &claim.Finish{Token: "1", Answer: claim.Answer{Status: 200, Kept: true, Body: make([]byte, 11)}}})
+	if got := apply("a", begin); got.Verdict != claim.Replay || got.Answer.Kept || got.Answer.Status != 200 {
+		t.Errorf("an answer beyond the bound: %+v", got)
+	}
+}
+
+func BenchmarkBeginAndFinish(b *testing.B) {
+	table := claim.NewTable(claim.DefaultOptions)
+	answer := claim.Answer{Status: 200, Kept: true, Body: make([]byte, 100)}
+	for i := range b.N {
+		id := claim.ID{Contract: "c", Key: fmt.Sprint(i % 400_000)}
+		at := start.Add(time.Duration(i) * time.Second)
+		table.Apply(claim.Command{ID: id, Begin: &claim.Begin{Token: "1", Fingerprint: []byte{1}}}, at)
+		table.Apply(claim.Command{ID: id, Finish: &claim.Finish{Token: "1", Answer: answer}}, at)
+	}
+}
--- a/coord/state/codec.go
+++ b/coord/state/codec.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/claim"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 )
 
@@ -57,6 +58,7 @@
 	Servers     []Server            `json:"servers"`
 	Fencing     []Fencing           `json:"fencing"`
 	Operations  []Operation         `json:"operations"`
+	Claims      []claim.Claim       `json:"claims,omitempty"`
 }
 
 // Encode returns the whole state. Two machines that applied the same log
@@ -73,6 +75,7 @@
 		Servers:     m.Servers(),
 		Fencing:     sortedValues(m.servers.fencing, identity),
 		Operations:  m.operations.inOrder(),
+		Claims:      m.claims.All(),
 	})
 	if err != nil {
 		return nil, err
@@ -118,6 +121,7 @@
 	for _, operation := range s.Operations {
 		m.operations.add(operation)
 	}
+	m.claims.Restore(s.Claims)
 	return m
 }
 
--- a/coord/state/command.go
+++ b/coord/state/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/claim"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 )
 
@@ -22,6 +23,7 @@
 	PutService    *PutService        `json:"putService,omitempty"`
 	PutServer     *PutServer         `json:"putServer,omitempty"`
 	Fence         *Fence             `json:"fence,omitempty"`
+	Claim         *claim.Command     `json:"claim,omitempty"`
 }
 
 // PutContract creates or changes a contract. Expected is the revision that the
@@ -96,6 +98,8 @@
 	Winner *Change `json:"winner,omitempty"`
 	// Fencing is the number that a Fence command issued.
 	Fencing uint64 `json:"fencing,omitempty"`
+	// Claim is the reply to a Claim command.
+	Claim *claim.Reply `json:"claim,omitempty"`
 }
 
 // Change is one object as it stands after the command at Index. Exactly one
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/claim"
 )
 
 // Machine is the state after a prefix of the log. It is not safe for
@@ -25,6 +27,7 @@
 	catalogue  catalogueTable
 	servers    servers
 	operations operations
+	claims     *claim.Table
 }
 
 // NewMachine returns the state before the first command.
@@ -34,6 +37,7 @@
 		catalogue:  newCatalogue(),
 		servers:    newServers(),
 		operations: newOperations(),
+		claims:     claim.NewTable(claim.DefaultOptions),
 	}
 }
 
@@ -91,6 +95,9 @@
 		return m.catalogue.putService(index, *command.PutService)
 	case command.PutServer != nil:
 		return m.servers.put(index, *command.PutServer)
+	case command.Claim != nil:
+		reply := m.claims.Apply(*command.Claim, m.Clock())
+		return Result{Code: CodeOK, Index: index, Claim: &reply}, nil
 	case command.Fence != nil:
 		return m.servers.fence(index, *command.Fence), nil
 	default:
--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,84 @@
+// Package claims carries an entry's commands about calls that must run at most
+// once to the control instances.
+package claims
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/claim"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+var retryCount = telemetry.Counter("claims_commands_resent")
+
+const (
+	// tryTimeout bounds one call of one control instance.
+	tryTimeout = time.Second
+	// retryPause is the time between two calls.
+	retryPause = 50 * time.Millisecond
+)
+
+// Client sends commands to any control instance that answers.
+type Client struct {
+	peers []*rpc.Client
+	// current is the peer that answered last.
+	current atomic.Uint64
+}
+
+// NewClient returns a client of the control instances at these addresses.
+func NewClient(addresses []string) *Client {
+	c := &Client{}
+	for _, address := range addresses {
+		c.peers = append(c.peers, rpc.NewClient(address))
+	}
+	return c
+}
+
+// Apply sends a command until a control instance answers or ctx ends. A lost
+// answer is followed by a resend, which is safe because a command names its
+// attempt. An error leaves open whether the command took effect.
+func (c *Client) Apply(ctx context.Context, command claim.Command) (claim.Reply, error) {
+	for {
+		at := c.current.Load()
+		reply, err := c.try(ctx, c.peers[at%uint64(len(c.peers))], command)
+		if err == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			return claim.Reply{}, errors.Wrap(err, "no control instance answered")
+		}
+		retryCount.Add(1)
+		c.current.CompareAndSwap(at, at+1)
+		pause(ctx, retryPause)
+	}
+}
+
+func (c *Client) try(ctx context.Context, peer *rpc.Client, command claim.Command) (claim.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	var reply wire.ClaimReply
+	err := peer.Call(ctx, wire.MethodClaim, wire.Claim{Command: command}, &reply)
+	return reply.Reply, err
+}
+
+// Close closes the connections.
+func (c *Client) Close() {
+	for _, peer := range c.peers {
+		peer.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/control/claims.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+var (
+	claimCount       = telemetry.Counter("control_claims")
+	claimFailedCount = telemetry.Counter("control_claims_failed")
+)
+
+// claim commits an entry's command about a call that must run at most once. An
+// error says nothing about whether it was committed; the entry sends it again.
+func (c *Control) claim(ctx context.Context, in wire.Claim) (wire.ClaimReply, error) {
+	claimCount.Add(1)
+	result, err := c.Propose(ctx, state.Command{Claim: &in.Command})
+	if err != nil {
+		claimFailedCount.Add(1)
+		return wire.ClaimReply{}, err
+	}
+	if result.Claim == nil {
+		claimFailedCount.Add(1)
+		return wire.ClaimReply{}, errors.Errorf("claim refused: %s", result.Message)
+	}
+	return wire.ClaimReply{Reply: *result.Claim}, nil
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/internal/claims"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
@@ -26,6 +27,7 @@
 	e := entry.New(entry.Options{
 		MaxBodyBytes: s.MaxBodyBytes,
 		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
+		Claims:       claims.NewClient(d.settings.ControlPeers),
 	}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.follower = follower
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,11 @@
 	if said := judge(c, server, response); said != outcome.Answered {
 		return said
 	}
+	if c.once != nil {
+		if err := c.once.record(response); err != nil {
+			return outcome.Unknown
+		}
+	}
 	defer func() { ran = time.Since(began) }()
 	e.relayAnswer(w, c, response, watchdog)
 	return outcome.Answered
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -19,7 +19,7 @@
 const (
 	cutNever cutPoint = iota
 	cutDial
-	cutBeforeFirstByte
+	cutAtFirstByte
 	cutAfterHeaders
 	cutMidBody
 	cutAfterBody
@@ -65,7 +65,8 @@
 
 func (s *cuttingServer) serve(conn net.Conn) {
 	defer conn.Close()
-	if s.cut == cutBeforeFirstByte {
+	if s.cut == cutAtFirstByte {
+		_, _ = conn.Read(make([]byte, 1))
 		return
 	}
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -111,13 +112,13 @@
 		second int
 	}{
 		{"dial", cutDial, "/once", outcome.Answered, false, 1},
-		{"before the first byte", cutBeforeFirstByte, "/once", outcome.Unknown, false, 0},
+		{"at the first byte", cutAtFirstByte, "/once", outcome.Unknown, false, 0},
 		{"after the headers", cutAfterHeaders, "/once", outcome.Unknown, false, 0},
 		{"in the body", cutMidBody, "/once", outcome.Unknown, false, 0},
 		{"after the body", cutAfterBody, "/once", outcome.Unknown, false, 0},
 		{"in the answer", cutMidAnswer, "/once", outcome.Unknown, true, 0},
 		{"repeatable, dial", cutDial, "/again", outcome.Answered, false, 1},
-		{"repeatable, before the first byte", cutBeforeFirstByte, "/again", outcome.Answered, false, 1},
+		{"repeatable, at the first byte", cutAtFirstByte, "/again", outcome.Answered, false, 1},
 		{"repeatable, in the body", cutMidBody, "/again", outcome.Answered, false, 1},
 		{"repeatable, after the body", cutAfterBody, "/again", outcome.Answered, false, 1},
 		{"repeatable, in the answer", cutMidAnswer, "/again", outcome.Unknown, true, 0},
@@ -127,7 +128,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			first, second := startCutting(t, c.cut), startCutting(t, cutNever)
 			_, server := newEntry(t, entry.Options{}, newSource(service("first", first.address(), 0), service("second", second.address(), 9)))
-			got := call(t, server, http.MethodPost, "/services/desk"+c.path, "key", body)
+			got := call(t, server, http.MethodPost, "/services/desk"+c.path, "", body)
 			if got.cut != c.broken || !c.broken && got.outcome != c.want {
 				t.Errorf("told %v, cut %v; want %v, cut %v", got.outcome, got.cut, c.want, c.broken)
 			}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,11 @@
 	FirstByteTimeout time.Duration
 	// StallTimeout bounds the silence within an answer.
 	StallTimeout time.Duration
+	// ClaimTimeout bounds the wait for the decision whether a call that
+	// must run at most once may run.
+	ClaimTimeout time.Duration
+	// Claims decides that. Without it calls with a key are refused.
+	Claims Claims
 }
 
 const (
@@ -61,6 +66,7 @@
 	defaultWriteTimeout     = 30 * time.Second
 	defaultFirstByteTimeout = 2 * time.Minute
 	defaultStallTimeout     = 30 * time.Second
+	defaultClaimTimeout     = 3 * time.Second
 )
 
 func (o *Options) setDefaults() {
@@ -70,6 +76,7 @@
 	setDefault(&o.WriteTimeout, defaultWriteTimeout)
 	setDefault(&o.FirstByteTimeout, defaultFirstByteTimeout)
 	setDefault(&o.StallTimeout, defaultStallTimeout)
+	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -122,6 +129,7 @@
 		callers.Post("/v1/completions", e.complete)
 		callers.Post("/v1/chat/completions", e.complete)
 		callers.HandleFunc("/services/{service}/*", e.callService)
+		callers.Get("/claims/{key}", e.lookUpClaim)
 	})
 	return router
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -27,6 +27,14 @@
 	codeDraining       Code = "entry_draining"
 	codeUnconfirmed    Code = "configuration_unconfirmed"
 	codeUnknownOutcome Code = "unknown_outcome"
+	codeKeyReused      Code = "idempotency_key_reused"
+	codeKeyInvalid     Code = "idempotency_key_invalid"
+	codeInProgress     Code = "idempotency_key_in_progress"
+	codeKeyExpired     Code = "idempotency_key_expired"
+	codeAnswerNotKept  Code = "answer_not_kept"
+	codeNoClaims       Code = "claims_unavailable"
+	codeClaimsFull     Code = "claims_full"
+	codeNoClaim        Code = "unknown_claim"
 )
 
 // failure is an error answer to a caller.
@@ -48,16 +56,33 @@
 	Error errorObject `json:"error"`
 }
 
-func fail(w http.ResponseWriter, f failure) {
-	said := outcome.NotRun
-	if f.code == codeUnknownOutcome {
-		said = outcome.Unknown
+// outcomeOf is what an error code says about the request's fate.
+func outcomeOf(code Code) outcome.Outcome {
+	switch code {
+	case codeUnknownOutcome, codeInProgress, codeKeyExpired, codeNoClaims:
+		return outcome.Unknown
+	case codeAnswerNotKept:
+		return outcome.Answered
+	default:
+		return outcome.NotRun
 	}
-	if said == outcome.NotRun {
+}
+
+func countOutcome(said outcome.Outcome) {
+	switch said {
+	case outcome.NotRun:
 		notRunCount.Add(1)
-	} else {
+	case outcome.Answered:
+		answeredCount.Add(1)
+	default:
 		unknownCount.Add(1)
 	}
+}
+
+// fail answers with an error and returns the outcome that the caller was told.
+func fail(w http.ResponseWriter, f failure) outcome.Outcome {
+	said := outcomeOf(f.code)
+	countOutcome(said)
 	w.Header().Set(outcome.Header, said.String())
 	w.Header().Set("Content-Type", "application/json")
 	if f.retryAfter > 0 {
@@ -65,6 +90,7 @@
 	}
 	w.WriteHeader(f.status)
 	_ = json.NewEncoder(w).Encode(errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code}})
+	return said
 }
 
 func errorType(status int) string {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -16,11 +16,14 @@
 	path       string
 	body       []byte
 	idempotent bool
+	// once is set for a call that must run at most once.
+	once *once
 }
 
 // send offers the call to servers until one answers, one may have run a call
-// that must not run twice, or no further attempt is allowed.
-func (e *Entry) send(w http.ResponseWriter, r *http.Request, c call) {
+// that must not run twice, or no further attempt is allowed. The caller has its
+// answer when send returns.
+func (e *Entry) send(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
 	doubt := false
 	for range e.options.MaxAttempts {
 		server, ok := e.placer.pick(c.request)
@@ -29,7 +32,7 @@
 		}
 		said := e.attempt(w, r, c, server)
 		if said == outcome.Answered {
-			return
+			return said
 		}
 		if said == outcome.Unknown {
 			doubt = true
@@ -39,7 +42,7 @@
 		}
 		c.request.Exclude = append(c.request.Exclude, server.Server)
 	}
-	fail(w, gaveUp(doubt))
+	return fail(w, gaveUp(doubt))
 }
 
 // gaveUp is the answer when no attempt brought one. doubt is true when a
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -36,11 +36,16 @@
 		fail(w, *problem)
 		return
 	}
-	e.send(w, r, call{
+	c := call{
 		request:    placement.Request{Kind: membership.KindService, Pool: name},
 		contract:   customer.ID,
 		path:       path,
 		body:       body,
 		idempotent: route.Idempotent,
-	})
+	}
+	if key := r.Header.Get(wire.HeaderIdempotencyKey); key != "" && !route.Idempotent {
+		e.sendOnce(w, r, c, key)
+		return
+	}
+	e.send(w, r, c)
 }
--- /dev/null
+++ b/internal/wire/claims.go
@@ -0,0 +1,17 @@
+package wire
+
+import "github.com/rosemarypass/rosemarypass/coord/claim"
+
+// MethodClaim takes a Claim message from an entry.
+const MethodClaim = "claims.apply"
+
+// Claim is one command of an entry about a call that must run at most once.
+// Sending it again is safe: it names its attempt.
+type Claim struct {
+	Command claim.Command `json:"command"`
+}
+
+// ClaimReply answers Claim once the command is in the replicated log.
+type ClaimReply struct {
+	Reply claim.Reply `json:"reply"`
+}
