Advise operators how many backend servers could be stopped

Cause: demand shrinks month by month, and nothing told operators how many servers it still needs. None is stoppable while loads take over a second. Control instances offer it at /admin/v1/advice/servers; `rosemaryctl server advice` prints it. Measured: six cases of demand and time give the expected counts and limits (go test ./coord/placement); no run on real demand. Ruled out: advice on present demand alone, which would stop at night what the morning needs.

--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -102,6 +102,7 @@
 		{[]string{"server", "drain", "floor-1"}, exitDone, "accepted"},
 		{[]string{"server", "stop", "floor-1", "--role", "decode"}, exitDone, "accepted"},
 		{[]string{"server", "list"}, exitDone, "stopped"},
+		{[]string{"server", "advice"}, exitDone, "STOPPABLE"},
 		{[]string{"server", "start", "floor-1"}, exitDone, "accepted"},
 		{[]string{"--wait", "--timeout", "5s", "contract", "retire", "cascade"}, exitDone, "in force in every living daemon"},
 		{[]string{"contract", "change", "cascade", "--rate", "3"}, exitInvalid, "retired"},
--- a/cmd/rosemaryctl/server.go
+++ b/cmd/rosemaryctl/server.go
@@ -15,6 +15,8 @@
 	Drain *serverDrain `arg:"subcommand:drain" help:"give a server no new work; what is in flight finishes"`
 	Start *serverStart `arg:"subcommand:start" help:"give a server work again"`
 	Stop  *serverStop  `arg:"subcommand:stop" help:"drain a server that is to be switched off"`
+
+	Advice *serverAdvice `arg:"subcommand:advice" help:"how many servers could be stopped, and why"`
 }
 
 type serverList struct{}
--- /dev/null
+++ b/coord/placement/advice_test.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+)
+
+func TestAdviceKeepsWhatTheHighestDemandOfADayNeeds(t *testing.T) {
+	fleet := func(running, obtainable, loadMillis int) []membership.Announcement {
+		var all []membership.Announcement
+		for i := range 10 {
+			load := membership.Load{Running: running, Capacity: 16, Obtainable: obtainable, LoadMillis: loadMillis}
+			all = append(all, engine(fmt.Sprintf("s%d", i), load))
+		}
+		return all
+	}
+	cases := []struct {
+		name              string
+		peak, now         []membership.Announcement
+		later             time.Duration
+		needed, stoppable int
+		limit             Limit
+	}{
+		{"little demand", fleet(1, 7, 250), fleet(1, 7, 250), time.Minute, 2, 7, LimitSlots},
+		{"a peak hours ago counts", fleet(9, 8, 250), fleet(1, 8, 250), 20 * time.Hour, 8, 1, LimitBatches},
+		{"a peak two days ago does not", fleet(9, 8, 250), fleet(1, 8, 250), 48 * time.Hour, 1, 8, LimitBatches},
+		{"many adapters at once", fleet(4, 3, 250), fleet(1, 8, 250), time.Hour, 9, 0, LimitSlots},
+		{"more demand than servers", fleet(40, 0, 250), fleet(1, 8, 250), time.Hour, 34, 0, LimitBatches},
+		{"a store that fell behind", fleet(1, 8, 250), fleet(1, 8, 4000), time.Hour, 1, 0, LimitLoads},
+	}
+	for _, c := range cases {
+		a := NewAdvisor()
+		a.Observe(c.peak, start)
+		a.Observe(c.now, start.Add(c.later))
+		got := a.Advise(start.Add(c.later))
+		if len(got) != 1 || got[0].Needed != c.needed || len(got[0].Stoppable) != c.stoppable || got[0].Limit != c.limit {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
+func TestAdviceStopsTheServersThatEntriesUseLast(t *testing.T) {
+	var all []membership.Announcement
+	for i := range 6 {
+		all = append(all, engine(fmt.Sprintf("s%d", i), idle()))
+	}
+	a := NewAdvisor()
+	a.Observe(all, start)
+	view := NewView(all, start)
+	for i, name := range a.Advise(start)[0].Stoppable {
+		if want := view.servers[len(all)-1-i].Server; name != want {
+			t.Errorf("place %d: %s, want %s", i, name, want)
+		}
+	}
+}
--- a/coord/placement/packer.go
+++ b/coord/placement/packer.go
@@ -39,15 +39,33 @@
 	pinned, slots      float64
 }
 
-// servers is how many servers could carry the demand at the targets.
+// needed is how many servers could carry the demand at the targets.
 func (d demand) needed() float64 {
-	n := float64(d.servers)
-	byBatch := d.inFlight / max(d.capacity/n, 1) / batchTarget
-	bySlots := d.pinned / max(d.slots/n, 1) / slotTarget
-	return min(max(byBatch, bySlots, 1), n)
+	return min(max(d.byBatches(), d.bySlots(), 1), float64(d.servers))
 }
 
-func (p *packer) observe(view *View, inFlight func(*Server) float64, now time.Time) {
+func (d demand) byBatches() float64 {
+	return d.inFlight / max(d.capacity/float64(d.servers), 1) / batchTarget
+}
+
+func (d demand) bySlots() float64 {
+	return d.pinned / max(d.slots/float64(d.servers), 1) / slotTarget
+}
+
+// demandOf sums a group's load reports.
+func (v *View) demandOf(members []int32) demand {
+	d := demand{servers: len(members)}
+	for _, i := range members {
+		s := &v.servers[i]
+		d.inFlight += float64(s.Load.Running + s.Load.Waiting)
+		d.capacity += float64(max(s.Load.Capacity, defaultCapacity))
+		d.slots += float64(s.Slots)
+		d.pinned += float64(s.Slots - s.Load.Obtainable)
+	}
+	return d
+}
+
+func (p *packer) observe(view *View, now time.Time) {
 	if p.packing == 0 {
 		return
 	}
@@ -60,14 +78,7 @@
 		if g.kind != membership.KindEngine {
 			continue
 		}
-		d := demand{servers: len(members)}
-		for _, i := range members {
-			s := &view.servers[i]
-			d.inFlight += inFlight(s)
-			d.capacity += float64(s.Load.Capacity)
-			d.slots += float64(s.Slots)
-			d.pinned += float64(s.Slots - s.Load.Obtainable)
-		}
+		d := view.demandOf(members)
 		n := float64(len(members))
 		target := n + p.packing*(d.needed()-n)
 		known, ok := p.need[g]
@@ -99,7 +110,5 @@
 	if own > 0 {
 		s.scale = max(1, float64(reported)/float64(own))
 	}
-	s.packer.observe(s.view, func(server *Server) float64 {
-		return float64(server.Load.Running + server.Load.Waiting)
-	}, now)
+	s.packer.observe(s.view, now)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,6 +75,7 @@
 	durable Log
 	builder pageBuilder
 	members Membership
+	advice  *adviceDuty
 
 	mu        sync.Mutex
 	machine   *state.Machine
@@ -105,6 +106,7 @@
 		directoryChanged: make(chan struct{}),
 	}
 	c.durable = &localLog{control: c}
+	c.advice = newAdviceDuty(c.Servers)
 	return c
 }
 
@@ -125,6 +127,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { c.runDirectory(ctx) })
 	duties.Go(func() { c.runConfirmations(ctx) })
+	duties.Go(func() { c.advice.run(ctx) })
 	duties.Wait()
 }
 
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -56,6 +56,7 @@
 	router.Get("/services/{name}", c.getService)
 	router.Get("/servers", c.listServers)
 	router.Get("/servers/{name}", c.getServer)
+	router.Get("/advice/servers", c.advice.get)
 }
 
 func (c *Control) routeChanges(router chi.Router) {
--- /dev/null
+++ b/internal/operator/advice.go
@@ -0,0 +1,14 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/rosemarypass/rosemarypass/coord/placement"
+)
+
+// Advice reads how many backend servers could be stopped, and why.
+func (c *Client) Advice(ctx context.Context) ([]placement.Advice, error) {
+	var advice []placement.Advice
+	err := c.Get(ctx, "/admin/v1/advice/servers", &advice)
+	return advice, err
+}
