Secure traffic between processes; give the platform a listener of its own

Cause: certificates could be loaded but nothing used them: any program that reached a control instance's port could announce a server. Callers could read /debug/vars on the entry's own address, and a plain service without an agent had no way to announce itself but our JSON-RPC.

Change: with peerTLS every JSON-RPC listener and every agent demands a certificate of the deployment's authority, and entries reach agents over https; the relay's transport seals TLS connections as it does plain ones. Operators' listener shows the certificate and goes on asking for keys. Plain services announce themselves by HTTP with keys of their own, and only as plain services. statusListen serves /healthz, /readyz and /debug/vars apart from callers.

Measured: go test -race ./internal/demo: with certificates a completion and a service call pass; a process without one can neither announce a server nor reach the agent, and the engine ran one request only.

Ruled out: one listener for platform and peers, since the platform holds no certificate.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,6 +38,8 @@
 	AnnounceInterval time.Duration
 	// ControlPeers are the control instances to announce to.
 	ControlPeers []string
+	// RPC are the options of connections to the control instances.
+	RPC []rpc.ClientOption
 }
 
 // Agent gates one engine.
@@ -120,7 +122,7 @@
 
 // announceTo announces to one control instance, whatever happens to the others.
 func (a *Agent) announceTo(ctx context.Context, address string) {
-	client := rpc.NewClient(address)
+	client := rpc.NewClient(address, a.options.RPC...)
 	defer client.Close()
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, a.options.AnnounceInterval*2)
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -41,6 +41,9 @@
 	return router
 }
 
+// Ready reports whether entries may send requests here.
+func (a *Agent) Ready() bool { return !a.gate.Closed() && !a.closed.Load() }
+
 // Leave refuses new work from now on.
 func (a *Agent) Leave() { a.gate.Close() }
 
--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -44,6 +44,7 @@
 	agent       string
 	incarnation uint64
 	peers       []string
+	rpc         []rpc.ClientOption
 	changed     chan struct{}
 
 	mu       sync.Mutex
@@ -58,6 +59,7 @@
 		agent:       options.Server,
 		incarnation: incarnation,
 		peers:       brokerOrder(options.ControlPeers),
+		rpc:         options.RPC,
 		changed:     make(chan struct{}, 1),
 		held:        make(map[slots.OrderID]time.Time),
 	}
@@ -153,7 +155,7 @@
 func (p *permitClient) run(ctx context.Context, send func(event)) {
 	brokers := make([]*brokerPeer, 0, len(p.peers))
 	for _, address := range p.peers {
-		brokers = append(brokers, &brokerPeer{client: rpc.NewClient(address)})
+		brokers = append(brokers, &brokerPeer{client: rpc.NewClient(address, p.rpc...)})
 	}
 	var exchanges sync.WaitGroup
 	free := make(chan struct{}, maxExchanges)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,12 +31,17 @@
 	// MaxServers and MaxDaemons bound what strangers can make it remember.
 	MaxServers int
 	MaxDaemons int
+	// AnnounceKeyHashes are hex SHA-256 digests of the keys by which plain
+	// services announce themselves over HTTP.
+	AnnounceKeyHashes []string
 	// OperatorKeyHashes are hex SHA-256 digests of operators' keys.
 	OperatorKeyHashes []string
 	// TailLength is how many changes are kept for daemons that fall behind.
 	TailLength int
 	// MessageBytes bounds the changes in one message to a daemon.
 	MessageBytes int
+	// RPC are the options of connections to the control instances.
+	RPC []rpc.ClientOption
 }
 
 const (
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -33,8 +33,9 @@
 // OperatorHandler serves the operators' HTTP interface.
 func (c *Control) OperatorHandler() http.Handler {
 	router := chi.NewRouter()
-	router.Use(c.authenticateOperator)
+	router.Post(AnnouncePath, c.announceOverHTTP)
 	router.Route("/admin/v1", func(admin chi.Router) {
+		admin.Use(c.authenticateOperator)
 		admin.Group(func(readings chi.Router) {
 			readings.Use(c.confirmReading)
 			c.routeReadings(readings)
@@ -71,8 +72,7 @@
 
 func (c *Control) authenticateOperator(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if !c.knowsOperator(key) {
+		if !knowsKey(c.options.OperatorKeyHashes, bearer(r)) {
 			operatorRefusedCount.Add(1)
 			writeError(w, http.StatusUnauthorized, "unknown operator key")
 			return
@@ -81,10 +81,17 @@
 	})
 }
 
-func (c *Control) knowsOperator(key string) bool {
+func bearer(r *http.Request) string {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return key
+}
+
+// knowsKey compares in constant time, so that its timing tells nothing about
+// how much of a guessed key's digest is right.
+func knowsKey(hashes []string, key string) bool {
 	hash := []byte(follow.HashKey(key))
 	known := 0
-	for _, candidate := range c.options.OperatorKeyHashes {
+	for _, candidate := range hashes {
 		known |= subtle.ConstantTimeCompare(hash, []byte(candidate))
 	}
 	return known == 1
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -60,7 +60,7 @@
 	daemons := make([][]wire.Daemon, len(c.options.Peers))
 	var questions sync.WaitGroup
 	for i, address := range c.options.Peers {
-		questions.Go(func() { instances[i], daemons[i] = askInstance(ctx, address) })
+		questions.Go(func() { instances[i], daemons[i] = c.askInstance(ctx, address) })
 	}
 	questions.Wait()
 	result := survey{instances: instances, daemons: joinDaemons(daemons)}
@@ -72,8 +72,8 @@
 	return result
 }
 
-func askInstance(ctx context.Context, address string) (operator.Instance, []wire.Daemon) {
-	client := rpc.NewClient(address)
+func (c *Control) askInstance(ctx context.Context, address string) (operator.Instance, []wire.Daemon) {
+	client := rpc.NewClient(address, c.options.RPC...)
 	defer client.Close()
 	instance := operator.Instance{Address: address}
 	var standing wire.StandingReply
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -8,6 +8,9 @@
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
+// engineDialTimeout bounds connecting to the engine beside the agent.
+const engineDialTimeout = time.Second
+
 func (d *Daemon) startAgent(ctx context.Context) error {
 	s := d.settings.Agent
 	if s == nil {
@@ -25,9 +28,11 @@
 		LoadTimeout:      time.Duration(s.LoadTimeout),
 		AnnounceInterval: time.Duration(s.AnnounceInterval),
 		ControlPeers:     d.settings.ControlPeers,
-	}, relay.NewClient(time.Second), d.log)
+		RPC:              d.rpcOptions(),
+	}, relay.NewClient(engineDialTimeout), d.log)
 	d.duties.Go(func() { a.Run(ctx) })
-	return d.serveHTTP(agentListen, s.Listen, withDebug(a.Handler()), func(ctx context.Context) {
+	d.readiness = append(d.readiness, a.Ready)
+	return d.serveHTTP(agentListen, s.Listen, d.identity.Listen, a.Handler(), func(ctx context.Context) {
 		a.Leave()
 		d.reportCut(agentListen, a.Wait(ctx))
 	})
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -25,6 +25,8 @@
 		Peers:             d.settings.ControlPeers,
 		ServerLease:       time.Duration(s.ServerLease),
 		OperatorKeyHashes: s.OperatorKeyHashes,
+		AnnounceKeyHashes: s.AnnounceKeyHashes,
+		RPC:               d.rpcOptions(),
 	}, d.log)
 	listener, err := net.Listen("tcp", s.PeerListen)
 	if err != nil {
@@ -40,14 +42,14 @@
 	handlers[wire.MethodLoads] = rpc.Typed(loads.Sync)
 	server := rpc.NewServer(handlers)
 	d.duties.Go(func() { loads.Run(ctx) })
-	d.duties.Go(func() { _ = server.Serve(ctx, listener) })
+	d.duties.Go(func() { _ = server.Serve(ctx, d.identity.Listen(listener)) })
 	d.duties.Go(func() { c.Run(ctx) })
 	d.drains = append(d.drains, func(context.Context) {
 		_ = listener.Close()
 		server.Close()
 	})
 	d.control = c
-	return d.serveHTTP("control.operatorListen", s.OperatorListen, withDebug(c.OperatorHandler()), handOver)
+	return d.serveHTTP(operatorListen, s.OperatorListen, d.identity.ListenPublic, c.OperatorHandler(), handOver)
 }
 
 // startLog replicates the state when the settings name a data folder. It adds
@@ -63,6 +65,7 @@
 		Peers:     d.settings.ControlPeers,
 		Bootstrap: s.Bootstrap,
 		Folder:    s.DataFolder,
+		RPC:       d.rpcOptions(),
 	}, c, d.log)
 	if err != nil {
 		return nil, errors.Wrap(err, "control.dataFolder")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,18 +4,17 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/peertls"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -29,8 +28,10 @@
 
 // Settings that name a listener's address.
 const (
-	entryListen = "entry.listen"
-	agentListen = "agent.listen"
+	entryListen    = "entry.listen"
+	agentListen    = "agent.listen"
+	operatorListen = "control.operatorListen"
+	statusListen   = "statusListen"
 )
 
 // cutByStop counts requests that a stop cut off at its deadline.
@@ -44,10 +45,14 @@
 	stop     context.CancelFunc
 	drains   []func(context.Context)
 	control  *control.Control
+	// identity secures traffic between processes; nil is plaintext.
+	identity *peertls.Identity
 	follower *follow.Follower
 	// addresses are the listeners' actual addresses, by setting; they differ
 	// from the settings when those leave the port to the system.
 	addresses map[string]string
+	// readiness holds one check for each role that can be unready.
+	readiness []func() bool
 }
 
 // Start opens the listeners and starts the duties of every role.
@@ -65,7 +70,7 @@
 		cancel()
 		return nil, err
 	}
-	starts := []func(context.Context) error{d.startControl, d.startAgent, d.startEntry}
+	starts := []func(context.Context) error{d.loadIdentity, d.startStatus, d.startControl, d.startAgent, d.startEntry}
 	for _, start := range starts {
 		if err := start(ctx); err != nil {
 			d.Stop(ctx)
@@ -98,16 +103,22 @@
 // entry role.
 func (d *Daemon) EntryAddress() string { return d.addresses[entryListen] }
 
+// wrapper secures a listener.
+type wrapper func(net.Listener) net.Listener
+
+// plain leaves a listener as it is.
+func plain(listener net.Listener) net.Listener { return listener }
+
 // serveHTTP serves a handler and registers its drain, which runs before the
 // server shuts down.
-func (d *Daemon) serveHTTP(setting, address string, handler http.Handler, drain func(context.Context)) error {
+func (d *Daemon) serveHTTP(setting, address string, wrap wrapper, handler http.Handler, drain func(context.Context)) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, setting)
 	}
 	d.addresses[setting] = listener.Addr().String()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	d.duties.Go(func() { _ = server.Serve(listener) })
+	d.duties.Go(func() { _ = server.Serve(wrap(listener)) })
 	d.drains = append(d.drains, func(ctx context.Context) {
 		drain(ctx)
 		if err := server.Shutdown(ctx); err != nil {
@@ -125,10 +136,3 @@
 	cutByStop.Add(int64(requests))
 	d.log.Warn("the stop cut requests off", zap.String("listener", listener), zap.Int("requests", requests))
 }
-
-func withDebug(handler http.Handler) http.Handler {
-	router := chi.NewRouter()
-	router.Get("/debug/vars", expvar.Handler().ServeHTTP)
-	router.Mount("/", handler)
-	return router
-}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -22,16 +22,19 @@
 		Daemon: d.settings.Instance,
 		Peers:  d.settings.ControlPeers,
 		Lease:  time.Duration(s.FreshnessLease),
+		RPC:    d.rpcOptions(),
 	}, d.log)
-	client := relay.NewClient(time.Duration(s.DialTimeout))
+	client := relay.NewClient(time.Duration(s.DialTimeout), d.secure()...)
 	e := entry.New(entry.Options{
 		MaxBodyBytes: s.MaxBodyBytes,
+		SecureAgents: d.identity != nil,
 		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
 		Claims:       claims.NewClient(d.settings.ControlPeers),
 	}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
+	d.readiness = append(d.readiness, e.Ready)
 	d.follower = follower
-	return d.serveHTTP(entryListen, s.Listen, withDebug(e.Handler()), func(ctx context.Context) {
+	return d.serveHTTP(entryListen, s.Listen, plain, e.Handler(), func(ctx context.Context) {
 		e.Drain()
 		pause(ctx, stopGrace)
 		d.reportCut(entryListen, e.Wait(ctx))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -3,10 +3,16 @@
 package demo
 
 import (
+	"bytes"
+	"cmp"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,13 +22,12 @@
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/daemon"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
 	"github.com/rosemarypass/rosemarypass/internal/standin/service"
-	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // Names of the sample contract's objects.
@@ -30,6 +35,7 @@
 	BaseModel   = "floor-assist-base"
 	CallerKey   = "demo-caller-key"
 	OperatorKey = "demo-operator-key"
+	announceKey = "demo-announce-key"
 	ContractID  = "demo"
 	ServiceName = "booking-desk"
 )
@@ -54,28 +60,77 @@
 	Service  *service.Service
 	Entry    string
 	Operator string
+	// Peer, Agent and Status are the addresses of the other listeners.
+	Peer   string
+	Agent  string
+	Status string
 
 	daemon  *daemon.Daemon
 	servers []*http.Server
 	cancel  context.CancelFunc
+	// operators calls the operators' interface, by the given scheme.
+	operators *http.Client
+	scheme    string
+}
+
+// Options shape the demo; the zero value is the ordinary one.
+type Options struct {
+	// Listen is the address of the callers' interface; any free port by default.
+	Listen string
+	// TokenTime and LoadTime are the stand-in engine's.
+	TokenTime time.Duration
+	LoadTime  time.Duration
+	// Slots and Capacity are the stand-in engine's.
+	Slots    int
+	Capacity int
+	// Limits are the sample contract's.
+	Limits contract.Limits
+	// PeerTLS secures the traffic between the roles.
+	PeerTLS *settings.PeerTLS
+}
+
+func (o *Options) setDefaults() {
+	o.Listen = cmp.Or(o.Listen, loopbackAnyPort)
+	o.TokenTime = cmp.Or(o.TokenTime, demoTokenTime)
+	o.LoadTime = cmp.Or(o.LoadTime, demoLoadTime)
+	o.Slots = cmp.Or(o.Slots, demoSlots)
+	o.Limits = cmp.Or(o.Limits, contract.Limits{
+		RequestsPerSecond: 100,
+		TokensPerMinute:   1_000_000,
+		Concurrency:       64,
+		MaxWait:           10 * time.Second,
+	})
 }
 
 // Start runs the demo with the callers' interface on the given address.
 func Start(listen string, log *zap.Logger) (*Demo, error) {
+	return StartWith(Options{Listen: listen}, log)
+}
+
+// StartWith runs the demo.
+func StartWith(options Options, log *zap.Logger) (*Demo, error) {
+	options.setDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Demo{
-		Engine:  engine.New(engine.Options{BaseModel: BaseModel, Slots: demoSlots, TokenTime: demoTokenTime, LoadTime: demoLoadTime, EnforceFencing: true}),
+		Engine: engine.New(engine.Options{
+			BaseModel:      BaseModel,
+			Slots:          options.Slots,
+			Capacity:       options.Capacity,
+			TokenTime:      options.TokenTime,
+			LoadTime:       options.LoadTime,
+			EnforceFencing: true,
+		}),
 		Service: service.New(service.Options{}),
 		cancel:  cancel,
 	}
-	if err := d.start(ctx, listen, log); err != nil {
+	if err := d.start(ctx, options, log); err != nil {
 		d.Stop(ctx)
 		return nil, err
 	}
 	return d, nil
 }
 
-func (d *Demo) start(ctx context.Context, listen string, log *zap.Logger) error {
+func (d *Demo) start(ctx context.Context, options Options, log *zap.Logger) error {
 	engineAddress, err := d.serve(d.Engine.Handler())
 	if err != nil {
 		return err
@@ -84,7 +139,11 @@
 	if err != nil {
 		return err
 	}
-	s, err := sampleSettings(listen, engineAddress)
+	d.operators, d.scheme, err = operatorClient(options.PeerTLS)
+	if err != nil {
+		return err
+	}
+	s, err := sampleSettings(options, engineAddress)
 	if err != nil {
 		return err
 	}
@@ -93,10 +152,11 @@
 		return err
 	}
 	d.Entry, d.Operator = d.daemon.EntryAddress(), s.Control.OperatorListen
-	if err := writeSample(ctx, d.daemon); err != nil {
+	d.Peer, d.Agent, d.Status = s.Control.PeerListen, s.Agent.Listen, s.StatusListen
+	if err := writeSample(ctx, d.daemon, options.Limits); err != nil {
 		return err
 	}
-	go announceService(ctx, s.ControlPeers[0], serviceAddress)
+	go d.announceService(ctx, serviceAddress)
 	return d.awaitReady(ctx)
 }
 
@@ -111,8 +171,8 @@
 	return listener.Addr().String(), nil
 }
 
-func sampleSettings(listen, engineAddress string) (settings.Settings, error) {
-	addresses, err := freeAddresses(3)
+func sampleSettings(options Options, engineAddress string) (settings.Settings, error) {
+	addresses, err := freeAddresses(4)
 	if err != nil {
 		return settings.Settings{}, err
 	}
@@ -120,9 +180,11 @@
 		Instance:       "demo",
 		DataCentre:     "demo-a",
 		ControlPeers:   []string{addresses[0]},
-		PlaintextPeers: true,
+		PlaintextPeers: options.PeerTLS == nil,
+		PeerTLS:        options.PeerTLS,
+		StatusListen:   addresses[3],
 		Entry: &settings.Entry{
-			Listen:       listen,
+			Listen:       options.Listen,
 			MaxBodyBytes: 4 << 20,
 			DialTimeout:  settings.Duration(time.Second),
 		},
@@ -132,7 +194,7 @@
 			Pool:             "floor-assist",
 			Engine:           "http://" + engineAddress,
 			BaseModel:        BaseModel,
-			Slots:            demoSlots,
+			Slots:            options.Slots,
 			Queue:            64,
 			LoadTimeout:      settings.Duration(5 * time.Second),
 			AnnounceInterval: settings.Duration(announcePeriod),
@@ -141,6 +203,7 @@
 			PeerListen:        addresses[0],
 			OperatorListen:    addresses[2],
 			OperatorKeyHashes: []string{follow.HashKey(OperatorKey)},
+			AnnounceKeyHashes: []string{follow.HashKey(announceKey)},
 		},
 	}, nil
 }
@@ -158,8 +221,8 @@
 	return addresses, nil
 }
 
-func writeSample(ctx context.Context, d *daemon.Daemon) error {
-	for _, command := range sampleCommands() {
+func writeSample(ctx context.Context, d *daemon.Daemon, limits contract.Limits) error {
+	for _, command := range sampleCommands(limits) {
 		result, err := d.Control().Propose(ctx, command)
 		if err != nil {
 			return err
@@ -171,20 +234,15 @@
 	return nil
 }
 
-func sampleCommands() []state.Command {
+func sampleCommands(limits contract.Limits) []state.Command {
 	commands := []state.Command{
 		{PutContract: &state.PutContract{Contract: contract.Contract{
 			ID:        ContractID,
 			KeyHashes: []string{follow.HashKey(CallerKey)},
 			Adapters:  []string{"*"},
 			Services:  []string{ServiceName},
-			Limits: contract.Limits{
-				RequestsPerSecond: 100,
-				TokensPerMinute:   1_000_000,
-				Concurrency:       64,
-				MaxWait:           10 * time.Second,
-			},
-			Share: 1,
+			Limits:    limits,
+			Share:     1,
 		}}},
 		{PutModel: &catalogue.Model{Name: BaseModel}},
 		{PutService: &state.PutService{Service: catalogue.Service{Name: ServiceName, Routes: []catalogue.Route{
@@ -203,10 +261,10 @@
 	return commands
 }
 
-func announceService(ctx context.Context, peer, address string) {
-	client := rpc.NewClient(peer)
-	defer client.Close()
-	a := membership.Announcement{
+// announceService announces the stand-in service as a service of any language
+// would: by HTTP, with a key of its own.
+func (d *Demo) announceService(ctx context.Context, address string) {
+	announcement := membership.Announcement{
 		Server:      "booking-desk-1",
 		Kind:        membership.KindService,
 		Pool:        ServiceName,
@@ -215,13 +273,49 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 	for ctx.Err() == nil {
-		a.Sequence++
-		var reply wire.AnnounceReply
-		_ = client.Call(ctx, wire.MethodAnnounce, wire.Announce{Announcement: a}, &reply)
+		announcement.Sequence++
+		_ = d.announce(ctx, announcement)
 		time.Sleep(announcePeriod)
 	}
 }
 
+func (d *Demo) announce(ctx context.Context, announcement membership.Announcement) error {
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.OperatorURL()+control.AnnouncePath, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build announcement")
+	}
+	request.Header.Set("Authorization", "Bearer "+announceKey)
+	response, err := d.operators.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	return response.Body.Close()
+}
+
+// OperatorURL is the base URL of the operators' interface.
+func (d *Demo) OperatorURL() string { return d.scheme + "://" + d.Operator }
+
+// operatorClient trusts the demo's own authority when the roles use TLS.
+func operatorClient(tlsFiles *settings.PeerTLS) (*http.Client, string, error) {
+	if tlsFiles == nil {
+		return http.DefaultClient, "http", nil
+	}
+	data, err := os.ReadFile(tlsFiles.Authority)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, "", errors.New("the authority's file holds no certificate")
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	return &http.Client{Transport: transport}, "https", nil
+}
+
 // awaitReady returns once both sample servers are in the directory and the
 // entry has the sample configuration.
 func (d *Demo) awaitReady(ctx context.Context) error {
--- /dev/null
+++ b/internal/demo/tls_test.go
@@ -0,0 +1,109 @@
+package demo_test
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/internal/demo"
+	"github.com/rosemarypass/rosemarypass/internal/pki"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+func issueFiles(t *testing.T) *settings.PeerTLS {
+	t.Helper()
+	authority, err := pki.NewAuthority("demo", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	instance, err := pki.Issue(authority, "demo", []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	write := func(name string, data []byte) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	return &settings.PeerTLS{
+		Certificate: write("instance.pem", instance.Certificate),
+		Key:         write("instance-key.pem", instance.Key),
+		Authority:   write("authority.pem", authority.Certificate),
+	}
+}
+
+// A program that is not ours reaches the listeners between processes and
+// announces a server of its own. With it in the directory, customers' requests
+// would go to a stranger.
+func TestWithCertificatesRequestsPassAndStrangersDoNot(t *testing.T) {
+	d, err := demo.StartWith(demo.Options{PeerTLS: issueFiles(t)}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.Stop(t.Context()) })
+
+	response, body := post(t, d, "/v1/completions", demo.CallerKey, `{"model":"quote-draft@1","prompt":"x","max_tokens":1}`)
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("%s %s", response.Status, body)
+	}
+	response, body = post(t, d, "/services/booking-desk/deposits", demo.CallerKey, `{}`)
+	if !strings.Contains(body, "idempotency_key_required") {
+		t.Errorf("%s %s", response.Status, body)
+	}
+
+	client := rpc.NewClient(d.Peer)
+	defer client.Close()
+	stranger := membership.Announcement{Server: "stranger", Kind: membership.KindEngine, Pool: "floor-assist", Address: "127.0.0.1:1", BaseModel: demo.BaseModel, Incarnation: 1, Sequence: 1}
+	var reply wire.AnnounceReply
+	if err := client.Call(t.Context(), wire.MethodAnnounce, wire.Announce{Announcement: stranger}, &reply); err == nil {
+		t.Error("a process without a certificate announced a server")
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.Agent+"/v1/completions", strings.NewReader(`{}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(wire.HeaderModel, "quote-draft@1")
+	if answer, err := http.DefaultClient.Do(request); err == nil {
+		_ = answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			t.Error("the agent served a process without a certificate")
+		}
+	}
+	if ran := d.Engine.Ran(); len(ran) != 1 {
+		t.Errorf("the engine ran %d requests, want 1", len(ran))
+	}
+}
+
+func TestStatusListenerAnswersThePlatform(t *testing.T) {
+	d := startDemo(t)
+	for _, path := range []string{"/healthz", "/readyz", "/debug/vars"} {
+		response, err := http.Get("http://" + d.Status + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("%s: %s", path, response.Status)
+		}
+	}
+	response, err := http.Get("http://" + d.Entry + "/debug/vars")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		t.Error("callers can read the counters")
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -42,7 +42,7 @@
 }
 
 func (e *Entry) forward(ctx context.Context, r *http.Request, c call, server placement.Server) (*http.Response, error) {
-	url := "http://" + server.Address + c.path
+	url := e.scheme(server.Announcement) + "://" + server.Address + c.path
 	if r.URL.RawQuery != "" {
 		url += "?" + r.URL.RawQuery
 	}
@@ -56,6 +56,15 @@
 	return e.client.Do(request)
 }
 
+// scheme is that of a server's address: agents are peers of this process and
+// share its certificates, other servers speak plain HTTP.
+func (e *Entry) scheme(server membership.Announcement) string {
+	if gated(server) && e.options.SecureAgents {
+		return "https"
+	}
+	return "http"
+}
+
 // judge says whether an answer may go to the caller. An answer of an engine
 // must come from the adapter and version that the request asked for.
 func judge(c call, server placement.Server, response *http.Response) outcome.Outcome {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,8 @@
 type Options struct {
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
+	// SecureAgents reaches agents over TLS.
+	SecureAgents bool
 	// MaxAttempts is the most servers that one request is offered to.
 	MaxAttempts int
 	// Placement tunes the choice of backend servers.
@@ -143,13 +145,18 @@
 func (e *Entry) Wait(ctx context.Context) int { return e.gate.Wait(ctx) }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.follower.Freshness().MayAdmit() {
+	if !e.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// Ready reports whether the balancer may send callers here.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.follower.Freshness().MayAdmit()
+}
+
 func (e *Entry) trackRequest(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requestCount.Add(1)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,8 @@
 	RetryDelay time.Duration
 	// Lease is how old a proof of freshness may be.
 	Lease time.Duration
+	// RPC are the options of connections to the control instances.
+	RPC []rpc.ClientOption
 }
 
 const (
@@ -155,7 +157,7 @@
 var errUnconfirmed = errors.New("no quorum stands behind the control instance, and one stands behind another")
 
 func (f *Follower) followPeer(ctx context.Context, peer string) error {
-	client := rpc.NewClient(peer)
+	client := rpc.NewClient(peer, f.options.RPC...)
 	defer client.Close()
 	for {
 		standing, err := f.poll(ctx, client)
--- a/internal/follow/probe.go
+++ b/internal/follow/probe.go
@@ -64,7 +64,7 @@
 func (f *Follower) runProbes(ctx context.Context) {
 	clients := make([]*rpc.Client, len(f.options.Peers))
 	for i, peer := range f.options.Peers {
-		clients[i] = rpc.NewClient(peer)
+		clients[i] = rpc.NewClient(peer, f.options.RPC...)
 		defer clients[i].Close()
 	}
 	for ctx.Err() == nil {
--- a/internal/peertls/peertls.go
+++ b/internal/peertls/peertls.go
@@ -150,6 +150,26 @@
 	}
 }
 
+// PublicConfig shows the instance's certificate and asks callers for none, for
+// listeners whose callers carry keys.
+func (i *Identity) PublicConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			m := i.latest()
+			return &m.certificate, nil
+		},
+	}
+}
+
+// ListenPublic wraps a listener with PublicConfig; a nil Identity returns it unchanged.
+func (i *Identity) ListenPublic(listener net.Listener) net.Listener {
+	if i == nil {
+		return listener
+	}
+	return tls.NewListener(listener, i.PublicConfig())
+}
+
 // Listen wraps a listener; a nil Identity returns it unchanged.
 func (i *Identity) Listen(listener net.Listener) net.Listener {
 	if i == nil {
@@ -159,24 +179,38 @@
 }
 
 // Dial connects and completes the handshake; a nil Identity connects in plaintext.
-// It fits http.Transport's DialTLSContext.
 func (i *Identity) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	if i == nil {
 		return dialer.DialContext(ctx, network, address)
 	}
-	m := i.latest()
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return i.Secure(ctx, conn, address)
+}
+
+// Secure completes the handshake with the peer at address on a connection that
+// is open. It closes the connection when the handshake fails.
+func (i *Identity) Secure(ctx context.Context, conn net.Conn, address string) (*tls.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
+		_ = conn.Close()
 		return nil, errors.Wrap(err, "peer address")
 	}
-	secure := tls.Dialer{NetDialer: &dialer, Config: &tls.Config{
+	m := i.latest()
+	secure := tls.Client(conn, &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{m.certificate},
 		RootCAs:      m.authority,
 		ServerName:   host,
-	}}
-	return secure.DialContext(ctx, network, address)
+	})
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "handshake with peer")
+	}
+	return secure, nil
 }
 
 // Scheme is the URL scheme for HTTP between the system's processes.
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -20,9 +20,9 @@
 
 // NewClient returns a client over a new Transport that hands redirects to the
 // caller: to follow one would run a call somewhere the caller did not ask for.
-func NewClient(dialTimeout time.Duration) *http.Client {
+func NewClient(dialTimeout time.Duration, options ...Option) *http.Client {
 	return &http.Client{
-		Transport:     NewTransport(dialTimeout),
+		Transport:     NewTransport(dialTimeout, options...),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -45,9 +45,9 @@
 }
 
 // NewTransport returns a transport with no connections.
-func NewTransport(dialTimeout time.Duration) *Transport {
+func NewTransport(dialTimeout time.Duration, options ...Option) *Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	t := NewTransportOver(dialer.DialContext)
+	t := NewTransportOver(dialer.DialContext, options...)
 	t.shared.TLSHandshakeTimeout = dialTimeout
 	t.fresh.TLSHandshakeTimeout = dialTimeout
 	return t
@@ -56,14 +56,20 @@
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Secure completes a handshake with the peer at an address.
+type Secure func(ctx context.Context, conn net.Conn, address string) (*tls.Conn, error)
+
 // NewTransportOver returns a transport that opens its connections by dial.
-func NewTransportOver(dial Dial) *Transport {
+func NewTransportOver(dial Dial, options ...Option) *Transport {
 	shared := &http.Transport{
 		DialContext:         dial.gated,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
+	for _, option := range options {
+		option(dial, shared)
+	}
 	fresh := shared.Clone()
 	fresh.DisableKeepAlives = true
 	return &Transport{shared: shared, fresh: fresh}
@@ -112,6 +118,26 @@
 	return &gatedConn{Conn: conn}, nil
 }
 
+// Option changes how a transport connects.
+type Option func(Dial, *http.Transport)
+
+// WithSecure completes the handshakes of https connections by secure.
+func WithSecure(secure Secure) Option {
+	return func(dial Dial, transport *http.Transport) {
+		transport.DialTLSContext = dial.gatedTLS(secure)
+	}
+}
+
+func (dial Dial) gatedTLS(secure Secure) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial.gated(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return secure(ctx, conn, address)
+	}
+}
+
 var errSealed = errors.New("connection sealed: its request was given up")
 
 // gatedConn counts writes and can be sealed. RoundTrip may return while the
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,8 @@
 	Instance string `json:"instance"`
 	// DataCentre is where the daemon runs.
 	DataCentre string `json:"dataCentre"`
+	// StatusListen serves /healthz, /readyz and /debug/vars to the platform.
+	StatusListen string `json:"statusListen,omitempty"`
 	// ControlPeers are the JSON-RPC addresses of the control instances.
 	ControlPeers []string `json:"controlPeers"`
 	// PeerTLS secures the traffic between the system's processes.
@@ -109,6 +111,9 @@
 	if s.Entry == nil && s.Agent == nil && s.Control == nil {
 		p.add("", "one of entry, agent, control is required")
 	}
+	if s.StatusListen != "" {
+		p.checkAddress("statusListen", s.StatusListen)
+	}
 	s.checkPeers(p)
 	if s.Packing < 0 || s.Packing > 1 {
 		p.add("packing", "is out of range: from 0 (least load stalls) to 1 (fullest batches)")
