--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -7,7 +7,9 @@
 package membership
 
 import (
+	"math"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +47,16 @@
 	LoadMillis int `json:"loadMillis,omitempty"`
 }
 
+// useStep is the step in which daemons see VictimUse, in requests. The exact
+// value decays from moment to moment, so that every report would differ from
+// the last and carry eight bytes that no compression shortens.
+const useStep = 0.125
+
+func (l Load) coarse() Load {
+	l.VictimUse = math.Round(l.VictimUse/useStep) * useStep
+	return l
+}
+
 // Announcement is what a backend server, or the agent beside it, says of itself.
 type Announcement struct {
 	Server     string `json:"server"`
@@ -95,12 +107,12 @@
 	if a.Address == "" || len(a.Address) > MaxAddressLength {
 		return errors.Errorf("server %s: the address must have 1 to %d bytes", a.Server, MaxAddressLength)
 	}
-	if len(a.Load.Resident) > MaxResident || a.Slots < 0 || a.Slots > MaxSlots {
+	if len(a.Load.Resident) > MaxResident || len(a.Load.Loading) > MaxResident || a.Slots < 0 || a.Slots > MaxSlots {
 		return errors.Errorf("server %s: more than %d resident adapters or slots", a.Server, MaxResident)
 	}
-	for _, ref := range a.Load.Resident {
+	for _, ref := range slices.Concat(a.Load.Resident, a.Load.Loading) {
 		if _, err := catalogue.ParseRef(ref.String()); err != nil {
-			return errors.Wrapf(err, "server %s: resident", a.Server)
+			return errors.Wrapf(err, "server %s: adapters", a.Server)
 		}
 	}
 	return nil
@@ -217,7 +229,7 @@
 	if !a.sameIdentity(known.announcement) {
 		d.version++
 		known.identityAt = d.version
-		known.shown = a.Load
+		known.shown = a.Load.coarse()
 	}
 	known.announcement = a
 	known.expires = now.Add(d.options.Lease)
@@ -238,7 +250,7 @@
 		announcement: a,
 		expires:      now.Add(d.options.Lease),
 		identityAt:   d.version,
-		shown:        a.Load,
+		shown:        a.Load.coarse(),
 	}
 	return nil
 }
@@ -260,7 +272,7 @@
 }
 
 func (d *Directory) showLoad(m *member, version uint64) bool {
-	latest := m.announcement.Load
+	latest := m.announcement.Load.coarse()
 	if reflect.DeepEqual(latest, m.shown) {
 		return false
 	}
--- a/coord/membership/membership_test.go
+++ b/coord/membership/membership_test.go
@@ -112,6 +112,7 @@
 		"long address":      func(a *membership.Announcement) { a.Address = strings.Repeat("1", 257) },
 		"many slots":        func(a *membership.Announcement) { a.Slots = 1025 },
 		"many residents":    func(a *membership.Announcement) { a.Load.Resident = make([]catalogue.Ref, 1025) },
+		"many loading":      func(a *membership.Announcement) { a.Load.Loading = make([]catalogue.Ref, 1025) },
 		"unnamed residents": func(a *membership.Announcement) { a.Load.Resident = make([]catalogue.Ref, 1) },
 	}
 	for name, spoil := range cases {
@@ -156,6 +157,22 @@
 	}
 }
 
+// The use of an adapter decays with every report although nothing happens. An
+// idle fleet must not keep every daemon busy with that.
+func TestDecayAloneIsNoNews(t *testing.T) {
+	d := newDirectory(1)
+	a := announcement("a", 1)
+	a.Load.VictimUse = 0.501
+	mustAnnounce(t, d, a, start)
+	before := d.Version()
+	a.Sequence, a.Load.VictimUse = 2, 0.499
+	mustAnnounce(t, d, a, start)
+	d.Publish(start)
+	if d.Version() != before {
+		t.Error("the version moved")
+	}
+}
+
 // Random announcements, expiries and deltas taken at random moments must leave
 // a view with exactly the directory's servers and their last loads.
 func TestViewAgreesWithDirectory(t *testing.T) {
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"runtime"
 	"sync/atomic"
@@ -73,6 +74,8 @@
 		Incarnation: 1_796_000_000_000_000_000 + uint64(i), Sequence: uint64(round + 1),
 	}
 	a.Load = membership.Load{Running: (i*7 + round*13) % 60, Waiting: (i + round) % 5, Capacity: 64}
+	a.Load.Obtainable, a.Load.LoadMillis = (i+round)%9, 250+(i*31+round*17)%400
+	a.Load.VictimUse = math.Mod(float64(i)*1.37+float64(round)*0.71, 20)
 	for slot := range 8 {
 		number := i*8 + slot
 		if slot == 0 {
