--- a/cmd/rosemaryctl/ask.go
+++ b/cmd/rosemaryctl/ask.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -47,7 +48,7 @@
 func (c *askCommand) run(ctx context.Context, t *tool) error {
 	response, err := c.send(ctx)
 	if err != nil {
-		return errors.Wrap(errOutcome, err.Error())
+		return unsentOrUnknown(err)
 	}
 	defer response.Body.Close()
 	report := askReport{
@@ -80,6 +81,16 @@
 	return http.DefaultClient.Do(request)
 }
 
+// unsentOrUnknown tells a connection that was never made from an answer that
+// was lost.
+func unsentOrUnknown(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(errNotRun, err.Error())
+	}
+	return errors.Wrap(errOutcome, err.Error())
+}
+
 func (t *tool) showAnswer(report *askReport, body io.Reader) error {
 	data, err := io.ReadAll(body)
 	if err != nil {
--- a/cmd/rosemaryctl/exit.go
+++ b/cmd/rosemaryctl/exit.go
@@ -23,6 +23,7 @@
 	exitNotInForce   exitCode = 8
 	exitNotRun       exitCode = 9
 	exitOutcome      exitCode = 10
+	exitUnreachable  exitCode = 11
 )
 
 // Errors of the tool itself.
@@ -42,6 +43,7 @@
 	{operator.ErrNotFound, exitNotFound},
 	{operator.ErrUnknown, exitUnknown},
 	{operator.ErrUnauthorized, exitUnauthorized},
+	{operator.ErrUnreachable, exitUnreachable},
 	{errNotInForce, exitNotInForce},
 	{errNotRun, exitNotRun},
 	{errOutcome, exitOutcome},
--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -16,7 +16,7 @@
 )
 
 type arguments struct {
-	Control     []string      `arg:"--control,env:ROSEMARY_CONTROL" help:"operators' URLs of control instances, tried in turn [default: http://127.0.0.1:7300]"`
+	Control     []string      `arg:"--control,separate,env:ROSEMARY_CONTROL" help:"operators' URL of a control instance; repeatable, tried in turn; commas in the environment [default: http://127.0.0.1:7300]"`
 	OperatorKey string        `arg:"--key,env:ROSEMARY_KEY" help:"operator key"`
 	JSON        bool          `arg:"--json" help:"print JSON for programs"`
 	Operation   string        `arg:"--operation" help:"operation id of a change; sending it again returns the first answer"`
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -55,6 +55,8 @@
 const (
 	defaultPollWait   = time.Second
 	defaultRetryDelay = 100 * time.Millisecond
+	// maxRetryDelay bounds the pause while no control instance answers.
+	maxRetryDelay = time.Second
 	// pollSlack is how much longer than its wait a poll may take before its
 	// control instance counts as cut off.
 	pollSlack = time.Second
@@ -137,36 +139,44 @@
 
 // runPolls follows one peer after the other.
 func (f *Follower) runPolls(ctx context.Context) {
+	delay := f.options.RetryDelay
 	for next := 0; ctx.Err() == nil; next++ {
 		peer := f.confirmedPeer()
 		if peer == "" {
 			peer = f.options.Peers[next%len(f.options.Peers)]
 		}
-		err := f.followPeer(ctx, peer)
+		answered, err := f.followPeer(ctx, peer)
 		if ctx.Err() != nil {
 			return
 		}
+		delay = min(2*delay, maxRetryDelay)
+		if answered {
+			delay = f.options.RetryDelay
+			f.log.Info("control instance lost", zap.String("peer", peer), zap.String("error", err.Error()))
+		}
 		moveCount.Add(1)
-		f.log.Info("moving to another control instance", zap.String("from", peer), zap.Error(err))
 		f.forgetPeer(peer)
-		sleep(ctx, f.options.RetryDelay)
+		sleep(ctx, delay)
 	}
 }
 
 // errUnconfirmed means that another control instance can prove more.
 var errUnconfirmed = errors.New("no quorum stands behind the control instance, and one stands behind another")
 
-func (f *Follower) followPeer(ctx context.Context, peer string) error {
+// followPeer polls one peer until that fails. It reports whether the peer had
+// answered before.
+func (f *Follower) followPeer(ctx context.Context, peer string) (answered bool, err error) {
 	client := rpc.NewClient(peer, f.options.RPC...)
 	defer client.Close()
 	for {
 		standing, err := f.poll(ctx, client)
 		if err != nil {
 			pollFailedCount.Add(1)
-			return err
+			return answered, err
 		}
+		answered = true
 		if other := f.confirmedPeer(); !standing.Confirmed && other != "" && other != peer {
-			return errUnconfirmed
+			return answered, errUnconfirmed
 		}
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -25,10 +26,13 @@
 	ErrNotFound = errors.New("not found")
 	// ErrUnauthorized means that the operator key is unknown.
 	ErrUnauthorized = errors.New("the operator key is unknown")
-	// ErrUnknown means that no control instance answered: a change may or may
-	// not have been accepted. Sending it again under the same operation id
-	// is safe.
+	// ErrUnknown means that a change was sent and no control instance gave a
+	// final answer: it may or may not have been accepted. Sending it again
+	// under the same operation id is safe.
 	ErrUnknown = errors.New("no control instance answered; the change may or may not have been accepted")
+	// ErrUnreachable means that no control instance answered, and that
+	// nothing was changed.
+	ErrUnreachable = errors.New("no control instance answered; nothing was changed")
 )
 
 const (
@@ -139,6 +143,7 @@
 // quorum answers 503; another one may have it.
 func (c *Client) call(ctx context.Context, request call) error {
 	var last error
+	sent := false
 	for round := range c.options.Rounds {
 		if round > 0 {
 			pause(ctx, roundPause)
@@ -149,12 +154,23 @@
 				return err
 			}
 			last = err
+			sent = sent || !neverSent(err)
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return errors.Wrap(ErrUnknown, last.Error())
+	if sent && request.method != http.MethodGet {
+		return errors.Wrap(ErrUnknown, last.Error())
+	}
+	return errors.Wrap(ErrUnreachable, last.Error())
+}
+
+// neverSent reports whether the connection failed before any byte of the call
+// could leave.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 // attempt reports whether the answer is final.
