--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -18,23 +18,25 @@
 type arguments struct {
 	Control     []string      `arg:"--control,separate,env:ROSEMARY_CONTROL" help:"operators' URL of a control instance; repeatable, tried in turn; commas in the environment [default: http://127.0.0.1:7300]"`
 	OperatorKey string        `arg:"--key,env:ROSEMARY_KEY" help:"operator key"`
+	Authority   string        `arg:"--authority,env:ROSEMARY_AUTHORITY" help:"PEM file of the authority that signs the control instances, for https URLs"`
 	JSON        bool          `arg:"--json" help:"print JSON for programs"`
 	Operation   string        `arg:"--operation" help:"operation id of a change; sending it again returns the first answer"`
 	Wait        bool          `arg:"--wait" help:"return once the change is in force in every living daemon"`
 	Timeout     time.Duration `arg:"--timeout" default:"30s" help:"longest time for --wait"`
 
-	Contract   *contractCommand   `arg:"subcommand:contract" help:"contracts"`
-	Key        *keyCommand        `arg:"subcommand:key" help:"callers' and operators' keys"`
-	Adapter    *adapterCommand    `arg:"subcommand:adapter" help:"adapter versions"`
-	Model      *modelCommand      `arg:"subcommand:model" help:"base models"`
-	Service    *serviceCommand    `arg:"subcommand:service" help:"plain services"`
-	Server     *serverCommand     `arg:"subcommand:server" help:"backend servers"`
-	Members    *membersCommand    `arg:"subcommand:members" help:"members of the replicated log"`
-	Status     *statusCommand     `arg:"subcommand:status" help:"control instances, daemons and servers"`
-	Watch      *watchCommand      `arg:"subcommand:watch" help:"status, again and again"`
-	Config     *configCommand     `arg:"subcommand:config" help:"the whole configuration in a file"`
-	Ask        *askCommand        `arg:"subcommand:ask" help:"send a request to an entry as a caller"`
-	Completion *completionCommand `arg:"subcommand:completion" help:"print a shell completion script"`
+	Contract    *contractCommand    `arg:"subcommand:contract" help:"contracts"`
+	Key         *keyCommand         `arg:"subcommand:key" help:"callers' and operators' keys"`
+	Adapter     *adapterCommand     `arg:"subcommand:adapter" help:"adapter versions"`
+	Model       *modelCommand       `arg:"subcommand:model" help:"base models"`
+	Service     *serviceCommand     `arg:"subcommand:service" help:"plain services"`
+	Server      *serverCommand      `arg:"subcommand:server" help:"backend servers"`
+	Members     *membersCommand     `arg:"subcommand:members" help:"members of the replicated log"`
+	Status      *statusCommand      `arg:"subcommand:status" help:"control instances, daemons and servers"`
+	Watch       *watchCommand       `arg:"subcommand:watch" help:"status, again and again"`
+	Config      *configCommand      `arg:"subcommand:config" help:"the whole configuration in a file"`
+	Ask         *askCommand         `arg:"subcommand:ask" help:"send a request to an entry as a caller"`
+	Certificate *certificateCommand `arg:"subcommand:certificate" help:"certificates between the system's processes"`
+	Completion  *completionCommand  `arg:"subcommand:completion" help:"print a shell completion script"`
 }
 
 // Description is shown by --help.
@@ -99,7 +101,11 @@
 		_ = parser.WriteHelpForSubcommand(errOut, parser.SubcommandNames()...)
 		return exitUsage
 	}
-	t := newTool(args, out, errOut)
+	t, err := newTool(args, out, errOut)
+	if err != nil {
+		fmt.Fprintln(errOut, "rosemaryctl:", err)
+		return exitUsage
+	}
 	if err := chosen.run(ctx, t); err != nil {
 		return t.fail(err)
 	}
@@ -129,17 +135,25 @@
 	return chosen
 }
 
-func newTool(args arguments, out, errOut io.Writer) *tool {
+func newTool(args arguments, out, errOut io.Writer) (*tool, error) {
 	urls := args.Control
 	if len(urls) == 0 {
 		urls = []string{defaultControl}
 	}
+	options := operator.Options{URLs: urls, Key: args.OperatorKey, Operation: args.Operation}
+	if args.Authority != "" {
+		trusting, err := operator.Trusting(args.Authority)
+		if err != nil {
+			return nil, err
+		}
+		options.HTTP = trusting
+	}
 	return &tool{
-		client:  operator.NewClient(operator.Options{URLs: urls, Key: args.OperatorKey, Operation: args.Operation}),
+		client:  operator.NewClient(options),
 		out:     out,
 		errors:  errOut,
 		json:    args.JSON,
 		wait:    args.Wait,
 		timeout: args.Timeout,
-	}
+	}, nil
 }
--- a/internal/agent/wanted.go
+++ b/internal/agent/wanted.go
@@ -20,6 +20,7 @@
 		Daemon:   "agent:" + a.options.Server,
 		Peers:    a.options.ControlPeers,
 		Server:   a.options.Server,
+		RPC:      a.options.RPC,
 		OnChange: func(config *follow.Config) { a.want(config.Wanted(a.options.Server)) },
 	}, a.log).Run(ctx)
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -32,10 +32,10 @@
 }
 
 // NewClient returns a client of the control instances at these addresses.
-func NewClient(addresses []string) *Client {
+func NewClient(addresses []string, options ...rpc.ClientOption) *Client {
 	c := &Client{}
 	for _, address := range addresses {
-		c.peers = append(c.peers, rpc.NewClient(address))
+		c.peers = append(c.peers, rpc.NewClient(address, options...))
 	}
 	return c
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,7 +29,7 @@
 		MaxBodyBytes: s.MaxBodyBytes,
 		SecureAgents: d.identity != nil,
 		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
-		Claims:       claims.NewClient(d.settings.ControlPeers),
+		Claims:       claims.NewClient(d.settings.ControlPeers, d.rpcOptions()...),
 	}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.readiness = append(d.readiness, e.Ready)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,13 +6,10 @@
 	"bytes"
 	"cmp"
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +22,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/daemon"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
 	"github.com/rosemarypass/rosemarypass/internal/standin/service"
@@ -64,6 +62,8 @@
 	Peer   string
 	Agent  string
 	Status string
+	// EngineAddress is where the stand-in engine itself listens.
+	EngineAddress string
 
 	daemon  *daemon.Daemon
 	servers []*http.Server
@@ -135,6 +135,7 @@
 	if err != nil {
 		return err
 	}
+	d.EngineAddress = engineAddress
 	serviceAddress, err := d.serve(d.Service)
 	if err != nil {
 		return err
@@ -296,6 +297,9 @@
 	return response.Body.Close()
 }
 
+// OperatorClient returns an HTTP client that trusts the operators' interface.
+func (d *Demo) OperatorClient() *http.Client { return d.operators }
+
 // OperatorURL is the base URL of the operators' interface.
 func (d *Demo) OperatorURL() string { return d.scheme + "://" + d.Operator }
 
@@ -304,16 +308,8 @@
 	if tlsFiles == nil {
 		return http.DefaultClient, "http", nil
 	}
-	data, err := os.ReadFile(tlsFiles.Authority)
-	if err != nil {
-		return nil, "", errors.Wrap(err, "read authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(data) {
-		return nil, "", errors.New("the authority's file holds no certificate")
-	}
-	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
-	return &http.Client{Transport: transport}, "https", nil
+	client, err := operator.Trusting(tlsFiles.Authority)
+	return client, "https", err
 }
 
 // awaitReady returns once both sample servers are in the directory and the
--- a/internal/demo/drain_test.go
+++ b/internal/demo/drain_test.go
@@ -10,14 +10,27 @@
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/demo"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 // An operator drains the only server while callers keep asking. Every refusal
 // must say that the request was not run, and the server must get work again
 // once it is started.
 func TestDrainClosesTheGateAndStartOpensIt(t *testing.T) {
-	d := startDemo(t)
-	client := operator.NewClient(operator.Options{URLs: []string{"http://" + d.Operator}, Key: demo.OperatorKey})
+	t.Run("plaintext", func(t *testing.T) { drainAndStart(t, startDemo(t)) })
+	t.Run("with certificates", func(t *testing.T) {
+		failed := telemetry.Counter("rpc_handshakes_failed")
+		before := failed.Value()
+		drainAndStart(t, startSecure(t))
+		if now := failed.Value(); now != before {
+			t.Errorf("%d connections of our own processes were refused", now-before)
+		}
+	})
+}
+
+func drainAndStart(t *testing.T, d *demo.Demo) {
+	t.Helper()
+	client := operator.NewClient(operator.Options{URLs: []string{d.OperatorURL()}, Key: demo.OperatorKey, HTTP: d.OperatorClient()})
 	ask := func() (int, string) {
 		response, body := post(t, d, "/v1/completions", demo.CallerKey, `{"model":"`+demo.Adapters[0]+`","prompt":"x","max_tokens":1}`)
 		if response.StatusCode != http.StatusOK && response.Header.Get(outcome.Header) != outcome.NotRun.String() {
--- a/internal/demo/tls_test.go
+++ b/internal/demo/tls_test.go
@@ -19,7 +19,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
-func issueFiles(t *testing.T) *settings.PeerTLS {
+func issueFiles(t testing.TB) *settings.PeerTLS {
 	t.Helper()
 	authority, err := pki.NewAuthority("demo", time.Now(), time.Hour)
 	if err != nil {
@@ -44,16 +44,21 @@
 	}
 }
 
-// A program that is not ours reaches the listeners between processes and
-// announces a server of its own. With it in the directory, customers' requests
-// would go to a stranger.
-func TestWithCertificatesRequestsPassAndStrangersDoNot(t *testing.T) {
+func startSecure(t *testing.T) *demo.Demo {
+	t.Helper()
 	d, err := demo.StartWith(demo.Options{PeerTLS: issueFiles(t)}, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { d.Stop(t.Context()) })
+	return d
+}
 
+// A program that is not ours reaches the listeners between processes and
+// announces a server of its own. With it in the directory, customers' requests
+// would go to a stranger.
+func TestWithCertificatesRequestsPassAndStrangersDoNot(t *testing.T) {
+	d := startSecure(t)
 	response, body := post(t, d, "/v1/completions", demo.CallerKey, `{"model":"quote-draft@1","prompt":"x","max_tokens":1}`)
 	if response.StatusCode != http.StatusOK {
 		t.Fatalf("%s %s", response.Status, body)
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +57,23 @@
 	AttemptTimeout time.Duration
 	// Rounds is how often all instances are tried.
 	Rounds int
-	HTTP   *http.Client
+	// HTTP carries the calls; see Trusting.
+	HTTP *http.Client
+}
+
+// Trusting returns an HTTP client that trusts control instances whose
+// certificates the authority in the PEM file has signed.
+func Trusting(authorityFile string) (*http.Client, error) {
+	data, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("authority %s holds no certificate", authorityFile)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	return &http.Client{Transport: transport}, nil
 }
 
 // Client calls the operators' interface.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,14 +4,31 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/rosemarypass/rosemarypass/internal/peertls"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+const (
+	// maxConns is the most connections that one server answers. The size to
+	// design for has under a thousand daemons and agents, with a few each.
+	maxConns = 8192
+	// handshakeTimeout bounds the time until a peer has shown its certificate.
+	handshakeTimeout = 5 * time.Second
+)
+
+var (
+	handshakeFailedCount = telemetry.Counter("rpc_handshakes_failed")
+	refusedConnCount     = telemetry.Counter("rpc_connections_refused")
+	streamErrorCount     = telemetry.Counter("rpc_stream_errors")
 )
 
 // Handler answers one method. The returned value is sent as the result.
@@ -48,22 +65,55 @@
 		if err != nil {
 			return err
 		}
-		s.attach(ctx, conn)
+		go s.admit(ctx, conn)
 	}
 }
 
-func (s *Server) attach(ctx context.Context, conn net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
+// admit secures a connection before it is listened to. A stranger that connects
+// and shows no certificate, or nothing at all, is hung up on in bounded time;
+// one would notice it by rpc_handshakes_failed.
+func (s *Server) admit(ctx context.Context, conn net.Conn) {
+	if err := handshake(ctx, conn); err != nil {
+		handshakeFailedCount.Add(1)
 		_ = conn.Close()
 		return
 	}
-	rpc := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch)))
+	if !s.attach(ctx, conn) {
+		refusedConnCount.Add(1)
+		_ = conn.Close()
+	}
+}
+
+func handshake(ctx context.Context, conn net.Conn) error {
+	secure, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	return secure.HandshakeContext(ctx)
+}
+
+// attach begins to answer a connection, unless the server is closed or full.
+func (s *Server) attach(ctx context.Context, conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConns {
+		return false
+	}
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch))
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn), handler, jsonrpc2.SetLogger(streamErrors{}))
 	s.conns[rpc] = struct{}{}
 	go s.forget(rpc)
+	return true
 }
 
+// streamErrors counts what the library would print: any stranger can cause it.
+type streamErrors struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (streamErrors) Printf(string, ...any) { streamErrorCount.Add(1) }
+
 func (s *Server) forget(rpc *jsonrpc2.Conn) {
 	<-rpc.DisconnectNotify()
 	s.mu.Lock()
@@ -141,7 +191,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	c.conn = jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(refuse))
+	c.conn = jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(refuse), jsonrpc2.SetLogger(streamErrors{}))
 	return c.conn, nil
 }
 
