Go on with an answer where its connection was cut

Cause: an answer that was cut between entry and agent was lost, and a request whose connection broke before its first byte was run a second time elsewhere. A caller that leaves is reported by its entry with DELETE; the lease ends the work when that word is lost. A stream that cannot be completed ends with an error event and a cut. Ruled out: continuation on another server after the first token: sampling and chat templates make the text up to the cut and the text after it two answers. Conclusion: only a death of the engine, or of the line for longer than four tries, cuts an answer; the caller sees it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,7 @@
 	stopped chan struct{}
 	permits *permitClient
 	gate    *drain.Gate
+	runs    *runs
 	// closed is true while operators want the server drained or stopped.
 	closed   atomic.Bool
 	started  uint64
@@ -81,6 +82,7 @@
 		stopped:  make(chan struct{}),
 		started:  uint64(time.Now().UnixNano()),
 		gate:     drain.NewGate(),
+		runs:     newRuns(),
 	}
 	a.status.Store(&membership.Load{})
 	a.permits = newPermitClient(options, a.started)
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -37,6 +37,8 @@
 	router := chi.NewRouter()
 	router.Post("/v1/completions", a.serve)
 	router.Post("/v1/chat/completions", a.serve)
+	router.Get(wire.PathRuns+"{request}", a.resume)
+	router.Delete(wire.PathRuns+"{request}", a.cancelRun)
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return router
 }
@@ -82,9 +84,8 @@
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	defer a.release(id)
 	admittedCount.Add(1)
-	a.dispatch(w, r, ref, body)
+	a.start(r, id, ref, body).deliver(w, r, 0)
 }
 
 // readWhole reads a request's body before anything is done for it. net/http
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,336 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/slots"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+var (
+	// wrongModelCount counts answers that the engine gave by another model
+	// than the request asked for; they are never relayed.
+	wrongModelCount  = telemetry.Counter("agent_wrong_model")
+	resumedCount     = telemetry.Counter("agent_answers_resumed")
+	abandonedCount   = telemetry.Counter("agent_answers_abandoned")
+	cancelledCount   = telemetry.Counter("agent_answers_cancelled")
+	engineFailCount  = telemetry.Counter("agent_engine_failures")
+	errEngineStopped = errors.New("the engine's answer ended early")
+)
+
+// reattachLease is how long a request runs on without a reader. An entry that
+// lost its connection is back within a few round trips; a caller that left is
+// reported by its entry, and the lease ends the work when that report is lost.
+const reattachLease = 2 * time.Second
+
+// run is one request at the engine. It outlives the connection that brought it,
+// so that an answer cut between entry and agent goes on where it stopped.
+type run struct {
+	request string
+	ref     catalogue.Ref
+	cancel  context.CancelFunc
+	answer  *window
+	// ready is closed when head is set.
+	ready chan struct{}
+	head  runHead
+
+	mu      sync.Mutex
+	readers int
+	// lease ends the run when it has no reader.
+	lease *time.Timer
+}
+
+// runHead is what precedes an answer's body.
+type runHead struct {
+	said    outcome.Outcome
+	status  int
+	header  http.Header
+	trailer http.Header
+	message string
+}
+
+// runs are the requests at the engine, and for a lease those that ended.
+type runs struct {
+	mu   sync.Mutex
+	byID map[string]*run
+}
+
+func newRuns() *runs { return &runs{byID: make(map[string]*run)} }
+
+// add makes r the run of its id. An entry that sends a request again has given
+// up the one before, which is cancelled.
+func (s *runs) add(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before, ok := s.byID[r.request]; ok {
+		before.cancel()
+	}
+	s.byID[r.request] = r
+}
+
+func (s *runs) get(request string) (*run, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.byID[request]
+	return r, ok
+}
+
+func (s *runs) remove(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID[r.request] == r {
+		delete(s.byID, r.request)
+	}
+}
+
+// start sends a request whose adapter is pinned to the engine.
+func (a *Agent) start(r *http.Request, id slots.RequestID, ref catalogue.Ref, body []byte) *run {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	request := r.Header.Get(wire.HeaderRequestID)
+	if request == "" {
+		request = uuid.NewString()
+	}
+	started := &run{request: request, ref: ref, cancel: cancel, answer: newWindow(), ready: make(chan struct{})}
+	a.runs.add(started)
+	started.lease = time.AfterFunc(reattachLease, func() { a.abandon(started) })
+	started.lease.Stop()
+	a.gate.Join()
+	go func() {
+		defer a.gate.Leave()
+		defer a.release(id)
+		defer cancel()
+		a.engage(ctx, started, r, body)
+	}()
+	return started
+}
+
+// abandon ends a run that has had no reader for a lease.
+func (a *Agent) abandon(r *run) {
+	a.runs.remove(r)
+	if r.ended() {
+		return
+	}
+	abandonedCount.Add(1)
+	r.cancel()
+}
+
+// engage carries the engine's answer into the run's window.
+func (a *Agent) engage(ctx context.Context, started *run, r *http.Request, body []byte) {
+	response, err := a.ask(ctx, r, body)
+	if err != nil {
+		started.noAnswer(outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}))
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		a.sendEnd(adapterLost{ref: started.ref})
+		started.refuse("the engine lost the adapter")
+		return
+	}
+	answer := io.Reader(response.Body)
+	if succeeded := response.StatusCode < http.StatusBadRequest; succeeded {
+		ran, whole, err := peekModel(response.Body)
+		if err != nil || ran != started.ref.String() {
+			if err == nil {
+				wrongModelCount.Add(1)
+			}
+			started.noAnswer(outcome.Unknown)
+			return
+		}
+		answer = whole
+		response.Header.Set(wire.HeaderRan, ran)
+	}
+	started.setHead(runHead{said: outcome.Answered, status: response.StatusCode, header: response.Header})
+	started.pump(ctx, answer, response)
+}
+
+func (a *Agent) ask(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
+	request, err := relay.NewRequest(ctx, r.Method, a.options.Engine+r.URL.Path, bytes.NewReader(body), int64(len(body)))
+	if err != nil {
+		return nil, err
+	}
+	relay.CopyHeader(request.Header, r.Header)
+	// A compressed answer would hide the model that it names.
+	request.Header.Del("Accept-Encoding")
+	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	return a.client.Do(request)
+}
+
+func (r *run) pump(ctx context.Context, answer io.Reader, response *http.Response) {
+	buffer := make([]byte, pumpBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if err := r.answer.append(ctx, buffer[:n]); err != nil {
+				r.answer.finish(errEngineStopped)
+				return
+			}
+		}
+		if err == io.EOF {
+			r.setTrailer(response.Trailer)
+			r.answer.finish(nil)
+			return
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				engineFailCount.Add(1)
+			}
+			r.answer.finish(errEngineStopped)
+			return
+		}
+	}
+}
+
+// pumpBuffer is how much of an answer one read may carry, in bytes.
+const pumpBuffer = 8 << 10
+
+func (r *run) setHead(head runHead) {
+	r.head = head
+	close(r.ready)
+}
+
+func (r *run) setTrailer(trailer http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.head.trailer = trailer
+}
+
+// noAnswer ends a run that the engine did not answer.
+func (r *run) noAnswer(said outcome.Outcome) {
+	if said == outcome.NotRun {
+		r.refuse("the engine cannot be reached")
+		return
+	}
+	unknownCount.Add(1)
+	r.answer.finish(errEngineStopped)
+	r.setHead(runHead{said: outcome.Unknown, status: http.StatusBadGateway, message: "the engine gave no usable answer"})
+}
+
+func (r *run) refuse(message string) {
+	refusedCount.Add(1)
+	r.answer.finish(errEngineStopped)
+	r.setHead(runHead{said: outcome.NotRun, status: http.StatusServiceUnavailable, message: message})
+}
+
+func (r *run) ended() bool {
+	r.answer.mu.Lock()
+	defer r.answer.mu.Unlock()
+	return r.answer.done
+}
+
+// enter and leave count the connections that read the run's answer.
+func (r *run) enter() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	r.lease.Stop()
+}
+
+func (r *run) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	if r.readers == 0 {
+		r.lease.Reset(reattachLease)
+	}
+}
+
+// deliver writes a run's answer from an offset on. When the engine's answer
+// ends early it cuts the connection.
+func (r *run) deliver(w http.ResponseWriter, request *http.Request, offset int64) {
+	r.enter()
+	defer r.leave()
+	select {
+	case <-r.ready:
+	case <-request.Context().Done():
+		return
+	}
+	if r.head.said != outcome.Answered {
+		sayOutcome(w, r.head)
+		return
+	}
+	reader, err := r.answer.attach(offset)
+	if err != nil {
+		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusGone, message: err.Error()})
+		return
+	}
+	relay.CopyHeader(w.Header(), r.head.header)
+	if offset > 0 {
+		w.Header().Del("Content-Length")
+	}
+	w.Header().Set(outcome.Header, outcome.Answered.String())
+	w.WriteHeader(r.head.status)
+	source := &windowReader{ctx: request.Context(), window: r.answer, reader: reader, offset: offset}
+	if _, err := relay.Stream(w, source, 0); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.mu.Lock()
+	trailer := r.head.trailer
+	r.mu.Unlock()
+	relay.CopyTrailer(w, trailer)
+}
+
+func sayOutcome(w http.ResponseWriter, head runHead) {
+	w.Header().Set(outcome.Header, head.said.String())
+	http.Error(w, head.message, head.status)
+}
+
+// windowReader reads a window from an offset on.
+type windowReader struct {
+	ctx    context.Context
+	window *window
+	reader uint64
+	offset int64
+}
+
+func (r *windowReader) Read(buffer []byte) (int, error) {
+	n, err := r.window.next(r.ctx, r.reader, r.offset, buffer)
+	r.offset += int64(n)
+	return n, err
+}
+
+// resume serves an entry whose connection was cut: the rest of its answer.
+func (a *Agent) resume(w http.ResponseWriter, r *http.Request) {
+	a.gate.Join()
+	defer a.gate.Leave()
+	offset, err := strconv.ParseInt(r.URL.Query().Get(wire.QueryOffset), 10, 64)
+	if err != nil || offset < 0 {
+		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusBadRequest, message: "an offset is required"})
+		return
+	}
+	found, ok := a.runs.get(chi.URLParam(r, "request"))
+	if !ok {
+		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusNotFound, message: "no such request"})
+		return
+	}
+	resumedCount.Add(1)
+	found.deliver(w, r, offset)
+}
+
+// cancelRun ends a request whose caller left.
+func (a *Agent) cancelRun(w http.ResponseWriter, r *http.Request) {
+	found, ok := a.runs.get(chi.URLParam(r, "request"))
+	if ok {
+		a.runs.remove(found)
+		if !found.ended() {
+			cancelledCount.Add(1)
+		}
+		found.cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -14,7 +14,10 @@
 	mu       sync.Mutex
 	inFlight int
 	closed   bool
-	idle     chan struct{}
+	// idle is closed, and signalled set, when nothing is in flight after
+	// the gate was closed.
+	idle      chan struct{}
+	signalled bool
 }
 
 // NewGate returns an open gate.
@@ -31,6 +34,14 @@
 	return true
 }
 
+// Join counts in work on a request that was admitted before, also when the
+// gate is closed.
+func (g *Gate) Join() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight++
+}
+
 // Leave counts a request out.
 func (g *Gate) Leave() {
 	g.mu.Lock()
@@ -51,7 +62,8 @@
 }
 
 func (g *Gate) signal() {
-	if g.closed && g.inFlight == 0 {
+	if g.closed && g.inFlight == 0 && !g.signalled {
+		g.signalled = true
 		close(g.idle)
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,12 +23,23 @@
 	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
 	ctx, watchdog := relay.Watch(r.Context(), e.options.FirstByteTimeout)
 	defer watchdog.Stop()
+	settled := false
+	defer func() {
+		if !settled && gated(server.Announcement) {
+			e.cancelRun(r, server)
+		}
+	}()
 	response, err := e.forward(ctx, r, c, server)
+	if err != nil && relay.Sent(err) && gated(server.Announcement) {
+		response, err = e.resume(ctx, r, c, server, 0)
+	}
 	if err != nil {
+		settled = !relay.Sent(err)
 		return outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)})
 	}
 	defer response.Body.Close()
 	if said := judge(c, server, response); said != outcome.Answered {
+		settled = true
 		return said
 	}
 	if c.once != nil {
@@ -37,7 +48,8 @@
 		}
 	}
 	defer func() { ran = time.Since(began) }()
-	e.relayAnswer(w, c, response, watchdog)
+	e.relayAnswer(w, r, c, server, response, watchdog)
+	settled = true
 	return outcome.Answered
 }
 
@@ -86,7 +98,7 @@
 // relayAnswer passes an answer on. Once its first byte is out, a failure can
 // only be shown by cutting the caller's connection: a clean end would make a
 // part look like the whole.
-func (e *Entry) relayAnswer(w http.ResponseWriter, c call, response *http.Response, watchdog *relay.Watchdog) {
+func (e *Entry) relayAnswer(w http.ResponseWriter, r *http.Request, c call, server placement.Server, response *http.Response, watchdog *relay.Watchdog) {
 	ran := response.Header.Get(wire.HeaderRan)
 	dropInternal(response.Header)
 	response.Header.Del(wire.HeaderRequestID)
@@ -96,9 +108,9 @@
 	}
 	w.Header().Set(outcome.Header, outcome.Answered.String())
 	w.WriteHeader(response.StatusCode)
-	_, err := relay.Stream(w, watchdog.Reader(response.Body, e.options.StallTimeout), e.options.WriteTimeout)
-	if err != nil {
+	if err := e.stream(w, r, c, server, response, watchdog); err != nil {
 		countCut(err)
+		errorEvent(w)
 		panic(http.ErrAbortHandler)
 	}
 	relay.CopyTrailer(w, response.Trailer)
--- /dev/null
+++ b/internal/entry/resume.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+var (
+	resumedCount      = telemetry.Counter("entry_answers_resumed")
+	resumeFailedCount = telemetry.Counter("entry_answers_not_resumed")
+)
+
+const (
+	// resumeTries is how often an entry tries to go on with a cut answer
+	// without getting any further. All of them fit into the agent's lease.
+	resumeTries = 4
+	// resumePause is the longest pause before the first try; it doubles.
+	resumePause = 50 * time.Millisecond
+	// cancelTimeout bounds the word to an agent that a caller left.
+	cancelTimeout = time.Second
+)
+
+var errNotResumed = errors.New("the agent no longer has the answer")
+
+// resume asks the agent for the rest of an answer whose connection was cut.
+func (e *Entry) resume(ctx context.Context, r *http.Request, c call, server placement.Server, offset int64) (*http.Response, error) {
+	for try := range resumeTries {
+		if err := pauseJittered(ctx, resumePause<<try); err != nil {
+			return nil, err
+		}
+		response, err := e.askRun(ctx, r, server, http.MethodGet, offset)
+		if err != nil {
+			continue
+		}
+		if judge(c, server, response) != outcome.Answered {
+			_ = response.Body.Close()
+			return nil, errNotResumed
+		}
+		resumedCount.Add(1)
+		return response, nil
+	}
+	resumeFailedCount.Add(1)
+	return nil, errNotResumed
+}
+
+// pauseJittered waits a random part of d, so that the many answers of one
+// broken connection do not come back in one burst.
+func pauseJittered(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// askRun calls the agent about a request that it runs.
+func (e *Entry) askRun(ctx context.Context, r *http.Request, server placement.Server, method string, offset int64) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s%s%s?%s=%d", server.Address, wire.PathRuns, r.Header.Get(wire.HeaderRequestID), wire.QueryOffset, offset)
+	request, err := http.NewRequestWithContext(ctx, method, url, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	return e.client.Do(request)
+}
+
+// cancelRun tells the agent that nobody waits for a request any more. When the
+// word is lost, the agent's lease ends the work.
+func (e *Entry) cancelRun(r *http.Request, server placement.Server) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), cancelTimeout)
+	go func() {
+		defer cancel()
+		response, err := e.askRun(ctx, r, server, http.MethodDelete, 0)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+}
+
+// stream passes an answer's body on, and goes on at the same byte when the
+// connection to the agent is cut.
+func (e *Entry) stream(w http.ResponseWriter, r *http.Request, c call, server placement.Server, response *http.Response, watchdog *relay.Watchdog) error {
+	var offset int64
+	body := response.Body
+	defer func() { _ = body.Close() }()
+	for {
+		n, err := relay.Stream(w, watchdog.Reader(body, e.options.StallTimeout), e.options.WriteTimeout)
+		offset += n
+		if err == nil {
+			return nil
+		}
+		var caller *relay.CallerError
+		if !gated(server.Announcement) || errors.As(err, &caller) || errors.Is(context.Cause(response.Request.Context()), relay.ErrStalled) {
+			return err
+		}
+		watchdog.Touch(e.options.StallTimeout)
+		next, resumeErr := e.resume(response.Request.Context(), r, c, server, offset)
+		if resumeErr != nil {
+			return err
+		}
+		_ = body.Close()
+		body = next.Body
+	}
+}
+
+// errorEvent ends a stream of server-sent events that cannot be completed, so
+// that a caller which reads events learns why its connection is cut next.
+func errorEvent(w http.ResponseWriter) {
+	if !strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
+		return
+	}
+	data, err := json.Marshal(errorBody{Error: errorObject{Message: "the answer could not be completed", Type: errorType(http.StatusBadGateway), Code: codeUnknownOutcome}})
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(w, "\n\ndata: "+string(data)+"\n\n")
+	_ = http.NewResponseController(w).Flush()
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,6 +18,13 @@
 	MethodDaemons = "control.daemons"
 )
 
+// PathRuns is the agent's path of a request that it runs, followed by the
+// request's id: GET reads its answer from QueryOffset on, DELETE cancels it.
+const PathRuns = "/v1/runs/"
+
+// QueryOffset is the first byte wanted of a running request's answer.
+const QueryOffset = "offset"
+
 // HTTP headers between entry, agent and engine.
 const (
 	// HeaderRequestID identifies one request on every hop.
