Pay retries from budgets of each contract and of all

Cause: a request was offered to three servers whatever else went on; when half of the servers die, every request does so at once and the rest drown. X-Request-Timeout bounds a request; its end is told at once, with Retry-After unless a resend could run the call twice. Ruled out: a fixed number of retries for each request, which multiplies the load just when capacity is gone.

--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -171,3 +171,27 @@
 		t.Errorf("ran %d times, told %v", ran, got.outcome)
 	}
 }
+
+// A caller waits for a limited time, and the server says nothing. Its answer
+// must not be held back beyond that, and must not invite a resend that could
+// book twice.
+func TestACallersTimeIsKept(t *testing.T) {
+	silent := make(chan struct{})
+	desk := startHandler(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-silent }))
+	t.Cleanup(func() { close(silent) })
+	_, server := newEntry(t, entry.Options{}, newSource(service("a", desk, 0)))
+	for path, retryAfter := range map[string]string{"/once": "", "/again": "1"} {
+		request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/services/desk"+path, strings.NewReader("x"))
+		request.Header.Set("Authorization", "Bearer "+callerKey)
+		request.Header.Set("X-Request-Timeout", "50ms")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		said, _ := outcome.Parse(response.Header.Get(outcome.Header))
+		if response.StatusCode != http.StatusGatewayTimeout || said != outcome.Unknown || response.Header.Get("Retry-After") != retryAfter {
+			t.Errorf("%s: %d, %v, Retry-After %q", path, response.StatusCode, said, response.Header.Get("Retry-After"))
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/retry"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -41,8 +42,8 @@
 	MaxBodyBytes int64
 	// SecureAgents reaches agents over TLS.
 	SecureAgents bool
-	// MaxAttempts is the most servers that one request is offered to.
-	MaxAttempts int
+	// Retries bound how often requests are offered to further servers.
+	Retries retry.Limits
 	// Placement tunes the choice of backend servers.
 	Placement placement.SelectorOptions
 	// BodyTimeout bounds how long a caller may take to send its body.
@@ -63,7 +64,6 @@
 
 const (
 	defaultMaxBodyBytes     = 4 << 20
-	defaultMaxAttempts      = 3
 	defaultBodyTimeout      = 30 * time.Second
 	defaultWriteTimeout     = 30 * time.Second
 	defaultFirstByteTimeout = 2 * time.Minute
@@ -73,7 +73,7 @@
 
 func (o *Options) setDefaults() {
 	setDefault(&o.MaxBodyBytes, defaultMaxBodyBytes)
-	setDefault(&o.MaxAttempts, defaultMaxAttempts)
+	setDefault(&o.Retries, retry.DefaultLimits)
 	setDefault(&o.BodyTimeout, defaultBodyTimeout)
 	setDefault(&o.WriteTimeout, defaultWriteTimeout)
 	setDefault(&o.FirstByteTimeout, defaultFirstByteTimeout)
@@ -103,6 +103,7 @@
 	follower Source
 	client   *http.Client
 	placer   *placer
+	retries  *retries
 	gate     *drain.Gate
 	stopping atomic.Bool
 }
@@ -117,6 +118,7 @@
 		follower: follower,
 		client:   client,
 		placer:   newPlacer(options.Placement, follower.Servers),
+		retries:  newRetries(options.Retries),
 		gate:     drain.NewGate(),
 	}
 }
@@ -176,6 +178,12 @@
 			fail(w, *problem)
 			return
 		}
+		ctx, cancel, problem := withTimeout(ctx, r.Header)
+		if problem != nil {
+			fail(w, *problem)
+			return
+		}
+		defer cancel()
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -27,6 +27,8 @@
 	codeDraining       Code = "entry_draining"
 	codeUnconfirmed    Code = "configuration_unconfirmed"
 	codeUnknownOutcome Code = "unknown_outcome"
+	codeDeadline       Code = "deadline_exceeded"
+	codeTimeout        Code = "invalid_timeout"
 	codeKeyReused      Code = "idempotency_key_reused"
 	codeKeyInvalid     Code = "idempotency_key_invalid"
 	codeInProgress     Code = "idempotency_key_in_progress"
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -40,7 +40,9 @@
 // resume asks the agent for the rest of an answer whose connection was cut.
 func (e *Entry) resume(ctx context.Context, r *http.Request, c call, server placement.Server, offset int64) (*http.Response, error) {
 	for try := range resumeTries {
-		if err := pauseJittered(ctx, resumePause<<try); err != nil {
+		// A random pause, so that the answers of one broken connection do
+		// not all come back in one burst.
+		if err := pause(ctx, rand.N(resumePause<<try)); err != nil {
 			return nil, err
 		}
 		response, err := e.askRun(ctx, r, server, http.MethodGet, offset)
@@ -58,19 +60,6 @@
 	return nil, errNotResumed
 }
 
-// pauseJittered waits a random part of d, so that the many answers of one
-// broken connection do not come back in one burst.
-func pauseJittered(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // askRun calls the agent about a request that it runs.
 func (e *Entry) askRun(ctx context.Context, r *http.Request, server placement.Server, method string, offset int64) (*http.Response, error) {
 	url := fmt.Sprintf("http://%s%s%s?%s=%d", server.Address, wire.PathRuns, r.Header.Get(wire.HeaderRequestID), wire.QueryOffset, offset)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
@@ -24,8 +27,9 @@
 // that must not run twice, or no further attempt is allowed. The caller has its
 // answer when send returns.
 func (e *Entry) send(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
+	e.retries.began(c.contract)
 	doubt := false
-	for range e.options.MaxAttempts {
+	for attempt := 1; ; attempt++ {
 		server, ok := e.placer.pick(c.request)
 		if !ok {
 			break
@@ -34,24 +38,34 @@
 		if said == outcome.Answered {
 			return said
 		}
-		if said == outcome.Unknown {
-			doubt = true
-		}
-		if r.Context().Err() != nil || doubt && !c.idempotent {
+		doubt = doubt || said == outcome.Unknown
+		if !e.retries.again(r.Context(), c, attempt, said) {
 			break
 		}
 		c.request.Exclude = append(c.request.Exclude, server.Server)
 	}
-	return fail(w, gaveUp(doubt))
+	problem := gaveUp(r.Context(), doubt)
+	if doubt && !c.idempotent && c.once == nil {
+		// To resend this call could run it twice: invite nobody to do so.
+		problem.retryAfter = 0
+	}
+	return fail(w, problem)
 }
 
 // gaveUp is the answer when no attempt brought one. doubt is true when a
-// server may have run the call.
-func gaveUp(doubt bool) failure {
-	if doubt {
-		return failure{status: http.StatusBadGateway, code: codeUnknownOutcome, message: "no server gave an answer; the call may have run"}
+// server may have run the call. It goes out at once and tells when to come back.
+func gaveUp(ctx context.Context, doubt bool) failure {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case doubt && late:
+		return failure{status: http.StatusGatewayTimeout, code: codeUnknownOutcome, message: "the time that the caller set is over; the call may have run", retryAfter: 1}
+	case doubt:
+		return failure{status: http.StatusBadGateway, code: codeUnknownOutcome, message: "no server gave an answer; the call may have run", retryAfter: 1}
+	case late:
+		return failure{status: http.StatusGatewayTimeout, code: codeDeadline, message: "the time that the caller set is over", retryAfter: 1}
+	default:
+		return failure{status: http.StatusServiceUnavailable, code: codeNoServer, message: "no backend server can take the request now", retryAfter: 1}
 	}
-	return failure{status: http.StatusServiceUnavailable, code: codeNoServer, message: "no backend server can take the request now", retryAfter: 1}
 }
 
 // gated reports whether a gate of this system stands before the server, whose
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,6 +38,8 @@
 	// HeaderIncarnation carries the engine incarnation that an order or call
 	// is meant for, and in answers the one that served it.
 	HeaderIncarnation = "X-Engine-Incarnation"
+	// HeaderTimeout is how long a caller waits for its answer, such as "2s".
+	HeaderTimeout = "X-Request-Timeout"
 	// HeaderIdempotencyKey is the caller's key for a call that must run once.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
