Admit requests under a permit that the answer settles

Cause: the entry checked allowed adapters and services only; nothing stood between authentication and dispatch where a contract's limits could refuse. Change: interface Admission with a Permit that is settled exactly once, also when an answer breaks off; the answer's usage or streamed events are read by a writer around the caller's, so that the send path is untouched. Refusals are 429 with Retry-After, code limit_reached and the clause's name, not run. Contract, share, priority, longest wait and expected cost go along in headers. Ruled out: reading usage in the relay, which has no view of contracts. Conclusion: the quota's duty can be put behind the interface without another edit of the request path.

--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -24,6 +24,17 @@
 	MaxWait time.Duration `json:"maxWait"`
 }
 
+// Clause names one limit of a contract, as callers and operators read it.
+type Clause string
+
+// The clauses that can refuse a request.
+const (
+	ClauseRequestsPerSecond Clause = "requestsPerSecond"
+	ClauseTokensPerMinute   Clause = "tokensPerMinute"
+	ClauseConcurrency       Clause = "concurrency"
+	ClauseMaxWait           Clause = "maxWait"
+)
+
 // Contract is one customer's agreement.
 type Contract struct {
 	// ID names the contract; it never changes.
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -13,8 +13,11 @@
 )
 
 type callerBody struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int64  `json:"max_tokens"`
+	MaxCompletionTokens int64  `json:"max_completion_tokens"`
+	N                   int64  `json:"n"`
 }
 
 func (e *Entry) complete(w http.ResponseWriter, r *http.Request) {
@@ -28,37 +31,38 @@
 		fail(w, *problem)
 		return
 	}
-	adapter, problem := e.resolve(customer, body)
+	adapter, parsed, problem := e.resolve(customer, body)
 	if problem != nil {
 		fail(w, *problem)
 		return
 	}
 	r.Header.Set(wire.HeaderModel, adapter.Ref.String())
 	r.Header.Set(agent.HeaderSource, adapter.Source)
-	e.send(w, r, call{
+	e.admit(w, r, call{
 		request:    placement.Request{Kind: membership.KindEngine, Ref: adapter.Ref, BaseModel: adapter.BaseModel},
 		contract:   customer.ID,
+		ask:        askFor(customer, parsed, len(body)),
 		path:       r.URL.Path,
 		body:       body,
 		idempotent: true,
 	})
 }
 
-func (e *Entry) resolve(customer contract.Contract, body []byte) (catalogue.Adapter, *failure) {
+func (e *Entry) resolve(customer contract.Contract, body []byte) (catalogue.Adapter, callerBody, *failure) {
 	var parsed callerBody
 	if err := json.Unmarshal(body, &parsed); err != nil {
-		return catalogue.Adapter{}, &failure{status: http.StatusBadRequest, code: codeMalformed, message: "the body is not valid JSON"}
+		return catalogue.Adapter{}, parsed, &failure{status: http.StatusBadRequest, code: codeMalformed, message: "the body is not valid JSON"}
 	}
 	ref, err := catalogue.ParseRef(parsed.Model)
 	if err != nil {
-		return catalogue.Adapter{}, &failure{status: http.StatusBadRequest, code: codeMalformed, message: err.Error()}
+		return catalogue.Adapter{}, parsed, &failure{status: http.StatusBadRequest, code: codeMalformed, message: err.Error()}
 	}
 	if !customer.AllowsAdapter(ref.Adapter) {
-		return catalogue.Adapter{}, &failure{status: http.StatusForbidden, code: codeNotInContract, message: "the contract does not cover adapter " + ref.Adapter}
+		return catalogue.Adapter{}, parsed, &failure{status: http.StatusForbidden, code: codeNotInContract, message: "the contract does not cover adapter " + ref.Adapter}
 	}
 	adapter, ok := e.follower.Config().Adapter(ref)
 	if !ok {
-		return catalogue.Adapter{}, &failure{status: http.StatusNotFound, code: codeUnknownModel, message: "there is no adapter " + ref.String()}
+		return catalogue.Adapter{}, parsed, &failure{status: http.StatusNotFound, code: codeUnknownModel, message: "there is no adapter " + ref.String()}
 	}
-	return adapter, nil
+	return adapter, parsed, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,8 @@
 	ClaimTimeout time.Duration
 	// Claims decides that. Without it calls with a key are refused.
 	Claims Claims
+	// Admission enforces the contracts' limits; nil admits everything.
+	Admission Admission
 }
 
 const (
@@ -112,6 +114,9 @@
 // client must come from the relay package, which never sends a call twice.
 func New(options Options, follower Source, client *http.Client, log *zap.Logger) *Entry {
 	options.setDefaults()
+	if options.Admission == nil {
+		options.Admission = unlimited{}
+	}
 	return &Entry{
 		options:  options,
 		log:      log,
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // Code is the stable machine-readable code of an error answer.
@@ -37,6 +38,7 @@
 	codeNoClaims       Code = "claims_unavailable"
 	codeClaimsFull     Code = "claims_full"
 	codeNoClaim        Code = "unknown_claim"
+	codeLimit          Code = "limit_reached"
 )
 
 // failure is an error answer to a caller.
@@ -46,12 +48,16 @@
 	message string
 	// retryAfter is in seconds; 0 sends no header.
 	retryAfter int
+	// clause names the contract's clause that refuses, if one does.
+	clause string
 }
 
 type errorObject struct {
 	Message string `json:"message"`
 	Type    string `json:"type"`
 	Code    Code   `json:"code"`
+	// Param names the contract's clause when a limit refuses.
+	Param string `json:"param,omitempty"`
 }
 
 type errorBody struct {
@@ -90,12 +96,18 @@
 	if f.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(f.retryAfter))
 	}
+	if f.clause != "" {
+		w.Header().Set(wire.HeaderClause, f.clause)
+	}
 	w.WriteHeader(f.status)
-	_ = json.NewEncoder(w).Encode(errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code}})
+	_ = json.NewEncoder(w).Encode(errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code, Param: f.clause}})
 	return said
 }
 
 func errorType(status int) string {
+	if status == http.StatusTooManyRequests {
+		return "rate_limit_error"
+	}
 	if status >= http.StatusInternalServerError {
 		return "server_error"
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -73,7 +73,7 @@
 	}
 	claimGrantedCount.Add(1)
 	c.once = o
-	if said := e.send(w, r.WithContext(ctx), c); said == outcome.NotRun {
+	if said := e.admit(w, r.WithContext(ctx), c); said == outcome.NotRun {
 		e.afterwards(ctx, func(ctx context.Context) { o.release(ctx) })
 	}
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -15,7 +15,9 @@
 type call struct {
 	request placement.Request
 	// contract is the ID of the caller's contract.
-	contract   string
+	contract string
+	// ask is what the call asks of its contract's limits.
+	ask        Ask
 	path       string
 	body       []byte
 	idempotent bool
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -39,6 +39,7 @@
 	c := call{
 		request:    placement.Request{Kind: membership.KindService, Pool: name},
 		contract:   customer.ID,
+		ask:        Ask{Contract: customer},
 		path:       path,
 		body:       body,
 		idempotent: route.Idempotent,
@@ -47,5 +48,5 @@
 		e.sendOnce(w, r, c, key)
 		return
 	}
-	e.send(w, r, c)
+	e.admit(w, r, c)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -42,6 +42,17 @@
 	HeaderTimeout = "X-Request-Timeout"
 	// HeaderIdempotencyKey is the caller's key for a call that must run once.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderClause names the contract's clause that refused a request.
+	HeaderClause = "Rosemarypass-Clause"
+	// HeaderContract, HeaderShare and HeaderPriority tell an agent whose
+	// request it is, its weight in fair queueing and its priority.
+	HeaderContract = "Rosemarypass-Contract"
+	HeaderShare    = "Rosemarypass-Share"
+	HeaderPriority = "Rosemarypass-Priority"
+	// HeaderMaxWait is the longest that the request may wait, in milliseconds.
+	HeaderMaxWait = "Rosemarypass-Max-Wait"
+	// HeaderCost is the request's expected use, in tokens.
+	HeaderCost = "Rosemarypass-Cost"
 )
 
 // Announce reports one backend server to the directory.
