Divide a contract among entries by leased shares

Cause: limits were written in contracts and enforced nowhere; an entry alone cannot enforce them, because the balancer spreads a customer's requests. Change: coord/quota, pure. One owner leases each entry a part of the rates and slots and lends whole requests' credit out of a reserve; holders admit, queue and refuse on their own. Shares are fractions, so a changed contract needs no message here. A new owner renews what holders report and raises nothing until its predecessor's leases have run out. Ruled out: a split by entries, and prepaid credit alone, which stops all admission while there is no owner.

--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -42,6 +42,9 @@
 	// Revision is the log index of the change that wrote this state. A
 	// writer must name the revision that it read.
 	Revision uint64 `json:"revision"`
+	// Created is the log index of the change that created the contract; the
+	// replicated state sets it.
+	Created uint64 `json:"created,omitempty"`
 	// KeyHashes are the hex SHA-256 digests of the caller keys.
 	KeyHashes []string `json:"keyHashes"`
 	// Adapters lists allowed adapter names; a trailing '*' allows a prefix.
--- /dev/null
+++ b/coord/quota/sim_test.go
@@ -0,0 +1,270 @@
+package quota
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+)
+
+// Timing of the simulated entries; the daemons use the same intervals.
+const (
+	simTick       = time.Millisecond
+	simLatency    = time.Millisecond
+	idleInterval  = 500 * time.Millisecond
+	shortInterval = 100 * time.Millisecond
+)
+
+// scenario is a seeded load on entries under virtual time.
+type scenario struct {
+	entries int
+	agreed  []contract.Contract
+	// rate is the offered requests a second, weights how likely an entry is.
+	rate    float64
+	weights []float64
+	tokens  int64
+	run     time.Duration
+	seconds int
+	// at are events by their second.
+	at map[int]func(*simulation)
+}
+
+// simulation runs a scenario against holders and an owner.
+type simulation struct {
+	scenario
+	rng       *rand.Rand
+	now       time.Time
+	owner     *Owner
+	epoch     uint64
+	contracts map[string]contract.Contract
+	// followed is what the entries know of the contracts.
+	followed map[string]contract.Contract
+	holders  []*simHolder
+	events   eventQueue
+	nextID   RequestID
+	down     bool
+
+	offered, admitted, refused int
+	admittedAt                 []int
+	waits                      []time.Duration
+	messages, bytes            int
+	ownerTime                  time.Duration
+	perEntry                   map[int]int
+}
+
+type simHolder struct {
+	*Holder
+	next time.Time
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func simulate(s scenario) *simulation {
+	sim := &simulation{
+		scenario:  s,
+		rng:       rand.New(rand.NewPCG(20261203, 6)),
+		now:       time.Unix(1_000_000, 0),
+		contracts: make(map[string]contract.Contract),
+		perEntry:  make(map[int]int),
+	}
+	for _, agreed := range s.agreed {
+		sim.contracts[agreed.ID] = agreed
+	}
+	sim.followed = sim.contracts
+	sim.newOwner(sim.now.Add(-2 * time.Minute))
+	for i := range s.entries {
+		sim.holders = append(sim.holders, &simHolder{Holder: NewHolder(DefaultOptions(), fmt.Sprint("entry-", i), 1)})
+	}
+	begin := sim.now
+	for second := range s.seconds {
+		if do, ok := s.at[second]; ok {
+			do(sim)
+		}
+		sim.admittedAt = append(sim.admittedAt, 0)
+		for end := begin.Add(time.Duration(second+1) * time.Second); sim.now.Before(end); sim.now = sim.now.Add(simTick) {
+			sim.tick()
+		}
+	}
+	return sim
+}
+
+func (s *simulation) newOwner(began time.Time) {
+	s.epoch++
+	s.owner = NewOwner(DefaultOptions(), Tenure{Epoch: s.epoch, Began: began}, func(id string) (contract.Contract, bool) {
+		agreed, ok := s.contracts[id]
+		return agreed, ok
+	})
+}
+
+func (s *simulation) after(d time.Duration, do func()) { heap.Push(&s.events, event{s.now.Add(d), do}) }
+
+func (s *simulation) tick() {
+	for len(s.events) > 0 && !s.events[0].at.After(s.now) {
+		heap.Pop(&s.events).(event).do()
+	}
+	for n := s.arrivals(); n > 0; n-- {
+		s.arrive()
+	}
+	for i, h := range s.holders {
+		if due, ok := h.NextTick(s.now); ok && !due.After(s.now) {
+			s.act(i, h.Tick(s.now))
+		}
+		if h.InUse() && h.pending == 0 && (h.Urgent(s.now) || !h.next.After(s.now)) {
+			s.renew(i, h)
+		}
+	}
+}
+
+// arrivals draws the number of requests in one tick.
+func (s *simulation) arrivals() int {
+	mean := s.rate * simTick.Seconds()
+	n := int(mean)
+	if s.rng.Float64() < mean-float64(n) {
+		n++
+	}
+	return n
+}
+
+func (s *simulation) arrive() {
+	s.offered++
+	s.nextID++
+	i := s.pickEntry()
+	agreed := s.followed[s.agreed[s.rng.IntN(len(s.agreed))].ID]
+	s.act(i, s.holders[i].Ask(s.now, Request{ID: s.nextID, Contract: agreed, Tokens: s.tokens}))
+}
+
+func (s *simulation) pickEntry() int {
+	if s.weights == nil {
+		return s.rng.IntN(s.entries)
+	}
+	x := s.rng.Float64()
+	for i, w := range s.weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(s.weights) - 1
+}
+
+func (s *simulation) act(i int, actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Admit:
+			s.admitted++
+			s.admittedAt[len(s.admittedAt)-1]++
+			s.perEntry[i]++
+			s.waits = append(s.waits, action.Waited)
+			h := s.holders[i]
+			s.after(s.run, func() { s.act(i, h.Settle(s.now, action.ID, Use{Tokens: -1})) })
+		case Refuse:
+			s.refused++
+		}
+	}
+}
+
+func (s *simulation) renew(i int, h *simHolder) {
+	h.next = s.now.Add(idleInterval)
+	if len(h.waiting) > 0 {
+		h.next = s.now.Add(shortInterval)
+	}
+	renewal := h.Renewal(s.now)
+	s.messages++
+	s.count(renewal)
+	s.after(simLatency, func() {
+		if s.down {
+			h.Lost()
+			return
+		}
+		begin := time.Now()
+		reply := s.owner.Renew(s.now, renewal)
+		s.ownerTime += time.Since(begin)
+		s.count(reply)
+		s.after(simLatency, func() { s.act(i, h.Reply(s.now, reply)) })
+	})
+}
+
+// count adds up what the messages take on the wire.
+func (s *simulation) count(message any) {
+	data, err := json.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	s.bytes += len(data)
+}
+
+func (s *simulation) restart(i int) {
+	h := s.holders[i]
+	s.holders[i] = &simHolder{Holder: NewHolder(DefaultOptions(), h.name, h.incarnation+1)}
+}
+
+func agreement(id string, rate float64, tokens int64, slots int) contract.Contract {
+	return contract.Contract{ID: id, Revision: 1, Share: 1, Limits: contract.Limits{
+		RequestsPerSecond: rate, TokensPerMinute: tokens, Concurrency: slots, MaxWait: 2 * time.Second,
+	}}
+}
+
+// ideal is what one bucket for all entries would admit in a steady overload.
+func ideal(limits contract.Limits, tokens int64, seconds int) float64 {
+	admitted := capacity(requestBucket, limits) + refill(requestBucket, limits)*float64(seconds)
+	if tokens > 0 {
+		byTokens := capacity(tokenBucket, limits) + refill(tokenBucket, limits)*float64(seconds)
+		admitted = min(admitted, byTokens/float64(tokens))
+	}
+	return admitted
+}
+
+// The balancer sends nearly everything to one entry. A split of the contract by
+// entries would refuse three quarters of what the customer pays for.
+func TestUseOfTheContractWhateverTheBalance(t *testing.T) {
+	const perMinute = 120_000
+	cases := []struct {
+		name    string
+		agreed  contract.Contract
+		weights []float64
+		entries int
+		rate    float64
+		tokens  int64
+	}{
+		{"all on one of 4", agreement("a", 50, 1<<40, 1000), []float64{1}, 4, 100, 10},
+		{"97 of 100 on one of 4", agreement("a", 50, 1<<40, 1000), []float64{.97, .01, .01, .01}, 4, 100, 10},
+		{"even over 4", agreement("a", 50, 1<<40, 1000), nil, 4, 100, 10},
+		{"even over 40", agreement("a", 50, 1<<40, 1000), nil, 40, 100, 10},
+		{"few requests on one", agreement("a", 0.5, 1<<40, 1000), []float64{1}, 4, 2, 10},
+		{"few requests over 4", agreement("a", 0.5, 1<<40, 1000), nil, 4, 2, 10},
+		{"one a second over 370", agreement("a", 1, 1<<40, 1000), nil, 370, 3, 10},
+		{"tokens on one of 4", agreement("a", 1000, perMinute, 1000), []float64{1}, 4, 10, 400},
+		{"tokens over 4", agreement("a", 1000, perMinute, 1000), nil, 4, 10, 400},
+		{"large requests over 4", agreement("a", 1000, perMinute, 1000), nil, 4, 1, 38_000},
+	}
+	for _, c := range cases {
+		const seconds = 120
+		sim := simulate(scenario{entries: c.entries, agreed: []contract.Contract{c.agreed}, rate: c.rate, weights: c.weights, tokens: c.tokens, run: 50 * time.Millisecond, seconds: seconds})
+		allowed := math.Floor(ideal(c.agreed.Limits, c.tokens, seconds))
+		use := float64(sim.admitted) / allowed
+		t.Logf("%s: admitted %d of %.0f allowed (%.1f%%), offered %d", c.name, sim.admitted, allowed, 100*use, sim.offered)
+		if use < 0.95 || use > 1 {
+			t.Errorf("%s: use of the contract is %.3f", c.name, use)
+		}
+	}
+}
