Enforce limits at entries by shares that control leases

Cause: the quota's decisions had no duty and no messages. Change: internal/limiter is an entry's duty around quota.Holder (one renewal under way at a time, all contracts in one message, every 500 ms, 100 ms while a request waits, at once when that helps); control.Quotas is the owner's duty; method quota.renew. A planned stop hands shares back. Without a lease the caller is told limits_unconfirmed (503, not run), never that it reached a limit. The state machine notes a contract's creation, so that a contract younger than the owner's tenure is usable at once. Operators read /admin/v1/limits. Ruled out: one message for each contract; a mutex in place of the duty.

--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -33,6 +33,7 @@
 	ClauseTokensPerMinute   Clause = "tokensPerMinute"
 	ClauseConcurrency       Clause = "concurrency"
 	ClauseMaxWait           Clause = "maxWait"
+	ClauseRetired           Clause = "retired"
 )
 
 // Contract is one customer's agreement.
--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -43,8 +43,11 @@
 type State struct {
 	Kind Kind `json:"kind"`
 	// AsOf is the moment of the last proof; zero when there was none.
-	AsOf   time.Time `json:"asOf"`
-	Reason string    `json:"reason"`
+	AsOf time.Time `json:"asOf"`
+	// HaltedAt is when too few control instances to elect a leader were last
+	// seen, if Kind is Unchangeable.
+	HaltedAt time.Time `json:"haltedAt,omitzero"`
+	Reason   string    `json:"reason"`
 }
 
 // MayAdmit reports whether requests may be admitted under the copy.
@@ -214,7 +217,7 @@
 	case !t.proven.IsZero() && now.Sub(t.proven) <= t.options.Lease:
 		return State{Kind: Fresh, AsOf: t.proven, Reason: "confirmed by control"}
 	case !t.halted.IsZero() && now.Sub(t.halted) <= t.options.Lease:
-		return State{Kind: Unchangeable, AsOf: t.proven, Reason: t.reason}
+		return State{Kind: Unchangeable, AsOf: t.proven, HaltedAt: t.halted, Reason: t.reason}
 	default:
 		return State{Kind: CutOff, AsOf: t.proven, Reason: t.reason}
 	}
--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -285,7 +285,7 @@
 	h.Held[Slots] = a.share[Slots]
 	h.Demand[Slots] = min(1, float64(a.inFlight+waiting+spare)/n)
 	if waiting > 0 && a.inFlight == 0 {
-		h.Need[Slots] = 1 / n
+		h.Need = 1 / n
 	}
 }
 
--- a/coord/quota/holder.go
+++ b/coord/quota/holder.go
@@ -185,11 +185,12 @@
 	return h.pump(now, a, nil)
 }
 
-// Cancel forgets a waiting request whose caller left.
+// Cancel ends a request whose caller left before it saw an answer. The request
+// may have been admitted in the same moment; its slot must not stay taken.
 func (h *Holder) Cancel(now time.Time, contractID string, id RequestID) []Action {
 	w, ok := h.queued[id]
 	if !ok {
-		return nil
+		return h.Settle(now, id, Use{NotRun: true})
 	}
 	delete(h.queued, id)
 	a := h.accounts[contractID]
@@ -339,6 +340,15 @@
 // renewal is worth its message.
 const urgentWait = 20 * time.Millisecond
 
+// Renewing reports whether a renewal is under way.
+func (h *Holder) Renewing() bool { return h.pending != 0 }
+
+// Waiting reports whether any request waits.
+func (h *Holder) Waiting() bool { return len(h.waiting) > 0 }
+
+// Leased reports whether the holder has a lease.
+func (h *Holder) Leased(now time.Time) bool { return now.Before(h.expires) }
+
 // InUse reports whether there is anything to renew.
 func (h *Holder) InUse() bool { return len(h.accounts) > 0 }
 
--- a/coord/quota/ledger.go
+++ b/coord/quota/ledger.go
@@ -133,11 +133,9 @@
 // renewOnly grants no more than is held. Another holder that this owner has not
 // heard of may hold the rest.
 func (l *ledger) renewOnly(key holderKey, h Holding) Grant {
-	grant := Grant{Contract: h.Contract}
-	for m := range measures {
-		grant.Share[m] = min(h.Held[m], h.Demand[m])
-		grant.Short.add(clauseOf(m), grant.Share[m] < h.Need[m]-epsilon)
-	}
+	grant := Grant{Contract: h.Contract, Share: h.Held}
+	grant.Share[Slots] = min(h.Held[Slots], h.Demand[Slots])
+	grant.Short.add(slotClause, grant.Share[Slots] < h.Demand[Slots]-epsilon)
 	for b := range buckets {
 		grant.Short.add(int(b), h.First[b] > 0)
 	}
@@ -278,12 +276,12 @@
 func (l *ledger) divideSlots(key holderKey, h Holding, others totals) (slots float64, short bool) {
 	demand := min(1, h.Demand[Slots])
 	unit := 1 / float64(l.limits.Concurrency)
-	target := max(math.Ceil(proportion(demand, others.demand[Slots])/unit-epsilon)*unit, h.Need[Slots])
+	target := max(math.Ceil(proportion(demand, others.demand[Slots])/unit-epsilon)*unit, h.Need)
 	planned := 1 - others.planned[Slots] - l.slotHeldBack(key, unit)
 	free := min(target, demand, 1-others.outstanding[Slots], planned)
 	slots = max(0, math.Floor(free/unit+epsilon)*unit)
 	short = slots < demand-epsilon
-	l.queueFirst(Slots, key, slots < h.Need[Slots]-epsilon)
+	l.queueFirst(Slots, key, slots < h.Need-epsilon)
 	return slots, short
 }
 
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -116,9 +116,10 @@
 	Contract string `json:"c"`
 	// Held is the most that the holder can use until a newer grant.
 	Held Share `json:"h"`
-	// Demand is what it could use; Need is the least that helps it.
+	// Demand is what it could use of the rates and slots.
 	Demand Share `json:"d"`
-	Need   Share `json:"n"`
+	// Need is the least part of the slots that helps it.
+	Need float64 `json:"n,omitempty"`
 	// Level is the content of its buckets and Mean what a request takes on
 	// average.
 	Level Credit `json:"l"`
@@ -164,18 +165,6 @@
 	}
 }
 
-// clauseOf is the clause that a measure belongs to.
-func clauseOf(m Measure) int {
-	switch m {
-	case RequestRate, RequestBurst:
-		return requestClause
-	case TokenRate, TokenBurst:
-		return tokenClause
-	default:
-		return slotClause
-	}
-}
-
 // Renewal is one holder's message about every contract that it uses.
 type Renewal struct {
 	Holder      string `json:"holder"`
--- /dev/null
+++ b/coord/quota/scenario_test.go
@@ -0,0 +1,177 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+)
+
+// The balancer sends nearly everything to one entry. A split of the contract by
+// entries would refuse three quarters of what the customer pays for.
+func TestUseOfTheContractWhateverTheBalance(t *testing.T) {
+	const perMinute = 120_000
+	cases := []struct {
+		name    string
+		agreed  contract.Contract
+		weights []float64
+		entries int
+		rate    float64
+		tokens  int64
+	}{
+		{"all on one of 4", agreement("a", 50, 1<<40, 1000), []float64{1}, 4, 100, 10},
+		{"97 of 100 on one of 4", agreement("a", 50, 1<<40, 1000), []float64{.97, .01, .01, .01}, 4, 100, 10},
+		{"even over 4", agreement("a", 50, 1<<40, 1000), nil, 4, 100, 10},
+		{"even over 40", agreement("a", 50, 1<<40, 1000), nil, 40, 100, 10},
+		{"few requests on one", agreement("a", 0.5, 1<<40, 1000), []float64{1}, 4, 2, 10},
+		{"few requests over 4", agreement("a", 0.5, 1<<40, 1000), nil, 4, 2, 10},
+		{"one a second over 370", agreement("a", 1, 1<<40, 1000), nil, 370, 3, 10},
+		{"tokens on one of 4", agreement("a", 1000, perMinute, 1000), []float64{1}, 4, 20, 400},
+		{"tokens over 4", agreement("a", 1000, perMinute, 1000), nil, 4, 20, 400},
+		{"large requests over 4", agreement("a", 1000, perMinute, 1000), nil, 4, 1, 23_000},
+	}
+	for _, c := range cases {
+		const seconds = 60
+		sim := simulate(scenario{entries: c.entries, agreed: []contract.Contract{c.agreed}, rate: c.rate, weights: c.weights, tokens: c.tokens, run: 50 * time.Millisecond, seconds: seconds})
+		allowed := math.Floor(ideal(c.agreed.Limits, c.tokens, seconds))
+		use := float64(sim.admitted) / allowed
+		t.Logf("%s: admitted %d of %.0f allowed (%.1f%%), offered %d", c.name, sim.admitted, allowed, 100*use, sim.offered)
+		if use < 0.95 || use > 1 {
+			t.Errorf("%s: use of the contract is %.3f", c.name, use)
+		}
+	}
+}
+
+// overload is a steady overload of one contract on 4 entries, during which
+// something happens.
+func overload(at map[int]func(*simulation)) *simulation {
+	return simulate(scenario{
+		entries: 4, agreed: []contract.Contract{agreement("a", 50, 1<<40, 1000)}, rate: 100, tokens: 10,
+		run: 50 * time.Millisecond, seconds: 60, at: at,
+	})
+}
+
+func sum(perSecond []int) (total int) {
+	for _, n := range perSecond {
+		total += n
+	}
+	return total
+}
+
+// The control leader is lost and a new one is elected a second later. Entries
+// go on within the shares that they hold, and the new owner must not lease them
+// a second time.
+func TestOwnerChangeNeitherStopsNorOverGrants(t *testing.T) {
+	sim := overload(map[int]func(*simulation){
+		30: func(s *simulation) { s.down = true },
+		31: func(s *simulation) { s.down = false; s.newOwner(s.now) },
+	})
+	during := sum(sim.admittedAt[30:34])
+	t.Logf("admitted %v around the change, %d in all", sim.admittedAt[28:36], sim.admitted)
+	if during < 4*50*9/10 {
+		t.Errorf("%d requests admitted in the 4 s from the loss of the owner, 200 allowed", during)
+	}
+	if allowed := ideal(sim.agreed[0].Limits, 10, 60); float64(sim.admitted) > allowed {
+		t.Errorf("admitted %d, %v allowed", sim.admitted, allowed)
+	}
+}
+
+// An operator halves a contract under full load. The owner hears of it at once,
+// the entries a second later.
+func TestHalvedContractIsInForceWithTheFeed(t *testing.T) {
+	sim := overload(map[int]func(*simulation){
+		30: func(s *simulation) { s.contracts = map[string]contract.Contract{"a": halved(s.agreed[0])} },
+		31: func(s *simulation) { s.followed = s.contracts },
+	})
+	t.Logf("admitted %v around the change", sim.admittedAt[28:38])
+	after := sum(sim.admittedAt[32:])
+	allowed := ideal(halved(sim.agreed[0]).Limits, 10, 28)
+	if float64(after) > allowed || float64(after) < 0.95*allowed-25 {
+		t.Errorf("%d admitted in the 28 s that begin a second after the entries heard, %v allowed", after, allowed)
+	}
+}
+
+func halved(agreed contract.Contract) contract.Contract {
+	agreed.Revision++
+	agreed.Limits.RequestsPerSecond /= 2
+	return agreed
+}
+
+// Entries crash and come back, one every 5 seconds. Each comes back with an
+// empty hand while its old share is still counted.
+func TestRestartedEntriesNeverAddToTheContract(t *testing.T) {
+	at := make(map[int]func(*simulation))
+	for second := 5; second < 60; second += 5 {
+		at[second] = func(s *simulation) { s.restart(second / 5 % s.entries) }
+	}
+	sim := overload(at)
+	allowed := ideal(sim.agreed[0].Limits, 10, 60)
+	t.Logf("admitted %d of %.0f allowed", sim.admitted, allowed)
+	if use := float64(sim.admitted) / allowed; use > 1 || use < 0.75 {
+		t.Errorf("use of the contract is %.3f", use)
+	}
+}
+
+// A reply of an owner that has been replaced arrives after the holder has heard
+// of its successor.
+func TestHolderIgnoresAnOlderEpoch(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	agreed := agreement("a", 50, 6000, 10)
+	h := NewHolder(DefaultOptions(), "entry", 1)
+	h.Ask(now, Request{ID: 1, Contract: agreed, Tokens: 1})
+	whole := Share{1, 1, 1, 1, 1}
+	for _, epoch := range []uint64{2, 1} {
+		r := h.Renewal(now)
+		grant := Grant{Contract: "a", Share: Share{Slots: 0.1}}
+		if epoch == 1 {
+			grant.Share = whole
+		}
+		h.Reply(now, Reply{Incarnation: 1, Number: r.Number, Epoch: epoch, Accepted: true, Grants: []Grant{grant}})
+	}
+	if got := h.accounts["a"].share; got != (Share{Slots: 0.1}) {
+		t.Errorf("the holder took the share %v of an older epoch", got)
+	}
+}
+
+// A renewal that gives credit back is delivered again to an owner that has
+// begun since. It has no memory of the first copy.
+func TestReturnedCreditOfAnEarlierTenureIsLost(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	agreed := agreement("a", 50, 6000, 10)
+	owner := NewOwner(DefaultOptions(), Tenure{Epoch: 2, Began: now}, func(string) (contract.Contract, bool) { return agreed, true })
+	renewal := Renewal{Holder: "entry", Incarnation: 1, Number: 1, Epoch: 1, Holdings: []Holding{{Contract: "a", Returned: Credit{0.5, 0.5}}}}
+	if reply := owner.Renew(now, renewal); !reply.Accepted {
+		t.Fatal("the renewal was not accepted")
+	}
+	if reserve := owner.Standing("a").Reserve; reserve != (Credit{}) {
+		t.Errorf("the reserve is %v", reserve)
+	}
+}
+
+// Nobody uses the contracts any more: they take no memory and no messages.
+func TestIdleContractsCostNothing(t *testing.T) {
+	var agreed []contract.Contract
+	for _, id := range []string{"a", "b", "c"} {
+		agreed = append(agreed, agreement(id, 50, 6000, 10))
+	}
+	var messages int
+	sim := simulate(scenario{
+		entries: 4, agreed: agreed, rate: 30, tokens: 10, run: 50 * time.Millisecond, seconds: 180,
+		at: map[int]func(*simulation){
+			5:  func(s *simulation) { s.rate = 0 },
+			20: func(s *simulation) { messages = s.messages },
+		},
+	})
+	if sim.messages != messages {
+		t.Errorf("%d messages while nothing was in use", sim.messages-messages)
+	}
+	if n := len(sim.owner.ledgers); n != 0 {
+		t.Errorf("the owner keeps %d ledgers", n)
+	}
+	for _, h := range sim.holders {
+		if h.InUse() {
+			t.Errorf("%s keeps %d accounts", h.name, len(h.accounts))
+		}
+	}
+}
--- a/coord/state/contracts.go
+++ b/coord/state/contracts.go
@@ -32,7 +32,7 @@
 func (c *contracts) put(index uint64, put PutContract) (Result, *Change) {
 	current, exists := c.byID[put.Contract.ID]
 	next := put.Contract
-	next.Revision = current.Revision
+	next.Revision, next.Created = current.Revision, current.Created
 	if exists && reflect.DeepEqual(normalise(next), normalise(current)) {
 		return Result{Code: CodeOK, Index: current.Revision}, nil
 	}
@@ -100,6 +100,9 @@
 		delete(c.owners, digest)
 	}
 	next.Revision = index
+	if next.Created == 0 {
+		next.Created = index
+	}
 	c.byID[next.ID] = next
 	c.own(next)
 	return ok(index), &Change{Index: index, Contract: &next}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -81,6 +81,7 @@
 	builder pageBuilder
 	members Membership
 	advice  *adviceDuty
+	quotas  *Quotas
 
 	mu        sync.Mutex
 	machine   *state.Machine
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -42,6 +42,7 @@
 		})
 		c.routeChanges(admin)
 		c.routeMembers(admin)
+		c.routeLimits(admin)
 		admin.Get("/status", c.getStatus)
 		admin.Get("/in-force/{index}", c.getInForce)
 	})
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/broker"
+	"github.com/rosemarypass/rosemarypass/coord/quota"
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
@@ -33,11 +34,15 @@
 		return errors.Wrap(err, "control.peerListen")
 	}
 	handlers := c.Handlers()
-	handOver, err := d.startLog(ctx, c, handlers)
+	ownership, handOver, err := d.startLog(ctx, c, handlers)
 	if err != nil {
 		_ = listener.Close()
 		return err
 	}
+	quotas := control.NewQuotas(quota.DefaultOptions(), ownership, c.Agreed, d.log)
+	c.UseQuotas(quotas)
+	maps.Copy(handlers, quotas.Handlers())
+	d.duties.Go(func() { quotas.Run(ctx) })
 	loads := control.NewLoadBroker(broker.Options{})
 	handlers[wire.MethodLoads] = rpc.Typed(loads.Sync)
 	server := rpc.NewServer(handlers)
@@ -53,11 +58,12 @@
 }
 
 // startLog replicates the state when the settings name a data folder. It adds
-// the log's methods to the handlers and returns what a planned stop does first.
-func (d *Daemon) startLog(ctx context.Context, c *control.Control, handlers map[string]rpc.Handler) (func(context.Context), error) {
+// the log's methods to the handlers and returns who owns the quotas and what a
+// planned stop does first.
+func (d *Daemon) startLog(ctx context.Context, c *control.Control, handlers map[string]rpc.Handler) (control.Ownership, func(context.Context), error) {
 	s := d.settings.Control
 	if s.DataFolder == "" {
-		return func(context.Context) {}, nil
+		return c.SoleOwnership(), func(context.Context) {}, nil
 	}
 	r, err := replica.Open(replica.Options{
 		Instance:  d.settings.Instance,
@@ -68,12 +74,14 @@
 		RPC:       d.rpcOptions(),
 	}, c, d.log)
 	if err != nil {
-		return nil, errors.Wrap(err, "control.dataFolder")
+		return nil, nil, errors.Wrap(err, "control.dataFolder")
 	}
 	c.UseReplica(r)
 	maps.Copy(handlers, r.Handlers())
 	d.duties.Go(func() { r.Run(ctx) })
-	return func(ctx context.Context) {
+	ownership := control.NewLeaderOwnership(r)
+	d.duties.Go(func() { ownership.Run(ctx) })
+	return ownership, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		defer cancel()
 		r.Stop(ctx)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -7,9 +7,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/quota"
 	"github.com/rosemarypass/rosemarypass/internal/claims"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/limiter"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
@@ -25,7 +27,16 @@
 		RPC:    d.rpcOptions(),
 	}, d.log)
 	client := relay.NewClient(time.Duration(s.DialTimeout), d.secure()...)
+	limits := limiter.New(limiter.Options{
+		Instance:  d.settings.Instance,
+		Peers:     d.settings.ControlPeers,
+		RPC:       d.rpcOptions(),
+		Quota:     quota.DefaultOptions(),
+		Freshness: follower.Freshness,
+	}, follower.Config(), d.log)
+	d.duties.Go(func() { limits.Run(ctx) })
 	e := entry.New(entry.Options{
+		Admission:    limits,
 		MaxBodyBytes: s.MaxBodyBytes,
 		SecureAgents: d.identity != nil,
 		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -53,6 +53,8 @@
 
 // Refusal names the clause that refuses a request.
 type Refusal struct {
+	// Clause is empty when no limit of the contract was reached, but the
+	// entry could not confirm that.
 	Clause contract.Clause
 	// RetryAfter is when a new attempt can succeed.
 	RetryAfter time.Duration
@@ -61,9 +63,13 @@
 
 func (f *Refusal) failure() failure {
 	seconds := int((f.RetryAfter + time.Second - 1) / time.Second)
+	status, code := http.StatusTooManyRequests, codeLimit
+	if f.Clause == "" {
+		status, code = http.StatusServiceUnavailable, codeNoLimits
+	}
 	return failure{
-		status:     http.StatusTooManyRequests,
-		code:       codeLimit,
+		status:     status,
+		code:       code,
 		message:    f.Message,
 		retryAfter: max(seconds, 1),
 		clause:     string(f.Clause),
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -17,7 +17,8 @@
 // internalHeaders are spoken between entries and agents only.
 var internalHeaders = []string{
 	outcome.Header, wire.HeaderModel, wire.HeaderRan, wire.HeaderFencing,
-	wire.HeaderIncarnation, agent.HeaderSource,
+	wire.HeaderIncarnation, agent.HeaderSource, wire.HeaderClause, wire.HeaderContract,
+	wire.HeaderShare, wire.HeaderPriority, wire.HeaderMaxWait, wire.HeaderCost,
 }
 
 // dropInternal removes the headers that only this system's processes may set.
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -39,6 +39,7 @@
 	codeClaimsFull     Code = "claims_full"
 	codeNoClaim        Code = "unknown_claim"
 	codeLimit          Code = "limit_reached"
+	codeNoLimits       Code = "limits_unconfirmed"
 )
 
 // failure is an error answer to a caller.
--- /dev/null
+++ b/internal/limiter/duty.go
@@ -0,0 +1,197 @@
+package limiter
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/coord/quota"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// duty owns the holder; no other goroutine touches it.
+type duty struct {
+	*Limiter
+	holder   *quota.Holder
+	verdicts map[quota.RequestID]chan<- quota.Action
+	clients  []*rpc.Client
+	// owner is the index of the control instance that last accepted.
+	owner   int
+	replies chan renewed
+	// renewAt is when the next renewal is due at the latest.
+	renewAt time.Time
+	leased  bool
+}
+
+// renewed is the end of one renewal.
+type renewed struct {
+	reply quota.Reply
+	err   error
+}
+
+// Run admits requests until ctx ends, then hands the shares back.
+func (l *Limiter) Run(ctx context.Context) {
+	d := &duty{
+		Limiter:  l,
+		holder:   quota.NewHolder(l.options.Quota, l.options.Instance, uint64(time.Now().UnixNano())),
+		verdicts: make(map[quota.RequestID]chan<- quota.Action),
+		replies:  make(chan renewed, 1),
+	}
+	for _, peer := range l.options.Peers {
+		d.clients = append(d.clients, rpc.NewClient(peer, l.options.RPC...))
+	}
+	defer d.close()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.release()
+			return
+		case e := <-l.events:
+			e.apply(d, time.Now())
+		case r := <-d.replies:
+			d.finish(time.Now(), r)
+		case now := <-timer.C:
+			d.perform(d.holder.Tick(now))
+		}
+		now := time.Now()
+		d.renewIfDue(ctx, now)
+		timer.Reset(d.nextWake(now))
+	}
+}
+
+func (e asked) apply(d *duty, now time.Time) {
+	d.verdicts[e.request.ID] = e.verdict
+	d.perform(d.holder.Ask(now, e.request))
+}
+
+func (e cancelled) apply(d *duty, now time.Time) {
+	delete(d.verdicts, e.id)
+	d.perform(d.holder.Cancel(now, e.contract, e.id))
+}
+
+func (e settled) apply(d *duty, now time.Time) {
+	d.perform(d.holder.Settle(now, e.id, e.use))
+}
+
+func (d *duty) perform(actions []quota.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case quota.Admit:
+			d.answer(action.ID, action)
+		case quota.Refuse:
+			d.answer(action.ID, action)
+		}
+	}
+}
+
+func (d *duty) answer(id quota.RequestID, action quota.Action) {
+	if verdict, ok := d.verdicts[id]; ok {
+		verdict <- action
+		delete(d.verdicts, id)
+	}
+}
+
+// renewIfDue sends a renewal at its interval, or at once when that helps a
+// waiting request. Nothing is sent while no contract is in use.
+func (d *duty) renewIfDue(ctx context.Context, now time.Time) {
+	if d.holder.Renewing() || !d.holder.InUse() {
+		return
+	}
+	if now.Before(d.renewAt) && !d.holder.Urgent(now) {
+		return
+	}
+	d.follow(now)
+	renewal := d.holder.Renewal(now)
+	inUseGauge.Set(int64(len(renewal.Holdings)))
+	renewalCount.Add(1)
+	client := d.clients[d.owner]
+	go func() {
+		var r renewed
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		defer cancel()
+		r.err = client.Call(callCtx, wire.MethodRenewQuota, renewal, &r.reply)
+		d.replies <- r
+	}()
+}
+
+// follow brings the contracts in use up to date with the entry's configuration.
+func (d *duty) follow(now time.Time) {
+	for _, id := range d.holder.Contracts() {
+		if agreed, ok := d.contracts.Contract(id); ok {
+			d.perform(d.holder.Follow(now, agreed))
+		}
+	}
+}
+
+func (d *duty) finish(now time.Time, r renewed) {
+	if r.err != nil || !r.reply.Accepted {
+		lostCount.Add(1)
+		d.holder.Lost()
+		d.owner = (d.owner + 1) % len(d.clients)
+		d.renewAt = now.Add(retryDelay)
+		d.extend()
+		d.noteLease(now)
+		return
+	}
+	d.perform(d.holder.Reply(now, r.reply))
+	d.renewAt = now.Add(interval)
+	if d.holder.Waiting() {
+		d.renewAt = now.Add(shortInterval)
+	}
+	d.noteLease(now)
+}
+
+// extend keeps the shares while control has too few instances to elect a
+// leader: nobody can grant them to another entry until then.
+func (d *duty) extend() {
+	if d.options.Freshness == nil {
+		return
+	}
+	if state := d.options.Freshness(); state.Kind == freshness.Unchangeable {
+		d.holder.Extend(state.HaltedAt.Add(d.options.Quota.Lease))
+	}
+}
+
+func (d *duty) noteLease(now time.Time) {
+	leased := d.holder.Leased(now)
+	if leased != d.leased {
+		d.log.Info("lease of the contracts' shares", zap.Bool("held", leased))
+	}
+	d.leased = leased
+}
+
+// nextWake is how long the duty may sleep. While a renewal is under way its end
+// wakes the duty.
+func (d *duty) nextWake(now time.Time) time.Duration {
+	wake := now.Add(interval)
+	if due, ok := d.holder.NextTick(now); ok && due.Before(wake) {
+		wake = due
+	}
+	if d.holder.InUse() && !d.holder.Renewing() && d.renewAt.Before(wake) {
+		wake = d.renewAt
+	}
+	return max(0, wake.Sub(now))
+}
+
+// release hands the shares back, so that other entries get them before the
+// lease runs out.
+func (d *duty) release() {
+	if !d.holder.InUse() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	var reply quota.Reply
+	_ = d.clients[d.owner].Call(ctx, wire.MethodRenewQuota, d.holder.Release(time.Now()), &reply)
+}
+
+func (d *duty) close() {
+	for _, client := range d.clients {
+		client.Close()
+	}
+}
--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,163 @@
+// Package limiter is the duty of an entry that holds its shares of contracts,
+// admits requests within them and renews them at the owner in control.
+package limiter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/coord/quota"
+	"github.com/rosemarypass/rosemarypass/internal/entry"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+var (
+	admittedCount = telemetry.Counter("limits_admitted")
+	queuedCount   = telemetry.Counter("limits_admitted_after_wait")
+	ringFullCount = telemetry.Counter("limits_ring_full")
+	noLeaseCount  = telemetry.Counter("limits_refused_without_lease")
+	renewalCount  = telemetry.Counter("limits_renewals")
+	lostCount     = telemetry.Counter("limits_renewals_lost")
+	inUseGauge    = telemetry.Counter("limits_contracts_in_use")
+)
+
+// refusedCounter counts refusals by clause.
+func refusedCounter(clause contract.Clause) {
+	telemetry.Counter("limits_refused_" + string(clause)).Add(1)
+}
+
+// Contracts looks up a contract as the entry follows it.
+type Contracts interface {
+	Contract(id string) (contract.Contract, bool)
+}
+
+// Options configure a limiter.
+type Options struct {
+	// Instance names the entry, unique in the deployment.
+	Instance string
+	// Peers are the control instances' JSON-RPC addresses.
+	Peers []string
+	// Quota must be the same as the owner's.
+	Quota quota.Options
+	// RPC are the options of connections to them.
+	RPC []rpc.ClientOption
+	// Freshness, when set, tells whether too few control instances run to
+	// have a leader, and when that was last seen: no new owner can have
+	// granted anything until then.
+	Freshness func() freshness.State
+}
+
+const (
+	// ringSize bounds the requests that wait for the duty; one that finds the
+	// ring full is refused as not run.
+	ringSize = 4096
+	// interval is the time between renewals, shortInterval that while a
+	// request waits for more than the owner had at the last renewal.
+	interval      = 500 * time.Millisecond
+	shortInterval = 100 * time.Millisecond
+	// retryDelay is the pause before the next control instance is asked.
+	retryDelay = 25 * time.Millisecond
+	// renewTimeout bounds one renewal, so that several fit into a lease.
+	renewTimeout = 500 * time.Millisecond
+	// releaseTimeout bounds handing back the shares at a planned stop.
+	releaseTimeout = time.Second
+)
+
+// Limiter admits the requests of one entry. It implements entry.Admission.
+type Limiter struct {
+	options   Options
+	contracts Contracts
+	log       *zap.Logger
+	events    chan event
+	nextID    atomic.Uint64
+}
+
+// New returns a limiter; Run starts its duty.
+func New(options Options, contracts Contracts, log *zap.Logger) *Limiter {
+	return &Limiter{options: options, contracts: contracts, log: log, events: make(chan event, ringSize)}
+}
+
+// event is an input of the duty.
+type event interface{ apply(*duty, time.Time) }
+
+type asked struct {
+	request quota.Request
+	verdict chan<- quota.Action
+}
+
+type cancelled struct {
+	contract string
+	id       quota.RequestID
+}
+
+type settled struct {
+	id  quota.RequestID
+	use quota.Use
+}
+
+// Admit implements entry.Admission.
+func (l *Limiter) Admit(ctx context.Context, ask entry.Ask) (entry.Permit, *entry.Refusal) {
+	id := quota.RequestID(l.nextID.Add(1))
+	verdict := make(chan quota.Action, 1)
+	request := quota.Request{ID: id, Contract: ask.Contract, Tokens: ask.Tokens()}
+	select {
+	case l.events <- asked{request, verdict}:
+	default:
+		ringFullCount.Add(1)
+		return nil, &entry.Refusal{RetryAfter: time.Second, Message: "this entry has too many requests at once"}
+	}
+	select {
+	case action := <-verdict:
+		return l.decide(action, ask)
+	case <-ctx.Done():
+		l.events <- cancelled{ask.Contract.ID, id}
+		return nil, &entry.Refusal{RetryAfter: time.Second, Message: "the caller left"}
+	}
+}
+
+func (l *Limiter) decide(action quota.Action, ask entry.Ask) (entry.Permit, *entry.Refusal) {
+	switch action := action.(type) {
+	case quota.Admit:
+		admittedCount.Add(1)
+		if action.Waited > 0 {
+			queuedCount.Add(1)
+		}
+		return &permit{limiter: l, id: action.ID, prompt: ask.Prompt}, nil
+	case quota.Refuse:
+		return nil, refusal(action, ask.Contract)
+	default:
+		panic("limiter: unknown action")
+	}
+}
+
+// permit implements entry.Permit.
+type permit struct {
+	limiter *Limiter
+	id      quota.RequestID
+	prompt  int64
+}
+
+// Settle waits when the ring is full: a settlement that got lost would keep its
+// slot taken. The duty never waits for a request, so this ends.
+func (p *permit) Settle(use entry.Use) {
+	p.limiter.events <- settled{p.id, quota.Use{NotRun: use.NotRun, Tokens: usedTokens(use, p.prompt)}}
+}
+
+// usedTokens is the engine's own count or, for a stream that reports none, the
+// bound of the prompt and one token for each event.
+func usedTokens(use entry.Use, prompt int64) int64 {
+	switch {
+	case use.Tokens > 0:
+		return use.Tokens
+	case use.Events > 0:
+		return prompt + use.Events
+	default:
+		return -1
+	}
+}
