Bound every field of a contract

Cause: a contract with a rate that is not a number, a longest wait of 30 nanoseconds or a pattern that no name can match was accepted. Change: coord/contract checks each clause against bounds and names it, checks patterns as names with an optional trailing '*', and has a canonical form. Ruled out: a rule here that retirement is final; the replicated state has it. Conclusion: what is accepted can be put in force.

--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -6,10 +6,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/pkg/errors"
-
-	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 )
 
 // Limits are the clauses that bound a customer's use across all entries.
@@ -53,37 +49,15 @@
 	// Services lists allowed plain services by the same rule.
 	Services []string `json:"services"`
 	Limits   Limits   `json:"limits"`
-	// Priority is passed to engines; higher is served first.
+	// Priority is from 0 to MaxPriority; higher is served sooner where
+	// requests wait, within the shares, and is passed on to engines.
 	Priority int `json:"priority"`
-	// Share is the weight in fair queueing when capacity is short.
+	// Share is the weight in fair queueing when capacity is short, from 1 to MaxShare.
 	Share int `json:"share"`
 	// Retired contracts admit nothing and keep their ID.
 	Retired bool `json:"retired,omitempty"`
 }
 
-// Validate reports the first rule that the contract breaks.
-func (c Contract) Validate() error {
-	if err := catalogue.CheckName(c.ID); err != nil {
-		return errors.Wrap(err, "contract id")
-	}
-	if c.Limits.RequestsPerSecond <= 0 {
-		return errors.Errorf("contract %s: requestsPerSecond must be above 0", c.ID)
-	}
-	if c.Limits.TokensPerMinute <= 0 {
-		return errors.Errorf("contract %s: tokensPerMinute must be above 0", c.ID)
-	}
-	if c.Limits.Concurrency <= 0 {
-		return errors.Errorf("contract %s: concurrency must be above 0", c.ID)
-	}
-	if c.Limits.MaxWait <= 0 {
-		return errors.Errorf("contract %s: maxWait must be above 0", c.ID)
-	}
-	if c.Share <= 0 {
-		return errors.Errorf("contract %s: share must be above 0", c.ID)
-	}
-	return nil
-}
-
 // AllowsAdapter reports whether the contract covers the adapter.
 func (c Contract) AllowsAdapter(name string) bool { return allows(c.Adapters, name) }
 
--- /dev/null
+++ b/coord/contract/rules.go
@@ -0,0 +1,93 @@
+package contract
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+)
+
+// Bounds of the clauses. They are far beyond any deployment that the system is
+// designed for, and keep a slip of the operator's hand, such as nanoseconds for
+// seconds, from being accepted.
+const (
+	MinRequestsPerSecond = 0.001
+	MaxRequestsPerSecond = 1e6
+	MaxTokensPerMinute   = 1_000_000_000_000
+	MaxConcurrency       = 1_000_000
+	MinMaxWait           = time.Millisecond
+	MaxMaxWait           = 10 * time.Minute
+	MaxPriority          = 100
+	MaxShare             = 1000
+	// MaxPatterns bounds the allowed adapters, and the allowed services.
+	MaxPatterns = 10_000
+)
+
+// Validate reports the first rule that the contract breaks.
+func (c Contract) Validate() error {
+	if err := catalogue.CheckName(c.ID); err != nil {
+		return errors.Wrap(err, "contract id")
+	}
+	checks := []error{
+		within(ClauseRequestsPerSecond, c.Limits.RequestsPerSecond, MinRequestsPerSecond, MaxRequestsPerSecond),
+		within(ClauseTokensPerMinute, c.Limits.TokensPerMinute, 1, MaxTokensPerMinute),
+		within(ClauseConcurrency, c.Limits.Concurrency, 1, MaxConcurrency),
+		within(ClauseMaxWait, c.Limits.MaxWait, MinMaxWait, MaxMaxWait),
+		within("priority", c.Priority, 0, MaxPriority),
+		within("share", c.Share, 1, MaxShare),
+		checkPatterns("adapters", c.Adapters),
+		checkPatterns("services", c.Services),
+	}
+	for _, err := range checks {
+		if err != nil {
+			return errors.Wrapf(err, "contract %s", c.ID)
+		}
+	}
+	return nil
+}
+
+// within refuses a value outside of the bounds. The comparison is written so
+// that it also refuses a float that is not a number.
+func within[T cmp.Ordered](clause Clause, value, least, most T) error {
+	if value >= least && value <= most {
+		return nil
+	}
+	return errors.Errorf("%s: %v is not between %v and %v", clause, value, least, most)
+}
+
+func checkPatterns(clause Clause, patterns []string) error {
+	if len(patterns) > MaxPatterns {
+		return errors.Errorf("%s: more than %d patterns", clause, MaxPatterns)
+	}
+	for _, pattern := range patterns {
+		prefix, wildcard := strings.CutSuffix(pattern, "*")
+		if wildcard && prefix == "" {
+			continue
+		}
+		if err := catalogue.CheckName(prefix); err != nil {
+			return errors.Wrapf(err, "%s: pattern %q", clause, pattern)
+		}
+	}
+	return nil
+}
+
+// Canonical returns the contract with its lists sorted and without doubles, so
+// that two writings of the same agreement are equal.
+func (c Contract) Canonical() Contract {
+	c.KeyHashes = canonical(c.KeyHashes)
+	c.Adapters = canonical(c.Adapters)
+	c.Services = canonical(c.Services)
+	return c
+}
+
+func canonical(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	return slices.Compact(sorted)
+}
