Say soon and exactly what the log without a quorum can tell

Cause: a trial with three processes showed that a learner sent callers on to a leader that had gone silent for ever, that members promote could not tell a replacement from the lost member of the same name, that the list lagged a change by a tick, that refusals repeated themselves, and that a change without a quorum held its caller until the caller gave up (30.6 s in rosemaryctl). Change: a learner forgets a silent leader; each change looks among the members that it can be done to; the status follows a committed change at once; a proposal that finds no leader for three election times (2 s at least) ends as not committed.

--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -90,9 +90,14 @@
 		return
 	}
 	n.elapsed++
-	if n.elapsed >= n.timeout && n.Config().Voter(n.options.ID) {
+	switch {
+	case n.elapsed < n.timeout:
+	case n.Config().Voter(n.options.ID):
 		n.elapsed = 0
 		n.startElection()
+	default:
+		// Callers must not be sent on to a leader that has gone silent.
+		n.leader = ""
 	}
 }
 
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -159,6 +160,9 @@
 			c.toApply = append(c.toApply, applyItem{snapshot: ready.Snapshot})
 			c.endCovered(ready.Snapshot.Index)
 		}
+		if slices.ContainsFunc(ready.Committed, func(e replog.Entry) bool { return e.Config != nil }) {
+			c.publish()
+		}
 		c.handOutCommitted(ready.Committed)
 		c.answerReads(ready)
 	}
--- a/internal/replica/handlers.go
+++ b/internal/replica/handlers.go
@@ -81,6 +81,10 @@
 func (r *Replica) takeChange(ctx context.Context, in wire.MemberChange) (wire.MemberChangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardedTimeout)
 	defer cancel()
+	if r.Status().Role != replog.Leader {
+		code, message := codeOf(notCommitted(replog.ErrNotLeader))
+		return wire.MemberChangeReply{Code: code, Message: message}, nil
+	}
 	code, message := codeOf(r.changeHere(ctx, in))
 	return wire.MemberChangeReply{Code: code, Message: message}, nil
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -132,10 +132,7 @@
 
 // resolve finds the member that a change names, by ID or by instance name.
 func (r *Replica) resolve(change wire.MemberChange) (replog.Member, error) {
-	candidates := r.Status().Config.Members()
-	if change.Action == wire.MemberAdd {
-		candidates = r.waiting.members()
-	}
+	candidates := r.candidates(change.Action)
 	var found []replog.Member
 	for _, m := range candidates {
 		if string(m.ID) == change.Member {
@@ -155,6 +152,22 @@
 	}
 }
 
+// candidates are the members that an action can be done to. An instance that
+// came back with an empty disk shares its name with the member it was.
+func (r *Replica) candidates(action wire.MemberAction) []replog.Member {
+	config := r.Status().Config
+	switch action {
+	case wire.MemberAdd:
+		return r.waiting.members()
+	case wire.MemberPromote:
+		return config.Learners
+	case wire.MemberTransfer:
+		return config.Voters
+	default:
+		return config.Members()
+	}
+}
+
 // instanceOf is the name in a member's ID.
 func instanceOf(id replog.ID) string {
 	at := strings.LastIndexByte(string(id), '.')
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -48,6 +48,9 @@
 // leaderPause is the wait before another try while no leader is known.
 const leaderPause = 50 * time.Millisecond
 
+// minElectionWait leaves time for an election on a busy machine.
+const minElectionWait = 2 * time.Second
+
 type proposeAnswer struct {
 	index  uint64
 	result []byte
@@ -76,24 +79,31 @@
 
 // Propose commits a command, here or through the leader, and returns the index
 // and what the state machine answered. While it is certain that nothing was
-// committed it tries again until ctx ends. Errors are ErrNotCommitted or
-// ErrUnknown.
+// committed it tries again, for as long as an election may take. Errors are
+// ErrNotCommitted or ErrUnknown.
 func (r *Replica) Propose(ctx context.Context, data []byte) (index uint64, result []byte, err error) {
 	if len(data) == 0 {
 		return 0, nil, notCommitted(errors.New("the command is empty"))
 	}
-	for {
+	for deadline := time.Now().Add(r.electionWait()); ; {
 		index, result, err = r.proposeOnce(ctx, data)
 		if err == nil || !errors.Is(err, ErrNotCommitted) || !passing(err) {
 			return index, result, err
 		}
 		pause(ctx, leaderPause)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || time.Now().After(deadline) {
 			return 0, nil, err
 		}
 	}
 }
 
+// electionWait is how long a caller waits for a leader. Without a quorum it is
+// told so well before its own patience ends.
+func (r *Replica) electionWait() time.Duration {
+	elections := 3 * time.Duration(r.options.ElectionTicks) * r.options.TickInterval
+	return max(elections, minElectionWait)
+}
+
 // passing is true for what a later try may not meet any more.
 func passing(err error) bool {
 	return !errors.Is(err, errSteppedOut) && !errors.Is(err, errStopped) && !errors.Is(err, ErrBusy)
@@ -188,10 +198,19 @@
 	case err == nil:
 		return wire.ReplicaOK, ""
 	case errors.Is(err, ErrNotCommitted):
-		return wire.ReplicaNotCommitted, err.Error()
+		return wire.ReplicaNotCommitted, causeOf(err)
 	case errors.Is(err, ErrRefused):
-		return wire.ReplicaRefused, err.Error()
+		return wire.ReplicaRefused, causeOf(err)
 	default:
-		return wire.ReplicaUnknown, err.Error()
+		return wire.ReplicaUnknown, causeOf(err)
+	}
+}
+
+// causeOf is the text that the caller's side puts behind the fate again.
+func causeOf(err error) string {
+	var fate *fateError
+	if errors.As(err, &fate) {
+		return fate.cause.Error()
 	}
+	return err.Error()
 }
