Find the leader's member list from any instance; let a new disk replace the old

Cause: a trial with three processes showed that an instance without a log, or one that had stepped out, answered members list with its own empty view, and that the founder's first greeting still stood in the list of waiting instances when its disk had been lost, so that members add control-1 was ambiguous. Ruled out: a shorter age of the list alone, as two greetings within it would still clash.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -254,7 +254,7 @@
 func (c *core) stepOut(ctx context.Context, cause error) {
 	reason := cause.Error()
 	c.failure.Store(&reason)
-	c.log.Error("stepped out of the replicated log; restart the instance after the repair", zap.Error(cause))
+	c.log.Error("stepped out of the replicated log; restart the instance after the repair", zap.String("cause", reason))
 	stepOuts.Add(1)
 	status := c.Status()
 	status.Role, status.Leader, status.LeaseTicks, status.Members = replog.Follower, "", 0, nil
--- a/internal/replica/enter.go
+++ b/internal/replica/enter.go
@@ -22,7 +22,7 @@
 	// maxWaiting bounds the instances that wait to be added.
 	maxWaiting = 16
 	// waitingAge is how long one that went silent is still listed.
-	waitingAge = 10 * time.Second
+	waitingAge = 5 * time.Second
 )
 
 // enter founds the log if this instance may and nobody has one. An instance
@@ -106,10 +106,11 @@
 	}
 }
 
-// waitingTable remembers instances that belong to no log.
+// waitingTable remembers instances that belong to no log, by address: one that
+// came back with another disk takes the place of what it was.
 type waitingTable struct {
 	mu   sync.Mutex
-	seen map[replog.ID]waitingMember
+	seen map[string]waitingMember
 }
 
 type waitingMember struct {
@@ -118,23 +119,23 @@
 }
 
 func newWaitingTable() *waitingTable {
-	return &waitingTable{seen: make(map[replog.ID]waitingMember)}
+	return &waitingTable{seen: make(map[string]waitingMember)}
 }
 
 func (t *waitingTable) add(m replog.Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
-	if _, known := t.seen[m.ID]; known || len(t.seen) < maxWaiting {
-		t.seen[m.ID] = waitingMember{Member: m, at: time.Now()}
+	if _, known := t.seen[m.Address]; known || len(t.seen) < maxWaiting {
+		t.seen[m.Address] = waitingMember{Member: m, at: time.Now()}
 	}
 }
 
 // expire forgets those that went silent. The caller holds mu.
 func (t *waitingTable) expire() {
-	for id, m := range t.seen {
+	for address, m := range t.seen {
 		if time.Since(m.at) > waitingAge {
-			delete(t.seen, id)
+			delete(t.seen, address)
 		}
 	}
 }
@@ -151,8 +152,8 @@
 	return members
 }
 
-func (t *waitingTable) age(id replog.ID) time.Duration {
+func (t *waitingTable) age(address string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Since(t.seen[id].at)
+	return time.Since(t.seen[address].at)
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -175,16 +175,38 @@
 }
 
 // Members returns the leader's view of the membership, or this instance's own
-// while no leader can be reached.
+// while no leader can be reached. An instance that belongs to no log, or has
+// stepped out, knows no leader, so it asks all others.
 func (r *Replica) Members(ctx context.Context) wire.MemberList {
 	status := r.Status()
-	if address, err := r.leaderAddress(status); err == nil && status.Role != replog.Leader {
-		var list wire.MemberList
-		if r.forward(ctx, address, wire.MethodReplicaMembers, wire.Empty{}, &list) == nil {
+	own := r.ownMembers(status)
+	if status.Role == replog.Leader {
+		return own
+	}
+	if address, err := r.leaderAddress(status); err == nil {
+		if list, ok := r.askMembers(ctx, address); ok {
+			return list
+		}
+	}
+	for _, address := range r.options.Peers {
+		if address == r.options.Address {
+			continue
+		}
+		if list, ok := r.askMembers(ctx, address); ok {
+			list.Failure = own.Failure
 			return list
 		}
 	}
-	return r.ownMembers(status)
+	return own
+}
+
+// askMembers reports whether the instance at an address leads.
+func (r *Replica) askMembers(ctx context.Context, address string) (wire.MemberList, bool) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	var list wire.MemberList
+	err := r.forward(ctx, address, wire.MethodReplicaMembers, wire.Empty{}, &list)
+	return list, err == nil && list.Leader != ""
 }
 
 func (r *Replica) ownMembers(status replog.Status) wire.MemberList {
@@ -205,7 +227,7 @@
 	}
 	for _, m := range r.waiting.members() {
 		if !status.Config.Voter(m.ID) && !status.Config.Learner(m.ID) {
-			list.Members = append(list.Members, wire.Member{ID: m.ID, Address: m.Address, Role: wire.RoleWaiting, ContactMillis: r.waiting.age(m.ID).Milliseconds()})
+			list.Members = append(list.Members, wire.Member{ID: m.ID, Address: m.Address, Role: wire.RoleWaiting, ContactMillis: r.waiting.age(m.Address).Milliseconds()})
 		}
 	}
 	return list
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -222,6 +222,10 @@
 	if replacement == old {
 		t.Fatal("the lost disk came back under its old identity")
 	}
+	c.await("the replacement in the list", func() bool {
+		list := c.instances[lost].Members(context.Background())
+		return len(list.Members) == 4 && list.Members[3].Role == wire.RoleWaiting && list.Leader != ""
+	})
 	c.change(wire.MemberAdd, string(replacement))
 	c.change(wire.MemberRemove, string(old))
 	c.change(wire.MemberPromote, string(replacement))
