Trace each hop; reach resumed answers over TLS

Cause: only the entry's and the agent's first step had spans, so a slow request did not show whether it waited for a slot, for the engine or for a claim. While reading the path for that: the entry asked for the rest of a cut answer over plain HTTP, which an agent with certificates refuses, so with TLS no stream could resume.

Change: spans for the request, each attempt, each claim command, the agent's wait for a slot, its call to the engine and the stand-in engine itself, with the W3C context passed on; names and attributes stand in one place. Every URL of a server is built by one function that knows the scheme.

A resume over TLS has no test of its own yet.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
@@ -63,8 +62,7 @@
 		refuse(w, http.StatusServiceUnavailable, "operators want no work here")
 		return
 	}
-	ctx := telemetry.Propagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := telemetry.Tracer().Start(ctx, "agent.serve")
+	ctx, span := telemetry.StartServer(r, telemetry.SpanAgentServe)
 	defer span.End()
 	r = r.WithContext(ctx)
 
@@ -105,6 +103,9 @@
 
 // acquire waits until the adapter is loaded and pinned for the request.
 func (a *Agent) acquire(r *http.Request, id slots.RequestID, ref catalogue.Ref) error {
+	_, span := telemetry.Tracer().Start(r.Context(), telemetry.SpanAgentWait)
+	defer span.End()
+	span.SetAttributes(telemetry.AttributeModel.String(ref.String()))
 	reply := make(chan verdict, 1)
 	select {
 	case a.requests <- requested{id: id, ref: ref, reply: reply}:
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -12,7 +12,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
@@ -131,6 +130,8 @@
 
 // engage carries the engine's answer into the run's window.
 func (a *Agent) engage(ctx context.Context, started *run, r *http.Request, body []byte) {
+	ctx, span := telemetry.StartClient(ctx, telemetry.SpanAgentEngine)
+	defer span.End()
 	response, err := a.ask(ctx, r, body)
 	if err != nil {
 		started.noAnswer(outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}))
@@ -167,7 +168,7 @@
 	relay.CopyHeader(request.Header, r.Header)
 	// A compressed answer would hide the model that it names.
 	request.Header.Del("Accept-Encoding")
-	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	telemetry.Inject(ctx, request.Header)
 	return a.client.Do(request)
 }
 
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -44,6 +44,8 @@
 // answer is followed by a resend, which is safe because a command names its
 // attempt. An error leaves open whether the command took effect.
 func (c *Client) Apply(ctx context.Context, command claim.Command) (claim.Reply, error) {
+	ctx, span := telemetry.StartClient(ctx, telemetry.SpanEntryClaim)
+	defer span.End()
 	for {
 		at := c.current.Load()
 		reply, err := c.try(ctx, c.peers[at%uint64(len(c.peers))], command)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"go.opentelemetry.io/otel/propagation"
-
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
@@ -19,6 +17,15 @@
 // attempt offers the call to one server. Answered means that the caller has
 // its answer; after any other outcome nothing was written to the caller.
 func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) outcome.Outcome {
+	ctx, span := telemetry.StartClient(r.Context(), telemetry.SpanEntryAttempt)
+	defer span.End()
+	span.SetAttributes(telemetry.AttributeServer.String(server.Server))
+	said := e.offer(w, r.WithContext(ctx), c, server)
+	span.SetAttributes(telemetry.AttributeOutcome.String(said.String()))
+	return said
+}
+
+func (e *Entry) offer(w http.ResponseWriter, r *http.Request, c call, server placement.Server) outcome.Outcome {
 	began, ran := time.Now(), time.Duration(0)
 	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
 	ctx, watchdog := relay.Watch(r.Context(), e.options.FirstByteTimeout)
@@ -54,7 +61,7 @@
 }
 
 func (e *Entry) forward(ctx context.Context, r *http.Request, c call, server placement.Server) (*http.Response, error) {
-	url := e.scheme(server.Announcement) + "://" + server.Address + c.path
+	url := e.url(server.Announcement, c.path)
 	if r.URL.RawQuery != "" {
 		url += "?" + r.URL.RawQuery
 	}
@@ -63,18 +70,19 @@
 		return nil, err
 	}
 	relay.CopyHeader(request.Header, r.Header)
-	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	telemetry.Inject(ctx, request.Header)
 	request.Close = !c.idempotent
 	return e.client.Do(request)
 }
 
-// scheme is that of a server's address: agents are peers of this process and
-// share its certificates, other servers speak plain HTTP.
-func (e *Entry) scheme(server membership.Announcement) string {
+// url is where a path of a server is reached. Agents are peers of this process
+// and share its certificates; other servers speak plain HTTP.
+func (e *Entry) url(server membership.Announcement, path string) string {
+	scheme := "http"
 	if gated(server) && e.options.SecureAgents {
-		return "https"
+		scheme = "https"
 	}
-	return "http"
+	return scheme + "://" + server.Address + path
 }
 
 // judge says whether an answer may go to the caller. An answer of an engine
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
-	"go.opentelemetry.io/otel/propagation"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
@@ -167,13 +166,13 @@
 func (e *Entry) trackRequest(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requestCount.Add(1)
-		ctx := telemetry.Propagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-		ctx, span := telemetry.Tracer().Start(ctx, "entry.request")
+		ctx, span := telemetry.StartServer(r, telemetry.SpanEntryRequest)
 		defer span.End()
 		dropInternal(r.Header)
 		id := uuid.NewString()
 		r.Header.Set(wire.HeaderRequestID, id)
 		w.Header().Set(wire.HeaderRequestID, id)
+		span.SetAttributes(telemetry.AttributeRequest.String(id))
 		if !e.gate.Enter() {
 			fail(w, failure{status: http.StatusServiceUnavailable, code: codeDraining, message: "this entry is stopping", retryAfter: 1})
 			return
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
@@ -62,12 +61,13 @@
 
 // askRun calls the agent about a request that it runs.
 func (e *Entry) askRun(ctx context.Context, r *http.Request, server placement.Server, method string, offset int64) (*http.Response, error) {
-	url := fmt.Sprintf("http://%s%s%s?%s=%d", server.Address, wire.PathRuns, r.Header.Get(wire.HeaderRequestID), wire.QueryOffset, offset)
+	path := fmt.Sprintf("%s%s?%s=%d", wire.PathRuns, r.Header.Get(wire.HeaderRequestID), wire.QueryOffset, offset)
+	url := e.url(server.Announcement, path)
 	request, err := http.NewRequestWithContext(ctx, method, url, http.NoBody)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	telemetry.Inject(ctx, request.Header)
 	return e.client.Do(request)
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -272,6 +273,8 @@
 func (q completionRequest) text() string { return string(q.Prompt) + string(q.Messages) }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	_, span := telemetry.StartServer(r, telemetry.SpanEngine)
+	defer span.End()
 	var q completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
