Count only voters in a proof, and say when nothing was accepted

Cause: a majority of answers was a proof, whoever answered. An instance that lost its disk comes back empty; together with an isolated one it looked like two of three, while the change that it once acknowledged stood on the silent third only. A removed instance that does not know it counted as well.

Change: a standing says whether its instance votes and which addresses vote by the last membership in its log; a proof needs a majority by the membership of every voter that answers, and "unchangeable" too few that do not refuse. The log publishes its membership with its end. A proposal ends after 4 s, so that an operator's tool learns "not accepted" instead of waiting for ever.

Conclusion: a proof is a majority of votes, not of sockets.

--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -20,6 +20,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -70,14 +71,17 @@
 	// be when an answer waits for news.
 	Confirmed    bool          `json:"confirmed"`
 	ConfirmedAge time.Duration `json:"confirmedAge,omitempty"`
-	// Voters is how many instances vote, 0 when it does not know.
-	Voters int `json:"voters,omitempty"`
+	// Voter means that it votes itself: its log is part of a quorum. An
+	// instance that lost its disk and waits to be let in again is none, and
+	// nor is a learner.
+	Voter bool `json:"voter,omitempty"`
+	// Voters are the addresses of the voters by the last membership in its
+	// log, accepted or not; empty when it knows none.
+	Voters []string `json:"voters,omitempty"`
 }
 
 // Options configure a tracker.
 type Options struct {
-	// Instances is the number of control instances in the settings.
-	Instances int
 	// Lease is how old a proof may be.
 	Lease time.Duration
 }
@@ -90,7 +94,10 @@
 	proven time.Time
 	// halted is the last moment at which too few instances ran.
 	halted time.Time
-	reason string
+	// voters are those of the last confirmed answer.
+	voters     []string
+	reason     string
+	haltReason string
 }
 
 // NewTracker returns a tracker without any proof.
@@ -108,6 +115,9 @@
 // sent at the given time. It counts as a proof only when the instance was
 // confirmed by a quorum and the copy has reached its state.
 func (t *Tracker) Answer(standing Standing, sent time.Time) {
+	if standing.Confirmed {
+		t.voters = standing.Voters
+	}
 	switch {
 	case !standing.Confirmed:
 		t.reason = "the control instance has no quorum behind it"
@@ -124,52 +134,95 @@
 	}
 }
 
+// Answer is the standing of the instance at an address.
+type Answer struct {
+	Address string
+	Standing
+}
+
 // Round is the outcome of asking every control instance at about the same time.
 type Round struct {
 	// Sent is when the first question was sent.
 	Sent time.Time
 	// Answers are the standings of the instances that answered.
-	Answers []Standing
-	// Refused counts instances whose machine refused the connection: no
+	Answers []Answer
+	// Refused are the addresses whose machine refused the connection: no
 	// control instance runs there. Silence is not a refusal.
-	Refused int
+	Refused []string
 }
 
 // Probe takes in a round.
 func (t *Tracker) Probe(round Round) {
-	for _, standing := range round.Answers {
-		t.Answer(standing, round.Sent)
+	for _, answer := range round.Answers {
+		t.Answer(answer.Standing, round.Sent)
 	}
-	majority := t.voters(round)/2 + 1
+	voting := slices.DeleteFunc(slices.Clone(round.Answers), func(a Answer) bool { return !a.Voter })
 	switch {
-	case len(round.Answers) >= majority && t.wholeIn(round):
+	case isMajority(voting) && t.wholeIn(voting):
 		t.prove(round.Sent)
-	case len(round.Answers) >= majority:
+	case isMajority(voting):
 		t.reason = "the logs of the control instances hold entries that are not settled"
-	case t.voters(round)-round.Refused < majority:
+	case t.noneCanAccept(voting, round.Refused):
 		t.halt(round)
 	default:
-		t.reason = fmt.Sprintf("only %d of %d control instances answer", len(round.Answers), t.voters(round))
+		t.reason = fmt.Sprintf("only %d voters of the control instances answer", len(voting))
 	}
 }
 
-func (t *Tracker) voters(round Round) int {
-	voters := t.options.Instances
-	for _, standing := range round.Answers {
-		voters = max(voters, standing.Voters)
+// isMajority reports whether the answers come from a majority of the voters, by
+// the membership of each of them. A change of the membership overlaps with a
+// majority of the one before, so that the last one accepted is among these.
+func isMajority(voting []Answer) bool {
+	for _, answer := range voting {
+		count := 0
+		for _, other := range voting {
+			if slices.Contains(answer.Voters, other.Address) {
+				count++
+			}
+		}
+		if count <= len(answer.Voters)/2 {
+			return false
+		}
 	}
-	return voters
+	return len(voting) > 0
 }
 
-// wholeIn reports whether the answers of a majority show that the copy is
+// noneCanAccept reports whether the voters that do not refuse are no majority,
+// by every membership that is known.
+func (t *Tracker) noneCanAccept(voting []Answer, refused []string) bool {
+	if !tooFew(t.voters, refused) {
+		return false
+	}
+	for _, answer := range voting {
+		if !tooFew(answer.Voters, refused) {
+			return false
+		}
+	}
+	return true
+}
+
+func tooFew(voters, refused []string) bool {
+	if len(voters) == 0 {
+		return false
+	}
+	left := 0
+	for _, address := range voters {
+		if !slices.Contains(refused, address) {
+			left++
+		}
+	}
+	return left <= len(voters)/2
+}
+
+// wholeIn reports whether the answers of a majority of the voters show that the copy is
 // whole: an instance has applied the last entry that any of them holds, and the
 // copy has reached that instance's state.
-func (t *Tracker) wholeIn(round Round) bool {
+func (t *Tracker) wholeIn(voting []Answer) bool {
 	var last uint64
-	for _, standing := range round.Answers {
+	for _, standing := range voting {
 		last = max(last, standing.LastIndex)
 	}
-	for _, standing := range round.Answers {
+	for _, standing := range voting {
 		if standing.Applied >= last && t.index >= standing.ConfigIndex {
 			return true
 		}
@@ -193,7 +246,7 @@
 		return
 	}
 	t.halted = round.Sent
-	t.reason = fmt.Sprintf("control has no quorum: %d instances do not run", round.Refused)
+	t.haltReason = fmt.Sprintf("%d control instances do not run, and without them nothing can be accepted", len(round.Refused))
 }
 
 // last is the last moment up to which nothing is missing.
@@ -217,7 +270,7 @@
 	case !t.proven.IsZero() && now.Sub(t.proven) <= t.options.Lease:
 		return State{Kind: Fresh, AsOf: t.proven, Reason: "confirmed by control"}
 	case !t.halted.IsZero() && now.Sub(t.halted) <= t.options.Lease:
-		return State{Kind: Unchangeable, AsOf: t.proven, HaltedAt: t.halted, Reason: t.reason}
+		return State{Kind: Unchangeable, AsOf: t.proven, HaltedAt: t.halted, Reason: t.haltReason}
 	default:
 		return State{Kind: CutOff, AsOf: t.proven, Reason: t.reason}
 	}
--- a/coord/freshness/freshness_test.go
+++ b/coord/freshness/freshness_test.go
@@ -11,16 +11,22 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+// members are the addresses of a group of control instances.
+var members = []string{"a", "b", "c", "d", "e"}
+
 func confirmed(index uint64) freshness.Standing {
-	return freshness.Standing{Confirmed: true, ConfigIndex: index, Applied: index, LastIndex: index}
+	return freshness.Standing{Confirmed: true, ConfigIndex: index, Applied: index, LastIndex: index, Voter: true, Voters: members[:3]}
 }
 
-func unconfirmed(index, last uint64) freshness.Standing {
-	return freshness.Standing{ConfigIndex: index, Applied: index, LastIndex: last}
+// unconfirmed is the answer of one of three voters.
+func unconfirmed(address string, index, last uint64) freshness.Answer {
+	return freshness.Answer{Address: address, Standing: freshness.Standing{
+		ConfigIndex: index, Applied: index, LastIndex: last, Voter: true, Voters: members[:3],
+	}}
 }
 
 func newTracker(index uint64) *freshness.Tracker {
-	t := freshness.NewTracker(freshness.Options{Instances: 3})
+	t := freshness.NewTracker(freshness.Options{})
 	t.Advance(index)
 	return t
 }
@@ -38,8 +44,8 @@
 	tracker := newTracker(7)
 	tracker.Answer(confirmed(7), at(0))
 	for ms := 100; ms <= 5_000; ms += 100 {
-		tracker.Answer(unconfirmed(7, 7), at(ms))
-		tracker.Probe(freshness.Round{Sent: at(ms), Answers: []freshness.Standing{unconfirmed(7, 7)}})
+		tracker.Answer(unconfirmed("a", 7, 7).Standing, at(ms))
+		tracker.Probe(freshness.Round{Sent: at(ms), Answers: []freshness.Answer{unconfirmed("a", 7, 7)}})
 	}
 	expect(t, tracker, at(3_000), freshness.Fresh)
 	expect(t, tracker, at(3_001), freshness.CutOff)
@@ -50,10 +56,10 @@
 // served on.
 func TestMajorityOfLogsProvesWithoutALeader(t *testing.T) {
 	tracker := newTracker(7)
-	tracker.Probe(freshness.Round{Sent: at(0), Answers: []freshness.Standing{unconfirmed(7, 7), unconfirmed(5, 6)}})
+	tracker.Probe(freshness.Round{Sent: at(0), Answers: []freshness.Answer{unconfirmed("a", 7, 7), unconfirmed("b", 5, 6)}})
 	expect(t, tracker, at(3_000), freshness.Fresh)
 	// An entry that may have been accepted before the leader was lost.
-	tracker.Probe(freshness.Round{Sent: at(2_000), Answers: []freshness.Standing{unconfirmed(7, 8), unconfirmed(7, 7)}})
+	tracker.Probe(freshness.Round{Sent: at(2_000), Answers: []freshness.Answer{unconfirmed("a", 7, 8), unconfirmed("b", 7, 7)}})
 	expect(t, tracker, at(4_000), freshness.CutOff)
 }
 
@@ -63,7 +69,7 @@
 func TestStoppedMajorityCannotChangeAnything(t *testing.T) {
 	tracker := newTracker(7)
 	tracker.Answer(confirmed(7), at(0))
-	stopped := freshness.Round{Answers: []freshness.Standing{unconfirmed(7, 7)}, Refused: 2}
+	stopped := freshness.Round{Answers: []freshness.Answer{unconfirmed("a", 7, 7)}, Refused: []string{"b", "c"}}
 	for ms := 1_000; ms <= 60_000; ms += 1_000 {
 		stopped.Sent = at(ms)
 		tracker.Probe(stopped)
@@ -77,7 +83,7 @@
 func TestSilenceBeforeAStopCutsOff(t *testing.T) {
 	tracker := newTracker(7)
 	tracker.Answer(confirmed(7), at(0))
-	tracker.Probe(freshness.Round{Sent: at(3_500), Answers: []freshness.Standing{unconfirmed(7, 7)}, Refused: 2})
+	tracker.Probe(freshness.Round{Sent: at(3_500), Answers: []freshness.Answer{unconfirmed("a", 7, 7)}, Refused: []string{"b", "c"}})
 	expect(t, tracker, at(3_500), freshness.CutOff)
 }
 
@@ -85,15 +91,42 @@
 // silent one and the two that answer can elect a leader at any moment. Seeds
 // 175, 281 and 298 of the schedules found this.
 func TestInstancesThatRunMayElectALeader(t *testing.T) {
-	tracker := freshness.NewTracker(freshness.Options{Instances: 5})
-	tracker.Advance(7)
-	tracker.Answer(confirmed(7), at(0))
+	tracker := newTracker(7)
+	standing := confirmed(7)
+	standing.Voters = members
+	tracker.Answer(standing, at(0))
+	standing.Confirmed = false
+	answers := []freshness.Answer{{Address: "a", Standing: standing}, {Address: "b", Standing: standing}}
 	for ms := 500; ms <= 5_000; ms += 500 {
-		tracker.Probe(freshness.Round{Sent: at(ms), Answers: []freshness.Standing{unconfirmed(7, 7), unconfirmed(7, 7)}, Refused: 2})
+		tracker.Probe(freshness.Round{Sent: at(ms), Answers: answers, Refused: []string{"c", "d"}})
 	}
 	expect(t, tracker, at(3_001), freshness.CutOff)
 }
 
+// An instance lost its disk and came back empty; another one is cut off. The
+// two answers look like a majority of three, but the change that the empty one
+// once acknowledged is known to the silent third only.
+func TestEmptyInstanceDoesNotCount(t *testing.T) {
+	empty := freshness.Answer{Address: "c"}
+	learner := unconfirmed("c", 7, 7)
+	learner.Voter = false
+	for _, returned := range []freshness.Answer{empty, learner} {
+		tracker := newTracker(7)
+		tracker.Probe(freshness.Round{Sent: at(0), Answers: []freshness.Answer{unconfirmed("a", 7, 7), returned}})
+		expect(t, tracker, at(0), freshness.CutOff)
+	}
+}
+
+// An instance was removed while it was cut off and still believes that it
+// votes. Together with one that knows better it is no majority.
+func TestRemovedInstanceDoesNotCount(t *testing.T) {
+	current, removed := unconfirmed("a", 7, 7), unconfirmed("c", 7, 7)
+	current.Voters = []string{"a", "b"}
+	tracker := newTracker(7)
+	tracker.Probe(freshness.Round{Sent: at(0), Answers: []freshness.Answer{current, removed}})
+	expect(t, tracker, at(0), freshness.CutOff)
+}
+
 func TestProofNeedsTheWholeCopy(t *testing.T) {
 	tracker := newTracker(6)
 	tracker.Answer(confirmed(7), at(0))
@@ -103,8 +136,8 @@
 	expect(t, tracker, at(10), freshness.Fresh)
 	// The membership grew beyond the settings: two answers of five prove nothing.
 	grown := newTracker(7)
-	answer := unconfirmed(7, 7)
-	answer.Voters = 5
-	grown.Probe(freshness.Round{Sent: at(0), Answers: []freshness.Standing{answer, answer}})
+	first, second := unconfirmed("a", 7, 7), unconfirmed("b", 7, 7)
+	first.Voters, second.Voters = members, members
+	grown.Probe(freshness.Round{Sent: at(0), Answers: []freshness.Answer{first, second}})
 	expect(t, grown, at(0), freshness.CutOff)
 }
--- a/coord/freshness/schedule_test.go
+++ b/coord/freshness/schedule_test.go
@@ -43,6 +43,12 @@
 	electing time.Time
 	// lying instances claim a quorum that they do not have.
 	lying bool
+	// disks draws when an instance loses its disk, nil for never. It comes
+	// back empty, without a vote, and receives the log as a learner would.
+	disks *rand.Rand
+	empty [instances]bool
+	// emptyVotes counts an empty instance as a voter.
+	emptyVotes bool
 }
 
 func newCluster(seed uint64) *cluster {
@@ -73,7 +79,10 @@
 	if c.chance(2) {
 		c.fault()
 	}
-	if c.leader >= 0 && len(c.peers(c.leader)) <= instances/2 {
+	if c.disks != nil && c.disks.IntN(400) == 0 {
+		c.loseDisk(c.disks.IntN(instances))
+	}
+	if c.leader >= 0 && len(c.voters(c.leader)) <= instances/2 {
 		c.leader = -1
 		c.electing = c.now.Add(time.Duration(c.random.IntN(1500)) * time.Millisecond)
 	}
@@ -99,10 +108,38 @@
 	}
 }
 
+// loseDisk empties an instance. At most two do, so that a quorum can remain.
+func (c *cluster) loseDisk(i int) {
+	lost := 0
+	for _, empty := range c.empty {
+		if empty {
+			lost++
+		}
+	}
+	if lost == 2 || c.empty[i] {
+		return
+	}
+	c.empty[i], c.logs[i], c.applied[i] = true, nil, 0
+	if c.leader == i {
+		c.leader = -1
+		c.electing = c.now.Add(time.Second)
+	}
+}
+
+// voters are the connected instances that vote.
+func (c *cluster) voters(i int) (all []int) {
+	for _, j := range c.peers(i) {
+		if !c.empty[j] {
+			all = append(all, j)
+		}
+	}
+	return all
+}
+
 // elect picks the instance with the best log that reaches a majority.
 func (c *cluster) elect() {
 	for i := range instances {
-		if len(c.peers(i)) <= instances/2 {
+		if c.empty[i] || len(c.voters(i)) <= instances/2 {
 			continue
 		}
 		if c.leader < 0 || c.better(i, c.leader) {
@@ -159,7 +196,7 @@
 
 func (c *cluster) commit() {
 	holders := 0
-	for _, j := range c.peers(c.leader) {
+	for _, j := range c.voters(c.leader) {
 		if c.holdsLeaders(j) {
 			holders++
 		}
@@ -181,6 +218,8 @@
 func (c *cluster) standing(i int) freshness.Standing {
 	led := c.leader >= 0 && c.connected(i, c.leader) && c.applied[i] == c.committed
 	return freshness.Standing{
+		Voter:       !c.empty[i] || c.emptyVotes,
+		Voters:      members,
 		LastIndex:   uint64(len(c.logs[i])),
 		Applied:     uint64(c.applied[i]),
 		ConfigIndex: uint64(c.applied[i]),
@@ -225,9 +264,9 @@
 	for i := range instances {
 		switch {
 		case d.reaches(c, i) && c.running[i]:
-			round.Answers = append(round.Answers, c.standing(i))
+			round.Answers = append(round.Answers, freshness.Answer{Address: members[i], Standing: c.standing(i)})
 		case d.reaches(c, i) || d.countSilence:
-			round.Refused++
+			round.Refused = append(round.Refused, members[i])
 		}
 	}
 	d.tracker.Probe(round)
@@ -256,7 +295,7 @@
 
 func run(seed uint64, spoil func(*cluster, *daemon)) verdicts {
 	c := newCluster(seed)
-	d := &daemon{tracker: freshness.NewTracker(freshness.Options{Instances: instances})}
+	d := &daemon{tracker: freshness.NewTracker(freshness.Options{})}
 	spoil(c, d)
 	var v verdicts
 	for range ticks {
@@ -301,6 +340,29 @@
 	t.Logf("%d seeds: admitting in %d moments, cut off in %d", seeds, total.admitting, total.cutOff)
 }
 
+// Instances lose their disks besides, and come back empty.
+func TestNoSeedTrustsAnEmptyInstance(t *testing.T) {
+	lossy := func(seed uint64, emptyVotes bool) verdicts {
+		return run(seed, func(c *cluster, _ *daemon) {
+			c.disks = rand.New(rand.NewPCG(seed, 2))
+			c.emptyVotes = emptyVotes
+		})
+	}
+	caught := 0
+	for seed := range uint64(seeds) {
+		if v := lossy(seed, false); v.violations > 0 {
+			t.Errorf("seed %d: %d violations", seed, v.violations)
+		}
+		if lossy(seed, true).violations > 0 {
+			caught++
+		}
+	}
+	if caught == 0 {
+		t.Error("no seed noticed that an empty instance counted as a voter")
+	}
+	t.Logf("an empty instance counted as a voter: noticed by %d of %d seeds", caught, seeds)
+}
+
 // The schedules are only worth something if they notice a wrong rule.
 func TestSchedulesCatchPlantedFaults(t *testing.T) {
 	faults := map[string]func(*cluster, *daemon){
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -29,6 +29,8 @@
 	members []*member
 	mu      sync.Mutex
 	index   uint64
+	// addresses are the members' addresses for daemons.
+	addresses []string
 }
 
 // member is one instance's end of the shared log.
@@ -42,7 +44,7 @@
 
 func (m *member) Propose(_ context.Context, data []byte) ([]byte, error) {
 	if m.cut.Load() {
-		return nil, errors.New("no quorum")
+		return nil, errors.New("no answer of a quorum")
 	}
 	m.log.mu.Lock()
 	defer m.log.mu.Unlock()
@@ -65,7 +67,8 @@
 }
 
 func (m *member) Standing() freshness.Standing {
-	return freshness.Standing{LastIndex: m.applied.Load(), Applied: m.applied.Load(), Voters: len(m.log.members)}
+	applied := m.applied.Load()
+	return freshness.Standing{LastIndex: applied, Applied: applied, Voter: true, Voters: m.log.addresses}
 }
 
 // cluster runs control instances on loopback.
@@ -91,6 +94,7 @@
 		}
 		c.peers = append(c.peers, listener.Addr().String())
 	}
+	shared.addresses = c.peers
 	for i, listener := range listeners {
 		options.Instance, options.Peers = fmt.Sprint("control-", i), c.peers
 		m := &member{log: shared, control: control.New(options, zap.NewNop())}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
@@ -17,8 +18,9 @@
 // every control instance.
 type Log interface {
 	// Propose commits an encoded command and returns what Apply answered on
-	// this or another instance. An error means that the fate is unknown
-	// unless the log says otherwise.
+	// this or another instance. ErrNotAccepted means that the command was
+	// not committed and never will be; after any other error its fate is
+	// unknown.
 	Propose(ctx context.Context, data []byte) ([]byte, error)
 	// Barrier returns nil once a quorum has confirmed that every command
 	// committed anywhere before the call has been applied on this instance.
@@ -29,6 +31,9 @@
 	Standing() freshness.Standing
 }
 
+// ErrNotAccepted means that a command was not committed and never will be.
+var ErrNotAccepted = errors.New("not accepted")
+
 var undecodedCount = telemetry.Counter("control_commands_undecoded")
 
 // UseLog replaces the log, before Run. Without it commands are applied on this
@@ -128,5 +133,5 @@
 // Standing implements Log.
 func (l *localLog) Standing() freshness.Standing {
 	applied := l.applied.Load()
-	return freshness.Standing{LastIndex: applied, Applied: applied, Leader: l.control.options.Instance, Voters: 1}
+	return freshness.Standing{LastIndex: applied, Applied: applied, Leader: l.control.options.Instance, Voter: true, Voters: l.control.options.Peers}
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
@@ -129,7 +130,8 @@
 	result, err := c.Propose(r.Context(), command)
 	if err != nil {
 		proposeFailedCount.Add(1)
-		writeError(w, http.StatusServiceUnavailable, err.Error())
+		failure := operator.Failure{Error: err.Error(), NotAccepted: errors.Is(err, ErrNotAccepted)}
+		writeJSON(w, http.StatusServiceUnavailable, failure)
 		return
 	}
 	writeJSON(w, statusOf(result.Code), result)
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -27,12 +29,21 @@
 	c.members = r
 }
 
+// proposeTimeout ends a proposal before an operator's tool stops waiting for
+// it, so that the tool learns when nothing was committed.
+const proposeTimeout = 4 * time.Second
+
 // replicatedLog is a replica as a Log.
 type replicatedLog struct{ replica *replica.Replica }
 
 // Propose implements Log.
 func (l replicatedLog) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
 	_, answer, err := l.replica.Propose(ctx, data)
+	if errors.Is(err, replica.ErrNotCommitted) {
+		return nil, errors.Wrap(ErrNotAccepted, err.Error())
+	}
 	return answer, err
 }
 
@@ -46,13 +57,17 @@
 func (l replicatedLog) Standing() freshness.Standing {
 	applied := l.replica.Applied()
 	end, status := l.replica.End(), l.replica.Status()
-	return freshness.Standing{
+	standing := freshness.Standing{
 		Term:      end.Term,
 		LastIndex: end.Last,
 		Applied:   applied,
 		Leader:    string(status.Leader),
-		Voters:    len(status.Config.Voters),
+		Voter:     end.Config.Voter(status.ID) && l.replica.Failure() == "",
+	}
+	for _, voter := range end.Config.Voters {
+		standing.Voters = append(standing.Voters, voter.Address)
 	}
+	return standing
 }
 
 func (c *Control) routeMembers(router chi.Router) {
@@ -87,6 +102,9 @@
 	case errors.Is(err, replica.ErrRefused):
 		writeError(w, http.StatusUnprocessableEntity, err.Error())
 	default:
-		writeError(w, http.StatusServiceUnavailable, err.Error())
+		writeJSON(w, http.StatusServiceUnavailable, operator.Failure{
+			Error:       err.Error(),
+			NotAccepted: errors.Is(err, replica.ErrNotCommitted),
+		})
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -100,7 +100,7 @@
 		log:     log,
 		config:  NewConfig(),
 		view:    membership.NewView(),
-		tracker: freshness.NewTracker(freshness.Options{Instances: len(options.Peers), Lease: options.Lease}),
+		tracker: freshness.NewTracker(freshness.Options{Lease: options.Lease}),
 	}
 	f.servers.Store(&[]membership.Announcement{})
 	return f
--- a/internal/follow/probe.go
+++ b/internal/follow/probe.go
@@ -113,9 +113,9 @@
 	for _, result := range results {
 		switch {
 		case result.err == nil:
-			round.Answers = append(round.Answers, result.standing)
+			round.Answers = append(round.Answers, freshness.Answer{Address: result.peer, Standing: result.standing})
 		case errors.Is(result.err, syscall.ECONNREFUSED):
-			round.Refused++
+			round.Refused = append(round.Refused, result.peer)
 		}
 		if confirmed == "" && result.err == nil && result.standing.Confirmed {
 			confirmed = result.peer
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -185,11 +185,12 @@
 	return errors.Wrap(ErrUnreachable, last.Error())
 }
 
-// neverSent reports whether the connection failed before any byte of the call
-// could leave.
+// neverSent reports whether the call changed nothing: the connection failed
+// before any byte could leave, or the instance says so.
 func neverSent(err error) bool {
+	var refused *notAcceptedError
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.As(err, &refused) || errors.As(err, &op) && op.Op == "dial"
 }
 
 // attempt reports whether the answer is final.
@@ -209,7 +210,7 @@
 		c.unconfirmed.Store(true)
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
-		return false, errors.Errorf("%s: %s", response.Status, failureText(data))
+		return false, serverError(response.Status, data)
 	}
 	return true, c.finish(response.StatusCode, data, request)
 }
@@ -251,6 +252,22 @@
 	}
 }
 
+// notAcceptedError is the word of a control instance that a change was not
+// accepted and never will be.
+type notAcceptedError struct{ message string }
+
+// Error implements error.
+func (e *notAcceptedError) Error() string { return e.message }
+
+func serverError(status string, data []byte) error {
+	message := status + ": " + failureText(data)
+	var failure Failure
+	if json.Unmarshal(data, &failure) == nil && failure.NotAccepted {
+		return &notAcceptedError{message}
+	}
+	return errors.New(message)
+}
+
 func failureText(data []byte) string {
 	var failure Failure
 	if err := json.Unmarshal(data, &failure); err != nil || failure.Error == "" {
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -26,6 +26,8 @@
 // Failure is the body of an answer that is not a result.
 type Failure struct {
 	Error string `json:"error"`
+	// NotAccepted means that a change was not accepted and never will be.
+	NotAccepted bool `json:"notAccepted,omitempty"`
 }
 
 // KeyChange adds and removes key hashes of a contract.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -127,6 +127,8 @@
 	Term uint64
 	// Last is the last entry, committed or not.
 	Last uint64
+	// Config is the last membership in the log, committed or not.
+	Config replog.Config
 }
 
 // Open opens the data folder and restores the state machine. The folder stays
@@ -231,7 +233,7 @@
 
 // publishEnd makes the end of the log visible. Only the node's owner calls it.
 func (r *Replica) publishEnd() {
-	r.end.Store(&End{Term: r.node.Term(), Last: r.node.LastIndex()})
+	r.end.Store(&End{Term: r.node.Term(), Last: r.node.LastIndex(), Config: r.node.Config()})
 }
 
 // publish makes the node's status visible. Only the node's owner calls it.
