Let the confirmed leader of the log own the quotas; show limits in force

Cause: each control instance took itself for the owner; operators could not see what a contract uses. A rule's message about a value that is not above 0 is again as before: a test of rosemaryctl expects it, and bounding the fields had changed it. Conclusion: limits hold over a change of leader with real processes.

--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -30,6 +30,7 @@
 	Model       *modelCommand       `arg:"subcommand:model" help:"base models"`
 	Service     *serviceCommand     `arg:"subcommand:service" help:"plain services"`
 	Server      *serverCommand      `arg:"subcommand:server" help:"backend servers"`
+	Limits      *limitsCommand      `arg:"subcommand:limits" help:"the limits in force: use, leased, refused by clause"`
 	Members     *membersCommand     `arg:"subcommand:members" help:"members of the replicated log"`
 	Status      *statusCommand      `arg:"subcommand:status" help:"control instances, daemons and servers"`
 	Watch       *watchCommand       `arg:"subcommand:watch" help:"status, again and again"`
--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/quota"
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
@@ -37,6 +38,9 @@
 	peers := rpc.NewServer(c.Handlers())
 	go func() { _ = peers.Serve(t.Context(), listener) }()
 	go c.Run(t.Context())
+	quotas := control.NewQuotas(quota.DefaultOptions(), c.SoleOwnership(), c.Agreed, zap.NewNop())
+	c.UseQuotas(quotas)
+	go quotas.Run(t.Context())
 	web := httptest.NewServer(c.OperatorHandler())
 	t.Cleanup(func() {
 		web.Close()
@@ -110,6 +114,9 @@
 		{[]string{"server", "list"}, exitDone, "stopped"},
 		{[]string{"server", "advice"}, exitDone, "STOPPABLE"},
 		{[]string{"server", "start", "floor-1"}, exitDone, "accepted"},
+		{[]string{"limits"}, exitDone, "REFUSED CONCURRENCY"},
+		{[]string{"limits", "cascade"}, exitDone, "cascade"},
+		{[]string{"limits", "nobody"}, exitNotFound, "no such contract"},
 		{[]string{"--wait", "--timeout", "5s", "contract", "retire", "cascade"}, exitDone, "in force in every living daemon"},
 		{[]string{"contract", "change", "cascade", "--rate", "3"}, exitInvalid, "retired"},
 		{[]string{"status"}, exitDone, "control-0"},
--- a/coord/contract/rules.go
+++ b/coord/contract/rules.go
@@ -56,7 +56,11 @@
 	if value >= least && value <= most {
 		return nil
 	}
-	return errors.Errorf("%s: %v is not between %v and %v", clause, value, least, most)
+	var zero T
+	if value <= zero && least > zero {
+		return errors.Errorf("%s must be above 0", clause)
+	}
+	return errors.Errorf("%s must be from %v to %v, not %v", clause, least, most, value)
 }
 
 func checkPatterns(clause Clause, patterns []string) error {
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/rosemarypass/rosemarypass/internal/operator"
 )
 
 // UseQuotas lets operators read the limits in force, before Run.
@@ -20,18 +22,19 @@
 
 func serveLimits(w http.ResponseWriter, r *http.Request, quotas *Quotas) {
 	if quotas == nil {
-		writeError(w, http.StatusNotFound, "this instance has no quotas")
+		writeError(w, http.StatusServiceUnavailable, ErrNotOwner.Error())
 		return
 	}
-	standings, err := quotas.Standings(r.Context(), chi.URLParam(r, "id"))
-	if err != nil {
+	id := chi.URLParam(r, "id")
+	limits, err := quotas.Limits(r.Context(), id)
+	switch {
+	case err != nil:
+		// The operators' client asks the next instance then.
 		writeError(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	if !standings.Owner {
-		writeError(w, http.StatusMisdirectedRequest, "another control instance owns the quotas: ask the leader")
-		return
+	case id != "" && len(limits.Contracts) == 0:
+		writeError(w, http.StatusNotFound, "no such contract, or it is retired")
+	default:
+		slices.SortFunc(limits.Contracts, func(a, b operator.ContractLimits) int { return cmp.Compare(a.Contract, b.Contract) })
+		writeJSON(w, http.StatusOK, limits)
 	}
-	slices.SortFunc(standings.Contracts, func(a, b ContractStanding) int { return cmp.Compare(a.Contract, b.Contract) })
-	writeJSON(w, http.StatusOK, standings)
 }
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/quota"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -160,49 +161,46 @@
 	return reply
 }
 
-// Standings is what operators see of the limits in force.
-type Standings struct {
-	// Owner is false when another instance owns the quotas; ask that one.
-	Owner     bool               `json:"owner"`
-	Epoch     uint64             `json:"epoch"`
-	Contracts []ContractStanding `json:"contracts"`
-}
-
-// ContractStanding is one contract's limits and their use.
-type ContractStanding struct {
-	quota.Standing
-	Limits contract.Limits `json:"limits"`
-	Share  int             `json:"share"`
-}
+// ErrNotOwner means that another instance owns the quotas, or none.
+var ErrNotOwner = errors.New("this instance does not own the quotas")
 
-// Standings reports on every contract in use, or on the one that is named.
-func (q *Quotas) Standings(ctx context.Context, id string) (Standings, error) {
-	result := make(chan Standings, 1)
-	err := q.call(ctx, func(d *quotaDuty) { result <- d.standings(time.Now(), id) })
+// Limits reports on every contract in use, or on the one that is named.
+func (q *Quotas) Limits(ctx context.Context, id string) (operator.Limits, error) {
+	type answer struct {
+		limits operator.Limits
+		owner  bool
+	}
+	result := make(chan answer, 1)
+	err := q.call(ctx, func(d *quotaDuty) {
+		limits, owner := d.limits(time.Now(), id)
+		result <- answer{limits, owner}
+	})
 	if err != nil {
-		return Standings{}, err
+		return operator.Limits{}, err
+	}
+	if a := <-result; a.owner {
+		return a.limits, nil
 	}
-	return <-result, nil
+	return operator.Limits{}, ErrNotOwner
 }
 
-func (d *quotaDuty) standings(now time.Time, id string) Standings {
+func (d *quotaDuty) limits(now time.Time, id string) (limits operator.Limits, owner bool) {
 	if !d.current(now) {
-		return Standings{}
+		return operator.Limits{}, false
 	}
 	ids := []string{id}
 	if id == "" {
 		ids = d.owner.Contracts()
 	}
-	result := Standings{Owner: true, Epoch: d.epoch, Contracts: make([]ContractStanding, 0, len(ids))}
+	limits = operator.Limits{Epoch: d.epoch, Contracts: make([]operator.ContractLimits, 0, len(ids))}
 	for _, id := range ids {
-		agreed, _ := d.contracts(id)
-		result.Contracts = append(result.Contracts, ContractStanding{
-			Standing: d.owner.Standing(id),
-			Limits:   agreed.Limits,
-			Share:    agreed.Share,
-		})
+		if agreed, ok := d.contracts(id); ok {
+			limits.Contracts = append(limits.Contracts, operator.ContractLimits{
+				Standing: d.owner.Standing(id), Limits: agreed.Limits, Share: agreed.Share,
+			})
+		}
 	}
-	return result
+	return limits, true
 }
 
 // SoleOwnership is that of an instance whose state is in memory alone.
--- /dev/null
+++ b/internal/limiter/leader_test.go
@@ -0,0 +1,130 @@
+package limiter_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/quota"
+	"github.com/rosemarypass/rosemarypass/internal/control"
+	"github.com/rosemarypass/rosemarypass/internal/entry"
+	"github.com/rosemarypass/rosemarypass/internal/replica"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+)
+
+// empty is a state machine without state.
+type empty struct{}
+
+func (empty) Apply(uint64, []byte) []byte { return nil }
+func (empty) Snapshot() ([]byte, error)   { return nil, nil }
+func (empty) Restore([]byte) error        { return nil }
+
+// controlInstance is a member of the log that may own the quotas.
+type controlInstance struct {
+	ownership *control.LeaderOwnership
+	stop      func()
+}
+
+func startControls(t *testing.T, s *site, size int) (instances []controlInstance, addresses []string) {
+	t.Helper()
+	listeners := make([]net.Listener, size)
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = listener
+		addresses = append(addresses, listener.Addr().String())
+	}
+	for i, listener := range listeners {
+		r, err := replica.Open(replica.Options{
+			Instance: fmt.Sprint("control-", i), Address: addresses[i], Peers: addresses, Bootstrap: i == 0, Folder: t.TempDir(),
+		}, empty{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		one := controlInstance{ownership: control.NewLeaderOwnership(r)}
+		quotas := control.NewQuotas(quota.DefaultOptions(), one.ownership, s.Contract, zap.NewNop())
+		handlers := r.Handlers()
+		for method, handler := range quotas.Handlers() {
+			handlers[method] = handler
+		}
+		server := rpc.NewServer(handlers)
+		ctx, cancel := context.WithCancel(context.Background())
+		var duties sync.WaitGroup
+		duties.Go(func() { _ = server.Serve(ctx, listener) })
+		duties.Go(func() { r.Run(ctx) })
+		duties.Go(func() { one.ownership.Run(ctx) })
+		duties.Go(func() { quotas.Run(ctx) })
+		one.stop = sync.OnceFunc(func() {
+			cancel()
+			_ = listener.Close()
+			server.Close()
+			duties.Wait()
+		})
+		t.Cleanup(one.stop)
+		instances = append(instances, one)
+	}
+	return instances, addresses
+}
+
+// owner returns the one instance that owns the quotas, and its epoch.
+func owner(t *testing.T, instances []controlInstance) (index int, epoch uint64) {
+	t.Helper()
+	for {
+		owners := 0
+		for i, one := range instances {
+			if e, _, yes := one.ownership.QuotaTenure(); yes {
+				index, epoch = i, e
+				owners++
+			}
+		}
+		if owners > 1 {
+			t.Fatal("two instances own the quotas")
+		}
+		if owners == 1 {
+			return index, epoch
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// The control leader crashes while a customer uses part of its contract. The
+// next leader does not know of that use, and must not lease it a second time;
+// nor may the customer be refused what is left.
+func TestLimitsOutliveTheControlLeader(t *testing.T) {
+	limits := generous()
+	limits.MaxWait = 30 * time.Second
+	s := startSite(t, sample(limits))
+	instances, addresses := startControls(t, s, 3)
+	first, epoch := owner(t, instances)
+	l, _ := s.entry("a", addresses...)
+	held, refused := l.Admit(s.ctx, s.ask(1))
+	if refused != nil {
+		t.Fatalf("under the first owner: %+v", refused)
+	}
+	instances[first].stop()
+	_, next := owner(t, append(instances[:first:first], instances[first+1:]...))
+	if next <= epoch {
+		t.Fatalf("epoch %d follows %d", next, epoch)
+	}
+	more, refused := l.Admit(s.ctx, s.ask(1))
+	if refused != nil {
+		t.Fatalf("under the next owner: %+v", refused)
+	}
+	// Another entry finds the concurrency used up.
+	other, _ := s.entry("b", addresses...)
+	short := s.ask(1)
+	short.Contract.Limits.MaxWait = 3 * time.Second
+	if _, refused := other.Admit(s.ctx, short); refused == nil || refused.Clause != contract.ClauseConcurrency {
+		t.Errorf("a third request at once: %+v", refused)
+	}
+	held.Settle(entry.Use{})
+	more.Settle(entry.Use{})
+}
