Expect the contract's former wording again

Cause: the contract aggregate says "must be above 0" again, so the test that had followed its other wording failed.

Change: the command line's test has its former text back; exit code and value are checked as before.

--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -94,7 +94,7 @@
 		{[]string{"contract", "change", "cascade", "--rate", "9"}, exitDone, "accepted"},
 		{[]string{"contract", "change", "cascade", "--rate", "10", "--revision", "1"}, exitConflict, `"requestsPerSecond": 9`},
 		{[]string{"contract", "create", "cascade", "--rate", "1"}, exitConflict, "another writer"},
-		{[]string{"contract", "change", "cascade", "--rate", "0"}, exitInvalid, "requestsPerSecond: 0 is not between"},
+		{[]string{"contract", "change", "cascade", "--rate", "0"}, exitInvalid, "requestsPerSecond must be above 0"},
 		{[]string{"contract", "change", "nobody", "--rate", "1"}, exitNotFound, "no such contract"},
 		{[]string{"contract", "list"}, exitDone, "cascade"},
 		{[]string{"model", "add", "base"}, exitDone, "accepted"},
