Try requests that were at a crash alone, and refuse the one that crashes

Cause: a request that crashes its engine is sent again by its caller, and takes one server after another with all their other requests. Change: the agent notices that its engine crashed and reports all requests that were on it, before it answers them. coord/suspicion, in the replicated log, makes them suspects for every entry; a suspect runs again only in a trial, alone on its server, two trials at a time. Surviving clears it; a crash while alone convicts it for an hour (422 request_crashes_servers). The ledger client takes such commands and those about claims to any control instance. Ruled out: conviction after two crashes among neighbours, which convicts an innocent that was at two crashes with two other causes; suspicion kept at each entry, which a resend through the balancer evades. Conclusion: copies of a killer that are in flight at the same moment still cost a server each; resends do not.

--- a/coord/state/codec.go
+++ b/coord/state/codec.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/claim"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // Versions of the encodings. Another version is refused: guessing at fields
@@ -59,6 +60,9 @@
 	Fencing     []Fencing           `json:"fencing"`
 	Operations  []Operation         `json:"operations"`
 	Claims      []claim.Claim       `json:"claims,omitempty"`
+	Suspects    []suspicion.Record  `json:"suspects,omitempty"`
+	// Crashed are the last counted crashes of backend servers.
+	Crashed []suspicion.Incarnation `json:"crashed,omitempty"`
 }
 
 // Encode returns the whole state. Two machines that applied the same log
@@ -76,6 +80,8 @@
 		Fencing:     sortedValues(m.servers.fencing, identity),
 		Operations:  m.operations.inOrder(),
 		Claims:      m.claims.All(),
+		Suspects:    m.suspicion.Records(),
+		Crashed:     m.suspicion.Crashed(),
 	})
 	if err != nil {
 		return nil, err
@@ -122,6 +128,7 @@
 		m.operations.add(operation)
 	}
 	m.claims.Restore(s.Claims)
+	m.suspicion.Restore(s.Suspects, s.Crashed)
 	return m
 }
 
--- a/coord/state/command.go
+++ b/coord/state/command.go
@@ -4,6 +4,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/claim"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // Command is one proposed change. Exactly one of the pointers is set; each
@@ -24,6 +25,7 @@
 	PutServer     *PutServer         `json:"putServer,omitempty"`
 	Fence         *Fence             `json:"fence,omitempty"`
 	Claim         *claim.Command     `json:"claim,omitempty"`
+	Suspicion     *suspicion.Command `json:"suspicion,omitempty"`
 }
 
 // PutContract creates or changes a contract. Expected is the revision that the
@@ -100,6 +102,8 @@
 	Fencing uint64 `json:"fencing,omitempty"`
 	// Claim is the reply to a Claim command.
 	Claim *claim.Reply `json:"claim,omitempty"`
+	// Suspicion answers a Suspicion command.
+	Suspicion suspicion.Verdict `json:"suspicion,omitempty"`
 }
 
 // Change is one object as it stands after the command at Index. Exactly one
@@ -111,6 +115,8 @@
 	Adapter  *catalogue.Adapter `json:"adapter,omitempty"`
 	Service  *catalogue.Service `json:"service,omitempty"`
 	Server   *Server            `json:"server,omitempty"`
+	// Suspects are the requests whose record changed in a crash or trial.
+	Suspects []suspicion.Record `json:"suspects,omitempty"`
 }
 
 func ok(index uint64) Result { return Result{Code: CodeOK, Index: index} }
--- a/coord/state/feed.go
+++ b/coord/state/feed.go
@@ -19,5 +19,8 @@
 	for _, s := range m.Servers() {
 		changes = append(changes, Change{Index: m.configIndex, Server: &s})
 	}
+	if suspects := m.suspicion.Records(); len(suspects) > 0 {
+		changes = append(changes, Change{Index: m.configIndex, Suspects: suspects})
+	}
 	return changes
 }
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/claim"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // Machine is the state after a prefix of the log. It is not safe for
@@ -28,6 +29,7 @@
 	servers    servers
 	operations operations
 	claims     *claim.Table
+	suspicion  *suspicion.Table
 }
 
 // NewMachine returns the state before the first command.
@@ -38,6 +40,7 @@
 		servers:    newServers(),
 		operations: newOperations(),
 		claims:     claim.NewTable(claim.DefaultOptions),
+		suspicion:  suspicion.NewTable(suspicion.DefaultLimits),
 	}
 }
 
@@ -95,6 +98,8 @@
 		return m.catalogue.putService(index, *command.PutService)
 	case command.PutServer != nil:
 		return m.servers.put(index, *command.PutServer)
+	case command.Suspicion != nil:
+		return m.suspect(index, *command.Suspicion)
 	case command.Claim != nil:
 		reply := m.claims.Apply(*command.Claim, m.Clock())
 		return Result{Code: CodeOK, Index: index, Claim: &reply}, nil
@@ -104,3 +109,14 @@
 		return invalid(index, errors.New("empty command")), nil
 	}
 }
+
+// suspect applies a command about crashing requests. Daemons follow only the
+// records that changed.
+func (m *Machine) suspect(index uint64, command suspicion.Command) (Result, *Change) {
+	verdict, changed := m.suspicion.Apply(index, command, m.Clock())
+	result := Result{Code: CodeOK, Index: index, Suspicion: verdict}
+	if len(changed) == 0 {
+		return result, nil
+	}
+	return result, &Change{Index: index, Suspects: changed}
+}
--- /dev/null
+++ b/coord/suspicion/suspicion_test.go
@@ -0,0 +1,195 @@
+package suspicion_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a number of servers with requests on them; a killer crashes its
+// server, and every caller sends its request again until it is answered.
+type fleet struct {
+	random   *rand.Rand
+	table    *suspicion.Table
+	index    uint64
+	now      time.Time
+	killers  map[suspicion.Fingerprint]bool
+	onServer [][]suspicion.Fingerprint
+	alone    []bool
+	lost     int
+	refused  map[suspicion.Fingerprint]int
+	answered map[suspicion.Fingerprint]bool
+	tokens   map[suspicion.Fingerprint]string
+}
+
+const servers = 18
+
+func newFleet(seed uint64, killers ...suspicion.Fingerprint) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 1)), table: suspicion.NewTable(suspicion.DefaultLimits), now: start,
+		killers: map[suspicion.Fingerprint]bool{}, onServer: make([][]suspicion.Fingerprint, servers), alone: make([]bool, servers),
+		refused: map[suspicion.Fingerprint]int{}, answered: map[suspicion.Fingerprint]bool{}, tokens: map[suspicion.Fingerprint]string{},
+	}
+	for _, killer := range killers {
+		f.killers[killer] = true
+	}
+	return f
+}
+
+func (f *fleet) apply(command suspicion.Command) suspicion.Verdict {
+	f.index++
+	verdict, _ := f.table.Apply(f.index, command, f.now)
+	return verdict
+}
+
+// send lets a caller send its request; isolated ignores suspicion when false.
+func (f *fleet) send(request suspicion.Fingerprint, isolated bool) {
+	verdict := suspicion.Run
+	if isolated {
+		f.tokens[request] = fmt.Sprint(f.index)
+		verdict = f.apply(suspicion.Command{Ask: &suspicion.Ask{Fingerprint: request, Token: f.tokens[request]}})
+	}
+	server := f.random.IntN(servers)
+	switch {
+	case verdict == suspicion.Refuse:
+		f.refused[request]++
+	case verdict == suspicion.Run && !f.alone[server]:
+		f.onServer[server] = append(f.onServer[server], request)
+	case verdict == suspicion.RunAlone && len(f.onServer[server]) == 0:
+		f.onServer[server], f.alone[server] = []suspicion.Fingerprint{request}, true
+	case verdict == suspicion.RunAlone:
+		f.apply(suspicion.Command{End: &suspicion.End{Fingerprint: request, Token: f.tokens[request]}})
+	}
+}
+
+// inFlight reports whether the request's caller still waits for it.
+func (f *fleet) inFlight(request suspicion.Fingerprint) bool {
+	return slices.ContainsFunc(f.onServer, func(running []suspicion.Fingerprint) bool {
+		return slices.Contains(running, request)
+	})
+}
+
+// finish ends what runs on a server: a crash if a killer is among it.
+func (f *fleet) finish(server int) {
+	running, crash := f.onServer[server], false
+	f.onServer[server] = nil
+	for _, request := range running {
+		crash = crash || f.killers[request]
+	}
+	if crash {
+		f.lost++
+		f.apply(suspicion.Command{Crash: &suspicion.Crash{Server: fmt.Sprint(server), Incarnation: f.index + 1, Fingerprints: running}})
+		f.alone[server] = false
+		return
+	}
+	for _, request := range running {
+		f.answered[request] = true
+		if f.alone[server] {
+			f.apply(suspicion.Command{End: &suspicion.End{Fingerprint: request, Token: f.tokens[request], Survived: true}})
+		}
+	}
+	f.alone[server] = false
+}
+
+const steps = 4000
+
+// run sends and finishes at random; each caller waits for the end of its
+// request before it sends it again, and never gives up.
+func (f *fleet) run(isolated bool) {
+	for range steps {
+		f.now = f.now.Add(50 * time.Millisecond)
+		request := suspicion.Fingerprint(fmt.Sprintf("r%d", f.random.IntN(200)))
+		if f.random.IntN(20) == 0 {
+			request = "killer"
+		}
+		if !f.answered[request] && !f.inFlight(request) {
+			f.send(request, isolated)
+		}
+		if f.random.IntN(2) == 0 {
+			f.finish(f.random.IntN(servers))
+		}
+	}
+}
+
+// One request crashes every server that runs it, and its caller sends it again
+// and again. Without suspicion it takes the whole fleet down in turn; with a
+// crude one its neighbours' callers are refused for what they did not do.
+func TestAKillerTakesAtMostTwoServersAndNobodyElseIsRefused(t *testing.T) {
+	naive := 0
+	for seed := range uint64(50) {
+		f := newFleet(seed, "killer")
+		f.run(true)
+		if f.lost > 2 {
+			t.Errorf("seed %d: %d servers lost", seed, f.lost)
+		}
+		if f.refused["killer"] == 0 {
+			t.Errorf("seed %d: the killer was never refused", seed)
+		}
+		for request, n := range f.refused {
+			if request != "killer" {
+				t.Errorf("seed %d: innocent %s was refused %d times", seed, request, n)
+			}
+		}
+		n := newFleet(seed, "killer")
+		n.run(false)
+		naive += n.lost
+	}
+	t.Logf("50 schedules: at most 2 servers lost in each, 0 innocents refused; without suspicion %d lost in each on average", naive/50)
+}
+
+// Two servers crash for other reasons while the same innocent request is on
+// both. Two crashes alone must not convict it.
+func TestTwoCrashesAmongNeighboursConvictNobody(t *testing.T) {
+	table := suspicion.NewTable(suspicion.DefaultLimits)
+	for i := range uint64(2) {
+		crash := suspicion.Crash{Server: "s", Incarnation: i + 1, Fingerprints: []suspicion.Fingerprint{"innocent", suspicion.Fingerprint(fmt.Sprint(i))}}
+		table.Apply(i+1, suspicion.Command{Crash: &crash}, start)
+		table.Apply(i+1, suspicion.Command{Crash: &crash}, start)
+	}
+	ask := suspicion.Command{Ask: &suspicion.Ask{Fingerprint: "innocent", Token: "1"}}
+	if got, _ := table.Apply(3, ask, start); got != suspicion.RunAlone {
+		t.Errorf("the innocent request: %s", got)
+	}
+	if got := table.Records()[2]; got.Crashes != 2 {
+		t.Errorf("a resent report counted: %+v", got)
+	}
+}
+
+// An entry dies in the middle of a trial. The trial must end by itself, or no
+// suspect is ever tried again.
+func TestATrialEndsWithItsLease(t *testing.T) {
+	limits := suspicion.DefaultLimits
+	limits.Trials = 1
+	table := suspicion.NewTable(limits)
+	table.Apply(1, suspicion.Command{Crash: &suspicion.Crash{Server: "s", Incarnation: 1, Fingerprints: []suspicion.Fingerprint{"a", "b"}}}, start)
+	ask := func(fingerprint suspicion.Fingerprint, token string, at time.Duration) suspicion.Verdict {
+		verdict, _ := table.Apply(2, suspicion.Command{Ask: &suspicion.Ask{Fingerprint: fingerprint, Token: token}}, start.Add(at))
+		return verdict
+	}
+	steps := []struct {
+		fingerprint suspicion.Fingerprint
+		token       string
+		at          time.Duration
+		want        suspicion.Verdict
+	}{
+		{"a", "1", 0, suspicion.RunAlone}, {"a", "1", 0, suspicion.RunAlone}, {"a", "2", 0, suspicion.Wait}, {"b", "3", 0, suspicion.Wait},
+		{"b", "3", limits.TrialLease, suspicion.RunAlone}, {"a", "2", limits.TrialLease, suspicion.Wait}, {"c", "4", 0, suspicion.Run},
+	}
+	for i, step := range steps {
+		if got := ask(step.fingerprint, step.token, step.at); got != step.want {
+			t.Errorf("step %d: %s, want %s", i, got, step.want)
+		}
+	}
+	restored := suspicion.NewTable(limits)
+	restored.Restore(table.Records(), table.Crashed())
+	if !reflect.DeepEqual(restored, table) {
+		t.Error("a restored table differs")
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,6 +40,8 @@
 	ControlPeers []string
 	// RPC are the options of connections to the control instances.
 	RPC []rpc.ClientOption
+	// Suspicions takes reports of crashes; without it none are reported.
+	Suspicions Suspicions
 }
 
 // Agent gates one engine.
@@ -60,6 +62,10 @@
 	permits *permitClient
 	gate    *drain.Gate
 	runs    *runs
+	crashes crashes
+	// incarnation is the engine's, as last seen.
+	incarnation atomic.Uint64
+	isolation   isolation
 	// closed is true while operators want the server drained or stopped.
 	closed   atomic.Bool
 	started  uint64
@@ -108,6 +114,7 @@
 func (a *Agent) watchEngine(ctx context.Context) {
 	for ctx.Err() == nil {
 		if report, err := a.orders.report(ctx); err == nil {
+			a.incarnation.Store(report.Incarnation)
 			a.sendEnd(engineSeen{report: report})
 		}
 		sleep(ctx, a.options.AnnounceInterval)
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -77,13 +77,23 @@
 		return
 	}
 	a.sources.Store(ref, r.Header.Get(HeaderSource))
+	leave, err := a.isolation.enter(r.Context(), r.Header.Get(wire.HeaderAlone) != "")
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
 	id := slots.RequestID(requestIDs.Add(1))
 	if err := a.acquire(r, id, ref); err != nil {
+		leave()
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	admittedCount.Add(1)
-	a.start(r, id, ref, body).deliver(w, r, 0)
+	started := a.start(r, ref, body, func() {
+		a.release(id)
+		leave()
+	})
+	started.deliver(w, r, 0)
 }
 
 // readWhole reads a request's body before anything is done for it. net/http
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -15,7 +15,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
-	"github.com/rosemarypass/rosemarypass/coord/slots"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -42,8 +42,13 @@
 type run struct {
 	request string
 	ref     catalogue.Ref
-	cancel  context.CancelFunc
-	answer  *window
+	// fingerprint identifies the request when it is suspected of a crash;
+	// epoch and incarnation are those of the engine when it began.
+	fingerprint suspicion.Fingerprint
+	epoch       uint64
+	incarnation uint64
+	cancel      context.CancelFunc
+	answer      *window
 	// ready is closed when head is set.
 	ready chan struct{}
 	head  runHead
@@ -61,6 +66,8 @@
 	header  http.Header
 	trailer http.Header
 	message string
+	// crashed is true when the engine crashed with the request on it.
+	crashed bool
 }
 
 // runs are the requests at the engine, and for a lease those that ended.
@@ -98,20 +105,25 @@
 }
 
 // start sends a request whose adapter is pinned to the engine.
-func (a *Agent) start(r *http.Request, id slots.RequestID, ref catalogue.Ref, body []byte) *run {
+func (a *Agent) start(r *http.Request, ref catalogue.Ref, body []byte, done func()) *run {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
 	request := r.Header.Get(wire.HeaderRequestID)
 	if request == "" {
 		request = uuid.NewString()
 	}
-	started := &run{request: request, ref: ref, cancel: cancel, answer: newWindow(), ready: make(chan struct{})}
+	started := &run{
+		request: request, ref: ref, cancel: cancel, answer: newWindow(), ready: make(chan struct{}),
+		fingerprint: suspicion.Fingerprint(r.Header.Get(wire.HeaderFingerprint)),
+		epoch:       a.crashes.current(),
+		incarnation: a.incarnation.Load(),
+	}
 	a.runs.add(started)
 	started.lease = time.AfterFunc(reattachLease, func() { a.abandon(started) })
 	started.lease.Stop()
 	a.gate.Join()
 	go func() {
 		defer a.gate.Leave()
-		defer a.release(id)
+		defer done()
 		defer cancel()
 		a.engage(ctx, started, r, body)
 	}()
@@ -134,7 +146,7 @@
 	defer span.End()
 	response, err := a.ask(ctx, r, body)
 	if err != nil {
-		started.noAnswer(outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}))
+		a.failed(ctx, started, outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}))
 		return
 	}
 	defer response.Body.Close()
@@ -146,18 +158,40 @@
 	answer := io.Reader(response.Body)
 	if succeeded := response.StatusCode < http.StatusBadRequest; succeeded {
 		ran, whole, err := peekModel(response.Body)
-		if err != nil || ran != started.ref.String() {
-			if err == nil {
-				wrongModelCount.Add(1)
-			}
-			started.noAnswer(outcome.Unknown)
+		if err != nil {
+			a.failed(ctx, started, outcome.Unknown)
+			return
+		}
+		if ran != started.ref.String() {
+			wrongModelCount.Add(1)
+			started.noAnswer(outcome.Unknown, false)
 			return
 		}
 		answer = whole
 		response.Header.Set(wire.HeaderRan, ran)
 	}
 	started.setHead(runHead{said: outcome.Answered, status: response.StatusCode, header: response.Header})
-	started.pump(ctx, answer, response)
+	if err := started.pump(ctx, answer, response); err != nil {
+		a.cut(ctx, started)
+	}
+}
+
+// failed ends a run that has no answer to relay.
+func (a *Agent) failed(ctx context.Context, r *run, said outcome.Outcome) {
+	crashed := said != outcome.NotRun && a.engineCrashed(ctx, r)
+	r.noAnswer(said, crashed)
+}
+
+// cut ends a run whose answer broke off.
+func (a *Agent) cut(ctx context.Context, r *run) {
+	if ctx.Err() == nil {
+		engineFailCount.Add(1)
+	}
+	crashed := a.engineCrashed(ctx, r)
+	r.mu.Lock()
+	r.head.crashed = crashed
+	r.mu.Unlock()
+	r.answer.finish(errEngineStopped)
 }
 
 func (a *Agent) ask(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
@@ -172,27 +206,24 @@
 	return a.client.Do(request)
 }
 
-func (r *run) pump(ctx context.Context, answer io.Reader, response *http.Response) {
+// pump copies the answer into the window until its end, or returns what broke
+// it off.
+func (r *run) pump(ctx context.Context, answer io.Reader, response *http.Response) error {
 	buffer := make([]byte, pumpBuffer)
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if err := r.answer.append(ctx, buffer[:n]); err != nil {
-				r.answer.finish(errEngineStopped)
-				return
+				return err
 			}
 		}
 		if err == io.EOF {
 			r.setTrailer(response.Trailer)
 			r.answer.finish(nil)
-			return
+			return nil
 		}
 		if err != nil {
-			if ctx.Err() == nil {
-				engineFailCount.Add(1)
-			}
-			r.answer.finish(errEngineStopped)
-			return
+			return errors.Wrap(err, "read from engine")
 		}
 	}
 }
@@ -212,14 +243,14 @@
 }
 
 // noAnswer ends a run that the engine did not answer.
-func (r *run) noAnswer(said outcome.Outcome) {
+func (r *run) noAnswer(said outcome.Outcome, crashed bool) {
 	if said == outcome.NotRun {
 		r.refuse("the engine cannot be reached")
 		return
 	}
 	unknownCount.Add(1)
 	r.answer.finish(errEngineStopped)
-	r.setHead(runHead{said: outcome.Unknown, status: http.StatusBadGateway, message: "the engine gave no usable answer"})
+	r.setHead(runHead{said: outcome.Unknown, status: http.StatusBadGateway, message: "the engine gave no usable answer", crashed: crashed})
 }
 
 func (r *run) refuse(message string) {
@@ -267,7 +298,10 @@
 	}
 	reader, err := r.answer.attach(offset)
 	if err != nil {
-		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusGone, message: err.Error()})
+		r.mu.Lock()
+		crashed := r.head.crashed
+		r.mu.Unlock()
+		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusGone, message: err.Error(), crashed: crashed})
 		return
 	}
 	relay.CopyHeader(w.Header(), r.head.header)
@@ -288,6 +322,9 @@
 
 func sayOutcome(w http.ResponseWriter, head runHead) {
 	w.Header().Set(outcome.Header, head.said.String())
+	if head.crashed {
+		w.Header().Set(wire.HeaderCrashed, "true")
+	}
 	http.Error(w, head.message, head.status)
 }
 
--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -13,6 +13,7 @@
 var (
 	claimCount       = telemetry.Counter("control_claims")
 	claimFailedCount = telemetry.Counter("control_claims_failed")
+	suspicionCount   = telemetry.Counter("control_suspicions")
 )
 
 // claim commits an entry's command about a call that must run at most once. An
@@ -30,3 +31,16 @@
 	}
 	return wire.ClaimReply{Reply: *result.Claim}, nil
 }
+
+// suspect commits a command about requests that crash their servers.
+func (c *Control) suspect(ctx context.Context, in wire.Suspicion) (wire.SuspicionReply, error) {
+	suspicionCount.Add(1)
+	result, err := c.Propose(ctx, state.Command{Suspicion: &in.Command})
+	if err != nil {
+		return wire.SuspicionReply{}, err
+	}
+	if result.Suspicion == "" {
+		return wire.SuspicionReply{}, errors.Errorf("suspicion refused: %s", result.Message)
+	}
+	return wire.SuspicionReply{Verdict: result.Suspicion}, nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -123,6 +123,7 @@
 		wire.MethodAnnounce: rpc.Typed(c.announce),
 		wire.MethodWatch:    rpc.Typed(c.watch),
 		wire.MethodClaim:    rpc.Typed(c.claim),
+		wire.MethodSuspect:  rpc.Typed(c.suspect),
 		wire.MethodStanding: rpc.Typed(c.answerStanding),
 		wire.MethodDaemons:  rpc.Typed(c.answerDaemons),
 	}
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/internal/agent"
+	"github.com/rosemarypass/rosemarypass/internal/ledger"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
@@ -28,6 +29,7 @@
 		LoadTimeout:      time.Duration(s.LoadTimeout),
 		AnnounceInterval: time.Duration(s.AnnounceInterval),
 		ControlPeers:     d.settings.ControlPeers,
+		Suspicions:       ledger.NewClient(d.settings.ControlPeers, d.rpcOptions()...),
 		RPC:              d.rpcOptions(),
 	}, relay.NewClient(engineDialTimeout), d.log)
 	d.duties.Go(func() { a.Run(ctx) })
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,9 +8,9 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/placement"
 	"github.com/rosemarypass/rosemarypass/coord/quota"
-	"github.com/rosemarypass/rosemarypass/internal/claims"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/ledger"
 	"github.com/rosemarypass/rosemarypass/internal/limiter"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
@@ -35,12 +35,14 @@
 		Freshness: follower.Freshness,
 	}, follower.Config(), d.log)
 	d.duties.Go(func() { limits.Run(ctx) })
+	commands := ledger.NewClient(d.settings.ControlPeers, d.rpcOptions()...)
 	e := entry.New(entry.Options{
 		Admission:    limits,
 		MaxBodyBytes: s.MaxBodyBytes,
 		SecureAgents: d.identity != nil,
 		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
-		Claims:       claims.NewClient(d.settings.ControlPeers, d.rpcOptions()...),
+		Claims:       commands,
+		Suspicions:   commands,
 	}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.readiness = append(d.readiness, e.Ready)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
@@ -16,16 +18,18 @@
 
 // attempt offers the call to one server. Answered means that the caller has
 // its answer; after any other outcome nothing was written to the caller.
-func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) outcome.Outcome {
+//
+// crashed is true when the server crashed with the request on it.
+func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) (said outcome.Outcome, crashed bool) {
 	ctx, span := telemetry.StartClient(r.Context(), telemetry.SpanEntryAttempt)
 	defer span.End()
 	span.SetAttributes(telemetry.AttributeServer.String(server.Server))
-	said := e.offer(w, r.WithContext(ctx), c, server)
+	said, crashed = e.offer(w, r.WithContext(ctx), c, server)
 	span.SetAttributes(telemetry.AttributeOutcome.String(said.String()))
-	return said
+	return said, crashed
 }
 
-func (e *Entry) offer(w http.ResponseWriter, r *http.Request, c call, server placement.Server) outcome.Outcome {
+func (e *Entry) offer(w http.ResponseWriter, r *http.Request, c call, server placement.Server) (said outcome.Outcome, crashed bool) {
 	began, ran := time.Now(), time.Duration(0)
 	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
 	ctx, watchdog := relay.Watch(r.Context(), e.options.FirstByteTimeout)
@@ -42,22 +46,22 @@
 	}
 	if err != nil {
 		settled = !relay.Sent(err)
-		return outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)})
+		return outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}), errors.Is(err, errCrashed)
 	}
 	defer response.Body.Close()
 	if said := judge(c, server, response); said != outcome.Answered {
 		settled = true
-		return said
+		return said, response.Header.Get(wire.HeaderCrashed) != ""
 	}
 	if c.once != nil {
 		if err := c.once.record(response); err != nil {
-			return outcome.Unknown
+			return outcome.Unknown, false
 		}
 	}
 	defer func() { ran = time.Since(began) }()
 	e.relayAnswer(w, r, c, server, response, watchdog)
 	settled = true
-	return outcome.Answered
+	return outcome.Answered, false
 }
 
 func (e *Entry) forward(ctx context.Context, r *http.Request, c call, server placement.Server) (*http.Response, error) {
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -19,6 +19,7 @@
 	outcome.Header, wire.HeaderModel, wire.HeaderRan, wire.HeaderFencing,
 	wire.HeaderIncarnation, agent.HeaderSource, wire.HeaderClause, wire.HeaderContract,
 	wire.HeaderShare, wire.HeaderPriority, wire.HeaderMaxWait, wire.HeaderCost,
+	wire.HeaderFingerprint, wire.HeaderAlone, wire.HeaderCrashed,
 }
 
 // dropInternal removes the headers that only this system's processes may set.
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
@@ -38,14 +39,18 @@
 	}
 	r.Header.Set(wire.HeaderModel, adapter.Ref.String())
 	r.Header.Set(agent.HeaderSource, adapter.Source)
-	e.admit(w, r, call{
+	c := call{
 		request:    placement.Request{Kind: membership.KindEngine, Ref: adapter.Ref, BaseModel: adapter.BaseModel},
 		contract:   customer.ID,
 		ask:        askFor(customer, parsed, len(body)),
 		path:       r.URL.Path,
 		body:       body,
 		idempotent: true,
-	})
+	}
+	c.fingerprint = crashFingerprint(c)
+	c.suspect = e.follower.Config().Suspect(c.fingerprint, time.Now())
+	r.Header.Set(wire.HeaderFingerprint, string(c.fingerprint))
+	e.admit(w, r, c)
 }
 
 func (e *Entry) resolve(customer contract.Contract, body []byte) (catalogue.Adapter, callerBody, *failure) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,9 @@
 	Claims Claims
 	// Admission enforces the contracts' limits; nil admits everything.
 	Admission Admission
+	// Suspicions decides whether a request that was at a crash may run.
+	// Without it such requests run like any other.
+	Suspicions Suspicions
 }
 
 const (
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -28,6 +28,8 @@
 	codeDraining       Code = "entry_draining"
 	codeUnconfirmed    Code = "configuration_unconfirmed"
 	codeUnknownOutcome Code = "unknown_outcome"
+	codeConvicted      Code = "request_crashes_servers"
+	codeSuspect        Code = "request_suspected"
 	codeDeadline       Code = "deadline_exceeded"
 	codeTimeout        Code = "invalid_timeout"
 	codeKeyReused      Code = "idempotency_key_reused"
@@ -51,6 +53,14 @@
 	retryAfter int
 	// clause names the contract's clause that refuses, if one does.
 	clause string
+	// doubt is true when an earlier attempt of the request may have run.
+	doubt bool
+}
+
+// after is the failure when earlier attempts left the given doubt.
+func (f failure) after(doubt bool) failure {
+	f.doubt = doubt
+	return f
 }
 
 type errorObject struct {
@@ -91,6 +101,9 @@
 // fail answers with an error and returns the outcome that the caller was told.
 func fail(w http.ResponseWriter, f failure) outcome.Outcome {
 	said := outcomeOf(f.code)
+	if f.doubt {
+		said = outcome.Unknown
+	}
 	countOutcome(said)
 	w.Header().Set(outcome.Header, said.String())
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -70,6 +70,8 @@
 	return e, server
 }
 
+type entryServer = httptest.Server
+
 // told is what a caller learned of its request.
 type told struct {
 	status  int
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -26,11 +26,15 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// startAgent runs an agent before an engine and returns both its addresses.
+// startAgent runs an agent before an engine and returns it with its address.
 func startAgent(t *testing.T, engineHandler http.Handler) (*agent.Agent, string) {
+	return startReportingAgent(t, "floor-1", engineHandler, nil)
+}
+
+func startReportingAgent(t *testing.T, name string, engineHandler http.Handler, suspicions agent.Suspicions) (*agent.Agent, string) {
 	t.Helper()
 	a := agent.New(agent.Options{
-		Server: "floor-1", BaseModel: baseModel, Engine: "http://" + startHandler(t, engineHandler),
+		Server: name, Suspicions: suspicions, BaseModel: baseModel, Engine: "http://" + startHandler(t, engineHandler),
 		Slots: 2, Queue: 256, LoadTimeout: 5 * time.Second, AnnounceInterval: 20 * time.Millisecond, ControlPeers: []string{"127.0.0.1:1"},
 	}, relay.NewClient(time.Second), zap.NewNop())
 	go a.Run(t.Context())
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -34,7 +34,10 @@
 	cancelTimeout = time.Second
 )
 
-var errNotResumed = errors.New("the agent no longer has the answer")
+var (
+	errNotResumed = errors.New("the agent no longer has the answer")
+	errCrashed    = errors.New("the server crashed with the request on it")
+)
 
 // resume asks the agent for the rest of an answer whose connection was cut.
 func (e *Entry) resume(ctx context.Context, r *http.Request, c call, server placement.Server, offset int64) (*http.Response, error) {
@@ -50,6 +53,9 @@
 		}
 		if judge(c, server, response) != outcome.Answered {
 			_ = response.Body.Close()
+			if response.Header.Get(wire.HeaderCrashed) != "" {
+				return nil, errCrashed
+			}
 			return nil, errNotResumed
 		}
 		resumedCount.Add(1)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // call is a request that was admitted and may be offered to servers.
@@ -21,6 +22,11 @@
 	path       string
 	body       []byte
 	idempotent bool
+	// fingerprint identifies the request when it is suspected of a crash;
+	// it is empty where nothing is suspected. suspect is true when it was at
+	// a server that crashed.
+	fingerprint suspicion.Fingerprint
+	suspect     bool
 	// once is set for a call that must run at most once.
 	once *once
 }
@@ -36,7 +42,10 @@
 		if !ok {
 			break
 		}
-		said := e.attempt(w, r, c, server)
+		said, problem := e.try(w, r, &c, server)
+		if problem != nil {
+			return fail(w, problem.after(doubt))
+		}
 		if said == outcome.Answered {
 			return said
 		}
@@ -54,6 +63,28 @@
 	return fail(w, problem)
 }
 
+// try offers the call to a server, in a trial when it is a suspect.
+func (e *Entry) try(w http.ResponseWriter, r *http.Request, c *call, server placement.Server) (outcome.Outcome, *failure) {
+	attempt := func(r *http.Request) outcome.Outcome {
+		said, crashed := e.attempt(w, r, *c, server)
+		c.suspect = c.suspect || crashed
+		return said
+	}
+	if !c.suspect || e.options.Suspicions == nil {
+		return attempt(r), nil
+	}
+	t, problem := e.beginTrial(r.Context(), c.fingerprint)
+	if problem != nil {
+		e.placer.finished(server.Server, c.request.Ref, 0)
+		return outcome.NotRun, problem
+	}
+	if t == nil {
+		c.suspect = false
+		return attempt(r), nil
+	}
+	return e.tryAlone(r, t, attempt), nil
+}
+
 // gaveUp is the answer when no attempt brought one. doubt is true when a
 // server may have run the call. It goes out at once and tells when to come back.
 func gaveUp(ctx context.Context, doubt bool) failure {
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -3,11 +3,14 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"sync"
+	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // Config is a copy of the configuration at one index. It is safe for
@@ -26,6 +29,7 @@
 	adapters  *catalogue.Table
 	services  map[string]catalogue.Service
 	servers   map[string]state.Server
+	suspects  map[suspicion.Fingerprint]suspicion.Record
 }
 
 // NewConfig returns an empty copy at index 0.
@@ -37,6 +41,7 @@
 		adapters:  catalogue.NewTable(),
 		services:  make(map[string]catalogue.Service),
 		servers:   make(map[string]state.Server),
+		suspects:  make(map[suspicion.Fingerprint]suspicion.Record),
 	}
 }
 
@@ -79,9 +84,36 @@
 		c.services[change.Service.Name] = *change.Service
 	case change.Server != nil && change.Server.Revision > c.servers[change.Server.Name].Revision:
 		c.servers[change.Server.Name] = *change.Server
+	case len(change.Suspects) > 0:
+		c.putSuspects(change.Suspects)
 	}
 }
 
+// maxSuspects is how many records are kept before expired ones are dropped.
+const maxSuspects = 1024
+
+func (c *Config) putSuspects(records []suspicion.Record) {
+	for _, r := range records {
+		if r.Revision > c.suspects[r.Fingerprint].Revision {
+			c.suspects[r.Fingerprint] = r
+		}
+	}
+	if len(c.suspects) < maxSuspects {
+		return
+	}
+	now := time.Now()
+	maps.DeleteFunc(c.suspects, func(_ suspicion.Fingerprint, r suspicion.Record) bool { return !r.Held(now) })
+}
+
+// Suspect reports whether something is held against a request: it was at a
+// backend server that crashed.
+func (c *Config) Suspect(fingerprint suspicion.Fingerprint, now time.Time) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	r, known := c.suspects[fingerprint]
+	return known && r.Held(now)
+}
+
 func (c *Config) putContract(next contract.Contract) {
 	known := c.contracts[next.ID]
 	if next.Revision <= known.Revision {
--- a/internal/claims/claims.go
+++ b/internal/ledger/ledger.go
@@ -1,6 +1,7 @@
-// Package claims carries an entry's commands about calls that must run at most
-// once to the control instances.
-package claims
+// Package ledger carries the daemons' own commands to the replicated log of the
+// control instances: about calls that must run at most once, and about requests
+// that crash their servers.
+package ledger
 
 import (
 	"context"
@@ -10,12 +11,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/claim"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
-var retryCount = telemetry.Counter("claims_commands_resent")
+var retryCount = telemetry.Counter("ledger_commands_resent")
 
 const (
 	// tryTimeout bounds one call of one control instance.
@@ -40,20 +42,36 @@
 	return c
 }
 
-// Apply sends a command until a control instance answers or ctx ends. A lost
-// answer is followed by a resend, which is safe because a command names its
-// attempt. An error leaves open whether the command took effect.
+// Apply sends a command about a call that must run at most once. An error
+// leaves open whether the command took effect.
 func (c *Client) Apply(ctx context.Context, command claim.Command) (claim.Reply, error) {
 	ctx, span := telemetry.StartClient(ctx, telemetry.SpanEntryClaim)
 	defer span.End()
+	var reply wire.ClaimReply
+	err := c.call(ctx, wire.MethodClaim, wire.Claim{Command: command}, &reply)
+	return reply.Reply, err
+}
+
+// Suspect sends a command about requests that crash their servers. An error
+// leaves open whether the command took effect.
+func (c *Client) Suspect(ctx context.Context, command suspicion.Command) (suspicion.Verdict, error) {
+	var reply wire.SuspicionReply
+	err := c.call(ctx, wire.MethodSuspect, wire.Suspicion{Command: command}, &reply)
+	return reply.Verdict, err
+}
+
+// call sends a command until a control instance answers or ctx ends. A lost
+// answer is followed by a resend, which is safe because every command names
+// its attempt, crash or trial.
+func (c *Client) call(ctx context.Context, method string, in, out any) error {
 	for {
 		at := c.current.Load()
-		reply, err := c.try(ctx, c.peers[at%uint64(len(c.peers))], command)
+		err := c.try(ctx, c.peers[at%uint64(len(c.peers))], method, in, out)
 		if err == nil {
-			return reply, nil
+			return nil
 		}
 		if ctx.Err() != nil {
-			return claim.Reply{}, errors.Wrap(err, "no control instance answered")
+			return errors.Wrap(err, "no control instance answered")
 		}
 		retryCount.Add(1)
 		c.current.CompareAndSwap(at, at+1)
@@ -61,12 +79,10 @@
 	}
 }
 
-func (c *Client) try(ctx context.Context, peer *rpc.Client, command claim.Command) (claim.Reply, error) {
+func (c *Client) try(ctx context.Context, peer *rpc.Client, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	var reply wire.ClaimReply
-	err := peer.Call(ctx, wire.MethodClaim, wire.Claim{Command: command}, &reply)
-	return reply.Reply, err
+	return peer.Call(ctx, method, in, out)
 }
 
 // Close closes the connections.
