Let a crashed stand-in engine give no token

Cause: the stand-in chose at random between its next token and its end, so a crash before the first token was now and then one after it, and the test TestARequestWhoseServerDiedRunsElsewhere failed (seen once in a whole run). Change: a crashed engine looks at its end first. Ruled out: a longer token time, which only makes the race rarer. Conclusion: the stand-in's fault, not the entry's.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -340,6 +340,7 @@
 	ticker := time.NewTicker(max(e.options.TokenTime, time.Microsecond))
 	defer ticker.Stop()
 	for i := range q.MaxTokens {
+		abortIfDead(dead)
 		select {
 		case <-dead:
 			panic(http.ErrAbortHandler)
@@ -353,6 +354,15 @@
 	writer.finish()
 }
 
+// abortIfDead keeps a crashed engine from choosing its next token over its end.
+func abortIfDead(dead <-chan struct{}) {
+	select {
+	case <-dead:
+		panic(http.ErrAbortHandler)
+	default:
+	}
+}
+
 type errorBody struct {
 	Error struct {
 		Message string `json:"message"`
