Stop gracefully, count what a stop cuts, and honour the settings' deadline

Cause: an operator could not shorten a drain below two minutes, whatever the settings said; a stop that cut requests off ended with exit code 0; an agent closed its listener before entries had heard that it leaves. Change: the drain timeout of the settings holds; a stop says how many requests it cut off, in the log, in stop_requests_cut and by exit code 1; an agent keeps its listener for the grace, so that late requests are refused as not run and go elsewhere at once. Ruled out: to refuse from the first moment of a stop: the balancer sends on until its next probe. Conclusion: what a stop costs is seen by the operator who gave it.

--- a/cmd/rosemaryd/main.go
+++ b/cmd/rosemaryd/main.go
@@ -108,8 +108,7 @@
 	if err != nil {
 		return err
 	}
-	stopOnSignal(s.DrainTimeout(), d.Stop)
-	return nil
+	return stopOnSignal(s.DrainTimeout(), d.Stop)
 }
 
 func runDemo(listen string) error {
@@ -119,8 +118,7 @@
 	}
 	fmt.Println("rosemarypass demo: all roles, a stand-in engine and a stand-in service are running. Try:")
 	fmt.Println(d.CurlLine())
-	stopOnSignal(demoStopTimeout, d.Stop)
-	return nil
+	return stopOnSignal(demoStopTimeout, d.Stop)
 }
 
 func runStandin(c standinCommand) error {
@@ -143,8 +141,9 @@
 }
 
 // stopOnSignal waits for a signal, then stops within the timeout; a second
-// signal cuts what is still in flight.
-func stopOnSignal(timeout time.Duration, stop func(context.Context)) {
+// signal cuts what is still in flight. Cut requests are an error, so that the
+// exit code shows them.
+func stopOnSignal(timeout time.Duration, stop func(context.Context) int) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
@@ -154,5 +153,8 @@
 		<-signals
 		cancel()
 	}()
-	stop(ctx)
+	if cut := stop(ctx); cut > 0 {
+		return errors.Errorf("the stop cut off %d requests", cut)
+	}
+	return nil
 }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -36,6 +36,9 @@
 	d.readiness = append(d.readiness, a.Ready)
 	return d.serveHTTP(agentListen, s.Listen, d.identity.Listen, a.Handler(), func(ctx context.Context) {
 		a.Leave()
+		// The listener stays until entries have heard: a refusal sends a
+		// request elsewhere at once, a dead address only after a timeout.
+		pause(ctx, stopGrace)
 		d.reportCut(agentListen, a.Wait(ctx))
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,8 @@
 	addresses map[string]string
 	// readiness holds one check for each role that can be unready.
 	readiness []func() bool
+	// cut counts the requests that the stop cut off.
+	cut int
 }
 
 // Start opens the listeners and starts the duties of every role.
@@ -83,14 +85,15 @@
 }
 
 // Stop drains every role in the order entry, agent, control and returns when
-// nothing is in flight or ctx ends.
-func (d *Daemon) Stop(ctx context.Context) {
+// nothing is in flight or ctx ends. It says how many requests it cut off.
+func (d *Daemon) Stop(ctx context.Context) int {
 	for i := len(d.drains) - 1; i >= 0; i-- {
 		d.drains[i](ctx)
 	}
 	d.stop()
 	d.duties.Wait()
-	d.log.Info("stopped")
+	d.log.Info("stopped", zap.Int("cut", d.cut))
+	return d.cut
 }
 
 // Control is the control role, nil when this daemon has none.
@@ -133,6 +136,7 @@
 	if requests == 0 {
 		return
 	}
+	d.cut += requests
 	cutByStop.Add(int64(requests))
 	d.log.Warn("the stop cut requests off", zap.String("listener", listener), zap.Int("requests", requests))
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -344,13 +344,15 @@
 		d.Entry, CallerKey, Adapters[0])
 }
 
-// Stop ends the demo gracefully.
-func (d *Demo) Stop(ctx context.Context) {
+// Stop ends the demo gracefully and says how many requests it cut off.
+func (d *Demo) Stop(ctx context.Context) int {
+	cut := 0
 	if d.daemon != nil {
-		d.daemon.Stop(ctx)
+		cut = d.daemon.Stop(ctx)
 	}
 	d.cancel()
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
+	return cut
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,12 +153,13 @@
 
 // DrainTimeout is the longest that a planned stop may take.
 func (s *Settings) DrainTimeout() time.Duration {
-	longest := Duration(defaultDrainTimeout)
+	var longest Duration
 	if s.Entry != nil {
 		longest = max(longest, s.Entry.DrainTimeout)
 	}
 	if s.Agent != nil {
 		longest = max(longest, s.Agent.DrainTimeout)
 	}
+	setDefault(&longest, Duration(defaultDrainTimeout))
 	return time.Duration(longest)
 }
