Avoid servers that fail at once; rate candidates without allocating

Change: two scorers, Health (own failed attempts, half-life 5 s) and DataCentre (2 ms for a crossing); Selector rates candidates in place. Ruled out: a penalty that never decays; a recovered server would stay idle.

--- a/coord/experiment/policy.go
+++ b/coord/experiment/policy.go
@@ -13,7 +13,7 @@
 // Chooser is what an entry asks for a server; placement.Selector is one.
 type Chooser interface {
 	Observe(announced []membership.Announcement, now time.Time)
-	Pick(request placement.Request) (placement.Server, bool)
+	Pick(request placement.Request, now time.Time) (placement.Server, bool)
 	Dispatched(server string, ref catalogue.Ref, now time.Time)
 	Finished(server string, ref catalogue.Ref, ran time.Duration, now time.Time)
 }
--- a/coord/experiment/world.go
+++ b/coord/experiment/world.go
@@ -193,7 +193,7 @@
 		r.entry.version = w.version
 		r.entry.Observe(w.announced, w.now())
 	}
-	chosen, ok := r.entry.Pick(question)
+	chosen, ok := r.entry.Pick(question, w.now())
 	if !ok || r.attempts == maxAttempts {
 		w.meter.failed(w, r)
 		return
--- a/coord/placement/ledger.go
+++ b/coord/placement/ledger.go
@@ -20,6 +20,7 @@
 	load        membership.Load
 	records     []record
 	sum         int
+	failures    failures
 }
 
 type record struct {
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -45,6 +45,10 @@
 	Arriving bool
 	// Obtainable counts slots that the adapter could get.
 	Obtainable int
+	// Remote is true in another data centre than the viewer's.
+	Remote bool
+	// Failures counts recent attempts that did not run, with decay.
+	Failures float64
 	// Preference is the server's place in the adapter's rendezvous order, from 0.
 	Preference int
 }
@@ -65,7 +69,7 @@
 func NewPicker() *Picker {
 	return &Picker{
 		filters: []Filter{Serves, NotLeaving, NotExcluded},
-		scorers: []Scorer{QueueWait, LoadWait, EvictionCost, Affinity, Packing},
+		scorers: []Scorer{QueueWait, LoadWait, EvictionCost, Affinity, Packing, DataCentre, Health},
 	}
 }
 
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,13 +47,13 @@
 	other.BaseModel = "another"
 	desk := membership.Announcement{Server: "desk", Kind: membership.KindService, Pool: "desk"}
 	s := selector(SelectorOptions{}, leaving, other, desk, engine("tried", idle()))
-	if got, ok := s.Pick(ask(1)); !ok || got.Server != "tried" {
+	if got, ok := s.Pick(ask(1), start); !ok || got.Server != "tried" {
 		t.Errorf("picked %q", got.Server)
 	}
-	if got, ok := s.Pick(ask(1, "tried")); ok {
+	if got, ok := s.Pick(ask(1, "tried"), start); ok {
 		t.Errorf("picked %q, which must not run the request", got.Server)
 	}
-	if got, ok := s.Pick(Request{Kind: membership.KindService, Pool: "desk"}); !ok || got.Server != "desk" {
+	if got, ok := s.Pick(Request{Kind: membership.KindService, Pool: "desk"}, start); !ok || got.Server != "desk" {
 		t.Errorf("picked %q for the service", got.Server)
 	}
 }
@@ -81,6 +82,9 @@
 		{"a rare adapter goes", EvictionCost, Candidate{Server: victim(1)}, evictionCost},
 		{"a popular adapter goes", EvictionCost, Candidate{Server: victim(1000)}, maxEvictionCost},
 		{"nothing goes", EvictionCost, Candidate{Server: victim(1000), Resident: true}, 0},
+		{"another data centre", DataCentre, Candidate{Server: server(0), Remote: true}, crossingCost},
+		{"failed lately", Health, Candidate{Server: server(0), Failures: 3}, 3 * failureCost},
+		{"fails always", Health, Candidate{Server: server(0), Failures: 1000}, maxFailureCost},
 		{"second choice", Affinity, Candidate{Server: server(0), Preference: 1}, affinityStep},
 		{"active", Packing, Candidate{Server: server(1)}, 0},
 		{"beyond the active", Packing, Candidate{Server: server(2)}, packingCost},
@@ -96,12 +100,12 @@
 	busy := idle(adapter(1))
 	busy.Running = 15
 	s := selector(SelectorOptions{}, engine("holds", busy), engine("empty", idle()))
-	if got, _ := s.Pick(ask(1)); got.Server != "holds" {
+	if got, _ := s.Pick(ask(1), start); got.Server != "holds" {
 		t.Errorf("picked %q with room in the batch", got.Server)
 	}
 	busy.Running = 40
 	s = selector(SelectorOptions{}, engine("holds", busy), engine("empty", idle()))
-	if got, _ := s.Pick(ask(1)); got.Server != "empty" {
+	if got, _ := s.Pick(ask(1), start); got.Server != "empty" {
 		t.Errorf("picked %q behind a queue", got.Server)
 	}
 }
@@ -114,8 +118,8 @@
 		announced = append(announced, engine(fmt.Sprintf("s%d", i), idle()))
 	}
 	for i := range 50 {
-		first, _ := selector(SelectorOptions{Salt: 1}, announced...).Pick(ask(i))
-		second, _ := selector(SelectorOptions{Salt: 2}, announced...).Pick(ask(i))
+		first, _ := selector(SelectorOptions{Salt: 1}, announced...).Pick(ask(i), start)
+		second, _ := selector(SelectorOptions{Salt: 2}, announced...).Pick(ask(i), start)
 		if first.Server != second.Server {
 			t.Errorf("adapter %d goes to %s and %s", i, first.Server, second.Server)
 		}
@@ -128,7 +132,7 @@
 	s := selector(SelectorOptions{}, engine("a", idle(adapter(1))), engine("b", idle(adapter(1))))
 	sent := map[string]int{}
 	for range 40 {
-		got, _ := s.Pick(ask(1))
+		got, _ := s.Pick(ask(1), start)
 		s.Dispatched(got.Server, adapter(1), start)
 		sent[got.Server]++
 	}
@@ -137,6 +141,11 @@
 	}
 }
 
+func known(s *Selector) Candidate {
+	s.rate(&s.view.servers[0], adapter(1), 0, start)
+	return s.scratch
+}
+
 func TestLedgerForgetsWhatAReportIncludes(t *testing.T) {
 	s := selector(SelectorOptions{ReportLag: time.Second}, engine("a", idle()))
 	s.Dispatched("a", adapter(1), start.Add(time.Second))
@@ -144,18 +153,18 @@
 	next := engine("a", membership.Load{Running: 1, Obtainable: 8})
 	next.Sequence = 2
 	s.Observe([]membership.Announcement{next}, start.Add(3*time.Second))
-	c := s.candidate(&s.view.servers[0], adapter(1), 0)
+	c := known(s)
 	if c.InFlight != 2 || !c.Arriving {
 		t.Errorf("in flight %v, arriving %t; want the reported one and the later one", c.InFlight, c.Arriving)
 	}
 	s.Observe([]membership.Announcement{next}, start.Add(7*time.Second))
-	if c := s.candidate(&s.view.servers[0], adapter(1), 0); c.InFlight != 2 {
+	if c := known(s); c.InFlight != 2 {
 		t.Errorf("the same report came again: in flight %v, want 2", c.InFlight)
 	}
 	changed := next
 	changed.Load.Running = 2
 	s.Observe([]membership.Announcement{changed}, start.Add(8*time.Second))
-	if c := s.candidate(&s.view.servers[0], adapter(1), 0); c.InFlight != 2 || c.Arriving {
+	if c := known(s); c.InFlight != 2 || c.Arriving {
 		t.Errorf("a report without a new number changed: in flight %v, want the 2 reported", c.InFlight)
 	}
 }
@@ -174,7 +183,7 @@
 	s := selector(SelectorOptions{}, announced...)
 	back := 0
 	for i := range 60 {
-		got, _ := s.Pick(ask(i))
+		got, _ := s.Pick(ask(i), start)
 		s.Dispatched(got.Server, adapter(i), start)
 		if got.Server == "s0" {
 			back++
@@ -185,6 +194,43 @@
 	}
 }
 
+// A server that fails each request at once always looks the least loaded. It
+// would draw the work of all callers and fail it, until operators notice.
+func TestServerThatFailsAtOnceIsAvoidedAndTriedAgain(t *testing.T) {
+	s := selector(SelectorOptions{}, engine("fails", idle(adapter(1))), engine("works", membership.Load{Running: 10, Obtainable: 8}))
+	failed := 0
+	for range 100 {
+		got, _ := s.Pick(ask(1), start)
+		s.Dispatched(got.Server, adapter(1), start)
+		ran := time.Second
+		if got.Server == "fails" {
+			failed++
+			ran = 0
+		}
+		s.Finished(got.Server, adapter(1), ran, start)
+	}
+	if failed == 0 || failed > 10 {
+		t.Errorf("%d of 100 requests went to the server that fails", failed)
+	}
+	if got, _ := s.Pick(ask(1), start.Add(time.Minute)); got.Server != "fails" {
+		t.Errorf("a minute later the request went to %q, though the other has recovered", got.Server)
+	}
+}
+
+func TestNearServerIsPreferredAmongEquals(t *testing.T) {
+	far, near := engine("far", idle(adapter(1))), engine("near", idle(adapter(1)))
+	far.DataCentre, near.DataCentre = "fold-bay", "press-hall"
+	far.Load.Running, near.Load.Running = 1, 1
+	picker := NewCustomPicker([]Filter{Serves}, []Scorer{QueueWait, DataCentre})
+	s := NewSelector(picker, SelectorOptions{DataCentre: "press-hall"})
+	s.Observe([]membership.Announcement{far, near}, start)
+	for range 50 {
+		if got, _ := s.Pick(ask(1), start); got.Server != "near" {
+			t.Fatalf("picked %q among equals", got.Server)
+		}
+	}
+}
+
 func TestPackingUsesFewerServersAsDemandFalls(t *testing.T) {
 	announce := func(running, sequence int) []membership.Announcement {
 		var all []membership.Announcement
@@ -220,23 +266,46 @@
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []struct{ servers, adapters int }{{22, 3_000}, {22, 130_000}, {600, 3_000}, {600, 130_000}} {
 		b.Run(fmt.Sprintf("servers=%d/adapters=%d", size.servers, size.adapters), func(b *testing.B) {
-			s := selector(SelectorOptions{Packing: 0.5}, manyServers(size.servers, size.adapters)...)
+			announced := manyServers(size.servers, size.adapters)
+			s := selector(SelectorOptions{Packing: 0.5}, announced...)
 			requests := make([]Request, 4096)
 			for i := range requests {
 				requests[i] = ask(i * size.adapters / len(requests))
 			}
 			b.ReportAllocs()
-			i := 0
-			for b.Loop() {
-				server, _ := s.Pick(requests[i%len(requests)])
-				s.Dispatched(server.Server, requests[i%len(requests)].Ref, start)
-				s.Finished(server.Server, requests[i%len(requests)].Ref, time.Second, start)
-				i++
+			now, sequence := start, uint64(1)
+			for i := 0; b.Loop(); i++ {
+				if i%picksPerReport == 0 {
+					b.StopTimer()
+					sequence++
+					s.Observe(numbered(announced, sequence), now)
+					b.StartTimer()
+				}
+				request := requests[i%len(requests)]
+				now = now.Add(pickInterval)
+				server, _ := s.Pick(request, now)
+				s.Dispatched(server.Server, request.Ref, now)
+				s.Finished(server.Server, request.Ref, time.Second, now)
 			}
 		})
 	}
 }
 
+const (
+	// picksPerReport and pickInterval give 250 requests a second at one
+	// entry, and new load reports once a second.
+	picksPerReport = 250
+	pickInterval   = 4 * time.Millisecond
+)
+
+func numbered(announced []membership.Announcement, sequence uint64) []membership.Announcement {
+	next := slices.Clone(announced)
+	for i := range next {
+		next[i].Sequence = sequence
+	}
+	return next
+}
+
 // BenchmarkObserve is the cost of taking a new directory state.
 func BenchmarkObserve(b *testing.B) {
 	for _, servers := range []int{22, 600} {
--- a/coord/placement/selector.go
+++ b/coord/placement/selector.go
@@ -19,6 +19,8 @@
 	// LoadTime and ServiceTime are the estimates before the first measurement.
 	LoadTime    time.Duration
 	ServiceTime time.Duration
+	// DataCentre is the viewer's own; empty counts every server as near.
+	DataCentre string
 	// Salt makes two entries break ties differently.
 	Salt uint64
 }
@@ -43,6 +45,9 @@
 	estimates Estimates
 	scale     float64
 	draws     uint64
+	// scratch is the candidate being rated; a new one for each would cost an
+	// allocation.
+	scratch Candidate
 }
 
 // NewSelector returns a selector that knows no servers.
@@ -94,9 +99,13 @@
 }
 
 // Finished records that a dispatched request ended there; ran is how long it
-// ran, 0 when it was refused.
+// ran, 0 when it did not run.
 func (s *Selector) Finished(server string, ref catalogue.Ref, ran time.Duration, now time.Time) {
-	s.ledger(server).end(now)
+	l := s.ledger(server)
+	l.end(now)
+	if ran == 0 {
+		l.failures.add(now)
+	}
 	if ran > 0 && ref != (catalogue.Ref{}) {
 		mean := float64(s.estimates.ServiceTime)
 		s.estimates.ServiceTime = time.Duration(mean + serviceGain*(float64(ran)-mean))
@@ -117,7 +126,7 @@
 
 // Pick returns the server with the least expected wait, or false when none
 // passes the filters.
-func (s *Selector) Pick(request Request) (Server, bool) {
+func (s *Selector) Pick(request Request, now time.Time) (Server, bool) {
 	g := groupOf(request.Kind, request.Pool, request.BaseModel)
 	estimates := s.estimates
 	if request.Kind == membership.KindEngine {
@@ -125,42 +134,62 @@
 	} else {
 		estimates.Active = 0
 	}
-	best, bestCost := int32(-1), 0.0
-	consider := func(i int32, preference int) {
-		server := &s.view.servers[i]
-		if i == best || !s.picker.Passes(&request, server) {
-			return
-		}
-		candidate := s.candidate(server, request.Ref, preference)
-		cost := s.picker.Cost(&candidate, &estimates) + s.jitter()
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
-	}
-	s.weigh(&request, g, estimates.Active, consider)
-	if best < 0 {
+	c := choice{request: &request, estimates: &estimates, now: now, best: -1}
+	s.weigh(&c, g)
+	if c.best < 0 {
 		return Server{}, false
 	}
-	return s.view.servers[best], true
+	return s.view.servers[c.best], true
+}
+
+// choice is one decision under way.
+type choice struct {
+	request   *Request
+	estimates *Estimates
+	now       time.Time
+	order     rendezvous
+	best      int32
+	cost      float64
 }
 
-func (s *Selector) weigh(request *Request, g group, active int, consider func(int32, int)) {
+// weigh considers every server of a small group. In a large one it considers
+// those that hold the adapter, the first of its rendezvous order, and a few
+// more, drawn anew for each request.
+func (s *Selector) weigh(c *choice, g group) {
 	members := s.view.groups[g]
-	if request.Kind == membership.KindService || len(members) <= weighAll {
-		s.weighMembers(request, members, active, consider)
+	engines := c.request.Kind == membership.KindEngine
+	if engines {
+		c.order = s.order(c.request, members, c.estimates.Active)
+	}
+	if len(members) <= weighAll {
+		for _, i := range members {
+			s.consider(c, i)
+		}
 		return
 	}
-	order := s.order(request, members, active)
-	for i := range order.n {
-		consider(order.servers[i], i)
+	for i := range c.order.n {
+		s.consider(c, c.order.servers[i])
 	}
-	for _, i := range s.view.holding[request.Ref] {
-		consider(i, order.position(i))
+	if engines {
+		for _, i := range s.view.holding[c.request.Ref] {
+			s.consider(c, i)
+		}
 	}
-	hash := refHash(request.Ref)
+	hash := refHash(c.request.Ref)
 	for n := range uint64(sampled) {
-		i := members[mix(hash+s.draws+n)%uint64(len(members))]
-		consider(i, order.position(i))
+		s.consider(c, members[mix(hash+s.draws+n*goldenRatio)%uint64(len(members))])
+	}
+}
+
+func (s *Selector) consider(c *choice, i int32) {
+	server := &s.view.servers[i]
+	if i == c.best || !s.picker.Passes(c.request, server) {
+		return
+	}
+	s.rate(server, c.request.Ref, c.order.position(i), c.now)
+	cost := s.picker.Cost(&s.scratch, c.estimates) + s.jitter()
+	if c.best < 0 || cost < c.cost {
+		c.best, c.cost = i, cost
 	}
 }
 
@@ -171,19 +200,6 @@
 	sampled = 6
 )
 
-func (s *Selector) weighMembers(request *Request, members []int32, active int, consider func(int32, int)) {
-	if request.Kind == membership.KindService {
-		for _, i := range members {
-			consider(i, 0)
-		}
-		return
-	}
-	order := s.order(request, members, active)
-	for _, i := range members {
-		consider(i, order.position(i))
-	}
-}
-
 // order is the adapter's rendezvous order among the active servers.
 func (s *Selector) order(request *Request, members []int32, active int) rendezvous {
 	if active > 0 && active < len(members) {
@@ -197,23 +213,24 @@
 	return order
 }
 
-func (s *Selector) candidate(server *Server, ref catalogue.Ref, preference int) Candidate {
-	c := Candidate{Server: server, Preference: preference, Obtainable: server.Load.Obtainable}
+// rate fills scratch with what is known of a server.
+func (s *Selector) rate(server *Server, ref catalogue.Ref, preference int, now time.Time) {
 	l := s.own[server.Server]
-	c.InFlight = max(float64(server.Load.Running+server.Load.Waiting)+s.scale*float64(l.delta()), float64(l.inFlight))
-	if server.Kind != membership.KindEngine {
-		return c
+	reported := float64(server.Load.Running + server.Load.Waiting)
+	s.scratch = Candidate{
+		Server:     server,
+		Preference: preference,
+		InFlight:   max(reported+s.scale*float64(l.delta()), float64(l.inFlight)),
+		Failures:   l.failures.decayed(now),
+		Remote:     s.options.DataCentre != "" && server.DataCentre != "" && server.DataCentre != s.options.DataCentre,
 	}
-	for _, resident := range server.Load.Resident {
-		c.Resident = c.Resident || resident == ref
-	}
-	for _, loading := range server.Load.Loading {
-		c.Arriving = c.Arriving || loading == ref
+	if server.Kind != membership.KindEngine {
+		return
 	}
 	sent, taken := l.since(ref)
-	c.Arriving = c.Arriving || sent
-	c.Obtainable -= taken
-	return c
+	s.scratch.Resident = slices.Contains(server.Load.Resident, ref)
+	s.scratch.Arriving = sent || slices.Contains(server.Load.Loading, ref)
+	s.scratch.Obtainable = server.Load.Obtainable - taken
 }
 
 // jitter keeps entries that see the same view from all choosing the same of
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -40,9 +40,13 @@
 		Admission:    limits,
 		MaxBodyBytes: s.MaxBodyBytes,
 		SecureAgents: d.identity != nil,
-		Placement:    placement.SelectorOptions{Packing: d.settings.Packing, Salt: xxhash.Sum64String(d.settings.Instance)},
-		Claims:       commands,
-		Suspicions:   commands,
+		Placement: placement.SelectorOptions{
+			Packing:    d.settings.Packing,
+			DataCentre: d.settings.DataCentre,
+			Salt:       xxhash.Sum64String(d.settings.Instance),
+		},
+		Claims:     commands,
+		Suspicions: commands,
 	}, follower, client, d.log)
 	d.duties.Go(func() { follower.Run(ctx) })
 	d.readiness = append(d.readiness, e.Ready)
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -36,7 +36,7 @@
 		p.selector.Observe(announced, now)
 		p.seen = announced
 	}
-	server, ok := p.selector.Pick(request)
+	server, ok := p.selector.Pick(request, now)
 	if ok {
 		p.selector.Dispatched(server.Server, request.Ref, now)
 	}
