--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -40,6 +40,7 @@
 type bench struct {
 	engine    *engine.Engine
 	engineURL string
+	server    string
 }
 
 func newBench(t *testing.T, options engine.Options) *bench {
@@ -48,7 +49,7 @@
 	e := engine.New(options)
 	server := httptest.NewServer(e.Handler())
 	t.Cleanup(server.Close)
-	return &bench{engine: e, engineURL: server.URL}
+	return &bench{engine: e, engineURL: server.URL, server: "floor-assist-1"}
 }
 
 // startAgent starts an agent beside the engine; stop ends its duties at once,
@@ -60,7 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	a := agent.New(agent.Options{
-		Server: "floor-assist-1", BaseModel: "base", Address: "127.0.0.1:1", Engine: b.engineURL,
+		Server: b.server, BaseModel: "base", Address: "127.0.0.1:1", Engine: b.engineURL,
 		Slots: slots, Queue: 32, LoadTimeout: 100 * time.Millisecond, AnnounceInterval: 20 * time.Millisecond, ControlPeers: peers,
 	}, &http.Client{}, zap.NewNop())
 	server := httptest.NewServer(a.Handler())
