Order scarce loads by the waiting contracts' shares; bound known sources

Cause: the broker's weight of contracts was never set; an agent remembered the store's place of every adapter it ever saw. Sources are kept only for adapters that are waited for. No run with differing shares on a real store. Ruled out: weights in proportion to the share; a load for a share of 1 would wait 25 s behind one for a share of 100 at an age unit of 250 ms.

--- a/coord/broker/broker.go
+++ b/coord/broker/broker.go
@@ -22,13 +22,11 @@
 	Order       uint64 `json:"order"`
 }
 
-// Ask is the wish for a permit. Asking again renews it and updates Waiters.
+// Ask is the wish for a permit. Asking again renews it and updates Demand.
 type Ask struct {
 	Key
-	// Waiters counts the requests that wait for the load.
-	Waiters int
-	// Weight is the waiting contracts' share of the site; 0 counts as 1.
-	Weight float64
+	// Demand is the sum of the weights of the requests that wait for the load.
+	Demand float64
 	// Waited is how long the first of them has waited already. A wish whose
 	// permit had to go back for want of a slot would else start at the end
 	// of the queue, again and again.
@@ -46,7 +44,7 @@
 	// Lease is how long a permit lasts without its end being reported, and
 	// how long an ask lasts without being renewed.
 	Lease time.Duration
-	// AgeUnit is the time of waiting that weighs as much as one more waiter.
+	// AgeUnit is the time of waiting that weighs as much as 1 more of demand.
 	AgeUnit time.Duration
 	Window  WindowOptions
 }
@@ -118,9 +116,9 @@
 
 // Want is one wished load in a Report.
 type Want struct {
-	Order   uint64  `json:"order"`
-	Waiters int     `json:"waiters"`
-	Weight  float64 `json:"weight,omitempty"`
+	Order uint64 `json:"order"`
+	// Demand is the sum of the weights of the requests that wait.
+	Demand float64 `json:"demand"`
 	// Waited is how long the first of them has waited, in nanoseconds.
 	Waited time.Duration `json:"waited,omitempty"`
 }
@@ -155,7 +153,7 @@
 	}
 	for _, w := range r.Wanted {
 		key := Key{Agent: r.Agent, Incarnation: r.Incarnation, Order: w.Order}
-		b.Ask(Ask{Key: key, Waiters: w.Waiters, Weight: w.Weight, Waited: w.Waited}, now)
+		b.Ask(Ask{Key: key, Demand: w.Demand, Waited: w.Waited}, now)
 	}
 	b.grant(now)
 	return b.grantsFor(r)
@@ -250,8 +248,8 @@
 	return grants
 }
 
-// first finds the wish with the most weighted waiters. Age counts too, so that
-// a load with one waiter is not passed over for ever.
+// first finds the wish with the most demand. Age counts too, so that a load
+// with one waiter is not passed over for ever.
 func (b *Broker) first(now time.Time) int {
 	best, bestScore := 0, 0.0
 	for i, p := range b.queue {
@@ -264,9 +262,5 @@
 }
 
 func (b *Broker) priority(p pending, now time.Time) float64 {
-	weight := p.ask.Weight
-	if weight == 0 {
-		weight = 1
-	}
-	return weight * (float64(p.ask.Waiters) + now.Sub(p.since).Seconds()/b.options.AgeUnit.Seconds())
+	return p.ask.Demand + now.Sub(p.since).Seconds()/b.options.AgeUnit.Seconds()
 }
--- a/coord/broker/broker_test.go
+++ b/coord/broker/broker_test.go
@@ -65,17 +65,17 @@
 	}
 }
 
-func TestMostWaitersGoFirstButNoneStarves(t *testing.T) {
+func TestMostDemandGoesFirstButNoneStarves(t *testing.T) {
 	b := New(Options{Window: WindowOptions{Initial: 1, Max: 1}})
 	now := time.Unix(0, 0)
-	b.Ask(Ask{Key: key("a", 1), Waiters: 1}, now)
-	b.Ask(Ask{Key: key("b", 1), Waiters: 1}, now)
-	b.Ask(Ask{Key: key("c", 1), Waiters: 5}, now)
+	b.Ask(Ask{Key: key("a", 1), Demand: 1}, now)
+	b.Ask(Ask{Key: key("b", 1), Demand: 1}, now)
+	b.Ask(Ask{Key: key("c", 1), Demand: 5}, now)
 	if got := b.Loaded(key("a", 1), time.Second, now); got[0].Key != key("c", 1) {
 		t.Fatalf("five waiters did not go first: %v", got)
 	}
 	now = now.Add(10 * time.Second)
-	b.Ask(Ask{Key: key("d", 1), Waiters: 9}, now)
+	b.Ask(Ask{Key: key("d", 1), Demand: 9}, now)
 	if got := b.Loaded(key("c", 1), time.Second, now); got[0].Key != key("b", 1) {
 		t.Fatalf("an old wish was passed over: %v", got)
 	}
@@ -106,7 +106,7 @@
 			"want": func(t *rapid.T) {
 				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
 				order++
-				r.Wanted = append(r.Wanted, Want{Order: order, Waiters: 1})
+				r.Wanted = append(r.Wanted, Want{Order: order, Demand: 1})
 			},
 			"sync": func(t *rapid.T) {
 				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
--- a/coord/experiment/world.go
+++ b/coord/experiment/world.go
@@ -279,7 +279,7 @@
 	}
 	w.lastID++
 	s.waiting[w.lastID] = &waiter{request: r, since: w.at}
-	s.perform(s.table.Request(w.lastID, r.ref, w.now()))
+	s.perform(s.table.Request(w.lastID, r.ref, 1, w.now()))
 }
 
 func (s *server) perform(actions []slots.Action) {
@@ -310,7 +310,7 @@
 
 func (s *server) ask(a slots.Ask) {
 	w := s.world
-	ask := broker.Ask{Key: s.key(a.Order), Waiters: a.Waiters, Waited: w.now().Sub(a.Since)}
+	ask := broker.Ask{Key: s.key(a.Order), Demand: a.Demand, Waited: w.now().Sub(a.Since)}
 	w.after(hop, func() { w.deliver(w.permits.Ask(ask, w.now())) })
 }
 
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -41,8 +41,8 @@
 type Ask struct {
 	Order OrderID
 	Ref   catalogue.Ref
-	// Waiters counts the requests that wait for the adapter now.
-	Waiters int
+	// Demand is the sum of the weights of the requests that wait for it now.
+	Demand float64
 	// Since is when the first of them came.
 	Since time.Time
 }
@@ -138,10 +138,15 @@
 
 func (s *slot) idle() bool { return s.phase == phaseLoaded && s.pins == 0 && !s.foreign }
 
+type waiter struct {
+	request RequestID
+	weight  float64
+}
+
 // want is the demand for one adapter that is not loaded.
 type want struct {
 	ref     catalogue.Ref
-	waiters []RequestID
+	waiters []waiter
 	since   time.Time
 	// order is the asked permit, 0 when none is asked.
 	order   OrderID
@@ -149,7 +154,11 @@
 }
 
 func (w *want) ask() Ask {
-	return Ask{Order: w.order, Ref: w.ref, Waiters: len(w.waiters), Since: w.since}
+	a := Ask{Order: w.order, Ref: w.ref, Since: w.since}
+	for _, waiting := range w.waiters {
+		a.Demand += waiting.weight
+	}
+	return a
 }
 
 // Table is the slot table of one engine. One duty owns it.
@@ -186,8 +195,9 @@
 	}
 }
 
-// Request asks to run a request on an adapter.
-func (t *Table) Request(id RequestID, ref catalogue.Ref, now time.Time) []Action {
+// Request asks to run a request on an adapter. The weight, such as that of its
+// contract, counts when loads are scarce.
+func (t *Table) Request(id RequestID, ref catalogue.Ref, weight float64, now time.Time) []Action {
 	t.usage.touch(ref, now)
 	if s, ok := t.slots[ref]; ok && s.phase == phaseLoaded && !s.closed {
 		return []Action{t.start(id, s)}
@@ -204,7 +214,7 @@
 		w = &want{ref: ref, since: now}
 		t.wants = append(t.wants, w)
 	}
-	w.waiters = append(w.waiters, id)
+	w.waiters = append(w.waiters, waiter{request: id, weight: weight})
 	if w.order != 0 && !w.granted {
 		return append(t.plan(now), w.ask())
 	}
@@ -214,7 +224,7 @@
 // Cancel forgets a request that still waits. A running request is unaffected.
 func (t *Table) Cancel(id RequestID, now time.Time) []Action {
 	for _, w := range t.wants {
-		i := slices.Index(w.waiters, id)
+		i := slices.IndexFunc(w.waiters, func(waiting waiter) bool { return waiting.request == id })
 		if i < 0 {
 			continue
 		}
@@ -386,8 +396,8 @@
 		return nil
 	}
 	actions := make([]Action, 0, len(w.waiters))
-	for _, id := range w.waiters {
-		actions = append(actions, t.start(id, s))
+	for _, waiting := range w.waiters {
+		actions = append(actions, t.start(waiting.request, s))
 	}
 	t.waiting -= len(w.waiters)
 	t.remove(w)
@@ -400,8 +410,8 @@
 		return nil
 	}
 	var actions []Action
-	for _, id := range w.waiters {
-		actions = append(actions, Refuse{Request: id, Reason: reason})
+	for _, waiting := range w.waiters {
+		actions = append(actions, Refuse{Request: waiting.request, Reason: reason})
 	}
 	t.waiting -= len(w.waiters)
 	return append(actions, t.drop(w)...)
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -175,7 +175,7 @@
 			"request": func(*rapid.T) {
 				e.last++
 				e.requests[e.last] = ref(pick(6, "adapter"))
-				e.perform(e.table.Request(e.last, e.requests[e.last], e.now))
+				e.perform(e.table.Request(e.last, e.requests[e.last], 1, e.now))
 			},
 			"cancel": func(*rapid.T) {
 				id := RequestID(pick(int(e.last)+1, "cancelled"))
@@ -267,12 +267,12 @@
 func TestPinnedSlotsDoNotStarveAWaitingAdapter(t *testing.T) {
 	now := time.Unix(0, 0)
 	table := NewTable(Options{Slots: 1, Queue: 8, Patience: time.Second})
-	load := grantAll(table, table.Request(1, ref(1), now), now)[0].(Load)
+	load := grantAll(table, table.Request(1, ref(1), 1, now), now)[0].(Load)
 	table.Loaded(load.Order, now)
-	table.Request(2, ref(2), now)
+	table.Request(2, ref(2), 1, now)
 	now = now.Add(2 * time.Second)
 	table.Tick(now)
-	for _, a := range table.Request(3, ref(1), now) {
+	for _, a := range table.Request(3, ref(1), 1, now) {
 		if _, started := a.(Start); started {
 			t.Fatal("a new request for the popular adapter overtook the starving one")
 		}
@@ -289,9 +289,9 @@
 	now := time.Unix(0, 0)
 	table := NewTable(Options{Slots: 1, Queue: 8})
 	for failures, pause := 0, time.Second; failures < 3; failures, pause = failures+1, 2*pause {
-		load := grantAll(table, table.Request(1, ref(1), now), now)[0].(Load)
+		load := grantAll(table, table.Request(1, ref(1), 1, now), now)[0].(Load)
 		table.LoadFailed(load.Order, true, now)
-		early := table.Request(2, ref(1), now.Add(pause-time.Millisecond))
+		early := table.Request(2, ref(1), 1, now.Add(pause-time.Millisecond))
 		if len(early) != 1 || early[0] != (Refuse{Request: 2, Reason: ReasonLoadFailed}) {
 			t.Fatalf("after %d failures: %v", failures+1, early)
 		}
@@ -321,7 +321,7 @@
 		for adapter, uses := range c.uses {
 			for range uses {
 				id++
-				actions := grantAll(table, table.Request(id, ref(adapter), now), now)
+				actions := grantAll(table, table.Request(id, ref(adapter), 1, now), now)
 				if len(actions) > 0 {
 					now = now.Add(c.loads[adapter])
 					table.Loaded(actions[0].(Load).Order, now)
@@ -329,7 +329,7 @@
 				table.Release(id, now)
 			}
 		}
-		actions := grantAll(table, table.Request(id+1, ref(9), now), now)
+		actions := grantAll(table, table.Request(id+1, ref(9), 1, now), now)
 		if got := actions[0].(Unload).Ref; got != ref(c.victim) {
 			t.Errorf("%s: evicted %s, want %s", c.name, got, ref(c.victim))
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,9 +71,6 @@
 	started  uint64
 	sequence atomic.Uint64
 	status   atomic.Pointer[membership.Load]
-	// sources maps adapters to their place in the weight store, as the
-	// entry that sent the request knows it.
-	sources sync.Map
 }
 
 // New returns an agent; Run starts its duties.
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/go-chi/chi/v5"
@@ -31,6 +33,17 @@
 // HeaderSource carries the adapter's place in the weight store from the entry.
 const HeaderSource = "Rosemarypass-Source"
 
+// weightOf is the weight of a request among those that wait for loads. It
+// grows with the logarithm of the contract's share: a load for a large contract
+// goes first, but not so far that a small one would wait for minutes.
+func weightOf(header http.Header) float64 {
+	share, err := strconv.Atoi(header.Get(wire.HeaderShare))
+	if err != nil || share < 1 {
+		return 1
+	}
+	return 1 + math.Log2(float64(share))
+}
+
 // Handler serves requests from entries.
 func (a *Agent) Handler() http.Handler {
 	router := chi.NewRouter()
@@ -76,7 +89,6 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	a.sources.Store(ref, r.Header.Get(HeaderSource))
 	leave, err := a.isolation.enter(r.Context(), r.Header.Get(wire.HeaderAlone) != "")
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
@@ -118,7 +130,7 @@
 	span.SetAttributes(telemetry.AttributeModel.String(ref.String()))
 	reply := make(chan verdict, 1)
 	select {
-	case a.requests <- requested{id: id, ref: ref, reply: reply}:
+	case a.requests <- requested{id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header), reply: reply}:
 	default:
 		return errors.Wrap(errNotRun, string(slots.ReasonQueueFull))
 	}
--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -136,7 +136,7 @@
 	p.sequence++
 	r := broker.Report{Agent: p.agent, Incarnation: p.incarnation, Finished: p.ended}
 	for _, a := range p.wanted {
-		r.Wanted = append(r.Wanted, broker.Want{Order: uint64(a.Order), Waiters: a.Waiters, Waited: time.Since(a.Since)})
+		r.Wanted = append(r.Wanted, broker.Want{Order: uint64(a.Order), Demand: a.Demand, Waited: time.Since(a.Since)})
 	}
 	for order := range p.held {
 		r.Held = append(r.Held, uint64(order))
--- a/internal/agent/slotduty.go
+++ b/internal/agent/slotduty.go
@@ -41,9 +41,12 @@
 }
 
 type requested struct {
-	id    slots.RequestID
-	ref   catalogue.Ref
-	reply chan<- verdict
+	id  slots.RequestID
+	ref catalogue.Ref
+	// source is the adapter's place in the weight store, as the entry knows it.
+	source string
+	weight float64
+	reply  chan<- verdict
 }
 
 type (
@@ -73,6 +76,7 @@
 // pendingReply is where a waiting request's verdict goes.
 type pendingReply struct {
 	reply chan<- verdict
+	ref   catalogue.Ref
 	since time.Time
 }
 
@@ -82,6 +86,7 @@
 	agent       *Agent
 	table       *slots.Table
 	replies     map[slots.RequestID]pendingReply
+	sources     map[catalogue.Ref]string
 	asked       map[slots.OrderID]time.Time
 	loadTime    time.Duration
 	capacity    int
@@ -95,6 +100,7 @@
 		agent:   a,
 		table:   slots.NewTable(slots.Options{Slots: a.options.Slots, Queue: a.options.Queue}),
 		replies: make(map[slots.RequestID]pendingReply),
+		sources: make(map[catalogue.Ref]string),
 		asked:   make(map[slots.OrderID]time.Time),
 	}
 	ticker := time.NewTicker(tickInterval)
@@ -177,7 +183,7 @@
 		case slots.Load:
 			loadCount.Add(1)
 			d.agent.permits.holding(action.Order)
-			go d.agent.load(ctx, action)
+			go d.agent.load(ctx, action, d.sources[action.Ref])
 		case slots.Unload:
 			unloadCount.Add(1)
 			go d.agent.unload(ctx, action)
@@ -199,10 +205,8 @@
 	pending.reply <- v
 }
 
-func (a *Agent) load(ctx context.Context, action slots.Load) {
-	source, _ := a.sources.Load(action.Ref)
-	text, _ := source.(string)
-	err := a.orders.load(ctx, action.Ref, text)
+func (a *Agent) load(ctx context.Context, action slots.Load, source string) {
+	err := a.orders.load(ctx, action.Ref, source)
 	if err != nil {
 		loadFailedCount.Add(1)
 		a.log.Warn("adapter load failed", zap.Stringer("adapter", action.Ref), zap.Error(err))
@@ -239,8 +243,23 @@
 func (ticked) apply(d *slotDuty, now time.Time) []slots.Action { return d.table.Tick(now) }
 
 func (e requested) apply(d *slotDuty, now time.Time) []slots.Action {
-	d.replies[e.id] = pendingReply{reply: e.reply, since: now}
-	return d.table.Request(e.id, e.ref, now)
+	d.replies[e.id] = pendingReply{reply: e.reply, ref: e.ref, since: now}
+	d.sources[e.ref] = e.source
+	d.forgetSources()
+	return d.table.Request(e.id, e.ref, e.weight, now)
+}
+
+// forgetSources keeps only the sources of adapters that requests wait for,
+// once there are many: an agent may see every adapter of the catalogue.
+func (d *slotDuty) forgetSources() {
+	if len(d.sources) <= 2*(d.agent.options.Queue+d.agent.options.Slots) {
+		return
+	}
+	kept := make(map[catalogue.Ref]string, len(d.replies))
+	for _, pending := range d.replies {
+		kept[pending.ref] = d.sources[pending.ref]
+	}
+	d.sources = kept
 }
 
 func (e cancelled) apply(d *slotDuty, now time.Time) []slots.Action {
--- a/internal/control/loadbroker_test.go
+++ b/internal/control/loadbroker_test.go
@@ -16,7 +16,7 @@
 }
 
 func wanting(order uint64) broker.Report {
-	return broker.Report{Wanted: []broker.Want{{Order: order, Waiters: 1}}}
+	return broker.Report{Wanted: []broker.Want{{Order: order, Demand: 1}}}
 }
 
 func oneAtATime() *LoadBroker {
