Let a request go elsewhere when a server has no slot to give

Cause: with few slots an engine's adapters are all pinned now and then, which entries learn late; the request then waited for strangers' answers to end while other servers had slots. Change: slots.Claim says whether a request is patient; an impatient one is refused at once (no_slot) when no slot can be had, and the entry's selector counts the server as full until its next report (Declined). In the experiment a request is declined at most 4 times, then waits.

--- a/coord/experiment/experiment.go
+++ b/coord/experiment/experiment.go
@@ -51,6 +51,9 @@
 	// in time for the fairness among contracts.
 	patience    = time.Second
 	maxAttempts = 3
+	// maxDeclines is how many servers without a slot a request tries before
+	// it waits for one.
+	maxDeclines = 4
 	queueBound  = 256
 	tickEvery   = 250 * time.Millisecond
 	renewEvery  = 5 * time.Second
--- a/coord/experiment/policy.go
+++ b/coord/experiment/policy.go
@@ -16,6 +16,7 @@
 	Pick(request placement.Request, now time.Time) (placement.Server, bool)
 	Dispatched(server string, ref catalogue.Ref, now time.Time)
 	Finished(server string, ref catalogue.Ref, ran time.Duration, now time.Time)
+	Declined(server string, now time.Time)
 }
 
 // Permits is what an agent asks before a load; broker.Broker is one.
@@ -31,6 +32,8 @@
 	Name    string
 	Chooser func(d Deployment, entry uint64) Chooser
 	Slots   slots.Options
+	// Patient requests never go elsewhere for want of a slot.
+	Patient bool
 	Permits func() Permits
 }
 
@@ -45,6 +48,7 @@
 			return placement.NewSelector(picker, placement.SelectorOptions{Salt: entry})
 		},
 		Slots:   slots.Options{Eviction: slots.EvictLeastRecent, Patience: time.Hour},
+		Patient: true,
 		Permits: func() Permits { return atWill{} },
 	}
 }
--- a/coord/experiment/world.go
+++ b/coord/experiment/world.go
@@ -49,6 +49,8 @@
 	// stall is the time spent waiting for an adapter so far.
 	stall    time.Duration
 	attempts int
+	// declined lists the servers that had no slot.
+	declined []string
 	tried    []string
 	entry    *entry
 }
@@ -185,7 +187,7 @@
 
 // send offers a request to a server, as an entry does.
 func (w *world) send(r *request) {
-	question := placement.Request{Kind: membership.KindEngine, Ref: r.ref, BaseModel: baseModel, Exclude: r.tried}
+	question := placement.Request{Kind: membership.KindEngine, Ref: r.ref, BaseModel: baseModel, Exclude: slices.Concat(r.tried, r.declined)}
 	if r.service {
 		question = placement.Request{Kind: membership.KindService, Pool: servicePool, Exclude: r.tried}
 	}
@@ -204,10 +206,16 @@
 }
 
 // refused takes a request back that did not run on a server.
-func (w *world) refused(r *request, s *server) {
+func (w *world) refused(r *request, s *server, reason slots.Reason) {
 	w.after(hop, func() {
-		r.entry.Finished(s.name, r.ref, 0, w.now())
-		r.tried = append(r.tried, s.name)
+		if reason == slots.ReasonNoSlot {
+			r.entry.Declined(s.name, w.now())
+			r.declined = append(r.declined, s.name)
+			r.attempts--
+		} else {
+			r.entry.Finished(s.name, r.ref, 0, w.now())
+			r.tried = append(r.tried, s.name)
+		}
 		w.send(r)
 	})
 }
@@ -279,7 +287,7 @@
 	}
 	w.lastID++
 	s.waiting[w.lastID] = &waiter{request: r, since: w.at}
-	s.perform(s.table.Request(w.lastID, r.ref, 1, w.now()))
+	s.perform(s.table.Request(slots.Claim{Request: w.lastID, Ref: r.ref, Weight: 1, Patient: w.policy.Patient || len(r.declined) == maxDeclines}, w.now()))
 }
 
 func (s *server) perform(actions []slots.Action) {
@@ -290,7 +298,7 @@
 			s.begin(a.Request)
 		case slots.Refuse:
 			r := s.take(a.Request)
-			w.refused(r, s)
+			w.refused(r, s, a.Reason)
 		case slots.Ask:
 			if _, again := s.asked[a.Order]; !again {
 				s.asked[a.Order] = w.at
@@ -345,7 +353,7 @@
 	s.batch.add(&job{
 		length: r.length,
 		begun:  func() { w.meter.started(w, r) },
-		cut:    func() { w.refused(r, s) },
+		cut:    func() { w.refused(r, s, slots.ReasonEngineRestarted) },
 		done: func() {
 			s.perform(s.table.Release(id, w.now()))
 			w.after(hop, func() { r.entry.Finished(s.name, r.ref, r.length, w.now()) })
--- a/coord/placement/ledger.go
+++ b/coord/placement/ledger.go
@@ -21,6 +21,9 @@
 	records     []record
 	sum         int
 	failures    failures
+	// full is true when the server declined for want of a slot since its
+	// last report.
+	full bool
 }
 
 type record struct {
@@ -57,7 +60,9 @@
 
 // reported drops what a new report includes: all that happened before upTo.
 func (l *ledger) reported(a *membership.Announcement, upTo time.Time) {
-	if !l.isNew(a) {
+	if l.isNew(a) {
+		l.full = false
+	} else {
 		upTo = upTo.Add(-maxReportAge)
 	}
 	l.incarnation, l.sequence, l.load = a.Incarnation, a.Sequence, a.Load
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -217,6 +217,23 @@
 	}
 }
 
+// A server that was full a moment ago is full for the next request too, until
+// it says otherwise.
+func TestDecliningServerCountsAsFullUntilItsNextReport(t *testing.T) {
+	s := selector(SelectorOptions{}, engine("a", idle()))
+	s.Dispatched("a", adapter(2), start)
+	s.Declined("a", start)
+	if c := known(s); c.Obtainable > 0 || c.Failures != 0 || c.InFlight != 0 {
+		t.Errorf("after a decline: %+v", c)
+	}
+	next := engine("a", idle())
+	next.Sequence = 2
+	s.Observe([]membership.Announcement{next}, start.Add(time.Second))
+	if c := known(s); c.Obtainable != 8 {
+		t.Errorf("%d slots after the next report, want 8", c.Obtainable)
+	}
+}
+
 func TestNearServerIsPreferredAmongEquals(t *testing.T) {
 	far, near := engine("far", idle(adapter(1))), engine("near", idle(adapter(1)))
 	far.DataCentre, near.DataCentre = "fold-bay", "press-hall"
--- a/coord/placement/selector.go
+++ b/coord/placement/selector.go
@@ -112,6 +112,14 @@
 	}
 }
 
+// Declined records that a server sent a request back for want of a slot. That
+// is no failure, but until its next report the server counts as full.
+func (s *Selector) Declined(server string, now time.Time) {
+	l := s.ledger(server)
+	l.end(now)
+	l.full = true
+}
+
 func (s *Selector) ledger(server string) *ledger {
 	l, ok := s.own[server]
 	if !ok {
@@ -231,6 +239,9 @@
 	s.scratch.Resident = slices.Contains(server.Load.Resident, ref)
 	s.scratch.Arriving = sent || slices.Contains(server.Load.Loading, ref)
 	s.scratch.Obtainable = server.Load.Obtainable - taken
+	if l.full {
+		s.scratch.Obtainable = min(s.scratch.Obtainable, 0)
+	}
 }
 
 // jitter keeps entries that see the same view from all choosing the same of
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -75,6 +75,9 @@
 const (
 	// ReasonQueueFull means that the bounded wait queue had no room.
 	ReasonQueueFull Reason = "queue_full"
+	// ReasonNoSlot means that every slot serves requests or is spoken for, and
+	// that the request would rather go elsewhere than wait.
+	ReasonNoSlot Reason = "no_slot"
 	// ReasonLoadFailed means that the engine could not load the adapter.
 	ReasonLoadFailed Reason = "load_failed"
 	// ReasonEngineRestarted means that the engine lost its adapters before the request ran.
@@ -195,9 +198,20 @@
 	}
 }
 
-// Request asks to run a request on an adapter. The weight, such as that of its
-// contract, counts when loads are scarce.
-func (t *Table) Request(id RequestID, ref catalogue.Ref, weight float64, now time.Time) []Action {
+// Claim is what a request asks of a table.
+type Claim struct {
+	Request RequestID
+	Ref     catalogue.Ref
+	// Weight, such as that of the request's contract, counts when loads are scarce.
+	Weight float64
+	// Patient requests wait for a slot however long it takes; others are
+	// refused when none can be had now, so that they can go elsewhere.
+	Patient bool
+}
+
+// Request asks to run a request on an adapter.
+func (t *Table) Request(claim Claim, now time.Time) []Action {
+	id, ref, weight := claim.Request, claim.Ref, claim.Weight
 	t.usage.touch(ref, now)
 	if s, ok := t.slots[ref]; ok && s.phase == phaseLoaded && !s.closed {
 		return []Action{t.start(id, s)}
@@ -208,8 +222,12 @@
 	if t.waiting >= t.options.Queue {
 		return []Action{Refuse{Request: id, Reason: ReasonQueueFull}}
 	}
-	t.waiting++
 	w := t.wantOf(ref)
+	_, present := t.slots[ref]
+	if w == nil && !present && !claim.Patient && t.obtainable() <= 0 {
+		return []Action{Refuse{Request: id, Reason: ReasonNoSlot}}
+	}
+	t.waiting++
 	if w == nil {
 		w = &want{ref: ref, since: now}
 		t.wants = append(t.wants, w)
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -175,7 +175,7 @@
 			"request": func(*rapid.T) {
 				e.last++
 				e.requests[e.last] = ref(pick(6, "adapter"))
-				e.perform(e.table.Request(e.last, e.requests[e.last], 1, e.now))
+				e.perform(e.table.Request(Claim{Request: e.last, Ref: e.requests[e.last], Weight: 1, Patient: rapid.Bool().Draw(t, "patient")}, e.now))
 			},
 			"cancel": func(*rapid.T) {
 				id := RequestID(pick(int(e.last)+1, "cancelled"))
@@ -252,6 +252,10 @@
 	}
 }
 
+func patient(id RequestID, r catalogue.Ref) Claim {
+	return Claim{Request: id, Ref: r, Weight: 1, Patient: true}
+}
+
 func grantAll(table *Table, actions []Action, now time.Time) []Action {
 	var after []Action
 	for _, a := range actions {
@@ -267,12 +271,12 @@
 func TestPinnedSlotsDoNotStarveAWaitingAdapter(t *testing.T) {
 	now := time.Unix(0, 0)
 	table := NewTable(Options{Slots: 1, Queue: 8, Patience: time.Second})
-	load := grantAll(table, table.Request(1, ref(1), 1, now), now)[0].(Load)
+	load := grantAll(table, table.Request(patient(1, ref(1)), now), now)[0].(Load)
 	table.Loaded(load.Order, now)
-	table.Request(2, ref(2), 1, now)
+	table.Request(patient(2, ref(2)), now)
 	now = now.Add(2 * time.Second)
 	table.Tick(now)
-	for _, a := range table.Request(3, ref(1), 1, now) {
+	for _, a := range table.Request(patient(3, ref(1)), now) {
 		if _, started := a.(Start); started {
 			t.Fatal("a new request for the popular adapter overtook the starving one")
 		}
@@ -283,15 +287,34 @@
 	}
 }
 
+// Every slot serves while another server has room. A request that waits here
+// waits for strangers' answers to end, unless it is sent on.
+func TestOnlyPatientRequestsWaitForASlot(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewTable(Options{Slots: 1, Queue: 8})
+	load := grantAll(table, table.Request(patient(1, ref(1)), now), now)[0].(Load)
+	table.Loaded(load.Order, now)
+	got := table.Request(Claim{Request: 2, Ref: ref(2), Weight: 1}, now)
+	if len(got) != 1 || got[0] != (Refuse{Request: 2, Reason: ReasonNoSlot}) {
+		t.Errorf("an impatient request got %v", got)
+	}
+	if got := table.Request(Claim{Request: 3, Ref: ref(1), Weight: 1}, now); len(got) != 1 || got[0] != (Start{Request: 3}) {
+		t.Errorf("a request for the loaded adapter got %v", got)
+	}
+	if got := table.Request(patient(4, ref(2)), now); len(got) != 0 || table.Report(now).Waiting != 1 {
+		t.Errorf("a patient request got %v", got)
+	}
+}
+
 // An adapter whose files are broken fails each load. Without a back-off every
 // caller's retry would cost the weight store a load that others wait for.
 func TestFailedLoadsBackOffAndRecover(t *testing.T) {
 	now := time.Unix(0, 0)
 	table := NewTable(Options{Slots: 1, Queue: 8})
 	for failures, pause := 0, time.Second; failures < 3; failures, pause = failures+1, 2*pause {
-		load := grantAll(table, table.Request(1, ref(1), 1, now), now)[0].(Load)
+		load := grantAll(table, table.Request(patient(1, ref(1)), now), now)[0].(Load)
 		table.LoadFailed(load.Order, true, now)
-		early := table.Request(2, ref(1), 1, now.Add(pause-time.Millisecond))
+		early := table.Request(patient(2, ref(1)), now.Add(pause-time.Millisecond))
 		if len(early) != 1 || early[0] != (Refuse{Request: 2, Reason: ReasonLoadFailed}) {
 			t.Fatalf("after %d failures: %v", failures+1, early)
 		}
@@ -321,7 +344,7 @@
 		for adapter, uses := range c.uses {
 			for range uses {
 				id++
-				actions := grantAll(table, table.Request(id, ref(adapter), 1, now), now)
+				actions := grantAll(table, table.Request(patient(id, ref(adapter)), now), now)
 				if len(actions) > 0 {
 					now = now.Add(c.loads[adapter])
 					table.Loaded(actions[0].(Load).Order, now)
@@ -329,7 +352,7 @@
 				table.Release(id, now)
 			}
 		}
-		actions := grantAll(table, table.Request(id+1, ref(9), 1, now), now)
+		actions := grantAll(table, table.Request(patient(id+1, ref(9)), now), now)
 		if got := actions[0].(Unload).Ref; got != ref(c.victim) {
 			t.Errorf("%s: evicted %s, want %s", c.name, got, ref(c.victim))
 		}
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -130,7 +130,7 @@
 	span.SetAttributes(telemetry.AttributeModel.String(ref.String()))
 	reply := make(chan verdict, 1)
 	select {
-	case a.requests <- requested{id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header), reply: reply}:
+	case a.requests <- requested{id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header), patient: true, reply: reply}:
 	default:
 		return errors.Wrap(errNotRun, string(slots.ReasonQueueFull))
 	}
--- a/internal/agent/slotduty.go
+++ b/internal/agent/slotduty.go
@@ -46,7 +46,9 @@
 	// source is the adapter's place in the weight store, as the entry knows it.
 	source string
 	weight float64
-	reply  chan<- verdict
+	// patient requests wait for a slot; others are declined when none is to be had.
+	patient bool
+	reply   chan<- verdict
 }
 
 type (
@@ -246,7 +248,7 @@
 	d.replies[e.id] = pendingReply{reply: e.reply, ref: e.ref, since: now}
 	d.sources[e.ref] = e.source
 	d.forgetSources()
-	return d.table.Request(e.id, e.ref, e.weight, now)
+	return d.table.Request(slots.Claim{Request: e.id, Ref: e.ref, Weight: e.weight, Patient: e.patient}, now)
 }
 
 // forgetSources keeps only the sources of adapters that requests wait for,
