Give the agent test's requests ids of their own

Cause: TestAgentsShareTheWeightStoreAndOutliveTheirBroker sent all its concurrent requests under the id "r". Since agents keep a run for each id so that a cut answer can resume, a second request under the same id cancels the first, and the callers were told "unknown". Entries draw a random id for each request, so no caller can meet this.

All checks stay.

Ruled out: the load broker, the slot table and the check of the answer's model; each worked alone.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -84,6 +84,11 @@
 	body   string
 }
 
+// requestID is the id under which ask sends a request for a model. Entries give
+// every request an id of its own; the agent takes a second request under the
+// same id for a new try of the first, which it cancels.
+func requestID(model string) string { return "r-" + model }
+
 func ask(ctx context.Context, url, model, tokens string) answer {
 	body := strings.NewReader(`{"model":"` + model + `","prompt":"x","max_tokens":` + tokens + `}`)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions", body)
@@ -91,7 +96,7 @@
 		return answer{body: err.Error()}
 	}
 	request.Header.Set(wire.HeaderModel, model)
-	request.Header.Set(wire.HeaderRequestID, "r")
+	request.Header.Set(wire.HeaderRequestID, requestID(model))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return answer{body: err.Error()}
@@ -107,7 +112,7 @@
 func (b *bench) mustAnswer(t *testing.T, url, model string) {
 	t.Helper()
 	got := ask(t.Context(), url, model, "2")
-	if got.status != http.StatusOK || got.ran != model || !strings.Contains(got.body, engine.TokenText(model, "r", 1)) {
+	if got.status != http.StatusOK || got.ran != model || !strings.Contains(got.body, engine.TokenText(model, requestID(model), 1)) {
 		t.Fatalf("%s: %+v", model, got)
 	}
 }
