Keep a control instance whose clock is ahead from proposing

Cause: the state's clock is the highest proposer's time. One command from an instance whose clock is a year ahead would expire every lease and operation id at once and keep later ones from expiring for a year.

Ruled out: bounding how far one command may move the state's clock. After a quiet night the clock would lag and then catch up in steps, which ends short leases early.

Conclusion: a wrong clock costs one instance, not the leases of all.

--- a/cmd/rosemaryctl/status.go
+++ b/cmd/rosemaryctl/status.go
@@ -64,15 +64,15 @@
 	for _, instance := range instances {
 		s := instance.Standing
 		if instance.Error != "" {
-			rows = append(rows, []string{instance.Address, "", "no answer", "", "", "", "", ""})
+			rows = append(rows, []string{instance.Address, "", "no answer", "", "", "", "", "", ""})
 			continue
 		}
 		rows = append(rows, []string{
 			instance.Address, instance.Name, quorum(instance), s.Leader, fmt.Sprint(s.Term),
-			fmt.Sprint(s.LastIndex), fmt.Sprint(s.Applied), fmt.Sprint(s.ConfigIndex),
+			fmt.Sprint(s.LastIndex), fmt.Sprint(s.Applied), fmt.Sprint(s.ConfigIndex), rounded(instance.ClockAhead),
 		})
 	}
-	t.table("CONTROL,NAME,QUORUM,LEADER,TERM,LAST,APPLIED,CONFIG", rows)
+	t.table("CONTROL,NAME,QUORUM,LEADER,TERM,LAST,APPLIED,CONFIG,CLOCK AHEAD", rows)
 }
 
 func quorum(instance operator.Instance) string {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -78,6 +78,7 @@
 	options Options
 	log     *zap.Logger
 	durable Log
+	clock   clockGuard
 	builder pageBuilder
 	members Membership
 	advice  *adviceDuty
@@ -134,6 +135,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { c.runDirectory(ctx) })
 	duties.Go(func() { c.runConfirmations(ctx) })
+	duties.Go(func() { c.runClockChecks(ctx) })
 	duties.Go(func() { c.advice.run(ctx) })
 	duties.Wait()
 }
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -42,6 +42,10 @@
 
 // Propose commits a command through the log and returns its result.
 func (c *Control) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	if ahead, refuse := c.clock.refuses(); refuse {
+		clockRefusedCount.Add(1)
+		return state.Result{}, errors.Wrapf(ErrNotAccepted, "this instance's clock is %s ahead of the others", ahead)
+	}
 	if command.Time == 0 {
 		command.Time = time.Now().UnixMilli()
 	}
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -67,5 +67,6 @@
 func (c *Control) answerStanding(context.Context, wire.StandingRequest) (wire.StandingReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return wire.StandingReply{Instance: c.options.Instance, Standing: c.standing(time.Now())}, nil
+	now := time.Now()
+	return wire.StandingReply{Instance: c.options.Instance, Standing: c.standing(now), ClockMillis: now.UnixMilli()}, nil
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -76,12 +76,12 @@
 	client := rpc.NewClient(address, c.options.RPC...)
 	defer client.Close()
 	instance := operator.Instance{Address: address}
-	var standing wire.StandingReply
-	if err := client.Call(ctx, wire.MethodStanding, wire.StandingRequest{}, &standing); err != nil {
+	standing, offset, err := askStanding(ctx, client)
+	if err != nil {
 		instance.Error = err.Error()
 		return instance, nil
 	}
-	instance.Name, instance.Standing = standing.Instance, standing.Standing
+	instance.Name, instance.Standing, instance.ClockAhead = standing.Instance, standing.Standing, offset
 	var daemons wire.DaemonsReply
 	if err := client.Call(ctx, wire.MethodDaemons, wire.DaemonsRequest{}, &daemons); err != nil {
 		instance.Error = err.Error()
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -56,6 +56,8 @@
 	Address  string             `json:"address"`
 	Name     string             `json:"name,omitempty"`
 	Standing freshness.Standing `json:"standing"`
+	// ClockAhead is how far its clock is ahead of the answering instance's.
+	ClockAhead time.Duration `json:"clockAhead"`
 	// Error says why the instance did not answer; empty when it did.
 	Error string `json:"error,omitempty"`
 }
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -68,6 +68,8 @@
 type StandingReply struct {
 	Instance string             `json:"instance"`
 	Standing freshness.Standing `json:"standing"`
+	// ClockMillis is the instance's clock, in milliseconds since 1970.
+	ClockMillis int64 `json:"clockMillis"`
 }
 
 // DaemonsRequest asks which daemons follow a control instance.
