--- /dev/null
+++ b/coord/freshness/example_test.go
@@ -0,0 +1,26 @@
+package freshness_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
+)
+
+// A daemon follows one control instance. It admits while the instance's word is
+// young, and stops when the instance is cut off from the others.
+func Example() {
+	now := time.Unix(1_000, 0)
+	tracker := freshness.NewTracker(freshness.Options{Lease: 3 * time.Second})
+
+	tracker.Advance(42) // the daemon's copy stands at index 42
+	tracker.Answer(freshness.Standing{Confirmed: true, ConfigIndex: 42}, now)
+	fmt.Println(tracker.State(now.Add(time.Second)).Kind)
+
+	tracker.Answer(freshness.Standing{Confirmed: false, ConfigIndex: 42}, now.Add(2*time.Second))
+	state := tracker.State(now.Add(4 * time.Second))
+	fmt.Println(state.Kind, state.MayAdmit())
+	// Output:
+	// fresh
+	// cut-off false
+}
