Sum up pools in status; let an empty freshness admit nothing

Cause: status listed 600 servers one by one, without the batch efficiency and load time that operators weigh; and a State that nobody filled in admitted.

Conclusion: the operator sees load stalls and batches at a glance.

--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -8,12 +8,15 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/quota"
 	"github.com/rosemarypass/rosemarypass/internal/control"
@@ -228,6 +231,23 @@
 	}
 }
 
+func TestPoolsSumUpTheirServers(t *testing.T) {
+	announced := func(name string, leaving bool, running int) operator.Server {
+		return operator.Server{Name: name, Announced: &membership.Announcement{
+			Server: name, Pool: "floor", DataCentre: "a", Leaving: leaving, Slots: 4,
+			Load: membership.Load{Running: running, Waiting: 1, Capacity: 10, Resident: make([]catalogue.Ref, 2), LoadMillis: 100 * running},
+		}}
+	}
+	var out bytes.Buffer
+	tool := &tool{out: &out}
+	tool.showPools([]operator.Server{announced("f-1", false, 3), announced("f-2", true, 4), {Name: "absent"}})
+	got := strings.Fields(strings.Split(out.String(), "\n")[1])
+	want := []string{"floor", "a", "1", "1", "7", "2", "35%", "0", "50%", "400", "ms"}
+	if !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
 func TestStatusNamesASilentControlInstance(t *testing.T) {
 	var out bytes.Buffer
 	tool := &tool{out: &out, client: operator.NewClient(operator.Options{})}
--- /dev/null
+++ b/cmd/rosemaryctl/pools.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+)
+
+// pool sums up the announced servers of one pool in one data centre.
+type pool struct {
+	name, dataCentre string
+	serving, leaving int
+	running, waiting int
+	capacity         int
+	adapters, slots  int
+	loading          int
+	loadMillis       int
+}
+
+func (p *pool) add(server operator.Server) {
+	a := server.Announced
+	if a.Leaving {
+		p.leaving++
+	} else {
+		p.serving++
+	}
+	p.running += a.Load.Running
+	p.waiting += a.Load.Waiting
+	p.capacity += a.Load.Capacity
+	p.adapters += len(a.Load.Resident)
+	p.slots += a.Slots
+	p.loading += len(a.Load.Loading)
+	p.loadMillis = max(p.loadMillis, a.Load.LoadMillis)
+}
+
+// pools sums up the announced servers, by pool and data centre.
+func pools(servers []operator.Server) []pool {
+	sums := make(map[[2]string]*pool)
+	for _, server := range servers {
+		if server.Announced == nil {
+			continue
+		}
+		key := [2]string{server.Announced.Pool, server.Announced.DataCentre}
+		if sums[key] == nil {
+			sums[key] = &pool{name: key[0], dataCentre: key[1]}
+		}
+		sums[key].add(server)
+	}
+	all := make([]pool, 0, len(sums))
+	for _, sum := range sums {
+		all = append(all, *sum)
+	}
+	slices.SortFunc(all, func(a, b pool) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.dataCentre, b.dataCentre))
+	})
+	return all
+}
+
+// showPools shows how full the batches and the adapter slots are, and how long
+// an adapter takes to arrive.
+func (t *tool) showPools(servers []operator.Server) {
+	var rows [][]string
+	for _, p := range pools(servers) {
+		rows = append(rows, []string{
+			p.name, p.dataCentre, fmt.Sprint(p.serving), fmt.Sprint(p.leaving), fmt.Sprint(p.running), fmt.Sprint(p.waiting),
+			useShare(p.running, p.capacity), fmt.Sprint(p.loading), useShare(p.adapters, p.slots), loadTime(p.loadMillis),
+		})
+	}
+	t.table("POOL,DATA CENTRE,SERVING,LEAVING,RUNNING,WAITING,BATCH,LOADING,SLOTS USED,SLOWEST LOAD", rows)
+}
+
+// useShare is a part of a whole in percent, empty without a whole.
+func useShare(part, whole int) string {
+	if whole == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d%%", 100*part/whole)
+}
+
+func loadTime(millis int) string {
+	if millis == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d ms", millis)
+}
--- a/cmd/rosemaryctl/status.go
+++ b/cmd/rosemaryctl/status.go
@@ -56,6 +56,8 @@
 	fmt.Fprintln(t.out)
 	t.showDaemons(status)
 	fmt.Fprintln(t.out)
+	t.showPools(status.Servers)
+	fmt.Fprintln(t.out)
 	t.showServers(status.Servers)
 }
 
--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -51,8 +51,9 @@
 	Reason   string    `json:"reason"`
 }
 
-// MayAdmit reports whether requests may be admitted under the copy.
-func (s State) MayAdmit() bool { return s.Kind != CutOff }
+// MayAdmit reports whether requests may be admitted under the copy. The zero
+// State admits nothing.
+func (s State) MayAdmit() bool { return s.Kind == Fresh || s.Kind == Unchangeable }
 
 // Standing is what a control instance says of itself.
 type Standing struct {
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -31,11 +31,13 @@
 type source struct {
 	config  *follow.Config
 	servers []membership.Announcement
+	// kind is what the entry can prove of its configuration.
+	kind freshness.Kind
 }
 
 func (s *source) Config() *follow.Config             { return s.config }
 func (s *source) Servers() []membership.Announcement { return s.servers }
-func (s *source) Freshness() freshness.State         { return freshness.State{} }
+func (s *source) Freshness() freshness.State         { return freshness.State{Kind: s.kind} }
 
 func newSource(servers ...membership.Announcement) *source {
 	customer := contract.Contract{
@@ -51,7 +53,7 @@
 	adapter := catalogue.Adapter{Ref: ref, BaseModel: baseModel, Source: "store://x"}
 	config := follow.NewConfig()
 	config.Apply([]state.Change{{Index: 1, Contract: &customer}, {Index: 1, Service: &desk}, {Index: 1, Adapter: &adapter}}, 1)
-	return &source{config: config, servers: servers}
+	return &source{config: config, servers: servers, kind: freshness.Fresh}
 }
 
 func service(name, address string, running int) membership.Announcement {
