Pin the seed that notices an empty voter

Change: seed 239, the one of the 300 that notices, is tried with the fault; all 300 still run without it.

--- a/coord/freshness/schedule_test.go
+++ b/coord/freshness/schedule_test.go
@@ -348,19 +348,16 @@
 			c.emptyVotes = emptyVotes
 		})
 	}
-	caught := 0
 	for seed := range uint64(seeds) {
 		if v := lossy(seed, false); v.violations > 0 {
 			t.Errorf("seed %d: %d violations", seed, v.violations)
 		}
-		if lossy(seed, true).violations > 0 {
-			caught++
-		}
 	}
-	if caught == 0 {
-		t.Error("no seed noticed that an empty instance counted as a voter")
+	// Of the 300 seeds this one notices when an empty instance counts as a voter.
+	const noticing = 239
+	if lossy(noticing, true).violations == 0 {
+		t.Errorf("seed %d did not notice that an empty instance counted as a voter", noticing)
 	}
-	t.Logf("an empty instance counted as a voter: noticed by %d of %d seeds", caught, seeds)
 }
 
 // The schedules are only worth something if they notice a wrong rule.
