Freeze the state instead of holding it while it is encoded

Change: Machine.Freeze copies the state, adapters as their packed bytes; the listing and encoding are done on the copy without the lock.

The differential tests now also check that a frozen state and a cloned table stay as they were.

--- a/coord/catalogue/table.go
+++ b/coord/catalogue/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"strings"
 
@@ -58,6 +59,23 @@
 	t.count++
 }
 
+// Clone returns an independent copy. It costs little more than copying the
+// table's bytes.
+func (t *Table) Clone() *Table {
+	clone := &Table{
+		slots:     slices.Clone(t.slots),
+		count:     t.count,
+		chunks:    make([][]byte, len(t.chunks)),
+		models:    t.models.clone(),
+		templates: t.templates.clone(),
+	}
+	for i, chunk := range t.chunks {
+		// The last chunk keeps its room: records are appended in place.
+		clone.chunks[i] = append(make([]byte, 0, chunkSize), chunk...)
+	}
+	return clone
+}
+
 // Get returns a version, retired ones included.
 func (t *Table) Get(ref Ref) (Adapter, bool) {
 	position, found := t.find(ref)
@@ -214,6 +232,10 @@
 	numbers map[string]uint64
 }
 
+func (i *interner) clone() interner {
+	return interner{texts: slices.Clone(i.texts), numbers: maps.Clone(i.numbers)}
+}
+
 func (i *interner) intern(text string) uint64 {
 	if number, known := i.numbers[text]; known {
 		return number
--- a/coord/catalogue/table_test.go
+++ b/coord/catalogue/table_test.go
@@ -27,8 +27,14 @@
 func TestTableAgreesWithAMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table, naive := catalogue.NewTable(), make(map[catalogue.Ref]catalogue.Adapter)
+		original := catalogue.NewTable()
 		for range rapid.IntRange(0, 300).Draw(t, "puts") {
 			a := drawAdapter(t)
+			if rapid.IntRange(0, 20).Draw(t, "clone") == 0 {
+				original, table = table, table.Clone()
+			}
+			// What the table was cloned from goes its own way.
+			original.Put(drawAdapter(t))
 			table.Put(a)
 			known, exists := naive[a.Ref]
 			if exists {
--- a/coord/state/bench_test.go
+++ b/coord/state/bench_test.go
@@ -18,8 +18,8 @@
 	return m
 }
 
-// BenchmarkState measures the whole state's encoding and the copy for daemons,
-// during which a control instance answers nobody.
+// BenchmarkState measures the whole state's encoding, the copy for daemons, and
+// the freeze before both, during which a control instance answers nobody.
 func BenchmarkState(b *testing.B) {
 	for _, n := range []int{3_000, 130_000} {
 		m := manyAdapters(n)
@@ -37,9 +37,15 @@
 				}
 			}
 		})
+		b.Run(fmt.Sprintf("freeze/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				m.Freeze()
+			}
+		})
 		b.Run(fmt.Sprintf("snapshot/%d", n), func(b *testing.B) {
+			frozen := m.Freeze()
 			for b.Loop() {
-				m.Snapshot()
+				frozen.Snapshot()
 			}
 		})
 	}
--- a/coord/state/codec.go
+++ b/coord/state/codec.go
@@ -65,24 +65,44 @@
 	Crashed []suspicion.Incarnation `json:"crashed,omitempty"`
 }
 
+// Frozen is the state at one moment. It is safe to use while the machine
+// goes on: encoding very many adapters takes longer than an instance may keep
+// its callers waiting.
+type Frozen struct {
+	state snapshot
+	// adapters are listed and sorted only when they are needed.
+	adapters *catalogue.Table
+}
+
+// Freeze copies the state.
+func (m *Machine) Freeze() Frozen {
+	return Frozen{
+		state: snapshot{
+			Index:       m.index,
+			ConfigIndex: m.configIndex,
+			Clock:       m.clock,
+			Contracts:   m.Contracts(),
+			Models:      m.Models(),
+			Services:    m.Services(),
+			Servers:     m.Servers(),
+			Fencing:     sortedValues(m.servers.fencing, identity),
+			Operations:  m.operations.inOrder(),
+			Claims:      m.claims.All(),
+			Suspects:    m.suspicion.Records(),
+			Crashed:     m.suspicion.Crashed(),
+		},
+		adapters: m.catalogue.adapters.Clone(),
+	}
+}
+
 // Encode returns the whole state. Two machines that applied the same log
 // return the same bytes.
-func (m *Machine) Encode() ([]byte, error) {
-	data, err := encode(snapshotVersion, snapshot{
-		Index:       m.index,
-		ConfigIndex: m.configIndex,
-		Clock:       m.clock,
-		Contracts:   m.Contracts(),
-		Models:      m.Models(),
-		Adapters:    m.Adapters(),
-		Services:    m.Services(),
-		Servers:     m.Servers(),
-		Fencing:     sortedValues(m.servers.fencing, identity),
-		Operations:  m.operations.inOrder(),
-		Claims:      m.claims.All(),
-		Suspects:    m.suspicion.Records(),
-		Crashed:     m.suspicion.Crashed(),
-	})
+func (m *Machine) Encode() ([]byte, error) { return m.Freeze().Encode() }
+
+// Encode returns the whole state at the moment of the freeze.
+func (f Frozen) Encode() ([]byte, error) {
+	f.state.Adapters = f.adapters.Sorted()
+	data, err := encode(snapshotVersion, f.state)
 	if err != nil {
 		return nil, err
 	}
--- a/coord/state/feed.go
+++ b/coord/state/feed.go
@@ -1,26 +1,30 @@
 package state
 
+// ConfigIndex is the index that Snapshot's objects stand at.
+func (f Frozen) ConfigIndex() uint64 { return f.state.ConfigIndex }
+
 // Snapshot returns every object that daemons follow, in a fixed order. It is
 // what a daemon that follows the feed for the first time receives.
-func (m *Machine) Snapshot() []Change {
+func (f Frozen) Snapshot() []Change {
+	at := f.state.ConfigIndex
 	var changes []Change
-	for _, c := range m.Contracts() {
-		changes = append(changes, Change{Index: m.configIndex, Contract: &c})
+	for _, c := range f.state.Contracts {
+		changes = append(changes, Change{Index: at, Contract: &c})
 	}
-	for _, model := range m.Models() {
-		changes = append(changes, Change{Index: m.configIndex, Model: &model})
+	for _, model := range f.state.Models {
+		changes = append(changes, Change{Index: at, Model: &model})
 	}
-	for _, a := range m.Adapters() {
-		changes = append(changes, Change{Index: m.configIndex, Adapter: &a})
+	for _, a := range f.adapters.Sorted() {
+		changes = append(changes, Change{Index: at, Adapter: &a})
 	}
-	for _, s := range m.Services() {
-		changes = append(changes, Change{Index: m.configIndex, Service: &s})
+	for _, s := range f.state.Services {
+		changes = append(changes, Change{Index: at, Service: &s})
 	}
-	for _, s := range m.Servers() {
-		changes = append(changes, Change{Index: m.configIndex, Server: &s})
+	for _, s := range f.state.Servers {
+		changes = append(changes, Change{Index: at, Server: &s})
 	}
-	if suspects := m.suspicion.Records(); len(suspects) > 0 {
-		changes = append(changes, Change{Index: m.configIndex, Suspects: suspects})
+	if suspects := f.state.Suspects; len(suspects) > 0 {
+		changes = append(changes, Change{Index: at, Suspects: suspects})
 	}
 	return changes
 }
--- a/coord/state/state_test.go
+++ b/coord/state/state_test.go
@@ -275,6 +275,8 @@
 		restarted.Apply(1, model)
 		steady.Apply(1, model)
 		var sent []state.Command
+		// frozen must stay as it was although the machine goes on.
+		frozen, frozenBytes := restarted.Freeze(), encoded(t, restarted)
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
 		for index := uint64(2); index < uint64(steps)+2; index++ {
 			command := drawCommand(t, n)
@@ -294,11 +296,17 @@
 			if string(result.Code) != want {
 				t.Fatalf("%d: got %+v, want %s", index, result, want)
 			}
-			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+			switch rapid.IntRange(0, 9).Draw(t, "interlude") {
+			case 0:
 				restarted = roundTrip(t, restarted)
+			case 1:
+				frozen, frozenBytes = restarted.Freeze(), encoded(t, restarted)
 			}
 		}
 		n.check(t, restarted)
+		if data, err := frozen.Encode(); err != nil || !bytes.Equal(data, frozenBytes) {
+			t.Fatalf("a frozen state changed, %v", err)
+		}
 		if !bytes.Equal(encoded(t, restarted), encoded(t, steady)) {
 			t.Fatal("two instances with the same log hold different bytes")
 		}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -93,8 +93,9 @@
 // Snapshot returns the encoded state for the log's compaction.
 func (c *Control) Snapshot() ([]byte, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.machine.Encode()
+	frozen := c.machine.Freeze()
+	c.mu.Unlock()
+	return frozen.Encode()
 }
 
 // Restore replaces the state by a snapshot. Daemons that are behind it get a
--- a/internal/control/pages.go
+++ b/internal/control/pages.go
@@ -28,10 +28,10 @@
 // pageBuilder lets one poll build pages while the others that need them wait.
 type pageBuilder struct{ sync.Mutex }
 
-func buildPages(index uint64, objects []state.Change) (*pages, error) {
+func buildPages(frozen state.Frozen) (*pages, error) {
 	snapshotBuiltCount.Add(1)
-	built := &pages{index: index}
-	for chunk := range slices.Chunk(objects, snapshotPageChanges) {
+	built := &pages{index: frozen.ConfigIndex()}
+	for chunk := range slices.Chunk(frozen.Snapshot(), snapshotPageChanges) {
 		data, err := wire.Pack(chunk)
 		if err != nil {
 			return nil, err
@@ -55,9 +55,9 @@
 		return nil
 	}
 	c.mu.Lock()
-	index, objects := c.machine.ConfigIndex(), c.machine.Snapshot()
+	frozen := c.machine.Freeze()
 	c.mu.Unlock()
-	built, err := buildPages(index, objects)
+	built, err := buildPages(frozen)
 	if err != nil {
 		return err
 	}
