--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -18,9 +18,6 @@
 	committedCount  = telemetry.Counter("replica_entries_committed")
 )
 
-// drainLimit bounds how many inputs are taken before their common work is done.
-const drainLimit = 512
-
 // request is something that a caller wants of the core. Exactly one of serve
 // and refuse is called.
 type request interface {
@@ -85,7 +82,7 @@
 
 // drain takes what else has arrived, so that it shares messages and a sync.
 func (c *core) drain() {
-	for range drainLimit {
+	for range c.options.MaxGroup - 1 {
 		select {
 		case messages := <-c.inbox:
 			c.step(messages)
--- a/internal/replica/handlers.go
+++ b/internal/replica/handlers.go
@@ -20,6 +20,7 @@
 func (r *Replica) Handlers() map[string]rpc.Handler {
 	return map[string]rpc.Handler{
 		wire.MethodReplicaMessages: rpc.Typed(r.takeEnvelope),
+		wire.MethodReplicaSnapshot: rpc.Typed(r.takeSnapshotPart),
 		wire.MethodReplicaHello:    rpc.Typed(r.takeHello),
 		wire.MethodReplicaPropose:  rpc.Typed(r.takeProposal),
 		wire.MethodReplicaRead:     rpc.Typed(r.takeRead),
@@ -49,6 +50,14 @@
 	return wire.Empty{}, nil
 }
 
+func (r *Replica) takeSnapshotPart(ctx context.Context, in wire.SnapshotPart) (wire.Empty, error) {
+	message, err := r.assembly.add(in)
+	if err != nil || message == nil {
+		return wire.Empty{}, err
+	}
+	return r.takeEnvelope(ctx, wire.Envelope{Cluster: in.Cluster, Address: in.Address, Messages: []replog.Message{*message}})
+}
+
 func (r *Replica) takeHello(_ context.Context, in wire.Hello) (wire.Hello, error) {
 	if in.Cluster == "" {
 		r.waiting.add(replog.Member{ID: in.ID, Address: in.Address})
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -22,12 +22,12 @@
 	// laneSize bounds the messages that wait for a peer; when full, new ones
 	// are dropped, and the core sends again what matters.
 	laneSize = 256
-	// envelopeMessages bounds the messages of one call.
+	// envelopeMessages and envelopeBytes bound one call, so that it fits into a
+	// frame after its encoding.
 	envelopeMessages = 64
+	envelopeBytes    = 4 << 20
 	// callTimeout bounds one call; a peer that is cut off silently costs no more.
 	callTimeout = 2 * time.Second
-	// snapshotTimeout bounds the call that carries a snapshot.
-	snapshotTimeout = 30 * time.Second
 	// retryPause follows a failed call, so that a peer that is down is not
 	// dialled in a tight loop.
 	retryPause = 50 * time.Millisecond
@@ -37,10 +37,12 @@
 type peers struct {
 	address string
 	options []rpc.ClientOption
-	cluster atomic.Pointer[string]
-	stop    context.CancelFunc
-	ctx     context.Context
-	duties  sync.WaitGroup
+	// partBytes is the size of a part of a snapshot.
+	partBytes int
+	cluster   atomic.Pointer[string]
+	stop      context.CancelFunc
+	ctx       context.Context
+	duties    sync.WaitGroup
 
 	mu        sync.Mutex
 	addresses map[replog.ID]string
@@ -52,10 +54,10 @@
 	bulk    bool
 }
 
-func newPeers(address string, options []rpc.ClientOption) *peers {
+func newPeers(options Options) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &peers{
-		address: address, options: options, ctx: ctx, stop: cancel,
+		address: options.Address, options: options.RPC, partBytes: options.PartBytes, ctx: ctx, stop: cancel,
 		addresses: make(map[replog.ID]string), lanes: make(map[laneKey]chan replog.Message),
 	}
 	p.cluster.Store(new(string))
@@ -119,12 +121,18 @@
 func (p *peers) runLane(address string, lane <-chan replog.Message) {
 	client := rpc.NewClient(address, p.options...)
 	defer client.Close()
+	snapshots := snapshotSender{peers: p, client: client}
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case first := <-lane:
-			if err := p.call(client, collect(first, lane)); err != nil {
+			messages, snapshot := collect(first, lane)
+			err := p.call(client, messages)
+			if err == nil && snapshot != nil {
+				err = snapshots.send(*snapshot)
+			}
+			if err != nil {
 				failedCalls.Add(1)
 				pause(p.ctx, retryPause)
 			}
@@ -132,27 +140,33 @@
 	}
 }
 
-func collect(first replog.Message, lane <-chan replog.Message) []replog.Message {
-	messages := []replog.Message{first}
-	for len(messages) < envelopeMessages {
+// collect takes messages that share a call, up to a snapshot, which goes alone.
+func collect(first replog.Message, lane <-chan replog.Message) (messages []replog.Message, snapshot *replog.Message) {
+	size := 0
+	for m := first; ; {
+		if m.Kind == replog.KindSnapshot {
+			return messages, &m
+		}
+		messages = append(messages, m)
+		for _, e := range m.Entries {
+			size += len(e.Data)
+		}
+		if len(messages) >= envelopeMessages || size >= envelopeBytes {
+			return messages, nil
+		}
 		select {
-		case m := <-lane:
-			messages = append(messages, m)
+		case m = <-lane:
 		default:
-			return messages
+			return messages, nil
 		}
 	}
-	return messages
 }
 
 func (p *peers) call(client *rpc.Client, messages []replog.Message) error {
-	timeout := callTimeout
-	for _, m := range messages {
-		if m.Kind == replog.KindSnapshot {
-			timeout = snapshotTimeout
-		}
+	if len(messages) == 0 {
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, timeout)
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	defer cancel()
 	sentCalls.Add(1)
 	sentMessages.Add(int64(len(messages)))
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -48,6 +48,9 @@
 // leaderPause is the wait before another try while no leader is known.
 const leaderPause = 50 * time.Millisecond
 
+// maxCommandBytes bounds a command, so that its message fits into a frame.
+const maxCommandBytes = 4 << 20
+
 // minElectionWait leaves time for an election on a busy machine.
 const minElectionWait = 2 * time.Second
 
@@ -82,8 +85,8 @@
 // committed it tries again, for as long as an election may take. Errors are
 // ErrNotCommitted or ErrUnknown.
 func (r *Replica) Propose(ctx context.Context, data []byte) (index uint64, result []byte, err error) {
-	if len(data) == 0 {
-		return 0, nil, notCommitted(errors.New("the command is empty"))
+	if len(data) == 0 || len(data) > maxCommandBytes {
+		return 0, nil, notCommitted(errors.Errorf("a command of %d bytes is not accepted", len(data)))
 	}
 	for deadline := time.Now().Add(r.electionWait()); ; {
 		index, result, err = r.proposeOnce(ctx, data)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,8 +51,11 @@
 	HeartbeatTicks int
 	// SnapshotEntries is how many entries are applied between snapshots.
 	SnapshotEntries uint64
-	// MaxGroup bounds how many batches share a sync.
+	// MaxGroup bounds how many proposals, and how many batches, share a sync.
 	MaxGroup int
+	// PartBytes is the size of a part of a snapshot under way; a whole one may
+	// exceed what a process accepts as one frame.
+	PartBytes int
 	// RPC are options of the connections to other control instances.
 	RPC []rpc.ClientOption
 }
@@ -63,6 +66,7 @@
 	defaultHeartbeatTicks  = 2
 	defaultSnapshotEntries = 10_000
 	defaultMaxGroup        = 256
+	defaultPartBytes       = 1 << 20
 )
 
 // Sizes of the rings between the duties.
@@ -92,6 +96,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.PartBytes == 0 {
+		o.PartBytes = defaultPartBytes
+	}
 	if o.MaxGroup == 0 {
 		o.MaxGroup = defaultMaxGroup
 	}
@@ -115,6 +122,7 @@
 	taken    chan takenSnapshot
 	peers    *peers
 	waiting  *waitingTable
+	assembly assembly
 
 	status  atomic.Pointer[replog.Status]
 	failure atomic.Pointer[string]
@@ -155,7 +163,7 @@
 		waiting:  newWaitingTable(),
 		applied:  newAppliedIndex(),
 	}
-	r.peers = newPeers(r.self.Address, options.RPC)
+	r.peers = newPeers(options)
 	if err := r.restore(folder.Restored()); err != nil {
 		_ = folder.Close()
 		return nil, err
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wal"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -176,13 +177,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	if _, _, err := c.instances[i].Propose(ctx, []byte(command)); err != nil {
-		c.t.Fatalf("%s at %d: %v", command, i, err)
+		c.t.Fatalf("%.20s at %d: %v", command, i, err)
 	}
 }
 
 func (c *cluster) expect(i int, text string) {
 	c.t.Helper()
-	c.await(fmt.Sprintf("instance %d to have %q", i, text), func() bool { return c.instances[i].journal.text() == text })
+	c.await(fmt.Sprintf("instance %d to have %.200q", i, text), func() bool { return c.instances[i].journal.text() == text })
 }
 
 func (c *cluster) change(action wire.MemberAction, member string) {
@@ -319,3 +320,31 @@
 		}
 	}
 }
+
+// The state has grown beyond what one message may carry. A replacement must
+// still be able to catch up, or the redundancy could never be repaired.
+func TestLargeSnapshotReachesAReplacement(t *testing.T) {
+	c := newCluster(t, 3, replica.Options{TickInterval: 5 * time.Millisecond, SnapshotEntries: 2, PartBytes: 1 << 10})
+	large := strings.Repeat("x", 100<<10)
+	for _, one := range c.instances {
+		one.journal.mu.Lock()
+		one.journal.lines = []string{large}
+		one.journal.mu.Unlock()
+	}
+	c.propose(0, "a")
+	c.propose(0, "b")
+	parts := telemetry.Counter("replica_snapshot_parts_sent")
+	before := parts.Value()
+	lost := (c.leader() + 1) % 3
+	c.instances[lost].stop()
+	c.folders[lost] = t.TempDir()
+	c.start(lost)
+	c.change(wire.MemberAdd, string(c.instances[lost].ID()))
+	c.await("the whole state", func() bool { return c.instances[lost].Applied() >= c.instances[c.leader()].Applied() })
+	if c.instances[lost].journal.text() != large+"\na\nb" {
+		t.Error("the state differs")
+	}
+	if sent := parts.Value() - before; sent < 100 {
+		t.Errorf("the snapshot went in %d parts", sent)
+	}
+}
--- a/internal/wire/replica.go
+++ b/internal/wire/replica.go
@@ -6,6 +6,8 @@
 const (
 	// MethodReplicaMessages carries Envelopes.
 	MethodReplicaMessages = "replica.messages"
+	// MethodReplicaSnapshot carries SnapshotParts.
+	MethodReplicaSnapshot = "replica.snapshot"
 	// MethodReplicaHello exchanges Hellos.
 	MethodReplicaHello = "replica.hello"
 	// MethodReplicaPropose asks the leader to commit a command.
@@ -27,6 +29,19 @@
 	Messages []replog.Message `json:"messages"`
 }
 
+// SnapshotPart carries a part of a snapshot that is too large for one frame.
+// Parts come in order; the last one completes the message.
+type SnapshotPart struct {
+	Cluster string `json:"cluster,omitempty"`
+	Address string `json:"address"`
+	// Message is the snapshot message without the snapshot's data.
+	Message replog.Message `json:"message"`
+	// Offset is where Data belongs, Total the size of the whole, in bytes.
+	Offset int    `json:"offset"`
+	Total  int    `json:"total"`
+	Data   []byte `json:"data"`
+}
+
 // Empty is the answer to messages that need none.
 type Empty struct{}
 
