Hand shares back until the owner has them

Cause: TestConcurrencyHoldsAcrossEntries took 32 s in 2 of 6 runs under load. At a planned stop the renewal under way was cut, which closed the connection that the release used; its loss went unnoticed and the slots stayed counted for the longest run of a request (30 s). Change: the release waits for the renewal under way and is sent until the owner has accepted it, for a second at the most. It is part of the entry's drain, so that a daemon with the control role too does it before that role stops. Ruled out: a longer bound in the test, which would have hidden the loss.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -55,5 +55,6 @@
 		e.Drain()
 		pause(ctx, stopGrace)
 		d.reportCut(entryListen, e.Wait(ctx))
+		limits.Stop(ctx)
 	})
 }
--- a/internal/limiter/duty.go
+++ b/internal/limiter/duty.go
@@ -34,8 +34,9 @@
 	err   error
 }
 
-// Run admits requests until ctx ends, then hands the shares back.
+// Run admits requests until ctx ends or Stop is called.
 func (l *Limiter) Run(ctx context.Context) {
+	defer close(l.stopped)
 	d := &duty{
 		Limiter:  l,
 		holder:   quota.NewHolder(l.options.Quota, l.options.Instance, uint64(time.Now().UnixNano())),
@@ -51,7 +52,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			d.release()
+			return
+		case <-l.stopping:
+			d.release(ctx)
 			return
 		case e := <-l.events:
 			e.apply(d, time.Now())
@@ -190,16 +193,38 @@
 	return max(0, wake.Sub(now))
 }
 
-// release hands the shares back, so that other entries get them before the
-// lease runs out.
-func (d *duty) release() {
+// release hands the shares back, so that other entries get them at once. Were
+// the message lost, the slots would stay counted for as long as a request may
+// run, so it is sent until the owner has accepted it.
+func (d *duty) release(ctx context.Context) {
+	if d.holder.Renewing() {
+		// Its end closes the connection that the release would use.
+		<-d.replies
+	}
 	if d.holder.InUse() == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	var reply quota.Reply
-	_ = d.clients[d.owner].Call(ctx, wire.MethodRenewQuota, d.holder.Release(time.Now()), &reply)
+	for ctx.Err() == nil {
+		var reply quota.Reply
+		err := d.clients[d.owner].Call(ctx, wire.MethodRenewQuota, d.holder.Release(time.Now()), &reply)
+		if err == nil && reply.Accepted {
+			return
+		}
+		d.owner = (d.owner + 1) % len(d.clients)
+		pause(ctx, retryDelay)
+	}
+	d.log.Warn("shares were not handed back; they run out by themselves")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
 }
 
 func (d *duty) close() {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,11 +77,31 @@
 	log       *zap.Logger
 	events    chan event
 	nextID    atomic.Uint64
+	stopping  chan struct{}
+	stopOnce  sync.Once
+	stopped   chan struct{}
 }
 
 // New returns a limiter; Run starts its duty.
 func New(options Options, contracts Contracts, log *zap.Logger) *Limiter {
-	return &Limiter{options: options, contracts: contracts, log: log, events: make(chan event, ringSize)}
+	return &Limiter{
+		options:   options,
+		contracts: contracts,
+		log:       log,
+		events:    make(chan event, ringSize),
+		stopping:  make(chan struct{}),
+		stopped:   make(chan struct{}),
+	}
+}
+
+// Stop hands the shares back and ends the duty. It is called when no request is
+// in flight any more, and returns when that is done or ctx ends.
+func (l *Limiter) Stop(ctx context.Context) {
+	l.stopOnce.Do(func() { close(l.stopping) })
+	select {
+	case <-l.stopped:
+	case <-ctx.Done():
+	}
 }
 
 // event is an input of the duty.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -72,12 +72,9 @@
 
 // entry starts a limiter; stop hands its shares back.
 func (s *site) entry(name string, peers ...string) (l *limiter.Limiter, stop func()) {
-	ctx, cancel := context.WithCancel(s.ctx)
 	l = limiter.New(limiter.Options{Instance: name, Peers: peers, Quota: quota.DefaultOptions()}, s, zap.NewNop())
-	var done sync.WaitGroup
-	done.Go(func() { l.Run(ctx) })
-	s.duties.Go(done.Wait)
-	return l, func() { cancel(); done.Wait() }
+	s.duties.Go(func() { l.Run(s.ctx) })
+	return l, func() { l.Stop(s.ctx) }
 }
 
 func (s *site) ask(tokens int64) entry.Ask {
