Give the engine's batch out by the contracts' shares

Cause: when an engine is full, requests waited in its queue, in order of arrival; the contract's share, priority and longest wait had no effect there. Change: the agent gives out seats in the engine's batch (its capacity and an eighth more) by coord/fairqueue. A request waits for adapter and seat together for no longer than what is left of its contract's longest wait, which the entry counts over admission and all servers; then the answer is 429, clause maxWait, not run, at once. Ruled out: the fair queue at the entry before dispatch, which sees a part of the load only; strict priority, which starves. Conclusion: scarcity is shared where it arises.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,7 @@
 	permits *permitClient
 	gate    *drain.Gate
 	runs    *runs
+	seats   *seats
 	crashes crashes
 	// incarnation is the engine's, as last seen.
 	incarnation atomic.Uint64
@@ -88,6 +89,7 @@
 		runs:     newRuns(),
 	}
 	a.status.Store(&membership.Load{})
+	a.seats = newSeats(options.Queue, func() int { return a.status.Load().Capacity })
 	a.permits = newPermitClient(options, a.started)
 	return a
 }
@@ -100,6 +102,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	duties.Go(func() { a.runSlots(ctx) })
+	duties.Go(func() { a.seats.run(ctx) })
 	duties.Go(func() { a.watchEngine(ctx) })
 	duties.Go(func() { a.permits.run(ctx, a.sendEnd) })
 	duties.Go(func() { a.announceAll(ctx) })
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/fairqueue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/slots"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -95,19 +97,40 @@
 		return
 	}
 	id := slots.RequestID(requestIDs.Add(1))
-	if err := a.acquire(r, id, ref); err != nil {
+	if err := a.await(r, id, ref); err != nil {
 		leave()
-		refuse(w, http.StatusServiceUnavailable, err.Error())
+		refuseUnstarted(w, err)
 		return
 	}
 	admittedCount.Add(1)
 	started := a.start(r, ref, body, func() {
-		a.release(id)
+		a.finish(id)
 		leave()
 	})
 	started.deliver(w, r, 0)
 }
 
+// await waits until the adapter is pinned and the engine has a seat for the
+// request, for the contract's longest wait in all.
+func (a *Agent) await(r *http.Request, id slots.RequestID, ref catalogue.Ref) error {
+	item := itemOf(r.Header, fairqueue.ID(id), time.Now())
+	ctx, cancel := context.WithDeadline(r.Context(), item.Deadline)
+	defer cancel()
+	err := a.acquire(r.WithContext(ctx), id, ref)
+	if err == nil {
+		if err = a.seats.take(ctx, item); err == nil {
+			return nil
+		}
+		a.release(id)
+	}
+	var over *waitError
+	if !errors.As(err, &over) && r.Context().Err() == nil && ctx.Err() != nil {
+		seatExpiredCount.Add(1)
+		return &waitError{fairqueue.ReasonExpired}
+	}
+	return err
+}
+
 // readWhole reads a request's body before anything is done for it. net/http
 // notices that a peer left only once the body is read, and half a request must
 // never reach the engine.
@@ -148,4 +171,10 @@
 	}
 }
 
+// finish gives back the seat and the pin of a request that ran.
+func (a *Agent) finish(id slots.RequestID) {
+	a.seats.free(fairqueue.ID(id))
+	a.release(id)
+}
+
 func (a *Agent) release(id slots.RequestID) { a.sendEnd(released{id: id}) }
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -87,11 +87,15 @@
 // refused earlier, its caller would be told "not run" although an earlier
 // attempt under the same key may have run.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
+	c.wait = newWaitBudget(c.ask.Contract.Limits, time.Now())
 	return e.admitted(w, r, c.ask, func(w http.ResponseWriter) outcome.Outcome { return e.send(w, r, c) })
 }
 
 func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, ask Ask, run func(http.ResponseWriter) outcome.Outcome) outcome.Outcome {
 	permit, refusal := e.options.Admission.Admit(r.Context(), ask)
+	if refusal != nil && r.Context().Err() != nil {
+		return fail(w, gaveUp(r.Context(), false))
+	}
 	if refusal != nil {
 		return fail(w, refusal.failure())
 	}
@@ -109,7 +113,6 @@
 	header.Set(wire.HeaderContract, ask.Contract.ID)
 	header.Set(wire.HeaderShare, strconv.Itoa(ask.Contract.Share))
 	header.Set(wire.HeaderPriority, strconv.Itoa(ask.Contract.Priority))
-	header.Set(wire.HeaderMaxWait, strconv.FormatInt(ask.Contract.Limits.MaxWait.Milliseconds(), 10))
 	header.Set(wire.HeaderCost, strconv.FormatInt(ask.Tokens(), 10))
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -51,6 +51,7 @@
 	defer response.Body.Close()
 	if said := judge(c, server, response); said != outcome.Answered {
 		settled = true
+		c.wait.note(response.Header)
 		return said, response.Header.Get(wire.HeaderCrashed) != ""
 	}
 	if c.once != nil {
@@ -74,6 +75,7 @@
 		return nil, err
 	}
 	relay.CopyHeader(request.Header, r.Header)
+	c.wait.describe(request.Header)
 	telemetry.Inject(ctx, request.Header)
 	request.Close = !c.idempotent
 	return e.client.Do(request)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -29,6 +29,8 @@
 	suspect     bool
 	// once is set for a call that must run at most once.
 	once *once
+	// wait is what is left of the contract's longest wait.
+	wait *waitBudget
 }
 
 // send offers the call to servers until one answers, one may have run a call
@@ -50,12 +52,15 @@
 			return said
 		}
 		doubt = doubt || said == outcome.Unknown
-		if !e.retries.again(r.Context(), c, attempt, said) {
+		if c.wait.over() || !e.retries.again(r.Context(), c, attempt, said) {
 			break
 		}
 		c.request.Exclude = append(c.request.Exclude, server.Server)
 	}
 	problem := gaveUp(r.Context(), doubt)
+	if refused, ok := c.wait.failure(); ok && problem.code == codeNoServer {
+		problem = refused
+	}
 	if doubt && !c.idempotent && c.once == nil {
 		// To resend this call could run it twice: invite nobody to do so.
 		problem.retryAfter = 0
