Show suspects in status; test entries without any control instance

Cause: status said nothing about requests that are held back for crashing servers; that entries serve on when every control process is stopped was tried by hand only; internal/control's tests took 15 s with -race on a busy machine.

A test stops all three control instances and finds the entry unchangeable, with its contract and its server. Tests that wait for leases run side by side.

--- a/cmd/rosemaryctl/status.go
+++ b/cmd/rosemaryctl/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
 )
 
@@ -59,6 +60,22 @@
 	t.showPools(status.Servers)
 	fmt.Fprintln(t.out)
 	t.showServers(status.Servers)
+	t.showSuspects(status.Suspects)
+}
+
+// showSuspects lists the requests that are held back, when there are any.
+func (t *tool) showSuspects(suspects []suspicion.Record) {
+	if len(suspects) == 0 {
+		return
+	}
+	fmt.Fprintln(t.out)
+	rows := make([][]string, 0, len(suspects))
+	for _, s := range suspects {
+		rows = append(rows, []string{
+			fmt.Sprint(s.Fingerprint), fmt.Sprint(s.State), fmt.Sprint(s.Crashes), time.UnixMilli(s.Expires).Format(time.DateTime),
+		})
+	}
+	t.table("SUSPECT REQUEST,STATE,CRASHES,UNTIL", rows)
 }
 
 func (t *tool) showInstances(instances []operator.Instance) {
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -9,6 +9,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,6 +113,11 @@
 
 // suspect applies a command about crashing requests. Daemons follow only the
 // records that changed.
+// Suspects returns the requests against which something is held now, by fingerprint.
+func (m *Machine) Suspects() []suspicion.Record {
+	return slices.DeleteFunc(m.suspicion.Records(), func(r suspicion.Record) bool { return !r.Held(m.Clock()) })
+}
+
 func (m *Machine) suspect(index uint64, command suspicion.Command) (Result, *Change) {
 	verdict, changed := m.suspicion.Apply(index, command, m.Clock())
 	result := Result{Code: CodeOK, Index: index, Suspicion: verdict}
--- a/internal/control/feed_test.go
+++ b/internal/control/feed_test.go
@@ -40,6 +40,8 @@
 	applied atomic.Uint64
 	// cut is true while the instance is silently cut off from the others.
 	cut atomic.Bool
+	// stop ends the instance's process: its machine refuses connections.
+	stop func()
 }
 
 func (m *member) Propose(_ context.Context, data []byte) ([]byte, error) {
@@ -111,11 +113,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = server.Serve(ctx, listener) }()
 	go m.control.Run(ctx)
-	c.t.Cleanup(func() {
+	m.stop = sync.OnceFunc(func() {
 		_ = listener.Close()
 		server.Close()
 		cancel()
 	})
+	c.t.Cleanup(m.stop)
 }
 
 func (c *cluster) propose(i int, command state.Command) state.Result {
@@ -128,7 +131,11 @@
 }
 
 func (c *cluster) follow(name string, peers ...string) *follow.Follower {
-	f := follow.New(follow.Options{Daemon: name, Peers: peers}, zap.NewNop())
+	return c.followWith(follow.Options{Daemon: name, Peers: peers})
+}
+
+func (c *cluster) followWith(options follow.Options) *follow.Follower {
+	f := follow.New(options, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx)
 	c.t.Cleanup(cancel)
@@ -205,6 +212,7 @@
 // A daemon was stopped while hundreds of changes passed it by. It must get all
 // of them, by the changes or by a snapshot, in messages that stay small.
 func TestDaemonFarBehindCatchesUpByWhicheverIsLess(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name             string
 		adapters, behind int
@@ -267,6 +275,7 @@
 // else: it still answers its daemons. An entry that stayed there would go on
 // under contracts that were changed.
 func TestDaemonLeavesAnIsolatedInstance(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, control.Options{})
 	first := c.propose(0, putContract(0, 1))
 	followers := make([]*follow.Follower, 0, 4)
@@ -287,6 +296,7 @@
 // rather than serve under what may be an old contract, and keep its directory
 // for when the network is whole again.
 func TestDaemonCutOffWithAnIsolatedInstanceStopsAdmitting(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, control.Options{})
 	first := c.propose(0, putContract(0, 1))
 	announce := wire.Announce{Announcement: announcement("floor-1", 1)}
@@ -305,6 +315,35 @@
 	eventually(t, "a fresh copy again", func() bool { return f.Freshness().Kind == freshness.Fresh })
 }
 
+// All control processes are stopped, as in an upgrade that goes wrong. Nothing
+// can be changed without them, so that entries serve on with the contracts and
+// the servers that they know.
+func TestEntryServesOnWithoutAnyControlInstance(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, control.Options{})
+	first := c.propose(0, putContract(0, 1))
+	for _, m := range c.members {
+		if _, err := m.control.Handlers()[wire.MethodAnnounce](context.Background(), mustJSON(t, wire.Announce{Announcement: announcement("floor-1", 1)})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The long lease leaves room for a machine that is busy.
+	f := c.followWith(follow.Options{Daemon: "entry", Peers: c.peers, Lease: 6 * time.Second})
+	eventually(t, "a fresh copy with the server", func() bool {
+		return f.Freshness().Kind == freshness.Fresh && f.Config().Index() == first.Index && len(f.Servers()) == 1
+	})
+	for _, m := range c.members {
+		m.stop()
+	}
+	eventually(t, "the stop to be noticed", func() bool { return f.Freshness().Kind != freshness.Fresh })
+	if got := f.Freshness(); got.Kind != freshness.Unchangeable || !got.MayAdmit() {
+		t.Errorf("%+v", got)
+	}
+	if _, found := f.Config().Contract("cascade"); !found || len(f.Servers()) != 1 {
+		t.Errorf("contract kept: %t, servers %v", found, f.Servers())
+	}
+}
+
 func announcement(server string, sequence uint64) membership.Announcement {
 	return membership.Announcement{Server: server, Kind: membership.KindEngine, Address: "127.0.0.1:1", Incarnation: 1, Sequence: sequence}
 }
@@ -312,6 +351,7 @@
 // Operators drain a server. Entries must stop choosing it although its agent
 // has not announced anything yet.
 func TestWantedStateReachesEntriesAndTheAgent(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, control.Options{ServerLease: time.Minute})
 	handler := c.members[0].control.Handlers()[wire.MethodAnnounce]
 	if _, err := handler(context.Background(), mustJSON(t, wire.Announce{Announcement: announcement("floor-1", 1)})); err != nil {
--- a/internal/control/operator_test.go
+++ b/internal/control/operator_test.go
@@ -110,6 +110,7 @@
 // An instance without a quorum cannot tell what was accepted elsewhere. The
 // operator's reading from it must say so, and a change must go to another.
 func TestIsolatedInstanceSaysSoToOperators(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 2, operatorOptions)
 	urls := c.serveOperators()
 	first := c.propose(0, putContract(0, 1))
@@ -133,6 +134,7 @@
 // The operator waits for a change and must learn which daemons still work
 // without it.
 func TestWaitNamesTheDaemonsItWaitsFor(t *testing.T) {
+	t.Parallel()
 	options := operatorOptions
 	options.DaemonLease = time.Minute
 	c := newCluster(t, 2, options)
@@ -155,6 +157,7 @@
 }
 
 func TestVanishedDaemonIsNamedAsLost(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 1, operatorOptions)
 	client := operator.NewClient(operator.Options{URLs: c.serveOperators(), Key: operatorKey})
 	first := c.propose(0, putContract(0, 1))
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -34,6 +34,7 @@
 	}
 	c.read(func(m *state.Machine) {
 		status.ConfigIndex = m.ConfigIndex()
+		status.Suspects = m.Suspects()
 		status.Counts = operator.Counts{
 			Contracts: len(m.Contracts()),
 			Models:    len(m.Models()),
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -80,6 +81,8 @@
 	Daemons     []wire.Daemon `json:"daemons"`
 	Servers     []Server      `json:"servers"`
 	Counts      Counts        `json:"counts"`
+	// Suspects are the requests that were at crashes of backend servers.
+	Suspects []suspicion.Record `json:"suspects,omitempty"`
 }
 
 // InForce says where a change is in force.
