--- a/internal/agent/gate_test.go
+++ b/internal/agent/gate_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -156,3 +157,26 @@
 		}
 	}
 }
+
+// An engine that lost its adapters answers by another model. The agent must
+// not pass a byte of that on, whatever the entry checks later.
+func TestAnAnswerByAnotherModelIsNotRelayed(t *testing.T) {
+	for _, body := range []string{`{"model":"base","choices":[]}`, "data: {\"model\":\"base\"}\n\n"} {
+		engine := roundTripper(func(*http.Request) (*http.Response, error) { return answer(http.StatusOK, body), nil })
+		a := New(Options{Server: "s", Slots: 1, Queue: 1}, &http.Client{Transport: engine}, zap.NewNop())
+		recorder := httptest.NewRecorder()
+		r := engineRequest(t.Context(), "m@1")
+		ref, err := catalogue.ParseRef("m@1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.start(r, ref, []byte(`{}`), func() {}).deliver(recorder, r, 0)
+		if recorder.Header().Get(outcome.Header) != outcome.Unknown.String() || strings.Contains(recorder.Body.String(), "base") {
+			t.Errorf("told %q: %s", recorder.Header().Get(outcome.Header), recorder.Body)
+		}
+	}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
