Check engines without an agent, and set the relay's bounds by settings

Cause: an engine that announces itself without an agent was believed about what ran; the times that slow callers and silent servers get could not be set. Change: the entry reads the model that such an engine names before it relays a byte. entry.bodyTimeout, writeTimeout, firstByteTimeout and stallTimeout, with bounds; a test that silence ends a call and slow reading does not. Ruled out: resetting the write deadline after each answer. Conclusion: no answer of an engine reaches a caller without its own word.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -157,7 +157,7 @@
 	}
 	answer := io.Reader(response.Body)
 	if succeeded := response.StatusCode < http.StatusBadRequest; succeeded {
-		ran, whole, err := peekModel(response.Body)
+		ran, whole, err := relay.PeekModel(response.Body)
 		if err != nil {
 			a.failed(ctx, started, outcome.Unknown)
 			return
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -37,9 +37,13 @@
 	d.duties.Go(func() { limits.Run(ctx) })
 	commands := ledger.NewClient(d.settings.ControlPeers, d.rpcOptions()...)
 	e := entry.New(entry.Options{
-		Admission:    limits,
-		MaxBodyBytes: s.MaxBodyBytes,
-		SecureAgents: d.identity != nil,
+		Admission:        limits,
+		MaxBodyBytes:     s.MaxBodyBytes,
+		BodyTimeout:      time.Duration(s.BodyTimeout),
+		WriteTimeout:     time.Duration(s.WriteTimeout),
+		FirstByteTimeout: time.Duration(s.FirstByteTimeout),
+		StallTimeout:     time.Duration(s.StallTimeout),
+		SecureAgents:     d.identity != nil,
 		Placement: placement.SelectorOptions{
 			Packing:    d.settings.Packing,
 			DataCentre: d.settings.DataCentre,
--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -38,9 +38,9 @@
 	return addresses
 }
 
-// startControls runs three control instances with disks. The first founds the
+// startControlTrio runs three control instances with disks. The first founds the
 // log and leads it.
-func startControls(tb testing.TB) ([]*daemon.Daemon, *ledger.Client) {
+func startControlTrio(tb testing.TB) ([]*daemon.Daemon, *ledger.Client) {
 	tb.Helper()
 	peers := freeAddresses(tb, 3)
 	var daemons []*daemon.Daemon
@@ -99,7 +99,7 @@
 // The control instance that leads the log is stopped for an update while calls
 // with keys come in. Each must be decided, once, by the others.
 func TestClaimsOutliveAPlannedStopOfTheLeader(t *testing.T) {
-	daemons, client := startControls(t)
+	daemons, client := startControlTrio(t)
 	defer stopAll(daemons[1:])
 	ctx, cancel := context.WithTimeout(t.Context(), ledgerTime)
 	defer cancel()
@@ -128,7 +128,7 @@
 // BenchmarkClaimedCall is what a key costs a call: the commit that grants it
 // and the commit that keeps its answer, through three control instances.
 func BenchmarkClaimedCall(b *testing.B) {
-	daemons, client := startControls(b)
+	daemons, client := startControlTrio(b)
 	defer stopAll(daemons)
 	var calls atomic.Int64
 	call := func() {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -54,6 +55,9 @@
 		c.wait.note(response.Header)
 		return said, response.Header.Get(wire.HeaderCrashed) != ""
 	}
+	if !e.ranAsAsked(c, server, response) {
+		return outcome.Unknown, false
+	}
 	if c.once != nil {
 		if err := c.once.record(response); err != nil {
 			return outcome.Unknown, false
@@ -109,6 +113,29 @@
 	return outcome.Answered
 }
 
+// ranAsAsked checks the word of an engine without an agent about what ran,
+// before a byte of its answer goes out. An agent has checked its engine's.
+func (e *Entry) ranAsAsked(c call, server placement.Server, response *http.Response) bool {
+	failed := response.StatusCode >= http.StatusBadRequest
+	if c.request.Kind != membership.KindEngine || gated(server.Announcement) || failed {
+		return true
+	}
+	ran, whole, err := relay.PeekModel(response.Body)
+	if err != nil || ran != c.request.Ref.String() {
+		wrongModelCount.Add(1)
+		return false
+	}
+	response.Header.Set(wire.HeaderRan, ran)
+	response.Body = readCloser{whole, response.Body}
+	return true
+}
+
+// readCloser reads from one place and closes another.
+type readCloser struct {
+	io.Reader
+	io.Closer
+}
+
 // relayAnswer passes an answer on. Once its first byte is out, a failure can
 // only be shown by cutting the caller's connection: a clean end would make a
 // part look like the whole.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -121,10 +121,7 @@
 	if len(head) <= claim.MaxAnswer {
 		answer.Kept, answer.Body, answer.Header = true, head, fields(response.Header)
 	}
-	response.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(head), response.Body), response.Body}
+	response.Body = readCloser{io.MultiReader(bytes.NewReader(head), response.Body), response.Body}
 	o.answer = &answer
 	ctx, cancel := context.WithTimeout(context.Background(), finishWait)
 	defer cancel()
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// An engine without an agent answers by its base model. No gate checks its
+// word, so the entry must.
+func TestAnEngineWithoutAnAgentIsCheckedToo(t *testing.T) {
+	for ran, want := range map[string]outcome.Outcome{baseModel: outcome.Unknown, model: outcome.Answered} {
+		address := startHandler(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"id":"x","model":%q,"choices":[{"text":"words"}]}`, ran)
+		}))
+		bare := engineServer("floor-1", address)
+		bare.Agent = false
+		_, server := newEntry(t, entry.Options{}, newSource(bare))
+		got := call(t, server, http.MethodPost, "/v1/completions", "", completion("x", 2, false))
+		if got.outcome != want || strings.Contains(got.body, "words") != (want == outcome.Answered) {
+			t.Errorf("%s: told %v: %s", ran, got.outcome, got.body)
+		}
+	}
+}
+
 // The caller hangs up in the middle of a stream. An engine that generates on
 // spends its batch on an answer that nobody reads.
 func TestACallerWhoLeavesCancelsTheEnginesWork(t *testing.T) {
--- a/internal/agent/model.go
+++ b/internal/relay/model.go
@@ -1,4 +1,4 @@
-package agent
+package relay
 
 import (
 	"bufio"
@@ -17,14 +17,14 @@
 
 var errNoModel = errors.New("the answer names no model")
 
-// peekModel reads the model that an answer names of itself, in its JSON body
+// PeekModel reads the model that an answer names of itself, in its JSON body
 // or its first server-sent event, and returns a reader of the whole answer.
 //
-// The agent's own table says which adapter ought to have run. An engine that
+// An agent's own table says which adapter ought to have run. An engine that
 // restarted between the load and the dispatch, or that falls back to its base
 // model, shows only in its own word, and it must be read before the first byte
 // reaches the caller.
-func peekModel(body io.Reader) (string, io.Reader, error) {
+func PeekModel(body io.Reader) (string, io.Reader, error) {
 	var held bytes.Buffer
 	source := bufio.NewReader(io.TeeReader(io.LimitReader(body, maxPeek), &held))
 	if err := skipToJSON(source); err != nil {
--- /dev/null
+++ b/internal/relay/model_test.go
@@ -0,0 +1,32 @@
+package relay_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+)
+
+func TestPeekModelReadsTheEnginesOwnWord(t *testing.T) {
+	cases := []struct{ name, answer, want string }{
+		{"json", `{"id":"1","choices":[{"text":"{\"model\":\"no\"}"}],"model":"a@1"}`, "a@1"},
+		{"event", "data: {\"model\":\"a@1\"}\n\ndata: [DONE]\n\n", "a@1"},
+		{"event after a comment", ": hello\r\nevent: x\r\ndata:{\"model\":\"a@1\"}\r\n\r\n", "a@1"},
+		{"nested only", `{"choices":[{"model":"a@1"}]}`, ""},
+		{"no object", "data: [DONE]\n\n", ""},
+		{"empty", "", ""},
+	}
+	for _, c := range cases {
+		got, whole, err := relay.PeekModel(strings.NewReader(c.answer))
+		if got != c.want || (err != nil) != (c.want == "") {
+			t.Errorf("%s: %q, %v", c.name, got, err)
+			continue
+		}
+		if err == nil {
+			if data, _ := io.ReadAll(whole); string(data) != c.answer {
+				t.Errorf("%s: relayed %q", c.name, data)
+			}
+		}
+	}
+}
--- a/internal/relay/transport_test.go
+++ b/internal/relay/transport_test.go
@@ -9,8 +9,11 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
@@ -157,3 +160,35 @@
 		}
 	}
 }
+
+// A server falls silent within an answer, and a caller reads slowly. Only the
+// first may be ended: a slow caller is not the server's fault.
+func TestAWatchdogEndsSilenceButNotSlowReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = time.Second
+		ctx, watchdog := relay.Watch(t.Context(), timeout)
+		defer watchdog.Stop()
+		source, sink := io.Pipe()
+		reader := watchdog.Reader(source, timeout)
+		go func() {
+			for range 3 {
+				_, _ = sink.Write([]byte("x"))
+			}
+		}()
+		for range 3 {
+			if _, err := reader.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(5 * timeout)
+		}
+		if ctx.Err() != nil {
+			t.Fatal("slow reading ended the call")
+		}
+		go func() { _, _ = reader.Read(make([]byte, 1)) }()
+		time.Sleep(2 * timeout)
+		if !errors.Is(context.Cause(ctx), relay.ErrStalled) {
+			t.Errorf("silence did not end the call: %v", context.Cause(ctx))
+		}
+		_ = sink.Close()
+	})
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -10,6 +10,15 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 	// DialTimeout bounds connecting to the next hop.
 	DialTimeout Duration `json:"dialTimeout"`
+	// BodyTimeout bounds how long a caller may take to send its body.
+	BodyTimeout Duration `json:"bodyTimeout"`
+	// WriteTimeout bounds how long a caller may take to accept one piece of
+	// its answer.
+	WriteTimeout Duration `json:"writeTimeout"`
+	// FirstByteTimeout bounds the wait for an answer's first byte.
+	FirstByteTimeout Duration `json:"firstByteTimeout"`
+	// StallTimeout bounds a server's silence within an answer.
+	StallTimeout Duration `json:"stallTimeout"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout Duration `json:"drainTimeout"`
 	// FreshnessLease is how old the proof may be that no contract was changed
@@ -26,6 +35,13 @@
 	defaultDrainTimeout = 2 * time.Minute
 	maxDrainTimeout     = time.Hour
 
+	defaultCallerTimeout    = 30 * time.Second
+	defaultFirstByteTimeout = 2 * time.Minute
+	defaultStallTimeout     = 30 * time.Second
+	// minRelayTimeout leaves out what would cut off healthy calls.
+	minRelayTimeout = 100 * time.Millisecond
+	maxRelayTimeout = time.Hour
+
 	defaultFreshnessLease = 3 * time.Second
 	// minFreshnessLease leaves time for one poll and one round of questions
 	// to all control instances.
@@ -36,6 +52,10 @@
 func (e *Entry) setDefaults() {
 	setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&e.DialTimeout, Duration(defaultDialTimeout))
+	setDefault(&e.BodyTimeout, Duration(defaultCallerTimeout))
+	setDefault(&e.WriteTimeout, Duration(defaultCallerTimeout))
+	setDefault(&e.FirstByteTimeout, Duration(defaultFirstByteTimeout))
+	setDefault(&e.StallTimeout, Duration(defaultStallTimeout))
 	setDefault(&e.DrainTimeout, Duration(defaultDrainTimeout))
 	setDefault(&e.FreshnessLease, Duration(defaultFreshnessLease))
 }
@@ -47,6 +67,16 @@
 		p.add("entry.maxBodyBytes", "must be at most 1073741824 (1 GiB)")
 	}
 	p.checkDuration("entry.dialTimeout", e.DialTimeout, time.Millisecond, time.Minute)
+	relayTimeouts := []struct {
+		name  string
+		value Duration
+	}{
+		{"entry.bodyTimeout", e.BodyTimeout}, {"entry.writeTimeout", e.WriteTimeout},
+		{"entry.firstByteTimeout", e.FirstByteTimeout}, {"entry.stallTimeout", e.StallTimeout},
+	}
+	for _, timeout := range relayTimeouts {
+		p.checkDuration(timeout.name, timeout.value, minRelayTimeout, maxRelayTimeout)
+	}
 	p.checkDuration("entry.freshnessLease", e.FreshnessLease, minFreshnessLease, maxFreshnessLease)
 	p.checkDuration("entry.drainTimeout", e.DrainTimeout, time.Second, maxDrainTimeout)
 }
