Notice the crash of an engine not yet seen; convict a suspect that was alone

Cause: TestACrashingRequestTakesAtMostTwoServersThroughAnyEntry failed now and then under load: 3 engines crashed, 2 are allowed. A print at each verdict in 30 runs at once showed two causes. A request that began before the agent had its engine's first report belonged to incarnation 0, for which a crash was never noticed, so its resend crashed the next engine unsuspected. And in an epoch after a crash, requests that the empty engine had refused counted as neighbours of the suspect's trial, so its second crash did not convict it.

Change: a request waits at the agent for the engine's first report, within the load timeout, and is refused as not run without it. Only requests still at the engine count as present at a crash; those that the crash cut off are, because they end only after the report.

The agent's test of pins starts the engine watch too, since requests wait for it; its checks are unchanged.

Ruled out: a lost report, since each crash that was noticed was in the log.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,7 +66,9 @@
 	crashes crashes
 	// incarnation is the engine's, as last seen.
 	incarnation atomic.Uint64
-	isolation   isolation
+	// seen is closed once the engine has reported for the first time.
+	seen      chan struct{}
+	isolation isolation
 	// closed is true while operators want the server drained or stopped.
 	closed   atomic.Bool
 	started  uint64
@@ -84,6 +86,7 @@
 		requests: make(chan event, options.Queue+eventSlack),
 		ends:     make(chan event, options.Queue+eventSlack),
 		stopped:  make(chan struct{}),
+		seen:     make(chan struct{}),
 		started:  uint64(time.Now().UnixNano()),
 		gate:     drain.NewGate(),
 		runs:     newRuns(),
@@ -112,15 +115,34 @@
 
 // watchEngine learns the engine's load and notices its restarts.
 func (a *Agent) watchEngine(ctx context.Context) {
+	first := sync.OnceFunc(func() { close(a.seen) })
 	for ctx.Err() == nil {
 		if report, err := a.orders.report(ctx); err == nil {
 			a.incarnation.Store(report.Incarnation)
 			a.sendEnd(engineSeen{report: report})
+			first()
 		}
 		sleep(ctx, a.options.AnnounceInterval)
 	}
 }
 
+// errEngineUnseen means that the engine has not reported since this agent began.
+var errEngineUnseen = errors.New("the engine has not been seen yet")
+
+// awaitEngine waits for the engine's first report. A request that began before
+// it would belong to no known incarnation: a crash that it caused would pass
+// for an ordinary failure, and its resend would crash the next engine.
+func (a *Agent) awaitEngine(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.options.LoadTimeout)
+	defer cancel()
+	select {
+	case <-a.seen:
+		return nil
+	case <-ctx.Done():
+		return errEngineUnseen
+	}
+}
+
 func (a *Agent) announceAll(ctx context.Context) {
 	var peers sync.WaitGroup
 	for _, address := range a.options.ControlPeers {
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -92,7 +92,11 @@
 	}
 }
 
-// unfinished are the distinct requests of an epoch without a whole answer.
+// unfinished are the distinct requests of an epoch that are at the engine still.
+// Those that a crash cut off count, because they end only when it is reported.
+// One that ended before in any way does not: a request that the engine refused
+// would pass for a neighbour of a suspect that ran alone, and the suspect would
+// not be convicted.
 func (s *runs) unfinished(epoch uint64) []suspicion.Fingerprint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,7 +104,7 @@
 	var all []suspicion.Fingerprint
 	for _, r := range s.byID {
 		_, known := seen[r.fingerprint]
-		if known || r.epoch != epoch || r.fingerprint == "" || r.whole() {
+		if known || r.epoch != epoch || r.fingerprint == "" || r.ended() {
 			continue
 		}
 		seen[r.fingerprint] = struct{}{}
@@ -108,10 +112,3 @@
 	}
 	return all
 }
-
-// whole reports whether the engine's answer came to its end.
-func (r *run) whole() bool {
-	r.answer.mu.Lock()
-	defer r.answer.mu.Unlock()
-	return r.answer.done && r.answer.err == nil
-}
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -81,6 +81,10 @@
 	defer span.End()
 	r = r.WithContext(ctx)
 
+	if err := a.awaitEngine(ctx); err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
 	ref, err := catalogue.ParseRef(r.Header.Get(wire.HeaderModel))
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err.Error())
--- a/internal/agent/gate_test.go
+++ b/internal/agent/gate_test.go
@@ -32,7 +32,10 @@
 }
 
 func (e *fakeEngine) RoundTrip(r *http.Request) (*http.Response, error) {
-	data, _ := io.ReadAll(r.Body)
+	var data []byte
+	if r.Body != nil {
+		data, _ = io.ReadAll(r.Body)
+	}
 	var body struct {
 		Name  string `json:"lora_name"`
 		Model string `json:"model"`
@@ -94,6 +97,7 @@
 			engine := &fakeEngine{random: rand.New(rand.NewPCG(seed, 2)), loaded: map[string]bool{}, inUse: map[string]int{}}
 			a := New(Options{Server: "s", Slots: 2, Queue: 64, LoadTimeout: time.Second, AnnounceInterval: time.Second}, &http.Client{Transport: engine}, zap.NewNop())
 			go a.runSlots(ctx)
+			go a.watchEngine(ctx)
 			go a.permits.run(ctx, a.sendEnd)
 			var requests sync.WaitGroup
 			for range 100 {
