Give the leader its lease back after a transfer that failed

Cause: the lease ended for the rest of the term once a transfer had been asked for, as the request might still arrive. The owner of the quotas goes by the lease, so a transfer to an instance that was cut off left the limits without an owner until the next election. The status showed the end of the lease up to a tick late. Change: a transfer's request and votes name the leader's tick; a voter that has heard a heartbeat an election timeout younger refuses them, and the lease counts again once a quorum has. The status is published before the request leaves. Ruled out: a limit on how long the transport holds a request, as no transport can promise it.

--- a/coord/replog/change.go
+++ b/coord/replog/change.go
@@ -92,7 +92,8 @@
 	case to == n.options.ID:
 		return nil
 	}
-	n.transferee, n.transferTicks, n.transferred = to, 0, true
+	n.transferee, n.transferTicks = to, 0
+	n.transferTick = max(n.tick, 1)
 	n.continueTransfer(to)
 	return nil
 }
@@ -102,7 +103,8 @@
 		return
 	}
 	if n.progress[id].match == n.log.lastIndex() {
-		n.send(Message{Kind: KindTimeoutNow, To: id})
+		n.transferTick = max(n.tick, 1)
+		n.send(Message{Kind: KindTimeoutNow, To: id, Sent: n.transferTick})
 	} else {
 		n.sendAppend(id, false)
 	}
--- a/coord/replog/election.go
+++ b/coord/replog/election.go
@@ -3,6 +3,7 @@
 func (n *Node) becomeFollower(term uint64, leader ID) {
 	if term > n.term {
 		n.term, n.vote, n.hardDirty = term, "", true
+		n.heardTick = 0
 	}
 	n.role, n.leader = Follower, leader
 	n.reset()
@@ -12,7 +13,7 @@
 	n.elapsed, n.heartbeat = 0, 0
 	n.timeout = n.options.ElectionTicks + n.options.Random.IntN(n.options.ElectionTicks)
 	n.votes = nil
-	n.transferee, n.transferred = "", false
+	n.transferee, n.transferTick = "", 0
 	n.progress = nil
 	n.ready.FailedReads = append(n.ready.FailedReads, n.reads.clear()...)
 }
@@ -22,7 +23,7 @@
 // depose a leader that works.
 func (n *Node) startElection() {
 	if n.options.faults.noPreVote {
-		n.campaign(false)
+		n.campaign(nil)
 		return
 	}
 	n.role, n.leader = PreCandidate, ""
@@ -33,14 +34,20 @@
 }
 
 // campaign enters a new term as a candidate. Its own vote counts, and its
-// requests go out, only once the vote is synced.
-func (n *Node) campaign(transfer bool) {
+// requests go out, only once the vote is synced. The request is the leader's
+// that asked for a transfer, nil without one.
+func (n *Node) campaign(request *Message) {
 	n.role, n.leader = Candidate, ""
 	n.reset()
 	n.term++
+	n.heardTick = 0
 	n.vote, n.hardDirty = n.options.ID, true
 	n.votes = make(map[ID]bool)
-	n.requestVotes(Message{Kind: KindVote, Term: n.term, Transfer: transfer}, n.sendAfterSync)
+	vote := Message{Kind: KindVote, Term: n.term}
+	if request != nil {
+		vote.Transfer, vote.Sent = true, request.Sent
+	}
+	n.requestVotes(vote, n.sendAfterSync)
 }
 
 func (n *Node) requestVotes(request Message, send func(Message)) {
@@ -106,7 +113,7 @@
 	quorum := n.Config().Quorum()
 	switch {
 	case yes >= quorum && n.role == PreCandidate:
-		n.campaign(false)
+		n.campaign(nil)
 	case yes >= quorum:
 		n.becomeLeader()
 	case no >= quorum:
--- a/coord/replog/follower.go
+++ b/coord/replog/follower.go
@@ -9,6 +9,7 @@
 	case KindAppend:
 		n.takeAppend(m)
 	case KindHeartbeat:
+		n.heardTick = max(n.heardTick, m.Sent)
 		n.commitTo(min(m.Commit, n.log.lastIndex()))
 		// The reply promises nothing that is on disk, so a slow disk does not
 		// cost the leader its quorum.
--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -30,10 +30,13 @@
 	commitAtBeat  uint64
 	transferee    ID
 	transferTicks int
-	// transferred is true once this term's leader has asked for a transfer.
-	transferred bool
-	restarted   bool
-	reads       readQueue
+	// transferTick is when this term's leader last asked for a transfer, 0 for
+	// never.
+	transferTick uint64
+	// heardTick is the highest tick of this term's leader that a heartbeat named.
+	heardTick uint64
+	restarted bool
+	reads     readQueue
 
 	sequence  uint64
 	unsynced  []pendingSync
@@ -154,7 +157,7 @@
 	case KindPreVote, KindVote:
 		// A member that cannot hear the leader must not depose one that the
 		// others do hear.
-		if n.hearsLeader() && !m.Transfer {
+		if n.hearsLeader() && !n.transferCounts(m) {
 			return false
 		}
 	}
@@ -169,6 +172,14 @@
 	return true
 }
 
+// transferCounts reports whether a vote comes from a transfer that its leader
+// may still be waiting for. One that was under way for an election timeout must
+// not depose a leader that has given it up and relies on its lease again.
+func (n *Node) transferCounts(m Message) bool {
+	quiet := n.restarted && n.tick < uint64(n.options.ElectionTicks)
+	return m.Transfer && !quiet && n.heardTick < m.Sent+uint64(n.options.ElectionTicks)
+}
+
 // hearsLeader reports whether another member may still count on this one to
 // refuse votes. A restarted member has forgotten whom it heard last, so it
 // waits for an election timeout.
@@ -202,7 +213,7 @@
 		n.stepLeader(m)
 	case KindTimeoutNow:
 		if n.Config().Voter(n.options.ID) {
-			n.campaign(true)
+			n.campaign(&m)
 		}
 	}
 }
--- a/coord/replog/replication.go
+++ b/coord/replog/replication.go
@@ -62,6 +62,7 @@
 
 func (n *Node) sendHeartbeats() {
 	n.commitAtBeat = n.commit
+	n.heardTick = n.tick
 	n.reads.unsent = false
 	for _, m := range n.Config().Members() {
 		p := n.progress[m.ID]
--- a/coord/replog/sabotage_test.go
+++ b/coord/replog/sabotage_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// The target of a transfer is cut off before it hears of it. Whoever relies on
+// the leader's lease, such as the limits, must get it back in the same term.
+func TestLeaseReturnsAfterATransferThatFailed(t *testing.T) {
+	w, leader := steadyWorld(t, sabotage{})
+	target := w.processes[0]
+	if target == leader {
+		target = w.processes[1]
+	}
+	w.isolate(target)
+	if err := leader.node.TransferLeadership(target.id); err != nil {
+		t.Fatal(err)
+	}
+	leader.work()
+	w.pass(defaultElectionTicks * unitsPerTick / 2)
+	if leader.node.Status().LeaseTicks > 0 {
+		t.Error("there is a lease while the transfer may succeed")
+	}
+	w.pass(3 * defaultElectionTicks * unitsPerTick)
+	if status := leader.node.Status(); status.Role != Leader || status.LeaseTicks == 0 {
+		t.Errorf("%s with a lease of %d ticks", status.Role, status.LeaseTicks)
+	}
+}
+
 // A control instance loses its disk and is replaced; then a second one is lost.
 // Operators read from the status when that second loss is survivable.
 func TestRepairRestoresRedundancy(t *testing.T) {
--- a/coord/replog/status.go
+++ b/coord/replog/status.go
@@ -29,7 +29,7 @@
 	Config  Config `json:"config"`
 	// LeaseTicks is how much longer no other leader can have been elected,
 	// provided that clocks run alike; 0 when this node is not the leader or
-	// has asked for a transfer in this term: that request may still arrive.
+	// has asked for a transfer that may still succeed.
 	LeaseTicks uint64 `json:"leaseTicks"`
 	// Members is filled by the leader only.
 	Members []MemberStatus `json:"members,omitempty"`
@@ -94,16 +94,16 @@
 }
 
 func (n *Node) leaseTicks() uint64 {
-	if n.transferred {
-		return 0
-	}
 	sent := n.quorumValue(n.tick, func(p *progress) uint64 {
 		if !p.contacted {
 			return 0
 		}
 		return p.contactTick
 	})
-	if sent == 0 {
+	// Voters may follow a transfer until they have heard from the leader an
+	// election timeout after it.
+	transferring := n.transferTick > 0 && sent < n.transferTick+uint64(n.options.ElectionTicks)
+	if sent == 0 || transferring {
 		return 0
 	}
 	// A voter's next tick may come right after the heartbeat.
--- a/coord/replog/types.go
+++ b/coord/replog/types.go
@@ -96,7 +96,8 @@
 	Snapshot  *Snapshot `json:"snapshot,omitempty"`
 	// Read is the read round that a heartbeat confirms.
 	Read uint64 `json:"read,omitempty"`
-	// Sent is the leader's tick when it sent a heartbeat, echoed by the reply.
+	// Sent is the leader's tick when it sent a heartbeat, echoed by the reply,
+	// or when it asked for the transfer that a vote comes from.
 	Sent uint64 `json:"sent,omitempty"`
 	// Transfer marks a vote that the leader itself asked for.
 	Transfer bool `json:"transfer,omitempty"`
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -42,6 +42,8 @@
 		q.refuse(err)
 		return
 	}
+	// Whoever relies on the lease must see its end before the request leaves.
+	c.publish()
 	q.reply <- nil
 }
 
