Step down from a hanging disk; show survivable losses as a gauge

Cause: a leader whose sync hangs without an error went on: its followers committed for it, but it applied nothing, and its callers waited until their own time was over. Redundancy could be read by operators only, not by alarms. Change: a leader whose sync takes more than four election timeouts steps down and does not campaign until it is over. replica_survivable and replica_applied are in /debug/vars. Measured: a test of the hanging disk that fails without the change (no other leader), and one of the founder that loses its disk while the others are down (it founds no second log). Ruled out: stepping out for good, as a hang of the storage network ends by itself.

--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -47,6 +47,7 @@
 // pendingSync is what becomes true here once a Ready is synced.
 type pendingSync struct {
 	sequence  uint64
+	tick      uint64
 	term      uint64
 	vote      ID
 	lastIndex uint64
@@ -97,7 +98,9 @@
 	case n.elapsed < n.timeout:
 	case n.Config().Voter(n.options.ID):
 		n.elapsed = 0
-		n.startElection()
+		if !n.diskHangs() {
+			n.startElection()
+		}
 	default:
 		// Callers must not be sent on to a leader that has gone silent.
 		n.leader = ""
@@ -108,7 +111,8 @@
 	// A leader on the small side of a partition would otherwise go on for as
 	// long as the partition lasts, and its callers would wait for commits that
 	// cannot come.
-	if config := n.Config(); n.reachableVoters(config) < config.Quorum() {
+	// One whose disk hangs would apply nothing, and its callers would wait too.
+	if config := n.Config(); n.reachableVoters(config) < config.Quorum() || n.diskHangs() {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -120,6 +124,12 @@
 	}
 }
 
+// diskHangs reports whether a sync takes far longer than a disk should.
+func (n *Node) diskHangs() bool {
+	limit := uint64(hangTimeouts * n.options.ElectionTicks)
+	return len(n.unsynced) > 0 && n.tick-n.unsynced[0].tick > limit
+}
+
 // reachableVoters counts the voters that answered within an election timeout.
 func (n *Node) reachableVoters(config Config) int {
 	reachable := 0
@@ -250,13 +260,16 @@
 	}
 	n.sequence++
 	r.Sequence = n.sequence
-	n.unsynced = append(n.unsynced, pendingSync{
-		sequence:  n.sequence,
-		term:      n.term,
-		vote:      n.vote,
-		lastIndex: n.log.lastIndex(),
-		lastTerm:  n.log.lastTerm(),
-	})
+	if r.NeedsSync() {
+		n.unsynced = append(n.unsynced, pendingSync{
+			sequence:  n.sequence,
+			tick:      n.tick,
+			term:      n.term,
+			vote:      n.vote,
+			lastIndex: n.log.lastIndex(),
+			lastTerm:  n.log.lastTerm(),
+		})
+	}
 	n.ready, n.hardDirty = Ready{}, false
 	return r, true
 }
--- a/coord/replog/sabotage_test.go
+++ b/coord/replog/sabotage_test.go
@@ -1,6 +1,9 @@
 package replog
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // sabotages are deliberate faults, each with the seed of a schedule that shows
 // what it would do to a user.
@@ -98,6 +101,26 @@
 	}
 }
 
+// The leader's disk hangs without an error. The others would go on committing
+// for it, but it could apply nothing, and its callers would wait for ever.
+func TestLeaderWithAHangingDiskStepsDown(t *testing.T) {
+	w, leader := steadyWorld(t, sabotage{})
+	leader.swap()
+	leader.work()
+	leader.syncAt = math.MaxInt64
+	w.pass((hangTimeouts + 4) * defaultElectionTicks * unitsPerTick)
+	if next := w.leader(); next == nil || next == leader {
+		t.Fatal("no other leader")
+	}
+	w.settle()
+	if w.failure != "" {
+		t.Error(w.failure)
+	}
+	if w.leader() == leader {
+		t.Error("the hanging instance leads again")
+	}
+}
+
 func TestTransferMakesTheTargetLeader(t *testing.T) {
 	w, leader := steadyWorld(t, sabotage{})
 	for _, target := range w.processes {
--- a/coord/replog/types.go
+++ b/coord/replog/types.go
@@ -210,6 +210,9 @@
 	defaultMaxInflight         = 16
 	defaultMaxUncommittedBytes = 16 << 20
 	defaultTrailingEntries     = 1024
+	// hangTimeouts is how many election timeouts a sync may take before a
+	// leader steps down.
+	hangTimeouts = 4
 )
 
 func (o *Options) setDefaults() {
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -257,6 +257,7 @@
 	status.Role, status.Leader, status.LeaseTicks, status.Members = replog.Follower, "", 0, nil
 	status.Survivable = 0
 	c.status.Store(&status)
+	survivableGauge.Set(-1)
 	c.end(errSteppedOut)
 	for {
 		select {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,6 +15,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wal"
 )
 
@@ -244,10 +245,27 @@
 	r.end.Store(&End{Term: r.node.Term(), Last: r.node.LastIndex(), Config: r.node.Config()})
 }
 
+// Gauges for alarms.
+var (
+	// survivableGauge is how many further losses are survivable, -1 on an
+	// instance that does not lead.
+	survivableGauge = telemetry.Counter("replica_survivable")
+	appliedGauge    = telemetry.Counter("replica_applied")
+)
+
+func survivable(status replog.Status) int {
+	if status.Role != replog.Leader {
+		return -1
+	}
+	return status.Survivable
+}
+
 // publish makes the node's status visible. Only the node's owner calls it.
 func (r *Replica) publish() {
 	status := r.node.Status()
 	r.status.Store(&status)
+	survivableGauge.Set(int64(survivable(status)))
+	appliedGauge.Set(int64(status.Applied))
 	r.publishEnd()
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -244,6 +245,37 @@
 	}
 }
 
+// The instance that founded the log loses its disk while the others are down,
+// and its settings still let it found one. A second, empty log would hand every
+// daemon an empty configuration.
+func TestLostDiskOfTheFounderFoundsNoSecondLog(t *testing.T) {
+	c := newCluster(t, 3, fast)
+	c.propose(0, "accepted")
+	c.await("all to have it", func() bool {
+		return c.instances[1].journal.text() == "accepted" && c.instances[2].journal.text() == "accepted"
+	})
+	for _, one := range c.instances {
+		one.stop()
+	}
+	c.folders[0] = t.TempDir()
+	c.start(0)
+	c.start(1)
+	c.await("the founder to be seen waiting", func() bool {
+		return slices.ContainsFunc(c.instances[1].Members(context.Background()).Members, func(m wire.Member) bool {
+			return m.ID == c.instances[0].ID() && m.Role == wire.RoleWaiting
+		})
+	})
+	if cluster := c.instances[0].Status().Config.Cluster; cluster != "" {
+		t.Fatal("the founder has founded a second log")
+	}
+	c.start(2)
+	c.propose(1, "more")
+	if cluster := c.instances[0].Status().Config.Cluster; cluster != "" {
+		t.Fatal("the founder has founded a second log")
+	}
+	c.expect(2, "accepted\nmore")
+}
+
 // All control instances lose power. Every accepted change is there again.
 func TestRestartKeepsEveryAcceptedChange(t *testing.T) {
 	c := newCluster(t, 3, fast)
