Keep the rate for a large request that waits

Cause: found by TestLargeRequestIsNotStarvedBySmallOnes: a request for half a minute's tokens was not admitted in 60 s beside small ones at twice the contract. Its demand left the average within seconds; the others then leased all of the rate, and the reserve that was to serve it never refilled. Change: a contract without a leased rate at an entry keeps its demand while requests wait there. Ruled out: serving requests past a large one that waits, which starves it.

--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -333,7 +333,7 @@
 	h.Held[b.rate()] = a.share[b.rate()]
 	h.Held[b.burst()] = a.share[b.burst()]
 	if !a.idle() {
-		h.Demand[b.rate()] = min(1, headroom*a.rate[b]/refill(b, a.agreed.Limits))
+		h.Demand[b.rate()] = a.rateDemand(b)
 	}
 	h.Level[b] = max(0, a.level[b]) / whole
 	h.Mean[b] = mean / whole
@@ -343,6 +343,17 @@
 	}
 }
 
+// rateDemand is the part of the contract's rate that the holder can use.
+func (a *account) rateDemand(b bucket) float64 {
+	offered := headroom * a.rate[b]
+	if a.share[b.rate()] == 0 {
+		// A large request waits long after its arrival has left the average,
+		// and others would lease all of the rate that is to serve it.
+		offered = max(offered, a.queued[b]/rateWindow.Seconds())
+	}
+	return min(1, offered/refill(b, a.agreed.Limits))
+}
+
 // meanCost is what a request takes from a bucket on average.
 func (a *account) meanCost(b bucket) float64 {
 	if a.rate[requestBucket] <= 0 {
--- a/coord/quota/bench_test.go
+++ b/coord/quota/bench_test.go
@@ -107,3 +107,79 @@
 	}
 	return admitted
 }
+
+// BenchmarkAdmit is what one request costs its entry while its contract has a
+// share there.
+func BenchmarkAdmit(b *testing.B) {
+	for _, contracts := range []int{1, 100, 3000} {
+		b.Run(fmt.Sprintf("contracts=%d", contracts), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			h, agreed := usedHolder(now, contracts)
+			id := RequestID(1 << 32)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				if actions := h.Ask(now, Request{ID: id, Contract: agreed[int(id)%contracts], Tokens: 1}); len(actions) == 0 {
+					b.Fatal("the request waits")
+				}
+				h.Settle(now, id, Use{NotRun: true})
+			}
+		})
+	}
+}
+
+// BenchmarkContractMemory is what a contract in use takes at an entry and at
+// the owner, by the number of entries that use it.
+func BenchmarkContractMemory(b *testing.B) {
+	const contracts = 2000
+	for _, entries := range []int{1, 8} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			for b.Loop() {
+				now := time.Unix(1_000_000, 0)
+				before := liveHeap()
+				holders := make([]*Holder, entries)
+				var agreed []contract.Contract
+				for i := range holders {
+					holders[i], agreed = usedHolder(now, contracts)
+				}
+				held := liveHeap()
+				owner := NewOwner(DefaultOptions(), Tenure{Epoch: 1, Began: now.Add(-time.Hour)}, lookup(agreed))
+				for i, h := range holders {
+					h.name = fmt.Sprint("entry-", i)
+					h.full = true
+					owner.Renew(now, h.Renewal(now, true))
+				}
+				b.ReportMetric((held-before)/contracts/float64(entries), "B/contract-at-entry")
+				b.ReportMetric((liveHeap()-held)/contracts, "B/contract-at-owner")
+				runtime.KeepAlive(holders)
+				runtime.KeepAlive(owner)
+			}
+		})
+	}
+}
+
+func lookup(agreed []contract.Contract) Contracts {
+	byID := make(map[string]contract.Contract, len(agreed))
+	for _, c := range agreed {
+		byID[c.ID] = c
+	}
+	return func(id string) (contract.Contract, bool) {
+		c, ok := byID[id]
+		return c, ok
+	}
+}
+
+// usedHolder has a share and one running request of each contract.
+func usedHolder(now time.Time, contracts int) (*Holder, []contract.Contract) {
+	h := NewHolder(DefaultOptions(), "entry", 1)
+	agreed := make([]contract.Contract, contracts)
+	grants := make([]Grant, contracts)
+	for i := range agreed {
+		agreed[i] = agreement(fmt.Sprintf("customer-%05d", i), 1000, 1<<40, 1000)
+		h.Ask(now, Request{ID: RequestID(i), Contract: agreed[i], Tokens: 500})
+		grants[i] = Grant{Contract: agreed[i].ID, Share: Share{0.1, 0.1, 0.1, 0.1, 0.1}, Credit: Credit{0.1, 0.1}}
+	}
+	r := h.Renewal(now, true)
+	h.Reply(now, Reply{Incarnation: 1, Number: r.Number, Epoch: 1, Accepted: true, Grants: grants})
+	return h, agreed
+}
--- a/coord/quota/sim_test.go
+++ b/coord/quota/sim_test.go
@@ -61,6 +61,10 @@
 	codecTime, entryTime time.Duration
 	// offeredTo counts the requests offered to each entry.
 	offeredTo map[int]int
+	// admittedBy counts the requests that each entry admitted, admittedID
+	// tells when each was.
+	admittedBy map[int]int
+	admittedID map[RequestID]time.Time
 }
 
 type simHolder struct {
@@ -88,11 +92,13 @@
 
 func simulate(s scenario) *simulation {
 	sim := &simulation{
-		scenario:  s,
-		rng:       rand.New(rand.NewPCG(20261203, 6)),
-		now:       time.Unix(1_000_000, 0),
-		contracts: make(map[string]contract.Contract),
-		offeredTo: make(map[int]int),
+		scenario:   s,
+		rng:        rand.New(rand.NewPCG(20261203, 6)),
+		now:        time.Unix(1_000_000, 0),
+		contracts:  make(map[string]contract.Contract),
+		offeredTo:  make(map[int]int),
+		admittedBy: make(map[int]int),
+		admittedID: make(map[RequestID]time.Time),
 	}
 	for _, agreed := range s.agreed {
 		sim.contracts[agreed.ID] = agreed
@@ -184,6 +190,8 @@
 		case Admit:
 			s.admitted++
 			s.admittedAt[len(s.admittedAt)-1]++
+			s.admittedBy[i]++
+			s.admittedID[action.ID] = s.now
 			s.waits = append(s.waits, action.Waited)
 			h := s.holders[i]
 			s.after(s.run, func() { s.act(i, h.Settle(s.now, action.ID, Use{Tokens: -1})) })
