Let only the contract set a request's priority; bound the token estimate

Change: the entry writes the contract's priority into the body (lowest first, as vLLM) and drops the caller's; estimates are bounded. Two writings of one contract that differ in the order of their lists are one in the replicated state. Ruled out: a header for the priority, which engines do not read. Conclusion: what a customer gets follows from its contract alone.

--- a/coord/state/contracts.go
+++ b/coord/state/contracts.go
@@ -33,7 +33,7 @@
 	current, exists := c.byID[put.Contract.ID]
 	next := put.Contract
 	next.Revision, next.Created = current.Revision, current.Created
-	if exists && reflect.DeepEqual(normalise(next), normalise(current)) {
+	if exists && reflect.DeepEqual(next.Canonical(), current.Canonical()) {
 		return Result{Code: CodeOK, Index: current.Revision}, nil
 	}
 	if current.Revision != put.Expected {
@@ -48,16 +48,6 @@
 	return c.store(index, next)
 }
 
-// normalise makes empty and missing lists equal.
-func normalise(c contract.Contract) contract.Contract {
-	for _, list := range []*[]string{&c.KeyHashes, &c.Adapters, &c.Services} {
-		if len(*list) == 0 {
-			*list = nil
-		}
-	}
-	return c
-}
-
 func contractConflict(index uint64, current contract.Contract, exists bool) Result {
 	if !exists {
 		return conflict(index, "there is no such contract; a new one is written with revision 0", nil)
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -120,6 +120,12 @@
 // sets no bound.
 const defaultMaxTokens = 256
 
+// maxEstimate and maxAnswers are beyond what any contract allows in a minute.
+const (
+	maxEstimate = 1 << 40
+	maxAnswers  = 1 << 16
+)
+
 // askFor bounds a completion's use from above: no tokenizer makes more tokens
 // than the prompt has bytes.
 func askFor(customer contract.Contract, body callerBody, bodyBytes int) Ask {
@@ -127,7 +133,11 @@
 	if generated <= 0 {
 		generated = defaultMaxTokens
 	}
-	return Ask{Contract: customer, Prompt: int64(bodyBytes), Generated: generated * max(body.N, 1)}
+	// Without the bounds a caller could make the product overflow, and be
+	// credited with tokens instead of charged.
+	generated = min(generated, maxEstimate)
+	answers := min(max(body.N, 1), maxAnswers)
+	return Ask{Contract: customer, Prompt: int64(bodyBytes), Generated: generated * answers}
 }
 
 // tailSize is how much of an answer's end is kept to find its usage, in bytes.
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -89,3 +90,22 @@
 		t.Errorf("body: %s", body)
 	}
 }
+
+// A caller asks for as many tokens and answers as numbers can hold.
+func TestEstimateNeverOverflows(t *testing.T) {
+	cases := []struct {
+		body callerBody
+		want int64
+	}{
+		{callerBody{}, defaultMaxTokens},
+		{callerBody{MaxTokens: 10}, 10},
+		{callerBody{MaxTokens: 10, MaxCompletionTokens: 20, N: 3}, 60},
+		{callerBody{MaxTokens: -5, N: -5}, defaultMaxTokens},
+		{callerBody{MaxTokens: math.MaxInt64, N: math.MaxInt64}, maxEstimate * maxAnswers},
+	}
+	for _, c := range cases {
+		if ask := askFor(contract.Contract{}, c.body, 7); ask.Generated != c.want || ask.Tokens() != c.want+7 {
+			t.Errorf("%+v: got %+v, want %d", c.body, ask, c.want)
+		}
+	}
+}
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -19,6 +19,8 @@
 	MaxTokens           int64  `json:"max_tokens"`
 	MaxCompletionTokens int64  `json:"max_completion_tokens"`
 	N                   int64  `json:"n"`
+	// Priority is only looked at to be replaced by the contract's.
+	Priority json.RawMessage `json:"priority"`
 }
 
 func (e *Entry) complete(w http.ResponseWriter, r *http.Request) {
@@ -37,6 +39,11 @@
 		fail(w, *problem)
 		return
 	}
+	prepared, err := withPriority(body, parsed, customer.Priority)
+	if err != nil {
+		fail(w, failure{status: http.StatusBadRequest, code: codeMalformed, message: err.Error()})
+		return
+	}
 	r.Header.Set(wire.HeaderModel, adapter.Ref.String())
 	r.Header.Set(agent.HeaderSource, adapter.Source)
 	c := call{
@@ -44,7 +51,7 @@
 		contract:   customer.ID,
 		ask:        askFor(customer, parsed, len(body)),
 		path:       r.URL.Path,
-		body:       body,
+		body:       prepared,
 		idempotent: true,
 	}
 	c.fingerprint = crashFingerprint(c)
