--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,6 +34,9 @@
 	began, ran := time.Now(), time.Duration(0)
 	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
 	ctx, watchdog := relay.Watch(r.Context(), e.options.FirstByteTimeout)
+	if gated(server.Announcement) {
+		ctx = relay.WithPromptPeer(ctx)
+	}
 	defer watchdog.Stop()
 	settled := false
 	defer func() {
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -46,13 +46,46 @@
 
 // NewTransport returns a transport with no connections.
 func NewTransport(dialTimeout time.Duration, options ...Option) *Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := newDialer(dialTimeout)
 	t := NewTransportOver(dialer.DialContext, options...)
 	t.shared.TLSHandshakeTimeout = dialTimeout
 	t.fresh.TLSHandshakeTimeout = dialTimeout
 	return t
 }
 
+// How a peer that fell silent is found: by probes when nothing is under way, by
+// missing acknowledgements when something is. A request whose peer was parted
+// without a word would otherwise wait for its first byte for minutes, while
+// other servers could run it.
+const (
+	probeIdle      = 2 * time.Second
+	probeInterval  = time.Second
+	probeCount     = 3
+	silenceTimeout = probeIdle + probeCount*probeInterval
+)
+
+type promptPeerKey struct{}
+
+// WithPromptPeer marks calls of a peer that reads what it is sent at once, as
+// agents do. Only for such a peer do missing acknowledgements mean silence: a
+// plain service may leave a long body unread while it is busy.
+func WithPromptPeer(ctx context.Context) context.Context {
+	return context.WithValue(ctx, promptPeerKey{}, true)
+}
+
+func promptPeer(ctx context.Context) bool {
+	marked, _ := ctx.Value(promptPeerKey{}).(bool)
+	return marked
+}
+
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		ControlContext:  boundUnacknowledged,
+	}
+}
+
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
