--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -3,60 +3,26 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/rosemarypass/rosemarypass/coord/claim"
 	"github.com/rosemarypass/rosemarypass/internal/daemon"
 	"github.com/rosemarypass/rosemarypass/internal/ledger"
-	"github.com/rosemarypass/rosemarypass/internal/settings"
 )
 
 const (
-	loopback   = "127.0.0.1:0"
 	foundTime  = 20 * time.Second
 	ledgerTime = 20 * time.Second
 )
 
-// freeAddresses holds every port until all are found, so that they differ.
-func freeAddresses(tb testing.TB, n int) []string {
-	tb.Helper()
-	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", loopback)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
-// startControlTrio runs three control instances with disks. The first founds the
-// log and leads it.
-func startControlTrio(tb testing.TB) ([]*daemon.Daemon, *ledger.Client) {
+// startLedger runs three control instances, of which the first founds the log
+// and leads it, and returns them with a client.
+func startLedger(tb testing.TB) ([]*daemon.Daemon, *ledger.Client) {
 	tb.Helper()
-	peers := freeAddresses(tb, 3)
-	var daemons []*daemon.Daemon
-	for i, address := range peers {
-		d, err := daemon.Start(settings.Settings{
-			Instance: fmt.Sprintf("control-%d", i), DataCentre: "a", ControlPeers: peers,
-			Control: &settings.Control{
-				PeerListen: address, PeerAddress: address, OperatorListen: loopback,
-				DataFolder: tb.TempDir(), Bootstrap: i == 0, ServerLease: settings.Duration(time.Second),
-			},
-		}, zap.NewNop())
-		if err != nil {
-			tb.Fatal(err)
-		}
-		daemons = append(daemons, d)
-	}
+	daemons, peers := startControls(tb, 3)
 	client := ledger.NewClient(peers)
 	ctx, cancel := context.WithTimeout(tb.Context(), foundTime)
 	defer cancel()
@@ -66,14 +32,6 @@
 	return daemons, client
 }
 
-func stopAll(daemons []*daemon.Daemon) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	for _, d := range daemons {
-		d.Stop(ctx)
-	}
-}
-
 // runOnce claims a key, ends it and resends it, as an entry would.
 func runOnce(ctx context.Context, client *ledger.Client, key string) error {
 	id := claim.ID{Contract: "c", Key: key}
@@ -99,8 +57,7 @@
 // The control instance that leads the log is stopped for an update while calls
 // with keys come in. Each must be decided, once, by the others.
 func TestClaimsOutliveAPlannedStopOfTheLeader(t *testing.T) {
-	daemons, client := startControlTrio(t)
-	defer stopAll(daemons[1:])
+	daemons, client := startLedger(t)
 	ctx, cancel := context.WithTimeout(t.Context(), ledgerTime)
 	defer cancel()
 	halfway := make(chan struct{})
@@ -128,8 +85,7 @@
 // BenchmarkClaimedCall is what a key costs a call: the commit that grants it
 // and the commit that keeps its answer, through three control instances.
 func BenchmarkClaimedCall(b *testing.B) {
-	daemons, client := startControlTrio(b)
-	defer stopAll(daemons)
+	_, client := startLedger(b)
 	var calls atomic.Int64
 	call := func() {
 		id := claim.ID{Contract: "c", Key: fmt.Sprint("call-", calls.Add(1))}
--- a/internal/daemon/propagation_bench_test.go
+++ b/internal/daemon/propagation_bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 )
 
-func freeAddress(b *testing.B) string {
+func freeAddress(b testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -27,7 +27,7 @@
 
 // startControls runs control instances that replicate their log on disk, and
 // returns them with their addresses.
-func startControls(b *testing.B, n int) ([]*daemon.Daemon, []string) {
+func startControls(b testing.TB, n int) ([]*daemon.Daemon, []string) {
 	peers := make([]string, n)
 	for i := range peers {
 		peers[i] = freeAddress(b)
