Number an agent's orders from the log, so that a replaced agent stops

Cause: all agents ordered with the number 0. One that was replaced but still ran behind a partition went on loading and evicting at the engine of its successor. Change: an agent takes a fencing number from the replicated log when it starts and orders nothing before. When its engine refuses the number, it closes its gate and says so. Ruled out: the start time as the number, because a clock that is set back would shut a restarted agent out of its engine; falling back to 0 without control, which an engine that enforces numbers refuses anyway. Conclusion: holds for engines that enforce numbers; for others one process for each slot remains the operator's duty.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,8 @@
 	RPC []rpc.ClientOption
 	// Suspicions takes reports of crashes; without it none are reported.
 	Suspicions Suspicions
+	// Fencer issues fencing numbers; without it orders carry the number 0.
+	Fencer Fencer
 }
 
 // Agent gates one engine.
@@ -81,7 +83,7 @@
 	a := &Agent{
 		options:  options,
 		log:      log,
-		orders:   &orderClient{base: options.Engine, client: client, timeout: options.LoadTimeout},
+		orders:   &orderClient{base: options.Engine, client: client, timeout: options.LoadTimeout, fencing: newFencingNumber(options.Fencer)},
 		client:   client,
 		requests: make(chan event, options.Queue+eventSlack),
 		ends:     make(chan event, options.Queue+eventSlack),
@@ -91,6 +93,7 @@
 		gate:     drain.NewGate(),
 		runs:     newRuns(),
 	}
+	a.orders.superseded = a.supersede
 	a.status.Store(&membership.Load{})
 	a.seats = newSeats(options.Queue, func() int { return a.status.Load().Capacity })
 	a.permits = newPermitClient(options, a.started)
@@ -105,6 +108,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	duties.Go(func() { a.runSlots(ctx) })
+	duties.Go(func() { a.acquireFencing(ctx) })
 	duties.Go(func() { a.seats.run(ctx) })
 	duties.Go(func() { a.watchEngine(ctx) })
 	duties.Go(func() { a.permits.run(ctx, a.sendEnd) })
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -35,7 +35,9 @@
 	base    string
 	client  *http.Client
 	timeout time.Duration
-	fencing uint64
+	fencing *fencingNumber
+	// superseded is called when the engine refuses the fencing number.
+	superseded func()
 }
 
 type adapterOrder struct {
@@ -54,6 +56,10 @@
 func (c *orderClient) order(ctx context.Context, path string, body adapterOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	number, err := c.fencing.get(ctx)
+	if err != nil {
+		return err
+	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		return errors.Wrap(err, "encode order")
@@ -63,12 +69,15 @@
 		return errors.Wrap(err, "build order")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(wire.HeaderFencing, strconv.FormatUint(c.fencing, 10))
+	request.Header.Set(wire.HeaderFencing, strconv.FormatUint(number, 10))
 	response, err := c.client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "send order")
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusPreconditionFailed {
+		c.superseded()
+	}
 	if response.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 		return &orderRefused{status: response.StatusCode, text: string(bytes.TrimSpace(text))}
--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -44,3 +44,15 @@
 	}
 	return wire.SuspicionReply{Verdict: result.Suspicion}, nil
 }
+
+// fence commits the next fencing number of a backend server's engine.
+func (c *Control) fence(ctx context.Context, in wire.Fence) (wire.FenceReply, error) {
+	result, err := c.Propose(ctx, state.Command{Fence: &state.Fence{Server: in.Server, Holder: in.Holder}})
+	if err != nil {
+		return wire.FenceReply{}, err
+	}
+	if result.Code != state.CodeOK {
+		return wire.FenceReply{}, errors.Errorf("no fencing number: %s", result.Message)
+	}
+	return wire.FenceReply{Number: result.Fencing}, nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -125,6 +125,7 @@
 		wire.MethodWatch:    rpc.Typed(c.watch),
 		wire.MethodClaim:    rpc.Typed(c.claim),
 		wire.MethodSuspect:  rpc.Typed(c.suspect),
+		wire.MethodFence:    rpc.Typed(c.fence),
 		wire.MethodStanding: rpc.Typed(c.answerStanding),
 		wire.MethodDaemons:  rpc.Typed(c.answerDaemons),
 	}
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -17,6 +17,7 @@
 	if s == nil {
 		return nil
 	}
+	commands := ledger.NewClient(d.settings.ControlPeers, d.rpcOptions()...)
 	a := agent.New(agent.Options{
 		Server:           s.Server,
 		Pool:             s.Pool,
@@ -29,7 +30,8 @@
 		LoadTimeout:      time.Duration(s.LoadTimeout),
 		AnnounceInterval: time.Duration(s.AnnounceInterval),
 		ControlPeers:     d.settings.ControlPeers,
-		Suspicions:       ledger.NewClient(d.settings.ControlPeers, d.rpcOptions()...),
+		Suspicions:       commands,
+		Fencer:           commands,
 		RPC:              d.rpcOptions(),
 	}, relay.NewClient(engineDialTimeout), d.log)
 	d.duties.Go(func() { a.Run(ctx) })
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -60,6 +60,13 @@
 	return reply.Verdict, err
 }
 
+// Fence gets the next fencing number of orders to a backend server's engine.
+func (c *Client) Fence(ctx context.Context, server, holder string) (uint64, error) {
+	var reply wire.FenceReply
+	err := c.call(ctx, wire.MethodFence, wire.Fence{Server: server, Holder: holder}, &reply)
+	return reply.Number, err
+}
+
 // call sends a command until a control instance answers or ctx ends. A lost
 // answer is followed by a resend, which is safe because every command names
 // its attempt, crash or trial.
