Send declined calls on to servers with a free adapter slot

Cause: agents could decline a request for want of a slot, but entries did not let them. Change: entries mark a call that may be declined; an agent without a slot to give answers "not run" and Rosemarypass-Declined at once; the entry offers the call to up to 4 further servers, at no cost to retry budgets, and then lets it wait. When all servers have declined, it waits at the best of them. Ruled out: retry budgets for declines; scarce slots would then refuse calls that a neighbour could run. The agents' tests now give each request its own id, as an agent takes a second one with the same id for the first sent again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -194,4 +194,7 @@
 	}
 }
 
-var errNotRun = errors.New("the request was not run")
+var (
+	errNotRun = errors.New("the request was not run")
+	errNoSlot = errors.New("the request was not run: no adapter slot is free here")
+)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,16 +80,14 @@
 }
 
 type answer struct {
+	id     string
 	status int
 	ran    string
 	said   string
 	body   string
 }
 
-// requestID is the id under which ask sends a request for a model. Entries give
-// every request an id of its own; the agent takes a second request under the
-// same id for a new try of the first, which it cancels.
-func requestID(model string) string { return "r-" + model }
+var requests atomic.Uint64
 
 func ask(ctx context.Context, url, model, tokens string) answer {
 	body := strings.NewReader(`{"model":"` + model + `","prompt":"x","max_tokens":` + tokens + `}`)
@@ -96,7 +96,8 @@
 		return answer{body: err.Error()}
 	}
 	request.Header.Set(wire.HeaderModel, model)
-	request.Header.Set(wire.HeaderRequestID, requestID(model))
+	id := fmt.Sprint("request-", requests.Add(1))
+	request.Header.Set(wire.HeaderRequestID, id)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return answer{body: err.Error()}
@@ -106,13 +107,13 @@
 	if err != nil {
 		return answer{body: err.Error()}
 	}
-	return answer{status: response.StatusCode, ran: response.Header.Get(wire.HeaderRan), said: response.Header.Get(outcome.Header), body: string(data)}
+	return answer{id: id, status: response.StatusCode, ran: response.Header.Get(wire.HeaderRan), said: response.Header.Get(outcome.Header), body: string(data)}
 }
 
 func (b *bench) mustAnswer(t *testing.T, url, model string) {
 	t.Helper()
 	got := ask(t.Context(), url, model, "2")
-	if got.status != http.StatusOK || got.ran != model || !strings.Contains(got.body, engine.TokenText(model, requestID(model), 1)) {
+	if got.status != http.StatusOK || got.ran != model || !strings.Contains(got.body, engine.TokenText(model, got.id, 1)) {
 		t.Fatalf("%s: %+v", model, got)
 	}
 }
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -25,6 +25,7 @@
 var (
 	admittedCount = telemetry.Counter("agent_requests_admitted")
 	refusedCount  = telemetry.Counter("agent_requests_refused")
+	declinedCount = telemetry.Counter("agent_requests_declined")
 	unknownCount  = telemetry.Counter("agent_requests_unknown")
 )
 
@@ -103,6 +104,9 @@
 	id := slots.RequestID(requestIDs.Add(1))
 	if err := a.await(r, id, ref); err != nil {
 		leave()
+		if errors.Is(err, errNoSlot) {
+			w.Header().Set(wire.HeaderDeclined, "true")
+		}
 		refuseUnstarted(w, err)
 		return
 	}
@@ -157,12 +161,16 @@
 	span.SetAttributes(telemetry.AttributeModel.String(ref.String()))
 	reply := make(chan verdict, 1)
 	select {
-	case a.requests <- requested{id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header), patient: true, reply: reply}:
+	case a.requests <- requested{id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header), patient: r.Header.Get(wire.HeaderMayDecline) == "", reply: reply}:
 	default:
 		return errors.Wrap(errNotRun, string(slots.ReasonQueueFull))
 	}
 	select {
 	case v := <-reply:
+		if v.reason == slots.ReasonNoSlot {
+			declinedCount.Add(1)
+			return errNoSlot
+		}
 		if !v.start {
 			return errors.Wrap(errNotRun, string(v.reason))
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -19,20 +19,33 @@
 
 // attempt offers the call to one server. Answered means that the caller has
 // its answer; after any other outcome nothing was written to the caller.
-//
-// crashed is true when the server crashed with the request on it.
-func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) (said outcome.Outcome, crashed bool) {
+func (e *Entry) attempt(w http.ResponseWriter, r *http.Request, c call, server placement.Server) attempted {
 	ctx, span := telemetry.StartClient(r.Context(), telemetry.SpanEntryAttempt)
 	defer span.End()
 	span.SetAttributes(telemetry.AttributeServer.String(server.Server))
-	said, crashed = e.offer(w, r.WithContext(ctx), c, server)
-	span.SetAttributes(telemetry.AttributeOutcome.String(said.String()))
-	return said, crashed
+	got := e.offer(w, r.WithContext(ctx), c, server)
+	span.SetAttributes(telemetry.AttributeOutcome.String(got.said.String()))
+	return got
 }
 
-func (e *Entry) offer(w http.ResponseWriter, r *http.Request, c call, server placement.Server) (said outcome.Outcome, crashed bool) {
+// attempted is how one attempt ended.
+type attempted struct {
+	said outcome.Outcome
+	// crashed is true when the server crashed with the request on it.
+	crashed bool
+	// declined is true when the server had no adapter slot to give.
+	declined bool
+}
+
+func (e *Entry) offer(w http.ResponseWriter, r *http.Request, c call, server placement.Server) (got attempted) {
 	began, ran := time.Now(), time.Duration(0)
-	defer func() { e.placer.finished(server.Server, c.request.Ref, ran) }()
+	defer func() {
+		if got.declined {
+			e.placer.declined(server.Server)
+			return
+		}
+		e.placer.finished(server.Server, c.request.Ref, ran)
+	}()
 	ctx, watchdog := relay.Watch(r.Context(), e.options.FirstByteTimeout)
 	if gated(server.Announcement) {
 		ctx = relay.WithPromptPeer(ctx)
@@ -50,26 +63,26 @@
 	}
 	if err != nil {
 		settled = !relay.Sent(err)
-		return outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}), errors.Is(err, errCrashed)
+		return attempted{said: outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}), crashed: errors.Is(err, errCrashed)}
 	}
 	defer response.Body.Close()
 	if said := judge(c, server, response); said != outcome.Answered {
 		settled = true
 		c.wait.note(response.Header)
-		return said, response.Header.Get(wire.HeaderCrashed) != ""
+		return attempted{said: said, crashed: response.Header.Get(wire.HeaderCrashed) != "", declined: declined(&c, said, response)}
 	}
 	if !e.ranAsAsked(c, server, response) {
-		return outcome.Unknown, false
+		return attempted{said: outcome.Unknown}
 	}
 	if c.once != nil {
 		if err := c.once.record(response); err != nil {
-			return outcome.Unknown, false
+			return attempted{said: outcome.Unknown}
 		}
 	}
 	defer func() { ran = time.Since(began) }()
 	e.relayAnswer(w, r, c, server, response, watchdog)
 	settled = true
-	return outcome.Answered, false
+	return attempted{said: outcome.Answered}
 }
 
 func (e *Entry) forward(ctx context.Context, r *http.Request, c call, server placement.Server) (*http.Response, error) {
@@ -83,6 +96,9 @@
 	}
 	relay.CopyHeader(request.Header, r.Header)
 	c.wait.describe(request.Header)
+	if c.mayDecline() {
+		request.Header.Set(wire.HeaderMayDecline, "true")
+	}
 	telemetry.Inject(ctx, request.Header)
 	request.Close = !c.idempotent
 	return e.client.Do(request)
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -18,6 +18,7 @@
 var internalHeaders = []string{
 	outcome.Header, wire.HeaderModel, wire.HeaderRan, wire.HeaderFencing,
 	wire.HeaderIncarnation, agent.HeaderSource, wire.HeaderClause, wire.HeaderContract,
+	wire.HeaderMayDecline, wire.HeaderDeclined,
 	wire.HeaderShare, wire.HeaderPriority, wire.HeaderMaxWait, wire.HeaderCost,
 	wire.HeaderFingerprint, wire.HeaderAlone, wire.HeaderCrashed,
 }
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -50,6 +50,13 @@
 	p.selector.Finished(server, ref, ran, time.Now())
 }
 
+// declined ends a request that pick sent and the server had no slot for.
+func (p *placer) declined(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.selector.Declined(server, time.Now())
+}
+
 // sameSlice tells whether two directory states are one and the same.
 func sameSlice(a, b []membership.Announcement) bool {
 	if len(a) != len(b) {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -31,6 +31,10 @@
 	once *once
 	// wait is what is left of the contract's longest wait.
 	wait *waitBudget
+	// declined lists the servers that had no adapter slot for the call;
+	// patient is true once it waits for one.
+	declined []string
+	patient  bool
 }
 
 // send offers the call to servers until one answers, one may have run a call
@@ -40,14 +44,19 @@
 	e.retries.began(c.contract)
 	doubt := false
 	for attempt := 1; ; attempt++ {
-		server, ok := e.placer.pick(c.request)
+		server, ok := e.place(&c)
 		if !ok {
 			break
 		}
+		declines := len(c.declined)
 		said, problem := e.try(w, r, &c, server)
 		if problem != nil {
 			return fail(w, problem.after(doubt))
 		}
+		if len(c.declined) > declines && r.Context().Err() == nil {
+			attempt--
+			continue
+		}
 		if said == outcome.Answered {
 			return said
 		}
@@ -71,9 +80,13 @@
 // try offers the call to a server, in a trial when it is a suspect.
 func (e *Entry) try(w http.ResponseWriter, r *http.Request, c *call, server placement.Server) (outcome.Outcome, *failure) {
 	attempt := func(r *http.Request) outcome.Outcome {
-		said, crashed := e.attempt(w, r, *c, server)
-		c.suspect = c.suspect || crashed
-		return said
+		got := e.attempt(w, r, *c, server)
+		c.suspect = c.suspect || got.crashed
+		if got.declined {
+			declinedCount.Add(1)
+			c.declined = append(c.declined, server.Server)
+		}
+		return got.said
 	}
 	if !c.suspect || e.options.Suspicions == nil {
 		return attempt(r), nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -51,6 +51,10 @@
 	HeaderPriority = "Rosemarypass-Priority"
 	// HeaderMaxWait is the longest that the request may wait, in milliseconds.
 	HeaderMaxWait = "Rosemarypass-Max-Wait"
+	// HeaderMayDecline lets an agent send a request back at once when it has
+	// no adapter slot to give; HeaderDeclined says that it did.
+	HeaderMayDecline = "Rosemarypass-May-Decline"
+	HeaderDeclined   = "Rosemarypass-Declined"
 	// HeaderCost is the request's expected use, in tokens.
 	HeaderCost = "Rosemarypass-Cost"
 )
