Let no crashed stand-in engine answer

Change: the stand-in looks for its crash before each token. Ruled out: a longer token time in the test, which would only hide it.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -349,6 +349,13 @@
 			return
 		case <-ticker.C:
 		}
+		// With a short token time both channels are ready, and select takes
+		// either: an engine that crashed would answer after all.
+		select {
+		case <-dead:
+			panic(http.ErrAbortHandler)
+		default:
+		}
 		writer.token(i)
 	}
 	writer.finish()
