--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -348,3 +349,26 @@
 	}
 	return announced
 }
+
+// BenchmarkMemory is what one entry's selector holds per announced server with
+// 8 adapters. The adapters of the catalogue cost it nothing.
+func BenchmarkMemory(b *testing.B) {
+	for _, servers := range []int{22, 600} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			announced := manyServers(servers, 130_000)
+			for b.Loop() {
+				before := heapBytes()
+				s := selector(SelectorOptions{Packing: 0.5}, announced...)
+				b.ReportMetric(float64(heapBytes()-before)/float64(servers), "B/server")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -358,3 +358,44 @@
 		}
 	}
 }
+
+// BenchmarkRequest is the cost of one request that finds its adapter loaded,
+// its release included, in a table that has seen many adapters.
+func BenchmarkRequest(b *testing.B) {
+	for _, adapters := range []int{3_000, 130_000} {
+		b.Run(fmt.Sprintf("adapters=%d", adapters), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			table := NewTable(Options{Slots: 8, Queue: 256})
+			id := RequestID(0)
+			for i := range adapters {
+				id++
+				for _, a := range grantAll(table, table.Request(patient(id, ref(i)), now), now) {
+					finishAll(table, a, now)
+				}
+				table.Release(id, now)
+			}
+			last := ref(adapters - 1)
+			b.ReportMetric(float64(len(table.usage.entries)), "remembered")
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				table.Request(patient(id, last), now)
+				table.Release(id, now)
+			}
+		})
+	}
+}
+
+// finishAll ends an order well, and those that follow from it.
+func finishAll(table *Table, action Action, now time.Time) {
+	var next []Action
+	switch a := action.(type) {
+	case Load:
+		next = table.Loaded(a.Order, now)
+	case Unload:
+		next = table.Unloaded(a.Order, now)
+	}
+	for _, a := range next {
+		finishAll(table, a, now)
+	}
+}
