Wake only the agents that got a permit

Cause: each report at the load broker woke the waiting polls of all agents, and each of those ran through the broker's queue again: with hundreds of agents that wait for a slow store, the square of their number for each report. Change: Broker.Sync also returns what other agents got by a report, and the duty wakes just those. The cost of the old wake-ups was not measured. Ruled out: longer polls, which only stretch the same work.

--- a/coord/broker/broker.go
+++ b/coord/broker/broker.go
@@ -93,13 +93,20 @@
 	if p, ok := b.granted[ask.Key]; ok {
 		return []Grant{{Key: ask.Key, Expires: p.expires}}
 	}
+	b.wish(ask, now)
+	return b.grant(now)
+}
+
+func (b *Broker) wish(ask Ask, now time.Time) {
+	if _, granted := b.granted[ask.Key]; granted {
+		return
+	}
 	i := slices.IndexFunc(b.queue, func(p pending) bool { return p.ask.Key == ask.Key })
 	if i >= 0 {
 		b.queue[i].ask, b.queue[i].seen = ask, now
-		return b.grant(now)
+		return
 	}
 	b.queue = append(b.queue, pending{ask: ask, since: now.Add(-ask.Waited), seen: now})
-	return b.grant(now)
 }
 
 // Return ends a wish or a permit whose load did not happen.
@@ -140,10 +147,10 @@
 }
 
 // Sync takes an agent's report and returns the permits that the agent has for
-// what it wants. Permits that the agent neither wants nor holds come back;
+// what it wants, and those that other agents got by it. Permits that the agent neither wants nor holds come back;
 // held permits are renewed. A held order that the broker does not know, as
 // after its restart, counts as in flight.
-func (b *Broker) Sync(r Report, now time.Time) []Grant {
+func (b *Broker) Sync(r Report, now time.Time) (own, others []Grant) {
 	for _, f := range r.Finished {
 		b.finish(Key{Agent: r.Agent, Incarnation: r.Incarnation, Order: f.Order}, f.Took, now)
 	}
@@ -153,10 +160,14 @@
 	}
 	for _, w := range r.Wanted {
 		key := Key{Agent: r.Agent, Incarnation: r.Incarnation, Order: w.Order}
-		b.Ask(Ask{Key: key, Demand: w.Demand, Waited: w.Waited}, now)
+		b.wish(Ask{Key: key, Demand: w.Demand, Waited: w.Waited}, now)
+	}
+	for _, g := range b.grant(now) {
+		if g.Agent != r.Agent {
+			others = append(others, g)
+		}
 	}
-	b.grant(now)
-	return b.grantsFor(r)
+	return b.grantsFor(r), others
 }
 
 func (b *Broker) finish(key Key, took time.Duration, now time.Time) {
--- a/coord/broker/broker_test.go
+++ b/coord/broker/broker_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -110,7 +111,12 @@
 			},
 			"sync": func(t *rapid.T) {
 				r := reports[rapid.SampledFrom(agents).Draw(t, "agent")]
-				grants := b.Sync(*r, now)
+				grants, others := b.Sync(*r, now)
+				for _, g := range others {
+					if g.Agent == r.Agent {
+						t.Fatalf("a grant of %s was called another agent's", r.Agent)
+					}
+				}
 				r.Finished = nil
 				for _, g := range grants {
 					r.Wanted = slices.DeleteFunc(r.Wanted, func(w Want) bool { return w.Order == g.Order })
@@ -142,3 +148,23 @@
 		}
 	})
 }
+
+// BenchmarkSync is one report of an agent while every agent of a site waits
+// for a load.
+func BenchmarkSync(b *testing.B) {
+	for _, agents := range []int{22, 300} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			broker := New(Options{})
+			now := time.Unix(0, 0)
+			reports := make([]Report, agents)
+			for i := range reports {
+				reports[i] = Report{Agent: fmt.Sprintf("agent-%d", i), Incarnation: 1, Wanted: []Want{{Order: 1, Demand: 1}}}
+				broker.Sync(reports[i], now)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				broker.Sync(reports[i%agents], now)
+			}
+		})
+	}
+}
--- a/internal/control/loadbroker.go
+++ b/internal/control/loadbroker.go
@@ -30,7 +30,6 @@
 	mu      sync.Mutex
 	broker  *broker.Broker
 	agents  map[string]agentSeen
-	changed chan struct{}
 	expired uint64
 }
 
@@ -41,6 +40,8 @@
 	at          time.Time
 	// superseded is closed when a newer report comes.
 	superseded chan struct{}
+	// granted holds a token when the agent got a permit by another's doing.
+	granted chan struct{}
 }
 
 func (s agentSeen) newerThan(in wire.Loads) bool {
@@ -53,9 +54,8 @@
 // NewLoadBroker returns a broker that knows no agents.
 func NewLoadBroker(options broker.Options) *LoadBroker {
 	return &LoadBroker{
-		broker:  broker.New(options),
-		agents:  make(map[string]agentSeen),
-		changed: make(chan struct{}),
+		broker: broker.New(options),
+		agents: make(map[string]agentSeen),
 	}
 }
 
@@ -79,9 +79,7 @@
 func (l *LoadBroker) tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.broker.Tick(now)) > 0 {
-		l.wake()
-	}
+	l.wake(l.broker.Tick(now))
 	for name, seen := range l.agents {
 		if now.Sub(seen.at) > agentMemory {
 			delete(l.agents, name)
@@ -95,56 +93,81 @@
 	wait := min(time.Duration(in.WaitMillis)*time.Millisecond, maxLoads)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	reply, changed, superseded := l.take(in, time.Now())
-	for superseded != nil && len(reply.Granted) == 0 && wait > 0 {
+	reply, seen, current := l.take(in, time.Now())
+	for current && len(reply.Granted) == 0 && wait > 0 {
 		select {
-		case <-changed:
-		case <-superseded:
+		case <-seen.granted:
+		case <-seen.superseded:
 			return reply, nil
 		case <-timer.C:
 			return reply, nil
 		case <-ctx.Done():
 			return wire.LoadsReply{}, ctx.Err()
 		}
-		reply, changed, superseded = l.poll(in, time.Now())
+		reply, current = l.poll(in, time.Now())
 	}
 	return reply, nil
 }
 
-// take applies a report unless a newer one came first. It also returns what
-// tells of changes and of a newer report, nil when one came already.
-func (l *LoadBroker) take(in wire.Loads, now time.Time) (reply wire.LoadsReply, changed, superseded <-chan struct{}) {
+// take applies a report unless a newer one came first.
+func (l *LoadBroker) take(in wire.Loads, now time.Time) (reply wire.LoadsReply, seen agentSeen, current bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, present := l.agents[in.Report.Agent]
 	if known.newerThan(in) {
-		return wire.LoadsReply{}, l.changed, nil
+		return wire.LoadsReply{}, known, false
 	}
 	if present {
 		close(known.superseded)
 	}
-	seen := agentSeen{incarnation: in.Report.Incarnation, sequence: in.Sequence, at: now, superseded: make(chan struct{})}
+	seen = agentSeen{
+		incarnation: in.Report.Incarnation,
+		sequence:    in.Sequence,
+		at:          now,
+		superseded:  make(chan struct{}),
+		granted:     make(chan struct{}, 1),
+	}
 	l.agents[in.Report.Agent] = seen
-	grants := l.broker.Sync(in.Report, now)
-	brokerPermits.Add(int64(len(grants)))
-	l.wake()
-	l.publish()
-	return replyOf(grants), l.changed, seen.superseded
+	return l.sync(in.Report, now), seen, true
 }
 
 // poll looks again for permits of a report that was taken before. The first
 // look told the load times.
-func (l *LoadBroker) poll(in wire.Loads, now time.Time) (reply wire.LoadsReply, changed, superseded <-chan struct{}) {
+func (l *LoadBroker) poll(in wire.Loads, now time.Time) (reply wire.LoadsReply, current bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := l.agents[in.Report.Agent]
 	if seen.incarnation != in.Report.Incarnation || seen.sequence != in.Sequence {
-		return wire.LoadsReply{}, l.changed, nil
+		return wire.LoadsReply{}, false
 	}
 	in.Report.Finished = nil
-	grants := l.broker.Sync(in.Report, now)
-	brokerPermits.Add(int64(len(grants)))
-	return replyOf(grants), l.changed, seen.superseded
+	return l.sync(in.Report, now), true
+}
+
+// sync passes a report to the broker and wakes the agents that got a permit by
+// it. The caller holds mu.
+func (l *LoadBroker) sync(report broker.Report, now time.Time) wire.LoadsReply {
+	own, others := l.broker.Sync(report, now)
+	brokerPermits.Add(int64(len(own)))
+	l.wake(others)
+	l.publish()
+	return replyOf(own)
+}
+
+// wake lets the polls of the agents with new permits look again. Waking every
+// poll instead would cost a site of hundreds of agents, all waiting for a slow
+// store, the square of their number for each report. The caller holds mu.
+func (l *LoadBroker) wake(grants []broker.Grant) {
+	for _, g := range grants {
+		seen, known := l.agents[g.Agent]
+		if !known {
+			continue
+		}
+		select {
+		case seen.granted <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func replyOf(grants []broker.Grant) wire.LoadsReply {
@@ -155,12 +178,6 @@
 	return reply
 }
 
-// wake lets every waiting poll look again. The caller holds mu.
-func (l *LoadBroker) wake() {
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
-
 // publish sets the gauges. The caller holds mu.
 func (l *LoadBroker) publish() {
 	brokerLimit.Set(int64(l.broker.Limit()))
