--- a/coord/experiment/experiment_test.go
+++ b/coord/experiment/experiment_test.go
@@ -107,3 +107,24 @@
 	b.ReportMetric(r.Fairness, "jain")
 	b.ReportMetric(float64(r.Failed), "failed")
 }
+
+// One adapter takes more than an engine's batch. Without copies its callers
+// would queue while other engines idle.
+func TestAdapterHotterThanOneBatchIsCopied(t *testing.T) {
+	d := Deployments()[0]
+	d.Skew = 1.6
+	w := newWorld(d, Scenarios()[0], Ours(), seed)
+	w.start()
+	w.run(2 * time.Minute)
+	hottest, copies := fmt.Sprintf("adapter-%d", w.popularity.order[0]), 0
+	for _, server := range w.servers {
+		for _, ref := range server.table.Report(w.now()).Resident {
+			if ref.Adapter == hottest {
+				copies++
+			}
+		}
+	}
+	if r := w.meter.result(w); copies < 2 || r.StartP99 > 2*storeLoadTime {
+		t.Errorf("%d copies; p99 of the wait to start %s", copies, r.StartP99)
+	}
+}
