Keep expired keys small, and refuse only those that need memory

Cause: tombstones counted among the 500,000 claims. Change: an expired key is 16 bytes of its digest and a time; 2 million of them have a bound of their own. When it is reached, only keys that carry no time are refused. Ruled out: forgetting the oldest when full: its late resend would run. Conclusion: about three plain keys a second fit for ever; version 7 UUIDs are bounded by 24 hours only.

--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -88,7 +88,7 @@
 	State   State   `json:"state"`
 	Answer  *Answer `json:"answer,omitempty"`
 	// Expires is when the claim becomes a tombstone, by the log's clock, in
-	// milliseconds since 1970; of a tombstone, when it is forgotten.
+	// milliseconds since 1970.
 	Expires int64 `json:"expires"`
 }
 
--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"reflect"
+	"runtime"
 	"testing"
 	"time"
 
@@ -106,10 +107,10 @@
 					model.release(key, token)
 				}
 			case 4:
-				all := table.All()
+				all, tombstones := table.All(), table.Tombstones()
 				table = claim.NewTable(claim.DefaultOptions)
-				table.Restore(all)
-				if !reflect.DeepEqual(all, table.All()) {
+				table.Restore(all, tombstones)
+				if !reflect.DeepEqual(all, table.All()) || !reflect.DeepEqual(tombstones, table.Tombstones()) {
 					t.Fatal("a restored table holds other claims")
 				}
 			}
@@ -148,7 +149,7 @@
 }
 
 func TestBoundsRefuseInsteadOfForgetting(t *testing.T) {
-	table := claim.NewTable(claim.Options{Claims: 1, AnswerBytes: 10})
+	table := claim.NewTable(claim.Options{Claims: 1, Tombstones: 1, AnswerBytes: 10})
 	apply := func(key string, c claim.Command) claim.Reply {
 		c.ID = claim.ID{Contract: "c", Key: key}
 		return table.Apply(c, start)
@@ -164,6 +165,56 @@
 	}
 }
 
+// Old keys fill the memory for tombstones. Forgetting one early would let its
+// late resend run; keys that carry their time need none and go on.
+func TestFullTombstonesRefuseOnlyKeysThatNeedOne(t *testing.T) {
+	table := claim.NewTable(claim.Options{Claims: 10, Tombstones: 1, AnswerBytes: 10})
+	begin := func(key string, at time.Time) claim.Verdict {
+		return table.Apply(claim.Command{ID: claim.ID{Contract: "c", Key: key}, Begin: &claim.Begin{Token: "1", Fingerprint: []byte{1}}}, at).Verdict
+	}
+	steps := []struct {
+		key  string
+		at   time.Duration
+		want claim.Verdict
+	}{
+		{"a", 0, claim.Granted}, {"b", 0, claim.Full}, {timedKey(start, 1), 0, claim.Granted},
+		{"b", claim.Age, claim.Full}, {"a", claim.Age, claim.TooOld}, {timedKey(start.Add(claim.Age), 2), claim.Age, claim.Granted},
+		{"b", claim.TombstoneAge, claim.Granted},
+	}
+	for i, step := range steps {
+		if got := begin(step.key, start.Add(step.at)); got != step.want {
+			t.Errorf("step %d: %s, want %s", i, got, step.want)
+		}
+	}
+}
+
+// BenchmarkMemory shows what one remembered key costs, in bytes.
+func BenchmarkMemory(b *testing.B) {
+	const keys = 200_000
+	for name, at := range map[string]time.Duration{"claim": 0, "tombstone": claim.Age} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				table := claim.NewTable(claim.DefaultOptions)
+				for i := range keys {
+					id := claim.ID{Contract: "cascade", Key: fmt.Sprintf("pallet-release-%012d", i)}
+					table.Apply(claim.Command{ID: id, Begin: &claim.Begin{Token: uuid.NewString(), Fingerprint: make([]byte, 32)}}, start)
+				}
+				table.Apply(claim.Command{Look: &claim.Look{}}, start.Add(at))
+				b.ReportMetric(float64(heap()-before)/keys, "B/key")
+				runtime.KeepAlive(table)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 func BenchmarkBeginAndFinish(b *testing.B) {
 	table := claim.NewTable(claim.DefaultOptions)
 	answer := claim.Answer{Status: 200, Kept: true, Body: make([]byte, 100)}
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -3,43 +3,68 @@
 import (
 	"bytes"
 	"cmp"
+	"crypto/sha256"
 	"slices"
 	"time"
 )
 
 // Options bound a table. Every instance of one log must use the same.
 type Options struct {
-	// Claims is the most claims, tombstones included.
+	// Claims is the most claims that have not expired.
 	Claims int
+	// Tombstones is the most keys without a time of their own that are
+	// remembered, expired or not.
+	Tombstones int
 	// AnswerBytes is the most bytes of kept answers.
 	AnswerBytes int
 }
 
 // DefaultOptions are the bounds of the control instances.
-var DefaultOptions = Options{Claims: 500_000, AnswerBytes: 64 << 20}
+var DefaultOptions = Options{Claims: 500_000, Tombstones: 2_000_000, AnswerBytes: 64 << 20}
+
+// digestSize is how much of a key's digest a tombstone keeps, in bytes. A
+// foreign key with the same digest would be refused as expired; with 2 million
+// tombstones that happens to one key in 10 to the power of 32.
+const digestSize = 16
+
+type digest [digestSize]byte
+
+func digestOf(id ID) digest {
+	sum := sha256.Sum256([]byte(id.Contract + "\x00" + id.Key))
+	return digest(sum[:digestSize])
+}
+
+// Tombstone is what is left of an expired key that carries no time.
+type Tombstone struct {
+	Digest []byte `json:"digest"`
+	// Forget is when it is forgotten, in milliseconds since 1970.
+	Forget int64 `json:"forget"`
+}
 
 // Table holds the claims. One duty owns it.
 type Table struct {
 	options     Options
 	claims      map[ID]*Claim
+	tombstones  map[digest]int64
 	answerBytes int
+	// plain counts the claims that will leave a tombstone.
+	plain int
 	// expiring and buried are in the order in which claims expire and
-	// tombstones are forgotten. An entry whose claim meanwhile has another
-	// time is stale and is skipped.
-	expiring queue
-	buried   queue
+	// tombstones are forgotten.
+	expiring queue[ID]
+	buried   queue[digest]
 }
 
-type deadline struct {
-	id ID
+type deadline[K any] struct {
+	id K
 	at int64
 }
 
 // queue holds deadlines in order of time.
-type queue []deadline
+type queue[K any] []deadline[K]
 
-func (q *queue) push(d deadline) {
-	at, _ := slices.BinarySearchFunc(*q, d, func(a, b deadline) int {
+func (q *queue[K]) push(d deadline[K]) {
+	at, _ := slices.BinarySearchFunc(*q, d, func(a, b deadline[K]) int {
 		if a.at != b.at {
 			return cmp.Compare(a.at, b.at)
 		}
@@ -49,9 +74,9 @@
 }
 
 // due removes and returns the first deadline that has come.
-func (q *queue) due(clock int64) (deadline, bool) {
+func (q *queue[K]) due(clock int64) (deadline[K], bool) {
 	if len(*q) == 0 || (*q)[0].at > clock {
-		return deadline{}, false
+		return deadline[K]{}, false
 	}
 	first := (*q)[0]
 	*q = (*q)[1:]
@@ -60,7 +85,7 @@
 
 // NewTable returns an empty table.
 func NewTable(options Options) *Table {
-	return &Table{options: options, claims: make(map[ID]*Claim)}
+	return &Table{options: options, claims: make(map[ID]*Claim), tombstones: make(map[digest]int64)}
 }
 
 // Apply executes a command at the log's clock, which never steps back.
@@ -84,9 +109,6 @@
 	if !known {
 		return t.create(id, begin, now)
 	}
-	if c.State == Expired {
-		return Reply{Verdict: TooOld, State: Expired}
-	}
 	if c.Fingerprint != nil && !bytes.Equal(c.Fingerprint, begin.Fingerprint) {
 		return Reply{Verdict: Mismatch, State: c.State}
 	}
@@ -127,7 +149,10 @@
 	if carries && at.UnixMilli()+Age.Milliseconds() <= now {
 		return TooOld
 	}
-	if len(t.claims) >= t.options.Claims {
+	if _, buried := t.tombstones[digestOf(id)]; buried {
+		return TooOld
+	}
+	if len(t.claims) >= t.options.Claims || !carries && len(t.tombstones)+t.plain >= t.options.Tombstones {
 		return Full
 	}
 	return Granted
@@ -145,11 +170,10 @@
 func (t *Table) add(c *Claim) {
 	t.claims[c.ID] = c
 	t.answerBytes += c.Answer.size()
-	if c.State == Expired {
-		t.buried.push(deadline{id: c.ID, at: c.Expires})
-		return
+	if _, carries := keyTime(c.ID.Key); !carries {
+		t.plain++
 	}
-	t.expiring.push(deadline{id: c.ID, at: c.Expires})
+	t.expiring.push(deadline[ID]{id: c.ID, at: c.Expires})
 }
 
 func (t *Table) grant(c *Claim, begin Begin) Reply {
@@ -162,7 +186,7 @@
 
 func (t *Table) finish(id ID, finish Finish) Reply {
 	c, known := t.claims[id]
-	if !known || c.State == Expired {
+	if !known {
 		return Reply{Verdict: TooOld, State: Expired}
 	}
 	if c.Token != finish.Token || c.State == Free {
@@ -219,23 +243,38 @@
 		t.bury(t.claims[d.id])
 	}
 	for d, due := t.buried.due(now); due; d, due = t.buried.due(now) {
-		delete(t.claims, d.id)
+		delete(t.tombstones, d.id)
 	}
 }
 
 func (t *Table) bury(c *Claim) {
 	t.answerBytes -= c.Answer.size()
+	delete(t.claims, c.ID)
 	if _, carries := keyTime(c.ID.Key); carries {
-		delete(t.claims, c.ID)
 		return
 	}
-	*c = Claim{ID: c.ID, State: Expired, Expires: c.Expires + (TombstoneAge - Age).Milliseconds()}
-	t.buried.push(deadline{id: c.ID, at: c.Expires})
+	t.plain--
+	t.remember(digestOf(c.ID), c.Expires+(TombstoneAge-Age).Milliseconds())
 }
 
-// Len counts the claims, tombstones included.
+func (t *Table) remember(d digest, forget int64) {
+	t.tombstones[d] = forget
+	t.buried.push(deadline[digest]{id: d, at: forget})
+}
+
+// Len counts the claims that have not expired.
 func (t *Table) Len() int { return len(t.claims) }
 
+// Tombstones returns every tombstone in the order of the digests.
+func (t *Table) Tombstones() []Tombstone {
+	all := make([]Tombstone, 0, len(t.tombstones))
+	for d, forget := range t.tombstones {
+		all = append(all, Tombstone{Digest: bytes.Clone(d[:]), Forget: forget})
+	}
+	slices.SortFunc(all, func(a, b Tombstone) int { return bytes.Compare(a.Digest, b.Digest) })
+	return all
+}
+
 // All returns every claim in the order of contract and key.
 func (t *Table) All() []Claim {
 	all := make([]Claim, 0, len(t.claims))
@@ -248,11 +287,16 @@
 	return all
 }
 
-// Restore puts back what All returned into an empty table.
-func (t *Table) Restore(all []Claim) {
+// Restore puts back what All and Tombstones returned into an empty table.
+func (t *Table) Restore(all []Claim, tombstones []Tombstone) {
 	byTime := slices.Clone(all)
 	slices.SortStableFunc(byTime, func(a, b Claim) int { return cmp.Compare(a.Expires, b.Expires) })
 	for _, c := range byTime {
 		t.add(&c)
 	}
+	oldest := slices.Clone(tombstones)
+	slices.SortStableFunc(oldest, func(a, b Tombstone) int { return cmp.Compare(a.Forget, b.Forget) })
+	for _, tombstone := range oldest {
+		t.remember(digest(tombstone.Digest), tombstone.Forget)
+	}
 }
--- a/coord/state/codec.go
+++ b/coord/state/codec.go
@@ -60,6 +60,7 @@
 	Fencing     []Fencing           `json:"fencing"`
 	Operations  []Operation         `json:"operations"`
 	Claims      []claim.Claim       `json:"claims,omitempty"`
+	Tombstones  []claim.Tombstone   `json:"tombstones,omitempty"`
 	Suspects    []suspicion.Record  `json:"suspects,omitempty"`
 	// Crashed are the last counted crashes of backend servers.
 	Crashed []suspicion.Incarnation `json:"crashed,omitempty"`
@@ -88,6 +89,7 @@
 			Fencing:     sortedValues(m.servers.fencing, identity),
 			Operations:  m.operations.inOrder(),
 			Claims:      m.claims.All(),
+			Tombstones:  m.claims.Tombstones(),
 			Suspects:    m.suspicion.Records(),
 			Crashed:     m.suspicion.Crashed(),
 		},
@@ -147,7 +149,7 @@
 	for _, operation := range s.Operations {
 		m.operations.add(operation)
 	}
-	m.claims.Restore(s.Claims)
+	m.claims.Restore(s.Claims, s.Tombstones)
 	m.suspicion.Restore(s.Suspects, s.Crashed)
 	return m
 }
