--- a/coord/quota/ledger.go
+++ b/coord/quota/ledger.go
@@ -34,6 +34,8 @@
 	first    [measures]holderKey
 	admitted uint64
 	refused  [clauses]uint64
+	// overLeased counts grants after which more than the contract was out.
+	overLeased uint64
 }
 
 // line is one holder's part of a ledger.
@@ -157,10 +159,26 @@
 		line.outstanding[m] = max(line.outstanding[m], grant.Share[m])
 	}
 	line.planned = grant.Share
-	l.clip(l.outstanding())
+	leased := l.outstanding()
+	l.checkLeased(leased)
+	l.clip(leased)
 	return grant
 }
 
+// overTolerance is how much rounding may add to a sum of many shares.
+const overTolerance = 1e-6
+
+// checkLeased counts a rate or burst that is leased twice, which no schedule of
+// messages may bring about. Slots can be over after a cut of the concurrency,
+// until the requests that run have ended.
+func (l *ledger) checkLeased(leased Share) {
+	for b := range buckets {
+		if leased[b.rate()] > 1+overTolerance || leased[b.burst()] > 1+overTolerance {
+			l.overLeased++
+		}
+	}
+}
+
 // totals are the sums over all holders but one.
 type totals struct{ outstanding, planned, demand Share }
 
--- a/coord/quota/owner.go
+++ b/coord/quota/owner.go
@@ -31,6 +31,8 @@
 	holders   map[holderKey]*holderRecord
 	newest    map[string]uint64
 	ledgers   map[string]*ledger
+	// overLeased is the sum over all ledgers, also of those dropped since.
+	overLeased uint64
 }
 
 type holderKey struct {
@@ -150,9 +152,16 @@
 	if now.Before(l.opens) {
 		return l.renewOnly(key, holding)
 	}
-	return l.divide(key, holding)
+	before := l.overLeased
+	grant := l.divide(key, holding)
+	o.overLeased += l.overLeased - before
+	return grant
 }
 
+// OverLeased counts grants in this tenure after which more than a contract was
+// out. It stays 0 unless this package is at fault.
+func (o *Owner) OverLeased() uint64 { return o.overLeased }
+
 // reportRetired notes what is left of a contract that grants nothing any more.
 func (o *Owner) reportRetired(now time.Time, key holderKey, holding Holding) {
 	l, ok := o.ledgers[holding.Contract]
--- a/coord/quota/property_test.go
+++ b/coord/quota/property_test.go
@@ -161,6 +161,7 @@
 		}
 	}
 	w.checkShares()
+	w.checkOwner()
 }
 
 func (w *world) settle(i int) {
@@ -237,6 +238,13 @@
 	}
 }
 
+// checkOwner asserts that the owner, too, never counts more than one contract.
+func (w *world) checkOwner() {
+	if n := w.owner.OverLeased(); n > 0 {
+		w.t.Fatalf("the owner counted %d grants beyond the contract", n)
+	}
+}
+
 // bounds are the most generous limits that anybody went by in a period.
 func (w *world) bounds(from, until time.Time) (most contract.Limits) {
 	for _, r := range w.revisions {
--- a/coord/quota/sim_test.go
+++ b/coord/quota/sim_test.go
@@ -136,7 +136,9 @@
 		heap.Pop(&s.events).(event).do()
 	}
 	if s.owner != nil && s.now.Sub(s.expired) >= expireInterval {
+		begin := time.Now()
 		s.owner.Expire(s.now)
+		s.ownerTime += time.Since(begin)
 		s.expired = s.now
 	}
 	for n := s.arrivals(); n > 0; n-- {
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -20,6 +20,7 @@
 	quotaRefused  = telemetry.Counter("control_quota_renewals_refused")
 	quotaTenures  = telemetry.Counter("control_quota_tenures")
 	quotaBusy     = telemetry.Counter("control_quota_ring_full")
+	quotaOver     = telemetry.Counter("control_quota_over_leased")
 )
 
 // Ownership tells which instance owns the quotas: the leader of the log.
@@ -97,6 +98,7 @@
 		case now := <-ticker.C:
 			if duty.current(now) {
 				duty.owner.Expire(now)
+				quotaOver.Set(int64(duty.owner.OverLeased()))
 			}
 		}
 	}
