Tell a caller when a full server expects to have room

Cause: a refusal for the longest wait always said Retry-After: 1, though the fair queue knows the contract's backlog; a caller that comes back at once is refused again. Change: the agent passes the queue's estimate on, the entry the soonest of those it heard. Ruled out: holding the answer back until there is room. Conclusion: refusals say when to come back.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -134,7 +134,7 @@
 	var over *waitError
 	if !errors.As(err, &over) && r.Context().Err() == nil && ctx.Err() != nil {
 		seatExpiredCount.Add(1)
-		return &waitError{fairqueue.ReasonExpired}
+		return &waitError{reason: fairqueue.ReasonExpired}
 	}
 	return err
 }
--- a/internal/agent/seats.go
+++ b/internal/agent/seats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -64,25 +65,29 @@
 
 type seatAsked struct {
 	item  fairqueue.Item
-	reply chan<- fairqueue.Reason
+	reply chan<- fairqueue.Refusal
 }
 
 // seatDone ends a wait or frees a seat, whichever the request has.
 type seatDone struct{ id fairqueue.ID }
 
 // granted is the reply to a request that has a seat.
-const granted fairqueue.Reason = ""
+var granted = fairqueue.Refusal{}
 
 var errSeatsFull = errors.New("too many requests wait at this server")
 
 // waitError is the end of a wait that the contract bounds.
-type waitError struct{ reason fairqueue.Reason }
+type waitError struct {
+	reason fairqueue.Reason
+	// retryAfter is when the contract's backlog will have been served here.
+	retryAfter time.Duration
+}
 
 func (e *waitError) Error() string { return "the contract's longest wait: " + string(e.reason) }
 
 // take waits for a seat until ctx ends. A nil error means that free must follow.
 func (s *seats) take(ctx context.Context, item fairqueue.Item) error {
-	reply := make(chan fairqueue.Reason, 1)
+	reply := make(chan fairqueue.Refusal, 1)
 	select {
 	case s.events <- seatAsked{item: item, reply: reply}:
 	default:
@@ -90,8 +95,8 @@
 		return errSeatsFull
 	}
 	select {
-	case reason := <-reply:
-		return seatError(reason)
+	case refusal := <-reply:
+		return seatError(refusal)
 	case <-ctx.Done():
 		// A seat may have been given meanwhile: this frees it.
 		s.free(item.ID)
@@ -99,14 +104,14 @@
 	}
 }
 
-func seatError(reason fairqueue.Reason) error {
-	switch reason {
-	case granted:
+func seatError(refusal fairqueue.Refusal) error {
+	switch refusal.Reason {
+	case granted.Reason:
 		return nil
 	case fairqueue.ReasonFull:
 		return errSeatsFull
 	default:
-		return &waitError{reason}
+		return &waitError{refusal.Reason, refusal.RetryAfter}
 	}
 }
 
@@ -123,7 +128,7 @@
 type seatDuty struct {
 	*seats
 	queue   *fairqueue.Queue
-	replies map[fairqueue.ID]chan<- fairqueue.Reason
+	replies map[fairqueue.ID]chan<- fairqueue.Refusal
 	taken   map[fairqueue.ID]float64
 	// served is the cost of the requests that ended since measured.
 	served   float64
@@ -137,7 +142,7 @@
 	d := &seatDuty{
 		seats:    s,
 		queue:    fairqueue.New(fairqueue.Options{Limit: s.limit, HeadStart: headStart, MaxHeadStart: maxHeadStart}),
-		replies:  make(map[fairqueue.ID]chan<- fairqueue.Reason),
+		replies:  make(map[fairqueue.ID]chan<- fairqueue.Refusal),
 		taken:    make(map[fairqueue.ID]float64),
 		measured: time.Now(),
 	}
@@ -213,12 +218,12 @@
 		default:
 			seatFullCount.Add(1)
 		}
-		d.answer(refusal.Item.ID, refusal.Reason)
+		d.answer(refusal.Item.ID, refusal)
 	}
 }
 
-func (d *seatDuty) answer(id fairqueue.ID, reason fairqueue.Reason) {
-	d.replies[id] <- reason
+func (d *seatDuty) answer(id fairqueue.ID, verdict fairqueue.Refusal) {
+	d.replies[id] <- verdict
 	delete(d.replies, id)
 }
 
@@ -281,6 +286,6 @@
 	refusedCount.Add(1)
 	w.Header().Set(outcome.Header, outcome.NotRun.String())
 	w.Header().Set(wire.HeaderClause, string(contract.ClauseMaxWait))
-	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(over.retryAfter.Seconds())))))
 	http.Error(w, err.Error(), http.StatusTooManyRequests)
 }
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -15,8 +15,10 @@
 type waitBudget struct {
 	until time.Time
 	limit time.Duration
-	// refused is true when a server refused the call for its wait.
-	refused bool
+	// refused is true when a server refused the call for its wait, and
+	// retryAfter the soonest that one of them expects to have room, in seconds.
+	refused    bool
+	retryAfter int
 }
 
 func newWaitBudget(limits contract.Limits, arrived time.Time) *waitBudget {
@@ -34,9 +36,17 @@
 
 // note takes a server's refusal into account.
 func (b *waitBudget) note(header http.Header) {
-	if b != nil && header.Get(wire.HeaderClause) == string(contract.ClauseMaxWait) {
-		b.refused = true
+	if b == nil || header.Get(wire.HeaderClause) != string(contract.ClauseMaxWait) {
+		return
+	}
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 1 {
+		seconds = 1
+	}
+	if !b.refused || seconds < b.retryAfter {
+		b.retryAfter = seconds
 	}
+	b.refused = true
 }
 
 // over reports that the call has waited as long as it may. Its caller is told
@@ -54,7 +64,7 @@
 		status:     http.StatusTooManyRequests,
 		code:       codeLimit,
 		message:    "capacity is short: the wait would pass " + b.limit.String() + ", the contract's longest wait",
-		retryAfter: 1,
+		retryAfter: b.retryAfter,
 		clause:     string(contract.ClauseMaxWait),
 	}, true
 }
--- a/internal/entry/wait_test.go
+++ b/internal/entry/wait_test.go
@@ -16,7 +16,7 @@
 // Every server is full. The caller learns which clause ends its wait, and that
 // it may come back; no server is told that it has more time than is left.
 func TestWaitAtFullServersIsRefusedByItsClause(t *testing.T) {
-	var last atomic.Int64
+	var last, asked atomic.Int64
 	last.Store(1 << 40)
 	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		left, err := strconv.ParseInt(r.Header.Get(wire.HeaderMaxWait), 10, 64)
@@ -25,6 +25,7 @@
 		}
 		w.Header().Set(outcome.Header, outcome.NotRun.String())
 		w.Header().Set(wire.HeaderClause, "maxWait")
+		w.Header().Set("Retry-After", strconv.FormatInt(7-asked.Add(1), 10))
 		w.WriteHeader(http.StatusTooManyRequests)
 	}))
 	defer full.Close()
@@ -34,4 +35,7 @@
 	if got.outcome != outcome.NotRun || !strings.Contains(got.body, `"code":"limit_reached","param":"maxWait"`) {
 		t.Errorf("told %v: %s", got.outcome, got.body)
 	}
+	if want := strconv.FormatInt(7-asked.Load(), 10); asked.Load() < 2 || got.header.Get("Retry-After") != want {
+		t.Errorf("after %d servers the caller is to come back in %q s, want %q", asked.Load(), got.header.Get("Retry-After"), want)
+	}
 }
