Give each caller at an index its own fate

Cause: a leader that lost its leadership and won it back could give the same index to another proposal; the later caller took the place of the earlier one, which then waited until its own time was over. Change: several callers may wait at an index; each is answered by its term. Ruled out: answering the earlier one when the log is cut, as its entry may still be committed by another leader.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -37,7 +37,9 @@
 	// toDisk and toApply wait for room in the rings.
 	toDisk  []diskItem
 	toApply []applyItem
-	waiters map[uint64]waiter
+	// waiters are the callers by index; one that lost its leadership and won it
+	// back may have several at an index, of different terms.
+	waiters map[uint64][]waiter
 	reads   map[uint64]chan<- readAnswer
 	read    uint64
 	leader  replog.ID
@@ -45,7 +47,7 @@
 }
 
 func newCore(r *Replica) *core {
-	return &core{Replica: r, waiters: make(map[uint64]waiter), reads: make(map[uint64]chan<- readAnswer)}
+	return &core{Replica: r, waiters: make(map[uint64][]waiter), reads: make(map[uint64]chan<- readAnswer)}
 }
 
 func (c *core) run(ctx context.Context) {
@@ -174,16 +176,14 @@
 	committedCount.Add(int64(len(entries)))
 	item := applyItem{entries: entries}
 	for _, e := range entries {
-		w, waits := c.waiters[e.Index]
-		if !waits {
-			continue
+		for _, w := range c.waiters[e.Index] {
+			if w.term == e.Term {
+				item.replies = append(item.replies, indexedReply{index: e.Index, reply: w.reply})
+			} else {
+				w.reply <- proposeAnswer{err: notCommitted(errors.New("another leader's entry took the place"))}
+			}
 		}
 		delete(c.waiters, e.Index)
-		if w.term == e.Term {
-			item.replies = append(item.replies, indexedReply{index: e.Index, reply: w.reply})
-		} else {
-			w.reply <- proposeAnswer{err: notCommitted(errors.New("another leader's entry took the place"))}
-		}
 	}
 	c.toApply = append(c.toApply, item)
 }
@@ -191,10 +191,9 @@
 // endCovered answers the waiters whose entries a snapshot covers: whether they
 // are in it is not known here.
 func (c *core) endCovered(index uint64) {
-	for at, w := range c.waiters {
+	for at := range c.waiters {
 		if at <= index {
-			delete(c.waiters, at)
-			w.reply <- proposeAnswer{err: unknownFate(errors.New("a snapshot took the place of the entry"))}
+			c.endWaiters(at, errors.New("a snapshot took the place of the entry"))
 		}
 	}
 }
@@ -228,16 +227,28 @@
 	c.role, c.leader = role, leader
 }
 
+// await lets a caller wait for the entry at an index and term.
+func (c *core) await(index, term uint64, reply chan<- proposeAnswer) {
+	c.waiters[index] = append(c.waiters[index], waiter{term: term, reply: reply})
+}
+
 func (c *core) compact(s takenSnapshot) {
 	snapshot := c.node.Compact(s.index, s.data)
 	c.toDisk = append(c.toDisk, diskItem{compact: &snapshot})
 }
 
+// endWaiters tells the callers at an index that their fate is unknown.
+func (c *core) endWaiters(index uint64, cause error) {
+	for _, w := range c.waiters[index] {
+		w.reply <- proposeAnswer{err: unknownFate(cause)}
+	}
+	delete(c.waiters, index)
+}
+
 // end answers everyone who waits.
 func (c *core) end(cause error) {
-	for index, w := range c.waiters {
-		delete(c.waiters, index)
-		w.reply <- proposeAnswer{err: unknownFate(cause)}
+	for index := range c.waiters {
+		c.endWaiters(index, cause)
 	}
 	for id, reply := range c.reads {
 		delete(c.reads, id)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -21,7 +21,7 @@
 		q.refuse(err)
 		return
 	}
-	c.waiters[index] = waiter{term: term, reply: q.reply}
+	c.await(index, term, q.reply)
 }
 
 func (q changeRequest) refuse(err error) {
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -75,7 +75,7 @@
 		p.refuse(err)
 		return
 	}
-	c.waiters[index] = waiter{term: term, reply: p.reply}
+	c.await(index, term, p.reply)
 }
 
 func (p proposeRequest) refuse(err error) { p.reply <- proposeAnswer{err: notCommitted(err)} }
