Judge the end of a segment by what a torn write can leave, and nothing else

Cause: a header that lay across two sectors with the second unwritten was refused as damage, so that an instance would not have started after a crash that lost nothing; and a flipped bit in the last record was cut in silence when the record's few bytes in its last sector happened to be zeros. Change: a header may end in unwritten zeros at a sector's boundary; fewer than 16 zeros in a sector prove nothing. Measured: a table of ends; both cases fail before. Ruled out: a sync marker after each record, as it would double the writes.

--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -15,6 +15,8 @@
 	headerSize  = 16
 	maxPayload  = 1 << 30
 	sectorBytes = 512
+	// minZeroBytes is how many zeros are taken for an unwritten part of a sector.
+	minZeroBytes = 16
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -59,7 +61,7 @@
 	}
 	length, sum, ok := parseHeader(data)
 	if !ok {
-		return nil, tornIf(allZero(data))
+		return nil, tornIf(allZero(data) || zeroFromNextSector(data, offset))
 	}
 	if uint64(len(data)-headerSize) < uint64(length) {
 		return nil, frameTorn
@@ -93,13 +95,22 @@
 	return len(bytes.TrimLeft(data, "\x00")) == 0
 }
 
+// zeroFromNextSector reports whether a header lies across two sectors and
+// nothing was written from the second one on.
+func zeroFromNextSector(data []byte, offset int) bool {
+	written := sectorBytes - offset%sectorBytes
+	return written < headerSize && allZero(data[written:])
+}
+
 // hasZeroSector reports whether a sector that the frame reaches into is all
 // zeros there: the file had grown before the crash, but the sector was not
-// written yet. A flipped bit does not look like that.
+// written yet. A flipped bit does not look like that. Where the frame reaches
+// only a few bytes into a sector, zeros prove nothing: taking them for a torn
+// write could cut a synced record in silence.
 func hasZeroSector(frame []byte, offset int) bool {
 	for len(frame) > 0 {
 		sector := min(len(frame), sectorBytes-offset%sectorBytes)
-		if allZero(frame[:sector]) {
+		if sector >= minZeroBytes && allZero(frame[:sector]) {
 			return true
 		}
 		frame, offset = frame[sector:], offset+sector
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -222,6 +222,37 @@
 	checkTorn(t, fs, path, append(slices.Clone(data[:sector]), make([]byte, len(data)-sector)...))
 }
 
+// What stands at the end is judged by what a cut-short write can leave, and
+// everything else is refused: an instance must not lose synced records in silence.
+func TestEndOfFileIsCutOnlyWhenItCanBeTorn(t *testing.T) {
+	frame := appendFrame(nil, append(bytes.Repeat([]byte{7}, 100), 0, 0, 0))
+	flipped := slices.Clone(frame)
+	flipped[50] ^= 1
+	unwritten := append(slices.Clone(frame[:6]), make([]byte, len(frame)-6)...)
+	straddling := sectorBytes - 6
+	tailInNextSector := sectorBytes - (len(frame) - 3)
+	cases := []struct {
+		name   string
+		data   []byte
+		offset int
+		want   frameState
+	}{
+		{"whole", frame, 0, frameWhole},
+		{"cut header", frame[:5], 0, frameTorn},
+		{"cut payload", frame[:90], 0, frameTorn},
+		{"zeros", make([]byte, 200), 0, frameTorn},
+		{"header across two sectors, the second unwritten", unwritten, straddling, frameTorn},
+		{"header with zeros within one sector", unwritten, 0, frameDamaged},
+		{"flipped bit", flipped, 0, frameDamaged},
+		{"flipped bit, and zeros of its own in the next sector", flipped, tailInNextSector, frameDamaged},
+	}
+	for _, c := range cases {
+		if _, state := readFrame(c.data, c.offset); state != c.want {
+			t.Errorf("%s: state %d, want %d", c.name, state, c.want)
+		}
+	}
+}
+
 func checkTorn(t *testing.T, fs *memFS, path string, data []byte) {
 	t.Helper()
 	torn := fs.crash(0)
