Measure the log by its number of instances

Change: BenchmarkSize, and BenchmarkIdle at nine. Ruled out: nine processes, as the machine was loaded by others.

--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// BenchmarkSize is the slope over the number of instances.
+func BenchmarkSize(b *testing.B) {
+	for _, size := range []int{1, 3, 5, 9} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			c := newCluster(b, size, replica.Options{})
+			benchmarkPropose(b, c, c.leader(), 16)
+		})
+	}
+}
+
 // BenchmarkForward commits through a follower.
 func BenchmarkForward(b *testing.B) {
 	for _, clients := range []int{1, 16, 128} {
@@ -89,9 +99,15 @@
 	b.ReportMetric(float64((cpuTime()-cpuBefore).Microseconds())/n, "cpu-µs/commit")
 }
 
-// BenchmarkIdle is the cost at rest of three instances in one process.
+// BenchmarkIdle is the cost at rest of instances in one process.
 func BenchmarkIdle(b *testing.B) {
-	c := newCluster(b, 3, replica.Options{})
+	for _, size := range []int{3, 9} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) { benchmarkIdle(b, size) })
+	}
+}
+
+func benchmarkIdle(b *testing.B, size int) {
+	c := newCluster(b, size, replica.Options{})
 	c.propose(0, "ready")
 	calls := telemetry.Counter("replica_calls_sent")
 	const span = 5 * time.Second
@@ -99,7 +115,7 @@
 		callsBefore, cpuBefore := calls.Value(), cpuTime()
 		time.Sleep(span)
 		b.ReportMetric(float64(calls.Value()-callsBefore)/span.Seconds(), "calls/s")
-		b.ReportMetric(float64((cpuTime()-cpuBefore).Microseconds())/span.Seconds()/3, "cpu-µs/s/instance")
+		b.ReportMetric(float64((cpuTime()-cpuBefore).Microseconds())/span.Seconds()/float64(size), "cpu-µs/s/instance")
 	}
 }
 
