Tell operators of an instance that belongs to no log; bound learnt addresses

Cause: before the log is founded, members list said that no leader is known, which sends an operator to look for a lost quorum; addresses of senders outside the membership were remembered without a bound. Change: the list says that there is no log yet and what it waits for; 64 addresses are remembered. Measured: the test of the members commands covers an instance without a log. Ruled out: forgetting the oldest address, as the membership names all that matter once there is one.

--- a/cmd/rosemaryctl/members.go
+++ b/cmd/rosemaryctl/members.go
@@ -47,6 +47,10 @@
 	if list.Failure != "" {
 		fmt.Fprintf(t.out, "The answering instance has stepped out: %s\n", list.Failure)
 	}
+	if list.Cluster == "" {
+		fmt.Fprintln(t.out, "This instance belongs to no log yet. If it has \"bootstrap\", it founds one once every instance in controlPeers answers; else it waits to be added.")
+		return
+	}
 	if list.Leader == "" {
 		fmt.Fprintln(t.out, "No leader is known: nothing can be accepted, and this is one instance's own view.")
 		return
--- a/cmd/rosemaryctl/members_test.go
+++ b/cmd/rosemaryctl/members_test.go
@@ -15,7 +15,7 @@
 )
 
 // startReplicated runs one control instance with a data folder.
-func startReplicated(t *testing.T) string {
+func startReplicated(t *testing.T, bootstrap bool) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +28,7 @@
 		OperatorKeyHashes: []string{follow.HashKey(operatorKey)},
 	}, zap.NewNop())
 	r, err := replica.Open(replica.Options{
-		Instance: "control-0", Address: address, Peers: []string{address}, Bootstrap: true,
+		Instance: "control-0", Address: address, Peers: []string{address}, Bootstrap: bootstrap,
 		Folder: t.TempDir(), TickInterval: 5 * time.Millisecond,
 	}, c, zap.NewNop())
 	if err != nil {
@@ -51,7 +51,7 @@
 }
 
 func TestMembersCommandsAndTheirExitCodes(t *testing.T) {
-	url := startReplicated(t)
+	url := startReplicated(t, true)
 	if code, _, errOut := ctl(t, url, "model", "add", "floor-assist-base"); code != exitDone {
 		t.Fatalf("a change through the log: exit %d, %s", code, errOut)
 	}
@@ -73,6 +73,9 @@
 			t.Errorf("%v: exit %d, %s%s", step.line, code, out, errOut)
 		}
 	}
+	if _, out, _ := ctl(t, startReplicated(t, false), "members", "list"); !strings.Contains(out, "belongs to no log yet") {
+		t.Errorf("before there is a log: %s", out)
+	}
 	if code, _, errOut := ctl(t, startControl(t), "members", "list"); code != exitNotFound {
 		t.Errorf("without a data folder: exit %d, %s", code, errOut)
 	}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -26,6 +26,8 @@
 	// frame after its encoding.
 	envelopeMessages = 64
 	envelopeBytes    = 4 << 20
+	// maxLearnt bounds the senders that are remembered beside the configuration.
+	maxLearnt = 64
 	// callTimeout bounds one call; a peer that is cut off silently costs no more.
 	callTimeout = 2 * time.Second
 	// retryPause follows a failed call, so that a peer that is down is not
@@ -68,7 +70,9 @@
 func (p *peers) learn(id replog.ID, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addresses[id] = address
+	if _, known := p.addresses[id]; known || len(p.addresses) < maxLearnt {
+		p.addresses[id] = address
+	}
 }
 
 // send puts messages on their lanes. It never blocks.
