Wait for a time or a context in one place

Change: internal/wait.For replaces all of them; duties that don't need the reason ignore the error openly. Ruled out: the timers in select statements with further cases stay, as they wait for more than a time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -126,7 +127,7 @@
 			a.sendEnd(engineSeen{report: report})
 			first()
 		}
-		sleep(ctx, a.options.AnnounceInterval)
+		_ = wait.For(ctx, a.options.AnnounceInterval)
 	}
 }
 
@@ -164,7 +165,7 @@
 		var reply wire.AnnounceReply
 		_ = client.Call(callCtx, wire.MethodAnnounce, wire.Announce{Announcement: a.announcement()}, &reply)
 		cancel()
-		sleep(ctx, a.options.AnnounceInterval)
+		_ = wait.For(ctx, a.options.AnnounceInterval)
 	}
 }
 
@@ -185,15 +186,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 var (
 	errNotRun = errors.New("the request was not run")
 	errNoSlot = errors.New("the request was not run: no adapter slot is free here")
--- a/internal/agent/fencing.go
+++ b/internal/agent/fencing.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 var supersededCount = telemetry.Counter("agent_superseded")
@@ -64,7 +65,7 @@
 			close(a.orders.fencing.issued)
 			return
 		}
-		sleep(ctx, fencingRetry)
+		_ = wait.For(ctx, fencingRetry)
 	}
 }
 
--- a/internal/agent/gate_test.go
+++ b/internal/agent/gate_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -69,7 +70,7 @@
 	d := time.Duration(e.random.IntN(50)) * time.Millisecond
 	e.inUse[model]++
 	e.mu.Unlock()
-	sleep(ctx, d)
+	_ = wait.For(ctx, d)
 	e.mu.Lock()
 	e.inUse[model]--
 	e.mu.Unlock()
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -7,6 +7,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/agent"
 	"github.com/rosemarypass/rosemarypass/internal/ledger"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 // engineDialTimeout bounds connecting to the engine beside the agent.
@@ -40,7 +41,7 @@
 		a.Leave()
 		// The listener stays until entries have heard: a refusal sends a
 		// request elsewhere at once, a dead address only after a timeout.
-		pause(ctx, stopGrace)
+		_ = wait.For(ctx, stopGrace)
 		d.reportCut(agentListen, a.Wait(ctx))
 	})
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/ledger"
 	"github.com/rosemarypass/rosemarypass/internal/limiter"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 func (d *Daemon) startEntry(ctx context.Context) error {
@@ -57,7 +58,7 @@
 	d.follower = follower
 	return d.serveHTTP(entryListen, s.Listen, plain, e.Handler(), func(ctx context.Context) {
 		e.Drain()
-		pause(ctx, stopGrace)
+		_ = wait.For(ctx, stopGrace)
 		d.reportCut(entryListen, e.Wait(ctx))
 		limits.Stop(ctx)
 	})
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/placement"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -44,7 +45,7 @@
 	for try := range resumeTries {
 		// A random pause, so that the answers of one broken connection do
 		// not all come back in one burst.
-		if err := pause(ctx, rand.N(resumePause<<try)); err != nil {
+		if err := wait.For(ctx, rand.N(resumePause<<try)); err != nil {
 			return nil, err
 		}
 		response, err := e.askRun(ctx, r, server, http.MethodGet, offset)
--- a/internal/entry/retries.go
+++ b/internal/entry/retries.go
@@ -10,6 +10,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/retry"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -50,7 +51,7 @@
 		return false
 	}
 	retryCount.Add(1)
-	return pause(ctx, decision.After) == nil
+	return wait.For(ctx, decision.After) == nil
 }
 
 func (s *retries) next(ctx context.Context, c call, attempt int, said outcome.Outcome) retry.Decision {
@@ -63,17 +64,6 @@
 	})
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // withTimeout bounds a request by the time that its caller set.
 func withTimeout(ctx context.Context, header http.Header) (context.Context, context.CancelFunc, *failure) {
 	text := header.Get(wire.HeaderTimeout)
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -75,7 +76,7 @@
 			convictedCount.Add(1)
 			return nil, &failure{status: http.StatusUnprocessableEntity, code: codeConvicted, message: "this request crashed the backend servers that ran it; it is refused for a time", retryAfter: convictedRetry}
 		}
-		if pause(ctx, trialPause) != nil {
+		if wait.For(ctx, trialPause) != nil {
 			return nil, &failure{status: http.StatusServiceUnavailable, code: codeSuspect, message: "this request was at a backend server that crashed and must run alone; no server is free for that now", retryAfter: 1}
 		}
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -156,7 +157,7 @@
 		}
 		moveCount.Add(1)
 		f.forgetPeer(peer)
-		sleep(ctx, delay)
+		_ = wait.For(ctx, delay)
 	}
 }
 
@@ -274,12 +275,3 @@
 	f.servers.Store(&servers)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/follow/probe.go
+++ b/internal/follow/probe.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -68,7 +69,7 @@
 		defer clients[i].Close()
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, probeInterval)
+		_ = wait.For(ctx, probeInterval)
 		if f.probeDue() {
 			f.probe(ctx, clients)
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -82,7 +83,7 @@
 		}
 		retryCount.Add(1)
 		c.current.CompareAndSwap(at, at+1)
-		pause(ctx, retryPause)
+		_ = wait.For(ctx, retryPause)
 	}
 }
 
@@ -98,12 +99,3 @@
 		peer.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/limiter/duty.go
+++ b/internal/limiter/duty.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/quota"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -213,20 +214,11 @@
 			return
 		}
 		d.owner = (d.owner + 1) % len(d.clients)
-		pause(ctx, retryDelay)
+		_ = wait.For(ctx, retryDelay)
 	}
 	d.log.Warn("shares were not handed back; they run out by themselves")
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (d *duty) close() {
 	for _, client := range d.clients {
 		client.Close()
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 // Errors that end a call. Test for them with errors.Is.
@@ -165,7 +166,7 @@
 	sent := false
 	for round := range c.options.Rounds {
 		if round > 0 {
-			pause(ctx, roundPause)
+			_ = wait.For(ctx, roundPause)
 		}
 		for _, url := range c.options.URLs {
 			answered, err := c.attempt(ctx, url, request)
@@ -275,12 +276,3 @@
 	}
 	return failure.Error
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/replica/enter.go
+++ b/internal/replica/enter.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wal"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -38,7 +39,7 @@
 			r.found(members)
 			return
 		}
-		pause(ctx, helloInterval)
+		_ = wait.For(ctx, helloInterval)
 	}
 }
 
@@ -102,7 +103,7 @@
 func (r *Replica) runHello(ctx context.Context) {
 	for r.blank() && ctx.Err() == nil {
 		r.askPeers(ctx)
-		pause(ctx, helloInterval)
+		_ = wait.For(ctx, helloInterval)
 	}
 }
 
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -138,7 +139,7 @@
 			}
 			if err != nil {
 				failedCalls.Add(1)
-				pause(p.ctx, retryPause)
+				_ = wait.For(p.ctx, retryPause)
 			}
 		}
 	}
@@ -182,12 +183,3 @@
 	p.stop()
 	p.duties.Wait()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -91,7 +92,7 @@
 		if err == nil || !errors.Is(err, ErrNotCommitted) || !passing(err) {
 			return index, result, err
 		}
-		pause(ctx, leaderPause)
+		_ = wait.For(ctx, leaderPause)
 		if ctx.Err() != nil || time.Now().After(deadline) {
 			return 0, nil, err
 		}
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/replog"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -40,7 +41,7 @@
 		if !passing(err) || ctx.Err() != nil {
 			return 0, err
 		}
-		pause(ctx, leaderPause)
+		_ = wait.For(ctx, leaderPause)
 	}
 }
 
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,19 @@
+// Package wait pauses a duty without holding up its end.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after d, or with the context's error as soon as ctx ends.
+func For(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
