--- a/coord/broker/window.go
+++ b/coord/broker/window.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -58,21 +59,15 @@
 
 // NewWindow returns a window at its initial limit.
 func NewWindow(options WindowOptions) *Window {
-	setDefault(&options.Initial, defaultInitial)
-	setDefault(&options.Max, defaultMax)
-	setDefault(&options.Tolerance, defaultTolerance)
+	options.Initial = cmp.Or(options.Initial, defaultInitial)
+	options.Max = cmp.Or(options.Max, defaultMax)
+	options.Tolerance = cmp.Or(options.Tolerance, defaultTolerance)
 	if options.ProbeEvery == 0 {
 		options.ProbeEvery = defaultProbeEvery
 	}
 	return &Window{options: options, limit: options.Initial}
 }
 
-func setDefault(field *float64, value float64) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Limit is the most loads to keep in flight, at least 1.
 func (w *Window) Limit() int {
 	limit := w.limit
--- a/coord/placement/selector.go
+++ b/coord/placement/selector.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -52,9 +53,9 @@
 
 // NewSelector returns a selector that knows no servers.
 func NewSelector(picker *Picker, options SelectorOptions) *Selector {
-	setDefault(&options.ReportLag, defaultReportLag)
-	setDefault(&options.LoadTime, defaultLoadTime)
-	setDefault(&options.ServiceTime, defaultServiceTime)
+	options.ReportLag = cmp.Or(options.ReportLag, defaultReportLag)
+	options.LoadTime = cmp.Or(options.LoadTime, defaultLoadTime)
+	options.ServiceTime = cmp.Or(options.ServiceTime, defaultServiceTime)
 	return &Selector{
 		options:   options,
 		picker:    picker,
@@ -66,12 +67,6 @@
 	}
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Observe takes the directory's present state. Announcements that are not
 // newer than the last keep the dispatches counted since.
 func (s *Selector) Observe(announced []membership.Announcement, now time.Time) {
--- a/coord/replog/types.go
+++ b/coord/replog/types.go
@@ -10,6 +10,7 @@
 package replog
 
 import (
+	"cmp"
 	"math/rand/v2"
 
 	"github.com/pkg/errors"
@@ -216,16 +217,10 @@
 )
 
 func (o *Options) setDefaults() {
-	setDefault(&o.ElectionTicks, defaultElectionTicks)
-	setDefault(&o.HeartbeatTicks, defaultHeartbeatTicks)
-	setDefault(&o.MaxAppendBytes, defaultMaxAppendBytes)
-	setDefault(&o.MaxInflight, defaultMaxInflight)
-	setDefault(&o.MaxUncommittedBytes, defaultMaxUncommittedBytes)
-	setDefault(&o.TrailingEntries, defaultTrailingEntries)
-}
-
-func setDefault(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
+	o.ElectionTicks = cmp.Or(o.ElectionTicks, defaultElectionTicks)
+	o.HeartbeatTicks = cmp.Or(o.HeartbeatTicks, defaultHeartbeatTicks)
+	o.MaxAppendBytes = cmp.Or(o.MaxAppendBytes, defaultMaxAppendBytes)
+	o.MaxInflight = cmp.Or(o.MaxInflight, defaultMaxInflight)
+	o.MaxUncommittedBytes = cmp.Or(o.MaxUncommittedBytes, defaultMaxUncommittedBytes)
+	o.TrailingEntries = cmp.Or(o.TrailingEntries, defaultTrailingEntries)
 }
--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -12,6 +12,7 @@
 package slots
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -179,10 +180,10 @@
 
 // NewTable returns an empty table.
 func NewTable(options Options) *Table {
-	setDefault(&options.HalfLife, defaultHalfLife)
-	setDefault(&options.Patience, defaultPatience)
-	setDefault(&options.RetryMin, defaultRetryMin)
-	setDefault(&options.RetryMax, defaultRetryMax)
+	options.HalfLife = cmp.Or(options.HalfLife, defaultHalfLife)
+	options.Patience = cmp.Or(options.Patience, defaultPatience)
+	options.RetryMin = cmp.Or(options.RetryMin, defaultRetryMin)
+	options.RetryMax = cmp.Or(options.RetryMax, defaultRetryMax)
 	return &Table{
 		options:  options,
 		slots:    make(map[catalogue.Ref]*slot),
@@ -192,12 +193,6 @@
 	}
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Claim is what a request asks of a table.
 type Claim struct {
 	Request RequestID
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -57,20 +58,13 @@
 )
 
 func (o *Options) setDefaults() {
-	setDefault(&o.ServerLease, defaultServerLease)
-	setDefault(&o.LoadInterval, defaultLoadInterval)
-	setDefault(&o.DaemonLease, defaultDaemonLease)
-	setDefault(&o.MaxServers, defaultMaxServers)
-	setDefault(&o.MaxDaemons, defaultMaxDaemons)
-	setDefault(&o.TailLength, defaultTailLength)
-	setDefault(&o.MessageBytes, defaultMessageBytes)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	o.ServerLease = cmp.Or(o.ServerLease, defaultServerLease)
+	o.LoadInterval = cmp.Or(o.LoadInterval, defaultLoadInterval)
+	o.DaemonLease = cmp.Or(o.DaemonLease, defaultDaemonLease)
+	o.MaxServers = cmp.Or(o.MaxServers, defaultMaxServers)
+	o.MaxDaemons = cmp.Or(o.MaxDaemons, defaultMaxDaemons)
+	o.TailLength = cmp.Or(o.TailLength, defaultTailLength)
+	o.MessageBytes = cmp.Or(o.MessageBytes, defaultMessageBytes)
 }
 
 // Control is one control instance.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -76,20 +77,13 @@
 )
 
 func (o *Options) setDefaults() {
-	setDefault(&o.MaxBodyBytes, defaultMaxBodyBytes)
-	setDefault(&o.Retries, retry.DefaultLimits)
-	setDefault(&o.BodyTimeout, defaultBodyTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.FirstByteTimeout, defaultFirstByteTimeout)
-	setDefault(&o.StallTimeout, defaultStallTimeout)
-	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, defaultMaxBodyBytes)
+	o.Retries = cmp.Or(o.Retries, retry.DefaultLimits)
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, defaultBodyTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.FirstByteTimeout = cmp.Or(o.FirstByteTimeout, defaultFirstByteTimeout)
+	o.StallTimeout = cmp.Or(o.StallTimeout, defaultStallTimeout)
+	o.ClaimTimeout = cmp.Or(o.ClaimTimeout, defaultClaimTimeout)
 }
 
 // Source is what an entry knows of the system; a follow.Follower keeps it up
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -72,9 +72,9 @@
 			c.node.Synced(sequence)
 		case s := <-c.taken:
 			c.compact(s)
-		case c.diskRing() <- c.firstDisk():
+		case ringFor(c.disk, c.toDisk) <- first(c.toDisk):
 			c.toDisk = c.toDisk[1:]
-		case c.applyRing() <- c.firstApply():
+		case ringFor(c.apply, c.toApply) <- first(c.toApply):
 			c.toApply = c.toApply[1:]
 		}
 		c.drain()
@@ -98,33 +98,22 @@
 	}
 }
 
-// diskRing is nil, which a select passes over, when nothing waits.
-func (c *core) diskRing() chan<- diskItem {
-	if len(c.toDisk) == 0 {
+// ringFor is nil, which a select passes over, when nothing waits.
+func ringFor[T any](ring chan<- T, waiting []T) chan<- T {
+	if len(waiting) == 0 {
 		return nil
 	}
-	return c.disk
+	return ring
 }
 
-func (c *core) firstDisk() diskItem {
-	if len(c.toDisk) == 0 {
-		return diskItem{}
+// first is the zero value, which ringFor keeps from being sent, when nothing
+// waits.
+func first[T any](waiting []T) T {
+	if len(waiting) == 0 {
+		var zero T
+		return zero
 	}
-	return c.toDisk[0]
-}
-
-func (c *core) applyRing() chan<- applyItem {
-	if len(c.toApply) == 0 {
-		return nil
-	}
-	return c.apply
-}
-
-func (c *core) firstApply() applyItem {
-	if len(c.toApply) == 0 {
-		return applyItem{}
-	}
-	return c.toApply[0]
+	return waiting[0]
 }
 
 // backlogged is true when the disk or the state machine is far behind. Appends
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"net/url"
 	"time"
 )
@@ -38,10 +39,10 @@
 )
 
 func (a *Agent) setDefaults() {
-	setDefault(&a.Queue, defaultQueue)
-	setDefault(&a.LoadTimeout, Duration(defaultLoadTimeout))
-	setDefault(&a.AnnounceInterval, Duration(defaultAnnounceInterval))
-	setDefault(&a.DrainTimeout, Duration(defaultDrainTimeout))
+	a.Queue = cmp.Or(a.Queue, defaultQueue)
+	a.LoadTimeout = cmp.Or(a.LoadTimeout, Duration(defaultLoadTimeout))
+	a.AnnounceInterval = cmp.Or(a.AnnounceInterval, Duration(defaultAnnounceInterval))
+	a.DrainTimeout = cmp.Or(a.DrainTimeout, Duration(defaultDrainTimeout))
 }
 
 func (a *Agent) check(p *problems) {
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -37,8 +38,8 @@
 )
 
 func (c *Control) setDefaults() {
-	setDefault(&c.ServerLease, Duration(defaultServerLease))
-	setDefault(&c.PeerAddress, c.PeerListen)
+	c.ServerLease = cmp.Or(c.ServerLease, Duration(defaultServerLease))
+	c.PeerAddress = cmp.Or(c.PeerAddress, c.PeerListen)
 }
 
 // checkLog checks what the replicated log needs; peers are the addresses of all
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Entry configures the entry role.
 type Entry struct {
@@ -50,14 +53,14 @@
 )
 
 func (e *Entry) setDefaults() {
-	setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
-	setDefault(&e.DialTimeout, Duration(defaultDialTimeout))
-	setDefault(&e.BodyTimeout, Duration(defaultCallerTimeout))
-	setDefault(&e.WriteTimeout, Duration(defaultCallerTimeout))
-	setDefault(&e.FirstByteTimeout, Duration(defaultFirstByteTimeout))
-	setDefault(&e.StallTimeout, Duration(defaultStallTimeout))
-	setDefault(&e.DrainTimeout, Duration(defaultDrainTimeout))
-	setDefault(&e.FreshnessLease, Duration(defaultFreshnessLease))
+	e.MaxBodyBytes = cmp.Or(e.MaxBodyBytes, defaultMaxBodyBytes)
+	e.DialTimeout = cmp.Or(e.DialTimeout, Duration(defaultDialTimeout))
+	e.BodyTimeout = cmp.Or(e.BodyTimeout, Duration(defaultCallerTimeout))
+	e.WriteTimeout = cmp.Or(e.WriteTimeout, Duration(defaultCallerTimeout))
+	e.FirstByteTimeout = cmp.Or(e.FirstByteTimeout, Duration(defaultFirstByteTimeout))
+	e.StallTimeout = cmp.Or(e.StallTimeout, Duration(defaultStallTimeout))
+	e.DrainTimeout = cmp.Or(e.DrainTimeout, Duration(defaultDrainTimeout))
+	e.FreshnessLease = cmp.Or(e.FreshnessLease, Duration(defaultFreshnessLease))
 }
 
 func (e *Entry) check(p *problems) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"os"
 	"slices"
@@ -95,14 +96,7 @@
 	if s.Control != nil {
 		s.Control.setDefaults()
 	}
-	setDefault(&s.Telemetry.Traces, TracesOff)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	s.Telemetry.Traces = cmp.Or(s.Telemetry.Traces, TracesOff)
 }
 
 func (s *Settings) check(p *problems) {
@@ -160,6 +154,6 @@
 	if s.Agent != nil {
 		longest = max(longest, s.Agent.DrainTimeout)
 	}
-	setDefault(&longest, Duration(defaultDrainTimeout))
+	longest = cmp.Or(longest, Duration(defaultDrainTimeout))
 	return time.Duration(longest)
 }
