Name things by the field's terms: queue, tombstone, starvation

Cause: a request for a permit was a wish, an expired claim was buried, a slot table relieved itself, and an agent's reports were told. None of these is a term of the field, and comments had to explain them. Some comments repeated a name, and one put two functions' meaning on the first. Change: enqueue, replaceByTombstone, forgetting, preventStarvation and forgetReported; comments follow. Run, NewClient and Contract say what their names don't. Only unexported names change.

--- a/coord/broker/broker.go
+++ b/coord/broker/broker.go
@@ -22,14 +22,14 @@
 	Order       uint64 `json:"order"`
 }
 
-// Ask is the wish for a permit. Asking again renews it and updates Demand.
+// Ask requests a permit. Asking again renews the request and updates Demand.
 type Ask struct {
 	Key
 	// Demand is the sum of the weights of the requests that wait for the load.
 	Demand float64
-	// Waited is how long the first of them has waited already. A wish whose
-	// permit had to go back for want of a slot would else start at the end
-	// of the queue, again and again.
+	// Waited is how long the first of them has waited already. A request
+	// whose permit had to go back for want of a slot would else start at the
+	// end of the queue, again and again.
 	Waited time.Duration
 }
 
@@ -87,17 +87,17 @@
 	return &Broker{options: options, window: NewWindow(options.Window), granted: make(map[Key]permit)}
 }
 
-// Ask records or renews a wish and returns the grants that are due. A wish
+// Ask queues or renews a request and returns the grants that are due. One
 // that was granted already is granted again: the first answer was lost.
 func (b *Broker) Ask(ask Ask, now time.Time) []Grant {
 	if p, ok := b.granted[ask.Key]; ok {
 		return []Grant{{Key: ask.Key, Expires: p.expires}}
 	}
-	b.wish(ask, now)
+	b.enqueue(ask, now)
 	return b.grant(now)
 }
 
-func (b *Broker) wish(ask Ask, now time.Time) {
+func (b *Broker) enqueue(ask Ask, now time.Time) {
 	if _, granted := b.granted[ask.Key]; granted {
 		return
 	}
@@ -109,7 +109,7 @@
 	b.queue = append(b.queue, pending{ask: ask, since: now.Add(-ask.Waited), seen: now})
 }
 
-// Return ends a wish or a permit whose load did not happen.
+// Return ends a queued request or a permit whose load did not happen.
 func (b *Broker) Return(key Key, now time.Time) []Grant {
 	b.forget(key)
 	return b.grant(now)
@@ -121,7 +121,7 @@
 	return b.grant(now)
 }
 
-// Want is one wished load in a Report.
+// Want is one load in a Report that waits for a permit.
 type Want struct {
 	Order uint64 `json:"order"`
 	// Demand is the sum of the weights of the requests that wait.
@@ -147,9 +147,9 @@
 }
 
 // Sync takes an agent's report and returns the permits that the agent has for
-// what it wants, and those that other agents got by it. Permits that the agent neither wants nor holds come back;
-// held permits are renewed. A held order that the broker does not know, as
-// after its restart, counts as in flight.
+// what it wants, and those that other agents got by it. Permits that the agent
+// neither wants nor holds come back; held permits are renewed. A held order
+// that the broker does not know, as after its restart, counts as in flight.
 func (b *Broker) Sync(r Report, now time.Time) (own, others []Grant) {
 	for _, f := range r.Finished {
 		b.finish(Key{Agent: r.Agent, Incarnation: r.Incarnation, Order: f.Order}, f.Took, now)
@@ -160,7 +160,7 @@
 	}
 	for _, w := range r.Wanted {
 		key := Key{Agent: r.Agent, Incarnation: r.Incarnation, Order: w.Order}
-		b.wish(Ask{Key: key, Demand: w.Demand, Waited: w.Waited}, now)
+		b.enqueue(Ask{Key: key, Demand: w.Demand, Waited: w.Waited}, now)
 	}
 	for _, g := range b.grant(now) {
 		if g.Agent != r.Agent {
@@ -219,7 +219,7 @@
 	b.queue = slices.DeleteFunc(b.queue, func(p pending) bool { return p.ask.Key == key })
 }
 
-// Tick takes back permits and wishes whose agents have gone silent.
+// Tick takes back permits and drops queued requests whose agents have gone silent.
 func (b *Broker) Tick(now time.Time) []Grant {
 	for key, p := range b.granted {
 		if !now.Before(p.expires) {
@@ -231,10 +231,10 @@
 	return b.grant(now)
 }
 
-// InFlight counts permits out; Queued counts wishes without one.
+// InFlight counts the permits that are out.
 func (b *Broker) InFlight() int { return len(b.granted) }
 
-// Queued counts wishes without a permit.
+// Queued counts the requests that wait for a permit.
 func (b *Broker) Queued() int { return len(b.queue) }
 
 // Limit is the most loads that the broker now keeps in flight.
@@ -259,7 +259,7 @@
 	return grants
 }
 
-// first finds the wish with the most demand. Age counts too, so that a load
+// first finds the queued request with the most demand. Age counts too, so that a load
 // with one waiter is not passed over for ever.
 func (b *Broker) first(now time.Time) int {
 	best, bestScore := 0, 0.0
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -49,10 +49,10 @@
 	answerBytes int
 	// plain counts the claims that will leave a tombstone.
 	plain int
-	// expiring and buried are in the order in which claims expire and
+	// expiring and forgetting are in the order in which claims expire and
 	// tombstones are forgotten.
-	expiring queue[ID]
-	buried   queue[digest]
+	expiring   queue[ID]
+	forgetting queue[digest]
 }
 
 type deadline[K any] struct {
@@ -149,7 +149,7 @@
 	if carries && at.UnixMilli()+Age.Milliseconds() <= now {
 		return TooOld
 	}
-	if _, buried := t.tombstones[digestOf(id)]; buried {
+	if _, known := t.tombstones[digestOf(id)]; known {
 		return TooOld
 	}
 	if len(t.claims) >= t.options.Claims || !carries && len(t.tombstones)+t.plain >= t.options.Tombstones {
@@ -240,14 +240,16 @@
 // expire turns claims into tombstones and forgets old tombstones.
 func (t *Table) expire(now int64) {
 	for d, due := t.expiring.due(now); due; d, due = t.expiring.due(now) {
-		t.bury(t.claims[d.id])
+		t.replaceByTombstone(t.claims[d.id])
 	}
-	for d, due := t.buried.due(now); due; d, due = t.buried.due(now) {
+	for d, due := t.forgetting.due(now); due; d, due = t.forgetting.due(now) {
 		delete(t.tombstones, d.id)
 	}
 }
 
-func (t *Table) bury(c *Claim) {
+// replaceByTombstone needs no tombstone for a key that carries its own time: a
+// late resend is refused by that.
+func (t *Table) replaceByTombstone(c *Claim) {
 	t.answerBytes -= c.Answer.size()
 	delete(t.claims, c.ID)
 	if _, carries := keyTime(c.ID.Key); carries {
@@ -259,7 +261,7 @@
 
 func (t *Table) remember(d digest, forget int64) {
 	t.tombstones[d] = forget
-	t.buried.push(deadline[digest]{id: d, at: forget})
+	t.forgetting.push(deadline[digest]{id: d, at: forget})
 }
 
 // Len counts the claims that have not expired.
--- a/coord/experiment/experiment.go
+++ b/coord/experiment/experiment.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// Run runs one policy.
+// Run simulates one policy in virtual time. Equal arguments give equal results.
 func Run(d Deployment, s Scenario, p Policy, seed uint64) Result {
 	w := newWorld(d, s, p, seed)
 	w.start()
--- a/coord/experiment/world.go
+++ b/coord/experiment/world.go
@@ -239,7 +239,7 @@
 	sequence    uint64
 	loadTime    time.Duration
 	asked       map[slots.OrderID]time.Duration
-	// wanted are the wishes without a permit.
+	// wanted are the loads that wait for a permit.
 	wanted []slots.Ask
 }
 
@@ -322,7 +322,7 @@
 	w.after(hop, func() { w.deliver(w.permits.Ask(ask, w.now())) })
 }
 
-// renew repeats the wishes, as agents do: the broker forgets silent ones.
+// renew repeats the requests for permits, as agents do: the broker forgets silent ones.
 func (s *server) renew() {
 	for _, a := range s.wanted {
 		s.ask(a)
--- a/coord/slots/plan.go
+++ b/coord/slots/plan.go
@@ -26,7 +26,7 @@
 		w.order = t.newOrder()
 		actions = append(actions, w.ask())
 	}
-	return append(actions, t.relieve(now)...)
+	return append(actions, t.preventStarvation(now)...)
 }
 
 // useGranted starts permitted loads in free slots, and frees idle slots for
@@ -86,13 +86,13 @@
 	return Unload{Order: s.order, Ref: ref}
 }
 
-// relieve prevents starvation. Popular adapters that always have a request
-// running would hold every slot for ever, and a request for another adapter
-// would time out with its caller none the wiser; so after Patience the least
-// used pinned slot takes no new requests until it has been reused. A wait for
-// a permit is no reason: taking slots then only adds loads to a store that
-// has too many.
-func (t *Table) relieve(now time.Time) []Action {
+// preventStarvation closes a slot for a while. Popular adapters that always
+// have a request running would hold every slot for ever, and a request for
+// another adapter would time out with its caller none the wiser; so after
+// Patience the least used pinned slot takes no new requests until it has been
+// reused. A wait for a permit is no reason: taking slots then only adds loads
+// to a store that has too many.
+func (t *Table) preventStarvation(now time.Time) []Action {
 	starving := t.starving(now) && !t.hasRoom()
 	closed, isClosed := t.least(now, func(_ catalogue.Ref, s *slot) bool { return s.closed && s.phase == phaseLoaded })
 	switch {
--- a/coord/state/contracts.go
+++ b/coord/state/contracts.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// Contract returns a contract by ID.
+// Contract looks a contract up, retired ones included; false when the ID was
+// never used.
 func (m *Machine) Contract(id string) (contract.Contract, bool) {
 	c, found := m.contracts.byID[id]
 	return c, found
--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// ask wants a permit, or updates a wish.
+// ask requests a permit, or updates the request.
 func (p *permitClient) ask(a slots.Ask) {
 	p.update(func() {
 		i := slices.IndexFunc(p.wanted, func(known slots.Ask) bool { return known.Order == a.Order })
@@ -117,7 +117,7 @@
 	})
 }
 
-// giveBack ends a wish or a permit.
+// giveBack ends a request for a permit, or the permit.
 func (p *permitClient) giveBack(order slots.OrderID) {
 	p.update(func() {
 		p.forgetWanted(order)
@@ -181,7 +181,7 @@
 // maxExchanges is the most reports under way at once.
 const maxExchanges = 2
 
-// awaitChange returns when there is news to report, a wish to repeat or a
+// awaitChange returns when there is news to report, a request to repeat or a
 // lease to renew.
 func (p *permitClient) awaitChange(ctx context.Context, wanting bool) {
 	pause := renewInterval
@@ -214,14 +214,14 @@
 			b.pausedUntil.Store(time.Now().Add(brokerPause).UnixNano())
 			continue
 		}
-		p.told(report.Report.Finished)
+		p.forgetReported(report.Report.Finished)
 		for _, order := range reply.Granted {
 			permitCount.Add(1)
 			p.grant(slots.OrderID(order), send)
 		}
 		return
 	}
-	p.told(report.Report.Finished)
+	p.forgetReported(report.Report.Finished)
 	p.grantLocally(send)
 }
 
@@ -234,8 +234,8 @@
 	return reply, err
 }
 
-// told forgets the finished loads that were reported.
-func (p *permitClient) told(finished []broker.Finished) {
+// forgetReported forgets the finished loads that were reported.
+func (p *permitClient) forgetReported(finished []broker.Finished) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ended = slices.DeleteFunc(slices.Clone(p.ended), func(f broker.Finished) bool { return slices.Contains(finished, f) })
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -83,7 +83,8 @@
 	unconfirmed atomic.Bool
 }
 
-// NewClient returns a client.
+// NewClient returns a client with defaults for the options that are zero, and
+// a random operation ID.
 func NewClient(options Options) *Client {
 	if options.AttemptTimeout == 0 {
 		options.AttemptTimeout = defaultAttemptTimeout
