Say what fields of messages between packages mean

Cause: reports to the broker, claims, the log's status, fencing numbers and crash reports left units, origin or the case in which a field is set to the reader of the code behind them. Change: comments on those fields, with units and when they count. No code changes.

--- a/coord/broker/broker.go
+++ b/coord/broker/broker.go
@@ -17,9 +17,11 @@
 
 // Key identifies a wanted load: an order of one agent in one incarnation.
 type Key struct {
-	Agent       string `json:"agent"`
+	Agent string `json:"agent"`
+	// Incarnation differs between two runs of one agent.
 	Incarnation uint64 `json:"incarnation"`
-	Order       uint64 `json:"order"`
+	// Order is the agent's own number of the load (slots.OrderID).
+	Order uint64 `json:"order"`
 }
 
 // Ask requests a permit. Asking again renews the request and updates Demand.
@@ -36,6 +38,7 @@
 // Grant permits one load until its lease ends.
 type Grant struct {
 	Key
+	// Expires is when the permit comes back unless a Report holds it.
 	Expires time.Time
 }
 
@@ -132,18 +135,21 @@
 
 // Finished is one ended load in a Report.
 type Finished struct {
-	Order uint64        `json:"order"`
-	Took  time.Duration `json:"took"`
+	Order uint64 `json:"order"`
+	// Took is the time of the load alone, in nanoseconds.
+	Took time.Duration `json:"took"`
 }
 
 // Report is everything that an agent wants and holds. It replaces what the
 // agent said before, so that a lost message does no harm.
 type Report struct {
-	Agent       string     `json:"agent"`
-	Incarnation uint64     `json:"incarnation"`
-	Wanted      []Want     `json:"wanted,omitempty"`
-	Held        []uint64   `json:"held,omitempty"`
-	Finished    []Finished `json:"finished,omitempty"`
+	Agent       string `json:"agent"`
+	Incarnation uint64 `json:"incarnation"`
+	// Wanted are loads that wait for a permit; Held are the orders under way
+	// with one; Finished ended since the last report that was answered.
+	Wanted   []Want     `json:"wanted,omitempty"`
+	Held     []uint64   `json:"held,omitempty"`
+	Finished []Finished `json:"finished,omitempty"`
 }
 
 // Sync takes an agent's report and returns the permits that the agent has for
--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -59,7 +59,9 @@
 // Answer is a finished call's answer. Body and Header are nil when the answer
 // was too large to keep.
 type Answer struct {
-	Status int     `json:"status"`
+	// Status is the HTTP status.
+	Status int `json:"status"`
+	// Kept is false when only the status can be replayed.
 	Kept   bool    `json:"kept"`
 	Header []Field `json:"header,omitempty"`
 	Body   []byte  `json:"body,omitempty"`
@@ -153,8 +155,10 @@
 type Reply struct {
 	Verdict Verdict `json:"verdict"`
 	State   State   `json:"state,omitempty"`
-	Attempt uint64  `json:"attempt,omitempty"`
-	Answer  *Answer `json:"answer,omitempty"`
+	// Attempt is the number of the last granted attempt, 0 when there was none.
+	Attempt uint64 `json:"attempt,omitempty"`
+	// Answer is set by Replay, and by a Look at a finished call.
+	Answer *Answer `json:"answer,omitempty"`
 }
 
 // keyTime is the time that a key carries by itself, as a version 7 UUID does.
--- a/coord/experiment/policy.go
+++ b/coord/experiment/policy.go
@@ -29,7 +29,8 @@
 
 // Policy is one set of decisions.
 type Policy struct {
-	Name    string
+	Name string
+	// Chooser makes the chooser of one entry, Permits the broker of the site.
 	Chooser func(d Deployment, entry uint64) Chooser
 	Slots   slots.Options
 	// Patient requests never go elsewhere for want of a slot.
--- a/coord/replog/status.go
+++ b/coord/replog/status.go
@@ -18,10 +18,12 @@
 
 // Status describes a node.
 type Status struct {
-	ID      ID     `json:"id"`
-	Role    Role   `json:"role"`
-	Term    uint64 `json:"term"`
-	Leader  ID     `json:"leader,omitempty"`
+	ID     ID     `json:"id"`
+	Role   Role   `json:"role"`
+	Term   uint64 `json:"term"`
+	Leader ID     `json:"leader,omitempty"`
+	// Commit, Applied, Last and First are indexes: of the last committed entry,
+	// the last one handed out by a Ready, and the ends of the log in memory.
 	Commit  uint64 `json:"commit"`
 	Applied uint64 `json:"applied"`
 	Last    uint64 `json:"last"`
--- a/coord/state/servers.go
+++ b/coord/state/servers.go
@@ -50,7 +50,9 @@
 // Fencing is the last number issued for orders to a server's engine.
 type Fencing struct {
 	Server string `json:"server"`
+	// Number grows by one with each Fence, from 1.
 	Number uint64 `json:"number"`
+	// Holder is who asked for the number.
 	Holder string `json:"holder"`
 }
 
--- a/coord/suspicion/suspicion.go
+++ b/coord/suspicion/suspicion.go
@@ -81,7 +81,9 @@
 // Crash reports the requests that were at a server when it crashed. A resent
 // report of one incarnation counts once.
 type Crash struct {
-	Server       string        `json:"server"`
+	Server string `json:"server"`
+	// Incarnation tells crashes of one server apart and grows from one to the
+	// next; a resent report has the same.
 	Incarnation  uint64        `json:"incarnation"`
 	Fingerprints []Fingerprint `json:"fingerprints"`
 }
--- a/internal/wire/replica.go
+++ b/internal/wire/replica.go
@@ -78,15 +78,18 @@
 type ProposeReply struct {
 	Code    ReplicaCode `json:"code"`
 	Message string      `json:"message,omitempty"`
-	Index   uint64      `json:"index,omitempty"`
-	Result  []byte      `json:"result,omitempty"`
+	// Index is that of the command in the log, Result what the state machine
+	// answered; both count only when Code says that it was applied.
+	Index  uint64 `json:"index,omitempty"`
+	Result []byte `json:"result,omitempty"`
 }
 
 // ReadReply answers MethodReplicaRead.
 type ReadReply struct {
 	Code    ReplicaCode `json:"code"`
 	Message string      `json:"message,omitempty"`
-	Index   uint64      `json:"index,omitempty"`
+	// Index must be applied before a read is linearizable.
+	Index uint64 `json:"index,omitempty"`
 }
 
 // MemberAction is a change of the membership.
