Break lines that no screen shows whole

Cause: some lines of code were over 180 characters long; a refusal's status and code stood too far from its message, and the completion script was one string full of escapes. Change: such literals take a line for each part; the script is two raw strings. Checked: the output of rosemaryctl completion bash is the same byte for byte before and after; go test -race of cmd, agent and entry pass, gofmt, vet and staticcheck too. Ruled out: data tables of tests and the demo's command line to copy stay long.

--- a/cmd/rosemaryctl/completion.go
+++ b/cmd/rosemaryctl/completion.go
@@ -19,6 +19,21 @@
 	words []string
 }
 
+// completionHead finds the path of subcommands before the word to complete.
+const completionHead = `_rosemaryctl() {
+  local path="" word
+  for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
+    case "$word" in -*) ;; *) path="$path $word" ;; esac
+  done
+  local words=""
+  case "${path# }" in`
+
+// completionTail offers the words found.
+const completionTail = `  esac
+  COMPREPLY=($(compgen -W "$words" -- "${COMP_WORDS[COMP_CWORD]}"))
+}
+complete -F _rosemaryctl rosemaryctl`
+
 func (c *completionCommand) run(_ context.Context, t *tool) error {
 	switch c.Shell {
 	case "bash":
@@ -27,11 +42,11 @@
 	default:
 		return errors.Wrapf(errUsage, "no completion for shell %q", c.Shell)
 	}
-	fmt.Fprintln(t.out, "_rosemaryctl() {\n  local path=\"\" word\n  for word in \"${COMP_WORDS[@]:1:COMP_CWORD-1}\"; do\n    case \"$word\" in -*) ;; *) path=\"$path $word\" ;; esac\n  done\n  local words=\"\"\n  case \"${path# }\" in")
+	fmt.Fprintln(t.out, completionHead)
 	for _, level := range collect("", reflect.TypeFor[arguments]()) {
 		fmt.Fprintf(t.out, "    %q) words=%q ;;\n", level.path, strings.Join(level.words, " "))
 	}
-	fmt.Fprintln(t.out, "  esac\n  COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\ncomplete -F _rosemaryctl rosemaryctl")
+	fmt.Fprintln(t.out, completionTail)
 	return nil
 }
 
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -160,8 +160,12 @@
 	defer span.End()
 	span.SetAttributes(telemetry.AttributeModel.String(ref.String()))
 	reply := make(chan verdict, 1)
+	asked := requested{
+		id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header),
+		patient: r.Header.Get(wire.HeaderMayDecline) == "", reply: reply,
+	}
 	select {
-	case a.requests <- requested{id: id, ref: ref, source: r.Header.Get(HeaderSource), weight: weightOf(r.Header), patient: r.Header.Get(wire.HeaderMayDecline) == "", reply: reply}:
+	case a.requests <- asked:
 	default:
 		return errors.Wrap(errNotRun, string(slots.ReasonQueueFull))
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -64,7 +64,10 @@
 	if err != nil {
 		claimLostCount.Add(1)
 		e.afterwards(ctx, func(ctx context.Context) { o.release(ctx) })
-		fail(w, failure{status: http.StatusServiceUnavailable, code: codeNoClaims, message: "it cannot be decided now whether this call may run; it was not run by this request", retryAfter: claimRetry})
+		fail(w, failure{
+			status: http.StatusServiceUnavailable, code: codeNoClaims, retryAfter: claimRetry,
+			message: "it cannot be decided now whether this call may run; it was not run by this request",
+		})
 		return
 	}
 	if reply.Verdict != claim.Granted {
@@ -177,7 +180,10 @@
 		replay(w, reply.Answer)
 	case claim.InDoubt:
 		claimDoubtCount.Add(1)
-		fail(w, failure{status: http.StatusConflict, code: codeInProgress, message: "the call with this Idempotency-Key is running, or its fate is unknown; ask again at /claims/", retryAfter: claimRetry})
+		fail(w, failure{
+			status: http.StatusConflict, code: codeInProgress, retryAfter: claimRetry,
+			message: "the call with this Idempotency-Key is running, or its fate is unknown; ask again at /claims/",
+		})
 	case claim.Mismatch:
 		fail(w, failure{status: http.StatusUnprocessableEntity, code: codeKeyReused, message: "this Idempotency-Key was used for another call"})
 	case claim.TooOld:
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -74,10 +74,16 @@
 			return t, nil
 		case suspicion.Refuse:
 			convictedCount.Add(1)
-			return nil, &failure{status: http.StatusUnprocessableEntity, code: codeConvicted, message: "this request crashed the backend servers that ran it; it is refused for a time", retryAfter: convictedRetry}
+			return nil, &failure{
+				status: http.StatusUnprocessableEntity, code: codeConvicted, retryAfter: convictedRetry,
+				message: "this request crashed the backend servers that ran it; it is refused for a time",
+			}
 		}
 		if wait.For(ctx, trialPause) != nil {
-			return nil, &failure{status: http.StatusServiceUnavailable, code: codeSuspect, message: "this request was at a backend server that crashed and must run alone; no server is free for that now", retryAfter: 1}
+			return nil, &failure{
+				status: http.StatusServiceUnavailable, code: codeSuspect, retryAfter: 1,
+				message: "this request was at a backend server that crashed and must run alone; no server is free for that now",
+			}
 		}
 	}
 }
