Tell operators why a daemon is cut off

Cause: the reason of a cut-off daemon was the followed instance's word, "no quorum behind it", although the round that followed knew how many answer.

Change: the last round's finding is shown until the next proof.

Measured: go test ./coord/freshness; the isolated-instance test reads it.

Conclusion: the reason names what an operator can count.

--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -96,9 +96,12 @@
 	// halted is the last moment at which too few instances ran.
 	halted time.Time
 	// voters are those of the last confirmed answer.
-	voters     []string
-	reason     string
-	haltReason string
+	voters []string
+	// reason is from the followed instance. probeReason is from the last
+	// round since the last proof and says more; empty without one.
+	reason      string
+	probeReason string
+	haltReason  string
 }
 
 // NewTracker returns a tracker without any proof.
@@ -131,7 +134,7 @@
 
 func (t *Tracker) prove(moment time.Time) {
 	if moment.After(t.proven) {
-		t.proven = moment
+		t.proven, t.probeReason = moment, ""
 	}
 }
 
@@ -162,11 +165,11 @@
 	case isMajority(voting) && t.wholeIn(voting):
 		t.prove(round.Sent)
 	case isMajority(voting):
-		t.reason = "the logs of the control instances hold entries that are not settled"
+		t.probeReason = "the logs of the control instances hold entries that are not settled"
 	case t.noneCanAccept(voting, round.Refused):
 		t.halt(round)
 	default:
-		t.reason = fmt.Sprintf("only %d voters of the control instances answer", len(voting))
+		t.probeReason = fmt.Sprintf("only %d of the voting control instances answer, and no quorum confirms them", len(voting))
 	}
 }
 
@@ -236,14 +239,14 @@
 func (t *Tracker) halt(round Round) {
 	for _, standing := range round.Answers {
 		if t.index < standing.ConfigIndex {
-			t.reason = "the copy is behind a control instance"
+			t.probeReason = "the copy is behind a control instance"
 			return
 		}
 	}
 	if t.proven.IsZero() || round.Sent.Sub(t.last()) > t.options.Lease {
 		// A change may have been accepted in the meantime by instances that
 		// do not run any more.
-		t.reason = "control has no quorum and the copy was not confirmed before it was lost"
+		t.probeReason = "control has no quorum and the copy was not confirmed before it was lost"
 		return
 	}
 	t.halted = round.Sent
@@ -272,6 +275,8 @@
 		return State{Kind: Fresh, AsOf: t.proven, Reason: "confirmed by control"}
 	case !t.halted.IsZero() && now.Sub(t.halted) <= t.options.Lease:
 		return State{Kind: Unchangeable, AsOf: t.proven, HaltedAt: t.halted, Reason: t.haltReason}
+	case t.probeReason != "":
+		return State{Kind: CutOff, AsOf: t.proven, Reason: t.probeReason}
 	default:
 		return State{Kind: CutOff, AsOf: t.proven, Reason: t.reason}
 	}
--- a/coord/freshness/freshness_test.go
+++ b/coord/freshness/freshness_test.go
@@ -1,6 +1,7 @@
 package freshness_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,9 @@
 	}
 	expect(t, tracker, at(3_000), freshness.Fresh)
 	expect(t, tracker, at(3_001), freshness.CutOff)
+	if got := tracker.State(at(5_000)).Reason; !strings.HasPrefix(got, "only 1 of the voting") {
+		t.Errorf("the operator reads %q", got)
+	}
 }
 
 // Control loses its leader, or cannot elect one, while its instances run. Two
