Batch bursts of changes and pack them once for all daemons

Cause: every change woke every daemon.

Change: a change after 50 ms of quiet is shown at once, later ones with the next batch; eight or more are packed, once for all daemons at one index. A proof names the index that was confirmed instead of the last one.

Ruled out: a pause in each poll on its own. Daemons would stand at different indexes, and each would need its own packing.

--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -72,6 +72,9 @@
 	// be when an answer waits for news.
 	Confirmed    bool          `json:"confirmed"`
 	ConfirmedAge time.Duration `json:"confirmedAge,omitempty"`
+	// ConfirmedIndex is the last entry then that daemons follow. Later ones
+	// need not be in a daemon's copy for the proof to hold.
+	ConfirmedIndex uint64 `json:"confirmedIndex,omitempty"`
 	// Voter means that it votes itself: its log is part of a quorum. An
 	// instance that lost its disk and waits to be let in again is none, and
 	// nor is a learner.
@@ -125,7 +128,7 @@
 	switch {
 	case !standing.Confirmed:
 		t.reason = "the control instance has no quorum behind it"
-	case t.index < standing.ConfigIndex:
+	case t.index < standing.ConfirmedIndex:
 		t.reason = "the copy is behind the control instance"
 	default:
 		t.prove(sent.Add(-standing.ConfirmedAge))
--- a/coord/freshness/schedule_test.go
+++ b/coord/freshness/schedule_test.go
@@ -218,12 +218,13 @@
 func (c *cluster) standing(i int) freshness.Standing {
 	led := c.leader >= 0 && c.connected(i, c.leader) && c.applied[i] == c.committed
 	return freshness.Standing{
-		Voter:       !c.empty[i] || c.emptyVotes,
-		Voters:      members,
-		LastIndex:   uint64(len(c.logs[i])),
-		Applied:     uint64(c.applied[i]),
-		ConfigIndex: uint64(c.applied[i]),
-		Confirmed:   led || c.lying,
+		Voter:          !c.empty[i] || c.emptyVotes,
+		Voters:         members,
+		LastIndex:      uint64(len(c.logs[i])),
+		Applied:        uint64(c.applied[i]),
+		ConfigIndex:    uint64(c.applied[i]),
+		ConfirmedIndex: uint64(c.applied[i]),
+		Confirmed:      led || c.lying,
 	}
 }
 
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -102,6 +102,10 @@
 			bytes.Store(0)
 			cpu, changes := cpuTime(), 0
 			for b.Loop() {
+				// A change after a quiet time is shown at once; see Burst.
+				b.StopTimer()
+				time.Sleep(60 * time.Millisecond)
+				b.StartTimer()
 				changes++
 				last = c.propose(0, putContract(last, float64(changes+1))).Index
 				awaitAll(followers, last)
@@ -121,6 +125,34 @@
 	}
 }
 
+// BenchmarkBurst measures an import: many changes as fast as they are accepted,
+// until all are in force in every daemon.
+func BenchmarkBurst(b *testing.B) {
+	const daemons, changes = 20, 5_000
+	var bytes atomic.Int64
+	c := newCluster(b, 1, control.Options{}, &bytes)
+	c.propose(0, putModel)
+	followers := make([]*follow.Follower, daemons)
+	for i := range followers {
+		followers[i] = c.follow(fmt.Sprint("entry-", i), c.peers...)
+	}
+	awaitAll(followers, 1)
+	next := 0
+	for b.Loop() {
+		bytes.Store(0)
+		cpu := cpuTime()
+		var last uint64
+		for range changes {
+			last = c.propose(0, putAdapter(next)).Index
+			next++
+			time.Sleep(100 * time.Microsecond)
+		}
+		awaitAll(followers, last)
+		b.ReportMetric(float64(bytes.Load())/daemons/changes, "B/daemon/change")
+		b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/daemons/changes, "cpu-µs/daemon/change")
+	}
+}
+
 // BenchmarkAtRest measures what daemons cost while no change comes and every
 // server's load changes in every interval of a second.
 func BenchmarkAtRest(b *testing.B) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -82,11 +82,13 @@
 	machine   *state.Machine
 	tail      tail
 	pages     *pages
+	showing   showing
 	directory *directoryFeed
 	daemons   *daemonTable
 	// confirmed is when a quorum last confirmed that every change accepted
-	// until then is in the machine.
-	confirmed time.Time
+	// until then is in the machine, and confirmedIndex its index after that.
+	confirmed      time.Time
+	confirmedIndex uint64
 	// configChanged and directoryChanged are closed to wake waiting polls.
 	configChanged    chan struct{}
 	directoryChanged chan struct{}
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -123,7 +123,9 @@
 	c.daemons.seen(in, time.Now())
 	reply := wire.WatchReply{ConfigIndex: in.ConfigIndex, Standing: c.standing(arrived)}
 	more := news{config: c.configChanged}
-	c.addConfig(&reply, in)
+	if err := c.addConfig(&reply, in); err != nil {
+		return reply, more, err
+	}
 	more.have = reply.ConfigIndex > in.ConfigIndex || reply.Snapshot != nil
 	if in.Scope == wire.ScopeServer {
 		return reply, more, nil
@@ -140,39 +142,24 @@
 // addConfig adds what brings the daemon further: the tail or a page of a
 // snapshot, whichever is less. A daemon that is ahead of this instance gets
 // nothing.
-func (c *Control) addConfig(reply *wire.WatchReply, in wire.Watch) {
+func (c *Control) addConfig(reply *wire.WatchReply, in wire.Watch) error {
 	switch {
+	case in.ConfigIndex >= c.showing.visible:
 	case in.Scope == wire.ScopeServer:
 		c.addServer(reply, in)
-	case in.ConfigIndex >= c.machine.ConfigIndex():
 	case c.wantsPages(in.ConfigIndex):
 		c.addPage(reply, in)
 	default:
 		changes, _, _ := c.tail.after(in.ConfigIndex)
-		c.addTail(reply, changes)
-	}
-}
-
-func (c *Control) addTail(reply *wire.WatchReply, changes []tailChange) {
-	bytes := 0
-	for _, change := range changes {
-		if bytes > 0 && bytes+change.bytes > c.options.MessageBytes {
-			return
-		}
-		bytes += change.bytes
-		reply.Changes = append(reply.Changes, change.Change)
-		reply.ConfigIndex = change.Index
-		tailSentCount.Add(1)
+		return c.addTail(reply, changes)
 	}
+	return nil
 }
 
 // addServer tells an agent the wanted state of its own server. The agent
 // confirms every index, so that operators can wait for it too.
 func (c *Control) addServer(reply *wire.WatchReply, in wire.Watch) {
-	if in.ConfigIndex >= c.machine.ConfigIndex() {
-		return
-	}
-	reply.ConfigIndex = c.machine.ConfigIndex()
+	reply.ConfigIndex = c.showing.visible
 	if server, found := c.machine.Server(in.Server); found && server.Revision > in.ConfigIndex {
 		reply.Changes = []state.Change{{Index: server.Revision, Server: &server}}
 	}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -85,7 +85,7 @@
 	result, change := c.machine.Apply(index, command)
 	if change != nil {
 		c.tail.append(*change)
-		c.configChanged = wake(c.configChanged)
+		c.show(time.Now())
 	}
 	return result
 }
@@ -110,7 +110,7 @@
 	c.machine = machine
 	c.pages = nil
 	c.tail.restart(machine.ConfigIndex())
-	c.configChanged = wake(c.configChanged)
+	c.showNow(time.Now())
 	return nil
 }
 
--- a/internal/control/pages.go
+++ b/internal/control/pages.go
@@ -70,7 +70,7 @@
 func (c *Control) lacksPages(in wire.Watch) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if in.Scope == wire.ScopeServer || in.ConfigIndex >= c.machine.ConfigIndex() {
+	if in.Scope == wire.ScopeServer || in.ConfigIndex >= c.showing.visible {
 		return false
 	}
 	_, bytes, reaches := c.tail.after(in.ConfigIndex)
@@ -85,7 +85,7 @@
 		return false
 	}
 	_, bytes, reaches := c.tail.after(c.pages.index)
-	return reaches && bytes <= max(c.pages.bytes, c.options.MessageBytes)
+	return reaches && bytes/packRatio <= max(c.pages.bytes, c.options.MessageBytes)
 }
 
 // wantsPages reports whether a snapshot is less than the tail after an index.
@@ -99,7 +99,7 @@
 		return false
 	}
 	_, rest, _ := c.tail.after(c.pages.index)
-	return bytes > c.pages.bytes+rest
+	return bytes/packRatio > c.pages.bytes+rest/packRatio
 }
 
 // addPage adds the page that the daemon asks for, or the first one when the
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -49,7 +49,7 @@
 	confirmedCount.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.confirmed = asked
+	c.confirmed, c.confirmedIndex = asked, c.machine.ConfigIndex()
 }
 
 // standing is what this instance can prove in answer to a question that
@@ -60,6 +60,7 @@
 	if !c.confirmed.IsZero() && time.Since(c.confirmed) <= confirmLimit {
 		standing.Confirmed = true
 		standing.ConfirmedAge = arrived.Sub(c.confirmed)
+		standing.ConfirmedIndex = c.confirmedIndex
 	}
 	return standing
 }
--- a/internal/daemon/propagation_bench_test.go
+++ b/internal/daemon/propagation_bench_test.go
@@ -114,6 +114,10 @@
 			var accepted time.Duration
 			changes := 0
 			for b.Loop() {
+				// A change after a quiet time is shown at once.
+				b.StopTimer()
+				time.Sleep(60 * time.Millisecond)
+				b.StartTimer()
 				changes++
 				started := time.Now()
 				last = propose(b, controls[0], change(last, float64(changes+1)))
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -220,7 +220,11 @@
 // apply takes a reply in.
 func (f *Follower) apply(reply wire.WatchReply) error {
 	before := f.config.Index()
-	f.config.Apply(reply.Changes, reply.ConfigIndex)
+	changes, err := reply.AllChanges()
+	if err != nil {
+		return err
+	}
+	f.config.Apply(changes, reply.ConfigIndex)
 	if reply.Snapshot != nil {
 		if err := f.applyPage(*reply.Snapshot); err != nil {
 			return err
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -39,18 +39,30 @@
 	Lease time.Duration `json:"lease"`
 }
 
-// WatchReply answers Watch. At most one of Changes and Snapshot is set, and
+// WatchReply answers Watch. At most one of Changes, Packed and Snapshot is set, and
 // neither grows beyond a bound: what is left comes with the next call.
 type WatchReply struct {
 	// ConfigIndex is the index that Changes bring the daemon to.
 	ConfigIndex uint64         `json:"configIndex"`
 	Changes     []state.Change `json:"changes,omitempty"`
-	Snapshot    *SnapshotPage  `json:"snapshot,omitempty"`
+	// Packed is a packed []state.Change instead of Changes, when there are many.
+	Packed   []byte        `json:"packed,omitempty"`
+	Snapshot *SnapshotPage `json:"snapshot,omitempty"`
 	// Directory is a packed membership.Delta, nil when nothing changed.
 	Directory []byte             `json:"directory,omitempty"`
 	Standing  freshness.Standing `json:"standing"`
 }
 
+// AllChanges returns the changes, packed or not.
+func (r WatchReply) AllChanges() ([]state.Change, error) {
+	if r.Packed == nil {
+		return r.Changes, nil
+	}
+	var changes []state.Change
+	err := Unpack(r.Packed, &changes)
+	return changes, err
+}
+
 // SnapshotPage is a part of the configuration as it stood at Index.
 type SnapshotPage struct {
 	Index uint64 `json:"index"`
