List adapters without holding the control instance

Cause: each page of an adapter list sorted all versions while announcements, claims and watches waited: 0.13 s at 130,000 adapters, 26 pages for one list.

--- a/coord/state/catalogue.go
+++ b/coord/state/catalogue.go
@@ -116,6 +116,9 @@
 	return m.catalogue.adapters.Sorted()
 }
 
+// AdapterTable returns a copy of the adapters, which is far quicker than listing them.
+func (m *Machine) AdapterTable() *catalogue.Table { return m.catalogue.adapters.Clone() }
+
 // AdapterCount is the number of adapter versions, retired ones included.
 func (m *Machine) AdapterCount() int { return m.catalogue.adapters.Len() }
 
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -73,10 +73,10 @@
 func (c *Control) listAdapters(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, prefix := query.Get("after"), query.Get("prefix")
-	var all []catalogue.Adapter
-	c.read(func(m *state.Machine) { all = m.Adapters() })
+	var table *catalogue.Table
+	c.read(func(m *state.Machine) { table = m.AdapterTable() })
 	page := operator.AdapterPage{}
-	for _, adapter := range all {
+	for _, adapter := range table.Sorted() {
 		if !strings.HasPrefix(adapter.Ref.Adapter, prefix) || !follows(adapter.Ref, after) {
 			continue
 		}
