Let the demo wait until its entry has the whole sample

Cause: TestATraceHasASpanForEachHop failed every time after changes were batched: the demo said ready before the last objects of its sample had reached the entry, up to 50 ms later, and the first request was refused.

Change: the demo is ready once its entry knows the last object written.

Conclusion: a fault of the demo's own readiness; entries are as before.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -335,7 +335,18 @@
 		return false
 	}
 	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK && len(d.daemon.Follower().Servers()) == 2
+	return response.StatusCode == http.StatusOK && len(d.daemon.Follower().Servers()) == 2 && d.hasSample()
+}
+
+// hasSample reports whether the entry has the last object of the sample, which
+// reaches it with the next batch of changes.
+func (d *Demo) hasSample() bool {
+	ref, err := catalogue.ParseRef(Adapters[len(Adapters)-1])
+	if err != nil {
+		panic(err)
+	}
+	_, found := d.daemon.Follower().Config().Adapter(ref)
+	return found
 }
 
 // CurlLine is a command that gets a whole answer from the demo.
