Draw test ports below the range of outgoing connections

Cause: TestClaimsOutliveAPlannedStopOfTheLeader failed once with "bind: address already in use". The tests and the demo took a free port from the system, closed it and listened on it later; in between any outgoing connection of another test may get the same port, since it comes from the same range.

Change: package loopback draws ports below that range, and the demo and the tests that must know addresses before they listen use it.

Measured: internal/demo, internal/daemon and internal/loopback pass; the failure was seen once in about ten whole runs, so its absence proves little.

--- a/internal/daemon/propagation_bench_test.go
+++ b/internal/daemon/propagation_bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -13,16 +12,16 @@
 	"github.com/rosemarypass/rosemarypass/coord/state"
 	"github.com/rosemarypass/rosemarypass/internal/daemon"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 )
 
 func freeAddress(b testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := loopback.Addresses(1)
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return addresses[0]
 }
 
 // startControls runs control instances that replicate their log on disk, and
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -22,6 +22,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/daemon"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
@@ -173,7 +174,7 @@
 }
 
 func sampleSettings(options Options, engineAddress string) (settings.Settings, error) {
-	addresses, err := freeAddresses(4)
+	addresses, err := loopback.Addresses(4)
 	if err != nil {
 		return settings.Settings{}, err
 	}
@@ -209,19 +210,6 @@
 	}, nil
 }
 
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", loopbackAnyPort)
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 func writeSample(ctx context.Context, d *daemon.Daemon, limits contract.Limits) error {
 	for _, command := range sampleCommands(limits) {
 		result, err := d.Control().Propose(ctx, command)
