Weigh cached prompt prefixes when a server is chosen

Cause: requests whose prompt an engine holds went to others that computed it again; of an engine's cache nothing was used. Change: scorer PrefixSaved (0.125 s at most, active servers with the adapter loaded); the entry names a body's blocks once and learns from its own dispatches. Cache events are applied by the index, no message carries them yet.

--- a/coord/experiment/experiment.go
+++ b/coord/experiment/experiment.go
@@ -34,6 +34,8 @@
 	Tokens float64
 	// Packing is the deployment's setting.
 	Packing float64
+	// Conversations is how many an adapter has under way; 0 leaves prompts out.
+	Conversations int
 }
 
 const (
--- a/coord/experiment/experiment_test.go
+++ b/coord/experiment/experiment_test.go
@@ -53,6 +53,32 @@
 	}
 }
 
+// BenchmarkPrefix compares the shipped policy with one that is blind to prefix
+// caches, and with one that also gets cache events, where prompts share
+// prefixes.
+func BenchmarkPrefix(b *testing.B) {
+	for _, d := range Deployments() {
+		d.Conversations = 4
+		for _, s := range Scenarios() {
+			for seed := uint64(1); seed <= 4; seed++ {
+				comparePrefix(b, fmt.Sprintf("%s/%s/seed=%d", d.Name, s.Name, seed), d, s, seed)
+			}
+		}
+	}
+}
+
+func comparePrefix(b *testing.B, name string, d Deployment, s Scenario, seed uint64) {
+	for _, p := range []Policy{WithoutPrefix(), Ours(), WithEvents()} {
+		b.Run(name+"/"+p.Name, func(b *testing.B) {
+			for b.Loop() {
+				r := Run(d, s, p, seed)
+				report(b, r)
+				b.ReportMetric(100*r.PrefixHits, "prefix-hits-%")
+			}
+		})
+	}
+}
+
 // BenchmarkAssumptions varies what the users' pages do not say, under steady
 // load at the first deployment.
 func BenchmarkAssumptions(b *testing.B) {
--- a/coord/experiment/meter.go
+++ b/coord/experiment/meter.go
@@ -28,6 +28,8 @@
 	Fairness float64
 	// Requests and Failed count requests to engines.
 	Requests, Failed int
+	// PrefixHits is the share of prompt blocks that engines held.
+	PrefixHits float64
 }
 
 // meter collects measurements.
@@ -36,6 +38,7 @@
 	stalled        int
 	requests       int
 	failures       int
+	blocks, hits   int
 	inTime, total  [contracts]int
 	loadsAtWarmUp  int
 	warm           bool
@@ -115,6 +118,10 @@
 		}
 	}
 	m.countWaiting(w)
+	hits := 0.0
+	if m.blocks > 0 {
+		hits = float64(m.hits) / float64(m.blocks)
+	}
 	return Result{
 		StallP50:        quantile(m.stalls, 0.50),
 		StallP95:        quantile(m.stalls, 0.95),
@@ -127,6 +134,7 @@
 		Fairness:        m.jain(),
 		Requests:        m.requests,
 		Failed:          m.failures,
+		PrefixHits:      hits,
 	}
 }
 
--- a/coord/experiment/policy.go
+++ b/coord/experiment/policy.go
@@ -7,6 +7,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/prefixcache"
 	"github.com/rosemarypass/rosemarypass/coord/slots"
 )
 
@@ -17,6 +18,8 @@
 	Dispatched(server string, ref catalogue.Ref, now time.Time)
 	Finished(server string, ref catalogue.Ref, ran time.Duration, now time.Time)
 	Declined(server string, now time.Time)
+	DispatchedPrompt(server string, prefix []prefixcache.Block)
+	CacheEvent(event prefixcache.Event)
 }
 
 // Permits is what an agent asks before a load; broker.Broker is one.
@@ -36,6 +39,8 @@
 	// Patient requests never go elsewhere for want of a slot.
 	Patient bool
 	Permits func() Permits
+	// CacheEvents reach the entries with the load reports, a tenth of them lost.
+	CacheEvents bool
 }
 
 // Naive sends each request to the least loaded server, evicts the least
@@ -78,6 +83,26 @@
 	}
 }
 
+// WithEvents is the shipped policy where cache events reach the entries.
+func WithEvents() Policy {
+	p := Ours()
+	p.Name, p.CacheEvents = "with-events", true
+	return p
+}
+
+// WithoutPrefix is the shipped policy blind to prefix caches.
+func WithoutPrefix() Policy {
+	p := Ours()
+	p.Name = "without-prefix"
+	p.Chooser = func(d Deployment, entry uint64) Chooser {
+		filters := []placement.Filter{placement.Serves, placement.NotLeaving, placement.NotExcluded}
+		picker := placement.NewCustomPicker(filters, []placement.Scorer{placement.QueueWait, placement.LoadWait,
+			placement.EvictionCost, placement.Affinity, placement.Packing, placement.DataCentre, placement.Health})
+		return placement.NewSelector(picker, placement.SelectorOptions{Salt: entry, Packing: d.Packing})
+	}
+	return p
+}
+
 func leastLoaded(c *placement.Candidate, _ *placement.Estimates) float64 {
 	return c.InFlight / float64(max(c.Load.Capacity, 1))
 }
--- a/coord/experiment/world.go
+++ b/coord/experiment/world.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/prefixcache"
 	"github.com/rosemarypass/rosemarypass/coord/slots"
 )
 
@@ -37,6 +38,8 @@
 	version    int
 	lastID     slots.RequestID
 	meter      *meter
+	talk       *talk
+	losses     *rand.Rand
 }
 
 // request is one call on its way.
@@ -53,6 +56,7 @@
 	declined []string
 	tried    []string
 	entry    *entry
+	prompt   []prefixcache.Block
 }
 
 // entry shows its chooser the reports when it next needs them.
@@ -73,6 +77,8 @@
 		meter:      newMeter(),
 	}
 	w.popularity = newZipf(d.Adapters, d.Skew, newRand(seed, 3))
+	w.losses = newRand(seed, 5)
+	w.talk = newTalk(newRand(seed, 4), d.Conversations)
 	w.store = newStore(&w.clock)
 	for i := range d.Engines + d.Services {
 		server := newServer(w, i)
@@ -121,6 +127,7 @@
 	w.after(offset, func() {
 		w.every(interval, func() {
 			report := server.announcement()
+			w.publishCache(server)
 			w.after(reportDelay, func() {
 				w.announced[i] = report
 				w.version++
@@ -182,12 +189,15 @@
 	tokens := math.Ceil(w.arrivals.ExpFloat64() * w.deployment.Tokens)
 	r.length = time.Duration(tokens) * tokenTime
 	w.meter.demand(w, r)
+	if w.deployment.Conversations > 0 {
+		r.prompt = w.talk.prompt(r.ref)
+	}
 	return r
 }
 
 // send offers a request to a server, as an entry does.
 func (w *world) send(r *request) {
-	question := placement.Request{Kind: membership.KindEngine, Ref: r.ref, BaseModel: baseModel, Exclude: slices.Concat(r.tried, r.declined)}
+	question := placement.Request{Kind: membership.KindEngine, Ref: r.ref, BaseModel: baseModel, Prefix: r.prompt, Exclude: slices.Concat(r.tried, r.declined)}
 	if r.service {
 		question = placement.Request{Kind: membership.KindService, Pool: servicePool, Exclude: r.tried}
 	}
@@ -202,6 +212,7 @@
 	}
 	r.attempts++
 	r.entry.Dispatched(chosen.Server, r.ref, w.now())
+	r.entry.DispatchedPrompt(chosen.Server, r.prompt)
 	w.after(hop, func() { w.byName[chosen.Server].receive(r) })
 }
 
@@ -228,17 +239,20 @@
 
 // server is a backend server and the agent beside it.
 type server struct {
-	world       *world
-	name        string
-	engine      bool
-	table       *slots.Table
-	batch       *batch
-	waiting     map[slots.RequestID]*waiter
-	loads       map[slots.OrderID]func()
-	incarnation uint64
-	sequence    uint64
-	loadTime    time.Duration
-	asked       map[slots.OrderID]time.Duration
+	world    *world
+	name     string
+	engine   bool
+	table    *slots.Table
+	batch    *batch
+	prefixes *prefixes
+	// starts and events number the engine's cache events.
+	starts, events uint64
+	waiting        map[slots.RequestID]*waiter
+	loads          map[slots.OrderID]func()
+	incarnation    uint64
+	sequence       uint64
+	loadTime       time.Duration
+	asked          map[slots.OrderID]time.Duration
 	// wanted are the loads that wait for a permit.
 	wanted []slots.Ask
 }
@@ -252,14 +266,15 @@
 	options := w.policy.Slots
 	options.Slots, options.Queue = w.deployment.Slots, queueBound
 	return &server{
-		world:   w,
-		name:    fmt.Sprintf("server-%02d", i),
-		engine:  i < w.deployment.Engines,
-		table:   slots.NewTable(options),
-		batch:   newBatch(&w.clock, w.deployment.Capacity),
-		waiting: make(map[slots.RequestID]*waiter),
-		loads:   make(map[slots.OrderID]func()),
-		asked:   make(map[slots.OrderID]time.Duration),
+		world:    w,
+		name:     fmt.Sprintf("server-%02d", i),
+		engine:   i < w.deployment.Engines,
+		table:    slots.NewTable(options),
+		batch:    newBatch(&w.clock, w.deployment.Capacity),
+		prefixes: newPrefixes(),
+		waiting:  make(map[slots.RequestID]*waiter),
+		loads:    make(map[slots.OrderID]func()),
+		asked:    make(map[slots.OrderID]time.Duration),
 	}
 }
 
@@ -350,15 +365,19 @@
 
 func (s *server) runJob(r *request, id slots.RequestID) {
 	w := s.world
-	s.batch.add(&job{
-		length: r.length,
-		begun:  func() { w.meter.started(w, r) },
-		cut:    func() { w.refused(r, s, slots.ReasonEngineRestarted) },
-		done: func() {
-			s.perform(s.table.Release(id, w.now()))
-			w.after(hop, func() { r.entry.Finished(s.name, r.ref, r.length, w.now()) })
-		},
-	})
+	j := &job{length: r.length}
+	j.begun = func() {
+		w.meter.started(w, r)
+		held := s.prefixes.compute(r.prompt)
+		w.meter.computed(w, r, held)
+		j.length += time.Duration(len(r.prompt)-held) * blockTime
+	}
+	j.cut = func() { w.refused(r, s, slots.ReasonEngineRestarted) }
+	j.done = func() {
+		s.perform(s.table.Release(id, w.now()))
+		w.after(hop, func() { r.entry.Finished(s.name, r.ref, j.length, w.now()) })
+	}
+	s.batch.add(j)
 }
 
 func (s *server) granted(g broker.Grant) {
@@ -399,5 +418,8 @@
 // it to another server.
 func (s *server) restart() {
 	s.batch.crash()
+	s.prefixes = newPrefixes()
+	s.starts++
+	s.events = 0
 	s.perform(s.table.EngineRestarted())
 }
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/prefixcache"
 )
 
 // Request is what placement needs to know about a request.
@@ -21,6 +22,8 @@
 	// Ref and BaseModel are set for engines.
 	Ref       catalogue.Ref
 	BaseModel string
+	// Prefix names the blocks of the prompt; empty when it is not known.
+	Prefix []prefixcache.Block
 	// Exclude names servers that this request already tried.
 	Exclude []string
 }
@@ -51,6 +54,8 @@
 	Failures float64
 	// Preference is the server's place in the adapter's rendezvous order, from 0.
 	Preference int
+	// CachedBlocks is how much of the prompt's prefix the engine is expected to hold.
+	CachedBlocks float64
 }
 
 // Filter says whether a server may run the request.
@@ -69,7 +74,7 @@
 func NewPicker() *Picker {
 	return &Picker{
 		filters: []Filter{Serves, NotLeaving, NotExcluded},
-		scorers: []Scorer{QueueWait, LoadWait, EvictionCost, Affinity, Packing, DataCentre, Health},
+		scorers: []Scorer{QueueWait, LoadWait, EvictionCost, Affinity, PrefixSaved, Packing, DataCentre, Health},
 	}
 }
 
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -143,7 +143,7 @@
 }
 
 func known(s *Selector) Candidate {
-	s.rate(&s.view.servers[0], adapter(1), 0, start)
+	s.rate(&s.view.servers[0], &Request{Ref: adapter(1)}, 0, start)
 	return s.scratch
 }
 
--- a/coord/placement/selector.go
+++ b/coord/placement/selector.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/coord/prefixcache"
 )
 
 // SelectorOptions tune a Selector. Zero values take the defaults, but for Packing.
@@ -43,6 +44,7 @@
 	view      *View
 	own       map[string]*ledger
 	packer    packer
+	prefixes  *prefixcache.Index
 	estimates Estimates
 	scale     float64
 	draws     uint64
@@ -62,6 +64,7 @@
 		view:      NewView(nil, time.Time{}),
 		own:       make(map[string]*ledger),
 		packer:    packer{packing: options.Packing},
+		prefixes:  prefixcache.NewIndex(prefixcache.Options{}),
 		estimates: Estimates{LoadTime: options.LoadTime, ServiceTime: options.ServiceTime},
 		scale:     1,
 	}
@@ -78,6 +81,7 @@
 	for name, l := range s.own {
 		if _, present := s.view.byName[name]; !present && l.inFlight == 0 {
 			delete(s.own, name)
+			s.prefixes.Forget(name)
 		}
 	}
 	s.learn(now)
@@ -88,6 +92,16 @@
 	s.ledger(server).add(ref, !s.holds(server, ref), now)
 }
 
+// DispatchedPrompt records the prompt of a request that was sent to a server.
+func (s *Selector) DispatchedPrompt(server string, prefix []prefixcache.Block) {
+	if len(prefix) > 0 {
+		s.prefixes.Dispatched(server, prefix)
+	}
+}
+
+// CacheEvent takes an engine's report of its prefix cache.
+func (s *Selector) CacheEvent(event prefixcache.Event) { s.prefixes.Apply(event) }
+
 func (s *Selector) holds(server string, ref catalogue.Ref) bool {
 	i, known := s.view.byName[server]
 	return known && slices.Contains(s.view.holding[ref], i)
@@ -189,7 +203,7 @@
 	if i == c.best || !s.picker.Passes(c.request, server) {
 		return
 	}
-	s.rate(server, c.request.Ref, c.order.position(i), c.now)
+	s.rate(server, c.request, c.order.position(i), c.now)
 	cost := s.picker.Cost(&s.scratch, c.estimates) + s.jitter()
 	if c.best < 0 || cost < c.cost {
 		c.best, c.cost = i, cost
@@ -217,7 +231,7 @@
 }
 
 // rate fills scratch with what is known of a server.
-func (s *Selector) rate(server *Server, ref catalogue.Ref, preference int, now time.Time) {
+func (s *Selector) rate(server *Server, request *Request, preference int, now time.Time) {
 	l := s.own[server.Server]
 	reported := float64(server.Load.Running + server.Load.Waiting)
 	s.scratch = Candidate{
@@ -230,10 +244,14 @@
 	if server.Kind != membership.KindEngine {
 		return
 	}
+	ref := request.Ref
 	sent, taken := l.since(ref)
 	s.scratch.Resident = slices.Contains(server.Load.Resident, ref)
 	s.scratch.Arriving = sent || slices.Contains(server.Load.Loading, ref)
 	s.scratch.Obtainable = server.Load.Obtainable - taken
+	if s.scratch.Resident {
+		s.scratch.CachedBlocks = s.prefixes.Expected(server.Server, request.Prefix)
+	}
 	if l.full {
 		s.scratch.Obtainable = min(s.scratch.Obtainable, 0)
 	}
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
+	"github.com/rosemarypass/rosemarypass/coord/prefixcache"
 	"github.com/rosemarypass/rosemarypass/internal/agent"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -47,7 +48,7 @@
 	r.Header.Set(wire.HeaderModel, adapter.Ref.String())
 	r.Header.Set(agent.HeaderSource, adapter.Source)
 	c := call{
-		request:    placement.Request{Kind: membership.KindEngine, Ref: adapter.Ref, BaseModel: adapter.BaseModel},
+		request:    placement.Request{Kind: membership.KindEngine, Ref: adapter.Ref, BaseModel: adapter.BaseModel, Prefix: prefixcache.Chain(adapter.Ref, body)},
 		contract:   customer.ID,
 		ask:        askFor(customer, parsed, len(body)),
 		path:       r.URL.Path,
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -39,6 +39,7 @@
 	server, ok := p.selector.Pick(request, now)
 	if ok {
 		p.selector.Dispatched(server.Server, request.Ref, now)
+		p.selector.DispatchedPrompt(server.Server, request.Prefix)
 	}
 	return server, ok
 }
