Measure a fleet of real processes; count control's bytes on the wire

Change: rpc_bytes_sent and rpc_bytes_received count what JSON-RPC connections carry. A benchmark builds rosemaryd, starts 3 control instances with disks, 20 entries, 22 agents and 22 stand-in engines as processes on loopback, and prints processor time, memory and control's bytes for each role, at rest and under load, and the time in which a change is in force everywhere.

--- /dev/null
+++ b/cmd/rosemaryd/fleet_test.go
@@ -0,0 +1,372 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/operator"
+	"github.com/rosemarypass/rosemarypass/internal/settings"
+)
+
+const (
+	fleetOperatorKey = "fleet-operator"
+	fleetCallerKey   = "fleet-caller"
+	fleetModel       = "base"
+)
+
+// process is one running rosemaryd.
+type process struct {
+	name   string
+	role   string
+	status string
+	listen string
+	cmd    *exec.Cmd
+	log    *bytes.Buffer
+}
+
+// fleet runs rosemaryd as separate processes on loopback: control instances
+// with disks, entries, and agents with a stand-in engine each.
+type fleet struct {
+	tb        testing.TB
+	binary    string
+	folder    string
+	peers     []string
+	operators []string
+	processes []*process
+	client    *operator.Client
+}
+
+// startFleet builds rosemaryd and starts a fleet, with one contract and some
+// adapters; it returns once every process is ready.
+func startFleet(tb testing.TB, controls, entries, agents int) *fleet {
+	tb.Helper()
+	f := &fleet{tb: tb, folder: tb.TempDir()}
+	f.build()
+	f.peers, f.operators = freePorts(tb, controls), freePorts(tb, controls)
+	var urls []string
+	for _, address := range f.operators {
+		urls = append(urls, "http://"+address)
+	}
+	f.client = operator.NewClient(operator.Options{URLs: urls, Key: fleetOperatorKey})
+	tb.Cleanup(f.kill)
+	for i := range controls {
+		f.startControl(i)
+	}
+	f.awaitControl()
+	f.writeSample()
+	for i := range agents {
+		f.startAgent(i)
+	}
+	for i := range entries {
+		f.startEntry(i)
+	}
+	for _, p := range f.processes {
+		f.awaitReady(p)
+	}
+	f.awaitServers(agents)
+	return f
+}
+
+func (f *fleet) build() {
+	f.tb.Helper()
+	f.binary = filepath.Join(f.folder, "rosemaryd")
+	if out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput(); err != nil {
+		f.tb.Fatalf("build: %v\n%s", err, out)
+	}
+}
+
+func freePorts(tb testing.TB, n int) []string {
+	tb.Helper()
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+func (f *fleet) base(name string) settings.Settings {
+	return settings.Settings{
+		Instance:       name,
+		DataCentre:     "amman-a",
+		ControlPeers:   f.peers,
+		PlaintextPeers: true,
+		StatusListen:   freePorts(f.tb, 1)[0],
+		Telemetry:      settings.Telemetry{Traces: settings.TracesOff},
+	}
+}
+
+func (f *fleet) startControl(i int) *process {
+	s := f.base(fmt.Sprintf("control-%d", i))
+	s.Control = &settings.Control{
+		PeerListen:        f.peers[i],
+		PeerAddress:       f.peers[i],
+		OperatorListen:    f.operators[i],
+		OperatorKeyHashes: []string{follow.HashKey(fleetOperatorKey)},
+		DataFolder:        filepath.Join(f.folder, s.Instance),
+		Bootstrap:         i == 0,
+		ServerLease:       settings.Duration(2500 * time.Millisecond),
+	}
+	return f.serve("control", s, f.operators[i])
+}
+
+func (f *fleet) startEntry(i int) {
+	s := f.base(fmt.Sprintf("entry-%d", i))
+	s.Entry = &settings.Entry{Listen: freePorts(f.tb, 1)[0]}
+	f.serve("entry", s, s.Entry.Listen)
+}
+
+func (f *fleet) startAgent(i int) {
+	engine := freePorts(f.tb, 1)[0]
+	f.start("standin", fmt.Sprintf("engine-%d", i), "standin", "--engine", engine, "--model", fleetModel, "--slots", "8")
+	s := f.base(fmt.Sprintf("agent-%d", i))
+	s.Agent = &settings.Agent{
+		Listen:    freePorts(f.tb, 1)[0],
+		Server:    fmt.Sprintf("dabke-llm-%d", i),
+		Pool:      "dabke-llm",
+		Engine:    "http://" + engine,
+		BaseModel: fleetModel,
+		Slots:     8,
+	}
+	f.serve("agent", s, s.Agent.Listen)
+}
+
+func (f *fleet) serve(role string, s settings.Settings, listen string) *process {
+	f.tb.Helper()
+	path := filepath.Join(f.folder, s.Instance+".jsonc")
+	data, err := json.Marshal(withoutZeros(f.tb, s))
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		f.tb.Fatal(err)
+	}
+	p := f.start(role, s.Instance, "serve", "--settings", path)
+	p.status, p.listen = s.StatusListen, listen
+	return p
+}
+
+// withoutZeros drops values that are zero, so that rosemaryd sets its defaults.
+func withoutZeros(tb testing.TB, s settings.Settings) map[string]any {
+	tb.Helper()
+	data, err := json.Marshal(s)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var all map[string]any
+	if err := json.Unmarshal(data, &all); err != nil {
+		tb.Fatal(err)
+	}
+	dropZeros(all)
+	return all
+}
+
+func dropZeros(object map[string]any) {
+	for name, value := range object {
+		if nested, ok := value.(map[string]any); ok {
+			dropZeros(nested)
+		}
+		if value == nil || value == "" || value == "0s" || value == 0.0 || value == false {
+			delete(object, name)
+		}
+	}
+}
+
+func (f *fleet) start(role, name string, args ...string) *process {
+	f.tb.Helper()
+	p := &process{name: name, role: role, cmd: exec.Command(f.binary, args...), log: new(bytes.Buffer)}
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		f.tb.Fatal(err)
+	}
+	f.processes = append(f.processes, p)
+	return p
+}
+
+func (f *fleet) kill() {
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	}
+}
+
+func (f *fleet) role(role string) []*process {
+	var found []*process
+	for _, p := range f.processes {
+		if p.role == role {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+// await polls until a condition holds; it fails only when nothing moves for a
+// long time.
+func (f *fleet) await(what string, condition func() bool) {
+	f.tb.Helper()
+	for range 1500 {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, p := range f.processes {
+		if p.log.Len() > 0 {
+			f.tb.Logf("%s:\n%s", p.name, p.log)
+		}
+	}
+	f.tb.Fatalf("never came about: %s", what)
+}
+
+func (f *fleet) awaitReady(p *process) {
+	f.tb.Helper()
+	if p.status == "" {
+		return
+	}
+	f.await(p.name+" ready", func() bool {
+		response, err := http.Get("http://" + p.status + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (f *fleet) awaitControl() {
+	f.tb.Helper()
+	f.await("a log with all its voters", func() bool {
+		members, err := f.client.Members(f.tb.Context())
+		if err != nil {
+			return false
+		}
+		if len(members.Members) == len(f.peers) {
+			return true
+		}
+		return false
+	})
+}
+
+func (f *fleet) awaitServers(n int) {
+	f.tb.Helper()
+	f.await("all servers announced", func() bool {
+		servers, err := f.client.Servers(f.tb.Context())
+		if err != nil {
+			return false
+		}
+		announced := 0
+		for _, server := range servers {
+			if server.Announced != nil {
+				announced++
+			}
+		}
+		return announced == n
+	})
+}
+
+func (f *fleet) writeSample() {
+	f.tb.Helper()
+	ctx := f.tb.Context()
+	if _, err := f.client.ChangeAs(ctx, "model", http.MethodPut, "/admin/v1/models/"+fleetModel, catalogue.Model{Name: fleetModel}); err != nil {
+		f.tb.Fatal(err)
+	}
+	for i := range 8 {
+		ref := catalogue.Ref{Adapter: fmt.Sprintf("plan-%d", i), Version: "1"}
+		adapter := catalogue.Adapter{Ref: ref, BaseModel: fleetModel, Source: "store://" + ref.String()}
+		if _, err := f.client.ChangeAs(ctx, ref.String(), http.MethodPut, "/admin/v1/adapters/"+ref.String(), adapter); err != nil {
+			f.tb.Fatal(err)
+		}
+	}
+	f.putContract(0)
+}
+
+// putContract writes the fleet's contract over the given revision and returns
+// the index of the change.
+func (f *fleet) putContract(revision uint64) uint64 {
+	f.tb.Helper()
+	next := contract.Contract{
+		ID:        "amman",
+		Revision:  revision,
+		KeyHashes: []string{follow.HashKey(fleetCallerKey)},
+		Adapters:  []string{"*"},
+		Share:     1,
+		Limits:    contract.Limits{RequestsPerSecond: 10_000, TokensPerMinute: 1_000_000_000, Concurrency: 10_000, MaxWait: 10 * time.Second},
+	}
+	result, err := f.client.ChangeAs(f.tb.Context(), fmt.Sprint("contract-", revision), http.MethodPut, "/admin/v1/contracts/amman", next)
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	return result.Index
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	processor time.Duration
+	resident  int64
+	control   int64
+}
+
+const clockTicksPerSecond = 100
+
+func (p *process) usage(tb testing.TB) usage {
+	tb.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		tb.Fatalf("%s: %v\n%s", p.name, err, p.log)
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return usage{
+		processor: time.Duration(user+system) * time.Second / clockTicksPerSecond,
+		resident:  pages * int64(os.Getpagesize()),
+		control:   p.controlBytes(tb),
+	}
+}
+
+// controlBytes is what a process has sent and received for control so far.
+func (p *process) controlBytes(tb testing.TB) int64 {
+	tb.Helper()
+	if p.status == "" {
+		return 0
+	}
+	response, err := http.Get("http://" + p.status + "/debug/vars")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer response.Body.Close()
+	var counters struct {
+		Sent     int64 `json:"rpc_bytes_sent"`
+		Received int64 `json:"rpc_bytes_received"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&counters); err != nil {
+		tb.Fatal(err)
+	}
+	return counters.Sent + counters.Received
+}
+
+func (p *process) signal(tb testing.TB, s syscall.Signal) {
+	tb.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		tb.Fatal(err)
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -236,5 +236,5 @@
 }
 
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+	return jsonrpc2.NewBufferedStream(countedConn{conn}, boundedCodec{})
 }
