--- a/cmd/rosemaryd/fleet_bench_test.go
+++ b/cmd/rosemaryd/fleet_bench_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,7 +34,7 @@
 	f.tb.Helper()
 	before := make(map[*process]usage)
 	for _, p := range f.processes {
-		before[p] = p.usage(f.tb)
+		before[p] = f.usage(p)
 	}
 	stop := make(chan struct{})
 	var working sync.WaitGroup
@@ -53,7 +51,7 @@
 func (f *fleet) reportRole(role string, period time.Duration, before map[*process]usage) {
 	var shares, sizes, rates []float64
 	for _, p := range f.role(role) {
-		now := p.usage(f.tb)
+		now := f.usage(p)
 		shares = append(shares, 100*(now.processor-before[p].processor).Seconds()/period.Seconds())
 		sizes = append(sizes, float64(now.resident)/1e6)
 		rates = append(rates, float64(now.control-before[p].control)/period.Seconds()/1000)
@@ -89,32 +87,11 @@
 	fmt.Printf("%d changes in force everywhere: median %.0f ms, most %.0f ms\n", n, median(times), times[n-1])
 }
 
-// load sends requests to the entries in turn and prints how they fared.
+// load sends requests at a rate to the entries in turn and prints how they fared.
 func (f *fleet) load(perSecond, tokens int) func(<-chan struct{}) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	entries := f.role("entry")
 	var answered, failed atomic.Int64
-	send := func(i int) {
-		body := fmt.Sprintf(`{"model":"plan-%d@1","prompt":"x","max_tokens":%d,"stream":true}`, i%8, tokens)
-		request, err := http.NewRequest(http.MethodPost, "http://"+entries[i%len(entries)].listen+"/v1/completions", strings.NewReader(body))
-		if err != nil {
-			failed.Add(1)
-			return
-		}
-		request.Header.Set("Authorization", "Bearer "+fleetCallerKey)
-		response, err := client.Do(request)
-		if err != nil {
-			failed.Add(1)
-			return
-		}
-		defer response.Body.Close()
-		answer, err := io.ReadAll(response.Body)
-		if err != nil || strings.Count(string(answer), "data: {") != tokens {
-			failed.Add(1)
-			return
-		}
-		answered.Add(1)
-	}
 	return func(stop <-chan struct{}) {
 		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 		defer ticker.Stop()
@@ -126,7 +103,13 @@
 				fmt.Printf("%d answered, %d failed\n", answered.Load(), failed.Load())
 				return
 			case <-ticker.C:
-				sent.Go(func() { send(i) })
+				sent.Go(func() {
+					if err := complete(client, entries[i%len(entries)], i, tokens); err != nil {
+						failed.Add(1)
+						return
+					}
+					answered.Add(1)
+				})
 			}
 		}
 	}
--- a/cmd/rosemaryd/fleet_test.go
+++ b/cmd/rosemaryd/fleet_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,8 +18,11 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 const (
@@ -47,7 +50,9 @@
 	peers     []string
 	operators []string
 	processes []*process
-	client    *operator.Client
+	// asked are the operators' addresses that client talks to.
+	asked  []string
+	client *operator.Client
 }
 
 // startFleet builds rosemaryd and starts a fleet, with one contract and some
@@ -57,14 +62,10 @@
 	f := &fleet{tb: tb, folder: tb.TempDir()}
 	f.build()
 	f.peers, f.operators = freePorts(tb, controls), freePorts(tb, controls)
-	var urls []string
-	for _, address := range f.operators {
-		urls = append(urls, "http://"+address)
-	}
-	f.client = operator.NewClient(operator.Options{URLs: urls, Key: fleetOperatorKey})
+	f.useOperators(f.operators)
 	tb.Cleanup(f.kill)
 	for i := range controls {
-		f.startControl(i)
+		f.startControl(i, i == 0)
 	}
 	f.awaitControl()
 	f.writeSample()
@@ -81,6 +82,17 @@
 	return f
 }
 
+// useOperators talks to the control instances at these operators' addresses,
+// by a client that has seen no unconfirmed answer yet.
+func (f *fleet) useOperators(addresses []string) {
+	f.asked = addresses
+	var urls []string
+	for _, address := range addresses {
+		urls = append(urls, "http://"+address)
+	}
+	f.client = operator.NewClient(operator.Options{URLs: urls, Key: fleetOperatorKey})
+}
+
 func (f *fleet) build() {
 	f.tb.Helper()
 	f.binary = filepath.Join(f.folder, "rosemaryd")
@@ -91,14 +103,9 @@
 
 func freePorts(tb testing.TB, n int) []string {
 	tb.Helper()
-	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			tb.Fatal(err)
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+	addresses, err := loopback.Addresses(n)
+	if err != nil {
+		tb.Fatal(err)
 	}
 	return addresses
 }
@@ -114,7 +121,7 @@
 	}
 }
 
-func (f *fleet) startControl(i int) *process {
+func (f *fleet) startControl(i int, bootstrap bool) *process {
 	s := f.base(fmt.Sprintf("control-%d", i))
 	s.Control = &settings.Control{
 		PeerListen:        f.peers[i],
@@ -122,7 +129,7 @@
 		OperatorListen:    f.operators[i],
 		OperatorKeyHashes: []string{follow.HashKey(fleetOperatorKey)},
 		DataFolder:        filepath.Join(f.folder, s.Instance),
-		Bootstrap:         i == 0,
+		Bootstrap:         bootstrap,
 		ServerLease:       settings.Duration(2500 * time.Millisecond),
 	}
 	return f.serve("control", s, f.operators[i])
@@ -317,6 +324,37 @@
 	return result.Index
 }
 
+// complete asks an entry for a streamed answer and checks that it is whole and
+// this request's own.
+func complete(client *http.Client, entry *process, i, tokens int) error {
+	model := fmt.Sprintf("plan-%d@1", i%8)
+	body := fmt.Sprintf(`{"model":"%s","prompt":"x","max_tokens":%d,"stream":true}`, model, tokens)
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry.listen+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+fleetCallerKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", response.Status, answer)
+	}
+	id := response.Header.Get(wire.HeaderRequestID)
+	for token := range tokens {
+		if !strings.Contains(string(answer), engine.TokenText(model, id, token)) {
+			return fmt.Errorf("token %d of request %s is missing", token, id)
+		}
+	}
+	return nil
+}
+
 // usage is what a process has used so far.
 type usage struct {
 	processor time.Duration
@@ -326,42 +364,41 @@
 
 const clockTicksPerSecond = 100
 
-func (p *process) usage(tb testing.TB) usage {
-	tb.Helper()
+func (f *fleet) usage(p *process) usage {
+	f.tb.Helper()
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
 	if err != nil {
-		tb.Fatalf("%s: %v\n%s", p.name, err, p.log)
+		f.tb.Fatalf("%s: %v\n%s", p.name, err, p.log)
 	}
 	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
 	user, _ := strconv.ParseInt(fields[11], 10, 64)
 	system, _ := strconv.ParseInt(fields[12], 10, 64)
 	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	var control int64
+	if p.status != "" {
+		control = f.counter(p, "rpc_bytes_sent") + f.counter(p, "rpc_bytes_received")
+	}
 	return usage{
 		processor: time.Duration(user+system) * time.Second / clockTicksPerSecond,
 		resident:  pages * int64(os.Getpagesize()),
-		control:   p.controlBytes(tb),
+		control:   control,
 	}
 }
 
-// controlBytes is what a process has sent and received for control so far.
-func (p *process) controlBytes(tb testing.TB) int64 {
-	tb.Helper()
-	if p.status == "" {
-		return 0
-	}
+// counter reads one of a process's counters.
+func (f *fleet) counter(p *process, name string) int64 {
+	f.tb.Helper()
 	response, err := http.Get("http://" + p.status + "/debug/vars")
 	if err != nil {
-		tb.Fatal(err)
+		f.tb.Fatal(err)
 	}
 	defer response.Body.Close()
-	var counters struct {
-		Sent     int64 `json:"rpc_bytes_sent"`
-		Received int64 `json:"rpc_bytes_received"`
-	}
+	var counters map[string]json.RawMessage
 	if err := json.NewDecoder(response.Body).Decode(&counters); err != nil {
-		tb.Fatal(err)
+		f.tb.Fatal(err)
 	}
-	return counters.Sent + counters.Received
+	value, _ := strconv.ParseInt(string(counters[name]), 10, 64)
+	return value
 }
 
 func (p *process) signal(tb testing.TB, s syscall.Signal) {
