Let a re-created contract wait for the shares of a lost log

Cause: a contract created in the quota owner's own time opened at once.

Change: such a contract opens full, but not before the leases of any earlier owner have run out, as every other contract does. The limiter's tests wait for that moment in their fixture; their checks are unchanged.

Measured: the new test in virtual time failed before ("granted 1 of the slots while a lost log's leases may run") and passes; go test -race ./coord/quota (18.8 s) and ./internal/limiter (27.8 s) pass.

The first request after a start of everything still waits 2.2 s; binding shares to the log's identity would allow to leave that out.

--- a/coord/quota/owner.go
+++ b/coord/quota/owner.go
@@ -16,7 +16,7 @@
 	// Epoch is the fencing token; it grows with every owner.
 	Epoch uint64
 	// Index is the log index at which the tenure began. A contract created
-	// later cannot have been shared out by an earlier owner.
+	// later cannot have been shared out by an earlier owner of this log.
 	Index uint64
 	// Began is when the tenure began: no earlier owner grants after it.
 	Began time.Time
@@ -179,12 +179,24 @@
 	}
 	l := newLedger(agreed.Limits, o.opens())
 	if agreed.Created > o.tenure.Index {
-		l.openFull(now)
+		l.openFull(later(now, o.opens()))
 	}
 	o.ledgers[id] = l
 	return l
 }
 
+// later returns the later of two moments. A contract of the owner's own time
+// opens full, but not before leases of earlier owners have run out: a log that
+// is founded anew may hold a contract again whose shares, from the lost log,
+// entries still use. Opened at once it would be leased twice, and a customer
+// could run twice its concurrency.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Expire drops holders whose leases have run out and ledgers that hold nothing
 // worth remembering. A timer calls it; until then such leases count as held,
 // which is safe.
--- a/coord/quota/scenario_test.go
+++ b/coord/quota/scenario_test.go
@@ -213,3 +213,29 @@
 	}
 	s.after(simTick, func() { callInTurn(s) })
 }
+
+// All disks of control are lost, the log is founded anew, and an operator
+// creates the customer's contract again at once. An entry still uses its share
+// of the lost log for 2 s; a second share of the same contract would let the
+// customer run twice what it pays for.
+func TestAContractOfANewLogWaitsForSharesOfTheLostOne(t *testing.T) {
+	began := time.Unix(1000, 0)
+	agreed := agreement("dabke", 50, 6000, 10)
+	agreed.Created = 5
+	owner := NewOwner(DefaultOptions(), Tenure{Epoch: 1, Index: 1, Began: began}, func(string) (contract.Contract, bool) { return agreed, true })
+	granted := func(after time.Duration, number uint64) float64 {
+		reply := owner.Renew(began.Add(after), Renewal{
+			Holder: "entry", Incarnation: 1, Number: number, Epoch: 1, Full: true,
+			Holdings: []Holding{{Contract: "dabke", Demand: Share{Slots: 1}}},
+		})
+		return reply.Grants[0].Share[Slots]
+	}
+	options := DefaultOptions()
+	wait := options.Lease + options.Margin
+	if early := granted(wait-time.Millisecond, 1); early != 0 {
+		t.Errorf("granted %v of the slots while a lost log's leases may run", early)
+	}
+	if late := granted(wait, 2); late != 1 {
+		t.Errorf("granted %v of the slots once they have run out, want all", late)
+	}
+}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -67,9 +67,22 @@
 		server.Close()
 		s.duties.Wait()
 	})
+	s.awaitOpen()
 	return s
 }
 
+// awaitOpen returns once the owner grants. A new owner waits until no earlier
+// one's shares can be in use.
+func (s *site) awaitOpen() {
+	l, stop := s.entry("first", s.address)
+	permit, refused := l.Admit(s.ctx, s.ask(1))
+	for refused != nil {
+		permit, refused = l.Admit(s.ctx, s.ask(1))
+	}
+	permit.Settle(entry.Use{})
+	stop()
+}
+
 // entry starts a limiter; stop hands its shares back.
 func (s *site) entry(name string, peers ...string) (l *limiter.Limiter, stop func()) {
 	l = limiter.New(limiter.Options{Instance: name, Peers: peers, Quota: quota.DefaultOptions()}, s, zap.NewNop())
