--- a/coord/prefixcache/bench_test.go
+++ b/coord/prefixcache/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"runtime"
+	"strconv"
 	"testing"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
@@ -26,3 +28,30 @@
 		index.Expected("s", chain)
 	}
 }
+
+// BenchmarkMemory reports the live heap of an index at its bound, before 600 servers.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := liveHeap()
+		index := NewIndex(Options{})
+		next := Block(0)
+		for i := range 600 * 400 {
+			chain := make([]Block, 8)
+			for j := range chain {
+				next++
+				chain[j] = next
+			}
+			index.Dispatched(strconv.Itoa(i%600), chain)
+		}
+		b.ReportMetric(float64(liveHeap()-before), "B")
+		b.ReportMetric(float64(liveHeap()-before)/float64(index.Len()), "B/block")
+		runtime.KeepAlive(index)
+	}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/coord/prefixcache/index.go
+++ b/coord/prefixcache/index.go
@@ -7,6 +7,10 @@
 	// Blocks is the most blocks remembered of one server; the least recently
 	// learnt goes first.
 	Blocks int
+	// Total is the most blocks remembered of all servers together, divided
+	// evenly among them. Without it an entry before 600 servers would come to
+	// hold hundreds of megabytes.
+	Total int
 	// Lifetime is how many own dispatches to the server a block is trusted for
 	// after it was last learnt.
 	Lifetime uint64
@@ -17,6 +21,7 @@
 
 const (
 	defaultBlocks        = 4096
+	defaultTotal         = 20 * defaultBlocks
 	defaultLifetime      = 512
 	defaultDoubtLifetime = 32
 )
@@ -40,6 +45,7 @@
 // NewIndex returns an index that knows nothing.
 func NewIndex(options Options) *Index {
 	setDefault(&options.Blocks, defaultBlocks)
+	setDefault(&options.Total, defaultTotal)
 	setDefault(&options.Lifetime, defaultLifetime)
 	setDefault(&options.DoubtLifetime, defaultDoubtLifetime)
 	return &Index{options: options, servers: make(map[string]*cache)}
@@ -57,12 +63,32 @@
 	if !known {
 		c = newCache()
 		x.servers[server] = c
+		x.share()
 	}
 	c.dispatches++
-	c.learn(chain, x.options)
+	c.learn(chain, x.options.Lifetime, x.limit())
 	c.expire()
 }
 
+// limit is the most blocks of one server.
+func (x *Index) limit() int { return min(x.options.Blocks, x.options.Total/len(x.servers)) }
+
+// share cuts every server to its part of the total, which a new server lowers.
+func (x *Index) share() {
+	for _, c := range x.servers {
+		c.trim(x.limit())
+	}
+}
+
+// Len is how many blocks are remembered of all servers.
+func (x *Index) Len() int {
+	total := 0
+	for _, c := range x.servers {
+		total += c.recent.Len()
+	}
+	return total
+}
+
 // Apply takes an engine's event. Events of servers that nothing was sent to
 // are dropped, so that what others send cannot fill the memory.
 func (x *Index) Apply(e Event) {
@@ -75,7 +101,7 @@
 		c.follow(e, x.options.DoubtLifetime)
 		// What a late event stored may have been removed by one that is
 		// already applied; a removal only lowers the estimate.
-		c.learn(e.Stored, x.options)
+		c.learn(e.Stored, x.options.Lifetime, x.limit())
 	}
 	c.remove(e.Removed)
 }
@@ -125,18 +151,23 @@
 
 // learn takes the last block first: what is forgotten first is then the end of
 // a prefix and not its start, without which the rest is worth nothing.
-func (c *cache) learn(chain []Block, options Options) {
+func (c *cache) learn(chain []Block, lifetime uint64, limit int) {
 	for i := len(chain) - 1; i >= 0; i-- {
-		fresh := entry{block: chain[i], expires: c.dispatches + options.Lifetime}
+		fresh := entry{block: chain[i], expires: c.dispatches + lifetime}
 		if element, known := c.held[chain[i]]; known {
 			*element.Value.(*entry) = fresh
 			c.recent.MoveToFront(element)
 			continue
 		}
 		c.held[chain[i]] = c.recent.PushFront(&fresh)
-		if c.recent.Len() > options.Blocks {
-			c.drop(c.recent.Back())
-		}
+	}
+	c.trim(limit)
+}
+
+// trim drops what was learnt longest ago beyond a number of blocks.
+func (c *cache) trim(limit int) {
+	for c.recent.Len() > limit {
+		c.drop(c.recent.Back())
 	}
 }
 
--- a/coord/prefixcache/index_test.go
+++ b/coord/prefixcache/index_test.go
@@ -215,3 +215,26 @@
 		t.Errorf("%d servers remembered", len(index.servers))
 	}
 }
+
+// An entry sends work to hundreds of servers for days. Were each remembered by
+// its own bound alone, the entry would grow until the platform ends it.
+func TestTheTotalHoldsWhateverServersJoin(t *testing.T) {
+	index := NewIndex(Options{Blocks: 100, Total: 1000})
+	next := Block(0)
+	for server := range 64 {
+		for range 30 {
+			chain := make([]Block, 8)
+			for i := range chain {
+				next++
+				chain[i] = next
+			}
+			index.Dispatched(string(rune('A'+server)), chain)
+			if index.Len() > 1000 {
+				t.Fatalf("%d blocks are remembered with %d servers", index.Len(), server+1)
+			}
+		}
+	}
+	if index.Len() < 64*(1000/64)-64 {
+		t.Errorf("only %d of 1000 blocks are used", index.Len())
+	}
+}
