Write a contract's longest wait with its unit; let trials shape the stand-in

The stand-in engine could fail loads, lag and crash, but only from Go. And the test of a killed leader failed once in a whole run: callers at one entry got 401, because a ready entry may lack a change for as long as its freshness lease (3 s) and the test began at once.

Change: limits are JSON with text for the wait and refuse numbers; the log's own encoding is another and stays. `rosemaryd standin` takes the options.

Ruled out for the 401: a copy that lost a contract, since copies only grow.

--- a/cmd/rosemaryd/failure_test.go
+++ b/cmd/rosemaryd/failure_test.go
@@ -104,10 +104,7 @@
 		index = f.putContract(current.Revision)
 		return true
 	})
-	f.await("the change in force", func() bool {
-		report, err := f.client.InForce(f.tb.Context(), index, inForceWait)
-		return err == nil && report.Done
-	})
+	f.awaitInForce(index)
 }
 
 // The control leader's power fails while callers are served. Callers must
--- a/cmd/rosemaryd/fleet_test.go
+++ b/cmd/rosemaryd/fleet_test.go
@@ -68,7 +68,7 @@
 		f.startControl(i, i == 0)
 	}
 	f.awaitControl()
-	f.writeSample()
+	sample := f.writeSample()
 	for i := range agents {
 		f.startAgent(i)
 	}
@@ -79,6 +79,7 @@
 		f.awaitReady(p)
 	}
 	f.awaitServers(agents)
+	f.awaitInForce(sample)
 	return f
 }
 
@@ -159,7 +160,7 @@
 func (f *fleet) serve(role string, s settings.Settings, listen string) *process {
 	f.tb.Helper()
 	path := filepath.Join(f.folder, s.Instance+".jsonc")
-	data, err := json.Marshal(withoutZeros(f.tb, s))
+	data, err := json.Marshal(s)
 	if err != nil {
 		f.tb.Fatal(err)
 	}
@@ -171,32 +172,6 @@
 	return p
 }
 
-// withoutZeros drops values that are zero, so that rosemaryd sets its defaults.
-func withoutZeros(tb testing.TB, s settings.Settings) map[string]any {
-	tb.Helper()
-	data, err := json.Marshal(s)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	var all map[string]any
-	if err := json.Unmarshal(data, &all); err != nil {
-		tb.Fatal(err)
-	}
-	dropZeros(all)
-	return all
-}
-
-func dropZeros(object map[string]any) {
-	for name, value := range object {
-		if nested, ok := value.(map[string]any); ok {
-			dropZeros(nested)
-		}
-		if value == nil || value == "" || value == "0s" || value == 0.0 || value == false {
-			delete(object, name)
-		}
-	}
-}
-
 func (f *fleet) start(role, name string, args ...string) *process {
 	f.tb.Helper()
 	p := &process{name: name, role: role, cmd: exec.Command(f.binary, args...), log: new(bytes.Buffer)}
@@ -289,7 +264,18 @@
 	})
 }
 
-func (f *fleet) writeSample() {
+// awaitInForce returns once every daemon works with the change at an index. A
+// ready entry may lack a change for as long as its freshness lease.
+func (f *fleet) awaitInForce(index uint64) {
+	f.tb.Helper()
+	f.await("the change in force", func() bool {
+		report, err := f.client.InForce(f.tb.Context(), index, inForceWait)
+		return err == nil && report.Done
+	})
+}
+
+// writeSample returns the index of its last change.
+func (f *fleet) writeSample() uint64 {
 	f.tb.Helper()
 	ctx := f.tb.Context()
 	if _, err := f.client.ChangeAs(ctx, "model", http.MethodPut, "/admin/v1/models/"+fleetModel, catalogue.Model{Name: fleetModel}); err != nil {
@@ -302,7 +288,7 @@
 			f.tb.Fatal(err)
 		}
 	}
-	f.putContract(0)
+	return f.putContract(0)
 }
 
 // putContract writes the fleet's contract over the given revision and returns
--- a/cmd/rosemaryd/main.go
+++ b/cmd/rosemaryd/main.go
@@ -39,6 +39,15 @@
 	Service string `arg:"--service" help:"address of a stand-in plain service"`
 	Model   string `arg:"--model" default:"base" help:"the stand-in engine's base model"`
 	Slots   int    `arg:"--slots" default:"4" help:"the stand-in engine's adapter slots"`
+
+	Capacity    int           `arg:"--capacity" default:"16" help:"most requests in one batch"`
+	TokenTime   time.Duration `arg:"--token-time" default:"10ms" help:"time between tokens"`
+	LoadTime    time.Duration `arg:"--load-time" default:"250ms" help:"time that a load takes"`
+	ReportLag   time.Duration `arg:"--report-lag" help:"age of the load report"`
+	Fencing     bool          `arg:"--fencing" help:"refuse orders with an old fencing number"`
+	FailLoads   []string      `arg:"--fail-load,separate" help:"adapter@version whose loads fail; repeatable"`
+	CrashMarker string        `arg:"--crash-marker" help:"a prompt with this text makes the engine restart cold"`
+	CallTime    time.Duration `arg:"--call-time" help:"time that a call of the stand-in service takes"`
 }
 
 type arguments struct {
@@ -56,12 +65,6 @@
 // demoStopTimeout bounds the demo's drain.
 const demoStopTimeout = 30 * time.Second
 
-// Timing of the stand-in engine.
-const (
-	standinTokenTime = 10 * time.Millisecond
-	standinLoadTime  = 250 * time.Millisecond
-)
-
 func main() {
 	var args arguments
 	parser := arg.MustParse(&args)
@@ -124,6 +127,20 @@
 	return stopOnSignal(demoStopTimeout, d.Stop)
 }
 
+func (c standinCommand) engineOptions() engine.Options {
+	return engine.Options{
+		BaseModel:      c.Model,
+		Slots:          c.Slots,
+		Capacity:       c.Capacity,
+		TokenTime:      c.TokenTime,
+		LoadTime:       c.LoadTime,
+		ReportLag:      c.ReportLag,
+		EnforceFencing: c.Fencing,
+		FailLoads:      c.FailLoads,
+		CrashMarker:    c.CrashMarker,
+	}
+}
+
 func runStandin(c standinCommand) error {
 	failures := make(chan error, 2)
 	listen := func(address string, handler http.Handler) {
@@ -131,11 +148,10 @@
 		failures <- server.ListenAndServe()
 	}
 	if c.Engine != "" {
-		options := engine.Options{BaseModel: c.Model, Slots: c.Slots, TokenTime: standinTokenTime, LoadTime: standinLoadTime}
-		go listen(c.Engine, engine.New(options).Handler())
+		go listen(c.Engine, engine.New(c.engineOptions()).Handler())
 	}
 	if c.Service != "" {
-		go listen(c.Service, service.New(service.Options{}))
+		go listen(c.Service, service.New(service.Options{CallTime: c.CallTime}))
 	}
 	if c.Engine == "" && c.Service == "" {
 		return errors.New("standin: one of --engine, --service is required")
--- a/coord/contract/contract.go
+++ b/coord/contract/contract.go
@@ -16,7 +16,8 @@
 	TokensPerMinute int64 `json:"tokensPerMinute"`
 	// Concurrency is the most requests in flight at once.
 	Concurrency int `json:"concurrency"`
-	// MaxWait is the longest that a request may wait before it is refused, in nanoseconds.
+	// MaxWait is the longest that a request may wait before it is refused; in
+	// JSON it is text with a unit, such as "10s".
 	MaxWait time.Duration `json:"maxWait"`
 }
 
--- /dev/null
+++ b/coord/contract/json_test.go
@@ -0,0 +1,30 @@
+package contract_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/contract"
+)
+
+// An operator writes 10 for ten seconds. Read as nanoseconds, it would have
+// every request refused as soon as it waits.
+func TestTheLongestWaitIsTextWithAUnit(t *testing.T) {
+	limits := contract.Limits{RequestsPerSecond: 2.5, TokensPerMinute: 1000, Concurrency: 3, MaxWait: 1500 * time.Millisecond}
+	data, err := json.Marshal(limits)
+	if err != nil || !strings.Contains(string(data), `"maxWait":"1.5s"`) {
+		t.Fatalf("%s, %v", data, err)
+	}
+	var read contract.Limits
+	if err := json.Unmarshal(data, &read); err != nil || read != limits {
+		t.Errorf("read %+v, %v", read, err)
+	}
+	for _, wrong := range []string{"10", `"10"`, `"ten seconds"`, "null"} {
+		changed := strings.Replace(string(data), `"1.5s"`, wrong, 1)
+		if err := json.Unmarshal([]byte(changed), &read); err == nil {
+			t.Errorf("maxWait %s was read as %s", wrong, read.MaxWait)
+		}
+	}
+}
