Let operators ask what became of a call that must run once

Cause: when a caller loses the answer to a booking, an operator had to call GET /claims by hand to learn its fate.

Change: `rosemaryctl claim KEY` asks an entry as the caller and exits with the codes that `ask` has for the same fates: finished, not run, open, not found.

--- a/cmd/rosemaryctl/ask.go
+++ b/cmd/rosemaryctl/ask.go
@@ -16,9 +16,8 @@
 )
 
 type askCommand struct {
+	callerFlags
 	Prompt    string `arg:"positional,required"`
-	Entry     string `arg:"--entry,env:ROSEMARY_ENTRY" default:"http://127.0.0.1:8080" help:"URL of an entry"`
-	CallerKey string `arg:"--caller-key,env:ROSEMARY_CALLER_KEY" help:"caller's key"`
 	Model     string `arg:"--model,required" placeholder:"ADAPTER@VERSION" help:"adapter and version"`
 	MaxTokens int    `arg:"--max-tokens" default:"64" help:"tokens to generate at most"`
 	Stream    bool   `arg:"--stream" help:"print the stream's events as they come"`
--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -36,6 +36,7 @@
 	Watch       *watchCommand       `arg:"subcommand:watch" help:"status, again and again"`
 	Config      *configCommand      `arg:"subcommand:config" help:"the whole configuration in a file"`
 	Ask         *askCommand         `arg:"subcommand:ask" help:"send a request to an entry as a caller"`
+	Claim       *claimCommand       `arg:"subcommand:claim" help:"what became of a call with an Idempotency-Key"`
 	Certificate *certificateCommand `arg:"subcommand:certificate" help:"certificates between the system's processes"`
 	Completion  *completionCommand  `arg:"subcommand:completion" help:"print a shell completion script"`
 }
