--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -30,3 +30,18 @@
 		}
 	}
 }
+
+func FuzzPeekModel(f *testing.F) {
+	f.Add(`{"id":"1","model":"a@1"}`)
+	f.Add("data: {\"model\":\"a@1\"}\n\ndata: [DONE]\n\n")
+	f.Add(": hello\r\nevent: x\r\ndata:{\"model\":")
+	f.Fuzz(func(t *testing.T, answer string) {
+		_, whole, err := relay.PeekModel(strings.NewReader(answer))
+		if err != nil {
+			return
+		}
+		if data, err := io.ReadAll(whole); err != nil || string(data) != answer {
+			t.Errorf("%q was relayed as %q, %v", answer, data, err)
+		}
+	})
+}
