Give the agent's tests a load timeout that no busy machine reaches

Cause: with 16 to 30 test processes at once, TestAgentsShareTheWeightStoreAnd- OutliveTheirBroker failed: a load or the engine's first report took longer than the fixture's load timeout of 100 ms, and the agent refused, as it should. A bound in wall-clock time decided the verdict. TestCallersThatGiveUpLeaveNoPins, seen failing once before, uses the same fixture.

Change: the fixture waits a minute; only the test of a hanging load sets 100 ms, and first waits until the agent answers at all. Checks are unchanged.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -43,8 +44,13 @@
 	engine    *engine.Engine
 	engineURL string
 	server    string
+	// loadTimeout is the agent's; patientTimeout by default, which no test
+	// waits for, however busy the machine is.
+	loadTimeout time.Duration
 }
 
+const patientTimeout = time.Minute
+
 func newBench(t *testing.T, options engine.Options) *bench {
 	t.Helper()
 	options.BaseModel, options.EnforceFencing = "base", true
@@ -64,7 +70,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	a := agent.New(agent.Options{
 		Server: b.server, BaseModel: "base", Address: "127.0.0.1:1", Engine: b.engineURL,
-		Slots: slots, Queue: 32, LoadTimeout: 100 * time.Millisecond, AnnounceInterval: 20 * time.Millisecond, ControlPeers: peers,
+		Slots: slots, Queue: 32, LoadTimeout: cmp.Or(b.loadTimeout, patientTimeout), AnnounceInterval: 20 * time.Millisecond, ControlPeers: peers,
 	}, &http.Client{}, zap.NewNop())
 	server := httptest.NewServer(a.Handler())
 	var duties sync.WaitGroup
@@ -198,7 +204,10 @@
 		Slots: 1, TokenTime: time.Millisecond,
 		SlowLoads: map[string]time.Duration{"slow@1": 400 * time.Millisecond},
 	})
+	b.loadTimeout = 100 * time.Millisecond
 	url, _ := b.startAgent(t, 1)
+	// The agent must have seen its engine: without that it refuses, too.
+	eventually(t, "the agent answers", func() bool { return ask(t.Context(), url, "a@1", "2").status == http.StatusOK })
 	got := ask(t.Context(), url, "slow@1", "2")
 	if got.status != http.StatusServiceUnavailable || got.said != outcome.NotRun.String() {
 		t.Fatalf("a hanging load gave %+v", got)
