Show load stalls in status

Change: an agent averages the stalls of its recent requests and reports the share that stalled and their mean wait, in steps of 5% and 50 ms, so that a report differs only when something changed. `status` and `watch` show the worst server of each pool. The two fields come last in the packed report.

Percentiles of a pool would need histograms in each report and were left.

--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -235,14 +235,14 @@
 	announced := func(name string, leaving bool, running int) operator.Server {
 		return operator.Server{Name: name, Announced: &membership.Announcement{
 			Server: name, Pool: "floor", DataCentre: "a", Leaving: leaving, Slots: 4,
-			Load: membership.Load{Running: running, Waiting: 1, Capacity: 10, Resident: make([]catalogue.Ref, 2), LoadMillis: 100 * running},
+			Load: membership.Load{Running: running, Waiting: 1, Capacity: 10, Resident: make([]catalogue.Ref, 2), LoadMillis: 100 * running, StallPercent: 5 * running, StallMillis: 50 * running},
 		}}
 	}
 	var out bytes.Buffer
 	tool := &tool{out: &out}
 	tool.showPools([]operator.Server{announced("f-1", false, 3), announced("f-2", true, 4), {Name: "absent"}})
 	got := strings.Fields(strings.Split(out.String(), "\n")[1])
-	want := []string{"floor", "a", "1", "1", "7", "2", "35%", "0", "50%", "400", "ms"}
+	want := []string{"floor", "a", "1", "1", "7", "2", "35%", "0", "50%", "400", "ms", "20%", "200", "ms"}
 	if !slices.Equal(got, want) {
 		t.Errorf("%v, want %v", got, want)
 	}
--- a/cmd/rosemaryctl/pools.go
+++ b/cmd/rosemaryctl/pools.go
@@ -17,6 +17,9 @@
 	adapters, slots  int
 	loading          int
 	loadMillis       int
+	// stallPercent and stallMillis are those of the worst server.
+	stallPercent int
+	stallMillis  int
 }
 
 func (p *pool) add(server operator.Server) {
@@ -33,6 +36,8 @@
 	p.slots += a.Slots
 	p.loading += len(a.Load.Loading)
 	p.loadMillis = max(p.loadMillis, a.Load.LoadMillis)
+	p.stallPercent = max(p.stallPercent, a.Load.StallPercent)
+	p.stallMillis = max(p.stallMillis, a.Load.StallMillis)
 }
 
 // pools sums up the announced servers, by pool and data centre.
@@ -66,9 +71,10 @@
 		rows = append(rows, []string{
 			p.name, p.dataCentre, fmt.Sprint(p.serving), fmt.Sprint(p.leaving), fmt.Sprint(p.running), fmt.Sprint(p.waiting),
 			useShare(p.running, p.capacity), fmt.Sprint(p.loading), useShare(p.adapters, p.slots), loadTime(p.loadMillis),
+			fmt.Sprintf("%d%%", p.stallPercent), loadTime(p.stallMillis),
 		})
 	}
-	t.table("POOL,DATA CENTRE,SERVING,LEAVING,RUNNING,WAITING,BATCH,LOADING,SLOTS USED,SLOWEST LOAD", rows)
+	t.table("POOL,DATA CENTRE,SERVING,LEAVING,RUNNING,WAITING,BATCH,LOADING,SLOTS USED,SLOWEST LOAD,MOST STALLED,LONGEST STALL", rows)
 }
 
 // useShare is a part of a whole in percent, empty without a whole.
--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -45,6 +45,10 @@
 	VictimUse float64 `json:"victimUse,omitempty"`
 	// LoadMillis is the recent time of a load, permit included.
 	LoadMillis int `json:"loadMillis,omitempty"`
+	// StallPercent is the share of recent requests that waited for their
+	// adapter, StallMillis how long these waited on average. Both are rounded.
+	StallPercent int `json:"stallPercent,omitempty"`
+	StallMillis  int `json:"stallMillis,omitempty"`
 }
 
 // useStep is the step in which daemons see VictimUse, in requests. The exact
--- a/internal/agent/slotduty.go
+++ b/internal/agent/slotduty.go
@@ -85,6 +85,8 @@
 // slotDuty owns the slot table; no other goroutine touches it. It never waits
 // for anything but its rings.
 type slotDuty struct {
+	// stalls are those of recent requests, for operators.
+	stalls      stallMeter
 	agent       *Agent
 	table       *slots.Table
 	replies     map[slots.RequestID]pendingReply
@@ -164,6 +166,9 @@
 		Obtainable: report.Obtainable,
 		VictimUse:  report.VictimUse,
 		LoadMillis: int(d.loadTime.Milliseconds()),
+
+		StallPercent: d.stalls.percent(),
+		StallMillis:  d.stalls.millis(),
 	})
 }
 
@@ -200,6 +205,7 @@
 		return
 	}
 	delete(d.replies, id)
+	d.stalls.note(now.Sub(pending.since))
 	if waited := now.Sub(pending.since); waited > 0 {
 		stalledCount.Add(1)
 		stallMillis.Add(waited.Milliseconds())
