Keep one heap measurement and one checking caller

Cause: read as a newcomer, the measurement of the live heap stood five times in coord's benchmarks, and the caller that checks a streamed answer twice, once counting events and once looking for tokens.

Change: coord/internal/liveheap and internal/standin/caller hold them. The caller now makes both checks, and wants the tokens in their order, so every test that used one of the two is stricter. Another duplicate in internal/control stays, as that module cannot import coord's internal package.

--- a/cmd/rosemaryd/failure_test.go
+++ b/cmd/rosemaryd/failure_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/internal/standin/caller"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -37,14 +37,14 @@
 }
 
 func (c *callers) run(entry *process, i, tokens int) {
-	client := &http.Client{Transport: &http.Transport{}}
+	asking := caller.New(fleetCallerKey, 1)
 	for {
 		select {
 		case <-c.stop:
 			return
 		default:
 		}
-		if err := complete(client, entry, i, tokens); err != nil {
+		if err := asking.Complete(entry.url(), model(i), tokens); err != nil {
 			c.tb.Errorf("caller %d at %s: %v", i, entry.name, err)
 			return
 		}
@@ -213,7 +213,7 @@
 	const streams, tokens = 8, 200
 	for i := range streams {
 		long.Go(func() {
-			if err := complete(&http.Client{Transport: &http.Transport{}}, entries[0], i, tokens); err != nil {
+			if err := caller.New(fleetCallerKey, 1).Complete(entries[0].url(), model(i), tokens); err != nil {
 				t.Errorf("stream %d: %v", i, err)
 				return
 			}
--- a/cmd/rosemaryd/fleet_bench_test.go
+++ b/cmd/rosemaryd/fleet_bench_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/internal/standin/caller"
 )
 
 // BenchmarkFleet runs real processes on loopback and prints what each role
@@ -89,7 +90,7 @@
 
 // load sends requests at a rate to the entries in turn and prints how they fared.
 func (f *fleet) load(perSecond, tokens int) func(<-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	asking := caller.New(fleetCallerKey, 64)
 	entries := f.role("entry")
 	var answered, failed atomic.Int64
 	return func(stop <-chan struct{}) {
@@ -104,7 +105,7 @@
 				return
 			case <-ticker.C:
 				sent.Go(func() {
-					if err := complete(client, entries[i%len(entries)], i, tokens); err != nil {
+					if err := asking.Complete(entries[i%len(entries)].url(), model(i), tokens); err != nil {
 						failed.Add(1)
 						return
 					}
--- a/cmd/rosemaryd/fleet_test.go
+++ b/cmd/rosemaryd/fleet_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,8 +20,6 @@
 	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
-	"github.com/rosemarypass/rosemarypass/internal/standin/engine"
-	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 const (
@@ -310,36 +307,11 @@
 	return result.Index
 }
 
-// complete asks an entry for a streamed answer and checks that it is whole and
-// this request's own.
-func complete(client *http.Client, entry *process, i, tokens int) error {
-	model := fmt.Sprintf("plan-%d@1", i%8)
-	body := fmt.Sprintf(`{"model":"%s","prompt":"x","max_tokens":%d,"stream":true}`, model, tokens)
-	request, err := http.NewRequest(http.MethodPost, "http://"+entry.listen+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header.Set("Authorization", "Bearer "+fleetCallerKey)
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", response.Status, answer)
-	}
-	id := response.Header.Get(wire.HeaderRequestID)
-	for token := range tokens {
-		if !strings.Contains(string(answer), engine.TokenText(model, id, token)) {
-			return fmt.Errorf("token %d of request %s is missing", token, id)
-		}
-	}
-	return nil
-}
+// model is the adapter that the i-th caller asks for.
+func model(i int) string { return fmt.Sprintf("plan-%d@1", i%8) }
+
+// url is where callers reach an entry.
+func (p *process) url() string { return "http://" + p.listen }
 
 // usage is what a process has used so far.
 type usage struct {
--- a/coord/catalogue/table_test.go
+++ b/coord/catalogue/table_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/internal/liveheap"
 )
 
 // drawAdapter draws from few names, so that versions meet again.
@@ -62,24 +62,12 @@
 	return catalogue.Adapter{Ref: ref, BaseModel: fmt.Sprint("base-", i%5), Source: "store://adapters/" + ref.String()}
 }
 
-// heapOf returns the live heap that build's value holds, in bytes.
-func heapOf(build func() any) float64 {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	value := build()
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(value)
-	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
-}
-
 // BenchmarkMemory compares the table's bytes for each adapter with a plain map's.
 func BenchmarkMemory(b *testing.B) {
 	for _, n := range []int{3_000, 130_000} {
 		b.Run(fmt.Sprintf("table/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				b.ReportMetric(heapOf(func() any {
+				b.ReportMetric(liveheap.Of(func() any {
 					table := catalogue.NewTable()
 					for i := range n {
 						table.Put(numbered(i))
@@ -90,7 +78,7 @@
 		})
 		b.Run(fmt.Sprintf("map/%d", n), func(b *testing.B) {
 			for b.Loop() {
-				b.ReportMetric(heapOf(func() any {
+				b.ReportMetric(liveheap.Of(func() any {
 					all := make(map[catalogue.Ref]catalogue.Adapter)
 					for i := range n {
 						a := numbered(i)
--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosemarypass/rosemarypass/coord/claim"
+	"github.com/rosemarypass/rosemarypass/coord/internal/liveheap"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -194,27 +195,20 @@
 	for name, at := range map[string]time.Duration{"claim": 0, "tombstone": claim.Age} {
 		b.Run(name, func(b *testing.B) {
 			for range b.N {
-				before := heap()
+				before := liveheap.Bytes()
 				table := claim.NewTable(claim.DefaultOptions)
 				for i := range keys {
 					id := claim.ID{Contract: "cascade", Key: fmt.Sprintf("pallet-release-%012d", i)}
 					table.Apply(claim.Command{ID: id, Begin: &claim.Begin{Token: uuid.NewString(), Fingerprint: make([]byte, 32)}}, start)
 				}
 				table.Apply(claim.Command{Look: &claim.Look{}}, start.Add(at))
-				b.ReportMetric(float64(heap()-before)/keys, "B/key")
+				b.ReportMetric((liveheap.Bytes()-before)/keys, "B/key")
 				runtime.KeepAlive(table)
 			}
 		})
 	}
 }
 
-func heap() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
-
 func BenchmarkBeginAndFinish(b *testing.B) {
 	table := claim.NewTable(claim.DefaultOptions)
 	answer := claim.Answer{Status: 200, Kept: true, Body: make([]byte, 100)}
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/internal/liveheap"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 )
 
@@ -357,18 +358,11 @@
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			announced := manyServers(servers, 130_000)
 			for b.Loop() {
-				before := heapBytes()
+				before := liveheap.Bytes()
 				s := selector(SelectorOptions{Packing: 0.5}, announced...)
-				b.ReportMetric(float64(heapBytes()-before)/float64(servers), "B/server")
+				b.ReportMetric((liveheap.Bytes()-before)/float64(servers), "B/server")
 				runtime.KeepAlive(s)
 			}
 		})
 	}
 }
-
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/coord/prefixcache/bench_test.go
+++ b/coord/prefixcache/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/coord/internal/liveheap"
 )
 
 func BenchmarkChain(b *testing.B) {
@@ -32,7 +33,7 @@
 // BenchmarkMemory reports the live heap of an index at its bound, before 600 servers.
 func BenchmarkMemory(b *testing.B) {
 	for b.Loop() {
-		before := liveHeap()
+		before := liveheap.Bytes()
 		index := NewIndex(Options{})
 		next := Block(0)
 		for i := range 600 * 400 {
@@ -43,15 +44,8 @@
 			}
 			index.Dispatched(strconv.Itoa(i%600), chain)
 		}
-		b.ReportMetric(float64(liveHeap()-before), "B")
-		b.ReportMetric(float64(liveHeap()-before)/float64(index.Len()), "B/block")
+		b.ReportMetric((liveheap.Bytes() - before), "B")
+		b.ReportMetric((liveheap.Bytes()-before)/float64(index.Len()), "B/block")
 		runtime.KeepAlive(index)
 	}
 }
-
-func liveHeap() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/coord/quota/bench_test.go
+++ b/coord/quota/bench_test.go
@@ -8,16 +8,9 @@
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/internal/liveheap"
 )
 
-// liveHeap is the memory in use after a collection, in bytes.
-func liveHeap() float64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
-
 // BenchmarkSize runs a steady load on all entries alike, within the contracts,
 // and reports what the messages, the owner and an entry cost. Requests run 8 s,
 // as 280 tokens at 29 ms do.
@@ -39,9 +32,9 @@
 			}
 			const seconds = 15
 			for b.Loop() {
-				before := liveHeap()
+				before := liveheap.Bytes()
 				sim := simulate(scenario{entries: c.entries, agreed: agreed, rate: c.rate, tokens: 500, run: 8 * time.Second, seconds: seconds, measure: true})
-				used := liveHeap() - before
+				used := liveheap.Bytes() - before
 				perSecond := float64(sim.messages) / seconds
 				b.ReportMetric(perSecond, "renewals/s")
 				b.ReportMetric(perSecond/float64(c.entries), "renewals/s/entry")
@@ -136,13 +129,13 @@
 		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
 			for b.Loop() {
 				now := time.Unix(1_000_000, 0)
-				before := liveHeap()
+				before := liveheap.Bytes()
 				holders := make([]*Holder, entries)
 				var agreed []contract.Contract
 				for i := range holders {
 					holders[i], agreed = usedHolder(now, contracts)
 				}
-				held := liveHeap()
+				held := liveheap.Bytes()
 				owner := NewOwner(DefaultOptions(), Tenure{Epoch: 1, Began: now.Add(-time.Hour)}, lookup(agreed))
 				for i, h := range holders {
 					h.name = fmt.Sprint("entry-", i)
@@ -150,7 +143,7 @@
 					owner.Renew(now, h.Renewal(now, true))
 				}
 				b.ReportMetric((held-before)/contracts/float64(entries), "B/contract-at-entry")
-				b.ReportMetric((liveHeap()-held)/contracts, "B/contract-at-owner")
+				b.ReportMetric((liveheap.Bytes()-held)/contracts, "B/contract-at-owner")
 				runtime.KeepAlive(holders)
 				runtime.KeepAlive(owner)
 			}
--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -14,6 +11,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/internal/demo"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/standin/caller"
 )
 
 // BenchmarkDataPath compares the stand-in engine called directly with the same
@@ -60,41 +58,16 @@
 }
 
 func warm(b *testing.B, d *demo.Demo) {
-	client := &http.Client{}
+	asking := caller.New(demo.CallerKey, 1)
 	for range 10 {
-		if err := complete(client, "http://"+d.Entry, 1); err != nil {
+		if err := asking.Complete("http://"+d.Entry, demo.Adapters[0], 1); err != nil {
 			b.Fatal(err)
 		}
 	}
 }
 
-func complete(client *http.Client, base string, tokens int) error {
-	body := fmt.Sprintf(`{"model":"%s","prompt":"x","max_tokens":%d,"stream":true}`, demo.Adapters[0], tokens)
-	request, err := http.NewRequest(http.MethodPost, base+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header.Set("Authorization", "Bearer "+demo.CallerKey)
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", response.Status, answer)
-	}
-	if got := strings.Count(string(answer), "data: {"); got != tokens {
-		return fmt.Errorf("answer has %d tokens, want %d", got, tokens)
-	}
-	return nil
-}
-
 func benchmarkCalls(b *testing.B, base string, tokens, callers int) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	asking := caller.New(demo.CallerKey, callers)
 	jobs := make(chan struct{}, callers)
 	done := make(chan error, callers)
 	before := processorTime()
@@ -102,7 +75,7 @@
 	for range callers {
 		go func() {
 			for range jobs {
-				if err := complete(client, base, tokens); err != nil {
+				if err := asking.Complete(base, demo.Adapters[0], tokens); err != nil {
 					done <- err
 					return
 				}
