Pace prompts at the agent so that streams do not halt

Ruled out: queueing (waited 0 to 2 ms), entries (pauses are the same at all of them), loads.

Change: coord/residency starts prompts at a share of the reading rate that it learns from prompts that were read alone; the agent tells entries the delay, which takes the place of a guess by queue length in coord/dispatch.

What is left late waited 0.8 to 2.5 s for an adapter's new version to replace the one in use.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	Batch   int
 	Running int
 	Waiting int
+	// Delay is how long its agent would keep a start waiting.
+	Delay time.Duration
 	// Tokens and MemoryTokens are the memory taken and there; 0 when unknown.
 	Tokens       int
 	MemoryTokens int
@@ -70,7 +72,7 @@
 	farCost = 0.05
 	// pressureCost is what a full batch adds to the first token by slower steps.
 	pressureCost = 0.15
-	// queueCost is what each request ahead in a queue adds: a batch of some
+	// queueCost is what each request beyond the batch adds: a batch of some
 	// dozens turns over within a few seconds.
 	queueCost = 0.06
 	// failureCost is the price of a failed answer: about what a caller waits
@@ -117,7 +119,7 @@
 
 // Cost estimates in seconds what a choice would cost.
 func Cost(c *Candidate, r *Request) float64 {
-	cost := residenceCost(c, r) + pressure(c, r) + answerShare*c.Answer.Seconds() + failureCost*c.FailureShare + c.Cold.Seconds()
+	cost := residenceCost(c, r) + pressure(c, r) + answerShare*c.Answer.Seconds() + failureCost*c.FailureShare + c.Cold.Seconds() + c.Delay.Seconds()
 	if c.DataCentre != r.DataCentre {
 		cost += farCost
 	}
@@ -163,6 +165,6 @@
 	if use > crowded {
 		cost += 2 * (use - crowded)
 	}
-	over := max(c.Running-c.Batch, 0) + c.Waiting
+	over := max(c.Running+c.Waiting-c.Batch, 0)
 	return cost + queueCost*float64(over)
 }
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -12,7 +12,7 @@
 			actions = append(actions, Refuse{ID: r.ID, Reason: ReasonLate})
 			continue
 		}
-		if t.canRun(&r) && t.ready(&r, now) {
+		if t.canRun(&r, now) && t.ready(&r, now) {
 			actions = append(actions, t.start(&r, now))
 			continue
 		}
@@ -37,8 +37,8 @@
 
 // canRun is true while the batch and the memory have room. A request that is
 // larger than the memory is let through alone: the engine refuses it itself.
-func (t *Table) canRun(r *Request) bool {
-	if len(t.started) >= t.options.Batch {
+func (t *Table) canRun(r *Request, now time.Time) bool {
+	if len(t.started) >= t.options.Batch || now.Before(t.pace.opens()) {
 		return false
 	}
 	return t.tokens+r.Tokens <= t.options.MemoryTokens || len(t.started) == 0
@@ -62,7 +62,10 @@
 }
 
 func (t *Table) start(r *Request, now time.Time) Action {
-	t.started[r.ID] = &started{adapter: r.Adapter, tokens: r.Tokens, at: now}
+	alone := !t.reading()
+	t.disturb()
+	t.started[r.ID] = &started{adapter: r.Adapter, prompt: r.Prompt, tokens: r.Tokens, at: now, alone: alone}
+	t.pace.start(r.Prompt, now)
 	t.tokens += r.Tokens
 	version := int64(0)
 	if p := t.places[r.Adapter]; p != nil {
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -39,7 +39,8 @@
 	Adapter string
 	// Rank orders waiting requests; 0 goes first.
 	Rank int
-	// Tokens is the most memory that it takes.
+	// Prompt is the number of tokens to read, Tokens the most memory it takes.
+	Prompt int
 	Tokens int
 	// Latest is when a start is of no use any more.
 	Latest time.Time
@@ -111,8 +112,13 @@
 
 type started struct {
 	adapter string
+	prompt  int
 	tokens  int
 	at      time.Time
+	// begun is true once its first event was made; alone while no other prompt
+	// was read beside its own.
+	begun bool
+	alone bool
 	// seen is true once the engine has reported it.
 	seen bool
 	// missing counts reports without it.
@@ -129,6 +135,7 @@
 	leaving bool
 	// newest are the versions that were named, with when this table heard.
 	newest map[string]named
+	pace   pace
 }
 
 type named struct {
@@ -141,7 +148,7 @@
 
 // New returns a table for an engine that holds nothing.
 func New(options Options) *Table {
-	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), newest: make(map[string]named)}
+	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), newest: make(map[string]named), pace: newPace()}
 }
 
 // SetOptions changes what is known of the engine.
@@ -212,6 +219,7 @@
 	t.started = make(map[string]*started)
 	t.tokens = 0
 	t.leaving = false
+	t.pace = newPace()
 	return t.refuseAll(ReasonRestarted)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,7 @@
 	requestCount  = telemetry.Counter("gateway_requests")
 	noRouteCount  = telemetry.Counter("gateway_no_route")
 	answeredCount = telemetry.Counter("gateway_answered")
+	lateCount     = telemetry.Counter("gateway_answered_late")
 	refusedCount  = telemetry.Counter("gateway_refused")
 	failedCount   = telemetry.Counter("gateway_failed")
 	goneCount     = telemetry.Counter("gateway_callers_gone")
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -34,6 +34,15 @@
 	runs     int
 	// last is why the last try did not end well.
 	last string
+	// seen is the chosen server as it looked; waited is how long the start took,
+	// first the time to the first event, longestGap the longest pause behind it.
+	seen       dispatch.Candidate
+	waited     time.Duration
+	first      time.Duration
+	longestGap time.Duration
+	eventAt    time.Time
+	// grantedBy is the agent that granted the start, nil when none was asked.
+	grantedBy *agentClient
 	// relayed is true once bytes of an answer have gone to the caller.
 	relayed bool
 	// lastEvent is the last event that the caller has.
@@ -86,17 +95,22 @@
 
 // try offers the request to one server.
 func (j *journey) try() step {
-	v := j.choose()
+	v, seen := j.choose()
+	j.seen = seen
 	if v == nil {
 		j.last = "no backend server of the service is there"
 		return stepFail
 	}
 	j.tried[v.entry.ID] = true
+	asked := time.Now()
 	granted, ok := j.start(v)
+	j.waited += time.Since(asked)
 	if !ok {
 		return stepAgain
 	}
+	j.grantedBy = nil
 	if granted {
+		j.grantedBy = v.agent
 		defer v.agent.done(j.call.ID)
 	}
 	// The server may have said that it leaves while the request waited.
@@ -111,7 +125,7 @@
 	return j.send(v)
 }
 
-func (j *journey) choose() *server {
+func (j *journey) choose() (*server, dispatch.Candidate) {
 	return j.servers.choose(context.Background(), j.service, dispatch.Request{
 		Adapter: j.call.Adapter, DataCentre: j.options.DataCentre, Tokens: j.tokens(), Tried: j.tried,
 	}, j.call.Model)
@@ -134,7 +148,7 @@
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
 	defer cancel()
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: j.call.ID, Adapter: j.call.Adapter, Rank: j.route.Priority, Tokens: j.tokens(), WaitMillis: left.Milliseconds(),
+		ID: j.call.ID, Adapter: j.call.Adapter, Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), WaitMillis: left.Milliseconds(),
 	})
 	switch {
 	case err != nil:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -58,6 +58,12 @@
 
 func (j *journey) answered(v *server, status int) {
 	answeredCount.Add(1)
+	if j.first > j.route.Target || j.route.Gap > 0 && j.longestGap > j.route.Gap {
+		lateCount.Add(1)
+		j.log.Info("request answered late", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.String("adapter", j.call.Adapter),
+			zap.Duration("first", j.first), zap.Duration("waited", j.waited), zap.Duration("longestGap", j.longestGap),
+			zap.Int("prompt", j.call.PromptTokens), zap.Int("running", j.seen.Running), zap.Int("waiting", j.seen.Waiting), zap.Uint8("residence", uint8(j.seen.Residence)))
+	}
 	j.log.Debug("request answered", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.Int("status", status),
 		zap.Uint64("configuration", j.version), zap.Duration("took", time.Since(j.arrived)))
 }
@@ -116,6 +122,7 @@
 		j.relayed = true
 	}
 	if len(data) > 0 {
+		j.noteEvent(time.Now())
 		if _, err := j.w.Write(data); err != nil {
 			return false
 		}
@@ -123,6 +130,19 @@
 	return http.NewResponseController(j.w).Flush() == nil
 }
 
+// noteEvent measures the time to the first event and the pauses behind it.
+func (j *journey) noteEvent(now time.Time) {
+	if j.eventAt.IsZero() {
+		j.first = now.Sub(j.arrived)
+		if j.grantedBy != nil {
+			j.grantedBy.begun(j.call.ID)
+		}
+	} else {
+		j.longestGap = max(j.longestGap, now.Sub(j.eventAt))
+	}
+	j.eventAt = now
+}
+
 // eventBuffer cuts a stream into whole events.
 type eventBuffer struct {
 	held []byte
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -107,7 +107,7 @@
 }
 
 // choose picks a server for a request, nil when there is none.
-func (s *servers) choose(ctx context.Context, service *route.Service, r dispatch.Request, model string) *server {
+func (s *servers) choose(ctx context.Context, service *route.Service, r dispatch.Request, model string) (*server, dispatch.Candidate) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,9 +123,9 @@
 	}
 	at := dispatch.Pick(candidates, r, rand.Float64)
 	if at < 0 {
-		return nil
+		return nil, dispatch.Candidate{}
 	}
-	return known[at]
+	return known[at], candidates[at]
 }
 
 // toldAge is how long the load that came with an answer counts.
@@ -150,7 +150,8 @@
 		return c
 	}
 	c.Batch, c.MemoryTokens = state.Batch, state.MemoryTokens
-	c.Running, c.Waiting, c.Tokens = state.Running+sent, state.Waiting, state.Tokens
+	c.Running, c.Waiting, c.Tokens = state.Running+sent.count, state.Waiting, state.Tokens
+	c.Delay = time.Duration(state.DelayMillis+state.PromptMillis*int64(sent.prompt)/promptUnit) * time.Millisecond
 	c.Model = holds(state.Models, model) && !state.Leaving
 	c.Residence = residence(state.Held, r.Adapter)
 	return c
@@ -237,10 +238,16 @@
 
 	mu    sync.Mutex
 	state wire.EngineState
-	// granted counts the own starts since the state was taken.
-	granted int
+	// asked are the own starts since the state was taken.
+	asked asked
 }
 
+// asked counts starts and the tokens of their prompts.
+type asked struct{ count, prompt int }
+
+// promptUnit is the number of tokens for which PromptMillis stands.
+const promptUnit = 1000
+
 const (
 	watchWait    = 500 * time.Millisecond
 	watchTimeout = watchWait + 500*time.Millisecond
@@ -264,19 +271,19 @@
 		}
 		change = state.Change
 		a.mu.Lock()
-		a.state, a.granted = state, 0
+		a.state, a.asked = state, asked{}
 		a.mu.Unlock()
 		sleep(ctx, pause)
 	}
 }
 
-func (a *agentClient) snapshot() (wire.EngineState, int) {
+func (a *agentClient) snapshot() (wire.EngineState, asked) {
 	if a == nil {
-		return wire.EngineState{}, 0
+		return wire.EngineState{}, asked{}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.state, a.granted
+	return a.state, a.asked
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -299,7 +306,8 @@
 		err   error
 	}
 	a.mu.Lock()
-	a.granted++
+	a.asked.count++
+	a.asked.prompt += r.Prompt
 	a.mu.Unlock()
 	done := make(chan result, 1)
 	go func() {
@@ -318,12 +326,17 @@
 	}
 }
 
+// begun tells that a request has produced its first event.
+func (a *agentClient) begun(id string) { a.tell(wire.MethodStartBegun, id) }
+
 // done tells that a request has ended.
-func (a *agentClient) done(id string) {
+func (a *agentClient) done(id string) { a.tell(wire.MethodStartDone, id) }
+
+func (a *agentClient) tell(method, id string) {
 	go func() {
 		call, cancel := context.WithTimeout(context.Background(), grantMargin)
 		defer cancel()
 		// An agent that cannot be told finds out by the engine's reports.
-		_ = a.client.Call(call, wire.MethodStartDone, wire.StartDone{IDs: []string{id}}, &wire.Empty{})
+		_ = a.client.Call(call, method, wire.StartDone{IDs: []string{id}}, &wire.Empty{})
 	}()
 }
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -21,6 +21,7 @@
 func (s *Sidecar) Handlers() map[string]rpc.Handler {
 	return map[string]rpc.Handler{
 		wire.MethodStartAdmit: rpc.Typed(s.admit),
+		wire.MethodStartBegun: rpc.Typed(s.begun),
 		wire.MethodStartDone:  rpc.Typed(s.done),
 		wire.MethodStartWatch: rpc.Typed(s.watch),
 	}
@@ -61,7 +62,7 @@
 	now := time.Now()
 	d.waiters[in.ID] = reply
 	d.perform(d.table.Admit(residency.Request{
-		ID: in.ID, Adapter: in.Adapter, Rank: in.Rank, Tokens: in.Tokens, Latest: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
+		ID: in.ID, Adapter: in.Adapter, Rank: in.Rank, Prompt: in.Prompt, Tokens: in.Tokens, Latest: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
 	}, now))
 }
 
@@ -81,12 +82,26 @@
 	})
 }
 
+func (s *Sidecar) begun(_ context.Context, in wire.StartDone) (wire.Empty, error) {
+	now := time.Now()
+	return wire.Empty{}, s.submit(func(d *duty) {
+		for _, id := range in.IDs {
+			d.table.Begun(id, now)
+		}
+	})
+}
+
+// delayStep rounds the delay that entries see, so that it does not change with
+// every millisecond.
+const delayStep = 20 * time.Millisecond
+
 // publish shows entries the present state.
 func (d *duty) publish() {
 	now := time.Now()
 	state := wire.EngineState{
 		Known: d.known && d.service != nil, Leaving: d.report.Leaving,
 		Running: d.table.Running(), Waiting: d.table.Waiting(), Tokens: d.table.Tokens(),
+		DelayMillis: d.table.Delay(now).Round(delayStep).Milliseconds(), PromptMillis: d.table.PromptCost().Round(delayStep / 4).Milliseconds(),
 		Models: d.report.Models, Held: slices.Sorted(maps.Keys(d.table.Held(now))),
 	}
 	if d.service != nil {
@@ -119,7 +134,7 @@
 
 func equalStates(a, b *wire.EngineState) bool {
 	return a.Known == b.Known && a.Leaving == b.Leaving && a.Running == b.Running && a.Waiting == b.Waiting && a.Tokens == b.Tokens &&
-		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.Models, b.Models) && slices.Equal(a.Held, b.Held)
+		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && a.DelayMillis == b.DelayMillis && a.PromptMillis == b.PromptMillis && slices.Equal(a.Models, b.Models) && slices.Equal(a.Held, b.Held)
 }
 
 func (c *stateCell) get() (wire.EngineState, <-chan struct{}) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,6 +83,8 @@
 	d.table = residency.New(residency.Options{Queue: 1})
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	turn := time.NewTimer(idlePoll)
+	defer turn.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,6 +96,11 @@
 		case <-timer.C:
 			d.poll(ctx)
 			timer.Reset(d.pause())
+		case <-turn.C:
+			d.perform(d.table.Tick(time.Now()))
+		}
+		if next := d.table.Next(); !next.IsZero() {
+			turn.Reset(max(time.Until(next), time.Millisecond))
 		}
 		d.giveOrders(ctx)
 		d.publish()
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -6,6 +6,8 @@
 	// MethodStartAdmit asks for the start of a request and returns when it may
 	// start or is refused.
 	MethodStartAdmit = "start.admit"
+	// MethodStartBegun tells that requests have produced their first event.
+	MethodStartBegun = "start.begun"
 	// MethodStartDone tells that a request has ended or is not wanted any more.
 	MethodStartDone = "start.done"
 	// MethodStartWatch returns the engine's state when it has changed.
@@ -19,7 +21,9 @@
 	Adapter string `json:"adapter,omitempty"`
 	// Rank orders waiting requests; 0 goes first.
 	Rank int `json:"rank,omitempty"`
-	// Tokens is the most engine memory that it takes.
+	// Prompt is the number of tokens to read, Tokens the most engine memory
+	// that it takes.
+	Prompt int `json:"prompt"`
 	Tokens int `json:"tokens"`
 	// WaitMillis is how long a start is of use.
 	WaitMillis int64 `json:"waitMillis"`
@@ -58,6 +62,10 @@
 	// Batch and MemoryTokens are what the agent lets run at once.
 	Batch        int `json:"batch"`
 	MemoryTokens int `json:"memoryTokens"`
+	// DelayMillis is how long a start would wait now, apart from its adapter.
+	DelayMillis int64 `json:"delayMillis,omitempty"`
+	// PromptMillis is what 1,000 tokens of a prompt add to that.
+	PromptMillis int64 `json:"promptMillis"`
 	// Models are the base models that it holds.
 	Models []string `json:"models,omitempty"`
 	// Held are the adapters that start at once or after a load under way.
