Choose servers by lateness and the price of loads; say less between data centres

Cause: (1) a named adapter version replaced one in use, and requests waited 2.4 s for its runs to end; (2) the choice weighed waits in seconds, so a server that was a little freer won and loaded another copy (481 loads for some 330 adapters asked for); (3) control messages were most of 41 MB between data centres: 144 watches that repeated the held adapters, greetings that repeated all processes.

Change: agents tell which adapters are stale and in use, and entries prefer others for these; costs are shares of what lateness loses; each adapter has home servers by a shared hash; lists are sent only when they differ (digest, change number).

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -16,8 +16,8 @@
 const (
 	// Absent adapters would have to be loaded from the store.
 	Absent Residence = iota
-	// Loading adapters are on their way.
-	Loading
+	// Stale adapters are held in an outdated version and in use.
+	Stale
 	// Resident adapters can start at once, as can requests without an adapter.
 	Resident
 )
@@ -56,39 +56,56 @@
 	Adapter    string
 	DataCentre string
 	Tokens     int
+	// Target is the time to the first byte that the caller hopes for, Spent how
+	// much of it is gone.
+	Target time.Duration
+	Spent  time.Duration
 	// Tried are servers that this request was offered to before.
 	Tried map[string]bool
 }
 
-// Costs in seconds of a caller's time.
+// Costs, in shares of what an answer loses by being late.
 const (
-	// loadCost is what a load from the store takes, with the share of loads that
-	// wait for one another. The engines' page gives 250 ms for a calm store.
-	loadCost = 0.35
-	// loadingCost is the rest of a load under way, half of it on average.
-	loadingCost = 0.13
-	// farCost makes a server of the own data centre win while it is not busier:
-	// bytes between data centres are priced, their latency hardly counts.
-	farCost = 0.05
-	// pressureCost is what a full batch adds to the first token by slower steps.
+	// loadCost is what a load from the store is worth, at any engine; homeCost
+	// what it is at the first engines of the adapter's own order: they have most
+	// likely held it before, and bring it from their own memory in a tenth of
+	// the time.
+	loadCost  = 0.30
+	homeCost  = 0.12
+	homeStep  = 0.06
+	homeRanks = 3
+	// staleCost makes an engine that must first finish its running requests the
+	// last choice of those that can be had.
+	staleCost = 0.45
+	// farCost makes a server of the own data centre win while it is about as
+	// free: bytes between data centres are priced, their latency hardly counts.
+	farCost = 0.04
+	// waitCost is what a whole target's wait costs an answer in time: some
+	// callers leave, and the next request finds a longer queue.
+	waitCost = 0.25
+	// pressureCost is what a full batch costs by slower steps.
 	pressureCost = 0.15
 	// queueCost is what each request beyond the batch adds: a batch of some
 	// dozens turns over within a few seconds.
 	queueCost = 0.06
-	// failureCost is the price of a failed answer: about what a caller waits
-	// until it tries again.
-	failureCost = 3.0
-	// spreadCost is the most by which servers that are otherwise alike differ
-	// for one adapter, so that all entries send it to the same ones.
-	spreadCost = 0.04
+	// failureCost is the price of a failed answer.
+	failureCost = 2.5
 	// jitterCost keeps entries that see the same reports from choosing the same
 	// server.
 	jitterCost = 0.01
 	// triedCost makes a server that was tried before the last choice.
 	triedCost = 2.0
-	// answerShare is how much of a server's usual time to its answer counts:
-	// pressure is in it too.
-	answerShare = 0.5
+)
+
+const (
+	// loadTime is what a load from the store takes when it is calm, staleTime
+	// what running requests usually need to end.
+	loadTime  = 280 * time.Millisecond
+	staleTime = 1500 * time.Millisecond
+	// lateFrom is the share of the target from which on being late grows likely,
+	// lateBy where it is certain.
+	lateFrom = 0.75
+	lateBy   = 1.25
 )
 
 // crowded is the share of the batch above which pressure rises steeply.
@@ -98,6 +115,7 @@
 // gives random numbers in [0, 1).
 func Pick(candidates []Candidate, r Request, draw func() float64) int {
 	best, lowest := -1, 0.0
+	homes := homeOrder(candidates, r.Adapter)
 	for pass := range 2 {
 		for i := range candidates {
 			c := &candidates[i]
@@ -105,7 +123,7 @@
 			if !c.Model || c.Barred && pass == 0 {
 				continue
 			}
-			cost := Cost(c, &r) + jitterCost*draw()
+			cost := Cost(c, &r, homes[c.ID]) + jitterCost*draw()
 			if best < 0 || cost < lowest {
 				best, lowest = i, cost
 			}
@@ -117,9 +135,36 @@
 	return -1
 }
 
-// Cost estimates in seconds what a choice would cost.
-func Cost(c *Candidate, r *Request) float64 {
-	cost := residenceCost(c, r) + pressure(c, r) + answerShare*c.Answer.Seconds() + failureCost*c.FailureShare + c.Cold.Seconds() + c.Delay.Seconds()
+// homeOrder ranks the servers for an adapter by a hash that all entries share;
+// the first rank is 1. Ranks from homeRanks on are left out.
+func homeOrder(candidates []Candidate, adapter string) map[string]int {
+	if adapter == "" {
+		return nil
+	}
+	homes := make(map[string]int, homeRanks)
+	for rank := 1; rank <= homeRanks; rank++ {
+		first, highest := "", uint64(0)
+		for i := range candidates {
+			id := candidates[i].ID
+			if homes[id] > 0 || !candidates[i].Model {
+				continue
+			}
+			if h := spread(adapter, id); first == "" || h > highest {
+				first, highest = id, h
+			}
+		}
+		if first != "" {
+			homes[first] = rank
+		}
+	}
+	return homes
+}
+
+// Cost estimates what a choice would cost; home is the server's rank for the
+// adapter, 0 when it has none.
+func Cost(c *Candidate, r *Request, home int) float64 {
+	wait := c.Delay + c.Answer + c.Cold + residenceTime(c, r)
+	cost := residenceCost(c, r, home) + pressure(c, r) + lateness(wait, r) + failureCost*c.FailureShare
 	if c.DataCentre != r.DataCentre {
 		cost += farCost
 	}
@@ -129,28 +174,48 @@
 	return cost
 }
 
-func residenceCost(c *Candidate, r *Request) float64 {
-	if r.Adapter == "" {
+// lateness is the cost of a first byte after some wait.
+func lateness(wait time.Duration, r *Request) float64 {
+	if r.Target <= 0 {
+		return wait.Seconds()
+	}
+	share := float64(wait+r.Spent) / float64(r.Target)
+	late := (share - lateFrom) / (lateBy - lateFrom)
+	return waitCost*share + min(max(late, 0), 1)
+}
+
+func residenceTime(c *Candidate, r *Request) time.Duration {
+	switch {
+	case r.Adapter == "" || c.Residence == Resident:
 		return 0
+	case c.Residence == Stale:
+		return staleTime
+	default:
+		return loadTime
 	}
-	switch c.Residence {
-	case Resident:
+}
+
+func residenceCost(c *Candidate, r *Request, home int) float64 {
+	switch {
+	case r.Adapter == "" || c.Residence == Resident:
 		return 0
-	case Loading:
-		return loadingCost
+	case c.Residence == Stale:
+		return staleCost
+	case home > 0:
+		return min(homeCost+homeStep*float64(home-1), loadCost)
 	default:
-		return loadCost + spreadCost*spread(r.Adapter, c.ID)
+		return loadCost
 	}
 }
 
-// spread is a number in [0, 1) that is the same at all entries.
-func spread(adapter, id string) float64 {
+// spread is a number that is the same at all entries.
+func spread(adapter, id string) uint64 {
 	var h xxhash.Digest
 	h.Reset()
 	_, _ = h.WriteString(adapter)
 	_, _ = h.WriteString("\x00")
 	_, _ = h.WriteString(id)
-	return float64(h.Sum64()>>11) / (1 << 53)
+	return h.Sum64()
 }
 
 func pressure(c *Candidate, r *Request) float64 {
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -266,16 +266,21 @@
 // Tokens is the most memory that what was started takes.
 func (t *Table) Tokens() int { return t.tokens }
 
-// Held lists the adapters that a request could start on now or soon, with
-// their versions.
-func (t *Table) Held(now time.Time) map[string]int64 {
-	held := make(map[string]int64, len(t.places))
-	for name, p := range t.places {
-		if !p.unloading && (p.loading || t.startable(name, p, now)) {
-			held[name] = max(p.version, 0)
+// Held lists the adapters that a request could start on now or soon. Stale ones
+// are held in an outdated version and in use: the newer one can only come when
+// that use ends, so that other engines serve sooner.
+func (t *Table) Held(now time.Time) (held, stale []string) {
+	for _, name := range t.sortedNames() {
+		p := t.places[name]
+		switch {
+		case p.unloading:
+		case p.version < t.newest[name].version && p.pins > 0:
+			stale = append(stale, name)
+		case p.loading || t.startable(name, p, now):
+			held = append(held, name)
 		}
 	}
-	return held
+	return held, stale
 }
 
 func (p *place) touch(now time.Time, by float64) {
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -128,6 +128,7 @@
 func (j *journey) choose() (*server, dispatch.Candidate) {
 	return j.servers.choose(context.Background(), j.service, dispatch.Request{
 		Adapter: j.call.Adapter, DataCentre: j.options.DataCentre, Tokens: j.tokens(), Tried: j.tried,
+		Target: j.route.Target, Spent: time.Since(j.arrived),
 	}, j.call.Model)
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -71,7 +72,7 @@
 		}
 		known.entry = e
 		if known.agent == nil && table != nil && hasEngine(table, e.Service) {
-			known.agent = s.watch(ctx, e.Address)
+			known.agent = s.watch(ctx, e.Address, e.DataCentre == s.options.DataCentre)
 		}
 	}
 	for id, known := range s.byID {
@@ -95,13 +96,16 @@
 }
 
 // watch follows the agent on an engine's machine.
-func (s *servers) watch(ctx context.Context, engineAddress string) *agentClient {
+func (s *servers) watch(ctx context.Context, engineAddress string, near bool) *agentClient {
 	host, _, err := net.SplitHostPort(engineAddress)
 	if err != nil {
 		return nil
 	}
 	ctx, stop := context.WithCancel(ctx)
-	a := &agentClient{stop: stop, client: rpc.NewClient(net.JoinHostPort(host, s.options.AgentPort))}
+	a := &agentClient{stop: stop, pause: watchPause, client: rpc.NewClient(net.JoinHostPort(host, s.options.AgentPort))}
+	if !near {
+		a.pause = watchPauseFar
+	}
 	go a.run(ctx)
 	return a
 }
@@ -153,7 +157,7 @@
 	c.Running, c.Waiting, c.Tokens = state.Running+sent.count, state.Waiting, state.Tokens
 	c.Delay = time.Duration(state.DelayMillis+state.PromptMillis*int64(sent.prompt)/promptUnit) * time.Millisecond
 	c.Model = holds(state.Models, model) && !state.Leaving
-	c.Residence = residence(state.Held, r.Adapter)
+	c.Residence = residence(&state, r.Adapter)
 	return c
 }
 
@@ -178,24 +182,18 @@
 	if model == "" {
 		return true
 	}
-	for _, held := range models {
-		if held == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(models, model)
 }
 
-func residence(held []string, adapter string) dispatch.Residence {
-	if adapter == "" {
+func residence(state *wire.EngineState, adapter string) dispatch.Residence {
+	switch {
+	case adapter == "" || slices.Contains(state.Held, adapter):
 		return dispatch.Resident
+	case slices.Contains(state.Stale, adapter):
+		return dispatch.Stale
+	default:
+		return dispatch.Absent
 	}
-	for _, name := range held {
-		if name == adapter {
-			return dispatch.Resident
-		}
-	}
-	return dispatch.Absent
 }
 
 // sent and ended count a request at a server.
@@ -235,6 +233,7 @@
 type agentClient struct {
 	stop   context.CancelFunc
 	client *rpc.Client
+	pause  time.Duration
 
 	mu    sync.Mutex
 	state wire.EngineState
@@ -251,25 +250,32 @@
 const (
 	watchWait    = 500 * time.Millisecond
 	watchTimeout = watchWait + 500*time.Millisecond
-	// watchPause lets news within it come together.
-	watchPause = 60 * time.Millisecond
+	// watchPause lets news within it come together. Of engines in other data
+	// centres, which get little of this entry's work, news may be older: bytes
+	// between data centres are dear.
+	watchPause    = 80 * time.Millisecond
+	watchPauseFar = 250 * time.Millisecond
 	// watchRetry follows a call that failed.
 	watchRetry = 250 * time.Millisecond
 )
 
 func (a *agentClient) run(ctx context.Context) {
 	defer a.client.Close()
-	var change uint64
+	var known wire.EngineState
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, watchTimeout)
 		var state wire.EngineState
-		err := a.client.Call(call, wire.MethodStartWatch, wire.StartWatch{Change: change, WaitMillis: watchWait.Milliseconds()}, &state)
+		err := a.client.Call(call, wire.MethodStartWatch, wire.StartWatch{
+			Change: known.Change, HeldChange: known.HeldChange, WaitMillis: watchWait.Milliseconds(),
+		}, &state)
 		cancel()
-		pause := watchPause
+		pause := a.pause
 		if err != nil {
 			state, pause = wire.EngineState{}, watchRetry
+		} else if state.HeldChange == known.HeldChange {
+			state.Held, state.Stale = known.Held, known.Stale
 		}
-		change = state.Change
+		known = state
 		a.mu.Lock()
 		a.state, a.asked = state, asked{}
 		a.mu.Unlock()
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -36,6 +36,10 @@
 	}
 	state := m.documents.Current().State
 	reply := pullReply{Newer: state.Index > in.Index, Known: m.Known()}
+	reply.Digest = digest(reply.Known)
+	if reply.Digest == in.Digest {
+		reply.Known = nil
+	}
 	if reply.Newer {
 		reply.State = state
 		if state.Version == in.Version {
@@ -62,11 +66,12 @@
 func (m *Mesh) followOne(ctx context.Context, address string) {
 	client := rpc.NewClient(address)
 	defer client.Close()
+	var told uint64
 	for ctx.Err() == nil {
 		held := m.documents.Current().State
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		var reply pullReply
-		err := client.Call(call, methodPull, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version, WaitMillis: pullWait.Milliseconds()}, &reply)
+		err := client.Call(call, methodPull, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version, Digest: told, WaitMillis: pullWait.Milliseconds()}, &reply)
 		cancel()
 		if err != nil {
 			return
@@ -74,6 +79,7 @@
 		if reply.Newer {
 			m.documents.Take(reply.State)
 		}
+		told = reply.Digest
 		for _, p := range reply.Known {
 			m.meet(p)
 			m.remember(p)
@@ -88,8 +94,8 @@
 func (m *Mesh) remember(p Process) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if q := m.peers[p.Address]; q != nil && q.process.Index < p.Index {
-		q.process.Index = p.Index
+	if q := m.peers[p.Address]; q != nil && q.process.Index <= p.Index {
+		q.process = p
 	}
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -9,11 +9,13 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -216,6 +218,17 @@
 	return known
 }
 
+// digest is the same for equal lists, so that a list that is known need not be
+// sent.
+func digest(known []Process) uint64 {
+	h := xxhash.New()
+	for i := range known {
+		p := &known[i]
+		_, _ = fmt.Fprintf(h, "%s %d %s %s %d\n", p.Address, p.Started, p.Member, p.Cluster, p.Index)
+	}
+	return h.Sum64()
+}
+
 // reached counts the peers that were heard lately, and those that should be.
 func (m *Mesh) reached(now time.Time) (reached, known int) {
 	m.mu.Lock()
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -39,12 +39,15 @@
 	From Process `json:"from"`
 	// Servers are backend servers whose announcements are news.
 	Servers []roster.Server `json:"servers,omitempty"`
+	// Digest is that of the processes the sender knows.
+	Digest uint64 `json:"digest"`
 }
 
-// greetingReply answers with the peer itself and everyone it knows.
+// greetingReply answers with the peer itself and, where the digests differ,
+// everyone it knows.
 type greetingReply struct {
 	From  Process   `json:"from"`
-	Known []Process `json:"known"`
+	Known []Process `json:"known,omitempty"`
 }
 
 // pullRequest asks for the configuration if it is newer than what is held.
@@ -52,6 +55,8 @@
 	From    Process `json:"from"`
 	Index   uint64  `json:"index"`
 	Version uint64  `json:"version"`
+	// Digest is that of the processes that were told with the last answer.
+	Digest uint64 `json:"digest"`
 	// WaitMillis is how long to wait for something newer.
 	WaitMillis int64 `json:"waitMillis,omitempty"`
 }
@@ -62,6 +67,8 @@
 	Newer bool           `json:"newer"`
 	State document.State `json:"state"`
 	Known []Process      `json:"known,omitempty"`
+	// Digest is that of the processes known to the one that answers.
+	Digest uint64 `json:"digest"`
 }
 
 // proposal is a command for the log.
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var reply greetingReply
-	err := q.client.Call(ctx, methodSync, greeting{From: q.mesh.Self(), Servers: servers}, &reply)
+	err := q.client.Call(ctx, methodSync, greeting{From: q.mesh.Self(), Servers: servers, Digest: digest(q.mesh.Known())}, &reply)
 	if err != nil {
 		q.noteLost(err)
 		return err
@@ -144,7 +144,11 @@
 		m.noteProgress()
 	}
 	m.mu.Unlock()
-	return greetingReply{From: m.Self(), Known: m.Known()}, nil
+	reply := greetingReply{From: m.Self(), Known: m.Known()}
+	if digest(reply.Known) == in.Digest {
+		reply.Known = nil
+	}
+	return reply, nil
 }
 
 // Announce takes what a backend server says of itself. For news that others
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -98,11 +97,12 @@
 // publish shows entries the present state.
 func (d *duty) publish() {
 	now := time.Now()
+	held, stale := d.table.Held(now)
 	state := wire.EngineState{
 		Known: d.known && d.service != nil, Leaving: d.report.Leaving,
 		Running: d.table.Running(), Waiting: d.table.Waiting(), Tokens: d.table.Tokens(),
 		DelayMillis: d.table.Delay(now).Round(delayStep).Milliseconds(), PromptMillis: d.table.PromptCost().Round(delayStep / 4).Milliseconds(),
-		Models: d.report.Models, Held: slices.Sorted(maps.Keys(d.table.Held(now))),
+		Models: d.report.Models, Held: held, Stale: stale,
 	}
 	if d.service != nil {
 		state.Batch, state.MemoryTokens = d.service.Engine.Batch, d.service.Engine.MemoryTokens
@@ -122,7 +122,10 @@
 func (c *stateCell) set(next wire.EngineState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	next.Change = c.state.Change
+	next.Change, next.HeldChange = c.state.Change, c.state.HeldChange
+	if !slices.Equal(next.Held, c.state.Held) || !slices.Equal(next.Stale, c.state.Stale) {
+		next.HeldChange++
+	}
 	if equalStates(&next, &c.state) {
 		return
 	}
@@ -134,7 +137,7 @@
 
 func equalStates(a, b *wire.EngineState) bool {
 	return a.Known == b.Known && a.Leaving == b.Leaving && a.Running == b.Running && a.Waiting == b.Waiting && a.Tokens == b.Tokens &&
-		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && a.DelayMillis == b.DelayMillis && a.PromptMillis == b.PromptMillis && slices.Equal(a.Models, b.Models) && slices.Equal(a.Held, b.Held)
+		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && a.DelayMillis == b.DelayMillis && a.PromptMillis == b.PromptMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
 }
 
 func (c *stateCell) get() (wire.EngineState, <-chan struct{}) {
@@ -148,7 +151,10 @@
 	defer deadline.Stop()
 	for {
 		state, changed := s.state.get()
-		if state.Change > in.Change {
+		if state.HeldChange == in.HeldChange {
+			state.Held, state.Stale = nil, nil
+		}
+		if state.Change != in.Change {
 			return state, nil
 		}
 		select {
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -45,7 +45,9 @@
 
 // StartWatch asks for a state newer than Change.
 type StartWatch struct {
-	Change     uint64 `json:"change"`
+	Change uint64 `json:"change"`
+	// HeldChange is that of the adapters that the caller knows.
+	HeldChange uint64 `json:"heldChange"`
 	WaitMillis int64  `json:"waitMillis"`
 }
 
@@ -68,6 +70,11 @@
 	PromptMillis int64 `json:"promptMillis"`
 	// Models are the base models that it holds.
 	Models []string `json:"models,omitempty"`
-	// Held are the adapters that start at once or after a load under way.
-	Held []string `json:"held,omitempty"`
+	// HeldChange counts the changes of Held and Stale, which are left out where
+	// the caller knows them.
+	HeldChange uint64 `json:"heldChange"`
+	// Held are the adapters that start at once or after a load under way, Stale
+	// those that are held in an outdated version and in use.
+	Held  []string `json:"held,omitempty"`
+	Stale []string `json:"stale,omitempty"`
 }
