Give orders beside the agent's duty; learn the reading rate; rush when much waits

Change: one order and one report at a time beside the duty, 60 ms for an order's answer; versions are replaced only where not in use; the rate by least squares (constant and slope); a larger share of the rate as the backlog grows; of equal ranks those that can still be in time first; what no engine can start while its caller waits is refused at once; parts that were read before are not counted again.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -56,6 +56,8 @@
 	Adapter    string
 	DataCentre string
 	Tokens     int
+	// Rank is its urgency; 0 is first.
+	Rank int
 	// Target is the time to the first byte that the caller hopes for, Spent how
 	// much of it is gone.
 	Target time.Duration
--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -10,77 +10,123 @@
 // Prompts are started no faster than a share of the engine's reading rate,
 // which is learned from prompts that were read alone.
 type pace struct {
-	// rate is in tokens a millisecond.
-	rate    float64
-	samples int
+	fit fit
 	// readUntil is when the prompts that were started will have been read at
 	// the paced rate.
 	readUntil time.Time
 }
 
 const (
-	// initialRate stands until an engine's own rate is known: half of what
-	// today's accelerators read, so that a first guess does not halt streams.
-	initialRate = 10
-	// readShare is the share of the rate that prompts may take. With r of it
-	// taken, a pause of three steps of s ms lasts 3s/(1-r) ms at most: 0.7
-	// keeps steps of 12 to 20 ms within 200 ms.
+	// initialRate, in tokens a millisecond, stands until an engine's own rate is
+	// known: half of what today's accelerators read, so that a first guess does
+	// not halt streams.
+	initialRate = 10.0
+	// readShare is the share of the rate that prompts may take while little
+	// waits. With r of it taken, a pause of three steps of s ms lasts 3s/(1-r) ms
+	// at most: 0.7 keeps steps of 12 to 20 ms within 200 ms.
 	readShare = 0.7
-	// burst may be started beyond the pace, so that a lone caller never waits
-	// for a rounding of it.
-	burst = 40 * time.Millisecond
-	// leastSample is the size of a prompt that tells the rate: shorter ones
-	// take as long as the steps around them.
-	leastSample = 1000
-	// sampleWeight is the weight of the newest sample.
-	sampleWeight = 0.2
-	// slowest and fastest bound what a sample may claim.
-	slowest = 1.0
+	// rushShare is the share where much waits: those that wait lose more by it
+	// than the running ones by longer pauses.
+	rushShare = 0.95
+	// rushFrom and rushBy are the waits between which the share rises.
+	rushFrom = 300 * time.Millisecond
+	rushBy   = 1200 * time.Millisecond
+	// burst may be started beyond the pace: the reading of a prompt begins with
+	// the step that is under way.
+	burst = 15 * time.Millisecond
+	// slowest and fastest bound the rate that samples may claim.
+	slowest = 2.0
 	fastest = 200.0
 )
 
-func newPace() pace { return pace{rate: initialRate} }
+// fit estimates how long a prompt takes as a constant and a time a token, by
+// least squares over samples whose weights fade.
+type fit struct {
+	weight, n, t, nn, nt float64
+}
+
+const (
+	// fade is what is left of a sample's weight with each newer one: some fifty
+	// samples decide.
+	fade = 0.98
+	// leastSpread is the spread of prompt sizes, in tokens, below which samples
+	// cannot tell the constant from the rate.
+	leastSpread = 150.0
+	// leastSamples is the weight from which the fit counts.
+	leastSamples = 6.0
+)
+
+func (f *fit) add(tokens int, took time.Duration) {
+	n, t := float64(tokens), float64(took)/float64(time.Millisecond)
+	f.weight = f.weight*fade + 1
+	f.n = f.n*fade + n
+	f.t = f.t*fade + t
+	f.nn = f.nn*fade + n*n
+	f.nt = f.nt*fade + n*t
+}
+
+// rate is in tokens a millisecond.
+func (f *fit) rate() float64 {
+	if f.weight < leastSamples {
+		return initialRate
+	}
+	meanN, meanT := f.n/f.weight, f.t/f.weight
+	variance := f.nn/f.weight - meanN*meanN
+	slope := (f.nt/f.weight - meanN*meanT) / max(variance, 1)
+	if variance < leastSpread*leastSpread || slope <= 0 {
+		return initialRate
+	}
+	return min(max(1/slope, slowest), fastest)
+}
 
 // cost is how long a prompt takes at the paced rate.
-func (p *pace) cost(prompt int) time.Duration {
-	return time.Duration(float64(prompt) / (p.rate * readShare) * float64(time.Millisecond))
+func (p *pace) cost(prompt int, share float64) time.Duration {
+	return time.Duration(float64(prompt) / (p.fit.rate() * share) * float64(time.Millisecond))
 }
 
 // opens is when the next prompt may start.
 func (p *pace) opens() time.Time { return p.readUntil.Add(-burst) }
 
-func (p *pace) start(prompt int, now time.Time) {
+func (p *pace) start(prompt int, share float64, now time.Time) {
 	if p.readUntil.Before(now) {
 		p.readUntil = now
 	}
-	p.readUntil = p.readUntil.Add(p.cost(prompt))
+	p.readUntil = p.readUntil.Add(p.cost(prompt, share))
 }
 
-// read records that a prompt that was read alone took some time.
-func (p *pace) read(prompt int, took time.Duration) {
-	if prompt < leastSample || took <= 0 {
-		return
+// share is the part of the reading rate that prompts may take now.
+func (t *Table) share() float64 {
+	var backlog time.Duration
+	for i := range t.waiting {
+		backlog += t.pace.cost(t.unread(&t.waiting[i]), readShare)
 	}
-	rate := float64(prompt) / (float64(took) / float64(time.Millisecond))
-	rate = min(max(rate, slowest), fastest)
-	p.samples++
-	weight := max(sampleWeight, 1/float64(p.samples))
-	p.rate += weight * (rate - p.rate)
+	rush := float64(backlog-rushFrom) / float64(rushBy-rushFrom)
+	return readShare + (rushShare-readShare)*min(max(rush, 0), 1)
 }
 
-// Delay is how long a request that came now would wait for its start, apart
-// from its adapter.
-func (t *Table) Delay(now time.Time) time.Duration {
-	delay := max(t.pace.opens().Sub(now), 0)
+// Ranks is how many ranks Delay tells apart.
+const Ranks = 3
+
+// Delay is how long a request of each rank that came now would wait for its
+// start, apart from its adapter. The last one holds for all higher ranks.
+func (t *Table) Delay(now time.Time) [Ranks]time.Duration {
+	var delay [Ranks]time.Duration
+	opens, share := max(t.pace.opens().Sub(now), 0), t.share()
+	for rank := range delay {
+		delay[rank] = opens
+	}
 	for i := range t.waiting {
-		delay += t.pace.cost(t.waiting[i].Prompt)
+		cost := t.pace.cost(t.unread(&t.waiting[i]), share)
+		for rank := min(t.waiting[i].Rank, Ranks-1); rank < Ranks; rank++ {
+			delay[rank] += cost
+		}
 	}
 	return delay
 }
 
 // PromptCost is how long the start of a prompt of 1,000 tokens keeps others
 // from starting.
-func (t *Table) PromptCost() time.Duration { return t.pace.cost(1000) }
+func (t *Table) PromptCost() time.Duration { return t.pace.cost(1000, t.share()) }
 
 // Next is when Tick could start a request that waits for its turn; zero when
 // none does.
@@ -99,8 +145,9 @@
 		return
 	}
 	s.begun, s.seen = true, true
+	t.keep(s)
 	if s.alone {
-		t.pace.read(s.prompt, now.Sub(s.at))
+		t.pace.fit.add(s.prompt, now.Sub(s.at))
 	}
 }
 
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -1,10 +1,15 @@
 package residency
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // plan starts what can start and orders what the rest needs.
 func (t *Table) plan(now time.Time) []Action {
 	actions := t.replaceOutdated(now)
+	t.order(now)
 	kept := t.waiting[:0]
 	wanted := t.wanted()
 	for _, r := range t.waiting {
@@ -26,6 +31,40 @@
 	return actions
 }
 
+// order sorts what waits: by rank, then those that can still be in time, then
+// as they came. A request that is late already loses less by another second
+// than one that would become late.
+func (t *Table) order(now time.Time) {
+	slices.SortStableFunc(t.waiting, func(a, b Request) int {
+		if d := cmp.Compare(a.Rank, b.Rank); d != 0 {
+			return d
+		}
+		return boolOrder(t.tooLate(&a, now), t.tooLate(&b, now))
+	})
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// firstEvent is what an engine takes for the first event beside reading.
+const firstEvent = 70 * time.Millisecond
+
+// tooLate is true when a start now would miss the request's target.
+func (t *Table) tooLate(r *Request, now time.Time) bool {
+	if r.Target.IsZero() {
+		return false
+	}
+	return now.Add(firstEvent + t.pace.cost(t.unread(r), 1)).After(r.Target)
+}
+
 // wanted counts the waiting requests by adapter.
 func (t *Table) wanted() map[string]int {
 	wanted := make(map[string]int, len(t.waiting))
@@ -62,10 +101,12 @@
 }
 
 func (t *Table) start(r *Request, now time.Time) Action {
+	share := t.share()
 	alone := !t.reading()
 	t.disturb()
-	t.started[r.ID] = &started{adapter: r.Adapter, prompt: r.Prompt, tokens: r.Tokens, at: now, alone: alone}
-	t.pace.start(r.Prompt, now)
+	prompt := t.unread(r)
+	t.started[r.ID] = &started{adapter: r.Adapter, prompt: prompt, tokens: r.Tokens, parts: r.Parts, at: now, alone: alone}
+	t.pace.start(prompt, share, now)
 	t.tokens += r.Tokens
 	version := int64(0)
 	if p := t.places[r.Adapter]; p != nil {
@@ -81,7 +122,7 @@
 	if p := t.places[name]; p != nil {
 		return t.renew(name, p, now)
 	}
-	if t.loadsUnderWay() >= t.options.Loads {
+	if !t.mayOrder(now) {
 		return nil
 	}
 	if len(t.places) < t.options.Places {
@@ -98,29 +139,44 @@
 		return nil
 	}
 	p.unloading = false
-	if t.startable(name, p, now) || t.loadsUnderWay() >= t.options.Loads {
+	if t.startable(name, p, now) || p.pins > 0 {
 		return nil
 	}
 	p.loading, p.since = true, now
 	return []Action{Load{Adapter: name, Version: t.newest[name].version}}
 }
 
-// replaceOutdated orders newer versions where no request is in the way, and
-// everywhere once the grace has passed.
+// replaceOutdated orders newer versions where no request is in the way: a
+// replacement waits for the adapter's runs, and while it waits the engine takes
+// no other order. Once the grace has passed nothing starts on the old version
+// any more, so that its runs end.
 func (t *Table) replaceOutdated(now time.Time) []Action {
-	var actions []Action
+	if !t.mayOrder(now) {
+		return nil
+	}
 	for _, name := range t.sortedNames() {
 		p, n := t.places[name], t.newest[name]
-		if p.version == absent || p.version >= n.version || p.loading || p.unloading {
-			continue
-		}
-		if p.pins > 0 && now.Sub(n.at) < t.options.Grace || t.loadsUnderWay() >= t.options.Loads {
+		if p.version == absent || p.version >= n.version || p.loading || p.unloading || p.pins > 0 {
 			continue
 		}
 		p.loading, p.since = true, now
-		actions = append(actions, Load{Adapter: name, Version: n.version})
+		return []Action{Load{Adapter: name, Version: n.version}}
 	}
-	return actions
+	return nil
+}
+
+// mayOrder is false while the engine replaces a version, and shortly after it
+// has refused an order: it would refuse others too.
+func (t *Table) mayOrder(now time.Time) bool {
+	if now.Before(t.refusedUntil) {
+		return false
+	}
+	for _, p := range t.places {
+		if p.loading && p.version != absent {
+			return false
+		}
+	}
+	return t.loadsUnderWay() < t.options.Loads
 }
 
 // makeRoom unloads the adapter whose recent use is worth least, if one is idle
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -42,6 +42,11 @@
 	// Prompt is the number of tokens to read, Tokens the most memory it takes.
 	Prompt int
 	Tokens int
+	// Parts are those of the prompt, in order.
+	Parts []Part
+	// Target is when its first event is hoped for: of equal ranks those that can
+	// still be in time go first.
+	Target time.Time
 	// Latest is when a start is of no use any more.
 	Latest time.Time
 }
@@ -95,6 +100,10 @@
 // an accepted load takes some hundred milliseconds when the store is idle.
 const orderPatience = 2 * time.Second
 
+// refusalPause is how long the engine is left alone after it refused an order:
+// about as long as a report and the order it was busy with take.
+const refusalPause = 60 * time.Millisecond
+
 // useHalfLife is how fast the worth of an adapter's past use fades. Popularity
 // moves within seconds to minutes.
 const useHalfLife = 8 * time.Second
@@ -114,6 +123,7 @@
 	adapter string
 	prompt  int
 	tokens  int
+	parts   []Part
 	at      time.Time
 	// begun is true once its first event was made; alone while no other prompt
 	// was read beside its own.
@@ -136,6 +146,10 @@
 	// newest are the versions that were named, with when this table heard.
 	newest map[string]named
 	pace   pace
+	// parts are those that the engine has read, by adapter.
+	parts map[string]map[string]bool
+	// refusedUntil is when the next order may be given after a refusal.
+	refusedUntil time.Time
 }
 
 type named struct {
@@ -148,7 +162,7 @@
 
 // New returns a table for an engine that holds nothing.
 func New(options Options) *Table {
-	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), newest: make(map[string]named), pace: newPace()}
+	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), newest: make(map[string]named), parts: make(map[string]map[string]bool)}
 }
 
 // SetOptions changes what is known of the engine.
@@ -162,13 +176,7 @@
 	if len(t.waiting) >= t.options.Queue {
 		return []Action{Refuse{ID: r.ID, Reason: ReasonFull}}
 	}
-	at, _ := slices.BinarySearchFunc(t.waiting, r, func(a, b Request) int {
-		if a.Rank <= b.Rank {
-			return -1
-		}
-		return 1
-	})
-	t.waiting = slices.Insert(t.waiting, at, r)
+	t.waiting = append(t.waiting, r)
 	return t.plan(now)
 }
 
@@ -219,7 +227,8 @@
 	t.started = make(map[string]*started)
 	t.tokens = 0
 	t.leaving = false
-	t.pace = newPace()
+	t.pace = pace{}
+	t.parts = make(map[string]map[string]bool)
 	return t.refuseAll(ReasonRestarted)
 }
 
@@ -239,6 +248,7 @@
 	if p == nil || accepted {
 		return nil
 	}
+	t.refusedUntil = now.Add(refusalPause)
 	p.loading, p.unloading = false, false
 	if p.version == absent && p.pins == 0 {
 		delete(t.places, adapter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // Edge translates between HTTP headers and what they mean.
@@ -43,6 +44,8 @@
 	// generated.
 	PromptTokens int
 	OutputTokens int
+	// Parts are the prompt's parts in order, which requests may share.
+	Parts []wire.PromptPart
 	// Patience is how long the caller waits; 0 when it did not say.
 	Patience time.Duration
 	// Method, URI, Host and Header are forwarded.
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -78,7 +79,7 @@
 	}
 	j.budget.began(j.service.Name)
 	for try := 0; try < maxTries && j.ctx.Err() == nil; try++ {
-		if time.Until(j.deadline) < leastLeft {
+		if time.Until(j.startBy()) < leastLeft {
 			j.last = "the time was up"
 			break
 		}
@@ -101,6 +102,10 @@
 		j.last = "no backend server of the service is there"
 		return stepFail
 	}
+	if seen.Delay > time.Until(j.startBy()) {
+		j.last = "the queues of all engines are longer than its caller waits"
+		return stepFail
+	}
 	j.tried[v.entry.ID] = true
 	asked := time.Now()
 	granted, ok := j.start(v)
@@ -128,7 +133,7 @@
 func (j *journey) choose() (*server, dispatch.Candidate) {
 	return j.servers.choose(context.Background(), j.service, dispatch.Request{
 		Adapter: j.call.Adapter, DataCentre: j.options.DataCentre, Tokens: j.tokens(), Tried: j.tried,
-		Target: j.route.Target, Spent: time.Since(j.arrived),
+		Rank: j.route.Priority, Target: j.route.Target, Spent: time.Since(j.arrived),
 	}, j.call.Model)
 }
 
@@ -145,11 +150,16 @@
 	if !state.Known {
 		return false, true
 	}
-	left := time.Until(j.deadline)
+	left := min(time.Until(j.startBy()), longestStart)
+	if left <= 0 {
+		j.last = "no engine could start it while its caller waits"
+		return false, false
+	}
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
 	defer cancel()
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: j.call.ID, Adapter: j.call.Adapter, Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), WaitMillis: left.Milliseconds(),
+		ID: j.call.ID, Adapter: j.call.Adapter, Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), Parts: j.call.Parts,
+		TargetMillis: max(j.route.Target-time.Since(j.arrived), 0).Milliseconds(), WaitMillis: left.Milliseconds(),
 	})
 	switch {
 	case err != nil:
@@ -162,6 +172,34 @@
 	return true, true
 }
 
+// longestStart is how long a request waits at one agent; another engine may be
+// free by then.
+const longestStart = 1200 * time.Millisecond
+
+// Callers leave a stream that shows nothing for the longest of these, as the
+// platform's pages have it: a pause of their own, a multiple of the target, a
+// multiple of the longest pause they hope for.
+const (
+	patienceLeast   = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+	// readReserve is what is kept of that for the first event after the start.
+	readReserve = 350 * time.Millisecond
+)
+
+// startBy is when a start is of no use any more.
+func (j *journey) startBy() time.Time {
+	if j.route.Kind != route.KindStream {
+		return j.deadline
+	}
+	patience := max(patienceLeast, patienceTargets*j.route.Target, patienceGaps*j.route.Gap)
+	by := j.arrived.Add(patience - readReserve)
+	if by.After(j.deadline) {
+		return j.deadline
+	}
+	return by
+}
+
 // send passes the request on and relays the answer.
 func (j *journey) send(v *server) step {
 	left := time.Until(j.deadline)
@@ -223,7 +261,7 @@
 		return stepFail
 	}
 	j.last = "the connection to the backend server broke"
-	j.log.Info("call broke", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.Error(err))
+	j.log.Info("call broke", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), telemetry.Cause(err))
 	return j.afterFailure(v, Verdict{})
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
 
@@ -106,7 +107,7 @@
 // streamBroke goes on at another server where the route allows it.
 func (j *journey) streamBroke(v *server, verdict Verdict, err error) step {
 	j.last = "the backend server's stream broke off"
-	j.log.Info("stream broke off", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.String("lastEvent", j.lastEvent), zap.Error(err))
+	j.log.Info("stream broke off", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.String("lastEvent", j.lastEvent), telemetry.Cause(err))
 	next := j.afterFailure(v, verdict)
 	if next == stepAgain && j.relayed {
 		resumedCount.Add(1)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -155,12 +155,19 @@
 	}
 	c.Batch, c.MemoryTokens = state.Batch, state.MemoryTokens
 	c.Running, c.Waiting, c.Tokens = state.Running+sent.count, state.Waiting, state.Tokens
-	c.Delay = time.Duration(state.DelayMillis+state.PromptMillis*int64(sent.prompt)/promptUnit) * time.Millisecond
+	c.Delay = time.Duration(delayOf(state.DelayMillis, r.Rank)+state.PromptMillis*int64(sent.prompt)/promptUnit) * time.Millisecond
 	c.Model = holds(state.Models, model) && !state.Leaving
 	c.Residence = residence(&state, r.Adapter)
 	return c
 }
 
+func delayOf(delays []int64, rank int) int64 {
+	if len(delays) == 0 {
+		return 0
+	}
+	return delays[min(rank, len(delays)-1)]
+}
+
 // withoutAgent judges an engine by its own announcements.
 func (v *server) withoutAgent(c *dispatch.Candidate, r *dispatch.Request, model string) {
 	c.Model = holds(v.entry.Models, model)
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 // Decode reads a configuration's body.
@@ -66,7 +67,7 @@
 		if err != nil {
 			// It was checked before it was accepted: another program version
 			// wrote it. What was in force stays.
-			d.log.Error("the accepted configuration cannot be read", zap.Uint64("version", state.Version), zap.Error(err))
+			d.log.Error("the accepted configuration cannot be read", zap.Uint64("version", state.Version), telemetry.Cause(err))
 			return
 		}
 		next.Table = route.NewTable(parsed)
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/founding"
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
@@ -53,7 +53,7 @@
 	go h.keepMembers(ctx)
 	for ctx.Err() == nil {
 		if err := h.runOnce(ctx); err != nil {
-			h.mesh.log.Error("the log's disk failed; trying again", zap.Error(err))
+			h.mesh.log.Error("the log's disk failed; trying again", telemetry.Cause(err))
 		}
 		_ = wait.For(ctx, reopenPause)
 	}
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/founding"
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/replica"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
@@ -33,7 +34,7 @@
 			continue
 		}
 		err := h.carryOut(ctx, r, change)
-		h.mesh.log.Info("membership of the log", zap.String("change", string(change.Kind)), zap.String("member", change.Member), zap.String("address", change.Address), zap.Error(err))
+		h.mesh.log.Info("membership of the log", zap.String("change", string(change.Kind)), zap.String("member", change.Member), zap.String("address", change.Address), telemetry.Cause(err))
 	}
 }
 
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 // peer is another entry that this one greets.
@@ -101,7 +102,7 @@
 	name := q.process.Name
 	q.mesh.mu.Unlock()
 	if lost {
-		q.mesh.log.Warn("entry not reached any more", zap.String("peer", name), zap.Error(err))
+		q.mesh.log.Warn("entry not reached any more", zap.String("peer", name), telemetry.Cause(err))
 	}
 }
 
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/residency"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
@@ -60,7 +61,12 @@
 	}
 	now := time.Now()
 	d.waiters[in.ID] = reply
+	parts := make([]residency.Part, 0, len(in.Parts))
+	for _, part := range in.Parts {
+		parts = append(parts, residency.Part(part))
+	}
 	d.perform(d.table.Admit(residency.Request{
+		Parts: parts, Target: now.Add(time.Duration(in.TargetMillis) * time.Millisecond),
 		ID: in.ID, Adapter: in.Adapter, Rank: in.Rank, Prompt: in.Prompt, Tokens: in.Tokens, Latest: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
 	}, now))
 }
@@ -94,6 +100,14 @@
 // every millisecond.
 const delayStep = 20 * time.Millisecond
 
+func delays(of [residency.Ranks]time.Duration) []int64 {
+	rounded := make([]int64, 0, len(of))
+	for _, d := range of {
+		rounded = append(rounded, d.Round(delayStep).Milliseconds())
+	}
+	return rounded
+}
+
 // publish shows entries the present state.
 func (d *duty) publish() {
 	now := time.Now()
@@ -101,15 +115,24 @@
 	state := wire.EngineState{
 		Known: d.known && d.service != nil, Leaving: d.report.Leaving,
 		Running: d.table.Running(), Waiting: d.table.Waiting(), Tokens: d.table.Tokens(),
-		DelayMillis: d.table.Delay(now).Round(delayStep).Milliseconds(), PromptMillis: d.table.PromptCost().Round(delayStep / 4).Milliseconds(),
+		DelayMillis: delays(d.table.Delay(now)), PromptMillis: d.table.PromptCost().Round(delayStep / 4).Milliseconds(),
 		Models: d.report.Models, Held: held, Stale: stale,
 	}
 	if d.service != nil {
 		state.Batch, state.MemoryTokens = d.service.Engine.Batch, d.service.Engine.MemoryTokens
 	}
 	d.state.set(state)
+	if now.Sub(d.summed) >= summaryInterval {
+		d.summed = now
+		d.log.Info("engine", zap.Bool("known", state.Known), zap.Bool("leaving", state.Leaving), zap.Int("running", state.Running), zap.Int("waiting", state.Waiting),
+			zap.Int("tokens", state.Tokens), zap.Int("held", len(held)), zap.Int("stale", len(stale)), zap.Int64s("delayMillis", state.DelayMillis), zap.Int64("promptMillis", state.PromptMillis),
+			zap.Int("orders", len(d.orders)), zap.Int("engineRunning", d.report.Running), zap.Int("engineWaiting", d.report.Waiting), zap.Int64("sequence", d.sequence))
+	}
 }
 
+// summaryInterval is the pause between two lines that sum up the engine.
+const summaryInterval = 4 * time.Second
+
 // stateCell holds the newest state and wakes those who wait for a change.
 type stateCell struct {
 	mu      sync.Mutex
@@ -137,7 +160,7 @@
 
 func equalStates(a, b *wire.EngineState) bool {
 	return a.Known == b.Known && a.Leaving == b.Leaving && a.Running == b.Running && a.Waiting == b.Waiting && a.Tokens == b.Tokens &&
-		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && a.DelayMillis == b.DelayMillis && a.PromptMillis == b.PromptMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
+		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && a.PromptMillis == b.PromptMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
 }
 
 func (c *stateCell) get() (wire.EngineState, <-chan struct{}) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/residency"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -32,8 +33,9 @@
 	idlePoll = 200 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 500 * time.Millisecond
-	// orderTimeout bounds an order's answer, which comes at once.
-	orderTimeout = 400 * time.Millisecond
+	// orderTimeout bounds an order's answer, which comes at once: an engine that
+	// has not answered by then may carry the order out seconds later.
+	orderTimeout = 60 * time.Millisecond
 	// callRing bounds the calls that wait for the duty.
 	callRing = 1024
 	// maxQueue bounds the requests that wait for a start, as a multiple of the
@@ -62,25 +64,46 @@
 // duty owns the state.
 type duty struct {
 	*Sidecar
-	table   *residency.Table
-	service *route.Service
-	index   uint64
-	report  Report
-	known   bool
-	// asked is when the report was asked for.
-	asked    time.Time
+	table    *residency.Table
+	service  *route.Service
+	index    uint64
+	report   Report
+	known    bool
 	sequence int64
 	token    int64
 	waiters  map[string]chan<- wire.StartReply
 	orders   []Order
 	// unanswered is the order whose fate is unknown.
 	unanswered *Order
+	// Reports and orders are asked for beside the duty, one of each at a time:
+	// an engine that does not answer must not hold up the starts of requests.
+	reports  chan reported
+	results  chan ordered
+	ordering bool
+	// summed is when the engine was last summed up in the log.
+	summed time.Time
+}
+
+// reported is the result of a report, ordered that of an order.
+type reported struct {
+	asked  time.Time
+	report Report
+	err    error
+}
+
+type ordered struct {
+	order  Order
+	result OrderResult
+	err    error
 }
 
 // Run works until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) {
-	d := &duty{Sidecar: s, token: time.Now().UnixMilli(), waiters: make(map[string]chan<- wire.StartReply)}
-	d.table = residency.New(residency.Options{Queue: 1})
+	d := &duty{
+		Sidecar: s, token: time.Now().UnixMilli(), waiters: make(map[string]chan<- wire.StartReply),
+		table:   residency.New(residency.Options{Queue: 1}),
+		reports: make(chan reported, 1), results: make(chan ordered, 1),
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	turn := time.NewTimer(idlePoll)
@@ -94,15 +117,20 @@
 		case <-s.documents.Changed():
 			d.configure(time.Now())
 		case <-timer.C:
-			d.poll(ctx)
+			go d.ask(ctx)
+		case r := <-d.reports:
+			d.take(r)
 			timer.Reset(d.pause())
+		case r := <-d.results:
+			d.ordering = false
+			d.finish(r)
 		case <-turn.C:
 			d.perform(d.table.Tick(time.Now()))
 		}
 		if next := d.table.Next(); !next.IsZero() {
 			turn.Reset(max(time.Until(next), time.Millisecond))
 		}
-		d.giveOrders(ctx)
+		d.giveOrder(ctx)
 		d.publish()
 	}
 }
@@ -134,16 +162,21 @@
 	}
 }
 
-// poll takes the engine's report.
-func (d *duty) poll(ctx context.Context) {
+// ask asks the engine for its report.
+func (s *duty) ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	asked := time.Now()
-	report, err := d.engine.Report(ctx)
-	now := time.Now()
-	if err != nil {
+	report, err := s.engine.Report(ctx)
+	s.reports <- reported{asked: asked, report: report, err: err}
+}
+
+// take takes the engine's report.
+func (d *duty) take(r reported) {
+	report, now := r.report, time.Now()
+	if r.err != nil {
 		if d.known {
-			d.log.Warn("the engine does not report", zap.Error(err))
+			d.log.Warn("the engine does not report", telemetry.Cause(r.err))
 			d.known = false
 		}
 		d.perform(d.table.Tick(now))
@@ -154,8 +187,10 @@
 	if !d.known {
 		d.log.Info("the engine reports", zap.Int64("born", report.Born), zap.Strings("models", report.Models), zap.Int64("sequence", report.Sequence))
 	}
-	d.report, d.known, d.asked = report, true, asked
-	d.sequence = max(d.sequence, report.Sequence)
+	d.report, d.known = report, true
+	if !d.ordering {
+		d.sequence = report.Sequence
+	}
 	if report.Leaving {
 		d.perform(d.table.Leave())
 	}
@@ -163,7 +198,7 @@
 	for _, id := range report.Runs {
 		runs[id] = true
 	}
-	d.perform(d.table.Take(residency.Report{Held: report.Adapters, Coming: report.Coming, Runs: runs, Waiting: report.Waiting, Asked: asked}, now))
+	d.perform(d.table.Take(residency.Report{Held: report.Adapters, Coming: report.Coming, Runs: runs, Waiting: report.Waiting, Asked: r.asked}, now))
 	d.provideModel()
 }
 
@@ -227,68 +262,60 @@
 	}
 }
 
-// giveOrders gives the orders that wait, one after the other: each names the
-// count that the one before leaves.
-func (d *duty) giveOrders(ctx context.Context) {
-	for len(d.orders) > 0 && d.known {
-		order := d.orders[0]
-		if d.unanswered != nil {
-			// Until a newer order is accepted the unanswered one may still be
-			// carried out; the same order again settles both.
-			order = *d.unanswered
-		} else {
-			d.orders = d.orders[1:]
-		}
-		if !d.give(ctx, order) {
-			return
-		}
+// giveOrder gives the next order, one at a time: each names the count that the
+// one before leaves.
+func (d *duty) giveOrder(ctx context.Context) {
+	if d.ordering || !d.known {
+		return
 	}
+	var order Order
+	switch {
+	case d.unanswered != nil:
+		// Until a newer order is accepted the unanswered one may still be carried
+		// out; the same order again settles both.
+		order = *d.unanswered
+	case len(d.orders) > 0:
+		order = d.orders[0]
+		d.orders = d.orders[1:]
+	default:
+		return
+	}
+	order.Sequence, order.Holder, order.Token = d.sequence, d.options.Name, d.token
+	d.unanswered, d.ordering = nil, true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		result, err := d.engine.Order(ctx, order)
+		d.results <- ordered{order: order, result: result, err: err}
+	}()
 }
 
-// give reports whether further orders may follow at once.
-func (d *duty) give(ctx context.Context, order Order) bool {
-	order.Sequence, order.Holder, order.Token = d.sequence, d.options.Name, d.token
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	result, err := d.engine.Order(ctx, order)
-	d.log.Debug("order", zap.Bool("load", order.Load), zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Int64("version", order.Version),
-		zap.Int64("sequence", order.Sequence), zap.Uint8("result", uint8(result)), zap.Error(err))
+// finish takes the result of an order.
+func (d *duty) finish(r ordered) {
+	order, now := r.order, time.Now()
+	d.log.Info("order", zap.Bool("load", order.Load), zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Int64("version", order.Version),
+		zap.Int64("sequence", order.Sequence), zap.Uint8("result", uint8(r.result)), telemetry.Cause(r.err))
 	name := order.Model + "/" + order.Adapter
-	now := time.Now()
-	d.unanswered = nil
-	switch result {
+	switch r.result {
 	case OrderAccepted, OrderDone:
-		if result == OrderAccepted || !order.Load {
+		if r.result == OrderAccepted || !order.Load {
 			d.sequence++
 		}
-		if !order.Load && result == OrderDone {
+		if !order.Load && r.result == OrderDone {
 			d.perform(d.table.Unloaded(name, now))
 		}
-		return true
+		return
 	case OrderUnknown:
-		d.unanswered = &order
-		d.log.Warn("an order got no answer", zap.String("adapter", name), zap.Bool("load", order.Load), zap.Error(err))
-		return false
+		if order.Sequence >= d.sequence {
+			d.unanswered = &order
+		}
+		return
 	case OrderFenced:
 		d.token += fenceStep
 	}
-	d.log.Info("an order was refused", zap.String("adapter", name), zap.Bool("load", order.Load), zap.Uint8("result", uint8(result)), zap.Int64("sequence", order.Sequence))
-	if result == OrderConflict {
-		// The count moved on without this agent knowing: the next report tells.
-		d.resync(ctx)
-	}
 	d.perform(d.table.Ordered(name, false, now))
-	return false
 }
 
 // fenceStep raises the fencing number past one that an earlier start of this
 // agent used under a clock that ran ahead.
 const fenceStep = 1 << 32
-
-// resync takes the count from the engine.
-func (d *duty) resync(ctx context.Context) {
-	report, err := d.engine.Report(ctx)
-	if err == nil {
-		d.sequence = report.Sequence
-	}
-}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -112,6 +112,15 @@
 	return logger.With(zap.String("instance", instance)), nil
 }
 
+// Cause is the field for an error's text. zap.Error would add the stack of
+// errors that carry one, some thousand bytes a line.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("cause", err.Error())
+}
+
 // countersMu makes look-up and creation one step: expvar ends the process when
 // a name is published twice.
 var countersMu sync.Mutex
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -25,10 +25,20 @@
 	// that it takes.
 	Prompt int `json:"prompt"`
 	Tokens int `json:"tokens"`
+	// Parts are the prompt's parts in order, which requests may share.
+	Parts []PromptPart `json:"parts,omitempty"`
+	// TargetMillis is how long until its first event is hoped for.
+	TargetMillis int64 `json:"targetMillis,omitempty"`
 	// WaitMillis is how long a start is of use.
 	WaitMillis int64 `json:"waitMillis"`
 }
 
+// PromptPart is a part of a prompt.
+type PromptPart struct {
+	ID     string `json:"id"`
+	Tokens int    `json:"tokens"`
+}
+
 // StartReply grants or refuses a start.
 type StartReply struct {
 	Start bool `json:"start"`
@@ -64,8 +74,9 @@
 	// Batch and MemoryTokens are what the agent lets run at once.
 	Batch        int `json:"batch"`
 	MemoryTokens int `json:"memoryTokens"`
-	// DelayMillis is how long a start would wait now, apart from its adapter.
-	DelayMillis int64 `json:"delayMillis,omitempty"`
+	// DelayMillis is how long a start of each rank would wait now, apart from its
+	// adapter; the last one holds for all higher ranks.
+	DelayMillis []int64 `json:"delayMillis"`
 	// PromptMillis is what 1,000 tokens of a prompt add to that.
 	PromptMillis int64 `json:"promptMillis"`
 	// Models are the base models that it holds.
