--- /dev/null
+++ b/coord/document/document_test.go
@@ -0,0 +1,93 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func put(version uint64, body string) []byte {
+	data, _ := json.Marshal(Command{Put: &Put{Version: version, Body: json.RawMessage(body)}})
+	return data
+}
+
+func name(adapter string, version int64) []byte {
+	data, _ := json.Marshal(Command{Name: &Name{Adapter: adapter, Version: version}})
+	return data
+}
+
+// Two operators send documents under one number, or an old one arrives again
+// behind a newer one. Whoever reads must find the first content of the highest
+// number: an operator that was told "accepted" would otherwise see its routes
+// change back.
+func TestTheHighestVersionStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Machine
+		first := make(map[uint64]string)
+		var highest uint64
+		versions := rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 40).Draw(t, "versions")
+		for i, version := range versions {
+			body := fmt.Sprintf(`{"sent":%d}`, i)
+			changed, err := m.Apply(uint64(i+1), put(version, body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if higher := version > highest; changed != higher {
+				t.Fatalf("version %d behind %d: changed = %v", version, highest, changed)
+			}
+			if version > highest {
+				highest, first[version] = version, body
+			}
+			if s := m.State(); s.Version != highest || string(s.Body) != first[highest] {
+				t.Fatalf("in force is version %d with %s, want %d with %s", s.Version, s.Body, highest, first[highest])
+			}
+		}
+	})
+}
+
+func TestVersionsOfAdaptersOnlyRise(t *testing.T) {
+	var m Machine
+	for i, step := range []struct {
+		version int64
+		want    int64
+	}{{2, 2}, {5, 5}, {3, 5}, {5, 5}} {
+		if _, err := m.Apply(uint64(i+1), name("m/a", step.version)); err != nil {
+			t.Fatal(err)
+		}
+		if got := m.State().Adapters["m/a"]; got != step.want {
+			t.Errorf("after version %d the adapter has %d, want %d", step.version, got, step.want)
+		}
+	}
+	if got := m.State().Index; got != 2 {
+		t.Errorf("the index is %d, want 2: later commands changed nothing", got)
+	}
+}
+
+func TestASnapshotHoldsTheWholeState(t *testing.T) {
+	var m, restored Machine
+	for i, command := range [][]byte{put(3, `{"a":1}`), name("m/a", 7)} {
+		if _, err := m.Apply(uint64(i+1), command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	got, _ := restored.Snapshot()
+	if string(got) != string(data) {
+		t.Errorf("restored %s, want %s", got, data)
+	}
+}
+
+func TestACommandThatCannotBeReadChangesNothing(t *testing.T) {
+	var m Machine
+	if changed, err := m.Apply(1, []byte(`{"put":`)); changed || err == nil {
+		t.Errorf("Apply gave changed = %v, error %v", changed, err)
+	}
+}
--- /dev/null
+++ b/coord/founding/founding_test.go
@@ -0,0 +1,121 @@
+package founding
+
+import (
+	"testing"
+	"time"
+)
+
+func process(address string, disk bool) Process {
+	return Process{Address: address, Disk: disk, Member: "m-" + address}
+}
+
+func TestExactlyOneProcessFounds(t *testing.T) {
+	all := []Process{process("10.0.0.1:1", false), process("10.0.0.2:1", true), process("10.0.0.3:1", true), process("10.0.0.4:1", true)}
+	var founders []string
+	for _, self := range all {
+		chosen, found := Decide(View{Self: self, Bootstrap: true, Up: Settle, Known: all})
+		if found {
+			founders = append(founders, self.Address)
+			if len(chosen) != 3 {
+				t.Errorf("%s founds with %v, want all three with a disk", self.Address, chosen)
+			}
+		}
+	}
+	if len(founders) != 1 || founders[0] != "10.0.0.2:1" {
+		t.Errorf("founders are %v, want the lowest address with a disk alone", founders)
+	}
+}
+
+// Each case must keep a second log from being founded beside the first: half of
+// the entries would follow one configuration and half another.
+func TestNobodyFoundsInDoubt(t *testing.T) {
+	self := process("10.0.0.2:1", true)
+	ready := View{Self: self, Bootstrap: true, Up: Settle, Known: []Process{process("10.0.0.3:1", true)}}
+	if _, found := Decide(ready); !found {
+		t.Fatal("the process that may found does not")
+	}
+	member := process("10.0.0.3:1", true)
+	member.Cluster = "c"
+	tests := []struct {
+		name   string
+		change func(*View)
+	}{
+		{"a later start", func(v *View) { v.Bootstrap = false }},
+		{"no disk", func(v *View) { v.Self.Disk = false }},
+		{"just started", func(v *View) { v.Up = Settle - 1 }},
+		{"a seed is silent", func(v *View) { v.SeedsSilent = 1 }},
+		{"somebody belongs to a log", func(v *View) { v.Known = []Process{member} }},
+		{"it belongs to a log itself", func(v *View) { v.Self.Cluster = "c" }},
+		{"a lower address has a disk", func(v *View) { v.Known = []Process{process("10.0.0.1:1", true)} }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := ready
+			test.change(&v)
+			if _, found := Decide(v); found {
+				t.Error("it founds a log")
+			}
+		})
+	}
+}
+
+func voter(id, address string) Member {
+	return Member{ID: id, Address: address, Voter: true, CaughtUp: true}
+}
+
+func seen(id, address, cluster string, silent time.Duration) Seen {
+	return Seen{Process: Process{Address: address, Disk: true, Member: id, Cluster: cluster}, Silent: silent}
+}
+
+func healthy() Membership {
+	return Membership{
+		Self: "1", Cluster: "c", Losses: 1,
+		Members: []Member{voter("1", "a"), voter("2", "b"), voter("3", "d"), voter("4", "e")},
+		Known:   []Seen{seen("2", "b", "c", 0), seen("3", "d", "c", 0), seen("4", "e", "c", 0)},
+	}
+}
+
+func TestTheMembershipFollowsWhoIsThere(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Membership)
+		want   Change
+	}{
+		{"all is well", func(*Membership) {}, Change{}},
+		{"one restarts", func(m *Membership) { m.Known[2].Silent = 5 * time.Second }, Change{}},
+		{"one came back with an empty disk", func(m *Membership) { m.Known[2] = seen("4'", "e", "", 0) }, Change{ChangeAdd, "4'", "e"}},
+		{"its learner has caught up", func(m *Membership) {
+			m.Known[2] = seen("4'", "e", "c", 0)
+			m.Members = append(m.Members, Member{ID: "4'", Address: "e", CaughtUp: true})
+		}, Change{ChangePromote, "4'", "e"}},
+		// The member that it was never votes again: without it a further loss is
+		// borne, with it none.
+		{"its learner lags, and the others bear a loss", func(m *Membership) {
+			m.Known[2] = seen("4'", "e", "c", 0)
+			m.Members = append(m.Members, Member{ID: "4'", Address: "e"})
+		}, Change{ChangeRemove, "4", "e"}},
+		{"its learner lags, and the others bear none", func(m *Membership) {
+			m.Known = []Seen{m.Known[0], seen("4'", "e", "c", 0)}
+			m.Members = []Member{m.Members[0], m.Members[1], m.Members[3], {ID: "4'", Address: "e"}}
+		}, Change{}},
+		{"the new member counts", func(m *Membership) {
+			m.Known[2] = seen("4'", "e", "c", 0)
+			m.Members = append(m.Members, voter("4'", "e"))
+		}, Change{ChangeRemove, "4", "e"}},
+		{"another machine was added", func(m *Membership) { m.Known = append(m.Known, seen("5", "f", "", 0)) }, Change{ChangeAdd, "5", "f"}},
+		{"a process of another log is near", func(m *Membership) { m.Known = append(m.Known, seen("5", "f", "other", 0)) }, Change{}},
+		{"one is gone for long", func(m *Membership) { m.Known[2].Silent = lost + time.Second }, Change{ChangeRemove, "4", "e"}},
+		{"two are gone for long", func(m *Membership) {
+			m.Known[1].Silent, m.Known[2].Silent = lost+time.Second, lost+time.Second
+		}, Change{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := healthy()
+			test.change(&m)
+			if got := NextChange(m); got != test.want {
+				t.Errorf("next is %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -77,8 +77,11 @@
 	if ok && !s.newer(&known.Server) {
 		return false, false
 	}
-	if !ok && r.outlived(&s) {
-		return false, false
+	if r.outlived(&s) {
+		if !ok {
+			return false, false
+		}
+		s.Gone = true
 	}
 	// Leaving is final for an incarnation, also for a late reader.
 	if ok && known.Born == s.Born {
@@ -98,10 +101,10 @@
 	return true, material
 }
 
-// outlived is true when a later incarnation was heard of at the address.
+// outlived is true when a later born server was heard of at the address.
 func (r *Roster) outlived(s *Server) bool {
 	for _, e := range r.entries {
-		if e.Address == s.Address && e.Born > s.Born {
+		if e.ID != s.ID && e.Address == s.Address && e.Born > s.Born {
 			return true
 		}
 	}
