Test the mesh on loopback and the agent in virtual time

Tests of one founding from one seed without a list, a wiped member that comes back as a new one twice in a row, refused reads without a majority, leaving servers known everywhere at their acknowledgement; of the agent: late orders void, silent and restarted engines.

--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,269 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+)
+
+// node is one process of a fleet on loopback.
+type node struct {
+	*Mesh
+	cancel  context.CancelFunc
+	stopped chan struct{}
+}
+
+// fleet starts processes that know no more than the first as their seed.
+type fleet struct {
+	t         *testing.T
+	addresses []string
+	folders   []string
+	nodes     []*node
+}
+
+func decode(body []byte) (*route.Document, error) {
+	var d route.Document
+	return &d, json.Unmarshal(body, &d)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// startFleet starts so many processes with and without a disk.
+func startFleet(t *testing.T, disks, others int) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	for i := range disks + others {
+		f.addresses = append(f.addresses, freeAddress(t))
+		folder := ""
+		if i < disks {
+			folder = filepath.Join(t.TempDir(), fmt.Sprint("disk", i))
+		}
+		f.folders = append(f.folders, folder)
+		f.nodes = append(f.nodes, nil)
+	}
+	for i := range f.nodes {
+		f.start(i, true)
+	}
+	t.Cleanup(func() {
+		for i := range f.nodes {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i int, bootstrap bool) {
+	f.t.Helper()
+	m := New(Options{
+		Self:  Process{Name: fmt.Sprint("p", i), Address: f.addresses[i], Entry: true, Disk: f.folders[i] != "", Started: time.Now().UnixNano()},
+		Seeds: f.addresses[:1], Bootstrap: bootstrap, Folder: f.folders[i], Losses: 1,
+	}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	listener, err := Listen(f.addresses[i])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := rpc.NewServer(m.Handlers())
+	go func() { _ = server.Serve(ctx, listener) }()
+	n := &node{Mesh: m, cancel: cancel, stopped: make(chan struct{})}
+	go func() {
+		m.Run(ctx)
+		_ = listener.Close()
+		server.Close()
+		close(n.stopped)
+	}()
+	f.nodes[i] = n
+}
+
+func (f *fleet) stop(i int) {
+	if n := f.nodes[i]; n != nil {
+		n.cancel()
+		<-n.stopped
+		f.nodes[i] = nil
+	}
+}
+
+// eventually waits until a condition holds; the test's own limit ends it.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		if t.Context().Err() != nil {
+			t.FailNow()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *fleet) put(i int, version uint64) {
+	f.t.Helper()
+	eventually(f.t, func() bool {
+		body := fmt.Sprintf(`{"Version":%d}`, version)
+		return f.nodes[i].Propose(context.Background(), document.Command{Put: &document.Put{Version: version, Body: []byte(body)}}) == nil
+	})
+}
+
+func (f *fleet) voters(i int) int {
+	r := f.nodes[i].host.current.Load()
+	if r == nil {
+		return 0
+	}
+	return len(r.Status().Config.Voters)
+}
+
+// read waits for a confirmed read and returns its version.
+func (f *fleet) read(i int) uint64 {
+	f.t.Helper()
+	var version uint64
+	eventually(f.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		state, err := f.nodes[i].Read(ctx)
+		version = state.Version
+		return err == nil
+	})
+	return version
+}
+
+// All processes start at once and know one seed, which may have no disk. They
+// must form one log: two would each accept changes that the other never sees.
+func TestProcessesThatKnowOneSeedFormOneLog(t *testing.T) {
+	f := startFleet(t, 3, 2)
+	f.put(4, 5)
+	for i := range f.nodes {
+		if got := f.read(i); got != 5 {
+			t.Errorf("process %d reads version %d, want 5", i, got)
+		}
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 5 })
+	}
+	clusters := make(map[string]bool)
+	for i := range 3 {
+		_, cluster := f.nodes[i].host.identity()
+		clusters[cluster] = true
+	}
+	if len(clusters) != 1 {
+		t.Errorf("there are the logs %v", clusters)
+	}
+}
+
+// A machine loses its disk and comes back at its address. It has forgotten what
+// it promised, so it must come back as a new member; an operator's change must
+// outlive it, also when another disk is lost afterwards.
+func TestAWipedMemberComesBackAsANewOne(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	f.put(0, 1)
+	eventually(t, func() bool { return f.voters(0) == 4 })
+	for version, i := range map[uint64]int{2: 1, 3: 2} {
+		f.put(0, version)
+		before, _ := f.nodes[i].host.identity()
+		f.stop(i)
+		if err := os.RemoveAll(f.folders[i]); err != nil {
+			t.Fatal(err)
+		}
+		f.start(i, false)
+		eventually(t, func() bool {
+			r := f.nodes[i].host.current.Load()
+			return r != nil && r.Status().Config.Voter(r.ID()) && len(r.Status().Config.Members()) == 4
+		})
+		if after, _ := f.nodes[i].host.identity(); after == before {
+			t.Errorf("process %d came back as the member it was", i)
+		}
+	}
+	for i := range f.nodes {
+		if got := f.read(i); got != 3 {
+			t.Errorf("process %d reads version %d, want 3", i, got)
+		}
+	}
+}
+
+// Most of the log is gone. Whoever is left cannot know the newest configuration
+// and must say so, instead of showing what it holds.
+func TestAReadWithoutAMajorityIsRefused(t *testing.T) {
+	f := startFleet(t, 3, 0)
+	f.put(0, 1)
+	f.stop(1)
+	f.stop(2)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if state, err := f.nodes[0].Read(ctx); err == nil {
+		t.Errorf("it reads version %d", state.Version)
+	}
+}
+
+// A server says at one entry that it leaves. When that is acknowledged, the
+// other entries must know: a request that one of them still sends would be cut.
+func TestALeavingServerIsKnownEverywhereWhenItIsAcknowledged(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	eventually(t, func() bool {
+		for i := range f.nodes {
+			if reached, _ := f.nodes[i].reached(time.Now()); reached != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1"}
+	if err := f.nodes[0].Announce(context.Background(), server); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return f.nodes[1].MayServe("s") && f.nodes[2].MayServe("s") })
+	server.Sequence, server.Leaving = 2, true
+	if err := f.nodes[1].Announce(context.Background(), server); err != nil {
+		t.Fatal(err)
+	}
+	for i := range f.nodes {
+		if f.nodes[i].MayServe("s") {
+			t.Errorf("process %d still serves it", i)
+		}
+	}
+}
+
+// An entry that reaches none of the others cannot tell them of a server that
+// leaves; it must not acknowledge that, so that the server tells another one.
+func TestAPartedEntryAcknowledgesNothing(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	eventually(t, func() bool {
+		reached, _ := f.nodes[0].reached(time.Now())
+		return reached == 2
+	})
+	f.stop(1)
+	f.stop(2)
+	eventually(t, func() bool { return !f.nodes[0].Connected() })
+	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1", Leaving: true}
+	if err := f.nodes[0].Announce(context.Background(), server); err == nil {
+		t.Error("it acknowledged")
+	}
+}
+
+func TestAConfigurationNeverStepsBack(t *testing.T) {
+	d := NewDocuments(decode, zap.NewNop())
+	d.Take(document.State{Index: 5, Version: 2, Body: []byte(`{"Version":2}`)})
+	d.Take(document.State{Index: 4, Version: 1, Body: []byte(`{"Version":1}`)})
+	if got := d.Current(); got.State.Version != 2 || got.Table.Version() != 2 {
+		t.Errorf("in force is version %d", got.State.Version)
+	}
+	// A newer state of the same version comes without its body.
+	d.Take(document.State{Index: 6, Version: 2, Adapters: map[string]int64{"m/a": 3}})
+	if got := d.Current(); got.State.Adapters["m/a"] != 3 || got.Table.Version() != 2 || got.State.Body == nil {
+		t.Errorf("in force is %+v", got.State)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,267 @@
+package sidecar
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+const (
+	testPlaces = 2
+	loadTime   = 250 * time.Millisecond
+)
+
+// fakeEngine carries out orders as an engine does, and crashes the test when it
+// is ordered more than it holds.
+type fakeEngine struct {
+	t  *testing.T
+	mu sync.Mutex
+	// hidden is how many orders get no answer; each is carried out late.
+	hidden   int
+	late     time.Duration
+	born     int64
+	sequence int64
+	models   []string
+	adapters map[string]int64
+	coming   map[string]int64
+	orders   []Order
+	silent   bool
+}
+
+func newFakeEngine(t *testing.T) *fakeEngine {
+	return &fakeEngine{t: t, born: 1, models: []string{"m"}, adapters: make(map[string]int64), coming: make(map[string]int64)}
+}
+
+func (e *fakeEngine) Report(ctx context.Context) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.silent {
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		return Report{}, ctx.Err()
+	}
+	return Report{Born: e.born, Sequence: e.sequence, Models: e.models, Adapters: maps.Clone(e.adapters), Coming: maps.Clone(e.coming)}, nil
+}
+
+func (e *fakeEngine) Order(ctx context.Context, o Order) (OrderResult, error) {
+	e.mu.Lock()
+	if e.hidden > 0 {
+		e.hidden--
+		e.mu.Unlock()
+		time.AfterFunc(e.late, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.carryOut(o)
+		})
+		<-ctx.Done()
+		return OrderUnknown, ctx.Err()
+	}
+	defer e.mu.Unlock()
+	return e.carryOut(o), nil
+}
+
+// carryOut is called with mu held.
+func (e *fakeEngine) carryOut(o Order) OrderResult {
+	if o.Sequence != e.sequence {
+		return OrderConflict
+	}
+	e.sequence++
+	e.orders = append(e.orders, o)
+	if o.Adapter == "" {
+		e.models = append(e.models, o.Model)
+		return OrderAccepted
+	}
+	name := o.Model + "/" + o.Adapter
+	if !o.Load {
+		delete(e.adapters, name)
+		return OrderDone
+	}
+	e.coming[name] = o.Version
+	if len(e.adapters)+len(e.coming) > testPlaces {
+		e.t.Errorf("the engine was ordered to hold %v and %v in %d places", e.adapters, e.coming, testPlaces)
+	}
+	born := e.born
+	time.AfterFunc(loadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.born == born {
+			delete(e.coming, name)
+			e.adapters[name] = o.Version
+		}
+	})
+	return OrderAccepted
+}
+
+func (e *fakeEngine) given() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+// run starts an agent beside an engine in virtual time.
+func run(t *testing.T, e *fakeEngine, test func(t *testing.T, s *Sidecar)) {
+	synctest.Test(t, func(t *testing.T) {
+		decode := func([]byte) (*route.Document, error) {
+			return &route.Document{Services: []route.Service{{Name: "llm", Engine: &route.Engine{
+				Batch: 4, MemoryTokens: 10_000, AdapterSlots: testPlaces, Models: []route.Model{{Name: "m"}},
+			}}}}, nil
+		}
+		documents := mesh.NewDocuments(decode, zap.NewNop())
+		documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")})
+		s := New(Options{Name: "agent", Service: "llm", VersionGrace: time.Second}, e, documents, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			s.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(time.Second)
+		test(t, s)
+		cancel()
+		<-ended
+		// Late orders and loads end.
+		time.Sleep(time.Minute)
+	})
+}
+
+func admit(t *testing.T, s *Sidecar, id, adapter string) wire.StartReply {
+	t.Helper()
+	reply, err := s.admit(t.Context(), wire.StartRequest{ID: id, Adapter: adapter, Prompt: 10, Tokens: 20, WaitMillis: 5000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+func TestAnAdapterIsLoadedForARequest(t *testing.T) {
+	e := newFakeEngine(t)
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		began := time.Now()
+		if reply := admit(t, s, "r1", "m/a"); !reply.Start {
+			t.Fatalf("refused: %s", reply.Reason)
+		}
+		if took := time.Since(began); took > loadTime+2*busyPoll {
+			t.Errorf("the start took %s for a load of %s", took, loadTime)
+		}
+		state, _ := s.state.get()
+		if !state.Known || state.Running != 1 || len(state.Held) != 1 {
+			t.Errorf("entries see %+v", state)
+		}
+	})
+}
+
+// An engine answers an order not at all and carries it out seconds later, when
+// the agent has long ordered something else. The late load would be one too
+// many and crash the engine; callers of all adapters there would lose their
+// answers.
+func TestAnOrderThatIsCarriedOutLateIsVoid(t *testing.T) {
+	e := newFakeEngine(t)
+	e.hidden, e.late = 1, 2*time.Second
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		for i, adapter := range []string{"m/a", "m/b", "m/c", "m/d"} {
+			id := string(rune('1' + i))
+			began := time.Now()
+			if reply := admit(t, s, id, adapter); !reply.Start {
+				t.Fatalf("%s was refused: %s", adapter, reply.Reason)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("the start of %s took %s", adapter, took)
+			}
+			if _, err := s.done(t.Context(), wire.StartDone{IDs: []string{id}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(10 * time.Second)
+	})
+	for i, o := range e.given() {
+		if o.Sequence != int64(i) || o.Holder != "agent" {
+			t.Errorf("order %d was given as %+v", i, o)
+		}
+	}
+}
+
+// The engine stops reporting. Entries must not be told of a state that nobody
+// knows any more, and starts are refused at once rather than held.
+func TestAnEngineThatDoesNotReportIsNotUsed(t *testing.T) {
+	e := newFakeEngine(t)
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		e.mu.Lock()
+		e.silent = true
+		e.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if state, _ := s.state.get(); state.Known {
+			t.Error("the engine still counts as known")
+		}
+		if reply := admit(t, s, "r1", "m/a"); reply.Start || reply.Reason != unknownEngine {
+			t.Errorf("got %+v", reply)
+		}
+	})
+}
+
+// The engine restarts under the same address and holds nothing. The agent must
+// not start requests on what it held before, and must load the base model.
+func TestARestartedEngineIsFilledAnew(t *testing.T) {
+	e := newFakeEngine(t)
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		admit(t, s, "r1", "m/a")
+		e.mu.Lock()
+		e.born, e.sequence, e.models = 2, 0, nil
+		e.adapters, e.coming = make(map[string]int64), make(map[string]int64)
+		e.mu.Unlock()
+		time.Sleep(time.Second)
+		if state, _ := s.state.get(); state.Running != 0 {
+			t.Errorf("%d requests of the earlier incarnation are left", state.Running)
+		}
+		orders := e.given()
+		if last := orders[len(orders)-1]; !last.Load || last.Model != "m" || last.Adapter != "" {
+			t.Errorf("the last order is %+v, want a load of the base model", last)
+		}
+		if reply := admit(t, s, "r2", "m/a"); !reply.Start {
+			t.Errorf("refused: %s", reply.Reason)
+		}
+	})
+}
+
+func TestARequestThatIsNotWantedAnyMoreLeavesNoPin(t *testing.T) {
+	e := newFakeEngine(t)
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		if _, err := s.admit(ctx, wire.StartRequest{ID: "r1", Adapter: "m/a", WaitMillis: 5000}); err == nil {
+			t.Error("a start that was given up was granted")
+		}
+		time.Sleep(time.Second)
+		if state, _ := s.state.get(); state.Running != 0 || state.Waiting != 0 {
+			t.Errorf("left are %+v", state)
+		}
+	})
+}
+
+func TestEntriesGetListsOnlyWhenTheyChange(t *testing.T) {
+	e := newFakeEngine(t)
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		admit(t, s, "r1", "m/a")
+		first, err := s.watch(t.Context(), wire.StartWatch{})
+		if err != nil || len(first.Held) != 1 {
+			t.Fatalf("first watch: %+v, %v", first, err)
+		}
+		if _, err := s.done(t.Context(), wire.StartDone{IDs: []string{"r1"}}); err != nil {
+			t.Fatal(err)
+		}
+		second, err := s.watch(t.Context(), wire.StartWatch{Change: first.Change, HeldChange: first.HeldChange, WaitMillis: 1000})
+		if err != nil || second.Running != 0 || second.Held != nil || second.HeldChange != first.HeldChange {
+			t.Errorf("second watch: %+v, %v", second, err)
+		}
+	})
+}
