Bring fewer adapters from the store: steeper homes, load time as seen, no second load for one wait

Of the adapters 228 were loaded on two servers or more: home ranks differed by less than the waits did, and a request that waited 1.2 s for a load asked a second server, which loaded it too.

Change: two homes with steps of 0.18; agents tell how long loads take and entries count with it; a request waits on for an adapter under way. Agents log and count each load.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -34,6 +34,8 @@
 	Waiting int
 	// Delay is how long its agent would keep a start waiting.
 	Delay time.Duration
+	// LoadTime is what a load of an adapter took there lately.
+	LoadTime time.Duration
 	// Tokens and MemoryTokens are the memory taken and there; 0 when unknown.
 	Tokens       int
 	MemoryTokens int
@@ -72,13 +74,13 @@
 	// what it is at the first engines of the adapter's own order: they have most
 	// likely held it before, and bring it from their own memory in a tenth of
 	// the time.
-	loadCost  = 0.30
+	loadCost  = 0.45
 	homeCost  = 0.12
-	homeStep  = 0.06
-	homeRanks = 3
+	homeStep  = 0.18
+	homeRanks = 2
 	// staleCost makes an engine that must first finish its running requests the
 	// last choice of those that can be had.
-	staleCost = 0.45
+	staleCost = 0.55
 	// farCost makes a server of the own data centre win while it is about as
 	// free: bytes between data centres are priced, their latency hardly counts.
 	farCost = 0.04
@@ -100,9 +102,7 @@
 )
 
 const (
-	// loadTime is what a load from the store takes when it is calm, staleTime
-	// what running requests usually need to end.
-	loadTime  = 280 * time.Millisecond
+	// staleTime is what running requests usually need to end.
 	staleTime = 1500 * time.Millisecond
 	// lateFrom is the share of the target from which on being late grows likely,
 	// lateBy where it is certain.
@@ -193,7 +193,7 @@
 	case c.Residence == Stale:
 		return staleTime
 	default:
-		return loadTime
+		return c.LoadTime
 	}
 }
 
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -20,7 +20,7 @@
 	}{
 		{"alike", func(_, _ *Candidate) {}, 0},
 		{"the own data centre", func(first, _ *Candidate) { first.DataCentre = "there" }, 1},
-		{"the adapter is there", func(first, _ *Candidate) { first.Residence = Absent }, 1},
+		{"the adapter is there", func(first, _ *Candidate) { first.Residence, first.LoadTime = Absent, 280*time.Millisecond }, 1},
 		{"rather far away than a load", func(first, second *Candidate) { first.Residence, second.DataCentre = Absent, "there" }, 1},
 		{"rather a short wait than a load", func(first, second *Candidate) {
 			first.Residence, second.Delay = Absent, 200*time.Millisecond
@@ -66,7 +66,7 @@
 		var forwards, backwards []Candidate
 		for _, id := range []string{"s1", "s2", "s3", "s4", "s5", "s6"} {
 			c := candidate(id)
-			c.Residence = Absent
+			c.Residence, c.LoadTime = Absent, 280*time.Millisecond
 			forwards = append(forwards, c)
 			backwards = append([]Candidate{c}, backwards...)
 		}
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -150,7 +150,10 @@
 	if !state.Known {
 		return false, true
 	}
-	left := min(time.Until(j.startBy()), longestStart)
+	left := time.Until(j.startBy())
+	if j.seen.Residence == dispatch.Resident {
+		left = min(left, longestStart)
+	}
 	if left <= 0 {
 		j.last = "no engine could start it while its caller waits"
 		return false, false
@@ -172,8 +175,9 @@
 	return true, true
 }
 
-// longestStart is how long a request waits at one agent; another engine may be
-// free by then.
+// longestStart is how long a request waits at one agent for its turn; another
+// engine may be free by then. For an adapter under way it waits on: another
+// engine would only ask the store for the same adapter again.
 const longestStart = 1200 * time.Millisecond
 
 // Callers leave a stream that shows nothing for the longest of these, as the
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -156,6 +156,7 @@
 	c.Batch, c.MemoryTokens = state.Batch, state.MemoryTokens
 	c.Running, c.Waiting, c.Tokens = state.Running+sent.count, state.Waiting, state.Tokens
 	c.Delay = time.Duration(delayOf(state.DelayMillis, r.Rank)+state.PromptMillis*int64(sent.prompt)/promptUnit) * time.Millisecond
+	c.LoadTime = time.Duration(state.LoadMillis) * time.Millisecond
 	c.Model = holds(state.Models, model) && !state.Leaving
 	c.Residence = residence(&state, r.Adapter)
 	return c
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -116,7 +116,8 @@
 		Known: d.known && d.service != nil, Leaving: d.report.Leaving,
 		Running: d.table.Running(), Waiting: d.table.Waiting(), Tokens: d.table.Tokens(),
 		DelayMillis: delays(d.table.Delay(now)), PromptMillis: d.table.PromptCost().Round(delayStep / 4).Milliseconds(),
-		Models: d.report.Models, Held: held, Stale: stale,
+		LoadMillis: d.loadTime.Round(delayStep).Milliseconds(),
+		Models:     d.report.Models, Held: held, Stale: stale,
 	}
 	if d.service != nil {
 		state.Batch, state.MemoryTokens = d.service.Engine.Batch, d.service.Engine.MemoryTokens
@@ -160,7 +161,7 @@
 
 func equalStates(a, b *wire.EngineState) bool {
 	return a.Known == b.Known && a.Leaving == b.Leaving && a.Running == b.Running && a.Waiting == b.Waiting && a.Tokens == b.Tokens &&
-		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && a.PromptMillis == b.PromptMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
+		a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && a.PromptMillis == b.PromptMillis && a.LoadMillis == b.LoadMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
 }
 
 func (c *stateCell) get() (wire.EngineState, <-chan struct{}) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -80,6 +80,10 @@
 	reports  chan reported
 	results  chan ordered
 	ordering bool
+	// ordered is when the loads under way were accepted.
+	ordered map[string]time.Time
+	// loadTime is what loads took lately.
+	loadTime time.Duration
 	// summed is when the engine was last summed up in the log.
 	summed time.Time
 }
@@ -102,7 +106,7 @@
 	d := &duty{
 		Sidecar: s, token: time.Now().UnixMilli(), waiters: make(map[string]chan<- wire.StartReply),
 		table:   residency.New(residency.Options{Queue: 1}),
-		reports: make(chan reported, 1), results: make(chan ordered, 1),
+		reports: make(chan reported, 1), results: make(chan ordered, 1), ordered: make(map[string]time.Time), loadTime: calmLoad,
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -188,6 +192,7 @@
 		d.log.Info("the engine reports", zap.Int64("born", report.Born), zap.Strings("models", report.Models), zap.Int64("sequence", report.Sequence))
 	}
 	d.report, d.known = report, true
+	d.noteLoaded(now)
 	if !d.ordering {
 		d.sequence = report.Sequence
 	}
@@ -202,6 +207,33 @@
 	d.provideModel()
 }
 
+const (
+	// calmLoad is what a load is taken to last until one was seen.
+	calmLoad = 280 * time.Millisecond
+	// loadWeight is the weight of the newest load in their usual time.
+	loadWeight = 0.4
+)
+
+// Loads that have ended, and their time in milliseconds.
+var (
+	loadCount  = telemetry.Counter("sidecar_loads")
+	loadMillis = telemetry.Counter("sidecar_load_millis")
+)
+
+// noteLoaded logs how long the adapters that are there now took.
+func (d *duty) noteLoaded(now time.Time) {
+	for name, since := range d.ordered {
+		if _, held := d.report.Adapters[name]; !held {
+			continue
+		}
+		delete(d.ordered, name)
+		d.loadTime += time.Duration(loadWeight * float64(now.Sub(since)-d.loadTime))
+		loadCount.Add(1)
+		loadMillis.Add(now.Sub(since).Milliseconds())
+		d.log.Info("adapter loaded", zap.String("adapter", name), zap.Duration("took", now.Sub(since)), zap.Int("coming", len(d.report.Coming)), zap.Int("waiting", d.table.Waiting()))
+	}
+}
+
 // noteRestart forgets the state of an earlier incarnation.
 func (d *duty) noteRestart(report Report) {
 	if !d.known && d.report.Born == 0 {
@@ -213,6 +245,7 @@
 	d.log.Warn("the engine has restarted", zap.Int64("born", report.Born), zap.Int64("sequence", report.Sequence), zap.Int64("before", d.report.Sequence))
 	d.sequence = report.Sequence
 	d.orders, d.unanswered = nil, nil
+	clear(d.ordered)
 	d.perform(d.table.Restarted())
 }
 
@@ -301,6 +334,9 @@
 		if r.result == OrderAccepted || !order.Load {
 			d.sequence++
 		}
+		if order.Load && r.result == OrderAccepted && order.Adapter != "" {
+			d.ordered[name] = now
+		}
 		if !order.Load && r.result == OrderDone {
 			d.perform(d.table.Unloaded(name, now))
 		}
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -79,6 +79,8 @@
 	DelayMillis []int64 `json:"delayMillis"`
 	// PromptMillis is what 1,000 tokens of a prompt add to that.
 	PromptMillis int64 `json:"promptMillis"`
+	// LoadMillis is what a load of an adapter took lately.
+	LoadMillis int64 `json:"loadMillis"`
 	// Models are the base models that it holds.
 	Models []string `json:"models,omitempty"`
 	// HeldChange counts the changes of Held and Stale, which are left out where
