--- /dev/null
+++ b/internal/telemetry/latency_test.go
@@ -0,0 +1,25 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+func TestAHistogramTellsItsPercentiles(t *testing.T) {
+	l := LatencyOf("test_latency")
+	for i := 1; i <= 100; i++ {
+		l.Record(time.Duration(i) * time.Millisecond)
+	}
+	l.Record(2 * longestLatency)
+	var got struct{ Count, P50, P99, Max float64 }
+	if err := json.Unmarshal([]byte(l.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Count != 101 || got.P50 < 45 || got.P50 > 56 || got.P99 < 90 || got.Max < 60_000 {
+		t.Errorf("got %+v", got)
+	}
+	if LatencyOf("test_latency") != l {
+		t.Error("a second histogram of the name was made")
+	}
+}
