Say when to come back by what is known; load a lone model from disk at once

Change: Retry-After follows the cause of the refusal (disk load, queue, election); agents load a lone model on disk at once.

--- a/coord/route/route.go
+++ b/coord/route/route.go
@@ -83,7 +83,10 @@
 	SizeMB    float64
 	Adapters  int
 	AdapterMB float64
-	LoadTime  time.Duration
+	// LoadTime is what a load from the store takes, DiskTime one from an
+	// engine's own disk.
+	LoadTime time.Duration
+	DiskTime time.Duration
 }
 
 // Bounds limit what a caller may send.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,7 +199,8 @@
 
 // What a caller is told to wait before it asks again.
 const (
-	retryNoConfig = 500 * time.Millisecond
+	// retryNoConfig is about an election and the way of the configuration.
+	retryNoConfig = 1200 * time.Millisecond
 	// retrySoon suits what ends within moments: a server that restarts, an
 	// entry that stops.
 	retrySoon = 250 * time.Millisecond
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -33,8 +33,10 @@
 	// run it.
 	arrivals int
 	runs     int
-	// last is why the last try did not end well.
-	last string
+	// last is why the last try did not end well, comeBack when a caller that is
+	// refused should come back.
+	last     string
+	comeBack time.Duration
 	// seen is the chosen server as it looked; waited is how long the start took,
 	// first the time to the first event, longestGap the longest pause behind it.
 	seen       dispatch.Candidate
@@ -99,11 +101,11 @@
 	v, seen := j.choose()
 	j.seen = seen
 	if v == nil {
-		j.last = "no backend server of the service is there"
+		j.last, j.comeBack = "no backend server of the service is there", j.untilServers()
 		return stepFail
 	}
 	if seen.Delay > time.Until(j.startBy()) {
-		j.last = "the queues of all engines are longer than its caller waits"
+		j.last, j.comeBack = "the queues of all engines are longer than its caller waits", seen.Delay
 		return stepFail
 	}
 	j.tried[v.entry.ID] = true
@@ -309,8 +311,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if j.runs == 0 {
-		left := time.Until(j.deadline)
-		j.refuse(j.w, &j.call, j.last, min(retrySoon+time.Duration(rand.Int64N(int64(retrySoon))), max(left/3, 0)))
+		j.refuse(j.w, &j.call, j.last, j.retryAfter())
 		return
 	}
 	failedCount.Add(1)
@@ -322,6 +323,31 @@
 	http.Error(j.w, j.last, status)
 }
 
+// untilServers is when servers of the service may be back: engines that lost
+// all they held bring the base model from their disks first.
+func (j *journey) untilServers() time.Duration {
+	if j.service.Engine == nil {
+		return retrySoon
+	}
+	longest := retrySoon
+	for _, m := range j.service.Engine.Models {
+		longest = max(longest, m.DiskTime)
+	}
+	return longest
+}
+
+// honouredShare is the most of its time left that a caller waits before it
+// comes back.
+const honouredShare = 3
+
+// retryAfter spreads the callers that are told to come back, so that they do
+// not all come at the moment at which it may work again.
+func (j *journey) retryAfter() time.Duration {
+	base := max(j.comeBack, retrySoon)
+	spread := time.Duration(rand.Int64N(int64(base)/2 + 1))
+	return min(base+spread, max(time.Until(j.deadline)/honouredShare, 0))
+}
+
 func (j *journey) note(what string, status int) {
 	j.log.Info(what, zap.String("request", j.call.ID), zap.String("route", j.route.Name), zap.String("service", j.service.Name),
 		zap.Uint64("configuration", j.version), zap.Int("status", status), zap.Int("runs", j.runs), zap.Int("arrivals", j.arrivals),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -250,22 +250,34 @@
 }
 
 // provideModel loads the base model into an engine that holds none: one that
-// was added, or that restarted.
+// was added, or that restarted. What lies on its own disk is loaded without
+// waiting for the configuration: after a loss of power that comes later.
 func (d *duty) provideModel() {
-	if d.service == nil || len(d.report.Models) > 0 || d.report.Busy || d.report.Leaving || len(d.service.Engine.Models) == 0 || len(d.orders) > 0 {
+	if len(d.report.Models) > 0 || d.report.Busy || d.report.Leaving || len(d.orders) > 0 || d.ordering {
 		return
 	}
-	d.orders = append(d.orders, Order{Load: true, Model: d.modelToLoad()})
+	if model := d.modelToLoad(); model != "" {
+		d.orders = append(d.orders, Order{Load: true, Model: model})
+	}
 }
 
 // modelToLoad prefers one of which the engine keeps a copy: it is there sooner
 // and costs the weight store nothing.
 func (d *duty) modelToLoad() string {
+	if d.service == nil {
+		if len(d.report.OnDisk) == 1 {
+			return d.report.OnDisk[0]
+		}
+		return ""
+	}
 	for _, m := range d.service.Engine.Models {
 		if slices.Contains(d.report.OnDisk, m.Name) {
 			return m.Name
 		}
 	}
+	if len(d.service.Engine.Models) == 0 {
+		return ""
+	}
 	return d.service.Engine.Models[0].Name
 }
 
