--- a/cmd/rosemaryd/main.go
+++ b/cmd/rosemaryd/main.go
@@ -29,6 +29,7 @@
 
 type checkCommand struct {
 	Settings string `arg:"--settings,required" help:"settings file to check"`
+	Fleet    bool   `arg:"--fleet" help:"the file is one of a process that finds the others by seeds"`
 }
 
 type demoCommand struct {
@@ -86,7 +87,7 @@
 	case args.Serve != nil:
 		return serve(args.Serve.Settings)
 	case args.Check != nil:
-		return check(args.Check.Settings)
+		return check(args.Check.Settings, args.Check.Fleet)
 	case args.Demo != nil:
 		return runDemo(args.Demo.Listen)
 	case args.Standin != nil:
@@ -99,8 +100,14 @@
 	}
 }
 
-func check(path string) error {
-	if _, err := settings.Load(path); err != nil {
+func check(path string, fleet bool) error {
+	var err error
+	if fleet {
+		_, err = settings.LoadFleet(path)
+	} else {
+		_, err = settings.Load(path)
+	}
+	if err != nil {
 		return err
 	}
 	fmt.Println(path + ": ok")
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	// Barred servers failed just now and get no request until it is time to
 	// try them again.
 	Barred bool
+	// Age is how old the agent's report is; it is shown, not weighed.
+	Age time.Duration
 	// Model is false when the server does not hold the request's base model.
 	Model bool
 	// Cold is how much longer the server is slow after its start.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,11 @@
 	goneCount     = telemetry.Counter("gateway_callers_gone")
 	repeatCount   = telemetry.Counter("gateway_repeats")
 	resumedCount  = telemetry.Counter("gateway_resumed")
+
+	// firstLatency is the time to the first event or the whole answer,
+	// startLatency the part of it that agents took to grant the start.
+	firstLatency = telemetry.LatencyOf("gateway_first_millis")
+	startLatency = telemetry.LatencyOf("gateway_start_millis")
 )
 
 // fallbackBody bounds bodies while the configuration names no bound.
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -307,7 +307,7 @@
 	}
 	if j.relayed {
 		failedCount.Add(1)
-		j.note("stream cut", 0)
+		j.note("stream cut", nil, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if j.runs == 0 {
@@ -319,7 +319,7 @@
 	if time.Until(j.deadline) < leastLeft {
 		status = http.StatusGatewayTimeout
 	}
-	j.note("request failed", status)
+	j.note("request failed", nil, status)
 	http.Error(j.w, j.last, status)
 }
 
@@ -348,10 +348,18 @@
 	return min(base+spread, max(time.Until(j.deadline)/honouredShare, 0))
 }
 
-func (j *journey) note(what string, status int) {
+// note logs what became of the request, with what decided it.
+func (j *journey) note(what string, v *server, status int) {
+	server := ""
+	if v != nil {
+		server = v.entry.ID
+	}
 	j.log.Info(what, zap.String("request", j.call.ID), zap.String("route", j.route.Name), zap.String("service", j.service.Name),
-		zap.Uint64("configuration", j.version), zap.Int("status", status), zap.Int("runs", j.runs), zap.Int("arrivals", j.arrivals),
-		zap.Duration("took", time.Since(j.arrived)), zap.String("reason", j.last))
+		zap.Uint64("configuration", j.version), zap.String("adapter", j.call.Adapter), zap.String("server", server), zap.Int("status", status),
+		zap.Int("arrivals", j.arrivals), zap.Int("runs", j.runs), zap.Duration("took", time.Since(j.arrived)),
+		zap.Duration("first", j.first), zap.Duration("waited", j.waited), zap.Duration("longestGap", j.longestGap), zap.Int("prompt", j.call.PromptTokens),
+		zap.Uint8("residence", uint8(j.seen.Residence)), zap.Int("running", j.seen.Running), zap.Int("waiting", j.seen.Waiting),
+		zap.Duration("delay", j.seen.Delay), zap.Duration("age", j.seen.Age), zap.String("reason", j.last))
 }
 
 // stopsTooSoon is true when a stream would probably not end before this entry
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -59,16 +60,30 @@
 
 func (j *journey) answered(v *server, status int) {
 	answeredCount.Add(1)
-	if j.first > j.route.Target || j.route.Gap > 0 && j.longestGap > j.route.Gap {
+	if j.first == 0 {
+		j.first = time.Since(j.arrived)
+	}
+	firstLatency.Record(j.first)
+	if j.grantedBy != nil {
+		startLatency.Record(j.waited)
+	}
+	late := j.first > j.route.Target || j.route.Gap > 0 && j.longestGap > j.route.Gap
+	switch {
+	case late:
 		lateCount.Add(1)
-		j.log.Info("request answered late", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.String("adapter", j.call.Adapter),
-			zap.Duration("first", j.first), zap.Duration("waited", j.waited), zap.Duration("longestGap", j.longestGap),
-			zap.Int("prompt", j.call.PromptTokens), zap.Int("running", j.seen.Running), zap.Int("waiting", j.seen.Waiting), zap.Uint8("residence", uint8(j.seen.Residence)))
+		j.note("request answered late", v, status)
+	case j.arrivals > 1 || ordinary(j.call.ID):
+		j.note("request answered", v, status)
 	}
-	j.log.Debug("request answered", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.Int("status", status),
-		zap.Uint64("configuration", j.version), zap.Duration("took", time.Since(j.arrived)))
 }
 
+// ordinaryShare is how many answers in time stand for one line in the log: an
+// entry's volume then follows its failures, not its load.
+const ordinaryShare = 16
+
+// ordinary picks the same requests on every entry.
+func ordinary(id string) bool { return xxhash.Sum64String(id)%ordinaryShare == 0 }
+
 // streamBuffer holds what arrives at once.
 const streamBuffer = 4 << 10
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -156,6 +156,7 @@
 	c.Batch, c.MemoryTokens = state.Batch, state.MemoryTokens
 	c.Running, c.Waiting, c.Tokens = state.Running+sent.count, state.Waiting, state.Tokens
 	c.Delay = time.Duration(delayOf(state.DelayMillis, r.Rank)+state.PromptMillis*int64(sent.prompt)/promptUnit) * time.Millisecond
+	c.Age = now.Sub(sent.since)
 	c.LoadTime = time.Duration(state.LoadMillis) * time.Millisecond
 	c.Model = holds(state.Models, model) && !state.Leaving
 	c.Residence = residence(&state, r.Adapter)
@@ -249,8 +250,11 @@
 	asked asked
 }
 
-// asked counts starts and the tokens of their prompts.
-type asked struct{ count, prompt int }
+// asked counts starts, and the tokens of their prompts, since a state was taken.
+type asked struct {
+	count, prompt int
+	since         time.Time
+}
 
 // promptUnit is the number of tokens for which PromptMillis stands.
 const promptUnit = 1000
@@ -285,7 +289,7 @@
 		}
 		known = state
 		a.mu.Lock()
-		a.state, a.asked = state, asked{}
+		a.state, a.asked = state, asked{since: time.Now()}
 		a.mu.Unlock()
 		sleep(ctx, pause)
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -23,6 +23,9 @@
 	CallerListen  string `json:"callerListen"`
 	ReadyListen   string `json:"readyListen"`
 	ControlListen string `json:"controlListen"`
+	// StatusListen serves /debug/vars, the counters and histograms, and
+	// /healthz; empty for none.
+	StatusListen string `json:"statusListen"`
 	// PeerPorts are the first and the last port for traffic between processes,
 	// the same on all machines.
 	PeerPorts []int `json:"peerPorts"`
@@ -93,6 +96,14 @@
 	if len(f.PeerPorts) != portsOfRange || f.PeerPorts[0] <= 0 || f.PeerPorts[1] < f.PeerPorts[0] {
 		p.add("peerPorts", "the first and the last port for traffic between processes are required, such as [7380, 7395]")
 	}
+	for _, listen := range []struct{ path, address string }{
+		{"callerListen", f.CallerListen}, {"readyListen", f.ReadyListen}, {"controlListen", f.ControlListen},
+		{"statusListen", f.StatusListen}, {"engine", f.Engine},
+	} {
+		if listen.address != "" {
+			p.checkAddress(listen.path, listen.address)
+		}
+	}
 	for _, seed := range f.Seeds {
 		p.checkAddress("seeds", seed)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -214,11 +214,8 @@
 	loadWeight = 0.4
 )
 
-// Loads that have ended, and their time in milliseconds.
-var (
-	loadCount  = telemetry.Counter("sidecar_loads")
-	loadMillis = telemetry.Counter("sidecar_load_millis")
-)
+// loadLatency is what loads of adapters took.
+var loadLatency = telemetry.LatencyOf("sidecar_load_millis")
 
 // noteLoaded logs how long the adapters that are there now took.
 func (d *duty) noteLoaded(now time.Time) {
@@ -228,8 +225,7 @@
 		}
 		delete(d.ordered, name)
 		d.loadTime += time.Duration(loadWeight * float64(now.Sub(since)-d.loadTime))
-		loadCount.Add(1)
-		loadMillis.Add(now.Sub(since).Milliseconds())
+		loadLatency.Record(now.Sub(since))
 		d.log.Info("adapter loaded", zap.String("adapter", name), zap.Duration("took", now.Sub(since)), zap.Int("coming", len(d.report.Coming)), zap.Int("waiting", d.table.Waiting()))
 	}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -32,6 +32,7 @@
 	born     int64
 	sequence int64
 	models   []string
+	onDisk   []string
 	adapters map[string]int64
 	coming   map[string]int64
 	orders   []Order
@@ -51,7 +52,7 @@
 		e.mu.Lock()
 		return Report{}, ctx.Err()
 	}
-	return Report{Born: e.born, Sequence: e.sequence, Models: e.models, Adapters: maps.Clone(e.adapters), Coming: maps.Clone(e.coming)}, nil
+	return Report{Born: e.born, Sequence: e.sequence, Models: e.models, OnDisk: e.onDisk, Adapters: maps.Clone(e.adapters), Coming: maps.Clone(e.coming)}, nil
 }
 
 func (e *fakeEngine) Order(ctx context.Context, o Order) (OrderResult, error) {
@@ -265,3 +266,22 @@
 		}
 	})
 }
+
+// Everything loses power. The engine comes back empty and keeps its model on
+// its own disk; the configuration comes later, with the log's leader. Callers
+// would be refused for as long as the agent waits for it.
+func TestALoneModelOnDiskIsLoadedWithoutAConfiguration(t *testing.T) {
+	e := newFakeEngine(t)
+	e.models, e.onDisk = nil, []string{"m"}
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Name: "agent", Service: "llm"}, e, mesh.NewDocuments(nil, zap.NewNop()), zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+	})
+	if orders := e.given(); len(orders) != 1 || !orders[0].Load || orders[0].Model != "m" {
+		t.Errorf("ordered were %+v, want one load of m", orders)
+	}
+}
