--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -11,7 +11,6 @@
 	actions := t.replaceOutdated(now)
 	t.order(now)
 	kept := t.waiting[:0]
-	wanted := t.wanted()
 	for _, r := range t.waiting {
 		if now.After(r.Latest) {
 			actions = append(actions, Refuse{ID: r.ID, Reason: ReasonLate})
@@ -21,16 +20,31 @@
 			actions = append(actions, t.start(&r, now))
 			continue
 		}
-		if r.Adapter != "" {
-			actions = append(actions, t.provide(r.Adapter, wanted, now)...)
-		}
 		kept = append(kept, r)
 	}
 	clear(t.waiting[len(kept):])
 	t.waiting = kept
+	wanted := t.wanted()
+	for _, adapter := range byDemand(t.waiting, wanted) {
+		actions = append(actions, t.provide(adapter, wanted, now)...)
+	}
 	return actions
 }
 
+// byDemand lists the adapters that are waited for, those that most requests
+// wait for first: while the store is slow each load should serve as many as it
+// can.
+func byDemand(waiting []Request, wanted map[string]int) []string {
+	var adapters []string
+	for i := range waiting {
+		if name := waiting[i].Adapter; name != "" && !slices.Contains(adapters, name) {
+			adapters = append(adapters, name)
+		}
+	}
+	slices.SortStableFunc(adapters, func(a, b string) int { return cmp.Compare(wanted[b], wanted[a]) })
+	return adapters
+}
+
 // order sorts what waits: by rank, then those that can still be in time, then
 // as they came. A request that is late already loses less by another second
 // than one that would become late.
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -311,7 +311,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	if j.runs == 0 {
-		j.refuse(j.w, &j.call, j.last, j.retryAfter())
+		after := j.retryAfter()
+		j.note("request not run", nil, http.StatusServiceUnavailable)
+		j.refuse(j.w, &j.call, j.last, after)
 		return
 	}
 	failedCount.Add(1)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -122,6 +122,9 @@
 // streamBroke goes on at another server where the route allows it.
 func (j *journey) streamBroke(v *server, verdict Verdict, err error) step {
 	j.last = "the backend server's stream broke off"
+	if time.Until(j.deadline) <= 0 {
+		j.last = "the time was up in the middle of the stream"
+	}
 	j.log.Info("stream broke off", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.String("lastEvent", j.lastEvent), telemetry.Cause(err))
 	next := j.afterFailure(v, verdict)
 	if next == stepAgain && j.relayed {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,9 +41,13 @@
 	// maxQueue bounds the requests that wait for a start, as a multiple of the
 	// batch: more could not start before their callers give up.
 	maxQueue = 8
-	// loadsAtOnce is how many adapters are on their way to one engine: two keep
-	// the store's knee from being passed when several engines load.
-	loadsAtOnce = 2
+	// loadsAtOnce is how many adapters are on their way to one engine while the
+	// store is calm, and loadsWhenSlow while it is not: it gives all of them
+	// the same in sum, and one after the other the first ones come sooner.
+	loadsAtOnce   = 2
+	loadsWhenSlow = 1
+	// slowLoad is the usual load time from which the store counts as slow.
+	slowLoad = 2 * calmLoad
 )
 
 // Sidecar is the agent.
@@ -153,17 +157,26 @@
 		return
 	}
 	d.index = current.State.Index
-	service := current.Table.Service(d.options.Service)
+	d.setOptions(current.Table)
+	for adapter, version := range current.State.Adapters {
+		d.perform(d.table.Named(adapter, version, now))
+	}
+}
+
+// setOptions tells the table what the engine is, and what the store bears.
+func (d *duty) setOptions(table *route.Table) {
+	service := table.Service(d.options.Service)
 	if service != nil && service.Engine != nil {
 		d.service = service
+		loads := loadsAtOnce
+		if d.loadTime > slowLoad {
+			loads = loadsWhenSlow
+		}
 		d.table.SetOptions(residency.Options{
 			Places: service.Engine.AdapterSlots, Batch: service.Engine.Batch, MemoryTokens: service.Engine.MemoryTokens,
-			Loads: loadsAtOnce, Queue: maxQueue * service.Engine.Batch, Grace: d.options.VersionGrace,
+			Loads: loads, Queue: maxQueue * service.Engine.Batch, Grace: d.options.VersionGrace,
 		})
 	}
-	for adapter, version := range current.State.Adapters {
-		d.perform(d.table.Named(adapter, version, now))
-	}
 }
 
 // ask asks the engine for its report.
@@ -225,6 +238,7 @@
 		}
 		delete(d.ordered, name)
 		d.loadTime += time.Duration(loadWeight * float64(now.Sub(since)-d.loadTime))
+		d.setOptions(d.documents.Current().Table)
 		loadLatency.Record(now.Sub(since))
 		d.log.Info("adapter loaded", zap.String("adapter", name), zap.Duration("took", now.Sub(since)), zap.Int("coming", len(d.report.Coming)), zap.Int("waiting", d.table.Waiting()))
 	}
