Count the loads ahead of an adapter; refuse at once what cannot come in time

Cause: a request for an adapter behind six others waited 2.9 s for it and was refused then; entries did not see that queue.

Change: agents tell how long an adapter that is asked for now takes, the loads before it included; entries choose by it and refuse at once, with that time as Retry-After, what cannot come while the caller waits.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -34,7 +34,7 @@
 	Waiting int
 	// Delay is how long its agent would keep a start waiting.
 	Delay time.Duration
-	// LoadTime is what a load of an adapter took there lately.
+	// LoadTime is how long an adapter that is asked for now would take to come.
 	LoadTime time.Duration
 	// Tokens and MemoryTokens are the memory taken and there; 0 when unknown.
 	Tokens       int
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -217,6 +217,18 @@
 	return []Action{Unload{Adapter: victim}}
 }
 
+// LoadBacklog is how many loads have to end before the one of an adapter that
+// is asked for now can begin.
+func (t *Table) LoadBacklog() int {
+	backlog := t.loadsUnderWay()
+	for name := range t.wanted() {
+		if p := t.places[name]; name != "" && (p == nil || p.version == absent && !p.loading) {
+			backlog++
+		}
+	}
+	return backlog
+}
+
 func (t *Table) loadsUnderWay() int {
 	n := 0
 	for _, p := range t.places {
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -104,6 +104,10 @@
 		j.last, j.comeBack = "no backend server of the service is there", j.untilServers()
 		return stepFail
 	}
+	if left := time.Until(j.startBy()); seen.Residence == dispatch.Absent && j.call.Adapter != "" && seen.Delay+seen.LoadTime > left {
+		j.last, j.comeBack = "the adapter cannot be brought while its caller waits", seen.LoadTime
+		return stepFail
+	}
 	if seen.Delay > time.Until(j.startBy()) {
 		j.last, j.comeBack = "the queues of all engines are longer than its caller waits", seen.Delay
 		return stepFail
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -100,6 +100,12 @@
 // every millisecond.
 const delayStep = 20 * time.Millisecond
 
+// untilLoaded is how long an adapter that is asked for now would take to come.
+func (d *duty) untilLoaded() time.Duration {
+	before := d.table.LoadBacklog() / d.loadsAtOnce()
+	return time.Duration(before+1) * d.loadTime
+}
+
 func delays(of [residency.Ranks]time.Duration) []int64 {
 	rounded := make([]int64, 0, len(of))
 	for _, d := range of {
@@ -116,7 +122,7 @@
 		Known: d.known && d.service != nil, Leaving: d.report.Leaving,
 		Running: d.table.Running(), Waiting: d.table.Waiting(), Tokens: d.table.Tokens(),
 		DelayMillis: delays(d.table.Delay(now)), PromptMillis: d.table.PromptCost().Round(delayStep / 4).Milliseconds(),
-		LoadMillis: d.loadTime.Round(delayStep).Milliseconds(),
+		LoadMillis: d.untilLoaded().Round(delayStep).Milliseconds(),
 		Models:     d.report.Models, Held: held, Stale: stale,
 	}
 	if d.service != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,10 +41,10 @@
 	// maxQueue bounds the requests that wait for a start, as a multiple of the
 	// batch: more could not start before their callers give up.
 	maxQueue = 8
-	// loadsAtOnce is how many adapters are on their way to one engine while the
+	// loadsWhenCalm is how many adapters are on their way to one engine while the
 	// store is calm, and loadsWhenSlow while it is not: it gives all of them
 	// the same in sum, and one after the other the first ones come sooner.
-	loadsAtOnce   = 2
+	loadsWhenCalm = 2
 	loadsWhenSlow = 1
 	// slowLoad is the usual load time from which the store counts as slow.
 	slowLoad = 2 * calmLoad
@@ -168,24 +168,28 @@
 	service := table.Service(d.options.Service)
 	if service != nil && service.Engine != nil {
 		d.service = service
-		loads := loadsAtOnce
-		if d.loadTime > slowLoad {
-			loads = loadsWhenSlow
-		}
 		d.table.SetOptions(residency.Options{
 			Places: service.Engine.AdapterSlots, Batch: service.Engine.Batch, MemoryTokens: service.Engine.MemoryTokens,
-			Loads: loads, Queue: maxQueue * service.Engine.Batch, Grace: d.options.VersionGrace,
+			Loads: d.loadsAtOnce(), Queue: maxQueue * service.Engine.Batch, Grace: d.options.VersionGrace,
 		})
 	}
 }
 
+// loadsAtOnce is how many loads may be under way.
+func (d *duty) loadsAtOnce() int {
+	if d.loadTime > slowLoad {
+		return loadsWhenSlow
+	}
+	return loadsWhenCalm
+}
+
 // ask asks the engine for its report.
-func (s *duty) ask(ctx context.Context) {
+func (d *duty) ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	asked := time.Now()
-	report, err := s.engine.Report(ctx)
-	s.reports <- reported{asked: asked, report: report, err: err}
+	report, err := d.engine.Report(ctx)
+	d.reports <- reported{asked: asked, report: report, err: err}
 }
 
 // take takes the engine's report.
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -79,7 +79,8 @@
 	DelayMillis []int64 `json:"delayMillis"`
 	// PromptMillis is what 1,000 tokens of a prompt add to that.
 	PromptMillis int64 `json:"promptMillis"`
-	// LoadMillis is what a load of an adapter took lately.
+	// LoadMillis is how long an adapter that is asked for now would take to
+	// come, the loads before it included.
 	LoadMillis int64 `json:"loadMillis"`
 	// Models are the base models that it holds.
 	Models []string `json:"models,omitempty"`
