Keep adapters that the engine still uses; permits for the weight store; hold requests that crash servers

Two rules had nobody to keep them: loads of models from the store were bounded by no one, and a request that crashes its servers was run again without end.

Change: coord/residency holds adapters of ended requests until a later report lacks them, and unloads nothing while the engine runs what the agent has not started; the log's leader grants loads from the store at its rate (x/time/rate), agents wait 4 s at most without a leader; entries strike requests whose servers ended under them, tell each other, and refuse them after three. Kept connections count in the choice. Entries pass the newest version that they know with each start.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -43,6 +43,8 @@
 	Answer time.Duration
 	// FailureShare is the share of its recent answers that were failures.
 	FailureShare float64
+	// Connected is true when a kept connection can be used.
+	Connected bool
 	// Barred servers failed just now and get no request until it is time to
 	// try them again.
 	Barred bool
@@ -86,6 +88,9 @@
 	// farCost makes a server of the own data centre win while it is about as
 	// free: bytes between data centres are priced, their latency hardly counts.
 	farCost = 0.04
+	// connectCost is that of a new connection: servers count them, and each may
+	// hold one of their slots for a moment.
+	connectCost = 0.03
 	// waitCost is what a whole target's wait costs an answer in time: some
 	// callers leave, and the next request finds a longer queue.
 	waitCost = 0.25
@@ -172,6 +177,9 @@
 	if c.DataCentre != r.DataCentre {
 		cost += farCost
 	}
+	if !c.Connected {
+		cost += connectCost
+	}
 	if r.Tried[c.ID] {
 		cost += triedCost
 	}
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -153,7 +153,7 @@
 		return nil
 	}
 	p.unloading = false
-	if t.startable(name, p, now) || p.pins > 0 {
+	if t.startable(name, p, now) || p.version != absent && !t.free(p) {
 		return nil
 	}
 	p.loading, p.since = true, now
@@ -170,7 +170,7 @@
 	}
 	for _, name := range t.sortedNames() {
 		p, n := t.places[name], t.newest[name]
-		if p.version == absent || p.version >= n.version || p.loading || p.unloading || p.pins > 0 {
+		if p.version == absent || p.version >= n.version || p.loading || p.unloading || !t.free(p) {
 			continue
 		}
 		p.loading, p.since = true, now
@@ -202,7 +202,7 @@
 		if p.unloading && now.Sub(p.since) < orderPatience {
 			return nil
 		}
-		if p.pins > 0 || p.loading || wanted[name] > 0 || p.version == absent {
+		if !t.free(p) || p.loading || wanted[name] > 0 || p.version == absent {
 			continue
 		}
 		if victim == "" || p.worth(now) < t.places[victim].worth(now) {
--- a/coord/residency/report.go
+++ b/coord/residency/report.go
@@ -38,6 +38,7 @@
 	for _, name := range t.sortedNames() {
 		t.takeAbsent(name, r)
 	}
+	t.takeEnding(r)
 	t.takeRuns(r, now)
 	return t.plan(now)
 }
@@ -69,11 +70,32 @@
 	}
 	p.version = absent
 	p.loading, p.unloading = false, false
-	if p.pins == 0 {
+	if p.pins == 0 && p.ending == 0 {
 		delete(t.places, name)
 	}
 }
 
+// takeEnding lets go of what the engine has stopped running, and counts what
+// nobody here has started. An agent that has restarted knows of none of the
+// engine's requests; to unload an adapter under one of them would cut it off.
+func (t *Table) takeEnding(r Report) {
+	for id, e := range t.ending {
+		if r.Runs[id] || !r.Asked.After(e.at) {
+			continue
+		}
+		delete(t.ending, id)
+		if p := t.places[e.adapter]; p != nil {
+			p.ending--
+		}
+	}
+	t.foreign = 0
+	for id := range r.Runs {
+		if _, known := t.ending[id]; !known && t.started[id] == nil {
+			t.foreign++
+		}
+	}
+}
+
 func (t *Table) takeRuns(r Report, now time.Time) {
 	for id, s := range t.started {
 		if r.Runs[id] {
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -115,8 +115,10 @@
 	loading, unloading bool
 	since              time.Time
 	pins               int
-	use                float64
-	usedAt             time.Time
+	// ending counts the ending requests that used it.
+	ending int
+	use    float64
+	usedAt time.Time
 }
 
 type started struct {
@@ -141,6 +143,12 @@
 	places  map[string]*place
 	waiting []Request
 	started map[string]*started
+	// ending are requests that their callers know to have ended and that the
+	// engine may still run, by id.
+	ending map[string]ending
+	// foreign is how many requests the engine runs that this table has not
+	// started: what they use is not known.
+	foreign int
 	tokens  int
 	leaving bool
 	// newest are the versions that were named, with when this table heard.
@@ -152,6 +160,11 @@
 	refusedUntil time.Time
 }
 
+type ending struct {
+	adapter string
+	at      time.Time
+}
+
 type named struct {
 	version int64
 	at      time.Time
@@ -162,7 +175,7 @@
 
 // New returns a table for an engine that holds nothing.
 func New(options Options) *Table {
-	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), newest: make(map[string]named), parts: make(map[string]map[string]bool)}
+	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), ending: make(map[string]ending), newest: make(map[string]named), parts: make(map[string]map[string]bool)}
 }
 
 // SetOptions changes what is known of the engine.
@@ -201,7 +214,9 @@
 	t.tokens -= s.tokens
 	if p := t.places[s.adapter]; p != nil {
 		p.pins--
+		p.ending++
 		p.touch(now, 0)
+		t.ending[id] = ending{adapter: s.adapter, at: now}
 	}
 	return t.plan(now)
 }
@@ -224,7 +239,7 @@
 // Restarted forgets the engine's state; what was started is lost with it.
 func (t *Table) Restarted() []Action {
 	t.places = make(map[string]*place)
-	t.started = make(map[string]*started)
+	t.started, t.ending, t.foreign = make(map[string]*started), make(map[string]ending), 0
 	t.tokens = 0
 	t.leaving = false
 	t.pace = pace{}
@@ -293,6 +308,9 @@
 	return held, stale
 }
 
+// free is true when no request uses the adapter.
+func (t *Table) free(p *place) bool { return p.pins == 0 && p.ending == 0 && t.foreign == 0 }
+
 func (p *place) touch(now time.Time, by float64) {
 	p.use = p.worth(now) + by
 	p.usedAt = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	pool    *upstream.Pool
 	servers *servers
 	budget  *budget
+	strikes *strikes
 	log     *zap.Logger
 	// stopping is when the planned stop must have ended, in Unix nanoseconds;
 	// 0 while none is under way.
@@ -120,10 +121,12 @@
 // New returns a gateway.
 func New(options Options, edge Edge, m *mesh.Mesh, log *zap.Logger) *Gateway {
 	pool := upstream.NewPool(dialTimeout)
-	return &Gateway{
+	g := &Gateway{
 		options: options, edge: edge, mesh: m, pool: pool, log: log,
-		servers: newServers(options, m, log), budget: newBudget(options, m),
+		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
 	}
+	g.strikes = &strikes{gateway: g}
+	return g
 }
 
 var (
@@ -131,6 +134,7 @@
 	noRouteCount  = telemetry.Counter("gateway_no_route")
 	answeredCount = telemetry.Counter("gateway_answered")
 	lateCount     = telemetry.Counter("gateway_answered_late")
+	heldCount     = telemetry.Counter("gateway_refused_crashing")
 	refusedCount  = telemetry.Counter("gateway_refused")
 	failedCount   = telemetry.Counter("gateway_failed")
 	goneCount     = telemetry.Counter("gateway_callers_gone")
@@ -232,6 +236,7 @@
 			return
 		case now := <-ticker.C:
 			g.pool.Sweep(now, g.servers.keep)
+			g.strikes.settle(now)
 			entries := 0
 			for _, p := range g.mesh.Known() {
 				if p.Entry {
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -61,6 +61,9 @@
 	leastLeft = 15 * time.Millisecond
 )
 
+// refuseCrashing is when a request that crashes servers may be asked for again.
+const refuseCrashing = time.Minute
+
 // step is what to do after a try.
 type step uint8
 
@@ -79,6 +82,11 @@
 		j.refuse(j.w, &j.call, "this entry stops", 0)
 		return
 	}
+	if j.strikes.held(&j.call) {
+		heldCount.Add(1)
+		j.refuse(j.w, &j.call, "this request has crashed several backend servers", refuseCrashing)
+		return
+	}
 	j.budget.began(j.service.Name)
 	for try := 0; try < maxTries && j.ctx.Err() == nil; try++ {
 		if time.Until(j.startBy()) < leastLeft {
@@ -167,7 +175,7 @@
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
 	defer cancel()
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: j.call.ID, Adapter: j.call.Adapter, Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), Parts: j.call.Parts,
+		ID: j.call.ID, Adapter: j.call.Adapter, Version: j.mesh.Documents().Current().State.Adapters[j.call.Adapter], Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), Parts: j.call.Parts,
 		TargetMillis: max(j.route.Target-time.Since(j.arrived), 0).Milliseconds(), WaitMillis: left.Milliseconds(),
 	})
 	switch {
@@ -271,6 +279,7 @@
 		return stepFail
 	}
 	j.last = "the connection to the backend server broke"
+	j.strikes.broke(&j.call, v)
 	j.log.Info("call broke", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), telemetry.Cause(err))
 	return j.afterFailure(v, Verdict{})
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,6 +126,9 @@
 		j.last = "the time was up in the middle of the stream"
 	}
 	j.log.Info("stream broke off", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.String("lastEvent", j.lastEvent), telemetry.Cause(err))
+	if time.Until(j.deadline) > 0 && j.ctx.Err() == nil {
+		j.strikes.broke(&j.call, v)
+	}
 	next := j.afterFailure(v, verdict)
 	if next == stepAgain && j.relayed {
 		resumedCount.Add(1)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -25,6 +25,7 @@
 type servers struct {
 	options Options
 	mesh    *mesh.Mesh
+	pool    *upstream.Pool
 	log     *zap.Logger
 
 	mu     sync.Mutex
@@ -47,8 +48,8 @@
 	gone  bool
 }
 
-func newServers(options Options, m *mesh.Mesh, log *zap.Logger) *servers {
-	return &servers{options: options, mesh: m, log: log, byID: make(map[string]*server)}
+func newServers(options Options, m *mesh.Mesh, pool *upstream.Pool, log *zap.Logger) *servers {
+	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server)}
 }
 
 // refresh takes over the directory when it has changed. The caller holds mu.
@@ -123,7 +124,9 @@
 			continue
 		}
 		known = append(known, v)
-		candidates = append(candidates, v.candidate(service, &r, model, now))
+		c := v.candidate(service, &r, model, now)
+		c.Connected = s.pool.Idle(upstream.Target{Address: v.entry.Address, ID: v.entry.ID}) > 0
+		candidates = append(candidates, c)
 	}
 	at := dispatch.Pick(candidates, r, rand.Float64)
 	if at < 0 {
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -39,13 +39,14 @@
 func newLogHost(m *Mesh) *logHost { return &logHost{mesh: m} }
 
 // identity is the member and the cluster, both empty while the disk cannot be
-// read.
-func (h *logHost) identity() (member, cluster string) {
+// read, and whether this member leads.
+func (h *logHost) identity() (member, cluster string, leads bool) {
 	r := h.current.Load()
 	if r == nil {
-		return "", ""
+		return "", "", false
 	}
-	return string(r.ID()), r.Status().Config.Cluster
+	status := r.Status()
+	return string(r.ID()), status.Config.Cluster, status.Role == replog.Leader
 }
 
 func (h *logHost) run(ctx context.Context) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
 
@@ -72,6 +73,8 @@
 	roster *roster.Roster
 	// direct are the servers that announced themselves here last.
 	direct map[string]bool
+	// strikes are the requests that crashed servers; news of them go to peers.
+	strikes *suspicion.Strikes
 	// progress is closed and replaced when a peer confirms or news arrive.
 	progress chan struct{}
 	duties   sync.WaitGroup
@@ -82,7 +85,7 @@
 func New(options Options, documents *Documents, log *zap.Logger) *Mesh {
 	m := &Mesh{
 		options: options, log: log, documents: documents, started: time.Now(),
-		peers: make(map[string]*peer), roster: roster.New(), direct: make(map[string]bool),
+		peers: make(map[string]*peer), roster: roster.New(), direct: make(map[string]bool), strikes: suspicion.NewStrikes(),
 		progress: make(chan struct{}),
 	}
 	if options.Folder != "" {
@@ -99,7 +102,7 @@
 	self := m.options.Self
 	self.Index = m.documents.Current().State.Index
 	if m.host != nil {
-		self.Member, self.Cluster = m.host.identity()
+		self.Member, self.Cluster, self.Leads = m.host.identity()
 	}
 	return self
 }
@@ -109,6 +112,8 @@
 	handlers := map[string]rpc.Handler{
 		methodSync: rpc.Typed(m.takeGreeting),
 		methodPull: rpc.Typed(m.takePull),
+
+		methodPermit: rpc.Typed(newPermits(m).take),
 	}
 	if m.host != nil {
 		m.host.addHandlers(handlers)
@@ -224,7 +229,7 @@
 	h := xxhash.New()
 	for i := range known {
 		p := &known[i]
-		_, _ = fmt.Fprintf(h, "%s %d %s %s %d\n", p.Address, p.Started, p.Member, p.Cluster, p.Index)
+		_, _ = fmt.Fprintf(h, "%s %d %s %s %t %d\n", p.Address, p.Started, p.Member, p.Cluster, p.Leads, p.Index)
 	}
 	return h.Sum64()
 }
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // Methods of the JSON-RPC interface between processes.
@@ -13,6 +14,7 @@
 	methodPull    = "mesh.pull"
 	methodPropose = "mesh.propose"
 	methodRead    = "mesh.read"
+	methodPermit  = "mesh.permit"
 )
 
 // Process is one process as it describes itself.
@@ -28,6 +30,8 @@
 	// Member and Cluster are its identity in a log and that log, if any.
 	Member  string `json:"member,omitempty"`
 	Cluster string `json:"cluster,omitempty"`
+	// Leads is true for the log's leader.
+	Leads bool `json:"leads,omitempty"`
 	// Index is that of the configuration it acts by.
 	Index uint64 `json:"index,omitempty"`
 	// Started tells its incarnations apart, in Unix nanoseconds.
@@ -39,6 +43,8 @@
 	From Process `json:"from"`
 	// Servers are backend servers whose announcements are news.
 	Servers []roster.Server `json:"servers,omitempty"`
+	// Strikes are news of servers that crashed under a request.
+	Strikes []suspicion.Strike `json:"strikes,omitempty"`
 	// Digest is that of the processes the sender knows.
 	Digest uint64 `json:"digest"`
 }
@@ -76,6 +82,16 @@
 	Command json.RawMessage `json:"command"`
 }
 
+// permitRequest asks for the load of a model from the weight store.
+type permitRequest struct {
+	Service string `json:"service"`
+}
+
+// permitReply grants it.
+type permitReply struct {
+	Granted bool `json:"granted"`
+}
+
 // fate is how a proposal ended.
 type fate struct {
 	Committed bool   `json:"committed"`
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -24,6 +26,8 @@
 	// confirmed is the roster change up to which the peer has heard.
 	confirmed uint64
 	lost      bool
+	// strikes are what the peer has not been told.
+	strikes []suspicion.Strike
 }
 
 func (q *peer) run(ctx context.Context) {
@@ -65,11 +69,11 @@
 
 // greet sends the peer what it may not have heard.
 func (q *peer) greet(ctx context.Context) error {
-	servers, change := q.news()
+	servers, strikes, change := q.news()
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var reply greetingReply
-	err := q.client.Call(ctx, methodSync, greeting{From: q.mesh.Self(), Servers: servers, Digest: digest(q.mesh.Known())}, &reply)
+	err := q.client.Call(ctx, methodSync, greeting{From: q.mesh.Self(), Servers: servers, Strikes: strikes, Digest: digest(q.mesh.Known())}, &reply)
 	if err != nil {
 		q.noteLost(err)
 		return err
@@ -78,6 +82,7 @@
 	q.mesh.learn(reply.From, now)
 	q.mesh.mu.Lock()
 	q.confirmed = max(q.confirmed, change)
+	q.strikes = q.strikes[min(len(strikes), len(q.strikes)):]
 	regained := q.lost
 	q.lost = false
 	for _, p := range reply.Known {
@@ -108,7 +113,7 @@
 
 // news lists the servers that the peer has not confirmed: those that announced
 // themselves here, and of the others what says more than that they live.
-func (q *peer) news() ([]roster.Server, uint64) {
+func (q *peer) news() ([]roster.Server, []suspicion.Strike, uint64) {
 	m := q.mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -118,7 +123,7 @@
 			servers = append(servers, e.Server)
 		}
 	}
-	return servers, m.roster.Change()
+	return servers, slices.Clone(q.strikes), m.roster.Change()
 }
 
 // wake sends news at once.
@@ -132,18 +137,18 @@
 func (m *Mesh) takeGreeting(_ context.Context, in greeting) (greetingReply, error) {
 	now := time.Now()
 	m.learn(in.From, now)
-	relay := false
 	m.mu.Lock()
 	for _, s := range in.Servers {
-		news, material := m.roster.Take(s, now)
-		relay = relay || material
-		if news {
+		if news, _ := m.roster.Take(s, now); news {
 			delete(m.direct, s.ID)
 		}
 	}
 	if len(in.Servers) > 0 {
 		m.noteProgress()
 	}
+	for _, strike := range in.Strikes {
+		m.strikes.Take(strike, now)
+	}
 	m.mu.Unlock()
 	reply := greetingReply{From: m.Self(), Known: m.Known()}
 	if digest(reply.Known) == in.Digest {
@@ -152,6 +157,40 @@
 	return reply, nil
 }
 
+// maxStrikesUntold bounds the strikes that wait for a peer that is away.
+const maxStrikesUntold = 256
+
+// Strike tells all entries that a server crashed under a request.
+func (m *Mesh) Strike(strike suspicion.Strike) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.strikes.Take(strike, time.Now()) {
+		return
+	}
+	m.log.Warn("a backend server ended while it ran a request", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("server", strike.Server))
+	for _, q := range m.peers {
+		if len(q.strikes) < maxStrikesUntold {
+			q.strikes = append(q.strikes, strike)
+		}
+	}
+	m.wakeAll()
+}
+
+// Held is true for a request that has crashed too many servers.
+func (m *Mesh) Held(fingerprint uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.strikes.Held(fingerprint, time.Now())
+}
+
+// Ended is true when a server is known to be gone or to have started anew.
+func (m *Mesh) Ended(id string, born int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.roster.Get(id)
+	return !ok || e.Gone || e.Born != born
+}
+
 // Announce takes what a backend server says of itself. For news that others
 // must act on it returns once the entries that can be reached have confirmed
 // them, or ErrParted.
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -61,6 +61,9 @@
 	}
 	now := time.Now()
 	d.waiters[in.ID] = reply
+	if in.Version > 0 {
+		d.perform(d.table.Named(in.Adapter, in.Version, now))
+	}
 	parts := make([]residency.Part, 0, len(in.Parts))
 	for _, part := range in.Parts {
 		parts = append(parts, residency.Part(part))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,6 +24,9 @@
 	// VersionGrace is how long an outdated adapter may still be started; a part
 	// of the time in which a named version must be in force.
 	VersionGrace time.Duration
+	// Permit asks whether a model may be loaded from the weight store; since is
+	// when the asking began. Without it none is asked for.
+	Permit func(ctx context.Context, service string, since time.Time) bool
 }
 
 const (
@@ -88,6 +91,11 @@
 	ordered map[string]time.Time
 	// loadTime is what loads took lately.
 	loadTime time.Duration
+	// emptySince is since when the engine holds no model; asking is true while a
+	// permit to load one from the store is asked for, permitted when it came.
+	emptySince time.Time
+	asking     bool
+	permitted  bool
 	// summed is when the engine was last summed up in the log.
 	summed time.Time
 }
@@ -127,7 +135,7 @@
 		case <-timer.C:
 			go d.ask(ctx)
 		case r := <-d.reports:
-			d.take(r)
+			d.take(ctx, r)
 			timer.Reset(d.pause())
 		case r := <-d.results:
 			d.ordering = false
@@ -193,7 +201,7 @@
 }
 
 // take takes the engine's report.
-func (d *duty) take(r reported) {
+func (d *duty) take(ctx context.Context, r reported) {
 	report, now := r.report, time.Now()
 	if r.err != nil {
 		if d.known {
@@ -221,7 +229,7 @@
 		runs[id] = true
 	}
 	d.perform(d.table.Take(residency.Report{Held: report.Adapters, Coming: report.Coming, Runs: runs, Waiting: report.Waiting, Asked: r.asked}, now))
-	d.provideModel()
+	d.provideModel(ctx, now)
 }
 
 const (
@@ -266,15 +274,35 @@
 // provideModel loads the base model into an engine that holds none: one that
 // was added, or that restarted. What lies on its own disk is loaded without
 // waiting for the configuration: after a loss of power that comes later.
-func (d *duty) provideModel() {
+func (d *duty) provideModel(ctx context.Context, now time.Time) {
 	if len(d.report.Models) > 0 || d.report.Busy || d.report.Leaving || len(d.orders) > 0 || d.ordering {
+		d.emptySince = time.Time{}
 		return
 	}
-	if model := d.modelToLoad(); model != "" {
+	if d.emptySince.IsZero() {
+		d.emptySince = now
+	}
+	model := d.modelToLoad()
+	switch {
+	case model == "" || d.asking:
+	case d.permitted || d.options.Permit == nil || slices.Contains(d.report.OnDisk, model):
+		d.permitted = false
 		d.orders = append(d.orders, Order{Load: true, Model: model})
+	default:
+		d.askPermit(ctx)
 	}
 }
 
+// askPermit asks beside the duty; the answer comes through the ring of calls.
+func (d *duty) askPermit(ctx context.Context) {
+	d.asking = true
+	since := d.emptySince
+	go func() {
+		granted := d.options.Permit(ctx, d.options.Service, since)
+		_ = d.submit(func(d *duty) { d.asking, d.permitted = false, granted })
+	}()
+}
+
 // modelToLoad prefers one of which the engine keeps a copy: it is there sooner
 // and costs the weight store nothing.
 func (d *duty) modelToLoad() string {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -176,6 +176,13 @@
 	p.idle[target] = append(p.idle[target], c)
 }
 
+// Idle is how many connections to a server are kept.
+func (p *Pool) Idle(target Target) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[target])
+}
+
 // Sweep closes connections that have expired, and all of servers for which
 // keep is false.
 func (p *Pool) Sweep(now time.Time, keep func(Target) bool) {
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -19,6 +19,9 @@
 	ID string `json:"id"`
 	// Adapter is model/adapter; empty for the base model alone.
 	Adapter string `json:"adapter,omitempty"`
+	// Version is the newest of the adapter that the entry has heard of, 0 when
+	// none was named: the agent may not have heard of it yet.
+	Version int64 `json:"version,omitempty"`
 	// Rank orders waiting requests; 0 goes first.
 	Rank int `json:"rank,omitempty"`
 	// Prompt is the number of tokens to read, Tokens the most engine memory
