Test the gateway's budget, events and strikes; log servers' own failures; split the agent's orders

Change: tests; one line for each 5xx of a server; internal/sidecar/orders.go holds the orders; an unused method is gone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,8 +29,6 @@
 	Judge(status int, header http.Header) Verdict
 	// IDHeader is the header that carries a request's id.
 	IDHeader() string
-	// ResumeHeader is the header that names the last event that arrived.
-	ResumeHeader() string
 }
 
 // Call is one attempt of a caller.
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/internal/mesh"
+)
+
+// Many entries see the same servers fail. What they repeat together must stay
+// under the deployment's bound, or the repeats bury the servers that are left.
+func TestAllEntriesTogetherKeepTheBoundOfRepeats(t *testing.T) {
+	options := Options{RepeatRatio: 0.2, RepeatSlack: 58}
+	for _, entries := range []int{1, 8, 40} {
+		requests, repeats := 0, 0
+		for range entries {
+			b := newBudget(options, nil)
+			b.noteEntries(entries)
+			for range 200 {
+				requests++
+				b.began("s")
+				for b.take("s") {
+					repeats++
+				}
+			}
+		}
+		if bound := options.RepeatRatio*float64(requests) + options.RepeatSlack; float64(repeats) > bound {
+			t.Errorf("%d entries repeat %d of %d requests, the bound is %.0f", entries, repeats, requests, bound)
+		}
+		if repeats == 0 {
+			t.Errorf("%d entries repeat nothing", entries)
+		}
+	}
+}
+
+func TestServicesDoNotUseUpEachOthersRepeats(t *testing.T) {
+	b := newBudget(Options{RepeatRatio: 0.2, RepeatSlack: 10}, nil)
+	for b.take("failing") {
+	}
+	if !b.take("healthy") {
+		t.Error("a service whose servers are healthy has no repeat left")
+	}
+}
+
+// A stream comes in pieces that end anywhere. What is passed on must be whole
+// events, and the last id that of the last whole one.
+func TestEventsArePassedOnWhole(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+	for size := 1; size <= len(stream); size++ {
+		var b eventBuffer
+		var passed strings.Builder
+		for at := 0; at < len(stream); at += size {
+			piece := b.add([]byte(stream[at:min(at+size, len(stream))]))
+			if len(piece) > 0 && !strings.HasSuffix(string(piece), "\n\n") {
+				t.Fatalf("in pieces of %d: %q is not whole", size, piece)
+			}
+			passed.Write(piece)
+		}
+		if passed.String()+string(b.rest()) != stream || b.lastID("0") != "2" {
+			t.Errorf("in pieces of %d: passed %q, left %q, last id %q", size, passed.String(), b.rest(), b.lastID("0"))
+		}
+	}
+	var empty eventBuffer
+	if got := empty.lastID("7"); got != "7" {
+		t.Errorf("without events the last id is %q, want the one before", got)
+	}
+}
+
+// A request breaks at server after server. Only where a server turns out to have
+// ended does it count against the request; after three of them it is held.
+func TestOnlyServersThatEndedCountAgainstARequest(t *testing.T) {
+	m := mesh.New(mesh.Options{Self: mesh.Process{Address: "127.0.0.1:1", Entry: true}}, mesh.NewDocuments(nil, zap.NewNop()), zap.NewNop())
+	g := New(Options{}, nil, m, zap.NewNop())
+	call := &Call{Method: "POST", URI: "/x", Body: []byte("body")}
+	now := time.Now()
+	for _, id := range []string{"a", "b", "c"} {
+		alive := roster.Server{ID: id, Born: 1, Sequence: 1, Service: "s", Address: id + ":1"}
+		if err := m.Announce(t.Context(), alive); err != nil {
+			t.Fatal(err)
+		}
+		g.strikes.broke(call, &server{entry: roster.Entry{Server: alive}})
+	}
+	g.strikes.settle(now)
+	if g.strikes.held(call) {
+		t.Fatal("the request is held although all servers go on")
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if err := m.Leave(t.Context(), id, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.strikes.settle(now)
+	if !g.strikes.held(call) {
+		t.Error("three servers ended under the request and it is not held")
+	}
+	other := *call
+	other.Body = []byte("other")
+	if g.strikes.held(&other) || g.strikes.held(&Call{Method: "GET", URI: "/x"}) {
+		t.Error("another request is held")
+	}
+}
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -247,6 +247,8 @@
 	}
 	if response.Status >= http.StatusInternalServerError {
 		j.servers.learned(v, verdict, func(h *dispatch.Health) { h.Failed(time.Now()) })
+		j.log.Info("backend server failed", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.Int("status", response.Status),
+			zap.Int("runs", j.runs), zap.Bool("repeat", j.mayRepeat()))
 		if j.mayRepeat() {
 			response.Abort()
 			j.last = "the backend server failed"
--- /dev/null
+++ b/internal/sidecar/orders.go
@@ -0,0 +1,124 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+// provideModel loads the base model into an engine that holds none: one that
+// was added, or that restarted. What lies on its own disk is loaded without
+// waiting for the configuration: after a loss of power that comes later.
+func (d *duty) provideModel(ctx context.Context, now time.Time) {
+	if len(d.report.Models) > 0 || d.report.Busy || d.report.Leaving || len(d.orders) > 0 || d.ordering {
+		d.emptySince = time.Time{}
+		return
+	}
+	if d.emptySince.IsZero() {
+		d.emptySince = now
+	}
+	model := d.modelToLoad()
+	switch {
+	case model == "" || d.asking:
+	case d.permitted || d.options.Permit == nil || slices.Contains(d.report.OnDisk, model):
+		d.permitted = false
+		d.orders = append(d.orders, Order{Load: true, Model: model})
+	default:
+		d.askPermit(ctx)
+	}
+}
+
+// askPermit asks beside the duty; the answer comes through the ring of calls.
+func (d *duty) askPermit(ctx context.Context) {
+	d.asking = true
+	since := d.emptySince
+	go func() {
+		granted := d.options.Permit(ctx, d.options.Service, since)
+		_ = d.submit(func(d *duty) { d.asking, d.permitted = false, granted })
+	}()
+}
+
+// modelToLoad prefers one of which the engine keeps a copy: it is there sooner
+// and costs the weight store nothing.
+func (d *duty) modelToLoad() string {
+	if d.service == nil {
+		if len(d.report.OnDisk) == 1 {
+			return d.report.OnDisk[0]
+		}
+		return ""
+	}
+	for _, m := range d.service.Engine.Models {
+		if slices.Contains(d.report.OnDisk, m.Name) {
+			return m.Name
+		}
+	}
+	if len(d.service.Engine.Models) == 0 {
+		return ""
+	}
+	return d.service.Engine.Models[0].Name
+}
+
+// giveOrder gives the next order, one at a time: each names the count that the
+// one before leaves.
+func (d *duty) giveOrder(ctx context.Context) {
+	if d.ordering || !d.known {
+		return
+	}
+	var order Order
+	switch {
+	case d.unanswered != nil:
+		// Until a newer order is accepted the unanswered one may still be carried
+		// out; the same order again settles both.
+		order = *d.unanswered
+	case len(d.orders) > 0:
+		order = d.orders[0]
+		d.orders = d.orders[1:]
+	default:
+		return
+	}
+	order.Sequence, order.Holder, order.Token = d.sequence, d.options.Name, d.token
+	d.unanswered, d.ordering = nil, true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		result, err := d.engine.Order(ctx, order)
+		d.results <- ordered{order: order, result: result, err: err}
+	}()
+}
+
+// finish takes the result of an order.
+func (d *duty) finish(r ordered) {
+	order, now := r.order, time.Now()
+	d.log.Info("order", zap.Bool("load", order.Load), zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Int64("version", order.Version),
+		zap.Int64("sequence", order.Sequence), zap.Uint8("result", uint8(r.result)), telemetry.Cause(r.err))
+	name := order.Model + "/" + order.Adapter
+	switch r.result {
+	case OrderAccepted, OrderDone:
+		if r.result == OrderAccepted || !order.Load {
+			d.sequence++
+		}
+		if order.Load && r.result == OrderAccepted && order.Adapter != "" {
+			d.ordered[name] = now
+		}
+		if !order.Load && r.result == OrderDone {
+			d.perform(d.table.Unloaded(name, now))
+		}
+		return
+	case OrderUnknown:
+		if order.Sequence >= d.sequence {
+			d.unanswered = &order
+		}
+		return
+	case OrderFenced:
+		d.token += fenceStep
+	}
+	d.perform(d.table.Ordered(name, false, now))
+}
+
+// fenceStep raises the fencing number past one that an earlier start of this
+// agent used under a clock that ran ahead.
+const fenceStep = 1 << 32
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -155,6 +155,8 @@
 		if took := time.Since(began); took > loadTime+2*busyPoll {
 			t.Errorf("the start took %s for a load of %s", took, loadTime)
 		}
+		// The state is shown behind the answer.
+		synctest.Wait()
 		state, _ := s.state.get()
 		if !state.Known || state.Running != 1 || len(state.Held) != 1 {
 			t.Errorf("entries see %+v", state)
@@ -253,6 +255,7 @@
 	e := newFakeEngine(t)
 	run(t, e, func(t *testing.T, s *Sidecar) {
 		admit(t, s, "r1", "m/a")
+		synctest.Wait()
 		first, err := s.watch(t.Context(), wire.StartWatch{})
 		if err != nil || len(first.Held) != 1 {
 			t.Fatalf("first watch: %+v, %v", first, err)
@@ -260,6 +263,7 @@
 		if _, err := s.done(t.Context(), wire.StartDone{IDs: []string{"r1"}}); err != nil {
 			t.Fatal(err)
 		}
+		synctest.Wait()
 		second, err := s.watch(t.Context(), wire.StartWatch{Change: first.Change, HeldChange: first.HeldChange, WaitMillis: 1000})
 		if err != nil || second.Running != 0 || second.Held != nil || second.HeldChange != first.HeldChange {
 			t.Errorf("second watch: %+v, %v", second, err)
