Count dropped lines where the log is made

Cause: TestEveryCounterIsOnTheOperatorsPage was red on: the counter had moved into the package that it scans calls of. Change: the process hands the counter to the log.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,6 +79,9 @@
 	duties   sync.WaitGroup
 }
 
+// linesDropped counts lines that the bounded log left out.
+var linesDropped = telemetry.Counter("log_lines_dropped")
+
 // Run runs a role by the settings at a path until the platform stops the
 // process.
 func Run(role, path string, platform Platform) error {
@@ -88,7 +91,7 @@
 	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit())))
-	log := telemetry.NewBoundedLogger(s.Instance)
+	log := telemetry.NewBoundedLogger(s.Instance, linesDropped)
 	defer func() { _ = log.Sync() }()
 	p := &process{platform: platform, settings: s, log: log}
 	log.Info("start", zap.String("role", role), zap.Strings("seeds", s.Seeds), zap.Bool("bootstrap", s.Bootstrap), zap.String("dataFolder", s.DataFolder))
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"expvar"
 	"os"
 	"time"
 
@@ -12,22 +13,19 @@
 // processor more than the requests do.
 const logBurst = 30
 
-// linesDropped counts lines beyond logBurst.
-var linesDropped = Counter("log_lines_dropped")
-
 // NewBoundedLogger returns a logger that writes JSON lines to standard output,
-// at most logBurst of one text in a second.
-func NewBoundedLogger(instance string) *zap.Logger {
+// at most logBurst of one text in a second; dropped counts the rest.
+func NewBoundedLogger(instance string, dropped *expvar.Int) *zap.Logger {
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeDuration = zapcore.MillisDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stdout), zap.InfoLevel)
-	return zap.New(bounded(core)).With(zap.String("instance", instance))
+	return zap.New(bounded(core, dropped)).With(zap.String("instance", instance))
 }
 
-func bounded(core zapcore.Core) zapcore.Core {
+func bounded(core zapcore.Core, dropped *expvar.Int) zapcore.Core {
 	return zapcore.NewSamplerWithOptions(core, time.Second, logBurst, 0, zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 		if decision&zapcore.LogDropped != 0 {
-			linesDropped.Add(1)
+			dropped.Add(1)
 		}
 	}))
 }
