Follow an agent across the restarts of its engine

Trace: r22 got 421 from the incarnation before; the next one was known at once, but as a server with a new follower of its agent, whose state was not there yet; an entry that knows nothing of an agent sends without its grant, and the agent, which had not started r22, unloaded its adapter 52 ms later.

Change: entries follow an agent by its address, so that what is known of it outlives the engine's incarnation.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -31,6 +31,9 @@
 	mu     sync.Mutex
 	change uint64
 	byID   map[string]*server
+	// agents are followed by their address, and outlive the incarnations of
+	// their engines.
+	agents map[string]*agentClient
 }
 
 // server is one incarnation.
@@ -45,11 +48,10 @@
 	toldAt  time.Time
 	// agent is nil for plain services.
 	agent *agentClient
-	gone  bool
 }
 
 func newServers(options Options, m *mesh.Mesh, pool *upstream.Pool, log *zap.Logger) *servers {
-	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server)}
+	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server), agents: make(map[string]*agentClient)}
 }
 
 // refresh takes over the directory when it has changed. The caller holds mu.
@@ -65,9 +67,6 @@
 		seen[e.ID] = true
 		known := s.byID[e.ID]
 		if known == nil || known.entry.Born != e.Born || known.entry.Address != e.Address {
-			if known != nil {
-				known.end()
-			}
 			known = &server{}
 			s.byID[e.ID] = known
 		}
@@ -76,10 +75,18 @@
 			known.agent = s.watch(ctx, e.Address, e.DataCentre == s.options.DataCentre)
 		}
 	}
+	followed := make(map[*agentClient]bool)
 	for id, known := range s.byID {
 		if !seen[id] {
-			known.end()
 			delete(s.byID, id)
+			continue
+		}
+		followed[known.agent] = true
+	}
+	for address, agent := range s.agents {
+		if !followed[agent] {
+			agent.stop()
+			delete(s.agents, address)
 		}
 	}
 }
@@ -89,24 +96,24 @@
 	return found != nil && found.Engine != nil
 }
 
-func (v *server) end() {
-	v.gone = true
-	if v.agent != nil {
-		v.agent.stop()
-	}
-}
-
-// watch follows the agent on an engine's machine.
+// watch follows the agent on an engine's machine. An engine that has restarted
+// has the same agent: what is known of it stands, and the first requests to the
+// new incarnation ask it as all others do.
 func (s *servers) watch(ctx context.Context, engineAddress string, near bool) *agentClient {
 	host, _, err := net.SplitHostPort(engineAddress)
 	if err != nil {
 		return nil
 	}
+	address := net.JoinHostPort(host, s.options.AgentPort)
+	if known := s.agents[address]; known != nil {
+		return known
+	}
 	ctx, stop := context.WithCancel(ctx)
-	a := &agentClient{stop: stop, pause: watchPause, client: rpc.NewClient(net.JoinHostPort(host, s.options.AgentPort))}
+	a := &agentClient{stop: stop, pause: watchPause, client: rpc.NewClient(address)}
 	if !near {
 		a.pause = watchPauseFar
 	}
+	s.agents[address] = a
 	go a.run(ctx)
 	return a
 }
