Give a resumed stream its caller's patience anew; hand the leadership over beside the stop

Cause, both found by reading: a resumable stream that broke more than 2.9 s after its request came was cut, since the time for a start was counted from the request; and a planned stop of the log's leader without a quorum waited for the transfer for the whole time that it has, so that requests that came meanwhile were cut at its end.

Change: the time counts from the last event; the transfer runs beside the stop, for 3 s at most. TestAStreamThatBreaksLateMayGoOn failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -258,6 +258,15 @@
 	p.mesh.SetSeeds(p.peerSeeds(s.Seeds))
 }
 
+// handOverTimeout bounds the transfer of the log's leadership.
+const handOverTimeout = 3 * time.Second
+
+func (p *process) handOver(ctx context.Context) {
+	ctx, end := context.WithTimeout(ctx, handOverTimeout)
+	defer end()
+	p.mesh.Stop(ctx)
+}
+
 // stop lets what is under way end.
 func (p *process) stop(cancel func()) {
 	p.log.Info("stop begins")
@@ -265,7 +274,9 @@
 	defer end()
 	if p.gateway != nil {
 		p.gateway.Stop()
-		p.mesh.Stop(ctx)
+		// Without a quorum nobody takes the leadership over; callers' requests
+		// must have their time all the same.
+		go p.handOver(ctx)
 		notice := time.NewTimer(balancerNotice)
 		<-notice.C
 		if err := p.callers.Shutdown(ctx); err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 )
 
@@ -103,3 +104,24 @@
 		t.Error("another request is held")
 	}
 }
+
+// A resumable stream breaks long after its request came. Its caller waits for
+// the next event as long as for the first one, so it must go on elsewhere.
+func TestAStreamThatBreaksLateMayGoOn(t *testing.T) {
+	now := time.Now()
+	j := &journey{
+		route:   &route.Route{Kind: route.KindStream, Resumable: true, Target: time.Second, Gap: 300 * time.Millisecond},
+		arrived: now.Add(-10 * time.Second), deadline: now.Add(20 * time.Second),
+	}
+	if !j.startBy().Before(now) {
+		t.Error("a request without an event for 10 s may still start")
+	}
+	j.eventAt = now.Add(-100 * time.Millisecond)
+	if by := j.startBy(); !by.After(now) || by.After(j.deadline) {
+		t.Errorf("a stream with an event just now may go on until %s from now", by.Sub(now))
+	}
+	j.deadline = now.Add(time.Second)
+	if by := j.startBy(); by.After(j.deadline) {
+		t.Error("it may go on behind its deadline")
+	}
+}
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -178,7 +178,8 @@
 	defer cancel()
 	j.starts++
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: j.call.ID, Try: j.starts, Adapter: j.call.Adapter, Version: j.mesh.Documents().Current().State.Adapters[j.call.Adapter], Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), Parts: j.call.Parts,
+		ID: j.call.ID, Try: j.starts, Adapter: j.call.Adapter, Version: j.mesh.Documents().Current().State.Adapters[j.call.Adapter],
+		Rank: j.route.Priority, Prompt: j.call.PromptTokens, Tokens: j.tokens(), Parts: j.call.Parts,
 		TargetMillis: max(j.route.Target-time.Since(j.arrived), 0).Milliseconds(), WaitMillis: left.Milliseconds(),
 	})
 	switch {
@@ -208,13 +209,18 @@
 	readReserve = 350 * time.Millisecond
 )
 
-// startBy is when a start is of no use any more.
+// startBy is when a start is of no use any more. A stream that goes on at another
+// server has its caller's patience anew from its last event.
 func (j *journey) startBy() time.Time {
 	if j.route.Kind != route.KindStream {
 		return j.deadline
 	}
 	patience := max(patienceLeast, patienceTargets*j.route.Target, patienceGaps*j.route.Gap)
-	by := j.arrived.Add(patience - readReserve)
+	from := j.arrived
+	if j.eventAt.After(from) {
+		from = j.eventAt
+	}
+	by := from.Add(patience - readReserve)
 	if by.After(j.deadline) {
 		return j.deadline
 	}
