--- a/coord/founding/founding.go
+++ b/coord/founding/founding.go
@@ -9,15 +9,23 @@
 
 import (
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/overlay"
 )
 
+// MostMembers bounds the log: each change costs its leader a message to every
+// member. It is the number of instances that the design size sets aside for
+// control; 9 voters bear the loss of 4.
+const MostMembers = 9
+
 // Settle is how long a process waits after its start: all processes start
 // within some hundred milliseconds, and a greeting takes one exchange.
 const Settle = 1500 * time.Millisecond
 
 // Process is one process as its greeting described it.
 type Process struct {
-	Address string
+	Address    string
+	DataCentre string
 	// Disk is true when it can hold the log.
 	Disk bool
 	// Member is its identity in a log.
@@ -39,12 +47,13 @@
 	Known []Process
 }
 
-// Decide reports whether to found the log, and with whom.
+// Decide reports whether to found the log, and with whom: itself and others with
+// a disk, over all data centres alike.
 func Decide(v View) (founders []Process, found bool) {
 	if !v.Bootstrap || !v.Self.Disk || v.Self.Cluster != "" || v.Up < Settle || v.SeedsSilent > 0 {
 		return nil, false
 	}
-	founders = []Process{v.Self}
+	var others []Process
 	for _, p := range v.Known {
 		if p.Cluster != "" {
 			return nil, false
@@ -55,7 +64,9 @@
 		if p.Address < v.Self.Address {
 			return nil, false
 		}
-		founders = append(founders, p)
+		others = append(others, p)
 	}
-	return founders, true
+	others = overlay.Spread(others, func(p Process) (string, string) { return p.DataCentre, p.Address })
+	founders = append([]Process{v.Self}, others...)
+	return founders[:min(len(founders), MostMembers)], true
 }
--- a/coord/founding/founding_test.go
+++ b/coord/founding/founding_test.go
@@ -1,6 +1,7 @@
 package founding
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -59,6 +60,51 @@
 	}
 }
 
+// More machines have a disk than the log takes members. It must not grow with
+// the deployment, and must not stand in one data centre alone.
+func TestTheLogIsFoundedWithAFewOfAllDataCentres(t *testing.T) {
+	var all []Process
+	for i := range 40 {
+		p := process(fmt.Sprintf("10.0.%d.%02d:1", i/10, i%10), true)
+		p.DataCentre = fmt.Sprint("dc", i/10)
+		all = append(all, p)
+	}
+	founders, found := Decide(View{Self: all[0], Bootstrap: true, Up: Settle, Known: all[1:]})
+	if !found || len(founders) != MostMembers {
+		t.Fatalf("founded = %v with %d members, want %d", found, len(founders), MostMembers)
+	}
+	centres := make(map[string]int)
+	for _, p := range founders {
+		centres[p.DataCentre]++
+	}
+	for centre, n := range centres {
+		if len(centres) != 4 || n > MostMembers/2 {
+			t.Errorf("%d of the members stand in %s of %d data centres", n, centre, len(centres))
+		}
+	}
+}
+
+func TestAFullLogTakesOnlyThoseWhoReplaceAMember(t *testing.T) {
+	m := Membership{Self: "0", Cluster: "c", Losses: 1}
+	for i := range MostMembers {
+		id := fmt.Sprint(i)
+		m.Members = append(m.Members, voter(id, "a"+id))
+		m.Known = append(m.Known, seen(id, "a"+id, "c", 0))
+	}
+	m.Known = append(m.Known, seen("spare", "b", "", 0))
+	if got := NextChange(m); got.Kind != ChangeNone {
+		t.Errorf("next is %+v, want none: the log is full", got)
+	}
+	m.Known[1] = seen("1'", "a1", "", 0)
+	if got := NextChange(m); got != (Change{ChangeAdd, "1'", "a1"}) {
+		t.Errorf("next is %+v, want the member with the empty disk added anew", got)
+	}
+	m.Known[1] = seen("1", "a1", "c", lost+time.Second)
+	if got := NextChange(m); got != (Change{ChangeRemove, "1", "a1"}) {
+		t.Errorf("next is %+v, want the lost member removed, to make room", got)
+	}
+}
+
 func voter(id, address string) Member {
 	return Member{ID: id, Address: address, Voter: true, CaughtUp: true}
 }
--- a/coord/founding/members.go
+++ b/coord/founding/members.go
@@ -114,8 +114,9 @@
 func (v *Membership) add() Change {
 	learners := 0
 	known := make(map[string]bool, len(v.Members))
+	places := make(map[string]bool, len(v.Members))
 	for _, m := range v.Members {
-		known[m.ID] = true
+		known[m.ID], places[m.Address] = true, true
 		if !m.Voter {
 			learners++
 		}
@@ -127,6 +128,10 @@
 		if !s.Disk || known[s.Member] || s.Silent > present || s.Cluster != "" && s.Cluster != v.Cluster {
 			continue
 		}
+		// One that came back with an empty disk takes its own former place.
+		if len(v.Members) >= MostMembers && !places[s.Address] {
+			continue
+		}
 		return Change{Kind: ChangeAdd, Member: s.Member, Address: s.Address}
 	}
 	return Change{}
--- /dev/null
+++ b/coord/overlay/overlay_test.go
@@ -0,0 +1,134 @@
+package overlay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func nodes(n, disks int) []Node {
+	list := make([]Node, 0, n)
+	for i := range n {
+		list = append(list, Node{Address: fmt.Sprintf("10.%d.0.%d:1", i%4, i/4), DataCentre: fmt.Sprint("dc", i%4), Disk: i < disks})
+	}
+	return list
+}
+
+func without(list []Node, address string) []Node {
+	return slices.DeleteFunc(slices.Clone(list), func(n Node) bool { return n.Address == address })
+}
+
+func TestAFewGreetAll(t *testing.T) {
+	all := nodes(MostHubs, 4)
+	for _, self := range all {
+		if greeted := Greet(self, without(all, self.Address)); len(greeted) != MostHubs-1 {
+			t.Errorf("%s greets %d of %d others", self.Address, len(greeted), MostHubs-1)
+		}
+	}
+}
+
+// At the size to design for nobody may greet everybody.
+func TestManyGreetHubs(t *testing.T) {
+	const size = 370
+	all := nodes(size, 9)
+	for i := range 9 {
+		all[i].Member = true
+	}
+	greetedBy := make(map[string]int)
+	for _, self := range all {
+		greeted := Greet(self, without(all, self.Address))
+		if want := hubsEach; self.Disk {
+			want = MostHubs - 1
+			if len(greeted) != want {
+				t.Errorf("the member %s greets %d, want all %d other hubs", self.Address, len(greeted), want)
+			}
+		}
+		for _, address := range greeted {
+			greetedBy[address]++
+		}
+	}
+	if len(greetedBy) != MostHubs {
+		t.Fatalf("%d processes are greeted, want %d hubs", len(greetedBy), MostHubs)
+	}
+	const fairShare = hubsEach*size/MostHubs + MostHubs
+	for address, n := range greetedBy {
+		if n > 2*fairShare {
+			t.Errorf("the hub %s is greeted by %d, a fair share is %d", address, n, fairShare)
+		}
+	}
+}
+
+// A hub falls silent. Its processes would not hear of leaving servers, and send
+// them work that is cut off.
+func TestALostHubIsReplaced(t *testing.T) {
+	all := nodes(40, 4)
+	self := all[39]
+	others := without(all, self.Address)
+	before := Greet(self, others)
+	for i := range others {
+		others[i].Lost = others[i].Address == before[0]
+	}
+	after := Greet(self, others)
+	if slices.Contains(after, before[0]) || len(after) != hubsEach {
+		t.Errorf("it greets %v, want other hubs than the lost %s", after, before[0])
+	}
+	for i := range others {
+		others[i].Lost = true
+	}
+	if alone := Greet(self, others); len(alone) != hubsEach {
+		t.Errorf("with all hubs lost it greets %v, want it to go on trying", alone)
+	}
+}
+
+// News must reach everybody over greetings in either direction, whatever the
+// deployment and whichever process is lost.
+func TestGreetingsJoinAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := nodes(rapid.IntRange(2, 120).Draw(t, "size"), rapid.IntRange(0, 12).Draw(t, "disks"))
+		lost := all[rapid.IntRange(0, len(all)-1).Draw(t, "lost")].Address
+		joined := make(map[string][]string)
+		for _, self := range all {
+			if self.Address == lost {
+				continue
+			}
+			others := without(all, self.Address)
+			for i := range others {
+				others[i].Lost = others[i].Address == lost
+			}
+			for _, other := range Greet(self, others) {
+				joined[self.Address] = append(joined[self.Address], other)
+				joined[other] = append(joined[other], self.Address)
+			}
+		}
+		alive := without(all, lost)
+		seen := map[string]bool{alive[0].Address: true}
+		for queue := []string{alive[0].Address}; len(queue) > 0; queue = queue[1:] {
+			for _, next := range joined[queue[0]] {
+				if next != lost && !seen[next] {
+					seen[next] = true
+					queue = append(queue, next)
+				}
+			}
+		}
+		if len(seen) != len(alive) {
+			t.Fatalf("news reach %d of %d processes", len(seen), len(alive))
+		}
+	})
+}
+
+func TestSpreadGoesRoundTheDataCentres(t *testing.T) {
+	got := Spread([]string{"a2", "a1", "a3", "b1", "c1"}, func(s string) (string, string) { return s[:1], s })
+	if want := []string{"a1", "b1", "c1", "a2", "a3"}; !slices.Equal(got, want) {
+		t.Errorf("spread is %v, want %v", got, want)
+	}
+}
+
+// BenchmarkGreetAtSize measures one choice among 370 processes.
+func BenchmarkGreetAtSize(b *testing.B) {
+	all := nodes(370, 9)
+	for b.Loop() {
+		Greet(all[369], all[:369])
+	}
+}
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -45,6 +45,19 @@
 	return s.Sequence > b.Sequence
 }
 
+// Beat says that an incarnation still lives, and nothing else: most
+// announcements tell other daemons no more than that.
+type Beat struct {
+	ID       string `json:"id"`
+	Born     int64  `json:"born"`
+	Sequence int64  `json:"sequence"`
+}
+
+// beatInterval is the least time between two changes of an entry that say no
+// more than that its server lives. Daemons pass each change on to others, and a
+// heartbeat of each of 600 servers every second would be most of what they say.
+const beatInterval = 4 * time.Second
+
 // Entry is a server as this daemon knows it.
 type Entry struct {
 	Server
@@ -55,16 +68,24 @@
 	Change uint64
 	// Material is the change that last said more than that it lives.
 	Material uint64
+	// changedAt is the time of Change.
+	changedAt time.Time
 }
 
 // Roster holds the servers by ID.
 type Roster struct {
 	entries map[string]*Entry
-	change  uint64
+	// addresses are the IDs that were heard of at each address.
+	addresses map[string][]string
+	change    uint64
+	// material is the newest change that said more than that a server lives.
+	material uint64
 }
 
 // New returns an empty roster.
-func New() *Roster { return &Roster{entries: make(map[string]*Entry)} }
+func New() *Roster {
+	return &Roster{entries: make(map[string]*Entry), addresses: make(map[string][]string)}
+}
 
 // Take considers an announcement. news is true when it is the newest of its
 // server, material when it says more than that the server lives.
@@ -89,22 +110,77 @@
 	}
 	material = !ok || known.Born != s.Born || known.Leaving != s.Leaving || known.Gone != s.Gone || known.Address != s.Address ||
 		known.Service != s.Service || !slices.Equal(known.Models, s.Models)
-	r.change++
-	entry := &Entry{Server: s, Heard: now, Change: r.change, Material: r.change}
-	if !material {
-		entry.Material = known.Material
+	entry := &Entry{Server: s, Heard: now}
+	switch {
+	case material:
+		r.mark(entry, now)
+	case now.Sub(known.changedAt) < beatInterval:
+		entry.Change, entry.Material, entry.changedAt = known.Change, known.Material, known.changedAt
+	default:
+		r.change++
+		entry.Change, entry.Material, entry.changedAt = r.change, known.Material, now
 	}
-	r.entries[s.ID] = entry
+	r.put(entry)
 	if !s.Gone {
-		r.replaceAt(&s)
+		r.replaceAt(&s, now)
 	}
 	return true, material
 }
 
+// Hear takes a beat. missing is true when the incarnation is not known here, so
+// that a beat cannot say what it is.
+func (r *Roster) Hear(b Beat, now time.Time) (missing bool) {
+	known, ok := r.entries[b.ID]
+	if !ok || known.Born < b.Born {
+		return true
+	}
+	if known.Born > b.Born || known.Gone || b.Sequence <= known.Sequence {
+		return false
+	}
+	s := known.Server
+	s.Sequence = b.Sequence
+	// What was said of the time until it is warm was said then.
+	s.ColdMillis = max(s.ColdMillis-now.Sub(known.Heard).Milliseconds(), 0)
+	if _, material := r.Take(s, now); !material {
+		// Whoever told it has waited already, and others wait for this one.
+		r.change++
+		e := r.entries[b.ID]
+		e.Change, e.changedAt = r.change, now
+	}
+	return false
+}
+
+// mark counts a change that says more than that the server lives.
+func (r *Roster) mark(e *Entry, now time.Time) {
+	r.change++
+	r.material = r.change
+	e.Change, e.Material, e.changedAt = r.change, r.change, now
+}
+
+// put stores an entry and finds it by its address.
+func (r *Roster) put(e *Entry) {
+	if before := r.entries[e.ID]; before != nil && before.Address != e.Address {
+		r.forgetAddress(before)
+	}
+	r.entries[e.ID] = e
+	if ids := r.addresses[e.Address]; !slices.Contains(ids, e.ID) {
+		r.addresses[e.Address] = append(ids, e.ID)
+	}
+}
+
+func (r *Roster) forgetAddress(e *Entry) {
+	ids := slices.DeleteFunc(r.addresses[e.Address], func(id string) bool { return id == e.ID })
+	if len(ids) == 0 {
+		delete(r.addresses, e.Address)
+		return
+	}
+	r.addresses[e.Address] = ids
+}
+
 // outlived is true when a later born server was heard of at the address.
 func (r *Roster) outlived(s *Server) bool {
-	for _, e := range r.entries {
-		if e.ID != s.ID && e.Address == s.Address && e.Born > s.Born {
+	for _, id := range r.addresses[s.Address] {
+		if id != s.ID && r.entries[id].Born > s.Born {
 			return true
 		}
 	}
@@ -113,11 +189,11 @@
 
 // replaceAt marks earlier incarnations at the address of s as gone: two
 // processes cannot listen there.
-func (r *Roster) replaceAt(s *Server) {
-	for _, e := range r.entries {
-		if e.ID != s.ID && e.Address == s.Address && e.Born < s.Born && !e.Gone {
-			r.change++
-			e.Gone, e.Change, e.Material = true, r.change, r.change
+func (r *Roster) replaceAt(s *Server, now time.Time) {
+	for _, id := range r.addresses[s.Address] {
+		if e := r.entries[id]; id != s.ID && e.Born < s.Born && !e.Gone {
+			e.Gone = true
+			r.mark(e, now)
 		}
 	}
 }
@@ -130,15 +206,20 @@
 		return Server{}, false
 	}
 	if !e.Gone {
-		r.change++
-		e.Gone, e.Leaving, e.Heard, e.Change, e.Material = true, true, now, r.change, r.change
+		e.Gone, e.Leaving, e.Heard = true, true, now
+		r.mark(e, now)
 	}
 	return e.Server, true
 }
 
-// Change is the number of the last change.
+// Change is the number of the last change, Material that of the last one that
+// said more than that a server lives.
 func (r *Roster) Change() uint64 { return r.change }
 
+// Material is the number of the last change of what servers there are and what
+// they are.
+func (r *Roster) Material() uint64 { return r.material }
+
 // Since lists the entries that changed after a number, in order of change.
 func (r *Roster) Since(change uint64) []Entry {
 	var changed []Entry
@@ -168,9 +249,15 @@
 		if e.Gone {
 			limit = gone
 		}
-		if e.Heard.Before(limit) {
-			delete(r.entries, id)
+		if !e.Heard.Before(limit) {
+			continue
+		}
+		if !e.Gone && !e.Leaving {
+			r.change++
+			r.material = r.change
 		}
+		r.forgetAddress(e)
+		delete(r.entries, id)
 	}
 }
 
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -95,22 +95,80 @@
 	r := New()
 	r.Take(Server{ID: "a", Born: 1, Sequence: 1, Address: "a:1"}, start)
 	r.Take(Server{ID: "b", Born: 1, Sequence: 1, Address: "b:1"}, start)
-	seen := r.Change()
-	if _, material := r.Take(Server{ID: "a", Born: 1, Sequence: 2, Address: "a:1"}, start); material {
+	seen, material := r.Change(), r.Material()
+	soon, later := start.Add(beatInterval-1), start.Add(beatInterval)
+	if _, material := r.Take(Server{ID: "a", Born: 1, Sequence: 2, Address: "a:1"}, soon); material {
 		t.Error("a heartbeat that says nothing new counts as material")
 	}
+	if changed := r.Since(seen); len(changed) != 0 {
+		t.Errorf("a heartbeat soon after the one before is listed as news: %v", changed)
+	}
+	if e, _ := r.Get("a"); !e.Heard.Equal(soon) || e.Sequence != 2 {
+		t.Errorf("the heartbeat left %+v, want it taken all the same", e)
+	}
+	r.Take(Server{ID: "a", Born: 1, Sequence: 3, Address: "a:1"}, later)
 	changed := r.Since(seen)
 	if len(changed) != 1 || changed[0].ID != "a" || changed[0].Material > seen {
 		t.Errorf("since %d changed %v, want a's heartbeat, not material", seen, changed)
 	}
-	if server, known := r.Leave("b", start); !known || !server.Gone {
+	if r.Material() != material {
+		t.Error("heartbeats moved the number of the last material change")
+	}
+	if server, known := r.Leave("b", later); !known || !server.Gone {
 		t.Errorf("Leave gave %v, %v", server, known)
 	}
-	if changed = r.Since(seen + 1); len(changed) != 1 || changed[0].Material <= seen {
+	if changed = r.Since(seen + 1); len(changed) != 1 || changed[0].Material <= seen || r.Material() != r.Change() {
 		t.Errorf("changed are %v, want b's leave, material", changed)
 	}
 }
 
+// Other daemons hear of most heartbeats only that the server lives. That must
+// keep it listed, and must neither revive an ended incarnation nor pass for an
+// announcement of one that is not known.
+func TestABeatKeepsAServerListed(t *testing.T) {
+	r := New()
+	r.Take(Server{ID: "a", Born: 2, Sequence: 4, Address: "a:1", ColdMillis: 3000}, start)
+	now := start.Add(time.Second)
+	tests := []struct {
+		name     string
+		beat     Beat
+		missing  bool
+		sequence int64
+	}{
+		{"a later one", Beat{ID: "a", Born: 2, Sequence: 5}, false, 5},
+		{"a late one", Beat{ID: "a", Born: 2, Sequence: 3}, false, 5},
+		{"of an earlier incarnation", Beat{ID: "a", Born: 1, Sequence: 9}, false, 5},
+		{"of a later incarnation", Beat{ID: "a", Born: 3, Sequence: 1}, true, 5},
+		{"of a server that is not known", Beat{ID: "b", Born: 1, Sequence: 1}, true, 5},
+	}
+	for _, test := range tests {
+		if missing := r.Hear(test.beat, now); missing != test.missing {
+			t.Errorf("%s: missing = %v", test.name, missing)
+		}
+		if e, _ := r.Get("a"); e.Sequence != test.sequence || e.Born != 2 {
+			t.Errorf("%s left %+v", test.name, e)
+		}
+	}
+	if e, _ := r.Get("a"); !e.Heard.Equal(now) || e.ColdMillis != 2000 {
+		t.Errorf("the beat left %+v, want it heard now and cold for 2 s more", e)
+	}
+	r.Leave("a", now)
+	r.Hear(Beat{ID: "a", Born: 2, Sequence: 8}, now)
+	if len(r.Serving()) != 0 {
+		t.Error("a beat brought back a server that had left")
+	}
+}
+
+func TestAServerThatFellSilentIsAMaterialChange(t *testing.T) {
+	r := New()
+	r.Take(Server{ID: "a", Born: 1, Sequence: 1, Address: "a:1"}, start)
+	before := r.Material()
+	r.Expire(start, start.Add(time.Second))
+	if len(r.Serving()) != 0 || r.Material() == before {
+		t.Error("those who follow material changes still send to the silent server")
+	}
+}
+
 func TestSilentServersAreForgotten(t *testing.T) {
 	r := New()
 	r.Take(Server{ID: "quiet", Born: 1, Address: "a:1"}, start)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +33,8 @@
 	mu     sync.Mutex
 	change uint64
 	byID   map[string]*server
+	// byService lists them in the order of their IDs.
+	byService map[string][]*server
 	// agents are followed by their address, and outlive the incarnations of
 	// their engines.
 	agents map[string]*agentClient
@@ -76,19 +80,47 @@
 		}
 	}
 	followed := make(map[*agentClient]bool)
-	for id, known := range s.byID {
+	s.byService = make(map[string][]*server)
+	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
+		known := s.byID[id]
 		if !seen[id] {
 			delete(s.byID, id)
 			continue
 		}
 		followed[known.agent] = true
+		s.byService[known.entry.Service] = append(s.byService[known.entry.Service], known)
 	}
+	near, far := 0, 0
 	for address, agent := range s.agents {
-		if !followed[agent] {
+		switch {
+		case !followed[agent]:
 			agent.stop()
 			delete(s.agents, address)
+		case agent.near:
+			near++
+		default:
+			far++
 		}
 	}
+	s.pace(near, far)
+}
+
+// pace shares the watches that an entry can afford among its agents.
+func (s *servers) pace(near, far int) {
+	nearPause, farPause := watchPauses(near, far)
+	for _, agent := range s.agents {
+		if agent.near {
+			agent.pause.Store(int64(nearPause))
+		} else {
+			agent.pause.Store(int64(farPause))
+		}
+	}
+}
+
+// watchPauses are the pauses between two answers of an agent in the own data
+// centre and in another one, for so many of each.
+func watchPauses(near, far int) (nearPause, farPause time.Duration) {
+	return max(watchPause, time.Duration(near)*time.Second/nearWatches), max(watchPauseFar, time.Duration(far)*time.Second/farWatches)
 }
 
 func hasEngine(table *route.Table, service string) bool {
@@ -109,10 +141,8 @@
 		return known
 	}
 	ctx, stop := context.WithCancel(ctx)
-	a := &agentClient{stop: stop, pause: watchPause, client: rpc.NewClient(address)}
-	if !near {
-		a.pause = watchPauseFar
-	}
+	a := &agentClient{stop: stop, near: near, client: rpc.NewClient(address)}
+	a.pause.Store(int64(watchPauseFar))
 	s.agents[address] = a
 	go a.run(ctx)
 	return a
@@ -124,14 +154,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(ctx)
-	var known []*server
-	var candidates []dispatch.Candidate
-	for _, v := range s.byID {
-		if v.entry.Service != service.Name {
-			continue
-		}
-		known = append(known, v)
-		c := v.candidate(service, &r, model, now)
+	known := s.byService[service.Name]
+	candidates := make([]dispatch.Candidate, 0, len(known))
+	for _, v := range known {
+		c := s.candidate(v, service, &r, model, now)
 		c.Connected = s.pool.Idle(upstream.Target{Address: v.entry.Address, ID: v.entry.ID}) > 0
 		candidates = append(candidates, c)
 	}
@@ -145,7 +171,7 @@
 // toldAge is how long the load that came with an answer counts.
 const toldAge = time.Second
 
-func (v *server) candidate(service *route.Service, r *dispatch.Request, model string, now time.Time) dispatch.Candidate {
+func (s *servers) candidate(v *server, service *route.Service, r *dispatch.Request, model string, now time.Time) dispatch.Candidate {
 	c := dispatch.Candidate{
 		ID: v.entry.ID, DataCentre: v.entry.DataCentre, Batch: v.entry.Slots, Running: v.inflight, Residence: dispatch.Resident, Model: true,
 		Answer: v.health.Answer(), FailureShare: v.health.FailureShare(now), Barred: v.health.Barred(now),
@@ -160,7 +186,7 @@
 	}
 	state, sent := v.agent.snapshot()
 	if !state.Known {
-		v.withoutAgent(&c, r, model)
+		s.withoutAgent(v, &c, r, model)
 		return c
 	}
 	c.Batch, c.MemoryTokens = state.Batch, state.MemoryTokens
@@ -181,14 +207,15 @@
 }
 
 // withoutAgent judges an engine by its own announcements.
-func (v *server) withoutAgent(c *dispatch.Candidate, r *dispatch.Request, model string) {
-	c.Model = holds(v.entry.Models, model)
+func (s *servers) withoutAgent(v *server, c *dispatch.Candidate, r *dispatch.Request, model string) {
+	said, _ := s.mesh.Announced(v.entry.ID)
+	c.Model = holds(said.Models, model)
 	c.Residence = dispatch.Absent
 	if r.Adapter == "" {
 		c.Residence = dispatch.Resident
 		return
 	}
-	for _, held := range v.entry.Adapters {
+	for _, held := range said.Adapters {
 		if name, _, _ := strings.Cut(held, "@"); name == r.Adapter {
 			c.Residence = dispatch.Resident
 		}
@@ -252,7 +279,10 @@
 type agentClient struct {
 	stop   context.CancelFunc
 	client *rpc.Client
-	pause  time.Duration
+	// near is true in the own data centre; pause is that between two answers, in
+	// nanoseconds.
+	near  bool
+	pause atomic.Int64
 
 	mu    sync.Mutex
 	state wire.EngineState
@@ -277,6 +307,11 @@
 	// between data centres are dear.
 	watchPause    = 80 * time.Millisecond
 	watchPauseFar = 250 * time.Millisecond
+	// nearWatches and farWatches are the most answers a second of all agents in the
+	// own data centre and in others together: each costs both ends some 0.1 ms, so
+	// that watching takes under 2% of a core however many engines there are.
+	nearWatches = 100
+	farWatches  = 60
 	// watchRetry follows a call that failed.
 	watchRetry = 250 * time.Millisecond
 )
@@ -291,7 +326,7 @@
 			Change: known.Change, HeldChange: known.HeldChange, WaitMillis: watchWait.Milliseconds(),
 		}, &state)
 		cancel()
-		pause := a.pause
+		pause := time.Duration(a.pause.Load())
 		if err != nil {
 			state, pause = wire.EngineState{}, watchRetry
 		} else if state.HeldChange == known.HeldChange {
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -35,10 +35,9 @@
 		}
 	}
 	state := m.documents.Current().State
-	reply := pullReply{Newer: state.Index > in.Index, Known: m.Known()}
-	reply.Digest = digest(reply.Known)
-	if reply.Digest == in.Digest {
-		reply.Known = nil
+	reply := pullReply{Newer: state.Index > in.Index, Digest: m.knownDigest(), Newest: m.newest()}
+	if reply.Digest != in.Digest {
+		reply.Known = m.Known()
 	}
 	if reply.Newer {
 		reply.State = state
@@ -58,16 +57,21 @@
 			_ = wait.For(ctx, pullPause)
 			continue
 		}
-		m.followOne(ctx, address)
+		m.followOne(ctx, address, func() bool { return true })
 		_ = wait.For(ctx, pullPause)
 	}
 }
 
-func (m *Mesh) followOne(ctx context.Context, address string) {
+// followOne follows one entry until it fails, lags, or wanted is false.
+func (m *Mesh) followOne(ctx context.Context, address string, wanted func() bool) {
 	client := rpc.NewClient(address)
 	defer client.Close()
 	var told uint64
-	for ctx.Err() == nil {
+	listed := time.Now()
+	for ctx.Err() == nil && wanted() {
+		if time.Since(listed) > relistInterval {
+			told, listed = 0, time.Now()
+		}
 		held := m.documents.Current().State
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		var reply pullReply
@@ -80,37 +84,33 @@
 			m.documents.Take(reply.State)
 		}
 		told = reply.Digest
+		now := time.Now()
+		m.mu.Lock()
 		for _, p := range reply.Known {
-			m.meet(p)
-			m.remember(p)
+			m.remember(p, now)
 		}
-		if m.behind() {
+		m.mu.Unlock()
+		if reply.Newest > m.documents.Current().State.Index || m.behind() {
 			return
 		}
 	}
 }
 
-// remember notes what another process told of a peer that is not greeted.
-func (m *Mesh) remember(p Process) {
+// newest is the highest index of a configuration that was heard of.
+func (m *Mesh) newest() uint64 {
+	newest := m.documents.Current().State.Index
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if q := m.peers[p.Address]; q != nil && q.process.Index <= p.Index {
-		q.process = p
+	for _, q := range m.peers {
+		newest = max(newest, q.process.Index)
 	}
+	return newest
 }
 
 // behind is true when some peer is known to hold something newer: the source
 // may be cut off from the log without knowing.
 func (m *Mesh) behind() bool {
-	own := m.documents.Current().State.Index
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, q := range m.peers {
-		if q.process.Index > own {
-			return true
-		}
-	}
-	return false
+	return m.newest() > m.documents.Current().State.Index
 }
 
 // source picks whom to ask: of those that hold the newest any, with a log and
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -140,7 +140,7 @@
 }
 
 func processOf(p Process) founding.Process {
-	return founding.Process{Address: p.Address, Disk: p.Disk && p.Member != "", Member: p.Member, Cluster: p.Cluster}
+	return founding.Process{Address: p.Address, DataCentre: p.DataCentre, Disk: p.Disk && p.Member != "", Member: p.Member, Cluster: p.Cluster}
 }
 
 // stop hands the leadership over.
@@ -192,15 +192,29 @@
 	return nil
 }
 
+// takesPart is true while this process belongs to a log. With more disks than the
+// log has members the others stand by.
+func (h *logHost) takesPart() bool {
+	_, cluster, _ := h.identity()
+	return cluster != ""
+}
+
 // followLog pulls from other entries too while this process's part of the log
-// lags: behind a lost disk, a slow one, or a leader that cannot reach it.
+// lags: behind a lost disk, a slow one, or a leader that cannot reach it. One
+// that stands by follows another entry all the while.
 func (h *logHost) followLog(ctx context.Context) {
 	for ctx.Err() == nil {
 		_ = wait.For(ctx, syncInterval)
-		if h.mesh.behind() {
-			if address := h.mesh.source(); address != "" {
-				h.mesh.pullOnce(ctx, address)
-			}
+		address := ""
+		if h.mesh.behind() || !h.takesPart() {
+			address = h.mesh.source()
+		}
+		switch {
+		case address == "":
+		case h.takesPart():
+			h.mesh.pullOnce(ctx, address)
+		default:
+			h.mesh.followOne(ctx, address, func() bool { return !h.takesPart() })
 		}
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,15 +7,11 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -49,8 +45,15 @@
 	failurePause = 300 * time.Millisecond
 	// heardAge is how long after its last word a peer counts as reached.
 	heardAge = 1500 * time.Millisecond
-	// forgetAge is how long a silent peer is still greeted.
+	// forgetAge is how much longer ago than others a process was heard by anyone
+	// when it is forgotten.
 	forgetAge = 2 * time.Minute
+	// lostAge is how long a peer that does not answer counts as lost, if nothing
+	// is heard of it: then it is tried again.
+	lostAge = 10 * time.Second
+	// relistInterval is the pause between two full lists of the known processes
+	// from a peer, which show who has fallen silent.
+	relistInterval = 30 * time.Second
 	// confirmTimeout bounds the wait for the others' confirmation of a leaving
 	// server, which gives up on its announcement after a second.
 	confirmTimeout = 600 * time.Millisecond
@@ -71,8 +74,14 @@
 	mu     sync.Mutex
 	peers  map[string]*peer
 	roster *roster.Roster
-	// direct are the servers that announced themselves here last.
-	direct map[string]bool
+	// digest is the sum of the peers' digests.
+	digest uint64
+	// relink is true when whom to greet must be decided anew; linkedAt is when
+	// it was.
+	relink   bool
+	linkedAt time.Time
+	// heardFrom says on which way a server was heard of last.
+	heardFrom map[string]way
 	// strikes are the requests that crashed servers; news of them go to peers.
 	strikes *suspicion.Strikes
 	// progress is closed and replaced when a peer confirms or news arrive.
@@ -85,7 +94,7 @@
 func New(options Options, documents *Documents, log *zap.Logger) *Mesh {
 	m := &Mesh{
 		options: options, log: log, documents: documents, started: time.Now(),
-		peers: make(map[string]*peer), roster: roster.New(), direct: make(map[string]bool), strikes: suspicion.NewStrikes(),
+		peers: make(map[string]*peer), roster: roster.New(), heardFrom: make(map[string]way), strikes: suspicion.NewStrikes(),
 		progress: make(chan struct{}),
 	}
 	if options.Folder != "" {
@@ -152,6 +161,8 @@
 	}
 }
 
+// expire forgets what has fallen silent, and keeps whom this process greets up
+// to date.
 func (m *Mesh) expire(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
@@ -160,106 +171,25 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			self := m.Self()
 			m.mu.Lock()
 			m.roster.Expire(now.Add(-goneAge), now.Add(-silentAge))
+			for id := range m.heardFrom {
+				if _, known := m.roster.Get(id); !known {
+					delete(m.heardFrom, id)
+				}
+			}
+			m.forgetSilent()
+			m.chooseLinks(self, now)
 			m.mu.Unlock()
 		}
 	}
 }
 
-// meet begins to greet a process that is not known yet.
-func (m *Mesh) meet(p Process) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.meetLocked(p)
-}
-
-func (m *Mesh) meetLocked(p Process) {
-	if p.Address == m.options.Self.Address || !p.Entry || m.ctx == nil || m.ctx.Err() != nil {
-		return
-	}
-	if _, known := m.peers[p.Address]; known {
-		return
-	}
-	q := &peer{mesh: m, process: p, met: time.Now(), kick: make(chan struct{}, 1), client: rpc.NewClient(p.Address)}
-	m.peers[p.Address] = q
-	ctx := m.ctx
-	if m.options.Self.Entry {
-		m.duties.Go(func() { q.run(ctx) })
-	}
-}
-
-// learn takes what a process says of itself.
-func (m *Mesh) learn(p Process, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.meetLocked(p)
-	if q := m.peers[p.Address]; q != nil {
-		if q.process.Started != p.Started {
-			q.confirmed = 0
-		}
-		q.process, q.heard = p, now
-	}
-	m.noteProgress()
-}
-
-// noteProgress wakes those who wait for peers or servers. The caller holds mu.
-func (m *Mesh) noteProgress() {
-	close(m.progress)
-	m.progress = make(chan struct{})
-}
-
-// Known lists all processes that were heard of, this one included.
-func (m *Mesh) Known() []Process {
-	known := []Process{m.Self()}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, q := range m.peers {
-		if q.process.Started != 0 {
-			known = append(known, q.process)
-		}
-	}
-	slices.SortFunc(known, func(a, b Process) int { return cmp.Compare(a.Address, b.Address) })
-	return known
-}
-
-// digest is the same for equal lists, so that a list that is known need not be
-// sent.
-func digest(known []Process) uint64 {
-	h := xxhash.New()
-	for i := range known {
-		p := &known[i]
-		_, _ = fmt.Fprintf(h, "%s %d %s %s %t %d\n", p.Address, p.Started, p.Member, p.Cluster, p.Leads, p.Index)
-	}
-	return h.Sum64()
-}
-
-// reached counts the peers that were heard lately, and those that should be.
-func (m *Mesh) reached(now time.Time) (reached, known int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, q := range m.peers {
-		if q.process.Started == 0 || !q.process.Entry || now.Sub(q.heard) > silentAge {
-			continue
-		}
-		known++
-		if now.Sub(q.heard) < heardAge {
-			reached++
-		}
-	}
-	return reached, known
-}
-
 // ErrParted means that this process reaches too few of the others to vouch
 // that they have heard.
 var ErrParted = errors.New("most other entries cannot be reached")
 
-// Connected reports whether this process reaches half of the entries it knows.
-func (m *Mesh) Connected() bool {
-	reached, known := m.reached(time.Now())
-	return 2*reached >= known
-}
-
 // Serving lists the backend servers that take work.
 func (m *Mesh) Serving() []roster.Entry {
 	m.mu.Lock()
@@ -267,11 +197,18 @@
 	return m.roster.Serving()
 }
 
-// RosterChange is the number of the directory's last change.
+// RosterChange is the number of the last change of what servers there are.
 func (m *Mesh) RosterChange() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.roster.Change()
+	return m.roster.Material()
+}
+
+// Announced returns what a server last said of itself.
+func (m *Mesh) Announced(id string) (roster.Entry, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Get(id)
 }
 
 // MayServe reports whether a server is not known to leave.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/coord/overlay"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
@@ -238,6 +240,93 @@
 	}
 }
 
+// With more processes than greet each other all round, news go over hubs. A
+// server leaves at a process that is none; all must hear of it within moments,
+// and must not forget a server of which they are told no more than that it
+// lives.
+func TestNewsReachAllOverHubs(t *testing.T) {
+	const size = overlay.MostHubs + 6
+	f := startFleet(t, 3, size-3)
+	spoke := -1
+	eventually(t, func() bool {
+		for i, n := range f.nodes {
+			reached, known := n.reached(time.Now())
+			if reached != known || known == 0 || len(n.Known()) != size {
+				return false
+			}
+			if known < overlay.MostHubs-1 {
+				spoke = i
+			}
+		}
+		return spoke >= 0
+	})
+	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1"}
+	if err := f.nodes[spoke].Announce(context.Background(), server); err != nil {
+		t.Fatal(err)
+	}
+	everywhere := func(holds func(*node) bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(f.nodes, func(n *node) bool { return !holds(n) })
+		}
+	}
+	eventually(t, everywhere(func(n *node) bool { return n.MayServe("s") }))
+	beat := roster.Beat{ID: "s", Born: 1, Sequence: 2}
+	n := f.nodes[spoke]
+	n.mu.Lock()
+	n.roster.Hear(beat, time.Now())
+	n.mu.Unlock()
+	eventually(t, everywhere(func(n *node) bool {
+		e, known := n.Announced("s")
+		return known && e.Sequence == 2
+	}))
+	server.Sequence, server.Leaving = 3, true
+	if err := n.Announce(context.Background(), server); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, everywhere(func(n *node) bool { return !n.MayServe("s") }))
+}
+
+// A peer hears of a server only that it lives, because it lost all it knew
+// meanwhile. It must get to know the server, or it sends it no work.
+func TestAServerBehindABeatIsAskedFor(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	eventually(t, func() bool {
+		reached, _ := f.nodes[0].reached(time.Now())
+		return reached == 1
+	})
+	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1"}
+	if err := f.nodes[0].Announce(context.Background(), server); err != nil {
+		t.Fatal(err)
+	}
+	other := f.nodes[1]
+	eventually(t, func() bool { return other.MayServe("s") })
+	other.mu.Lock()
+	other.roster = roster.New()
+	other.mu.Unlock()
+	eventually(t, func() bool {
+		server.Sequence++
+		if err := f.nodes[0].Announce(context.Background(), server); err != nil {
+			t.Fatal(err)
+		}
+		return other.MayServe("s")
+	})
+}
+
+// A process is cut off from all others for minutes. It must remember whom to
+// greet when the cut heals.
+func TestACutOffProcessForgetsNobody(t *testing.T) {
+	m := New(Options{Self: Process{Address: "a", Entry: true}}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	m.ctx = t.Context()
+	now := time.Now()
+	for address, silent := range map[string]time.Duration{"b": 3 * forgetAge, "c": 3*forgetAge + time.Second, "d": 5 * forgetAge} {
+		m.peers[address] = &peer{mesh: m, word: now.Add(-silent), kick: make(chan struct{}, 1)}
+	}
+	m.forgetSilent()
+	if m.peers["b"] == nil || m.peers["c"] == nil || m.peers["d"] != nil {
+		t.Errorf("it remembers %v, want those that were heard of last, and not the one that was gone before", m.peers)
+	}
+}
+
 // An entry that reaches none of the others cannot tell them of a server that
 // leaves; it must not acknowledge that, so that the server tells another one.
 func TestAPartedEntryAcknowledgesNothing(t *testing.T) {
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -36,13 +36,18 @@
 	Index uint64 `json:"index,omitempty"`
 	// Started tells its incarnations apart, in Unix nanoseconds.
 	Started int64 `json:"started"`
+	// SilentMillis is how long ago it was last heard, as far as the one that
+	// tells of it knows; 0 from the process itself.
+	SilentMillis int64 `json:"silentMillis,omitempty"`
 }
 
 // greeting tells a peer what it may not know yet.
 type greeting struct {
 	From Process `json:"from"`
-	// Servers are backend servers whose announcements are news.
+	// Servers are backend servers whose announcements are news, Beats those of
+	// which it is only news that they live.
 	Servers []roster.Server `json:"servers,omitempty"`
+	Beats   []roster.Beat   `json:"beats,omitempty"`
 	// Strikes are news of servers that crashed under a request.
 	Strikes []suspicion.Strike `json:"strikes,omitempty"`
 	// Digest is that of the processes the sender knows.
@@ -54,6 +59,8 @@
 type greetingReply struct {
 	From  Process   `json:"from"`
 	Known []Process `json:"known,omitempty"`
+	// Missing are servers of which only a beat came and nothing else is known.
+	Missing []string `json:"missing,omitempty"`
 }
 
 // pullRequest asks for the configuration if it is newer than what is held.
@@ -75,6 +82,8 @@
 	Known []Process      `json:"known,omitempty"`
 	// Digest is that of the processes known to the one that answers.
 	Digest uint64 `json:"digest"`
+	// Newest is the highest index that it has heard of at any process.
+	Newest uint64 `json:"newest"`
 }
 
 // proposal is a command for the log.
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -13,7 +13,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
-// peer is another entry that this one greets.
+// peer is another entry.
 type peer struct {
 	mesh   *Mesh
 	client *rpc.Client
@@ -22,14 +22,51 @@
 
 	// The mesh's mu guards these.
 	process Process
-	heard   time.Time
+	// linked is true when this process greets it, greetedUs is when it last
+	// greeted this one, and agrees is true when it then knew the same processes.
+	linked    bool
+	greetedUs time.Time
+	agrees    bool
+	// heard is when it was last heard, word when anyone last heard it.
+	heard time.Time
+	word  time.Time
+	// failed is when it last failed to answer; 0 once it has.
+	failed time.Time
+	lost   bool
+	// listed is when it last told all the processes that it knows.
+	listed time.Time
 	// confirmed is the roster change up to which the peer has heard.
 	confirmed uint64
-	lost      bool
+	// missing are servers of which it knows nothing but that they live.
+	missing []string
 	// strikes are what the peer has not been told.
 	strikes []suspicion.Strike
 }
 
+// way is how a server was heard of, which decides whom to tell that it lives.
+type way uint8
+
+const (
+	// wayDirect: from the server itself, or from a peer that greets this process
+	// as its hub; all must be told.
+	wayDirect way = iota
+	// wayHub: from a peer that this process greets and that tells all it greets
+	// itself; only those who greet this process as their hub must be told.
+	wayHub
+)
+
+// active is true when the peer must be told news: one of the two greets the
+// other. The caller holds mu.
+func (q *peer) active(now time.Time) bool {
+	return q.linked || now.Sub(q.greetedUs) < heardAge
+}
+
+// isLost is true while the peer does not answer. The caller holds mu.
+func (q *peer) isLost(now time.Time) bool {
+	return !q.failed.IsZero() && now.Sub(q.failed) < lostAge && now.Sub(q.heard) > heardAge
+}
+
+// run greets the peer while there is reason to, and rests otherwise.
 func (q *peer) run(ctx context.Context) {
 	defer q.client.Close()
 	timer := time.NewTimer(0)
@@ -41,52 +78,84 @@
 		case <-q.kick:
 		case <-timer.C:
 		}
+		news, rest := q.next(time.Now())
+		switch rest {
+		case restForgotten:
+			return
+		case restUntilWoken:
+			continue
+		case restShortly:
+			timer.Reset(syncInterval)
+			continue
+		}
 		pause := syncInterval
-		if err := q.greet(ctx); err != nil {
+		if err := q.greet(ctx, news); err != nil {
 			pause = failurePause
-			if q.forgotten() {
-				return
-			}
 		}
 		timer.Reset(pause)
 	}
 }
 
-// forgotten drops a peer that has been silent for long.
-func (q *peer) forgotten() bool {
-	q.mesh.mu.Lock()
-	defer q.mesh.mu.Unlock()
-	last := q.heard
-	if last.IsZero() {
-		last = q.met
+// rest says what to do instead of a greeting.
+type rest uint8
+
+const (
+	restNot rest = iota
+	// restShortly passes over one greeting: the peer has just greeted this
+	// process, and there is no news.
+	restShortly
+	restUntilWoken
+	restForgotten
+)
+
+// next decides whether to greet now, and with which news.
+func (q *peer) next(now time.Time) (pending, rest) {
+	m := q.mesh
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[q.process.Address] != q {
+		return pending{}, restForgotten
+	}
+	if !q.active(now) {
+		return pending{}, restUntilWoken
+	}
+	news := q.news(now)
+	if !news.empty() {
+		return news, restNot
 	}
-	if time.Since(last) < forgetAge {
-		return false
+	q.confirmed = news.change
+	if !q.linked || q.agrees && now.Sub(q.greetedUs) < syncInterval && !news.relist {
+		return pending{}, restShortly
 	}
-	delete(q.mesh.peers, q.process.Address)
-	return true
+	return news, restNot
 }
 
 // greet sends the peer what it may not have heard.
-func (q *peer) greet(ctx context.Context) error {
-	servers, strikes, change := q.news()
+func (q *peer) greet(ctx context.Context, sent pending) error {
+	sent.From, sent.Digest = q.mesh.Self(), q.mesh.knownDigest()
+	if sent.relist {
+		sent.Digest = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var reply greetingReply
-	err := q.client.Call(ctx, methodSync, greeting{From: q.mesh.Self(), Servers: servers, Strikes: strikes, Digest: digest(q.mesh.Known())}, &reply)
-	if err != nil {
+	if err := q.client.Call(ctx, methodSync, sent.greeting, &reply); err != nil {
 		q.noteLost(err)
 		return err
 	}
 	now := time.Now()
 	q.mesh.learn(reply.From, now)
 	q.mesh.mu.Lock()
-	q.confirmed = max(q.confirmed, change)
-	q.strikes = q.strikes[min(len(strikes), len(q.strikes)):]
+	q.confirmed = max(q.confirmed, sent.change)
+	q.strikes = q.strikes[min(len(sent.Strikes), len(q.strikes)):]
+	q.missing = reply.Missing
 	regained := q.lost
-	q.lost = false
+	q.lost, q.failed = false, time.Time{}
+	if sent.relist {
+		q.listed = now
+	}
 	for _, p := range reply.Known {
-		q.mesh.meetLocked(p)
+		q.mesh.remember(p, now)
 	}
 	q.mesh.noteProgress()
 	q.mesh.mu.Unlock()
@@ -97,8 +166,13 @@
 }
 
 func (q *peer) noteLost(err error) {
+	now := time.Now()
 	q.mesh.mu.Lock()
-	lost := !q.lost && !q.heard.IsZero() && time.Since(q.heard) > heardAge
+	if q.failed.IsZero() || !q.isLost(now) {
+		q.mesh.relink = true
+	}
+	q.failed = now
+	lost := !q.lost && !q.heard.IsZero() && now.Sub(q.heard) > heardAge
 	if lost {
 		q.lost = true
 		// What it missed is told from the beginning.
@@ -111,22 +185,40 @@
 	}
 }
 
-// news lists the servers that the peer has not confirmed: those that announced
-// themselves here, and of the others what says more than that they live.
-func (q *peer) news() ([]roster.Server, []suspicion.Strike, uint64) {
+// pending is a greeting with what decides what its answer confirms.
+type pending struct {
+	greeting
+	change uint64
+	// relist is true when the peer is asked for all the processes that it knows.
+	relist bool
+}
+
+func (p *pending) empty() bool { return len(p.Servers)+len(p.Beats)+len(p.Strikes) == 0 }
+
+// news lists what the peer has not confirmed: in full what says more than that
+// a server lives, by a beat the servers that it hears of on no shorter way. The
+// caller holds mu.
+func (q *peer) news(now time.Time) pending {
 	m := q.mesh
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var servers []roster.Server
+	p := pending{change: m.roster.Change(), relist: now.Sub(q.listed) >= relistInterval}
+	p.Strikes = slices.Clone(q.strikes)
 	for _, e := range m.roster.Since(q.confirmed) {
-		if m.direct[e.ID] || e.Material > q.confirmed {
-			servers = append(servers, e.Server)
+		switch {
+		case e.Material > q.confirmed:
+			p.Servers = append(p.Servers, e.Server)
+		case m.heardFrom[e.ID] == wayDirect || !q.linked:
+			p.Beats = append(p.Beats, roster.Beat{ID: e.ID, Born: e.Born, Sequence: e.Sequence})
 		}
 	}
-	return servers, slices.Clone(q.strikes), m.roster.Change()
+	for _, id := range q.missing {
+		if e, ok := m.roster.Get(id); ok {
+			p.Servers = append(p.Servers, e.Server)
+		}
+	}
+	return p
 }
 
-// wake sends news at once.
+// wake makes the peer's duty look at once whether there is news.
 func (q *peer) wake() {
 	select {
 	case q.kick <- struct{}{}:
@@ -137,24 +229,75 @@
 func (m *Mesh) takeGreeting(_ context.Context, in greeting) (greetingReply, error) {
 	now := time.Now()
 	m.learn(in.From, now)
+	digest := m.knownDigest()
 	m.mu.Lock()
+	from := m.peers[in.From.Address]
+	reply := greetingReply{Missing: m.takeServers(from, in, now)}
+	m.takeStrikes(from, in.Strikes, now)
+	if from != nil {
+		wasActive := from.active(now)
+		from.greetedUs, from.agrees = now, in.Digest == digest
+		if !wasActive {
+			from.wake()
+		}
+	}
+	m.mu.Unlock()
+	reply.From = m.Self()
+	if digest != in.Digest {
+		reply.Known = m.Known()
+	}
+	return reply, nil
+}
+
+// takeServers takes the servers of a greeting, and passes on what those who
+// greet this process as their hub could not hear otherwise. It returns the
+// servers of which no more is known than that they live. The caller holds mu.
+func (m *Mesh) takeServers(from *peer, in greeting, now time.Time) (missing []string) {
+	heard := wayDirect
+	if from != nil && from.linked {
+		heard = wayHub
+	}
+	anyMaterial := false
 	for _, s := range in.Servers {
-		if news, _ := m.roster.Take(s, now); news {
-			delete(m.direct, s.ID)
+		news, material := m.roster.Take(s, now)
+		if news {
+			m.heardFrom[s.ID] = heard
+		}
+		anyMaterial = anyMaterial || material
+	}
+	for _, b := range in.Beats {
+		before, _ := m.roster.Get(b.ID)
+		if m.roster.Hear(b, now) {
+			missing = append(missing, b.ID)
+			continue
+		}
+		if b.Sequence > before.Sequence {
+			m.heardFrom[b.ID] = heard
 		}
 	}
 	if len(in.Servers) > 0 {
 		m.noteProgress()
 	}
-	for _, strike := range in.Strikes {
-		m.strikes.Take(strike, now)
+	if anyMaterial {
+		for _, q := range m.passOn(from, now) {
+			q.wake()
+		}
 	}
-	m.mu.Unlock()
-	reply := greetingReply{From: m.Self(), Known: m.Known()}
-	if digest(reply.Known) == in.Digest {
-		reply.Known = nil
+	return missing
+}
+
+// passOn lists the peers that must be told what came from one: those that have
+// this process for their hub and, when it came from one of these, all that this
+// process greets. The caller holds mu.
+func (m *Mesh) passOn(from *peer, now time.Time) []*peer {
+	fromHub := from != nil && from.linked
+	var others []*peer
+	for _, q := range m.peers {
+		if q != from && q.active(now) && !(fromHub && q.linked) {
+			others = append(others, q)
+		}
 	}
-	return reply, nil
+	return others
 }
 
 // maxStrikesUntold bounds the strikes that wait for a peer that is away.
@@ -164,16 +307,24 @@
 func (m *Mesh) Strike(strike suspicion.Strike) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.strikes.Take(strike, time.Now()) {
-		return
-	}
 	m.log.Warn("a backend server ended while it ran a request", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("server", strike.Server))
-	for _, q := range m.peers {
-		if len(q.strikes) < maxStrikesUntold {
-			q.strikes = append(q.strikes, strike)
+	m.takeStrikes(nil, []suspicion.Strike{strike}, time.Now())
+}
+
+// takeStrikes takes strikes and passes on those that are news. The caller holds
+// mu.
+func (m *Mesh) takeStrikes(from *peer, strikes []suspicion.Strike, now time.Time) {
+	for _, strike := range strikes {
+		if !m.strikes.Take(strike, now) {
+			continue
+		}
+		for _, q := range m.passOn(from, now) {
+			if len(q.strikes) < maxStrikesUntold {
+				q.strikes = append(q.strikes, strike)
+			}
+			q.wake()
 		}
 	}
-	m.wakeAll()
 }
 
 // Held is true for a request that has crashed too many servers.
@@ -201,7 +352,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	_, material := m.roster.Take(s, now)
-	m.direct[s.ID] = true
+	m.heardFrom[s.ID] = wayDirect
 	change := m.roster.Change()
 	if material {
 		m.wakeAll()
@@ -233,7 +384,7 @@
 		m.mu.Unlock()
 		return nil
 	}
-	m.direct[id] = true
+	m.heardFrom[id] = wayDirect
 	change := m.roster.Change()
 	m.wakeAll()
 	m.noteProgress()
@@ -244,7 +395,7 @@
 
 // wakeAll tells everyone at once. The caller holds mu.
 func (m *Mesh) wakeAll() {
-	for _, q := range m.peers {
+	for _, q := range m.passOn(nil, time.Now()) {
 		q.wake()
 	}
 }
@@ -279,7 +430,7 @@
 func (m *Mesh) unconfirmed(change uint64, now time.Time) int {
 	missing := 0
 	for _, q := range m.peers {
-		if q.process.Started != 0 && now.Sub(q.heard) < heardAge && q.confirmed < change {
+		if q.active(now) && q.process.Started != 0 && now.Sub(q.heard) < heardAge && q.confirmed < change {
 			missing++
 		}
 	}
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -87,14 +87,16 @@
 	return reply.Granted
 }
 
-// leader is the address of the log's leader, as far as is known.
+// leader is the address of the log's leader, as far as is known: of two that
+// were told to lead the one that was heard of last.
 func (m *Mesh) leader() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	leader, word := "", time.Time{}
 	for address, q := range m.peers {
-		if q.process.Leads {
-			return address
+		if q.process.Leads && q.word.After(word) {
+			leader, word = address, q.word
 		}
 	}
-	return ""
+	return leader
 }
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a command")
 	}
-	if m.host != nil {
+	if m.host != nil && m.host.takesPart() {
 		if fate := m.host.propose(ctx, data); fate.Committed {
 			return nil
 		}
@@ -48,7 +48,7 @@
 // Read returns a state that includes every change that was acknowledged before
 // the call, or ErrUnsure.
 func (m *Mesh) Read(ctx context.Context) (document.State, error) {
-	if m.host != nil {
+	if m.host != nil && m.host.takesPart() {
 		return m.host.read(ctx)
 	}
 	for _, address := range m.members() {
