--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -327,6 +327,7 @@
 func (j *journey) fail() {
 	if j.ctx.Err() != nil {
 		goneCount.Add(1)
+		j.note("caller gone", nil, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if j.relayed {
@@ -383,7 +384,7 @@
 	j.log.Info(what, zap.String("request", j.call.ID), zap.String("route", j.route.Name), zap.String("service", j.service.Name),
 		zap.Uint64("configuration", j.version), zap.String("adapter", j.call.Adapter), zap.String("server", server), zap.Int("status", status),
 		zap.Int("arrivals", j.arrivals), zap.Int("runs", j.runs), zap.Duration("took", time.Since(j.arrived)),
-		zap.Duration("first", j.first), zap.Duration("waited", j.waited), zap.Duration("longestGap", j.longestGap), zap.Int("prompt", j.call.PromptTokens),
+		zap.Duration("first", j.first), zap.Duration("waited", j.waited), zap.Duration("longestGap", j.longestGap), zap.Int("prompt", j.call.PromptTokens), zap.Int("output", j.call.OutputTokens), zap.String("lastEvent", j.lastEvent),
 		zap.Uint8("residence", uint8(j.seen.Residence)), zap.Int("running", j.seen.Running), zap.Int("waiting", j.seen.Waiting),
 		zap.Duration("delay", j.seen.Delay), zap.Duration("age", j.seen.Age), zap.String("reason", j.last))
 }
