Let the log's leader say which model an empty engine loads

Ruled out: missing copies; engines keep both on disk. Change: coord/modelplan picks the model whose requests find the fewest engines; agents ask with the list of their own copies, which are favoured; while no request was counted each model gets one engine and the first the others. A deployment with one model behaves as before. Conclusion: no model is without an engine any more; engines are not moved from one model to another while they serve, which is open. The test of one log now waits until each process takes part: reading may be forwarded before that.

--- a/coord/route/route.go
+++ b/coord/route/route.go
@@ -77,6 +77,16 @@
 	Models         []Model
 }
 
+// Model returns a model by its name; the zero value when there is none.
+func (e *Engine) Model(name string) Model {
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m
+		}
+	}
+	return Model{}
+}
+
 // Model is a base model with its adapters.
 type Model struct {
 	Name      string
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -90,6 +90,9 @@
 		return
 	}
 	j.budget.began(j.service.Name)
+	if j.service.Engine != nil && j.call.Model != "" {
+		j.mesh.NoteDemand(j.call.Model)
+	}
 	for try := 0; try < maxTries && j.ctx.Err() == nil; try++ {
 		if time.Until(j.startBy()) < leastLeft {
 			j.last = "the time was up"
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/modelplan"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
@@ -84,6 +85,8 @@
 	heardFrom map[string]way
 	// strikes are the requests that crashed servers; news of them go to peers.
 	strikes *suspicion.Strikes
+	// demand counts the requests for models that came in here.
+	demand modelplan.Demand
 	// progress is closed and replaced when a peer confirms or news arrive.
 	progress chan struct{}
 	duties   sync.WaitGroup
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/overlay"
@@ -160,6 +161,8 @@
 	}
 	clusters := make(map[string]bool)
 	for i := range 3 {
+		// A process may read through another one before it takes part itself.
+		eventually(t, f.nodes[i].host.takesPart)
 		_, cluster, _ := f.nodes[i].host.identity()
 		clusters[cluster] = true
 	}
@@ -380,6 +383,40 @@
 	}
 }
 
+// All engines of a service with two models come up empty, one after the other.
+// Both models must be loaded, about as they are asked for, and a copy on an
+// engine's own disk needs none of the store's loads.
+func TestEmptyEnginesLoadWhatIsAskedFor(t *testing.T) {
+	m := New(Options{Self: Process{Address: "a", Entry: true}}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	service := &route.Service{Name: "s", Engine: &route.Engine{
+		LoadsPerSecond: 2, Models: []route.Model{{Name: "busy", LoadTime: 5 * time.Second}, {Name: "rare", LoadTime: 5 * time.Second}},
+	}}
+	for i := range 40 {
+		m.NoteDemand([]string{"busy", "busy", "busy", "rare"}[i%4])
+	}
+	p := newPermits(m)
+	p.leading, p.limiters = true, make(map[string]*rate.Limiter)
+	now := time.Unix(1000, 0)
+	if got := p.choose(service, nil, now); got != "" {
+		t.Errorf("a new leader grants %q at once, the one before may have just done so", got)
+	}
+	loads := make(map[string]int)
+	for i := range 8 {
+		loads[p.choose(service, nil, now.Add(time.Duration(i+1)*500*time.Millisecond))]++
+	}
+	if loads["busy"] != 6 || loads["rare"] != 2 {
+		t.Errorf("the loads are %v, want 6 of the busy model and 2 of the rare one", loads)
+	}
+	later := now.Add(4 * time.Second)
+	if got := p.choose(service, []string{"busy", "rare"}, later); got == "" {
+		t.Error("an engine that keeps copies had to wait for the store")
+	}
+	first, second := p.choose(service, nil, later), p.choose(service, nil, later)
+	if third := p.choose(service, nil, later); first != "" && second != "" && third != "" {
+		t.Error("the store got three loads at once at 2 a second")
+	}
+}
+
 // A server crashes under a request at one entry; its caller's next try comes in
 // at another one, which must know.
 func TestStrikesAreKnownAtAllEntries(t *testing.T) {
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -91,14 +91,17 @@
 	Command json.RawMessage `json:"command"`
 }
 
-// permitRequest asks for the load of a model from the weight store.
+// permitRequest asks which model an engine without one may load.
 type permitRequest struct {
 	Service string `json:"service"`
+	// OnDisk are the models of which the engine keeps a copy: they cost the
+	// weight store nothing.
+	OnDisk []string `json:"onDisk,omitempty"`
 }
 
-// permitReply grants it.
+// permitReply names the model, or none when the engine must ask again.
 type permitReply struct {
-	Granted bool `json:"granted"`
+	Model string `json:"model,omitempty"`
 }
 
 // fate is how a proposal ended.
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -10,9 +10,8 @@
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
-// provideModel loads the base model into an engine that holds none: one that
-// was added, or that restarted. What lies on its own disk is loaded without
-// waiting for the configuration: after a loss of power that comes later.
+// provideModel loads a base model into an engine that holds none: one that was
+// added, or that restarted.
 func (d *duty) provideModel(ctx context.Context, now time.Time) {
 	if len(d.report.Models) > 0 || d.report.Busy || d.report.Leaving || len(d.orders) > 0 || d.ordering {
 		d.emptySince = time.Time{}
@@ -21,45 +20,48 @@
 	if d.emptySince.IsZero() {
 		d.emptySince = now
 	}
-	model := d.modelToLoad()
-	switch {
-	case model == "" || d.asking:
-	case d.permitted || d.options.Permit == nil || slices.Contains(d.report.OnDisk, model):
-		d.permitted = false
+	if d.asking {
+		return
+	}
+	if model := d.modelAtOnce(); model != "" {
+		d.permitted = ""
 		d.orders = append(d.orders, Order{Load: true, Model: model})
-	default:
+		return
+	}
+	if d.service != nil && len(d.service.Engine.Models) > 0 {
 		d.askPermit(ctx)
 	}
 }
 
-// askPermit asks beside the duty; the answer comes through the ring of calls.
-func (d *duty) askPermit(ctx context.Context) {
-	d.asking = true
-	since := d.emptySince
-	go func() {
-		granted := d.options.Permit(ctx, d.options.Service, since)
-		_ = d.submit(func(d *duty) { d.asking, d.permitted = false, granted })
-	}()
-}
-
-// modelToLoad prefers one of which the engine keeps a copy: it is there sooner
-// and costs the weight store nothing.
-func (d *duty) modelToLoad() string {
-	if d.service == nil {
+// modelAtOnce is the model that can be loaded without asking: the one that was
+// permitted, and the only one there is when the engine keeps a copy of it. That
+// does not wait for the configuration: after a loss of power it comes later.
+func (d *duty) modelAtOnce() string {
+	switch {
+	case d.permitted != "":
+		return d.permitted
+	case d.service == nil:
 		if len(d.report.OnDisk) == 1 {
 			return d.report.OnDisk[0]
 		}
 		return ""
-	}
-	for _, m := range d.service.Engine.Models {
-		if slices.Contains(d.report.OnDisk, m.Name) {
-			return m.Name
+	case len(d.service.Engine.Models) == 1 || d.options.Permit == nil && len(d.service.Engine.Models) > 0:
+		only := d.service.Engine.Models[0].Name
+		if d.options.Permit == nil || slices.Contains(d.report.OnDisk, only) {
+			return only
 		}
 	}
-	if len(d.service.Engine.Models) == 0 {
-		return ""
-	}
-	return d.service.Engine.Models[0].Name
+	return ""
+}
+
+// askPermit asks beside the duty; the answer comes through the ring of calls.
+func (d *duty) askPermit(ctx context.Context) {
+	d.asking = true
+	since, onDisk := d.emptySince, slices.Clone(d.report.OnDisk)
+	go func() {
+		model := d.options.Permit(ctx, d.options.Service, onDisk, since)
+		_ = d.submit(func(d *duty) { d.asking, d.permitted = false, model })
+	}()
 }
 
 // giveOrder gives the next order, one at a time: each names the count that the
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -23,9 +23,10 @@
 	// VersionGrace is how long an outdated adapter may still be started; a part
 	// of the time in which a named version must be in force.
 	VersionGrace time.Duration
-	// Permit asks whether a model may be loaded from the weight store; since is
-	// when the asking began. Without it none is asked for.
-	Permit func(ctx context.Context, service string, since time.Time) bool
+	// Permit asks which model an engine that holds none may load, empty when it
+	// must ask again; onDisk are those of which it keeps a copy, since is when the
+	// asking began. Without it none is asked for.
+	Permit func(ctx context.Context, service string, onDisk []string, since time.Time) string
 }
 
 const (
@@ -93,10 +94,10 @@
 	// loadTime is what loads took lately.
 	loadTime time.Duration
 	// emptySince is since when the engine holds no model; asking is true while a
-	// permit to load one from the store is asked for, permitted when it came.
+	// permit to load one is asked for, permitted is the model that it named.
 	emptySince time.Time
 	asking     bool
-	permitted  bool
+	permitted  string
 	// summed is when the engine was last summed up in the log.
 	summed time.Time
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -112,15 +112,21 @@
 
 // run starts an agent beside an engine in virtual time.
 func run(t *testing.T, e *fakeEngine, test func(t *testing.T, s *Sidecar)) {
+	runWith(t, e, Options{}, []route.Model{{Name: "m"}}, test)
+}
+
+// runWith is run with further options and other models.
+func runWith(t *testing.T, e *fakeEngine, options Options, models []route.Model, test func(t *testing.T, s *Sidecar)) {
 	synctest.Test(t, func(t *testing.T) {
 		decode := func([]byte) (*route.Document, error) {
 			return &route.Document{Services: []route.Service{{Name: "llm", Engine: &route.Engine{
-				Batch: 4, MemoryTokens: 10_000, AdapterSlots: testPlaces, Models: []route.Model{{Name: "m"}},
+				Batch: 4, MemoryTokens: 10_000, AdapterSlots: testPlaces, Models: models,
 			}}}}, nil
 		}
 		documents := mesh.NewDocuments(decode, zap.NewNop())
 		documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")})
-		s := New(Options{Name: "agent", Service: "llm", VersionGrace: time.Second}, e, documents, zap.NewNop())
+		options.Name, options.Service, options.VersionGrace = "agent", "llm", time.Second
+		s := New(options, e, documents, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -321,3 +327,31 @@
 		}
 	})
 }
+
+// An engine comes up empty where a service has several models. Which one is
+// short is known elsewhere: the agent must ask, go on asking while nothing is
+// granted, and load what it was told, not the first one.
+func TestAnEmptyEngineLoadsThePermittedModel(t *testing.T) {
+	e := newFakeEngine(t)
+	e.models, e.onDisk = nil, []string{"m"}
+	asked := 0
+	options := Options{Permit: func(_ context.Context, service string, onDisk []string, _ time.Time) string {
+		if service != "llm" || len(onDisk) != 1 {
+			t.Errorf("a permit is asked for for %q with %v on disk", service, onDisk)
+		}
+		if asked++; asked < 3 {
+			return ""
+		}
+		return "rare"
+	}}
+	runWith(t, e, options, []route.Model{{Name: "m"}, {Name: "rare"}}, func(t *testing.T, _ *Sidecar) {
+		time.Sleep(2 * time.Second)
+		given := e.given()
+		if len(given) != 1 || given[0].Model != "rare" || given[0].Adapter != "" {
+			t.Errorf("the orders are %+v, want the load of the permitted model alone", given)
+		}
+		if asked != 3 {
+			t.Errorf("a permit was asked for %d times, want 3", asked)
+		}
+	})
+}
