Let saved repeats fade where entries outnumber the slack

Cause: each entry may save up one repeat at least; 370 entries of a slack of 58 repeated 370 of 740 requests in one window of a service with 0.2 requests a second at each (bound 206).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -178,7 +178,8 @@
 func (p *process) startEntry(ctx context.Context) error {
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
-		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, StopWithin: p.settings.StopWithin() - stopMargin,
+		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
+		StopWithin: p.settings.StopWithin() - stopMargin,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.duties.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -16,26 +17,37 @@
 	options Options
 	mesh    *mesh.Mesh
 
-	mu     sync.Mutex
-	tokens map[string]float64
+	mu    sync.Mutex
+	saved map[string]savings
 	// entries is the most entries that were known at once.
 	entries int
 }
 
+// savings are the repeats that one service may have now.
+type savings struct {
+	tokens float64
+	at     time.Time
+}
+
 const (
 	// ratioShare and slackShare leave room for requests that are counted in
 	// another window than their repeats.
 	ratioShare = 0.7
 	slackShare = 0.6
+	// keptWindows is the half-life, in windows of the bound, of what is saved up
+	// beyond the own part of the slack. With more entries than the slack has
+	// repeats each must be able to save up one; if all kept it for ever, their
+	// sum alone could break the bound.
+	keptWindows = 0.25
 )
 
 func newBudget(options Options, m *mesh.Mesh) *budget {
-	return &budget{options: options, mesh: m, tokens: make(map[string]float64), entries: 1}
+	return &budget{options: options, mesh: m, saved: make(map[string]savings), entries: 1}
 }
 
-// most is how many repeats one service may have saved up here.
-func (b *budget) most() float64 {
-	return max(1, slackShare*b.options.RepeatSlack/float64(b.entries))
+// part is this entry's part of the slack.
+func (b *budget) part() float64 {
+	return slackShare * b.options.RepeatSlack / float64(b.entries)
 }
 
 // noteEntries takes the number of entries that are known.
@@ -46,28 +58,36 @@
 }
 
 // began pays in for a request to a service.
-func (b *budget) began(service string) {
+func (b *budget) began(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.left(service)+ratioShare*b.options.RepeatRatio, b.most())
+	tokens := min(b.left(service, now)+ratioShare*b.options.RepeatRatio, max(1, b.part()))
+	b.saved[service] = savings{tokens: tokens, at: now}
 }
 
-func (b *budget) left(service string) float64 {
-	if left, ok := b.tokens[service]; ok {
-		return left
+// left is what a service has now. The caller holds mu.
+func (b *budget) left(service string, now time.Time) float64 {
+	s, known := b.saved[service]
+	if !known {
+		return b.part()
+	}
+	beyond := s.tokens - b.part()
+	if beyond <= 0 || b.options.RepeatWindow <= 0 {
+		return s.tokens
 	}
-	return b.most()
+	halves := float64(now.Sub(s.at)) / (keptWindows * float64(b.options.RepeatWindow))
+	return b.part() + beyond*math.Exp2(-halves)
 }
 
 // take pays for one repeat.
-func (b *budget) take(service string) bool {
+func (b *budget) take(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	left := b.left(service)
+	left := b.left(service, now)
 	if left < 1 {
 		return false
 	}
-	b.tokens[service] = left - 1
+	b.saved[service] = savings{tokens: left - 1, at: now}
 	repeatCount.Add(1)
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,8 @@
 	// more: a share of the requests, and a number beside it.
 	RepeatRatio float64
 	RepeatSlack float64
+	// RepeatWindow is the time over which that bound holds.
+	RepeatWindow time.Duration
 	// StopWithin is how long a planned stop may take.
 	StopWithin time.Duration
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,7 +15,8 @@
 // Many entries see the same servers fail. What they repeat together must stay
 // under the deployment's bound, or the repeats bury the servers that are left.
 func TestAllEntriesTogetherKeepTheBoundOfRepeats(t *testing.T) {
-	options := Options{RepeatRatio: 0.2, RepeatSlack: 58}
+	options := Options{RepeatRatio: 0.2, RepeatSlack: 58, RepeatWindow: 10 * time.Second}
+	now := time.Unix(1000, 0)
 	for _, entries := range []int{1, 8, 40} {
 		requests, repeats := 0, 0
 		for range entries {
@@ -23,8 +24,8 @@
 			b.noteEntries(entries)
 			for range 200 {
 				requests++
-				b.began("s")
-				for b.take("s") {
+				b.began("s", now)
+				for b.take("s", now) {
 					repeats++
 				}
 			}
@@ -38,11 +39,47 @@
 	}
 }
 
+// There are far more entries than the slack has repeats. All save up for a long
+// calm time, then every server of a service fails at once. What was saved must
+// not add up to more than the bound, whatever the load was.
+func TestManyEntriesSaveUpNoMoreThanTheBound(t *testing.T) {
+	const entries, calm = 370, 60
+	options := Options{RepeatRatio: 0.2, RepeatSlack: 58, RepeatWindow: 10 * time.Second}
+	for _, each := range []float64{0.05, 0.2, 0.5, 1, 2, 8} {
+		repeats, requests := 0, 0
+		for i := range entries {
+			b := newBudget(options, nil)
+			b.noteEntries(entries)
+			spacing := time.Duration(float64(time.Second) / each)
+			now := time.Unix(1000, 0).Add(spacing * time.Duration(i) / entries)
+			fails := time.Unix(1000+calm, 0)
+			for ; now.Before(fails.Add(options.RepeatWindow)); now = now.Add(spacing) {
+				b.began("s", now)
+				if now.Before(fails) {
+					continue
+				}
+				requests++
+				if b.take("s", now) {
+					repeats++
+				}
+			}
+		}
+		bound := options.RepeatRatio*float64(requests) + options.RepeatSlack
+		if float64(repeats) > bound {
+			t.Errorf("at %.2f requests a second each, %d entries repeat %d of %d, the bound is %.0f", each, entries, repeats, requests, bound)
+		}
+		if each >= 2 && repeats < requests/20 {
+			t.Errorf("at %.2f requests a second each only %d of %d are repeated", each, repeats, requests)
+		}
+	}
+}
+
 func TestServicesDoNotUseUpEachOthersRepeats(t *testing.T) {
 	b := newBudget(Options{RepeatRatio: 0.2, RepeatSlack: 10}, nil)
-	for b.take("failing") {
+	now := time.Unix(1000, 0)
+	for b.take("failing", now) {
 	}
-	if !b.take("healthy") {
+	if !b.take("healthy", now) {
 		t.Error("a service whose servers are healthy has no repeat left")
 	}
 }
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -89,7 +89,7 @@
 		j.refuse(j.w, &j.call, "this request has crashed several backend servers", refuseCrashing)
 		return
 	}
-	j.budget.began(j.service.Name)
+	j.budget.began(j.service.Name, j.arrived)
 	if j.service.Engine != nil && j.call.Model != "" {
 		j.mesh.NoteDemand(j.call.Model)
 	}
@@ -142,7 +142,7 @@
 		j.last = "the backend server leaves"
 		return stepAgain
 	}
-	if j.arrivals > 0 && !j.budget.take(j.service.Name) {
+	if j.arrivals > 0 && !j.budget.take(j.service.Name, time.Now()) {
 		j.last = "the budget of repeats is used up: " + j.last
 		return stepFail
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -43,9 +43,12 @@
 	StopSeconds float64 `json:"stopSeconds"`
 	// DrainMillis is within what time a leaving server gets no new work.
 	DrainMillis float64 `json:"drainMillis"`
-	// RepeatRatio and RepeatSlack bound repeats over all entries.
+	// RepeatRatio and RepeatSlack bound repeats over all entries, in each span of
+	// RepeatWindowSeconds.
 	RepeatRatio float64 `json:"repeatRatio"`
 	RepeatSlack float64 `json:"repeatSlack"`
+	// RepeatWindowSeconds is 10 where the deployment names none.
+	RepeatWindowSeconds float64 `json:"repeatWindowSeconds"`
 	// VersionMillis is within what time a named adapter version is in force.
 	VersionMillis float64 `json:"versionMillis"`
 	// Engine is the address of the engine beside an agent, Service its service.
@@ -57,6 +60,7 @@
 const (
 	defaultStop     = 8 * time.Second
 	defaultVersion  = 5 * time.Second
+	defaultRepeat   = 10 * time.Second
 	defaultMemoryMB = 256
 	portsOfRange    = 2
 )
@@ -110,8 +114,8 @@
 	if f.ControlListen != "" && len(f.Seeds) == 0 {
 		p.add("seeds", "the address of at least one process is required")
 	}
-	if f.RepeatRatio < 0 || f.RepeatSlack < 0 {
-		p.add("repeatRatio", "must not be below 0")
+	if f.RepeatRatio < 0 || f.RepeatSlack < 0 || f.RepeatWindowSeconds < 0 {
+		p.add("repeatRatio", "neither it nor repeatSlack and repeatWindowSeconds may be below 0")
 	}
 	if f.LossesBorne < 0 {
 		p.add("lossesBorne", "must not be below 0")
@@ -126,6 +130,14 @@
 	return time.Duration(f.StopSeconds * float64(time.Second))
 }
 
+// RepeatWindow is the time over which the bound of repeats holds.
+func (f *Fleet) RepeatWindow() time.Duration {
+	if f.RepeatWindowSeconds <= 0 {
+		return defaultRepeat
+	}
+	return time.Duration(f.RepeatWindowSeconds * float64(time.Second))
+}
+
 // VersionWithin is within what time a named version must be in force.
 func (f *Fleet) VersionWithin() time.Duration {
 	if f.VersionMillis <= 0 {
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -14,7 +14,7 @@
   "instance": "entry-1", "dataCentre": "amman-a", "ip": "10.1.0.38",
   "callerListen": "10.1.0.38:8149", "readyListen": "10.1.0.38:8141", "controlListen": "10.1.0.38:8144", "statusListen": "",
   "peerPorts": [7380, 7395], "seeds": ["10.1.0.38:8144", "10.2.0.40:8144"], "bootstrap": true, "dataFolder": null,
-  "memoryMB": 284, "lossesBorne": 1, "stopSeconds": 8, "drainMillis": 2000, "repeatRatio": 0.2, "repeatSlack": 58,
+  "memoryMB": 284, "lossesBorne": 1, "stopSeconds": 8, "drainMillis": 2000, "repeatRatio": 0.2, "repeatSlack": 58, "repeatWindowSeconds": 10,
   "versionMillis": 5000, "engine": null, "service": null
 }`
 
