Move what entries do with agents to a file of its own; test the bound of watches

Change: agents.go holds the agents' client, their watches and the pauses; nothing behaves otherwise.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -162,3 +162,22 @@
 		t.Error("it may go on behind its deadline")
 	}
 }
+
+// Every entry watches every agent. What that takes must not grow with the
+// deployment; what a small one sees must stay fresh.
+func TestWatchesOfManyAgentsShareABound(t *testing.T) {
+	tests := []struct{ near, far int }{{0, 0}, {5, 13}, {12, 38}, {150, 450}}
+	for _, test := range tests {
+		near, far := watchPauses(test.near, test.far)
+		if near < watchPause || far < watchPauseFar {
+			t.Errorf("%+v are watched every %s and %s", test, near, far)
+		}
+		answers := float64(test.near)/near.Seconds() + float64(test.far)/far.Seconds()
+		if answers > nearWatches+farWatches+1 {
+			t.Errorf("%+v answer %.0f times a second, the bound is %d", test, answers, nearWatches+farWatches)
+		}
+	}
+	if near, far := watchPauses(5, 13); near != watchPause || far != watchPauseFar {
+		t.Errorf("a small deployment's agents are watched every %s and %s", near, far)
+	}
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -4,11 +4,9 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,7 +15,6 @@
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -105,49 +102,11 @@
 	s.pace(near, far)
 }
 
-// pace shares the watches that an entry can afford among its agents.
-func (s *servers) pace(near, far int) {
-	nearPause, farPause := watchPauses(near, far)
-	for _, agent := range s.agents {
-		if agent.near {
-			agent.pause.Store(int64(nearPause))
-		} else {
-			agent.pause.Store(int64(farPause))
-		}
-	}
-}
-
-// watchPauses are the pauses between two answers of an agent in the own data
-// centre and in another one, for so many of each.
-func watchPauses(near, far int) (nearPause, farPause time.Duration) {
-	return max(watchPause, time.Duration(near)*time.Second/nearWatches), max(watchPauseFar, time.Duration(far)*time.Second/farWatches)
-}
-
 func hasEngine(table *route.Table, service string) bool {
 	found := table.Service(service)
 	return found != nil && found.Engine != nil
 }
 
-// watch follows the agent on an engine's machine. An engine that has restarted
-// has the same agent: what is known of it stands, and the first requests to the
-// new incarnation ask it as all others do.
-func (s *servers) watch(ctx context.Context, engineAddress string, near bool) *agentClient {
-	host, _, err := net.SplitHostPort(engineAddress)
-	if err != nil {
-		return nil
-	}
-	address := net.JoinHostPort(host, s.options.AgentPort)
-	if known := s.agents[address]; known != nil {
-		return known
-	}
-	ctx, stop := context.WithCancel(ctx)
-	a := &agentClient{stop: stop, near: near, client: rpc.NewClient(address)}
-	a.pause.Store(int64(watchPauseFar))
-	s.agents[address] = a
-	go a.run(ctx)
-	return a
-}
-
 // choose picks a server for a request, nil when there is none.
 func (s *servers) choose(ctx context.Context, service *route.Service, r dispatch.Request, model string) (*server, dispatch.Candidate) {
 	now := time.Now()
@@ -274,132 +233,3 @@
 	v := s.byID[target.ID]
 	return v != nil && v.entry.Address == target.Address
 }
-
-// agentClient speaks to one agent.
-type agentClient struct {
-	stop   context.CancelFunc
-	client *rpc.Client
-	// near is true in the own data centre; pause is that between two answers, in
-	// nanoseconds.
-	near  bool
-	pause atomic.Int64
-
-	mu    sync.Mutex
-	state wire.EngineState
-	// asked are the own starts since the state was taken.
-	asked asked
-}
-
-// asked counts starts, and the tokens of their prompts, since a state was taken.
-type asked struct {
-	count, prompt int
-	since         time.Time
-}
-
-// promptUnit is the number of tokens for which PromptMillis stands.
-const promptUnit = 1000
-
-const (
-	watchWait    = 500 * time.Millisecond
-	watchTimeout = watchWait + 500*time.Millisecond
-	// watchPause lets news within it come together. Of engines in other data
-	// centres, which get little of this entry's work, news may be older: bytes
-	// between data centres are dear.
-	watchPause    = 80 * time.Millisecond
-	watchPauseFar = 250 * time.Millisecond
-	// nearWatches and farWatches are the most answers a second of all agents in the
-	// own data centre and in others together: each costs both ends some 0.1 ms, so
-	// that watching takes under 2% of a core however many engines there are.
-	nearWatches = 100
-	farWatches  = 60
-	// watchRetry follows a call that failed.
-	watchRetry = 250 * time.Millisecond
-)
-
-func (a *agentClient) run(ctx context.Context) {
-	defer a.client.Close()
-	var known wire.EngineState
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, watchTimeout)
-		var state wire.EngineState
-		err := a.client.Call(call, wire.MethodStartWatch, wire.StartWatch{
-			Change: known.Change, HeldChange: known.HeldChange, WaitMillis: watchWait.Milliseconds(),
-		}, &state)
-		cancel()
-		pause := time.Duration(a.pause.Load())
-		if err != nil {
-			state, pause = wire.EngineState{}, watchRetry
-		} else if state.HeldChange == known.HeldChange {
-			state.Held, state.Stale = known.Held, known.Stale
-		}
-		known = state
-		a.mu.Lock()
-		a.state, a.asked = state, asked{since: time.Now()}
-		a.mu.Unlock()
-		sleep(ctx, pause)
-	}
-}
-
-func (a *agentClient) snapshot() (wire.EngineState, asked) {
-	if a == nil {
-		return wire.EngineState{}, asked{}
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.state, a.asked
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// grantMargin is what the call of a start may take beyond its own wait.
-const grantMargin = time.Second
-
-// admit asks for a start. The call goes on when ctx ends, and is taken back:
-// ending it would close the connection that other requests share.
-func (a *agentClient) admit(ctx context.Context, r wire.StartRequest) (wire.StartReply, error) {
-	type result struct {
-		reply wire.StartReply
-		err   error
-	}
-	a.mu.Lock()
-	a.asked.count++
-	a.asked.prompt += r.Prompt
-	a.mu.Unlock()
-	done := make(chan result, 1)
-	go func() {
-		call, cancel := context.WithTimeout(context.Background(), time.Duration(r.WaitMillis)*time.Millisecond+grantMargin)
-		defer cancel()
-		var got result
-		got.err = a.client.Call(call, wire.MethodStartAdmit, r, &got.reply)
-		done <- got
-	}()
-	select {
-	case got := <-done:
-		return got.reply, got.err
-	case <-ctx.Done():
-		a.done(r.ID, r.Try)
-		return wire.StartReply{}, ctx.Err()
-	}
-}
-
-// begun tells that a request has produced its first event.
-func (a *agentClient) begun(id string, try int) { a.tell(wire.MethodStartBegun, id, try) }
-
-// done tells that a request has ended.
-func (a *agentClient) done(id string, try int) { a.tell(wire.MethodStartDone, id, try) }
-
-func (a *agentClient) tell(method, id string, try int) {
-	go func() {
-		call, cancel := context.WithTimeout(context.Background(), grantMargin)
-		defer cancel()
-		// An agent that cannot be told finds out by the engine's reports.
-		_ = a.client.Call(call, method, wire.StartDone{ID: id, Try: try}, &wire.Empty{})
-	}()
-}
