Let processes say themselves that they rely on hubs

Cause: TestNewsReachAllOverHubs hung in 2 of 6 runs (10 minutes lost to the first). A beat was not passed on where a hub took the receiver for a hub too: each judged by its own view, and views differ until all know who is in the log (a process also did not choose anew when it joined the log itself). Ruled out: lost calls; the log of the run ends with all greetings answered. Change: a greeting says whether its sender relies on those it greets; that alone decides what is passed on; the own entry into the log is a reason to choose anew.

--- a/coord/overlay/overlay.go
+++ b/coord/overlay/overlay.go
@@ -61,18 +61,18 @@
 	return hubs
 }
 
-// Greet lists the addresses that self greets; others are the processes it
-// knows.
-func Greet(self Node, others []Node) []string {
+// Greet lists the addresses that self greets, and whether it is a hub; others are
+// the processes it knows.
+func Greet(self Node, others []Node) (greeted []string, hub bool) {
 	hubs := Hubs(append([]Node{self}, others...))
 	if slices.ContainsFunc(hubs, func(n Node) bool { return n.Address == self.Address }) {
-		return addresses(slices.DeleteFunc(hubs, func(n Node) bool { return n.Address == self.Address }))
+		return addresses(slices.DeleteFunc(hubs, func(n Node) bool { return n.Address == self.Address })), true
 	}
 	slices.SortStableFunc(hubs, func(a, b Node) int {
 		return cmp.Or(falseFirst(a.Lost, b.Lost), falseFirst(a.DataCentre != self.DataCentre, b.DataCentre != self.DataCentre),
 			cmp.Compare(Weight(self.Address, a.Address), Weight(self.Address, b.Address)))
 	})
-	return addresses(hubs[:min(hubsEach, len(hubs))])
+	return addresses(hubs[:min(hubsEach, len(hubs))]), false
 }
 
 func addresses(nodes []Node) []string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -78,9 +78,13 @@
 	// digest is the sum of the peers' digests.
 	digest uint64
 	// relink is true when whom to greet must be decided anew; linkedAt is when
-	// it was.
+	// it was, linkedAs this process's own digest then.
 	relink   bool
 	linkedAt time.Time
+	linkedAs uint64
+	// relies is true when this process is no hub: those it greets must pass on to
+	// it what they hear.
+	relies bool
 	// heardFrom says on which way a server was heard of last.
 	heardFrom map[string]way
 	// strikes are the requests that crashed servers; news of them go to peers.
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -52,6 +52,9 @@
 	Strikes []suspicion.Strike `json:"strikes,omitempty"`
 	// Digest is that of the processes the sender knows.
 	Digest uint64 `json:"digest"`
+	// Relies is true when the sender is no hub, and hears only what those it
+	// greets pass on.
+	Relies bool `json:"relies,omitempty"`
 }
 
 // greetingReply answers with the peer itself and, where the digests differ,
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -27,6 +27,10 @@
 	linked    bool
 	greetedUs time.Time
 	agrees    bool
+	// relies is true when it hears only what those it greets pass on. It says so
+	// itself: the two may know different processes for a moment, and differ on
+	// who is a hub.
+	relies bool
 	// heard is when it was last heard, word when anyone last heard it.
 	heard time.Time
 	word  time.Time
@@ -47,11 +51,11 @@
 type way uint8
 
 const (
-	// wayDirect: from the server itself, or from a peer that greets this process
-	// as its hub; all must be told.
+	// wayDirect: from the server itself, or from a peer that relies on this
+	// process; all must be told.
 	wayDirect way = iota
-	// wayHub: from a peer that this process greets and that tells all it greets
-	// itself; only those who greet this process as their hub must be told.
+	// wayHub: from a hub, which tells the other hubs itself; only those who rely on
+	// this process must be told.
 	wayHub
 )
 
@@ -124,7 +128,8 @@
 		return news, restNot
 	}
 	q.confirmed = news.change
-	if !q.linked || q.agrees && now.Sub(q.greetedUs) < syncInterval && !news.relist {
+	// One that relies on the peer must say so itself.
+	if !q.linked || q.agrees && !m.relies && now.Sub(q.greetedUs) < syncInterval && !news.relist {
 		return pending{}, restShortly
 	}
 	return news, restNot
@@ -201,12 +206,13 @@
 func (q *peer) news(now time.Time) pending {
 	m := q.mesh
 	p := pending{change: m.roster.Change(), relist: now.Sub(q.listed) >= relistInterval}
+	p.Relies = m.relies
 	p.Strikes = slices.Clone(q.strikes)
 	for _, e := range m.roster.Since(q.confirmed) {
 		switch {
 		case e.Material > q.confirmed:
 			p.Servers = append(p.Servers, e.Server)
-		case m.heardFrom[e.ID] == wayDirect || !q.linked:
+		case m.heardFrom[e.ID] == wayDirect || q.relies:
 			p.Beats = append(p.Beats, roster.Beat{ID: e.ID, Born: e.Born, Sequence: e.Sequence})
 		}
 	}
@@ -233,10 +239,10 @@
 	m.mu.Lock()
 	from := m.peers[in.From.Address]
 	reply := greetingReply{Missing: m.takeServers(from, in, now)}
-	m.takeStrikes(from, in.Strikes, now)
+	m.takeStrikes(from, !in.Relies, in.Strikes, now)
 	if from != nil {
 		wasActive := from.active(now)
-		from.greetedUs, from.agrees = now, in.Digest == digest
+		from.greetedUs, from.agrees, from.relies = now, in.Digest == digest, in.Relies
 		if !wasActive {
 			from.wake()
 		}
@@ -253,9 +259,9 @@
 // greet this process as their hub could not hear otherwise. It returns the
 // servers of which no more is known than that they live. The caller holds mu.
 func (m *Mesh) takeServers(from *peer, in greeting, now time.Time) (missing []string) {
-	heard := wayDirect
-	if from != nil && from.linked {
-		heard = wayHub
+	heard := wayHub
+	if in.Relies {
+		heard = wayDirect
 	}
 	anyMaterial := false
 	for _, s := range in.Servers {
@@ -279,21 +285,19 @@
 		m.noteProgress()
 	}
 	if anyMaterial {
-		for _, q := range m.passOn(from, now) {
+		for _, q := range m.passOn(from, !in.Relies, now) {
 			q.wake()
 		}
 	}
 	return missing
 }
 
-// passOn lists the peers that must be told what came from one: those that have
-// this process for their hub and, when it came from one of these, all that this
-// process greets. The caller holds mu.
-func (m *Mesh) passOn(from *peer, now time.Time) []*peer {
-	fromHub := from != nil && from.linked
+// passOn lists the peers that must be told what came from one: those that rely on
+// this process and, unless it came from a hub, all others. The caller holds mu.
+func (m *Mesh) passOn(from *peer, fromHub bool, now time.Time) []*peer {
 	var others []*peer
 	for _, q := range m.peers {
-		if q != from && q.active(now) && !(fromHub && q.linked) {
+		if q != from && q.active(now) && (!fromHub || q.relies) {
 			others = append(others, q)
 		}
 	}
@@ -308,17 +312,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.log.Warn("a backend server ended while it ran a request", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("server", strike.Server))
-	m.takeStrikes(nil, []suspicion.Strike{strike}, time.Now())
+	m.takeStrikes(nil, false, []suspicion.Strike{strike}, time.Now())
 }
 
 // takeStrikes takes strikes and passes on those that are news. The caller holds
 // mu.
-func (m *Mesh) takeStrikes(from *peer, strikes []suspicion.Strike, now time.Time) {
+func (m *Mesh) takeStrikes(from *peer, fromHub bool, strikes []suspicion.Strike, now time.Time) {
 	for _, strike := range strikes {
 		if !m.strikes.Take(strike, now) {
 			continue
 		}
-		for _, q := range m.passOn(from, now) {
+		for _, q := range m.passOn(from, fromHub, now) {
 			if len(q.strikes) < maxStrikesUntold {
 				q.strikes = append(q.strikes, strike)
 			}
@@ -395,7 +399,7 @@
 
 // wakeAll tells everyone at once. The caller holds mu.
 func (m *Mesh) wakeAll() {
-	for _, q := range m.passOn(nil, time.Now()) {
+	for _, q := range m.passOn(nil, false, time.Now()) {
 		q.wake()
 	}
 }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -139,10 +139,11 @@
 
 // chooseLinks decides whom this process greets. The caller holds mu.
 func (m *Mesh) chooseLinks(self Process, now time.Time) {
-	if !m.options.Self.Entry || !m.relink && now.Sub(m.linkedAt) < lostAge {
+	own := self.digest()
+	if !m.options.Self.Entry || !m.relink && own == m.linkedAs && now.Sub(m.linkedAt) < lostAge {
 		return
 	}
-	m.relink, m.linkedAt = false, now
+	m.relink, m.linkedAs, m.linkedAt = false, own, now
 	founded := self.Cluster != ""
 	others := make([]overlay.Node, 0, len(m.peers))
 	for _, q := range m.peers {
@@ -152,7 +153,9 @@
 		}
 	}
 	greeted := make(map[string]bool)
-	for _, address := range overlay.Greet(nodeOf(self, false), others) {
+	addresses, hub := overlay.Greet(nodeOf(self, false), others)
+	m.relies = !hub
+	for _, address := range addresses {
 		greeted[address] = true
 	}
 	if !founded {
