--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/rosemarypass/rosemarypass/coord/rendezvous"
 )
 
 // Residence says where an adapter stands at a server.
@@ -158,7 +158,7 @@
 			if homes[id] > 0 || !candidates[i].Model {
 				continue
 			}
-			if h := spread(adapter, id); first == "" || h > highest {
+			if h := rendezvous.Weight(adapter, id); first == "" || h > highest {
 				first, highest = id, h
 			}
 		}
@@ -220,16 +220,6 @@
 	}
 }
 
-// spread is a number that is the same at all entries.
-func spread(adapter, id string) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	_, _ = h.WriteString(adapter)
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(id)
-	return h.Sum64()
-}
-
 func pressure(c *Candidate, r *Request) float64 {
 	if c.Batch <= 0 {
 		return queueCost * float64(c.Running+c.Waiting)
--- a/coord/overlay/overlay.go
+++ b/coord/overlay/overlay.go
@@ -14,7 +14,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/rosemarypass/rosemarypass/coord/rendezvous"
 )
 
 // Node is one process.
@@ -70,7 +70,7 @@
 	}
 	slices.SortStableFunc(hubs, func(a, b Node) int {
 		return cmp.Or(falseFirst(a.Lost, b.Lost), falseFirst(a.DataCentre != self.DataCentre, b.DataCentre != self.DataCentre),
-			cmp.Compare(Weight(self.Address, a.Address), Weight(self.Address, b.Address)))
+			cmp.Compare(rendezvous.Weight(self.Address, a.Address), rendezvous.Weight(self.Address, b.Address)))
 	})
 	return addresses(hubs[:min(hubsEach, len(hubs))]), false
 }
@@ -94,16 +94,6 @@
 	}
 }
 
-// Weight is a number that depends on both names and is the same everywhere.
-func Weight(a, b string) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	_, _ = h.WriteString(a)
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(b)
-	return h.Sum64()
-}
-
 // Spread orders items so that each beginning of the list has about as many of
 // each data centre. describe gives an item's data centre and a name that orders
 // those of one data centre.
--- /dev/null
+++ b/coord/rendezvous/rendezvous_test.go
@@ -0,0 +1,44 @@
+package rendezvous
+
+import (
+	"fmt"
+	"testing"
+)
+
+func best(key string, choices []string) string {
+	found, highest := "", uint64(0)
+	for _, choice := range choices {
+		if w := Weight(key, choice); found == "" || w > highest {
+			found, highest = choice, w
+		}
+	}
+	return found
+}
+
+// A server is lost. Adapters of others must keep their homes, or every engine
+// would have to load anew.
+func TestALossMovesOnlyItsOwnKeys(t *testing.T) {
+	choices := []string{"a", "b", "c", "d"}
+	left := choices[:3]
+	count := make(map[string]int)
+	const keys = 4000
+	for i := range keys {
+		key := fmt.Sprint("adapter", i)
+		before, after := best(key, choices), best(key, left)
+		count[before]++
+		if before != "d" && after != before {
+			t.Fatalf("%s moved from %s to %s with the loss of d", key, before, after)
+		}
+	}
+	for _, choice := range choices {
+		if n := count[choice]; n < keys/len(choices)*9/10 || n > keys/len(choices)*11/10 {
+			t.Errorf("%s has %d of %d keys, want about a quarter", choice, n, keys)
+		}
+	}
+}
+
+func TestTheBorderBetweenKeyAndChoiceCounts(t *testing.T) {
+	if Weight("ab", "c") == Weight("a", "bc") {
+		t.Error("different pairs have the same weight")
+	}
+}
