Do not let an old report bring an unloaded adapter back

Its agent's lines: a4 was unloaded (order done) while a report that still showed it was on its way; taken for news the report brought the place back, a request started on it, the next report showed it gone, and the load "again" for its place never looked for a free one. Ruled out: a second order under way, a restart unseen (sequences run on). Change: a report that was asked for before the unload does not count for that adapter; a load of what is gone needs a free place.

--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -134,12 +134,12 @@
 // provide brings an adapter closer to being held.
 func (t *Table) provide(name string, wanted map[string]int, now time.Time) []Action {
 	if p := t.places[name]; p != nil {
-		return t.renew(name, p, now)
+		return t.renew(name, p, wanted, now)
 	}
 	if !t.mayOrder(now) {
 		return nil
 	}
-	if len(t.places) < t.options.Places {
+	if t.occupied() < t.options.Places {
 		t.places[name] = &place{version: absent, loading: true, since: now, usedAt: now}
 		return []Action{Load{Adapter: name, Version: t.newest[name].version}}
 	}
@@ -148,7 +148,7 @@
 
 // renew orders again what was lost on the way, and replaces an outdated
 // version that may not start any more.
-func (t *Table) renew(name string, p *place, now time.Time) []Action {
+func (t *Table) renew(name string, p *place, wanted map[string]int, now time.Time) []Action {
 	if p.loading || p.unloading && now.Sub(p.since) < orderPatience {
 		return nil
 	}
@@ -156,10 +156,26 @@
 	if t.startable(name, p, now) || p.version != absent && !t.free(p) {
 		return nil
 	}
+	// An adapter that is gone, and whose place stands for the requests that
+	// started on it, needs a place at the engine as any other does.
+	if p.version == absent && t.occupied() >= t.options.Places {
+		return t.makeRoom(wanted, now)
+	}
 	p.loading, p.since = true, now
 	return []Action{Load{Adapter: name, Version: t.newest[name].version}}
 }
 
+// occupied counts the places that the engine has filled or is about to fill.
+func (t *Table) occupied() int {
+	n := 0
+	for _, p := range t.places {
+		if p.version != absent || p.loading {
+			n++
+		}
+	}
+	return n
+}
+
 // replaceOutdated orders newer versions where no request is in the way: a
 // replacement waits for the adapter's runs, and while it waits the engine takes
 // no other order. Once the grace has passed nothing starts on the old version
--- a/coord/residency/report.go
+++ b/coord/residency/report.go
@@ -28,8 +28,16 @@
 // Take makes the table agree with the engine's report.
 func (t *Table) Take(r Report, now time.Time) []Action {
 	for name, version := range r.Held {
+		if t.places[name] == nil && !r.Asked.After(t.unloaded[name]) {
+			continue
+		}
 		t.takeHeld(name, version, r.Coming, now)
 	}
+	for name, at := range t.unloaded {
+		if r.Asked.After(at) {
+			delete(t.unloaded, name)
+		}
+	}
 	for name := range r.Coming {
 		if t.places[name] == nil {
 			t.places[name] = &place{version: absent, loading: true, since: now, usedAt: now}
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -156,6 +156,9 @@
 	pace   pace
 	// parts are those that the engine has read, by adapter.
 	parts map[string]map[string]bool
+	// unloaded are the adapters that the engine has dropped, and when: a report
+	// that was asked for before still shows them.
+	unloaded map[string]time.Time
 	// refusedUntil is when the next order may be given after a refusal.
 	refusedUntil time.Time
 }
@@ -175,7 +178,7 @@
 
 // New returns a table for an engine that holds nothing.
 func New(options Options) *Table {
-	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), ending: make(map[string]ending), newest: make(map[string]named), parts: make(map[string]map[string]bool)}
+	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), ending: make(map[string]ending), newest: make(map[string]named), unloaded: make(map[string]time.Time), parts: make(map[string]map[string]bool)}
 }
 
 // SetOptions changes what is known of the engine.
@@ -240,6 +243,7 @@
 func (t *Table) Restarted() []Action {
 	t.places = make(map[string]*place)
 	t.started, t.ending, t.foreign = make(map[string]*started), make(map[string]ending), 0
+	clear(t.unloaded)
 	t.tokens = 0
 	t.leaving = false
 	t.pace = pace{}
@@ -275,6 +279,7 @@
 func (t *Table) Unloaded(adapter string, now time.Time) []Action {
 	if p := t.places[adapter]; p != nil && p.unloading && p.pins == 0 {
 		delete(t.places, adapter)
+		t.unloaded[adapter] = now
 	}
 	return t.plan(now)
 }
--- a/coord/residency/residency_test.go
+++ b/coord/residency/residency_test.go
@@ -248,9 +248,33 @@
 				}
 			}
 		}
+		// A report that was asked for and has not been read yet.
+		var unread *Report
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 4:
+				names := make([]string, 0, len(engine))
+				for name := range engine {
+					names = append(names, name)
+				}
+				asked := held(now, names...)
+				asked.Runs = make(map[string]bool)
+				for id := range uses {
+					asked.Runs[id] = true
+				}
+				unread = &asked
+			case 5:
+				if unread != nil {
+					check(table.Take(*unread, now))
+					unread = nil
+				}
+				for _, name := range table.sortedNames() {
+					if table.places[name].unloading {
+						check(table.Unloaded(name, now))
+						break
+					}
+				}
 			case 0:
 				next++
 				r := request(fmt.Sprint("r", next), "m/"+rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "adapter"))
@@ -263,6 +287,8 @@
 					break
 				}
 			case 2:
+				// Reports are asked for one after the other.
+				unread = nil
 				names := make([]string, 0, len(engine))
 				for name := range engine {
 					names = append(names, name)
@@ -284,6 +310,46 @@
 	})
 }
 
+// The agent asks for a report, the engine answers, and before the answer is read
+// an unload is ordered and done. The report still shows the adapter. Taken for
+// news it would bring the place back: a request starts on an adapter that is not
+// there, and when the next report shows that, its load makes one too many, which
+// crashes the engine with everyone on it.
+func TestAReportFromBeforeAnUnloadDoesNotBringTheAdapterBack(t *testing.T) {
+	o := options()
+	o.Places = 1
+	table := New(o)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	table.Take(held(at(0), "m/a"), at(0))
+	expect(t, "another adapter is asked for", table.Admit(request("r1", "m/b"), at(10)), "unload m/a")
+	expect(t, "the unload is done", table.Unloaded("m/a", at(20)), "load m/b@0")
+	expect(t, "the old report", table.Take(held(at(5), "m/a"), at(25)))
+	expect(t, "the dropped one is asked for", table.Admit(request("r2", "m/a"), at(30)))
+	report := held(at(40))
+	report.Coming = map[string]int64{"m/b": 0}
+	expect(t, "a new report", table.Take(report, at(45)))
+	expect(t, "the load has ended", table.Take(held(at(300), "m/b"), at(300)), "start r1")
+}
+
+// A request holds its start while the engine turns out to have dropped the
+// adapter by itself. To load it again needs a free place as any other load does.
+func TestALoadOfWhatWasLostNeedsAFreePlace(t *testing.T) {
+	o := options()
+	o.Places = 1
+	table := New(o)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	table.Take(held(at(0), "m/a"), at(0))
+	expect(t, "a start", table.Admit(request("r1", "m/a"), at(0)), "start r1")
+	report := held(at(1), "m/b")
+	report.Runs = map[string]bool{"r1": true}
+	expect(t, "another adapter stands in its place", table.Take(report, at(1)))
+	for _, action := range table.Admit(request("r2", "m/a"), at(2)) {
+		if load, ok := action.(Load); ok {
+			t.Errorf("%s is ordered although the engine is full", load.Adapter)
+		}
+	}
+}
+
 // An agent restarts while the engine runs requests that it knows nothing of. Any
 // adapter may be in use by them: dropping one would cut its callers off.
 func TestNothingIsUnloadedWhileTheEngineRunsWhatNobodyStarted(t *testing.T) {
