--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -212,8 +212,7 @@
 	return e.Server, true
 }
 
-// Change is the number of the last change, Material that of the last one that
-// said more than that a server lives.
+// Change is the number of the last change.
 func (r *Roster) Change() uint64 { return r.change }
 
 // Material is the number of the last change of what servers there are and what
