--- a/coord/residency/residency_test.go
+++ b/coord/residency/residency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -250,15 +251,11 @@
 		}
 		// A report that was asked for and has not been read yet.
 		var unread *Report
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 4:
-				names := make([]string, 0, len(engine))
-				for name := range engine {
-					names = append(names, name)
-				}
-				asked := held(now, names...)
+				asked := held(now, slices.Collect(maps.Keys(engine))...)
 				asked.Runs = make(map[string]bool)
 				for id := range uses {
 					asked.Runs[id] = true
@@ -269,6 +266,9 @@
 					check(table.Take(*unread, now))
 					unread = nil
 				}
+			case 6:
+				// The order's answer comes on a way of its own, also before a report
+				// that was asked for earlier.
 				for _, name := range table.sortedNames() {
 					if table.places[name].unloading {
 						check(table.Unloaded(name, now))
@@ -282,20 +282,16 @@
 				check(table.Admit(r, now))
 			case 1:
 				// The engine may run on for a while after the caller knows the end.
-				for id := range uses {
+				for _, id := range slices.Sorted(maps.Keys(uses)) {
 					check(table.Done(id, now))
 					break
 				}
 			case 2:
 				// Reports are asked for one after the other.
 				unread = nil
-				names := make([]string, 0, len(engine))
-				for name := range engine {
-					names = append(names, name)
-				}
-				report := held(now, names...)
+				report := held(now, slices.Collect(maps.Keys(engine))...)
 				report.Runs = make(map[string]bool)
-				for id := range uses {
+				for _, id := range slices.Sorted(maps.Keys(uses)) {
 					if table.started[id] == nil && rapid.Bool().Draw(t, "stopped") {
 						delete(uses, id)
 						continue
