Give the mesh's tests ports that no outgoing connection can take

The tests had a copy of freeAddress from the system's own range, in which any connection of another test may take a port before the listener starts; 22 processes made it likely. Ruled out: listeners left over (a restart closes its own). Change: internal/loopback, which draws below that range, as elsewhere; the copy is gone.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -19,6 +18,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
 
@@ -42,22 +42,15 @@
 	return &d, json.Unmarshal(body, &d)
 }
 
-func freeAddress(t *testing.T) string {
+// startFleet starts so many processes with and without a disk.
+func startFleet(t *testing.T, disks, others int) *fleet {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := loopback.Addresses(disks + others)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
-// startFleet starts so many processes with and without a disk.
-func startFleet(t *testing.T, disks, others int) *fleet {
-	t.Helper()
-	f := &fleet{t: t}
+	f := &fleet{t: t, addresses: addresses}
 	for i := range disks + others {
-		f.addresses = append(f.addresses, freeAddress(t))
 		folder := ""
 		if i < disks {
 			folder = filepath.Join(t.TempDir(), fmt.Sprint("disk", i))
