Say in the lines of a request what its caller was given

Cause: a line of an answer shows the status of the server that ended it, not the one that went to the caller with the first server's header, and the line of a failed server does not say that the caller already has the beginning of a stream. The hypotheses of the broken stream that ended as whole cannot be told apart by them.

Change: told in every line that ends a request, told and lastEvent where a server failed, always a line where both statuses differ, and the counter gateway_answered_mismatched.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,6 +140,9 @@
 	goneCount     = telemetry.Counter("gateway_callers_gone")
 	repeatCount   = telemetry.Counter("gateway_repeats")
 	resumedCount  = telemetry.Counter("gateway_resumed")
+	// mismatchedCount counts answers that ended with another status than the one
+	// that their callers were given.
+	mismatchedCount = telemetry.Counter("gateway_answered_mismatched")
 
 	// firstLatency is the time to the first event or the whole answer,
 	// startLatency the part of it that agents took to grant the start.
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -52,6 +52,8 @@
 	relayed bool
 	// lastEvent is the last event that the caller has.
 	lastEvent string
+	// told is the status that the caller was given, 0 before its header went out.
+	told int
 }
 
 const (
@@ -260,7 +262,7 @@
 	if response.Status >= http.StatusInternalServerError {
 		j.servers.learned(v, verdict, func(h *dispatch.Health) { h.Failed(time.Now()) })
 		j.log.Info("backend server failed", zap.String("request", j.call.ID), zap.String("server", v.entry.ID), zap.Int("status", response.Status),
-			zap.Int("runs", j.runs), zap.Bool("repeat", j.mayRepeat()))
+			zap.Int("runs", j.runs), zap.Bool("repeat", j.mayRepeat()), zap.Int("told", j.told), zap.String("lastEvent", j.lastEvent))
 		if j.mayRepeat() {
 			response.Abort()
 			j.last = "the backend server failed"
@@ -349,6 +351,7 @@
 	if time.Until(j.deadline) < leastLeft {
 		status = http.StatusGatewayTimeout
 	}
+	j.told = status
 	j.note("request failed", nil, status)
 	http.Error(j.w, j.last, status)
 }
@@ -385,7 +388,7 @@
 		server = v.entry.ID
 	}
 	j.log.Info(what, zap.String("request", j.call.ID), zap.String("route", j.route.Name), zap.String("service", j.service.Name),
-		zap.Uint64("configuration", j.version), zap.String("adapter", j.call.Adapter), zap.String("server", server), zap.Int("status", status),
+		zap.Uint64("configuration", j.version), zap.String("adapter", j.call.Adapter), zap.String("server", server), zap.Int("status", status), zap.Int("told", j.told),
 		zap.Int("arrivals", j.arrivals), zap.Int("runs", j.runs), zap.Duration("took", time.Since(j.arrived)),
 		zap.Duration("first", j.first), zap.Duration("waited", j.waited), zap.Duration("longestGap", j.longestGap), zap.Int("prompt", j.call.PromptTokens), zap.Int("output", j.call.OutputTokens), zap.String("lastEvent", j.lastEvent),
 		zap.Uint8("residence", uint8(j.seen.Residence)), zap.Int("running", j.seen.Running), zap.Int("waiting", j.seen.Waiting),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -53,6 +53,9 @@
 	j.copyHeader(response.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.w.WriteHeader(response.Status)
+	if j.told == 0 {
+		j.told = response.Status
+	}
 	_, _ = j.w.Write(body)
 	j.answered(v, response.Status)
 	return stepDone
@@ -68,11 +71,14 @@
 		startLatency.Record(j.waited)
 	}
 	late := j.first > j.route.Target || j.route.Gap > 0 && j.longestGap > j.route.Gap
+	if j.told != status {
+		mismatchedCount.Add(1)
+	}
 	switch {
 	case late:
 		lateCount.Add(1)
 		j.note("request answered late", v, status)
-	case j.arrivals > 1 || ordinary(j.call.ID):
+	case j.arrivals > 1 || j.told != status || ordinary(j.call.ID):
 		j.note("request answered", v, status)
 	}
 }
@@ -141,7 +147,7 @@
 	if !j.relayed {
 		j.copyHeader(response.Header)
 		j.w.WriteHeader(response.Status)
-		j.relayed = true
+		j.relayed, j.told = true, response.Status
 	}
 	if len(data) > 0 {
 		j.noteEvent(time.Now())
