Take half an event before an orderly close for a stream that broke off

What callers saw: a server that ends its answers with their connection crashed within an event, and its caller got the half event as the end of a whole stream.

Cause: the entry takes the orderly end of such a connection for the answer's end, which it is for a body of any other form, and passed on what it held back of the next event.

Change: where nothing frames the end, half an event before it is a break: the stream goes on at another server or is cut. Events whose lines end with CR LF are cut into whole ones too; they were held back until the stream's end, and would now pass for half an event. A crash between two events of such a stream cannot be told from its end.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -87,19 +87,22 @@
 // A stream comes in pieces that end anywhere. What is passed on must be whole
 // events, and the last id that of the last whole one.
 func TestEventsArePassedOnWhole(t *testing.T) {
-	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
-	for size := 1; size <= len(stream); size++ {
-		var b eventBuffer
-		var passed strings.Builder
-		for at := 0; at < len(stream); at += size {
-			piece := b.add([]byte(stream[at:min(at+size, len(stream))]))
-			if len(piece) > 0 && !strings.HasSuffix(string(piece), "\n\n") {
-				t.Fatalf("in pieces of %d: %q is not whole", size, piece)
+	const lines = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+	for _, end := range []string{"\n", "\r\n"} {
+		stream := strings.ReplaceAll(lines, "\n", end)
+		for size := 1; size <= len(stream); size++ {
+			var b eventBuffer
+			var passed strings.Builder
+			for at := 0; at < len(stream); at += size {
+				piece := b.add([]byte(stream[at:min(at+size, len(stream))]))
+				if len(piece) > 0 && !strings.HasSuffix(string(piece), end+end) {
+					t.Fatalf("in pieces of %d: %q is not whole", size, piece)
+				}
+				passed.Write(piece)
+			}
+			if left := "id: 3" + end + "da"; string(b.rest()) != left || passed.String()+left != stream || b.lastID("0") != "2" || !b.half() {
+				t.Errorf("in pieces of %d: passed %q, left %q, last id %q", size, passed.String(), b.rest(), b.lastID("0"))
 			}
-			passed.Write(piece)
-		}
-		if passed.String()+string(b.rest()) != stream || b.lastID("0") != "2" {
-			t.Errorf("in pieces of %d: passed %q, left %q, last id %q", size, passed.String(), b.rest(), b.lastID("0"))
 		}
 	}
 	var empty eventBuffer
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -188,12 +188,16 @@
 
 // read returns the next whole events of a stream, with io.EOF behind the last of
 // a whole one. Half an event is held back: what a broken server left of it must
-// not be joined with another run.
+// not be joined with another run. Where only the end of the connection tells the
+// stream's, half an event before it shows that the server broke off.
 func (r *reply) read() ([]byte, error) {
 	chunk := make([]byte, streamBuffer)
 	for {
 		n, err := r.response.Body.Read(chunk)
 		whole := r.events.add(chunk[:n])
+		if err == io.EOF && !r.response.Framed && r.events.half() {
+			return whole, io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			return append(whole, r.events.rest()...), io.EOF
 		}
@@ -236,20 +240,26 @@
 	id   string
 }
 
+// eventEnds end an event, as lines may end in either way.
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+	idField   = []byte("id:")
 )
 
 // add takes bytes and returns those of the events that are now whole.
 func (b *eventBuffer) add(data []byte) []byte {
 	b.held = append(b.held, data...)
-	end := bytes.LastIndex(b.held, eventEnd)
-	if end < 0 {
+	end := 0
+	for _, blank := range eventEnds {
+		if at := bytes.LastIndex(b.held, blank); at >= 0 {
+			end = max(end, at+len(blank))
+		}
+	}
+	if end == 0 {
 		return nil
 	}
-	whole := bytes.Clone(b.held[:end+len(eventEnd)])
-	b.held = append(b.held[:0], b.held[end+len(eventEnd):]...)
+	whole := bytes.Clone(b.held[:end])
+	b.held = append(b.held[:0], b.held[end:]...)
 	b.noteID(whole)
 	return whole
 }
@@ -266,6 +276,9 @@
 // rest returns what follows the last whole event.
 func (b *eventBuffer) rest() []byte { return b.held }
 
+// half reports whether that is the beginning of another one.
+func (b *eventBuffer) half() bool { return len(bytes.TrimSpace(b.held)) > 0 }
+
 // lastID is the id of the last whole event, or before when there was none.
 func (b *eventBuffer) lastID(before string) string {
 	if b.id != "" {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -31,8 +31,11 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Body ends with io.EOF only when the answer is whole.
-	Body io.Reader
+	// Body ends with io.EOF only when the answer is whole. Where Framed is false
+	// that is the orderly end of the connection, which a server that crashes may
+	// bring about as well.
+	Body   io.Reader
+	Framed bool
 
 	pool   *Pool
 	target Target
@@ -127,7 +130,7 @@
 	framed := parsed.ContentLength >= 0 || slices.Contains(parsed.TransferEncoding, "chunked")
 	whole := &wholeReader{from: parsed.Body}
 	r := &Response{
-		Status: parsed.StatusCode, Header: parsed.Header, Body: whole, conn: c, whole: whole,
+		Status: parsed.StatusCode, Header: parsed.Header, Body: whole, Framed: framed, conn: c, whole: whole,
 		keep: framed && !parsed.Close && strays == 0,
 	}
 	c.noteKeepAlive(parsed.Header.Get("Keep-Alive"), time.Now())
