Cut a stream that its next server begins anew

What a caller would see: the events that it has a second time, in an answer framed as complete.

Cause: whatever the next server sent was passed on, though only what lies behind the caller's last event belongs to its stream. Events without ids leave nothing to go on behind at all.

Change: the first event of the server that goes on must have a higher id than the last one that the caller has, otherwise the next server is asked or the stream is cut. A stream whose events had no ids is not gone on with.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -111,6 +111,28 @@
 	}
 }
 
+// A stream goes on only behind the last event that its caller has.
+func TestEventsFollow(t *testing.T) {
+	tests := []struct {
+		events, last string
+		want         bool
+	}{
+		{"id: 4\ndata: d\n\nid: 1\n\n", "3", true},
+		{"data: no id\n\nid: 4\n\n", "3", true},
+		{"id: 3\ndata: c\n\nid: 4\n\n", "3", false},
+		{"id:1\r\n\r\n", "3", false},
+		{"id: 10\n\n", "9", true},
+		{"id: x\n\n", "3", true},
+		{"id: 4\n\n", "x", true},
+		{"", "3", true},
+	}
+	for _, test := range tests {
+		if got := follows([]byte(test.events), test.last); got != test.want {
+			t.Errorf("%q behind %s: %v, want %v", test.events, test.last, got, test.want)
+		}
+	}
+}
+
 // A request breaks at server after server. Only where a server turns out to have
 // ended does it count against the request; after three of them it is held.
 func TestOnlyServersThatEndedCountAgainstARequest(t *testing.T) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,10 +109,9 @@
 		case stepFail:
 			return j.cut()
 		}
-		if r = j.goOn(); r == nil {
+		if r, events, err = j.goOn(); r == nil {
 			return j.cut()
 		}
-		events, err = r.read()
 	}
 }
 
@@ -140,21 +140,47 @@
 }
 
 // goOn finds a server that goes on with a stream of which the caller has the
-// beginning. A server's failure cannot be given to that caller any more.
-func (j *journey) goOn() *reply {
+// beginning, and reads the first events. A server's failure cannot be given to
+// that caller any more, nor a stream that begins anew.
+func (j *journey) goOn() (r *reply, events []byte, err error) {
+	if j.lastEvent == "" {
+		j.last = "the stream's events have no ids to go on behind"
+		return nil, nil, nil
+	}
 	for r := j.next(); r != nil; r = j.next() {
 		if r.response.Status == j.told {
-			resumedCount.Add(1)
-			return r
+			events, err := r.read()
+			if follows(events, j.lastEvent) {
+				resumedCount.Add(1)
+				return r, events, err
+			}
 		}
 		r.response.Abort()
 		r.release()
 		j.last = "the backend server that was to go on with the stream did not"
 		if !j.mayRepeat() {
-			return nil
+			return nil, nil, nil
+		}
+	}
+	return nil, nil, nil
+}
+
+// follows is false for events that begin at the given one or before it. Ids that
+// are no numbers have no order to tell.
+func follows(events []byte, last string) bool {
+	for line := range bytes.Lines(events) {
+		value, found := bytes.CutPrefix(line, idField)
+		if !found {
+			continue
+		}
+		first, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil {
+			return true
 		}
+		before, err := strconv.ParseInt(last, 10, 64)
+		return err != nil || first > before
 	}
-	return nil
+	return true
 }
 
 func (j *journey) answered(v *server, status int) {
