Read a stream into one buffer again

Cause: since a stream's reads are calls of their own, each made a buffer of 4 KiB; before, a stream had one.

Change: the buffer stays with the reply.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,6 +35,8 @@
 	response *upstream.Response
 	verdict  Verdict
 	events   eventBuffer
+	// chunk is what one read of a stream fills.
+	chunk []byte
 	// held is what the request holds at the server and its agent.
 	held []func()
 }
@@ -217,10 +219,12 @@
 // not be joined with another run. Where only the end of the connection tells the
 // stream's, half an event before it shows that the server broke off.
 func (r *reply) read() ([]byte, error) {
-	chunk := make([]byte, streamBuffer)
+	if r.chunk == nil {
+		r.chunk = make([]byte, streamBuffer)
+	}
 	for {
-		n, err := r.response.Body.Read(chunk)
-		whole := r.events.add(chunk[:n])
+		n, err := r.response.Body.Read(r.chunk)
+		whole := r.events.add(r.chunk[:n])
 		if err == io.EOF && !r.response.Framed && r.events.half() {
 			return whole, io.ErrUnexpectedEOF
 		}
