Give no answer that was cut at its bound

Cause: CallWhole reads through a limit and took its end for the end of the answer.

Change: one byte more than the bound is read, and an answer that has it is ErrTooLarge, on a connection that is closed.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -197,13 +197,20 @@
 	return b.Bytes()
 }
 
-// CallWhole sends a request and reads its whole answer, of at most limit bytes.
+// ErrTooLarge means that an answer is larger than its reader holds.
+var ErrTooLarge = errors.New("the answer is too large")
+
+// CallWhole sends a request and reads its whole answer. An answer whose body has
+// more than limit bytes is ErrTooLarge: a part of it would pass for the whole.
 func (p *Pool) CallWhole(ctx context.Context, target Target, r *Request, limit int64) (status int, header http.Header, body []byte, err error) {
 	response, err := p.Call(ctx, target, r)
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = ErrTooLarge
+	}
 	if err != nil {
 		response.Abort()
 		return 0, nil, nil, errors.Wrap(err, "read the answer's body")
