Show by a test that bytes within one answer pass for another

A late answer to another request is passed over up to 1 MiB; what follows is read as the next answer, although it is the rest of the same body. A body that holds the words of an answer with this request's id becomes its answer.

--- a/internal/upstream/whole_test.go
+++ b/internal/upstream/whole_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -19,3 +21,15 @@
 		}
 	}
 }
+
+// A late answer to another request is larger than what is passed over of it,
+// and holds what looks like an answer to this one: a document that shows the
+// protocol, or one made to. What stands within a body is nobody's answer.
+func TestTheBodyOfAnotherAnswerIsNotReadAsThisOne(t *testing.T) {
+	body := strings.Repeat("x", maxStrayBytes) + whole
+	late := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	target, _ := script(t, late+strings.Replace(whole, "hello", "right", 1))
+	if status, body, err := call(t, NewPool(patience), target, "r1"); err == nil && body != "right" {
+		t.Errorf("got %d, %q as the answer", status, body)
+	}
+}
