Read no answer out of the body of another

Cause: a late answer to another request was passed over up to 1 MiB, and what was left of its body was read as the next answer.

Change: a late answer that is larger ends the call, as bytes that are no answer.

Result: TestTheBodyOfAnotherAnswerIsNotReadAsThisOne passes; the tests of internal/upstream with the race detector do too.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -120,12 +120,22 @@
 		if strays++; strays > maxStrays {
 			return nil, ErrNotAnAnswer
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(parsed.Body, maxStrayBytes)); err != nil {
+		if err := passOver(parsed.Body); err != nil {
 			return nil, errors.Wrap(ErrNotAnAnswer, err.Error())
 		}
 	}
 }
 
+// passOver reads a body to its end. What is left of one that is too large would
+// be read as the next answer.
+func passOver(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes+1))
+	if err == nil && n > maxStrayBytes {
+		err = ErrTooLarge
+	}
+	return err
+}
+
 func newResponse(c *conn, parsed *http.Response, strays int) *Response {
 	framed := parsed.ContentLength >= 0 || slices.Contains(parsed.TransferEncoding, "chunked")
 	whole := &wholeReader{from: parsed.Body}
