Show by a test that a broken body ends well at the second read

net/http's body says io.ErrUnexpectedEOF once and io.EOF from then on when a length was named, and a socket that was reset does alike. A reader that reads on behind the failure, through a buffer or a second copy, is told that the body is whole, against what Response.Body says of itself; Release then keeps the connection. No caller in the tree reads on today.

--- a/internal/upstream/whole_test.go
+++ b/internal/upstream/whole_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 )
@@ -33,3 +34,38 @@
 		t.Errorf("got %d, %q as the answer", status, body)
 	}
 }
+
+// An answer breaks off, and its reader reads on: one that goes through a buffer,
+// or looks at the beginning before it passes the rest on. Every read behind the
+// break must say so again. An end at the second read would make a part look
+// like the whole, and put a connection that is closed back into the pool.
+func TestABodyThatBrokeOffNeverEnds(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\nhello<end>",
+		"chunks":      "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n<end>",
+		"no trailer":  "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n<end>",
+		"no protocol": "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\nhello\r\n<end>",
+		"reset":       "HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhello<reset>",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, _ := script(t, text)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			pool := NewPool(patience)
+			response, err := pool.Call(ctx, target, ask("r1"))
+			if err != nil {
+				// A reset may overtake the header.
+				return
+			}
+			for range 3 {
+				if _, err := io.ReadAll(response.Body); err == nil {
+					t.Error("a body that broke off came to its end")
+				}
+			}
+			response.Release()
+			if pool.Idle(target) != 0 {
+				t.Error("the connection is kept")
+			}
+		})
+	}
+}
