Let a body that broke off fail at every read

Cause: net/http's body fails once and ends well from then on, and so does a socket that was reset; Response.Body passed that on.

Change: Response.Body keeps its first failure, and a connection is kept only behind a body that ended well.

Result: TestABodyThatBrokeOffNeverEnds passes; the tests of internal/upstream with the race detector do too.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -147,18 +147,21 @@
 	return r
 }
 
-// wholeReader remembers that the body has come to its end.
+// wholeReader remembers how the body ended. The connection's reader would say
+// at a second try that a body which broke off is at its end.
 type wholeReader struct {
 	from io.Reader
-	done bool
+	// end is nil until the body has ended, io.EOF when it is whole.
+	end error
 }
 
 // Read implements io.Reader.
 func (w *wholeReader) Read(p []byte) (int, error) {
-	n, err := w.from.Read(p)
-	if err == io.EOF {
-		w.done = true
+	if w.end != nil {
+		return 0, w.end
 	}
+	n, err := w.from.Read(p)
+	w.end = err
 	return n, err
 }
 
@@ -166,7 +169,7 @@
 // nothing stands behind it, and closes it otherwise.
 func (r *Response) Release() {
 	stopped := r.stop()
-	if !stopped || !r.keep || !r.whole.done || r.conn.reader.Buffered() > 0 {
+	if !stopped || !r.keep || r.whole.end != io.EOF || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
