Show by a test that a late copy answers the next try of its request

Answers are told apart by the id of their request, and a request that was refused may be sent to the same server again, on the connection that was used last. A server that repeats its refusal late then answers the second try by it, with the right id: the caller is told that its request did not run while it runs.

--- a/internal/upstream/whole_test.go
+++ b/internal/upstream/whole_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 )
@@ -69,3 +70,43 @@
 		})
 	}
 }
+
+// A server that is full refuses a request, and its refusal comes a second time,
+// late. Meanwhile the request is sent there again and runs. On the same
+// connection the late copy stands where that answer is due and bears the right
+// id: the caller would be told that its request did not run.
+func TestALateCopyIsNoAnswerToTheNextTry(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\nId: r1\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for connections := 0; ; connections++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			answers := make(chan string, 3)
+			if connections == 0 {
+				answers <- refusal
+				answers <- next
+				answers <- refusal + whole
+			} else {
+				answers <- whole
+			}
+			close(answers)
+			go answer(conn, answers)
+		}
+	}()
+	pool, target := NewPool(patience), Target{Address: listener.Addr().String()}
+	for i, want := range []string{"r1 503 ", "r2 200 there", "r1 200 hello"} {
+		id, _, _ := strings.Cut(want, " ")
+		status, body, err := call(t, pool, target, id)
+		if got := fmt.Sprintf("%s %d %s", id, status, body); err != nil || got != want {
+			t.Errorf("call %d got %q, %v, want %q", i, got, err, want)
+		}
+	}
+}
