Send a request again on no connection that has carried it

Cause: a late copy of an answer is told from the next answer by the request's id, which is the same when the request is sent to the same server again.

Change: a connection remembers the last 8 ids that it carried and is passed over for these; another kept one is taken, or a new one made. A late copy stands before the next answer on its connection, so that 8 is more than is needed.

Result: TestALateCopyIsNoAnswerToTheNextTry passes; the tests of internal/upstream and internal/gateway with the race detector do too.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -75,7 +75,7 @@
 // Call sends a request and reads the answer's header. The call ends with ctx,
 // which closes the connection, so that the server can stop working.
 func (p *Pool) Call(ctx context.Context, target Target, r *Request) (*Response, error) {
-	c, _, err := p.take(ctx, target)
+	c, _, err := p.take(ctx, target, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -83,6 +83,7 @@
 		p.put(target, c)
 		return nil, &NotSentError{Cause: ctx.Err()}
 	}
+	c.note(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := exchange(c, r)
 	if err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,8 +45,24 @@
 	reader *bufio.Reader
 	// expires is when it must not be used any more.
 	expires time.Time
+	// carried are the ids of the requests that it carried last.
+	carried [rememberedIDs]string
+	calls   int
 }
 
+// rememberedIDs is for how many further requests a late copy of an answer is
+// expected.
+const rememberedIDs = 8
+
+// note remembers a request's id. A copy of its answer may still come; it must
+// not answer the same request when that is sent again.
+func (c *conn) note(id string) {
+	c.carried[c.calls%rememberedIDs] = id
+	c.calls++
+}
+
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried[:], id) }
+
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout:         timeout,
@@ -135,12 +152,13 @@
 	return &Pool{dialTimeout: dialTimeout, idle: make(map[Target][]*conn)}
 }
 
-// take returns the connection that was used last, or a new one. Of a reused
-// one the server may know already that it is closed.
-func (p *Pool) take(ctx context.Context, target Target) (c *conn, reused bool, err error) {
+// take returns the connection that was used last and has not carried the request
+// of this id, or a new one. Of a reused one the server may know already that it
+// is closed.
+func (p *Pool) take(ctx context.Context, target Target, id string) (c *conn, reused bool, err error) {
 	now := time.Now()
 	for {
-		c := p.pop(target)
+		c := p.pop(target, id)
 		if c == nil {
 			break
 		}
@@ -153,16 +171,17 @@
 	return c, false, err
 }
 
-func (p *Pool) pop(target Target) *conn {
+func (p *Pool) pop(target Target, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[target]
-	if len(kept) == 0 {
-		return nil
+	for i := len(kept) - 1; i >= 0; i-- {
+		if c := kept[i]; !c.hasCarried(id) {
+			p.idle[target] = slices.Delete(kept, i, i+1)
+			return c
+		}
 	}
-	c := kept[len(kept)-1]
-	p.idle[target] = kept[:len(kept)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(target Target, c *conn) {
