Show by a test that an agent answers nothing as if it were whole

When its reader closes its side of the connection before the engine has answered, deliver returns without a word, and net/http writes "200 OK, Content-Length: 0" behind it. An entry sees that the outcome is missing; any other reader sees a whole, empty answer.

--- /dev/null
+++ b/internal/agent/answers_test.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// testPatience bounds what is expected to end; no test waits for it.
+const testPatience = time.Minute
+
+// rawEngine is an engine that writes its answers byte by byte: serve gets each
+// connection with its number.
+func rawEngine(t *testing.T, serve func(connection int, conn net.Conn, requests *bufio.Reader)) (url string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for connection := 0; ; connection++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(connection, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// readRequest reads one request and its body; false means that the connection
+// ended.
+func readRequest(requests *bufio.Reader) bool {
+	r, err := http.ReadRequest(requests)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
+// startEngineRun sends one request past the slots to an engine, and serves the
+// run's answer and its rest.
+func startEngineRun(t *testing.T, url string) (a *Agent, server *httptest.Server) {
+	t.Helper()
+	a = New(Options{Server: "s", Slots: 1, Queue: 1, Engine: url, LoadTimeout: testPatience}, relay.NewClient(testPatience), zap.NewNop())
+	ref, err := catalogue.ParseRef("m@1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest := a.Handler()
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			rest.ServeHTTP(w, r)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		a.start(r, ref, body, func() {}).deliver(w, r, 0)
+	}))
+	t.Cleanup(server.Close)
+	return a, server
+}
+
+// engineCall is one request to an agent as an entry sends it.
+func engineCall(t *testing.T, server *httptest.Server, id string) (status int, body string, err error) {
+	t.Helper()
+	r := engineRequest(t.Context(), "m@1")
+	request, err := http.NewRequestWithContext(t.Context(), r.Method, server.URL+r.URL.Path, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(wire.HeaderRequestID, id)
+	response, err := server.Client().Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// An entry sends its request and closes its side of the connection, or its
+// connection breaks on one side only, while the engine still works. It was
+// answered 200 with an empty body, framed as complete, as by an engine that had
+// nothing to say.
+func TestAReaderThatLeavesIsNotAnswered(t *testing.T) {
+	asked := make(chan struct{})
+	url := rawEngine(t, func(_ int, _ net.Conn, requests *bufio.Reader) {
+		if readRequest(requests) {
+			close(asked)
+			_ = readRequest(requests)
+		}
+	})
+	_, server := startEngineRun(t, url)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\n%s: r1\r\nContent-Length: 2\r\n\r\n{}", wire.HeaderRequestID)
+	<-asked
+	_ = conn.(*net.TCPConn).CloseWrite()
+	got, err := io.ReadAll(conn)
+	if len(got) != 0 {
+		t.Errorf("the agent answered %q, %v", got, err)
+	}
+}
