Show by a test that an engine's late second answer goes to another caller

An agent keeps its connections to its engine, and an engine's answer names no request. One that comes twice, late, stands where the next answer is due; it names the same adapter and is relayed to the next caller as its own.

--- a/internal/agent/answers_test.go
+++ b/internal/agent/answers_test.go
@@ -125,3 +125,28 @@
 		t.Errorf("the agent answered %q, %v", got, err)
 	}
 }
+
+// An engine sends the answer to a request twice, the second time when the next
+// request is already at it. Both name the same adapter: the second caller was
+// given the first one's text.
+func TestALateCopyDoesNotAnswerTheNextRequest(t *testing.T) {
+	text := func(n int) string {
+		body := fmt.Sprintf(`{"model":"m@1","text":"of request %d"}`, n)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	url := rawEngine(t, func(connection int, conn net.Conn, requests *bufio.Reader) {
+		for n := connection + 1; readRequest(requests); n++ {
+			if n > connection+1 {
+				_, _ = io.WriteString(conn, text(n-1))
+			}
+			_, _ = io.WriteString(conn, text(n))
+		}
+	})
+	_, server := startEngineRun(t, url)
+	for n := 1; n <= 3; n++ {
+		_, body, err := engineCall(t, server, fmt.Sprint("r", n))
+		if want := fmt.Sprintf("of request %d", n); err != nil || !strings.Contains(body, want) {
+			t.Errorf("request %d got %q, %v", n, body, err)
+		}
+	}
+}
