Ask an engine for each answer on a connection of its own

Cause: net/http takes what stands on a kept connection for the next answer, and an engine's answer names no request.

Change: an agent's requests to its engine each get a connection, which ends with the answer. It is on the same machine; a late answer finds nobody.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -202,6 +202,9 @@
 	relay.CopyHeader(request.Header, r.Header)
 	// A compressed answer would hide the model that it names.
 	request.Header.Del("Accept-Encoding")
+	// Engines name no request in their answers. One that comes late a second time
+	// must find no other request waiting on its connection.
+	request.Close = true
 	telemetry.Inject(ctx, request.Header)
 	return a.client.Do(request)
 }
