Show by a test that a late report passes for the answer to an order

Reports and orders share connections to the engine. A report that comes twice stands where an order's answer is due: its 200 says that the order was carried out.

--- a/internal/agent/answers_test.go
+++ b/internal/agent/answers_test.go
@@ -150,3 +150,34 @@
 		}
 	}
 }
+
+func orderClientTo(url string) *orderClient {
+	return &orderClient{
+		base: url, client: relay.NewClient(testPatience), timeout: testPatience, fencing: newFencingNumber(nil), superseded: func() {},
+	}
+}
+
+// An engine sends its report a second time, late, when an order is already at
+// it, and refuses the order. The report's 200 passed for the order's: the agent
+// believed an adapter loaded that was not there.
+func TestALateReportDoesNotAnswerAnOrder(t *testing.T) {
+	const report = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	url := rawEngine(t, func(connection int, conn net.Conn, requests *bufio.Reader) {
+		if connection == 0 && readRequest(requests) {
+			_, _ = io.WriteString(conn, report)
+		}
+		for readRequest(requests) {
+			if connection == 0 {
+				_, _ = io.WriteString(conn, report)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 409 Full\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := orderClientTo(url)
+	if _, err := c.report(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.load(t.Context(), catalogue.Ref{Adapter: "m", Version: "1"}, "store"); refusedBy(err) != http.StatusConflict {
+		t.Errorf("the order ended with %v", err)
+	}
+}
