Give each order on a connection of its own

Cause: an order went out on a connection on which the engine's late second report may still come.

Change: like requests, each order gets a connection that ends with its answer.

Result: TestALateReportDoesNotAnswerAnOrder passes, 5 times.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -70,6 +70,8 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(wire.HeaderFencing, strconv.FormatUint(number, 10))
+	// A late second answer to a report must not pass for the order's.
+	request.Close = true
 	response, err := c.client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "send order")
