Show by a test that a failure is read as an engine's report

What an engine answers at /load is decoded whatever its status: a 503 with a JSON body becomes a report of another incarnation that holds nothing.

--- a/internal/agent/answers_test.go
+++ b/internal/agent/answers_test.go
@@ -181,3 +181,23 @@
 		t.Errorf("the order ended with %v", err)
 	}
 }
+
+// An engine that starts or is in trouble answers a failure where its report is
+// due. Read as a report it says that the engine is another one, which holds no
+// adapter: all that were loaded are loaded again.
+func TestAFailureIsNoReport(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 503 Starting\r\nContent-Length: 20\r\n\r\n{\"error\":\"starting\"}",
+		"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n{\"incarnation\":1,\"capacity\":4}",
+	} {
+		url := rawEngine(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+			for readRequest(requests) {
+				_, _ = io.WriteString(conn, text)
+			}
+		})
+		report, err := orderClientTo(url).report(t.Context())
+		if is := strings.Contains(text, "incarnation"); (err == nil) != is {
+			t.Errorf("%q was read as %+v, %v", text, report, err)
+		}
+	}
+}
