--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -120,6 +120,9 @@
 		return report, errors.Wrap(err, "read report")
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return report, errors.Errorf("the report came with status %d", response.StatusCode)
+	}
 	err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
 	return report, errors.Wrap(err, "decode report")
 }
