--- a/internal/agent/answers_test.go
+++ b/internal/agent/answers_test.go
@@ -201,3 +201,52 @@
 		}
 	}
 }
+
+// An engine ends its answer with its connection instead of a frame, and crashes:
+// the system closes the connection in good order. A stream is whole behind its
+// last event, an object behind its last brace; anything less must not reach the
+// caller as a whole answer.
+func TestAnAnswerThatEndsWithItsConnectionShowsThatItIsWhole(t *testing.T) {
+	const (
+		event  = "data: {\"model\":\"m@1\",\"text\":\"a\"}\n\n"
+		done   = "data: [DONE]\n\n"
+		object = `{"model":"m@1","choices":[{"text":"}"}]}`
+		json   = "application/json"
+		events = "text/event-stream"
+	)
+	tests := []struct {
+		name, kind, body string
+		status           int
+		whole            bool
+	}{
+		{"stream", events, event + event + done, 200, true},
+		{"stream with other line ends", events, strings.ReplaceAll(event+done, "\n", "\r\n"), 200, true},
+		{"stream without its last event", events, event + event, 200, false},
+		{"stream within an event", events, event + event[:20], 200, false},
+		{"stream within its last event", events, event + done[:len(done)-1], 200, false},
+		{"stream that speaks of its end", events, event + "data: {\"text\":\"data: [DONE]\"}\n\n", 200, false},
+		{"object", json, object + "\n", 200, true},
+		{"object within", json, object[:len(object)-1], 200, false},
+		{"object within a string", json, object[:len(object)-4], 200, false},
+		{"object and more", json, object + object[:5], 200, false},
+		{"failure", json, `{"error":{"message":"no"}}`, 500, true},
+		{"failure within", json, `{"error":{"message":"n`, 500, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			url := rawEngine(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+				if readRequest(requests) {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Type: %s\r\n\r\n%s", test.status, test.kind, test.body)
+				}
+			})
+			_, server := startEngineRun(t, url)
+			status, body, err := engineCall(t, server, "r1")
+			if test.whole && (err != nil || status != test.status || body != test.body) {
+				t.Errorf("a whole answer came as %d %q, %v", status, body, err)
+			}
+			if !test.whole && err == nil && status == test.status {
+				t.Errorf("a part came as a whole answer: %d %q", status, body)
+			}
+		})
+	}
+}
