--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -171,7 +171,7 @@
 		response.Header.Set(wire.HeaderRan, ran)
 	}
 	started.setHead(runHead{said: outcome.Answered, status: response.StatusCode, header: response.Header})
-	if err := started.pump(ctx, answer, response); err != nil {
+	if err := started.pump(ctx, relay.ShownEnd(response, answer), response); err != nil {
 		a.cut(ctx, started)
 	}
 }
