Write an agent's answers through internal/answer

Cause: deliver held the connection and could return without a word, when its reader left before the engine answered; net/http then framed an empty answer as complete.

Change: the agent's handlers return answers as values: refusals, what became of a run, a run's answer as a stream from an offset on, which is complete only behind the whole window. A reader that leaves gets none. What must last until the answer is out (the gate against stops, the span) stands around the handlers. A run's answer goes out in chunks, also where the engine named a length.

--- a/internal/agent/answers_test.go
+++ b/internal/agent/answers_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -66,16 +67,19 @@
 		t.Fatal(err)
 	}
 	rest := a.Handler()
-	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodPost {
-			rest.ServeHTTP(w, r)
-			return
-		}
+	begin := answer.Handler(func(r *http.Request) answer.Answer {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
+			return answer.Answer{}
+		}
+		return a.start(r, ref, body, func() {}).answerFrom(r.Context(), 0)
+	})
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			begin.ServeHTTP(w, r)
 			return
 		}
-		a.start(r, ref, body, func() {}).deliver(w, r, 0)
+		rest.ServeHTTP(w, r)
 	}))
 	t.Cleanup(server.Close)
 	return a, server
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/fairqueue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/slots"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -50,11 +51,12 @@
 // Handler serves requests from entries.
 func (a *Agent) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Post("/v1/completions", a.serve)
-	router.Post("/v1/chat/completions", a.serve)
-	router.Get(wire.PathRuns+"{request}", a.resume)
-	router.Delete(wire.PathRuns+"{request}", a.cancelRun)
-	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	serve := a.admitted(answer.Handler(a.serve))
+	router.Method(http.MethodPost, "/v1/completions", serve)
+	router.Method(http.MethodPost, "/v1/chat/completions", serve)
+	router.Method(http.MethodGet, wire.PathRuns+"{request}", a.counted(answer.Handler(a.resume)))
+	router.Method(http.MethodDelete, wire.PathRuns+"{request}", answer.Handler(a.cancelRun))
+	router.Method(http.MethodGet, "/healthz", answer.Handler(func(*http.Request) answer.Answer { return answer.Whole(http.StatusOK, nil, nil) }))
 	return router
 }
 
@@ -68,54 +70,64 @@
 // says how many are left.
 func (a *Agent) Wait(ctx context.Context) int { return a.gate.Wait(ctx) }
 
-func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
-	if !a.gate.Enter() {
-		refuse(w, http.StatusServiceUnavailable, "the server is leaving")
-		return
-	}
-	defer a.gate.Leave()
+// admitted lets a request in until its answer is out, unless the agent leaves.
+func (a *Agent) admitted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !a.gate.Enter() {
+			answer.Handler(refuseLeaving).ServeHTTP(w, r)
+			return
+		}
+		defer a.gate.Leave()
+		ctx, span := telemetry.StartServer(r, telemetry.SpanAgentServe)
+		defer span.End()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func refuseLeaving(*http.Request) answer.Answer {
+	return refusal(http.StatusServiceUnavailable, "the server is leaving")
+}
+
+// counted lets the agent stop only behind an answer, also when it refuses new
+// requests.
+func (a *Agent) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.gate.Join()
+		defer a.gate.Leave()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *Agent) serve(r *http.Request) answer.Answer {
 	if a.closed.Load() {
-		refuse(w, http.StatusServiceUnavailable, "operators want no work here")
-		return
+		return refusal(http.StatusServiceUnavailable, "operators want no work here")
 	}
-	ctx, span := telemetry.StartServer(r, telemetry.SpanAgentServe)
-	defer span.End()
-	r = r.WithContext(ctx)
-
-	if err := a.awaitEngine(ctx); err != nil {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
+	if err := a.awaitEngine(r.Context()); err != nil {
+		return refusal(http.StatusServiceUnavailable, err.Error())
 	}
 	ref, err := catalogue.ParseRef(r.Header.Get(wire.HeaderModel))
 	if err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
+		return refusal(http.StatusBadRequest, err.Error())
 	}
-	body, err := readWhole(w, r)
+	body, err := readWhole(r)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
+		return refusal(http.StatusBadRequest, err.Error())
 	}
 	leave, err := a.isolation.enter(r.Context(), r.Header.Get(wire.HeaderAlone) != "")
 	if err != nil {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
+		return refusal(http.StatusServiceUnavailable, err.Error())
 	}
 	id := slots.RequestID(requestIDs.Add(1))
 	if err := a.await(r, id, ref); err != nil {
 		leave()
-		if errors.Is(err, errNoSlot) {
-			w.Header().Set(wire.HeaderDeclined, "true")
-		}
-		refuseUnstarted(w, err)
-		return
+		return unstarted(err)
 	}
 	admittedCount.Add(1)
 	started := a.start(r, ref, body, func() {
 		a.finish(id)
 		leave()
 	})
-	started.deliver(w, r, 0)
+	return started.answerFrom(r.Context(), 0)
 }
 
 // await waits until the adapter is pinned and the engine has a seat for the
@@ -142,16 +154,15 @@
 // readWhole reads a request's body before anything is done for it. net/http
 // notices that a peer left only once the body is read, and half a request must
 // never reach the engine.
-func readWhole(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+func readWhole(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
 	return body, errors.Wrap(err, "read body")
 }
 
-// refuse answers a request that did not run and will not.
-func refuse(w http.ResponseWriter, status int, message string) {
+// refusal answers a request that did not run and will not.
+func refusal(status int, message string) answer.Answer {
 	refusedCount.Add(1)
-	w.Header().Set(outcome.Header, outcome.NotRun.String())
-	http.Error(w, message, status)
+	return answer.Text(status, http.Header{outcome.Header: {outcome.NotRun.String()}}, message)
 }
 
 // acquire waits until the adapter is loaded and pinned for the request.
--- a/internal/agent/gate_test.go
+++ b/internal/agent/gate_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -58,11 +59,11 @@
 		delete(e.loaded, body.Name)
 	case "/v1/completions":
 		if !e.loaded[body.Model] {
-			return answer(http.StatusNotFound, ""), nil
+			return engineAnswer(http.StatusNotFound, ""), nil
 		}
-		return answer(http.StatusOK, fmt.Sprintf(`{"model":%q}`, body.Model)), nil
+		return engineAnswer(http.StatusOK, fmt.Sprintf(`{"model":%q}`, body.Model)), nil
 	}
-	return answer(http.StatusOK, `{"incarnation":1,"capacity":4}`), nil
+	return engineAnswer(http.StatusOK, `{"incarnation":1,"capacity":4}`), nil
 }
 
 func (e *fakeEngine) pause(ctx context.Context, model string) error {
@@ -77,7 +78,7 @@
 	return ctx.Err()
 }
 
-func answer(status int, body string) *http.Response {
+func engineAnswer(status int, body string) *http.Response {
 	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
 }
 
@@ -153,7 +154,7 @@
 // not pass a byte of that on, whatever the entry checks later.
 func TestAnAnswerByAnotherModelIsNotRelayed(t *testing.T) {
 	for _, body := range []string{`{"model":"base","choices":[]}`, "data: {\"model\":\"base\"}\n\n"} {
-		engine := roundTripper(func(*http.Request) (*http.Response, error) { return answer(http.StatusOK, body), nil })
+		engine := roundTripper(func(*http.Request) (*http.Response, error) { return engineAnswer(http.StatusOK, body), nil })
 		a := New(Options{Server: "s", Slots: 1, Queue: 1}, &http.Client{Transport: engine}, zap.NewNop())
 		recorder := httptest.NewRecorder()
 		r := engineRequest(t.Context(), "m@1")
@@ -161,7 +162,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		a.start(r, ref, []byte(`{}`), func() {}).deliver(recorder, r, 0)
+		answer.Handler(func(r *http.Request) answer.Answer {
+			return a.start(r, ref, []byte(`{}`), func() {}).answerFrom(r.Context(), 0)
+		}).ServeHTTP(recorder, r)
 		if recorder.Header().Get(outcome.Header) != outcome.Unknown.String() || strings.Contains(recorder.Body.String(), "base") {
 			t.Errorf("told %q: %s", recorder.Header().Get(outcome.Header), recorder.Body)
 		}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/catalogue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -48,7 +49,8 @@
 	epoch       uint64
 	incarnation uint64
 	cancel      context.CancelFunc
-	answer      *window
+	// kept is the part of the answer that is kept.
+	kept *window
 	// ready is closed when head is set.
 	ready chan struct{}
 	head  runHead
@@ -112,7 +114,7 @@
 		request = uuid.NewString()
 	}
 	started := &run{
-		request: request, ref: ref, cancel: cancel, answer: newWindow(), ready: make(chan struct{}),
+		request: request, ref: ref, cancel: cancel, kept: newWindow(), ready: make(chan struct{}),
 		fingerprint: suspicion.Fingerprint(r.Header.Get(wire.HeaderFingerprint)),
 		epoch:       a.crashes.current(),
 		incarnation: a.incarnation.Load(),
@@ -191,7 +193,7 @@
 	r.mu.Lock()
 	r.head.crashed = crashed
 	r.mu.Unlock()
-	r.answer.finish(errEngineStopped)
+	r.kept.finish(errEngineStopped)
 }
 
 func (a *Agent) ask(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
@@ -216,13 +218,13 @@
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
-			if err := r.answer.append(ctx, buffer[:n]); err != nil {
+			if err := r.kept.append(ctx, buffer[:n]); err != nil {
 				return err
 			}
 		}
 		if err == io.EOF {
 			r.setTrailer(response.Trailer)
-			r.answer.finish(nil)
+			r.kept.finish(nil)
 			return nil
 		}
 		if err != nil {
@@ -252,20 +254,20 @@
 		return
 	}
 	unknownCount.Add(1)
-	r.answer.finish(errEngineStopped)
+	r.kept.finish(errEngineStopped)
 	r.setHead(runHead{said: outcome.Unknown, status: http.StatusBadGateway, message: "the engine gave no usable answer", crashed: crashed})
 }
 
 func (r *run) refuse(message string) {
 	refusedCount.Add(1)
-	r.answer.finish(errEngineStopped)
+	r.kept.finish(errEngineStopped)
 	r.setHead(runHead{said: outcome.NotRun, status: http.StatusServiceUnavailable, message: message})
 }
 
 func (r *run) ended() bool {
-	r.answer.mu.Lock()
-	defer r.answer.mu.Unlock()
-	return r.answer.done
+	r.kept.mu.Lock()
+	defer r.kept.mu.Unlock()
+	return r.kept.done
 }
 
 // enter and leave count the connections that read the run's answer.
@@ -285,86 +287,88 @@
 	}
 }
 
-// deliver writes a run's answer from an offset on. When the engine's answer
-// ends early it cuts the connection.
-func (r *run) deliver(w http.ResponseWriter, request *http.Request, offset int64) {
+// answerFrom is a run's answer from an offset on. It is none when ctx, that of
+// its reader, ends first; where the engine's answer ends early it is cut.
+func (r *run) answerFrom(ctx context.Context, offset int64) answer.Answer {
 	r.enter()
-	defer r.leave()
 	select {
 	case <-r.ready:
-	case <-request.Context().Done():
-		return
+	case <-ctx.Done():
+		r.leave()
+		return answer.Answer{}
 	}
 	if r.head.said != outcome.Answered {
-		sayOutcome(w, r.head)
-		return
+		r.leave()
+		return r.head.unanswered()
 	}
-	reader, err := r.answer.attach(offset)
+	reader, err := r.kept.attach(offset)
 	if err != nil {
-		r.mu.Lock()
-		crashed := r.head.crashed
-		r.mu.Unlock()
-		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusGone, message: err.Error(), crashed: crashed})
-		return
+		r.leave()
+		return r.notKept(err)
 	}
-	relay.CopyHeader(w.Header(), r.head.header)
-	if offset > 0 {
-		w.Header().Del("Content-Length")
-	}
-	w.Header().Set(outcome.Header, outcome.Answered.String())
-	w.WriteHeader(r.head.status)
-	source := &windowReader{ctx: request.Context(), window: r.answer, reader: reader, offset: offset}
-	if _, err := relay.Stream(w, source, 0); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	r.mu.Lock()
-	trailer := r.head.trailer
-	r.mu.Unlock()
-	relay.CopyTrailer(w, trailer)
+	header := make(http.Header)
+	relay.CopyHeader(header, r.head.header)
+	header.Set(outcome.Header, outcome.Answered.String())
+	return answer.Stream(r.head.status, header, func(pass answer.Pass) answer.End {
+		defer r.leave()
+		return r.feed(ctx, reader, offset, pass)
+	})
 }
 
-func sayOutcome(w http.ResponseWriter, head runHead) {
-	w.Header().Set(outcome.Header, head.said.String())
-	if head.crashed {
-		w.Header().Set(wire.HeaderCrashed, "true")
+// feed passes on what the window holds from an offset on, as it comes.
+func (r *run) feed(ctx context.Context, reader uint64, offset int64, pass answer.Pass) answer.End {
+	buffer := make([]byte, pumpBuffer)
+	for {
+		n, err := r.kept.next(ctx, reader, offset, buffer)
+		if err == io.EOF {
+			return answer.Complete(r.trailer())
+		}
+		if err != nil || pass(buffer[:n]) != nil {
+			return answer.Cut
+		}
+		offset += int64(n)
 	}
-	http.Error(w, head.message, head.status)
 }
 
-// windowReader reads a window from an offset on.
-type windowReader struct {
-	ctx    context.Context
-	window *window
-	reader uint64
-	offset int64
+func (r *run) trailer() http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.head.trailer
 }
 
-func (r *windowReader) Read(buffer []byte) (int, error) {
-	n, err := r.window.next(r.ctx, r.reader, r.offset, buffer)
-	r.offset += int64(n)
-	return n, err
+// notKept answers for a part of the answer that cannot be had any more.
+func (r *run) notKept(err error) answer.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	head := runHead{said: outcome.Unknown, status: http.StatusGone, message: err.Error(), crashed: r.head.crashed}
+	return head.unanswered()
+}
+
+// unanswered tells an entry what became of a request without its answer.
+func (h runHead) unanswered() answer.Answer {
+	header := http.Header{outcome.Header: {h.said.String()}}
+	if h.crashed {
+		header.Set(wire.HeaderCrashed, "true")
+	}
+	return answer.Text(h.status, header, h.message)
 }
 
 // resume serves an entry whose connection was cut: the rest of its answer.
-func (a *Agent) resume(w http.ResponseWriter, r *http.Request) {
-	a.gate.Join()
-	defer a.gate.Leave()
+func (a *Agent) resume(r *http.Request) answer.Answer {
 	offset, err := strconv.ParseInt(r.URL.Query().Get(wire.QueryOffset), 10, 64)
 	if err != nil || offset < 0 {
-		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusBadRequest, message: "an offset is required"})
-		return
+		return runHead{said: outcome.Unknown, status: http.StatusBadRequest, message: "an offset is required"}.unanswered()
 	}
 	found, ok := a.runs.get(chi.URLParam(r, "request"))
 	if !ok {
-		sayOutcome(w, runHead{said: outcome.Unknown, status: http.StatusNotFound, message: "no such request"})
-		return
+		return runHead{said: outcome.Unknown, status: http.StatusNotFound, message: "no such request"}.unanswered()
 	}
 	resumedCount.Add(1)
-	found.deliver(w, r, offset)
+	return found.answerFrom(r.Context(), offset)
 }
 
 // cancelRun ends a request whose caller left.
-func (a *Agent) cancelRun(w http.ResponseWriter, r *http.Request) {
+func (a *Agent) cancelRun(r *http.Request) answer.Answer {
 	found, ok := a.runs.get(chi.URLParam(r, "request"))
 	if ok {
 		a.runs.remove(found)
@@ -373,5 +377,5 @@
 		}
 		found.cancel()
 	}
-	w.WriteHeader(http.StatusNoContent)
+	return answer.Whole(http.StatusNoContent, nil, nil)
 }
--- a/internal/agent/seats.go
+++ b/internal/agent/seats.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/fairqueue"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -275,17 +276,19 @@
 	return value
 }
 
-// refuseUnstarted answers a request that did not get as far as the engine. One
-// whose longest wait is over, or certain to pass, names that clause.
-func refuseUnstarted(w http.ResponseWriter, err error) {
+// unstarted answers a request that did not get as far as the engine. One whose
+// longest wait is over, or certain to pass, names that clause.
+func unstarted(err error) answer.Answer {
+	refusedCount.Add(1)
+	header := http.Header{outcome.Header: {outcome.NotRun.String()}}
+	if errors.Is(err, errNoSlot) {
+		header.Set(wire.HeaderDeclined, "true")
+	}
 	var over *waitError
 	if !errors.As(err, &over) {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
+		return answer.Text(http.StatusServiceUnavailable, header, err.Error())
 	}
-	refusedCount.Add(1)
-	w.Header().Set(outcome.Header, outcome.NotRun.String())
-	w.Header().Set(wire.HeaderClause, string(contract.ClauseMaxWait))
-	w.Header().Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(over.retryAfter.Seconds())))))
-	http.Error(w, err.Error(), http.StatusTooManyRequests)
+	header.Set(wire.HeaderClause, string(contract.ClauseMaxWait))
+	header.Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(over.retryAfter.Seconds())))))
+	return answer.Text(http.StatusTooManyRequests, header, err.Error())
 }
