--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -75,7 +75,7 @@
 // Call sends a request and reads the answer's header. The call ends with ctx,
 // which closes the connection, so that the server can stop working.
 func (p *Pool) Call(ctx context.Context, target Target, r *Request) (*Response, error) {
-	c, _, err := p.take(ctx, target)
+	c, _, err := p.take(ctx, target, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -83,6 +83,7 @@
 		p.put(target, c)
 		return nil, &NotSentError{Cause: ctx.Err()}
 	}
+	c.note(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := exchange(c, r)
 	if err != nil {
@@ -120,12 +121,22 @@
 		if strays++; strays > maxStrays {
 			return nil, ErrNotAnAnswer
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(parsed.Body, maxStrayBytes)); err != nil {
+		if err := passOver(parsed.Body); err != nil {
 			return nil, errors.Wrap(ErrNotAnAnswer, err.Error())
 		}
 	}
 }
 
+// passOver reads a body to its end. What is left of one that is too large would
+// be read as the next answer.
+func passOver(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes+1))
+	if err == nil && n > maxStrayBytes {
+		err = ErrTooLarge
+	}
+	return err
+}
+
 func newResponse(c *conn, parsed *http.Response, strays int) *Response {
 	framed := parsed.ContentLength >= 0 || slices.Contains(parsed.TransferEncoding, "chunked")
 	whole := &wholeReader{from: parsed.Body}
@@ -137,18 +148,21 @@
 	return r
 }
 
-// wholeReader remembers that the body has come to its end.
+// wholeReader remembers how the body ended. The connection's reader would say
+// at a second try that a body which broke off is at its end.
 type wholeReader struct {
 	from io.Reader
-	done bool
+	// end is nil until the body has ended, io.EOF when it is whole.
+	end error
 }
 
 // Read implements io.Reader.
 func (w *wholeReader) Read(p []byte) (int, error) {
-	n, err := w.from.Read(p)
-	if err == io.EOF {
-		w.done = true
+	if w.end != nil {
+		return 0, w.end
 	}
+	n, err := w.from.Read(p)
+	w.end = err
 	return n, err
 }
 
@@ -156,7 +170,7 @@
 // nothing stands behind it, and closes it otherwise.
 func (r *Response) Release() {
 	stopped := r.stop()
-	if !stopped || !r.keep || !r.whole.done || r.conn.reader.Buffered() > 0 {
+	if !stopped || !r.keep || r.whole.end != io.EOF || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -197,13 +211,20 @@
 	return b.Bytes()
 }
 
-// CallWhole sends a request and reads its whole answer, of at most limit bytes.
+// ErrTooLarge means that an answer is larger than its reader holds.
+var ErrTooLarge = errors.New("the answer is too large")
+
+// CallWhole sends a request and reads its whole answer. An answer whose body has
+// more than limit bytes is ErrTooLarge: a part of it would pass for the whole.
 func (p *Pool) CallWhole(ctx context.Context, target Target, r *Request, limit int64) (status int, header http.Header, body []byte, err error) {
 	response, err := p.Call(ctx, target, r)
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = ErrTooLarge
+	}
 	if err != nil {
 		response.Abort()
 		return 0, nil, nil, errors.Wrap(err, "read the answer's body")
