Show that a cut answer looks whole to a caller of HTTP/1.0

A caller of HTTP/1.0 takes the end of its connection for the end of its answer, and the entry ends an answer that broke off by an orderly close.

--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -79,6 +79,7 @@
 	status  int
 	outcome outcome.Outcome
 	header  http.Header
+	trailer http.Header
 	body    string
 	// cut is true when the answer ended without its end.
 	cut bool
--- /dev/null
+++ b/internal/entry/framing_test.go
@@ -0,0 +1,117 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/entry"
+)
+
+// rawServer answers its n-th request with the n-th of some byte sequences and
+// ends the connection in good order. It refuses what comes behind the last.
+func rawServer(t *testing.T, answers ...string) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var asked atomic.Int64
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if request.Method == http.MethodDelete {
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+			return
+		}
+		if n := int(asked.Add(1)); n <= len(answers) {
+			_, _ = io.WriteString(conn, answers[n-1])
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// head is an answer's header on the wire.
+func head(status int, lines ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %03d X\r\n%s\r\n\r\n", status, strings.Join(lines, "\r\n"))
+}
+
+const (
+	eventStream = "Content-Type: text/event-stream"
+	inChunks    = "Transfer-Encoding: chunked"
+	lastChunk   = "0\r\n\r\n"
+)
+
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
+// rawCall sends a call on a connection of its own, in a version of HTTP, and
+// reads the answer by its frame.
+func rawCall(t *testing.T, server *entryServer, proto, method, path, key, body string) told {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return askOn(conn, bufio.NewReader(conn), proto, method, path, key, body)
+}
+
+// askOn is rawCall on a given connection.
+func askOn(conn net.Conn, reader *bufio.Reader, proto, method, path, key, body string) told {
+	if key != "" {
+		key = "Idempotency-Key: " + key + "\r\n"
+	}
+	_, _ = fmt.Fprintf(conn, "%s %s HTTP/%s\r\nHost: h\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", method, path, proto, callerKey, key, len(body), body)
+	response, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return told{cut: true}
+	}
+	data, err := io.ReadAll(response.Body)
+	said, _ := outcome.Parse(response.Header.Get(outcome.Header))
+	return told{status: response.StatusCode, outcome: said, header: response.Header, trailer: response.Trailer, body: string(data), cut: err != nil}
+}
+
+// deskEntry serves callers before plain services at some addresses, of which it
+// takes the first first.
+func deskEntry(t *testing.T, options entry.Options, addresses ...string) *entryServer {
+	t.Helper()
+	from := newSource()
+	for i, address := range addresses {
+		from.servers = append(from.servers, service(fmt.Sprint("s", i), address, 9*i))
+	}
+	_, server := newEntry(t, options, from)
+	return server
+}
+
+// A stream breaks off before a caller of HTTP/1.0, to whom the end of the
+// connection is the end of the answer. An orderly close would make the part look
+// like the whole.
+func TestACallerWithoutChunksSeesACut(t *testing.T) {
+	for _, kind := range []string{eventStream, "Content-Type: text/plain"} {
+		server := deskEntry(t, entry.Options{}, rawServer(t, head(200, kind, inChunks)+chunk("data: one\n\n")))
+		got := rawCall(t, server, "1.0", http.MethodPost, "/services/desk/again", "", "x")
+		if !got.cut {
+			t.Errorf("%s: %q looks whole", kind, got.body)
+		}
+	}
+}
