Show that an error event can end half an event

Where a stream breaks off within an event, the blank line before the entry's error event ends that half: readers of events take it for a whole one.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -115,3 +115,19 @@
 		}
 	}
 }
+
+// A stream breaks off within an event. The blank line before the entry's error
+// event must not end the half event for its reader, who would take half a line
+// of a draft for what the engine meant.
+func TestACutWithinAnEventPassesNoHalfOfIt(t *testing.T) {
+	for _, broken := range []string{"data: ha", "data: half\n", "data: half\r"} {
+		server := deskEntry(t, entry.Options{}, rawServer(t, head(200, eventStream, inChunks)+chunk("data: one\n\n")+chunk(broken)))
+		got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/again", "", "x")
+		if !got.cut || !strings.HasPrefix(got.body, "data: one\n\n") || strings.Contains(got.body, "ha") {
+			t.Errorf("behind %q: cut %v, %q", broken, got.cut, got.body)
+		}
+		if !strings.Contains(got.body, `"code":"unknown_outcome"`) {
+			t.Errorf("behind %q the caller does not learn why its stream ends: %q", broken, got.body)
+		}
+	}
+}
