Show that an error event can complete a cut answer

Into a stream of a declared length the error event is written like a part of it. When as much is missing as the event is long, the frame is complete. Into an encoded stream it is written in plain words.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -131,3 +131,27 @@
 		}
 	}
 }
+
+// A stream of a declared length breaks off, and what is missing is just as long
+// as the entry's error event. Written into the answer, the event would complete
+// it.
+func TestAnErrorEventDoesNotFillADeclaredLength(t *testing.T) {
+	const part = "data: one\n\n"
+	chunked := deskEntry(t, entry.Options{}, rawServer(t, head(200, eventStream, inChunks)+chunk(part)))
+	event := len(rawCall(t, chunked, "1.1", http.MethodPost, "/services/desk/again", "", "x").body) - len(part)
+	length := fmt.Sprint("Content-Length: ", len(part)+event)
+	server := deskEntry(t, entry.Options{}, rawServer(t, head(200, eventStream, length)+part, head(200, eventStream, length)+part))
+	for _, proto := range []string{"1.1", "1.0"} {
+		if got := rawCall(t, server, proto, http.MethodPost, "/services/desk/again", "", "x"); !got.cut {
+			t.Errorf("HTTP/%s: %q looks whole", proto, got.body)
+		}
+	}
+}
+
+// What an event stream is encoded in cannot be gone on in plain words.
+func TestNoErrorEventStandsInAnEncodedStream(t *testing.T) {
+	server := deskEntry(t, entry.Options{}, rawServer(t, head(200, eventStream, "Content-Encoding: gzip", inChunks)+chunk("encoded")))
+	if got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/again", "", "x"); !got.cut || got.body != "encoded" {
+		t.Errorf("cut %v, %q", got.cut, got.body)
+	}
+}
