Show that a stream that ends within an event passes for whole

A server that ends its streams with their connection and crashes within an event closes in good order. The caller gets the part as whole; with an Idempotency-Key the part is also kept and given to resends.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -155,3 +155,22 @@
 		t.Errorf("cut %v, %q", got.cut, got.body)
 	}
 }
+
+// A service ends its event streams with their connection and crashes within an
+// event: the connection closes in good order. Half an event shows that the
+// stream was not over. It must not end as whole, nor be kept as the answer to
+// give to a resend.
+func TestAStreamThatEndsWithinAnEventIsNotWhole(t *testing.T) {
+	broken := head(200, eventStream, "Connection: close") + "data: one\n\ndata: ha"
+	server := deskEntry(t, entry.Options{Claims: newClaimLog()}, rawServer(t, broken, broken))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", "", "x")
+	if !got.cut || strings.Contains(got.body, "ha") {
+		t.Errorf("cut %v, %q", got.cut, got.body)
+	}
+	for range 2 {
+		got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", "k", "x")
+		if got.outcome != outcome.Unknown {
+			t.Errorf("with a key: told %v with %d: %q", got.outcome, got.status, got.body)
+		}
+	}
+}
