Show what an answer without a final status does

A status below 100 makes the entry panic, and its caller sees a dropped connection; an unasked 101 is passed on as an answer.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -174,3 +174,19 @@
 		}
 	}
 }
+
+// A service gives an answer whose status is no final one. Its caller must be
+// told that the call may have run, and not be left with a dropped connection or
+// with a switch of protocols that it did not ask for.
+func TestAnAnswerWithoutAFinalStatusIsNone(t *testing.T) {
+	for _, status := range []int{0, 99, 101} {
+		answer := head(status, "Content-Length: 0")
+		server := deskEntry(t, entry.Options{Claims: newClaimLog()}, rawServer(t, answer, answer))
+		for _, key := range []string{"", "k"} {
+			got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", key, "x")
+			if got.cut || got.status != http.StatusBadGateway || got.outcome != outcome.Unknown {
+				t.Errorf("status %d, key %q: told %v with %d, cut %v", status, key, got.outcome, got.status, got.cut)
+			}
+		}
+	}
+}
