Show that an answer can break off before it was begun

The entry decides on an answer by its header. When the server breaks off behind that, the caller's connection is dropped without a byte: nothing tells the fate of the call, other servers are not asked, and clients may resend by themselves.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -190,3 +190,20 @@
 		}
 	}
 }
+
+// A server breaks off behind the header of its answer, before its first byte.
+// The caller has nothing yet: it must get an answer, another server's where the
+// call may run again. A connection that is dropped without a word makes many
+// callers' libraries send the call once more by themselves.
+func TestAnAnswerThatBreaksOffBehindItsHeaderIsNotBegun(t *testing.T) {
+	broken := head(200, "Content-Length: 5")
+	whole := broken + "whole"
+	server := deskEntry(t, entry.Options{}, rawServer(t, broken), rawServer(t, whole))
+	if got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/again", "", "x"); got.cut || got.body != "whole" {
+		t.Errorf("a call that may run again: %d %q, cut %v", got.status, got.body, got.cut)
+	}
+	server = deskEntry(t, entry.Options{}, rawServer(t, broken))
+	if got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", "", "x"); got.cut || got.outcome != outcome.Unknown || got.status != http.StatusBadGateway {
+		t.Errorf("a call that must not: told %v with %d, cut %v", got.outcome, got.status, got.cut)
+	}
+}
