Show that a whole answer can lose its end to a deadline that is over

The time to accept a piece goes on counting while the server pauses. The end of the answer is then written under a deadline that is over, and a whole answer is cut.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -6,12 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
 // rawServer answers its n-th request with the n-th of some byte sequences and
@@ -207,3 +212,36 @@
 		t.Errorf("a call that must not: told %v with %d, cut %v", got.outcome, got.status, got.cut)
 	}
 }
+
+// timedWriter notes what a handler does to its caller's connection.
+type timedWriter struct {
+	*httptest.ResponseRecorder
+	did []string
+}
+
+func (w *timedWriter) SetReadDeadline(time.Time) error { return nil }
+
+func (w *timedWriter) SetWriteDeadline(time.Time) error {
+	w.did = append(w.did, "deadline")
+	return nil
+}
+
+func (w *timedWriter) Write(data []byte) (int, error) {
+	w.did = append(w.did, "write")
+	return w.ResponseRecorder.Write(data)
+}
+
+// A server pauses between its last word and the end of its answer. The time to
+// accept the last word may be over by then: without a time of its own the end
+// would fail, and a whole answer would look cut.
+func TestTheEndOfAnAnswerHasATimeOfItsOwn(t *testing.T) {
+	from := newSource(service("a", rawServer(t, head(200, inChunks)+chunk("word")+lastChunk), 0))
+	e := entry.New(entry.Options{}, from, relay.NewClient(time.Second), zap.NewNop())
+	request := httptest.NewRequest(http.MethodPost, "/services/desk/again", strings.NewReader("x"))
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	w := &timedWriter{ResponseRecorder: httptest.NewRecorder()}
+	e.Handler().ServeHTTP(w, request)
+	if last := len(w.did) - 1; last < 2 || w.did[last] != "deadline" || w.did[last-1] != "write" || w.did[last-2] != "deadline" {
+		t.Errorf("the caller's connection saw %v", w.did)
+	}
+}
