Show that a resumed answer may be another's

The entry goes on with a cut answer by whatever the agent's address gives as its rest. A 500 behind a 200, or another type, is joined to it and ends as whole. An agent of this system keeps one header for a run; another process at its address does not.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // rawServer answers its n-th request with the n-th of some byte sequences and
@@ -245,3 +246,26 @@
 		t.Errorf("the caller's connection saw %v", w.did)
 	}
 }
+
+// agentHead is the header of an agent's answer from the model that was asked for.
+func agentHead(status int, lines ...string) string {
+	return head(status, append(lines, outcome.Header+": "+outcome.Answered.String(), wire.HeaderRan+": "+model)...)
+}
+
+// The connection to an agent is cut in the middle of a draft, and what the agent
+// gives as its rest is an answer of another kind: another process has taken its
+// address. Its words must not be joined to the caller's draft.
+func TestTheRestOfAnAnswerIsOfTheSameKind(t *testing.T) {
+	first := agentHead(200, eventStream, inChunks) + chunk("data: one\n\n")
+	rests := map[string]string{
+		"status": agentHead(500, eventStream, inChunks) + chunk("data: failed\n\n") + lastChunk,
+		"type":   agentHead(200, "Content-Type: text/plain", inChunks) + chunk("failed") + lastChunk,
+	}
+	for name, rest := range rests {
+		_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", rawServer(t, first, rest))))
+		got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+		if !got.cut || strings.Contains(got.body, "failed") {
+			t.Errorf("another %s: cut %v, %q", name, got.cut, got.body)
+		}
+	}
+}
