--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -269,3 +269,14 @@
 		}
 	}
 }
+
+// A booking desk writes this system's own header behind its answer. A caller
+// that read there that its booking was not run would send it again.
+func TestAPlainServicesTrailerSaysNothingInThisSystemsName(t *testing.T) {
+	trailer := "0\r\n" + outcome.Header + ": not-run\r\nContent-Length: 3\r\nChecksum: abc\r\n\r\n"
+	server := deskEntry(t, entry.Options{}, rawServer(t, head(200, inChunks)+chunk("whole")+trailer))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", "", "x")
+	if got.cut || got.trailer.Get("Checksum") != "abc" || len(got.trailer) != 1 {
+		t.Errorf("cut %v, trailer %v", got.cut, got.trailer)
+	}
+}
