Show that a resumed answer loses its trailer

The trailer is read from the connection that brought the beginning of the answer.

Measured: TestAResumedAnswerHasItsTrailer fails; listed in KNOWN-RED.txt.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -280,3 +280,15 @@
 		t.Errorf("cut %v, trailer %v", got.cut, got.trailer)
 	}
 }
+
+// The trailer of an answer comes with its end, also when that is read on another
+// connection than its beginning.
+func TestAResumedAnswerHasItsTrailer(t *testing.T) {
+	first := agentHead(200, eventStream, inChunks) + chunk("data: one\n\n")
+	rest := agentHead(200, eventStream, inChunks) + chunk("data: two\n\n") + "0\r\nChecksum: abc\r\n\r\n"
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", rawServer(t, first, rest))))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+	if got.cut || got.body != "data: one\n\ndata: two\n\n" || got.trailer.Get("Checksum") != "abc" {
+		t.Errorf("cut %v, %q, trailer %v", got.cut, got.body, got.trailer)
+	}
+}
