--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -292,3 +292,19 @@
 		t.Errorf("cut %v, %q, trailer %v", got.cut, got.body, got.trailer)
 	}
 }
+
+// A caller asks for a path, or by a method, that this entry does not serve. It
+// must be told like every other caller that nothing ran.
+func TestWhatIsNotServedIsNotRun(t *testing.T) {
+	server := deskEntry(t, entry.Options{})
+	for path, want := range map[string]int{"/v1/completions": http.StatusMethodNotAllowed, "/v1/embeddings": http.StatusNotFound, "/services": http.StatusNotFound} {
+		got := rawCall(t, server, "1.1", http.MethodGet, path, "", "")
+		said := got.header.Get(outcome.Header)
+		if got.cut || got.status != want || said != outcome.NotRun.String() || got.header.Get(wire.HeaderRequestID) == "" {
+			t.Errorf("%s: %d, told %q, request %q", path, got.status, said, got.header.Get(wire.HeaderRequestID))
+		}
+		if allow := got.header.Get("Allow"); want == http.StatusMethodNotAllowed && allow != http.MethodPost {
+			t.Errorf("%s: allowed is %q", path, allow)
+		}
+	}
+}
