Take a status that is not final for no answer

Behind an informational status net/http goes on to a successful empty answer of its own; a status out of its range makes it panic. Both are now cut like the zero answer.

Measured: TestAStatusThatIsNotFinalIsNoAnswer fails without the change (100, 101, 103 and 150 go out, 0 to 99 and 1000 panic), passes with it.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -20,8 +20,8 @@
 	"github.com/pkg/errors"
 )
 
-// Answer is what a handler wants its caller to get. The zero value is no
-// answer: the connection ends.
+// Answer is what a handler wants its caller to get. The zero value, and one
+// whose status is no final status, is no answer: the connection ends.
 type Answer struct {
 	status int
 	header http.Header
@@ -96,7 +96,7 @@
 
 // write reports whether the answer went out complete.
 func (a Answer) write(w http.ResponseWriter, r *http.Request) bool {
-	if a.status == 0 {
+	if !final(a.status) {
 		return false
 	}
 	header := w.Header()
@@ -126,9 +126,13 @@
 	return err == nil
 }
 
+// final reports whether a status ends the wait for an answer. net/http follows
+// an informational status by a successful empty answer of its own.
+func final(status int) bool { return status >= http.StatusOK && status <= 999 }
+
 // hasBody is false for answers that end with their header.
 func hasBody(status int) bool {
-	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 func (a Answer) writeStream(w http.ResponseWriter, r *http.Request) bool {
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -150,3 +150,18 @@
 		t.Errorf("got %+v, the header became %v", g, base)
 	}
 }
+
+// A backend server gave a status that is no final one, and a handler passed it
+// on. The caller must not get the empty success that net/http would send.
+func TestAStatusThatIsNotFinalIsNoAnswer(t *testing.T) {
+	for _, status := range []int{-1, 99, 100, 101, 103, 150, 1000} {
+		for name, a := range map[string]answer.Answer{
+			"whole":  answer.Whole(status, nil, []byte("body")),
+			"stream": answer.Stream(status, nil, func(answer.Pass) answer.End { return answer.Complete(nil) }),
+		} {
+			if g := ask(t, "1.1", http.MethodGet, func(*http.Request) answer.Answer { return a }); !g.none {
+				t.Errorf("%s, status %d: got %+v", name, status, g)
+			}
+		}
+	}
+}
