Let a stream declare its length and bound each piece's way to the caller

What internal/entry needs of internal/answer to write through it alone: a plain service's answer keeps the length that it declares, and a caller that accepts nothing is left after the write timeout. A stream that ends at another length than declared is cut; the end has a time of its own.

Measured: go test -race ./internal/answer passes, with the new tests TestADeclaredLengthIsKeptOrCut and TestEachPieceAndTheEndHaveATimeOfTheirOwn.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -27,6 +28,11 @@
 	header http.Header
 	body   []byte
 	feed   Feed
+	// sized is true when length is the declared one of a stream's body.
+	sized  bool
+	length int64
+	// accept bounds how long the caller may take for one piece; 0 sets no bound.
+	accept time.Duration
 }
 
 // Whole is an answer with a body that is known whole.
@@ -57,6 +63,20 @@
 	return a
 }
 
+// Sized returns a stream with the length of its body declared, in bytes. A feed
+// that passes on less or more is cut, whatever it says of its end.
+func (a Answer) Sized(length int64) Answer {
+	a.sized, a.length = true, length
+	return a
+}
+
+// Accepted returns the answer with a bound on how long the caller may take to
+// accept its header, each piece and its end.
+func (a Answer) Accepted(within time.Duration) Answer {
+	a.accept = within
+	return a
+}
+
 // Status is the status that the caller gets, 0 for no answer.
 func (a Answer) Status() int { return a.status }
 
@@ -99,6 +119,7 @@
 	if !final(a.status) {
 		return false
 	}
+	a.allow(w)
 	header := w.Header()
 	maps.Copy(header, a.header)
 	length := header.Get("Content-Length")
@@ -137,15 +158,24 @@
 
 func (a Answer) writeStream(w http.ResponseWriter, r *http.Request) bool {
 	controller := http.NewResponseController(w)
+	if a.sized && hasBody(a.status) {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
 	w.WriteHeader(a.status)
 	var failure error
+	var passed int64
 	pass := func(piece []byte) error {
+		passed += int64(len(piece))
+		if failure == nil && a.sized && passed > a.length {
+			failure = errors.New("the body is longer than declared")
+		}
 		if failure != nil {
 			return failure
 		}
 		if r.Method == http.MethodHead {
 			return nil
 		}
+		a.allow(w)
 		if _, err := w.Write(piece); err != nil {
 			failure = errors.Wrap(err, "write to caller")
 			return failure
@@ -162,15 +192,25 @@
 	}()
 	end := a.feed(pass)
 	fed = true
-	if !end.complete || failure != nil {
+	if !end.complete || failure != nil || a.sized && passed != a.length {
 		return false
 	}
+	a.allow(w)
 	for name, values := range end.trailer {
 		w.Header()[http.TrailerPrefix+name] = values
 	}
 	return true
 }
 
+// allow gives the caller its time to accept what is written next. The bound of
+// the piece before may be over by then.
+func (a Answer) allow(w http.ResponseWriter) {
+	if a.accept > 0 {
+		// Recorders in tests have no deadline to set; a connection does.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(a.accept))
+	}
+}
+
 // cut ends the connection so that the caller sees that its answer is not whole.
 func cut(w http.ResponseWriter, r *http.Request) {
 	reset(w, r)
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 )
@@ -165,3 +166,52 @@
 		}
 	}
 }
+
+// A stream of a declared length keeps it. What is shorter or longer must be cut
+// before a frame of that length is complete around other bytes than meant.
+func TestADeclaredLengthIsKeptOrCut(t *testing.T) {
+	for length, want := range map[int64]got{
+		12: {status: 200, body: "piece piece ", whole: true},
+		11: {status: 200, body: "piece "},
+		13: {status: 200, body: "piece piece "},
+		99: {status: 200, body: "piece piece "},
+	} {
+		for _, proto := range []string{"1.1", "1.0"} {
+			g := ask(t, proto, http.MethodGet, func(*http.Request) answer.Answer { return stream(2, answer.Complete(nil)).Sized(length) })
+			if declared := g.header.Get("Content-Length"); declared != fmt.Sprint(length) {
+				t.Errorf("HTTP/%s, %d declared: the caller read %q", proto, length, declared)
+			}
+			if g.header = nil; fmt.Sprint(g) != fmt.Sprint(want) {
+				t.Errorf("HTTP/%s, %d declared: got %+v, want %+v", proto, length, g, want)
+			}
+		}
+	}
+}
+
+// timed notes what is done to a connection.
+type timed struct {
+	*httptest.ResponseRecorder
+	did string
+}
+
+func (w *timed) SetWriteDeadline(time.Time) error {
+	w.did += "deadline "
+	return nil
+}
+
+func (w *timed) Write(piece []byte) (int, error) {
+	w.did += "write "
+	return w.ResponseRecorder.Write(piece)
+}
+
+// A backend server pauses between two words. The time that the caller has to
+// accept the first must not be that of the second, nor of the end.
+func TestEachPieceAndTheEndHaveATimeOfTheirOwn(t *testing.T) {
+	w := &timed{ResponseRecorder: httptest.NewRecorder()}
+	answer.Handler(func(*http.Request) answer.Answer {
+		return stream(2, answer.Complete(nil)).Accepted(time.Minute)
+	}).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	if w.did != "deadline deadline write deadline write deadline " {
+		t.Errorf("the connection saw %q", w.did)
+	}
+}
