Write an entry's answers through internal/answer alone

Handlers of internal/entry had http.ResponseWriter in hand, so the order of header, body and end was theirs to keep, and a cut closed in good order for a caller of HTTP/1.0. They now return a reply: what the caller gets and what that says of the request's fate. What used to be deferred until a handler returned (permit, gate, server, trial, time) now ends with the visit, when the answer is out or was cut. A test of permits that wrote to the caller itself returns answers instead; it also checks now that nothing is settled before the answer is out, and a stream that breaks off.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/contract"
@@ -86,25 +85,25 @@
 // caller was given. A call that must run at most once has its claim by then:
 // refused earlier, its caller would be told "not run" although an earlier
 // attempt under the same key may have run.
-func (e *Entry) admit(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
+func (e *Entry) admit(v *visit, r *http.Request, c call) reply {
 	c.wait = newWaitBudget(c.ask.Contract.Limits, time.Now())
-	return e.admitted(w, r, c.ask, func(w http.ResponseWriter) outcome.Outcome { return e.send(w, r, c) })
+	return e.admitted(v, r, c.ask, func() reply { return e.send(v, r, c) })
 }
 
-func (e *Entry) admitted(w http.ResponseWriter, r *http.Request, ask Ask, run func(http.ResponseWriter) outcome.Outcome) outcome.Outcome {
+func (e *Entry) admitted(v *visit, r *http.Request, ask Ask, run func() reply) reply {
 	permit, refusal := e.options.Admission.Admit(r.Context(), ask)
 	if refusal != nil && r.Context().Err() != nil {
-		return fail(w, gaveUp(r.Context(), false))
+		return v.fail(gaveUp(r.Context(), false))
 	}
 	if refusal != nil {
-		return fail(w, refusal.failure())
+		return v.fail(refusal.failure())
 	}
-	writer := &meteredWriter{ResponseWriter: w}
-	// Deferred, because an answer that breaks off panics with ErrAbortHandler
-	// and its slot would otherwise stay taken for ever.
-	defer func() { permit.Settle(writer.use()) }()
+	v.atEnd(func() { permit.Settle(v.meter.use()) })
 	describe(r.Header, ask)
-	return run(writer)
+	given := run()
+	// An answer that breaks off may have run, and counts as if it had.
+	v.meter.notRun = given.said == outcome.NotRun
+	return given
 }
 
 // describe tells the next hops whose request it is, so that their queues can be
@@ -143,44 +142,25 @@
 // tailSize is how much of an answer's end is kept to find its usage, in bytes.
 const tailSize = 4 << 10
 
-// meteredWriter measures an answer on its way to the caller.
-type meteredWriter struct {
-	http.ResponseWriter
-	mu     sync.Mutex
+// meter measures a server's answer on its way to the caller.
+type meter struct {
 	notRun bool
 	events int64
 	tail   []byte
 }
 
-// Unwrap lets http.ResponseController flush.
-func (m *meteredWriter) Unwrap() http.ResponseWriter { return m.ResponseWriter }
-
-// WriteHeader notes whether the request was not run. An answer that breaks off
-// before its header may have run, and counts as if it had.
-func (m *meteredWriter) WriteHeader(status int) {
-	m.mu.Lock()
-	m.notRun = m.Header().Get(outcome.Header) == outcome.NotRun.String()
-	m.mu.Unlock()
-	m.ResponseWriter.WriteHeader(status)
-}
-
 var eventPrefix = []byte("data: ")
 
-// Write counts streamed events and keeps the answer's end.
-func (m *meteredWriter) Write(data []byte) (int, error) {
-	m.mu.Lock()
-	m.events += int64(bytes.Count(data, eventPrefix))
-	m.tail = append(m.tail, data...)
+// add counts streamed events and keeps the answer's end.
+func (m *meter) add(piece []byte) {
+	m.events += int64(bytes.Count(piece, eventPrefix))
+	m.tail = append(m.tail, piece...)
 	if excess := len(m.tail) - tailSize; excess > 0 {
 		m.tail = append(m.tail[:0], m.tail[excess:]...)
 	}
-	m.mu.Unlock()
-	return m.ResponseWriter.Write(data)
 }
 
-func (m *meteredWriter) use() Use {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+func (m *meter) use() Use {
 	if m.notRun {
 		return Use{NotRun: true}
 	}
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -10,7 +10,10 @@
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/contract"
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
+	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -29,41 +32,53 @@
 
 func (f *fakeAdmission) Settle(use Use) { f.settled = append(f.settled, use) }
 
+// streamed is a server's answer that comes in pieces and may break off.
+func streamed(v *visit, end answer.End, pieces ...string) reply {
+	return reply{answer.Stream(http.StatusOK, nil, func(pass answer.Pass) answer.End {
+		for _, piece := range pieces {
+			v.meter.add([]byte(piece))
+			_ = pass([]byte(piece))
+		}
+		return end
+	}), outcome.Answered}
+}
+
 func TestPermitIsSettledOnceByTheAnswer(t *testing.T) {
+	whole := answer.Complete(nil)
 	cases := []struct {
 		name   string
-		answer func(http.ResponseWriter)
+		answer func(*visit) reply
 		want   Use
 	}{
-		{"whole answer with usage", func(w http.ResponseWriter) {
-			_, _ = w.Write([]byte(`{"choices":[],"usage":{"prompt_tokens":2,"total_tokens":9}}`))
+		{"whole answer with usage", func(v *visit) reply {
+			return streamed(v, whole, `{"choices":[],"usage":{"prompt_tokens":2,"total_tokens":9}}`)
 		}, Use{Tokens: 9}},
-		{"stream without usage", func(w http.ResponseWriter) {
-			for range 3 {
-				_, _ = w.Write([]byte("data: {}\n\n"))
-			}
+		{"stream without usage", func(v *visit) reply {
+			return streamed(v, whole, "data: {}\n\n", "data: {}\n\n", "data: {}\n\n")
 		}, Use{Events: 3}},
-		{"usage at the end of a long stream", func(w http.ResponseWriter) {
-			_, _ = w.Write([]byte(strings.Repeat("x", 3*tailSize)))
-			_, _ = w.Write([]byte(`data: {"usage":{"total_to`))
-			_, _ = w.Write([]byte("kens\":40}}\n\n"))
+		{"stream that breaks off", func(v *visit) reply { return streamed(v, answer.Cut, "data: {}\n\n") }, Use{Events: 1}},
+		{"usage at the end of a long stream", func(v *visit) reply {
+			return streamed(v, whole, strings.Repeat("x", 3*tailSize), `data: {"usage":{"total_to`, "kens\":40}}\n\n")
 		}, Use{Tokens: 40, Events: 1}},
-		{"not run", func(w http.ResponseWriter) {
-			fail(w, failure{status: http.StatusServiceUnavailable, code: codeNoServer})
+		{"not run", func(v *visit) reply {
+			return v.fail(failure{status: http.StatusServiceUnavailable, code: codeNoServer})
 		}, Use{NotRun: true}},
-		{"broken off before its header", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, Use{}},
-		{"usage that is no object", func(w http.ResponseWriter) { _, _ = w.Write([]byte(`"usage":-`)) }, Use{}},
+		{"broken off before its header", func(*visit) reply { panic(http.ErrAbortHandler) }, Use{}},
+		{"usage that is no object", func(v *visit) reply { return streamed(v, whole, `"usage":-`) }, Use{}},
 	}
 	for _, c := range cases {
 		admission := &fakeAdmission{}
-		e := &Entry{options: Options{Admission: admission}}
+		e := admittingEntry(admission)
+		handler := e.serve(func(v *visit, r *http.Request) reply {
+			given := e.admitted(v, r, Ask{}, func() reply { return c.answer(v) })
+			if len(admission.settled) > 0 {
+				t.Errorf("%s: settled before the answer is out", c.name)
+			}
+			return given
+		})
 		func() {
 			defer func() { _ = recover() }()
-			request := httptest.NewRequest(http.MethodPost, "/v1/completions", nil)
-			e.admitted(httptest.NewRecorder(), request, Ask{}, func(w http.ResponseWriter) outcome.Outcome {
-				c.answer(w)
-				return outcome.Answered
-			})
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/completions", nil))
 		}()
 		if len(admission.settled) != 1 || admission.settled[0] != c.want {
 			t.Errorf("%s: settled %+v, want %+v once", c.name, admission.settled, c.want)
@@ -71,14 +86,25 @@
 	}
 }
 
+// fresh is a picture of the system that is up to date and empty.
+type fresh struct{ Source }
+
+func (fresh) Freshness() freshness.State { return freshness.State{Kind: freshness.Fresh} }
+
+func admittingEntry(admission Admission) *Entry {
+	return &Entry{options: Options{Admission: admission}, follower: fresh{}, gate: drain.NewGate()}
+}
+
 func TestRefusalNamesTheClauseAndWhenToComeBack(t *testing.T) {
 	refusal := &Refusal{Clause: contract.ClauseTokensPerMinute, RetryAfter: 2100 * time.Millisecond, Message: "over"}
-	e := &Entry{options: Options{Admission: &fakeAdmission{refusal: refusal}}}
+	e := admittingEntry(&fakeAdmission{refusal: refusal})
 	recorder := httptest.NewRecorder()
-	e.admitted(recorder, httptest.NewRequest(http.MethodPost, "/v1/completions", nil), Ask{}, func(http.ResponseWriter) outcome.Outcome {
-		t.Error("a refused request ran")
-		return outcome.Answered
-	})
+	e.serve(func(v *visit, r *http.Request) reply {
+		return e.admitted(v, r, Ask{}, func() reply {
+			t.Error("a refused request ran")
+			return reply{}
+		})
+	}).ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/completions", nil))
 	header := recorder.Header()
 	if recorder.Code != http.StatusTooManyRequests || header.Get("Retry-After") != "3" {
 		t.Errorf("got %d, Retry-After %q", recorder.Code, header.Get("Retry-After"))
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -45,11 +45,10 @@
 	return customer, nil
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(e.options.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
+func (e *Entry) readBody(v *visit, r *http.Request) ([]byte, *failure) {
+	_ = v.readDeadline(time.Now().Add(e.options.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, e.options.MaxBodyBytes))
+	_ = v.readDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, message: "the body is larger than this entry accepts"}
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -24,26 +24,22 @@
 	Priority json.RawMessage `json:"priority"`
 }
 
-func (e *Entry) complete(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) complete(v *visit, r *http.Request) reply {
 	customer, problem := e.authenticate(r)
 	if problem != nil {
-		fail(w, *problem)
-		return
+		return v.fail(*problem)
 	}
-	body, problem := e.readBody(w, r)
+	body, problem := e.readBody(v, r)
 	if problem != nil {
-		fail(w, *problem)
-		return
+		return v.fail(*problem)
 	}
 	adapter, parsed, problem := e.resolve(customer, body)
 	if problem != nil {
-		fail(w, *problem)
-		return
+		return v.fail(*problem)
 	}
 	prepared, err := withPriority(body, parsed, customer.Priority)
 	if err != nil {
-		fail(w, failure{status: http.StatusBadRequest, code: codeMalformed, message: err.Error()})
-		return
+		return v.fail(failure{status: http.StatusBadRequest, code: codeMalformed, message: err.Error()})
 	}
 	r.Header.Set(wire.HeaderModel, adapter.Ref.String())
 	r.Header.Set(agent.HeaderSource, adapter.Source)
@@ -58,7 +54,7 @@
 	c.fingerprint = crashFingerprint(c)
 	c.suspect = e.follower.Config().Suspect(c.fingerprint, time.Now())
 	r.Header.Set(wire.HeaderFingerprint, string(c.fingerprint))
-	e.admit(w, r, c)
+	return e.admit(v, r, c)
 }
 
 func (e *Entry) resolve(customer contract.Contract, body []byte) (catalogue.Adapter, callerBody, *failure) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,17 +11,16 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/placement"
 	"github.com/rosemarypass/rosemarypass/coord/retry"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
-	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 var (
@@ -127,15 +126,12 @@
 // Handler serves callers and the platform.
 func (e *Entry) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	router.Get("/readyz", e.ready)
-	router.Group(func(callers chi.Router) {
-		callers.Use(e.trackRequest)
-		callers.Post("/v1/completions", e.complete)
-		callers.Post("/v1/chat/completions", e.complete)
-		callers.HandleFunc("/services/{service}/*", e.callService)
-		callers.Get("/claims/{key}", e.lookUpClaim)
-	})
+	router.Method(http.MethodGet, "/healthz", answer.Handler(func(*http.Request) answer.Answer { return answer.Whole(http.StatusOK, nil, nil) }))
+	router.Method(http.MethodGet, "/readyz", answer.Handler(e.ready))
+	router.Method(http.MethodPost, "/v1/completions", e.serve(e.complete))
+	router.Method(http.MethodPost, "/v1/chat/completions", e.serve(e.complete))
+	router.Handle("/services/{service}/*", e.serve(e.callService))
+	router.Method(http.MethodGet, "/claims/{key}", e.serve(e.lookUpClaim))
 	return router
 }
 
@@ -147,44 +143,14 @@
 // says how many are left.
 func (e *Entry) Wait(ctx context.Context) int { return e.gate.Wait(ctx) }
 
-func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+func (e *Entry) ready(*http.Request) answer.Answer {
 	if !e.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return answer.Whole(http.StatusServiceUnavailable, nil, nil)
 	}
-	w.WriteHeader(http.StatusOK)
+	return answer.Whole(http.StatusOK, nil, nil)
 }
 
 // Ready reports whether the balancer may send callers here.
 func (e *Entry) Ready() bool {
 	return !e.stopping.Load() && e.follower.Freshness().MayAdmit()
 }
-
-func (e *Entry) trackRequest(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		requestCount.Add(1)
-		ctx, span := telemetry.StartServer(r, telemetry.SpanEntryRequest)
-		defer span.End()
-		dropInternal(r.Header)
-		id := uuid.NewString()
-		r.Header.Set(wire.HeaderRequestID, id)
-		w.Header().Set(wire.HeaderRequestID, id)
-		span.SetAttributes(telemetry.AttributeRequest.String(id))
-		if !e.gate.Enter() {
-			fail(w, failure{status: http.StatusServiceUnavailable, code: codeDraining, message: "this entry is stopping", retryAfter: 1})
-			return
-		}
-		defer e.gate.Leave()
-		if problem := e.unconfirmed(); problem != nil {
-			fail(w, *problem)
-			return
-		}
-		ctx, cancel, problem := withTimeout(ctx, r.Header)
-		if problem != nil {
-			fail(w, *problem)
-			return
-		}
-		defer cancel()
-		next.ServeHTTP(w, r.WithContext(ctx))
-	})
-}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
-	"github.com/rosemarypass/rosemarypass/internal/relay"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -98,24 +98,37 @@
 	}
 }
 
-// fail answers with an error and returns the outcome that the caller was told.
-func fail(w http.ResponseWriter, f failure) outcome.Outcome {
+// ownHeader is the header of an answer that is the entry's own.
+func (v *visit) ownHeader() http.Header { return http.Header{wire.HeaderRequestID: {v.id}} }
+
+// fail answers with an error.
+func (v *visit) fail(f failure) reply {
 	said := outcomeOf(f.code)
 	if f.doubt {
 		said = outcome.Unknown
 	}
 	countOutcome(said)
-	w.Header().Set(outcome.Header, said.String())
-	w.Header().Set("Content-Type", "application/json")
+	header := v.ownHeader()
+	header.Set(outcome.Header, said.String())
 	if f.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(f.retryAfter))
+		header.Set("Retry-After", strconv.Itoa(f.retryAfter))
 	}
 	if f.clause != "" {
-		w.Header().Set(wire.HeaderClause, f.clause)
+		header.Set(wire.HeaderClause, f.clause)
+	}
+	body := errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code, Param: f.clause}}
+	return reply{inJSON(f.status, header, body), said}
+}
+
+// inJSON is an answer in JSON.
+func inJSON(status int, header http.Header, value any) answer.Answer {
+	body, err := json.Marshal(value)
+	if err != nil {
+		// Only values of this package are written, which can all be marshalled.
+		panic(errors.Wrap(err, "marshal answer"))
 	}
-	w.WriteHeader(f.status)
-	_ = json.NewEncoder(w).Encode(errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code, Param: f.clause}})
-	return said
+	header.Set("Content-Type", "application/json")
+	return answer.Whole(status, header, append(body, '\n'))
 }
 
 func errorType(status int) string {
@@ -127,13 +140,3 @@
 	}
 	return "invalid_request_error"
 }
-
-// countCut counts an answer that ended early by the side that failed.
-func countCut(err error) {
-	var caller *relay.CallerError
-	if errors.As(err, &caller) {
-		callerGone.Add(1)
-		return
-	}
-	cutCount.Add(1)
-}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/claim"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -57,28 +57,28 @@
 
 // sendOnce runs a call under its claim. The call goes on when its caller
 // leaves, so that the caller's resend finds the answer and not a doubt.
-func (e *Entry) sendOnce(w http.ResponseWriter, r *http.Request, c call, key string) {
+func (e *Entry) sendOnce(v *visit, r *http.Request, c call, key string) reply {
 	ctx := context.WithoutCancel(r.Context())
 	o := &once{entry: e, id: claim.ID{Contract: c.contract, Key: key}, token: uuid.NewString()}
-	reply, err := o.begin(ctx, fingerprint(r, c))
+	decided, err := o.begin(ctx, fingerprint(r, c))
 	if err != nil {
 		claimLostCount.Add(1)
 		e.afterwards(ctx, func(ctx context.Context) { o.release(ctx) })
-		fail(w, failure{
+		return v.fail(failure{
 			status: http.StatusServiceUnavailable, code: codeNoClaims, retryAfter: claimRetry,
 			message: "it cannot be decided now whether this call may run; it was not run by this request",
 		})
-		return
 	}
-	if reply.Verdict != claim.Granted {
-		refuseOnce(w, reply)
-		return
+	if decided.Verdict != claim.Granted {
+		return v.refuseOnce(decided)
 	}
 	claimGrantedCount.Add(1)
 	c.once = o
-	if said := e.admit(w, r.WithContext(ctx), c); said == outcome.NotRun {
+	given := e.admit(v, r.WithContext(ctx), c)
+	if given.said == outcome.NotRun {
 		e.afterwards(ctx, func(ctx context.Context) { o.release(ctx) })
 	}
+	return given
 }
 
 // fingerprint identifies a call, so that a key that is used for another call
@@ -174,41 +174,40 @@
 }
 
 // refuseOnce answers a call that may not run, from what the claim says.
-func refuseOnce(w http.ResponseWriter, reply claim.Reply) {
-	switch reply.Verdict {
+func (v *visit) refuseOnce(decided claim.Reply) reply {
+	switch decided.Verdict {
 	case claim.Replay:
-		replay(w, reply.Answer)
+		return v.replay(decided.Answer)
 	case claim.InDoubt:
 		claimDoubtCount.Add(1)
-		fail(w, failure{
+		return v.fail(failure{
 			status: http.StatusConflict, code: codeInProgress, retryAfter: claimRetry,
 			message: "the call with this Idempotency-Key is running, or its fate is unknown; ask again at /claims/",
 		})
 	case claim.Mismatch:
-		fail(w, failure{status: http.StatusUnprocessableEntity, code: codeKeyReused, message: "this Idempotency-Key was used for another call"})
+		return v.fail(failure{status: http.StatusUnprocessableEntity, code: codeKeyReused, message: "this Idempotency-Key was used for another call"})
 	case claim.TooOld:
-		fail(w, failure{status: http.StatusGone, code: codeKeyExpired, message: "this Idempotency-Key was used too long ago; the call was not run again"})
+		return v.fail(failure{status: http.StatusGone, code: codeKeyExpired, message: "this Idempotency-Key was used too long ago; the call was not run again"})
 	case claim.BadKey:
-		fail(w, failure{status: http.StatusBadRequest, code: codeKeyInvalid, message: "this Idempotency-Key is too long, or its time lies in the future"})
+		return v.fail(failure{status: http.StatusBadRequest, code: codeKeyInvalid, message: "this Idempotency-Key is too long, or its time lies in the future"})
 	default:
-		fail(w, failure{status: http.StatusServiceUnavailable, code: codeClaimsFull, message: "no further calls with a key can be accepted now", retryAfter: claimRetry})
+		return v.fail(failure{status: http.StatusServiceUnavailable, code: codeClaimsFull, message: "no further calls with a key can be accepted now", retryAfter: claimRetry})
 	}
 }
 
-func replay(w http.ResponseWriter, answer *claim.Answer) {
-	if !answer.Kept {
-		fail(w, failure{status: http.StatusConflict, code: codeAnswerNotKept, message: "the call ran and was answered; its answer was too large to keep"})
-		return
+func (v *visit) replay(kept *claim.Answer) reply {
+	if !kept.Kept {
+		return v.fail(failure{status: http.StatusConflict, code: codeAnswerNotKept, message: "the call ran and was answered; its answer was too large to keep"})
 	}
 	claimReplayCount.Add(1)
 	countOutcome(outcome.Answered)
-	for _, field := range answer.Header {
-		w.Header().Add(field.Name, field.Value)
+	header := v.ownHeader()
+	for _, field := range kept.Header {
+		header.Add(field.Name, field.Value)
 	}
-	w.Header().Set(headerReplayed, "true")
-	w.Header().Set(outcome.Header, outcome.Answered.String())
-	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	header.Set(headerReplayed, "true")
+	header.Set(outcome.Header, outcome.Answered.String())
+	return reply{answer.Whole(kept.Status, header, kept.Body), outcome.Answered}
 }
 
 // claimView is what a caller reads about its call.
@@ -221,30 +220,26 @@
 
 // lookUpClaim tells a caller what became of a call whose outcome it was not
 // told.
-func (e *Entry) lookUpClaim(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) lookUpClaim(v *visit, r *http.Request) reply {
 	customer, problem := e.authenticate(r)
 	if problem != nil {
-		fail(w, *problem)
-		return
+		return v.fail(*problem)
 	}
 	key := chi.URLParam(r, "key")
 	ctx, cancel := context.WithTimeout(r.Context(), e.options.ClaimTimeout)
 	defer cancel()
-	reply, err := e.look(ctx, claim.ID{Contract: customer.ID, Key: key})
+	found, err := e.look(ctx, claim.ID{Contract: customer.ID, Key: key})
 	if err != nil {
-		fail(w, failure{status: http.StatusServiceUnavailable, code: codeNoClaims, message: "the claims cannot be read now", retryAfter: claimRetry})
-		return
+		return v.fail(failure{status: http.StatusServiceUnavailable, code: codeNoClaims, message: "the claims cannot be read now", retryAfter: claimRetry})
 	}
-	if reply.Verdict == claim.None {
-		fail(w, failure{status: http.StatusNotFound, code: codeNoClaim, message: "no call with this Idempotency-Key has been claimed"})
-		return
+	if found.Verdict == claim.None {
+		return v.fail(failure{status: http.StatusNotFound, code: codeNoClaim, message: "no call with this Idempotency-Key has been claimed"})
 	}
-	view := claimView{Key: key, State: reply.State}
-	if reply.Answer != nil {
-		view.Status = reply.Answer.Status
+	view := claimView{Key: key, State: found.State}
+	if found.Answer != nil {
+		view.Status = found.Answer.Status
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(view)
+	return reply{Answer: inJSON(http.StatusOK, v.ownHeader(), view)}
 }
 
 func (e *Entry) look(ctx context.Context, id claim.ID) (claim.Reply, error) {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,42 +89,44 @@
 	}()
 }
 
-// stream passes an answer's body on, and goes on at the same byte when the
-// connection to the agent is cut.
-func (e *Entry) stream(w http.ResponseWriter, r *http.Request, c call, server placement.Server, response *http.Response, watchdog *relay.Watchdog) error {
-	var offset int64
-	body := response.Body
-	defer func() { _ = body.Close() }()
-	for {
-		n, err := relay.Stream(w, watchdog.Reader(body, e.options.StallTimeout), e.options.WriteTimeout)
-		offset += n
-		if err == nil {
-			return nil
-		}
-		var caller *relay.CallerError
-		if !gated(server.Announcement) || errors.As(err, &caller) || errors.Is(context.Cause(response.Request.Context()), relay.ErrStalled) {
-			return err
-		}
-		watchdog.Touch(e.options.StallTimeout)
-		next, resumeErr := e.resume(response.Request.Context(), r, c, server, offset)
-		if resumeErr != nil {
-			return err
-		}
-		_ = body.Close()
-		body = next.Body
+// source reads an answer's body, and goes on at the same byte when the connection
+// to the agent is cut.
+type source struct {
+	exchange *exchange
+	reader   io.Reader
+	offset   int64
+}
+
+func (x *exchange) source(response *http.Response) *source {
+	return &source{exchange: x, reader: x.watched(response.Body)}
+}
+
+func (x *exchange) watched(body io.Reader) io.Reader {
+	return x.watchdog.Reader(body, x.entry.options.StallTimeout)
+}
+
+// Read implements io.Reader.
+func (s *source) Read(buffer []byte) (int, error) {
+	n, err := s.reader.Read(buffer)
+	s.offset += int64(n)
+	if err == nil || err == io.EOF || !s.goOn() {
+		return n, err
 	}
+	return n, nil
 }
 
-// errorEvent ends a stream of server-sent events that cannot be completed, so
-// that a caller which reads events learns why its connection is cut next.
-func errorEvent(w http.ResponseWriter) {
-	if !strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
-		return
+// goOn takes the rest from the agent.
+func (s *source) goOn() bool {
+	x := s.exchange
+	if !gated(x.server.Announcement) || errors.Is(context.Cause(x.ctx), relay.ErrStalled) {
+		return false
 	}
-	data, err := json.Marshal(errorBody{Error: errorObject{Message: "the answer could not be completed", Type: errorType(http.StatusBadGateway), Code: codeUnknownOutcome}})
+	x.watchdog.Touch(x.entry.options.StallTimeout)
+	next, err := x.entry.resume(x.ctx, x.request, x.call, x.server, s.offset)
 	if err != nil {
-		return
+		return false
 	}
-	_, _ = io.WriteString(w, "\n\ndata: "+string(data)+"\n\n")
-	_ = http.NewResponseController(w).Flush()
+	_ = x.body.Close()
+	x.body, s.reader = next.Body, x.watched(next.Body)
+	return true
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -38,9 +38,8 @@
 }
 
 // send offers the call to servers until one answers, one may have run a call
-// that must not run twice, or no further attempt is allowed. The caller has its
-// answer when send returns.
-func (e *Entry) send(w http.ResponseWriter, r *http.Request, c call) outcome.Outcome {
+// that must not run twice, or no further attempt is allowed.
+func (e *Entry) send(v *visit, r *http.Request, c call) reply {
 	e.retries.began(c.contract)
 	doubt := false
 	for attempt := 1; ; attempt++ {
@@ -49,19 +48,19 @@
 			break
 		}
 		declines := len(c.declined)
-		said, problem := e.try(w, r, &c, server)
+		got, problem := e.try(v, r, &c, server)
 		if problem != nil {
-			return fail(w, problem.after(doubt))
+			return v.fail(problem.after(doubt))
 		}
 		if len(c.declined) > declines && r.Context().Err() == nil {
 			attempt--
 			continue
 		}
-		if said == outcome.Answered {
-			return said
+		if got.said == outcome.Answered {
+			return reply{got.answer, got.said}
 		}
-		doubt = doubt || said == outcome.Unknown
-		if c.wait.over() || !e.retries.again(r.Context(), c, attempt, said) {
+		doubt = doubt || got.said == outcome.Unknown
+		if c.wait.over() || !e.retries.again(r.Context(), c, attempt, got.said) {
 			break
 		}
 		c.request.Exclude = append(c.request.Exclude, server.Server)
@@ -74,19 +73,19 @@
 		// To resend this call could run it twice: invite nobody to do so.
 		problem.retryAfter = 0
 	}
-	return fail(w, problem)
+	return v.fail(problem)
 }
 
 // try offers the call to a server, in a trial when it is a suspect.
-func (e *Entry) try(w http.ResponseWriter, r *http.Request, c *call, server placement.Server) (outcome.Outcome, *failure) {
-	attempt := func(r *http.Request) outcome.Outcome {
-		got := e.attempt(w, r, *c, server)
+func (e *Entry) try(v *visit, r *http.Request, c *call, server placement.Server) (attempted, *failure) {
+	attempt := func(r *http.Request) attempted {
+		got := e.attempt(v, r, *c, server)
 		c.suspect = c.suspect || got.crashed
 		if got.declined {
 			declinedCount.Add(1)
 			c.declined = append(c.declined, server.Server)
 		}
-		return got.said
+		return got
 	}
 	if !c.suspect || e.options.Suspicions == nil {
 		return attempt(r), nil
@@ -94,13 +93,13 @@
 	t, problem := e.beginTrial(r.Context(), c.fingerprint)
 	if problem != nil {
 		e.placer.finished(server.Server, c.request.Ref, 0)
-		return outcome.NotRun, problem
+		return attempted{said: outcome.NotRun}, problem
 	}
 	if t == nil {
 		c.suspect = false
 		return attempt(r), nil
 	}
-	return e.tryAlone(r, t, attempt), nil
+	return e.tryAlone(v, r, t, attempt), nil
 }
 
 // gaveUp is the answer when no attempt brought one. doubt is true when a
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -10,31 +10,26 @@
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
-func (e *Entry) callService(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) callService(v *visit, r *http.Request) reply {
 	customer, problem := e.authenticate(r)
 	if problem != nil {
-		fail(w, *problem)
-		return
+		return v.fail(*problem)
 	}
 	name, path := chi.URLParam(r, "service"), "/"+chi.URLParam(r, "*")
 	service, ok := e.follower.Config().Service(name)
 	if !ok || !customer.AllowsService(name) {
-		fail(w, failure{status: http.StatusNotFound, code: codeUnknownService, message: "the contract covers no service " + name})
-		return
+		return v.fail(failure{status: http.StatusNotFound, code: codeUnknownService, message: "the contract covers no service " + name})
 	}
 	route, ok := service.Match(r.Method, path)
 	if !ok {
-		fail(w, failure{status: http.StatusNotFound, code: codeUnknownRoute, message: "the service declares no such route"})
-		return
+		return v.fail(failure{status: http.StatusNotFound, code: codeUnknownRoute, message: "the service declares no such route"})
 	}
 	if route.RequireKey && r.Header.Get(wire.HeaderIdempotencyKey) == "" {
-		fail(w, failure{status: http.StatusBadRequest, code: codeKeyRequired, message: "this route requires an Idempotency-Key"})
-		return
+		return v.fail(failure{status: http.StatusBadRequest, code: codeKeyRequired, message: "this route requires an Idempotency-Key"})
 	}
-	body, problem := e.readBody(w, r)
+	body, problem := e.readBody(v, r)
 	if problem != nil {
-		fail(w, *problem)
-		return
+		return v.fail(*problem)
 	}
 	c := call{
 		request:    placement.Request{Kind: membership.KindService, Pool: name},
@@ -45,8 +40,7 @@
 		idempotent: route.Idempotent,
 	}
 	if key := r.Header.Get(wire.HeaderIdempotencyKey); key != "" && !route.Idempotent {
-		e.sendOnce(w, r, c, key)
-		return
+		return e.sendOnce(v, r, c, key)
 	}
-	e.admit(w, r, c)
+	return e.admit(v, r, c)
 }
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -110,12 +110,21 @@
 }
 
 // tryAlone offers a suspect to a server that runs nothing else meanwhile.
-func (e *Entry) tryAlone(r *http.Request, t *trial, attempt func(*http.Request) outcome.Outcome) outcome.Outcome {
+func (e *Entry) tryAlone(v *visit, r *http.Request, t *trial, attempt func(*http.Request) attempted) attempted {
 	ctx, cancel := context.WithTimeout(r.Context(), suspicion.DefaultLimits.TrialLease-trialMargin)
-	defer cancel()
+	v.atEnd(cancel)
 	alone := r.Clone(ctx)
 	alone.Header.Set(wire.HeaderAlone, "true")
-	said := attempt(alone)
-	t.end(r.Context(), said)
-	return said
+	got := attempt(alone)
+	if got.said != outcome.Answered {
+		cancel()
+		t.end(r.Context(), got.said)
+		return got
+	}
+	v.atEnd(func() {
+		if v.whole {
+			t.end(r.Context(), outcome.Answered)
+		}
+	})
+	return got
 }
