Write no error event where it could complete an answer

Into a stream of a declared length the event was written like a part of it, and filled the length when just as much was missing. There, and in an encoded stream, the cut alone tells now.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -177,16 +177,17 @@
 		}
 		if err != nil {
 			cutCount.Add(1)
-			errorEvent(response.Header, pass)
+			x.explain(pass, response)
 			return answer.Cut
 		}
 	}
 }
 
-// errorEvent ends a stream of server-sent events that cannot be completed, so
-// that a caller which reads events learns why its connection is cut next.
-func errorEvent(header http.Header, pass answer.Pass) {
-	if !strings.HasPrefix(header.Get("Content-Type"), "text/event-stream") {
+// explain ends a stream of server-sent events that cannot be completed by an
+// event that says so, so that a caller which reads events learns why its
+// connection is cut next. Where a length was declared, the event could fill it.
+func (x *exchange) explain(pass answer.Pass, response *http.Response) {
+	if !eventStream(response.Header) || response.ContentLength >= 0 {
 		return
 	}
 	data, err := json.Marshal(errorBody{Error: errorObject{Message: "the answer could not be completed", Type: errorType(http.StatusBadGateway), Code: codeUnknownOutcome}})
@@ -195,3 +196,10 @@
 	}
 	_ = pass([]byte("\n\ndata: " + string(data) + "\n\n"))
 }
+
+// eventStream reports whether an answer consists of server-sent events that can
+// be read, and not of an encoding of them.
+func eventStream(header http.Header) bool {
+	plain := header.Get("Content-Encoding") == ""
+	return plain && strings.HasPrefix(strings.ToLower(header.Get("Content-Type")), "text/event-stream")
+}
