Pass events on whole

Half an event is held back, up to 64 KiB: a cut drops it, and the entry's error event stands behind a whole one. Where a longer event was passed on in part, the cut alone tells.

--- /dev/null
+++ b/internal/entry/events.go
@@ -0,0 +1,43 @@
+package entry
+
+import "bytes"
+
+// maxEvent bounds how much of one event is held back, in bytes. What is longer is
+// passed on as it comes.
+const maxEvent = 64 << 10
+
+// events holds a stream of server-sent events back to the end of the last whole
+// one: a half event must not be ended by what the entry writes behind it.
+type events struct {
+	held []byte
+	// within is true when a part of the event at hand was passed on.
+	within bool
+}
+
+// add takes bytes and returns those to pass on. They stay valid until the next
+// call.
+func (e *events) add(data []byte) []byte {
+	e.held = append(e.held, data...)
+	end := lastEventEnd(e.held)
+	switch {
+	case end > 0:
+		e.within = false
+	case len(e.held) > maxEvent:
+		end, e.within = len(e.held), true
+	}
+	passed := e.held[:end:end]
+	e.held = append([]byte(nil), e.held[end:]...)
+	return passed
+}
+
+// lastEventEnd is where the last whole event of some bytes ends: behind an empty
+// line, by any of the three ends of a line that events may have.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, empty := range []string{"\n\n", "\n\r\n", "\r\r"} {
+		if at := bytes.LastIndex(data, []byte(empty)); at >= 0 {
+			end = max(end, at+len(empty))
+		}
+	}
+	return end
+}
--- /dev/null
+++ b/internal/entry/events_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// Events arrive cut at any byte, with any of the three ends of a line. Nothing may
+// be lost or moved, and what is passed on must end with an event.
+func TestEventsArePassedOnWhole(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, line := range []string{"\n", "\r\n", "\r"} {
+		event := "id: 1" + line + "data: word" + line + line
+		stream := strings.Repeat(event, 40)
+		for range 200 {
+			var b events
+			passed := ""
+			for at := 0; at < len(stream); {
+				next := min(len(stream), at+1+random.IntN(2*len(event)))
+				passed += string(b.add([]byte(stream[at:next])))
+				if at = next; len(passed)%len(event) != 0 || b.within {
+					t.Fatalf("%q: passed on up to %q", line, passed)
+				}
+			}
+			if passed+string(b.held) != stream || len(b.held) != 0 {
+				t.Fatalf("%q: passed on %q, held %q", line, passed, b.held)
+			}
+		}
+	}
+}
+
+// An event that is longer than what is held back is passed on in parts.
+func TestALongEventIsNotHeldForEver(t *testing.T) {
+	var b events
+	stream := "data: " + strings.Repeat("x", 3*maxEvent) + "\n\ndata: y"
+	passed := ""
+	for at := 0; at < len(stream); at += 1000 {
+		passed += string(b.add([]byte(stream[at:min(len(stream), at+1000)])))
+		if len(b.held) > maxEvent {
+			t.Fatalf("%d bytes are held", len(b.held))
+		}
+		if at == 2*maxEvent && !b.within {
+			t.Error("a half event that was passed on is not known as such")
+		}
+	}
+	if passed+string(b.held) != stream || string(b.held) != "data: y" || b.within {
+		t.Errorf("held %q, within %v", b.held, b.within)
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -158,18 +158,21 @@
 // feed passes an answer's body on as it comes. Once it has begun, a failure can
 // only be shown by a cut.
 func (x *exchange) feed(pass answer.Pass, response *http.Response) answer.End {
-	held := buffers.Get().(*[]byte)
-	defer buffers.Put(held)
-	buffer := *held
-	source := x.source(response)
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
+	source, held := x.source(response), events{}
 	for {
 		n, err := source.Read(buffer)
-		if n > 0 {
-			x.visit.meter.add(buffer[:n])
-			if pass(buffer[:n]) != nil {
-				callerGone.Add(1)
-				return answer.Cut
-			}
+		piece := buffer[:n]
+		if eventStream(response.Header) {
+			piece = held.add(piece)
+		}
+		if err == io.EOF {
+			piece = append(piece, held.held...)
+		}
+		if len(piece) > 0 && !x.hand(pass, piece) {
+			return answer.Cut
 		}
 		if err == io.EOF {
 			x.passed()
@@ -177,12 +180,24 @@
 		}
 		if err != nil {
 			cutCount.Add(1)
-			x.explain(pass, response)
+			if !held.within {
+				x.explain(pass, response)
+			}
 			return answer.Cut
 		}
 	}
 }
 
+// hand passes a piece on and reports whether the caller took it.
+func (x *exchange) hand(pass answer.Pass, piece []byte) bool {
+	x.visit.meter.add(piece)
+	if pass(piece) != nil {
+		callerGone.Add(1)
+		return false
+	}
+	return true
+}
+
 // explain ends a stream of server-sent events that cannot be completed by an
 // event that says so, so that a caller which reads events learns why its
 // connection is cut next. Where a length was declared, the event could fill it.
@@ -194,7 +209,7 @@
 	if err != nil {
 		return
 	}
-	_ = pass([]byte("\n\ndata: " + string(data) + "\n\n"))
+	_ = pass([]byte("data: " + string(data) + "\n\n"))
 }
 
 // eventStream reports whether an answer consists of server-sent events that can
