--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -1,6 +1,10 @@
 package entry
 
-import "bytes"
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
 
 // maxEvent bounds how much of one event is held back, in bytes. What is longer is
 // passed on as it comes.
@@ -41,3 +45,29 @@
 	}
 	return end
 }
+
+// unframed reads events whose end is told by that of the connection only. A
+// server that crashes closes in good order too: half an event at the end shows
+// that the stream was not over.
+type unframed struct {
+	io.ReadCloser
+	events events
+}
+
+// checkEnd makes an answer's body fail at an end that is none.
+func checkEnd(response *http.Response) {
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if !framed && eventStream(response.Header) {
+		response.Body = &unframed{ReadCloser: response.Body}
+	}
+}
+
+// Read implements io.Reader.
+func (u *unframed) Read(buffer []byte) (int, error) {
+	n, err := u.ReadCloser.Read(buffer)
+	_ = u.events.add(buffer[:n])
+	if err == io.EOF && (u.events.within || len(bytes.Trim(u.events.held, "\r\n")) > 0) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
