--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -76,9 +76,13 @@
 	return scheme + "://" + server.Address + path
 }
 
-// judge says whether an answer may go to the caller. An answer of an engine
-// must come from the adapter and version that the request asked for.
+// judge says whether an answer may go to the caller. Its status must be a final
+// one, as net/http does not see to. An answer of an engine must come from the
+// adapter and version that the request asked for.
 func judge(c call, server placement.Server, response *http.Response) outcome.Outcome {
+	if response.StatusCode < http.StatusOK {
+		return outcome.Unknown
+	}
 	if !gated(server.Announcement) {
 		return outcome.Answered
 	}
