Find the end of an event that is passed on in parts

Where the end of a long event was read in two parts, the stream counted as within an event until its next one, and one that ended there as broken. The last bytes are held back now, and only what is new is searched.

Measured: TestTheEndOfALongEventIsFound fails without the change and passes with it.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -10,6 +10,9 @@
 // passed on as it comes.
 const maxEvent = 64 << 10
 
+// maxEventEnd is the longest of the ends of an event, in bytes.
+const maxEventEnd = 4
+
 // events holds a stream of server-sent events back to the end of the last whole
 // one: a half event must not be ended by what the entry writes behind it.
 type events struct {
@@ -21,13 +24,16 @@
 // add takes bytes and returns those to pass on. They stay valid until the next
 // call.
 func (e *events) add(data []byte) []byte {
+	// What was held before has no end in it, but perhaps the beginning of one.
+	from := max(0, len(e.held)-maxEventEnd)
 	e.held = append(e.held, data...)
-	end := lastEventEnd(e.held)
+	end := lastEventEnd(e.held[from:])
 	switch {
 	case end > 0:
+		end += from
 		e.within = false
 	case len(e.held) > maxEvent:
-		end, e.within = len(e.held), true
+		end, e.within = len(e.held)-maxEventEnd, true
 	}
 	passed := e.held[:end:end]
 	e.held = append([]byte(nil), e.held[end:]...)
--- a/internal/entry/events_test.go
+++ b/internal/entry/events_test.go
@@ -48,3 +48,19 @@
 		t.Errorf("held %q, within %v", b.held, b.within)
 	}
 }
+
+// The end of a long event arrives in two parts, around the point up to which it was
+// passed on.
+func TestTheEndOfALongEventIsFound(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n", "\r\r"} {
+		for at := range len(end) + 1 {
+			var b events
+			long := "data: " + strings.Repeat("x", 2*maxEvent)
+			passed := string(b.add([]byte(long + end[:at])))
+			passed += string(b.add([]byte(end[at:])))
+			if b.within || passed != long+end {
+				t.Errorf("%q at %d: held %q, within %v", end, at, b.held, b.within)
+			}
+		}
+	}
+}
