Begin a caller's answer with its first piece

The first piece of an answer, or its end, is read before the answer is begun. A server that breaks off behind its header has given none: the call goes to another server where it may run again, and its caller is told otherwise that its fate is unknown. A crash that shows there makes the request a suspect.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,7 +37,9 @@
 	// declined when it had no adapter slot to give, and answered when its answer
 	// was passed on, whole or not.
 	settled, declined, answered bool
-	closed                      bool
+	// crashed is true when the server crashed with the request on it.
+	crashed bool
+	closed  bool
 }
 
 func (e *Entry) newExchange(v *visit, r *http.Request, c call, server placement.Server, span trace.Span) *exchange {
@@ -104,19 +105,24 @@
 			return attempted{said: outcome.Unknown}
 		}
 	}
+	x.body = response.Body
+	body := x.pieces(response)
+	x.visit.atEnd(body.close)
+	if body.first(); body.broken() {
+		return attempted{said: outcome.Unknown, crashed: x.crashed}
+	}
 	x.answered = true
-	return attempted{said: outcome.Answered, answer: x.pass(response)}
+	return attempted{said: outcome.Answered, answer: x.pass(response, body)}
 }
 
 // pass is the answer that passes a server's on.
-func (x *exchange) pass(response *http.Response) answer.Answer {
+func (x *exchange) pass(response *http.Response, body *pieces) answer.Answer {
 	header := x.header(response.Header)
-	x.body = response.Body
 	if bodyless(x.request.Method, response.StatusCode) {
 		x.passed()
 		return answer.Whole(response.StatusCode, header, nil)
 	}
-	stream := answer.Stream(response.StatusCode, header, func(pass answer.Pass) answer.End { return x.feed(pass, response) })
+	stream := answer.Stream(response.StatusCode, header, func(pass answer.Pass) answer.End { return x.feed(pass, response, body) })
 	if response.ContentLength >= 0 {
 		return stream.Sized(response.ContentLength)
 	}
@@ -148,30 +154,11 @@
 	answeredCount.Add(1)
 }
 
-// copyBufferSize is how much of an answer one read may carry, in bytes.
-const copyBufferSize = 16 << 10
-
-var buffers = sync.Pool{New: func() any {
-	buffer := make([]byte, copyBufferSize)
-	return &buffer
-}}
-
 // feed passes an answer's body on as it comes. Once it has begun, a failure can
 // only be shown by a cut.
-func (x *exchange) feed(pass answer.Pass, response *http.Response) answer.End {
-	pooled := buffers.Get().(*[]byte)
-	defer buffers.Put(pooled)
-	buffer := *pooled
-	source, held := x.source(response), events{}
+func (x *exchange) feed(pass answer.Pass, response *http.Response, body *pieces) answer.End {
 	for {
-		n, err := source.Read(buffer)
-		piece := buffer[:n]
-		if eventStream(response.Header) {
-			piece = held.add(piece)
-		}
-		if err == io.EOF {
-			piece = append(piece, held.held...)
-		}
+		piece, err := body.next()
 		if len(piece) > 0 && !x.hand(pass, piece) {
 			return answer.Cut
 		}
@@ -181,7 +168,7 @@
 		}
 		if err != nil {
 			cutCount.Add(1)
-			if !held.within {
+			if !body.held.within {
 				x.explain(pass, response)
 			}
 			return answer.Cut
--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -308,3 +310,28 @@
 		}
 	}
 }
+
+// asking counts the questions whether a suspect may run, and forbids it.
+type asking struct{ asked atomic.Int64 }
+
+func (a *asking) Suspect(_ context.Context, command suspicion.Command) (suspicion.Verdict, error) {
+	if command.Ask != nil {
+		a.asked.Add(1)
+	}
+	return suspicion.Refuse, nil
+}
+
+// An engine crashes between the header of its answer and the first byte. The
+// request may have done that: it must not go to the next engine unasked.
+func TestACrashBehindTheHeaderMakesASuspect(t *testing.T) {
+	crashed := head(410, "Content-Length: 0", outcome.Header+": unknown", wire.HeaderCrashed+": true")
+	first := engineServer("floor-1", rawServer(t, agentHead(200, eventStream, inChunks), crashed))
+	second := engineServer("floor-2", rawServer(t, agentHead(200, eventStream, inChunks)+chunk("data: one\n\n")+lastChunk))
+	second.Load.Running = 9
+	suspicions := &asking{}
+	_, server := newEntry(t, entry.Options{Suspicions: suspicions}, newSource(first, second))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+	if suspicions.asked.Load() != 1 || got.status != http.StatusUnprocessableEntity || got.outcome != outcome.Unknown {
+		t.Errorf("asked %d times, told %v with %d", suspicions.asked.Load(), got.outcome, got.status)
+	}
+}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -124,6 +124,7 @@
 	x.watchdog.Touch(x.entry.options.StallTimeout)
 	next, err := x.entry.resume(x.ctx, x.request, x.call, x.server, s.offset)
 	if err != nil {
+		x.crashed = errors.Is(err, errCrashed)
 		return false
 	}
 	_ = x.body.Close()
