Go on with an answer only by one of its own kind

The rest of a cut answer must have the status, the model, the type and the encoding of its beginning; what has another is not joined to it, and the answer is cut.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -132,6 +132,7 @@
 // header is what the caller gets of a server's header.
 func (x *exchange) header(from http.Header) http.Header {
 	ran := from.Get(wire.HeaderRan)
+	from = from.Clone()
 	dropInternal(from)
 	from.Del(wire.HeaderRequestID)
 	header := x.visit.ownHeader()
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -93,12 +93,14 @@
 // to the agent is cut.
 type source struct {
 	exchange *exchange
+	// response is the one whose body is read.
+	response *http.Response
 	reader   io.Reader
 	offset   int64
 }
 
 func (x *exchange) source(response *http.Response) *source {
-	return &source{exchange: x, reader: x.watched(response.Body)}
+	return &source{exchange: x, response: response, reader: x.watched(response.Body)}
 }
 
 func (x *exchange) watched(body io.Reader) io.Reader {
@@ -127,7 +129,23 @@
 		x.crashed = errors.Is(err, errCrashed)
 		return false
 	}
+	if !sameKind(s.response, next) {
+		resumeFailedCount.Add(1)
+		_ = next.Body.Close()
+		return false
+	}
 	_ = x.body.Close()
 	x.body, s.reader = next.Body, x.watched(next.Body)
 	return true
 }
+
+// sameKind reports whether an answer can be the rest of another. An agent keeps
+// the header of a run; another process at its address does not.
+func sameKind(begun, rest *http.Response) bool {
+	for _, name := range []string{wire.HeaderRan, "Content-Type", "Content-Encoding"} {
+		if begun.Header.Get(name) != rest.Header.Get(name) {
+			return false
+		}
+	}
+	return begun.StatusCode == rest.StatusCode
+}
