--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -144,6 +144,17 @@
 	return header
 }
 
+// endToEnd is what a caller gets of a server's trailer. Framing has no place
+// there, nor has a word in this system's name.
+func endToEnd(trailer http.Header) http.Header {
+	kept := make(http.Header)
+	relay.CopyHeader(kept, trailer)
+	dropInternal(kept)
+	kept.Del(wire.HeaderRequestID)
+	kept.Del("Content-Length")
+	return kept
+}
+
 // bodyless reports whether an answer ends with its header.
 func bodyless(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
@@ -165,7 +176,7 @@
 		}
 		if err == io.EOF {
 			x.passed()
-			return answer.Complete(response.Trailer)
+			return answer.Complete(endToEnd(response.Trailer))
 		}
 		if err != nil {
 			cutCount.Add(1)
