--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -176,7 +176,7 @@
 		}
 		if err == io.EOF {
 			x.passed()
-			return answer.Complete(endToEnd(response.Trailer))
+			return answer.Complete(endToEnd(body.source.trailer()))
 		}
 		if err != nil {
 			cutCount.Add(1)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -93,14 +93,15 @@
 // to the agent is cut.
 type source struct {
 	exchange *exchange
-	// response is the one whose body is read.
-	response *http.Response
-	reader   io.Reader
-	offset   int64
+	// begun is the response that the answer began with, current the one whose
+	// body is read.
+	begun, current *http.Response
+	reader         io.Reader
+	offset         int64
 }
 
 func (x *exchange) source(response *http.Response) *source {
-	return &source{exchange: x, response: response, reader: x.watched(response.Body)}
+	return &source{exchange: x, begun: response, current: response, reader: x.watched(response.Body)}
 }
 
 func (x *exchange) watched(body io.Reader) io.Reader {
@@ -117,6 +118,9 @@
 	return n, nil
 }
 
+// trailer is what followed the body, once it was read to its end.
+func (s *source) trailer() http.Header { return s.current.Trailer }
+
 // goOn takes the rest from the agent.
 func (s *source) goOn() bool {
 	x := s.exchange
@@ -129,13 +133,13 @@
 		x.crashed = errors.Is(err, errCrashed)
 		return false
 	}
-	if !sameKind(s.response, next) {
+	if !sameKind(s.begun, next) {
 		resumeFailedCount.Add(1)
 		_ = next.Body.Close()
 		return false
 	}
 	_ = x.body.Close()
-	x.body, s.reader = next.Body, x.watched(next.Body)
+	x.body, s.current, s.reader = next.Body, next, x.watched(next.Body)
 	return true
 }
 
