Let the router's own answers say that nothing ran

404 and 405 carry the outcome, the id of the request and an error object, as every other answer does; 405 names the methods as before. They are counted and, on an entry that stops or cannot confirm its contracts, refused like other requests.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,9 +132,28 @@
 	router.Method(http.MethodPost, "/v1/chat/completions", e.serve(e.complete))
 	router.Handle("/services/{service}/*", e.serve(e.callService))
 	router.Method(http.MethodGet, "/claims/{key}", e.serve(e.lookUpClaim))
+	router.NotFound(e.serve(notServed).ServeHTTP)
+	router.MethodNotAllowed(e.serve(otherMethod(router)).ServeHTTP)
 	return router
 }
 
+func notServed(v *visit, _ *http.Request) reply {
+	return v.fail(failure{status: http.StatusNotFound, code: codeUnknownPath, message: "nothing is served at this path"})
+}
+
+// otherMethod names the methods that a path is served by.
+func otherMethod(routes chi.Routes) handle {
+	return func(v *visit, r *http.Request) reply {
+		var allowed []string
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			if routes.Match(chi.NewRouteContext(), method, r.URL.Path) {
+				allowed = append(allowed, method)
+			}
+		}
+		return v.fail(failure{status: http.StatusMethodNotAllowed, code: codeMethod, message: "this path is not served by this method", allowed: allowed})
+	}
+}
+
 // Drain makes the entry not ready. It still serves, because the balancer goes
 // on sending until it has seen that.
 func (e *Entry) Drain() { e.stopping.Store(true) }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -22,6 +22,8 @@
 	codeNotInContract  Code = "not_in_contract"
 	codeUnknownModel   Code = "unknown_model"
 	codeUnknownService Code = "unknown_service"
+	codeUnknownPath    Code = "unknown_path"
+	codeMethod         Code = "method_not_allowed"
 	codeUnknownRoute   Code = "unknown_route"
 	codeKeyRequired    Code = "idempotency_key_required"
 	codeNoServer       Code = "no_server"
@@ -53,6 +55,8 @@
 	retryAfter int
 	// clause names the contract's clause that refuses, if one does.
 	clause string
+	// allowed are the methods of a path that was asked for by another.
+	allowed []string
 	// doubt is true when an earlier attempt of the request may have run.
 	doubt bool
 }
@@ -113,6 +117,9 @@
 	if f.retryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(f.retryAfter))
 	}
+	if len(f.allowed) > 0 {
+		header["Allow"] = f.allowed
+	}
 	if f.clause != "" {
 		header.Set(wire.HeaderClause, f.clause)
 	}
