--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -48,6 +48,7 @@
 		{Method: http.MethodPost, PathPrefix: "/once"},
 		{Method: http.MethodGet, PathPrefix: "/once"},
 		{Method: http.MethodPost, PathPrefix: "/again", Idempotent: true},
+		{Method: http.MethodHead, PathPrefix: "/again", Idempotent: true},
 	}}
 	ref, _ := catalogue.ParseRef(model)
 	adapter := catalogue.Adapter{Ref: ref, BaseModel: baseModel, Source: "store://x"}
