Let the founder of the log wait until others can know of its disk

Cause: until its disk is open a process counts as one without a disk, and who may found waits from its own start. Disks that open later than that wait, all of them held up by the same machine, leave each process as the only one with a disk in its own sight, and it founds at once. A line says it from now on.

Now the wait begins when the own disk has opened.

--- a/coord/founding/founding.go
+++ b/coord/founding/founding.go
@@ -18,8 +18,10 @@
 // control; 9 voters bear the loss of 4.
 const MostMembers = 9
 
-// Settle is how long a process waits after its start: all processes start
-// within some hundred milliseconds, and a greeting takes one exchange.
+// Settle is how long a process waits after it has opened its disk, so that the
+// others have heard of it and it of them: all processes start within some hundred
+// milliseconds, and a greeting takes one exchange. Disks may take longer to open;
+// until then others see a process without one.
 const Settle = 1500 * time.Millisecond
 
 // Process is one process as its greeting described it.
@@ -39,7 +41,7 @@
 	Self Process
 	// Bootstrap is true at the deployment's first start only.
 	Bootstrap bool
-	// Up is the time since the own start.
+	// Up is the time since the own disk was opened.
 	Up time.Duration
 	// SeedsSilent counts the seeds that have not answered yet.
 	SeedsSilent int
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/founding"
@@ -34,6 +35,8 @@
 type logHost struct {
 	mesh    *Mesh
 	current atomic.Pointer[replica.Replica]
+	// opened is when the disk was opened last; only the host's duty uses it.
+	opened time.Time
 }
 
 func newLogHost(m *Mesh) *logHost { return &logHost{mesh: m} }
@@ -63,6 +66,7 @@
 // runOnce opens the folder and works until ctx ends or the disk fails.
 func (h *logHost) runOnce(ctx context.Context) error {
 	machine := &machine{documents: h.mesh.documents}
+	asked := time.Now()
 	r, err := replica.Open(replica.Options{
 		Instance: h.mesh.options.Self.Name, Address: h.mesh.options.Self.Address, Folder: h.mesh.options.Folder,
 		Founders: h.founders, SnapshotEntries: snapshotEntries, SegmentBytes: segmentBytes,
@@ -71,6 +75,8 @@
 		return err
 	}
 	h.current.Store(r)
+	h.opened = time.Now()
+	h.mesh.log.Info("the log's disk is open", zap.Duration("took", h.opened.Sub(asked)))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go h.endOnFailure(ctx, cancel, r)
@@ -117,7 +123,7 @@
 func (h *logHost) view() (view founding.View, settled bool) {
 	m := h.mesh
 	self := m.Self()
-	view = founding.View{Self: processOf(self), Bootstrap: m.options.Bootstrap, Up: time.Since(m.started)}
+	view = founding.View{Self: processOf(self), Bootstrap: m.options.Bootstrap, Up: time.Since(h.opened)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, seed := range m.options.Seeds {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -70,7 +70,6 @@
 	log       *zap.Logger
 	documents *Documents
 	host      *logHost
-	started   time.Time
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -100,7 +99,7 @@
 // New returns a mesh; Run starts it.
 func New(options Options, documents *Documents, log *zap.Logger) *Mesh {
 	m := &Mesh{
-		options: options, log: log, documents: documents, started: time.Now(),
+		options: options, log: log, documents: documents,
 		peers: make(map[string]*peer), roster: roster.New(), heardFrom: make(map[string]way), strikes: suspicion.NewStrikes(),
 		progress: make(chan struct{}),
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,12 +15,14 @@
 	"golang.org/x/time/rate"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/coord/founding"
 	"github.com/rosemarypass/rosemarypass/coord/overlay"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wal"
 )
 
 // node is one process of a fleet on loopback.
@@ -44,6 +47,16 @@
 
 // startFleet starts so many processes with and without a disk.
 func startFleet(t *testing.T, disks, others int) *fleet {
+	t.Helper()
+	f := newFleet(t, disks, others)
+	for i := range f.nodes {
+		f.start(i, true)
+	}
+	return f
+}
+
+// newFleet is a fleet of which nothing has started.
+func newFleet(t *testing.T, disks, others int) *fleet {
 	t.Helper()
 	addresses, err := loopback.Addresses(disks + others)
 	if err != nil {
@@ -58,9 +71,6 @@
 		f.folders = append(f.folders, folder)
 		f.nodes = append(f.nodes, nil)
 	}
-	for i := range f.nodes {
-		f.start(i, true)
-	}
 	t.Cleanup(func() {
 		for i := range f.nodes {
 			f.stop(i)
@@ -164,6 +174,48 @@
 	}
 }
 
+// Disks are slow at the first start of all: when they open, their processes are
+// long up and have heard of each other as processes without an open disk. Each
+// then takes itself for the only one that can hold the log. They must form one log
+// all the same, or operators' changes are lost between several.
+func TestProcessesWhoseDisksOpenLateFormOneLog(t *testing.T) {
+	f := newFleet(t, 3, 0)
+	var locks []io.Closer
+	for i, folder := range f.folders {
+		if err := (wal.OS{}).MkdirAll(folder); err != nil {
+			t.Fatal(err)
+		}
+		lock, err := wal.OS{}.Lock(filepath.Join(folder, "LOCK"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		locks = append(locks, lock)
+		f.start(i, true)
+	}
+	eventually(t, func() bool {
+		for _, n := range f.nodes {
+			if len(n.Known()) < len(f.nodes) || time.Since(time.Unix(0, n.options.Self.Started)) < founding.Settle {
+				return false
+			}
+		}
+		return true
+	})
+	for _, lock := range locks {
+		if err := lock.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clusters := make(map[string]bool)
+	for _, n := range f.nodes {
+		eventually(t, func() bool { return n.host.takesPart() })
+		_, cluster, _ := n.host.identity()
+		clusters[cluster] = true
+	}
+	if len(clusters) != 1 {
+		t.Errorf("the processes belong to %d logs", len(clusters))
+	}
+}
+
 // A machine loses its disk and comes back at its address. It has forgotten what
 // it promised, so it must come back as a new member; an operator's change must
 // outlive it, also when another disk is lost afterwards.
