Take out the relay's way to a caller, which nobody uses any more

Cause: entry, agent and gateway write through package answer; relay.Stream, CopyTrailer and CallerError had no user left, and stood as an open door to writing past it.

Result: vet, staticcheck and the tests of internal/relay pass.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,6 @@
-// Package relay forwards one HTTP call to the next hop and streams its answer
-// back, flushing as data arrives.
+// Package relay forwards one HTTP call to the next hop, once at most, and says
+// what of an answer's header concerns one connection only. Package answer gives
+// the answer to the caller.
 package relay
 
 import (
@@ -8,15 +9,10 @@
 	"net/http"
 	"net/textproto"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 )
 
-// copyBufferSize is how much of an answer one read may carry, in bytes.
-const copyBufferSize = 16 << 10
-
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
@@ -42,15 +38,6 @@
 	}
 }
 
-// CopyTrailer sends the trailers of an answer whose body was relayed whole.
-func CopyTrailer(w http.ResponseWriter, trailer http.Header) {
-	for name, values := range trailer {
-		for _, value := range values {
-			w.Header().Add(http.TrailerPrefix+name, value)
-		}
-	}
-}
-
 // onceBody hides the concrete reader type, so that net/http sets no GetBody.
 type onceBody struct{ io.Reader }
 
@@ -66,54 +53,3 @@
 	request.ContentLength = length
 	return request, nil
 }
-
-var buffers = sync.Pool{New: func() any {
-	buffer := make([]byte, copyBufferSize)
-	return &buffer
-}}
-
-// Stream copies an answer's body to the caller and flushes after each read, so
-// that a token is not held back until a buffer fills. Reading waits for
-// writing, so a slow caller holds back the next hop. writeTimeout bounds one
-// write; 0 sets no bound. Stream returns the bytes written; the error tells
-// which side failed by its type.
-func Stream(w http.ResponseWriter, body io.Reader, writeTimeout time.Duration) (int64, error) {
-	buffer := buffers.Get().(*[]byte)
-	defer buffers.Put(buffer)
-	controller := http.NewResponseController(w)
-	var written int64
-	for {
-		n, readErr := body.Read(*buffer)
-		if n > 0 {
-			m, err := writeFlush(w, controller, (*buffer)[:n], writeTimeout)
-			written += int64(m)
-			if err != nil {
-				return written, &CallerError{err}
-			}
-		}
-		if readErr == io.EOF {
-			return written, nil
-		}
-		if readErr != nil {
-			return written, errors.Wrap(readErr, "read from next hop")
-		}
-	}
-}
-
-func writeFlush(w io.Writer, controller *http.ResponseController, data []byte, timeout time.Duration) (int, error) {
-	if timeout > 0 {
-		// Recorders in tests have no deadline to set; a connection does.
-		_ = controller.SetWriteDeadline(time.Now().Add(timeout))
-	}
-	n, err := w.Write(data)
-	if err != nil {
-		return n, errors.Wrap(err, "write to caller")
-	}
-	return n, errors.Wrap(controller.Flush(), "flush to caller")
-}
-
-// CallerError marks a failure on the caller's side of a relay.
-type CallerError struct{ error }
-
-// Unwrap returns the cause.
-func (e *CallerError) Unwrap() error { return e.error }
