Pass on the length that an engine declares

Cause: since its answers go through internal/answer as streams, an agent dropped the length that its engine had named, and its entries could declare none to callers.

Change: a run's answer is declared with that length, its rest with what is left of it.

Result: TestADeclaredLengthIsPassedOn passes, from each offset; the tests of internal/agent with the race detector do too.

--- a/internal/agent/answers_test.go
+++ b/internal/agent/answers_test.go
@@ -254,3 +254,29 @@
 		})
 	}
 }
+
+// An engine declares the length of its answer. The reader is told it too, or
+// what is left of it, so that it need not trust the end of a connection.
+func TestADeclaredLengthIsPassedOn(t *testing.T) {
+	const body = `{"model":"m@1","text":"hello"}`
+	url := rawEngine(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		if readRequest(requests) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	_, server := startEngineRun(t, url)
+	if _, got, err := engineCall(t, server, "r1"); err != nil || got != body {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	for offset := range len(body) + 1 {
+		response, err := server.Client().Get(fmt.Sprintf("%s%sr1?%s=%d", server.URL, wire.PathRuns, wire.QueryOffset, offset))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || string(got) != body[offset:] || response.ContentLength != int64(len(got)) {
+			t.Errorf("from %d: got %q of %d, %v", offset, got, response.ContentLength, err)
+		}
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -67,6 +67,8 @@
 	status  int
 	header  http.Header
 	trailer http.Header
+	// length is the body's as the engine declared it, in bytes, below 0 for none.
+	length  int64
 	message string
 	// crashed is true when the engine crashed with the request on it.
 	crashed bool
@@ -172,7 +174,7 @@
 		answer = whole
 		response.Header.Set(wire.HeaderRan, ran)
 	}
-	started.setHead(runHead{said: outcome.Answered, status: response.StatusCode, header: response.Header})
+	started.setHead(runHead{said: outcome.Answered, status: response.StatusCode, header: response.Header, length: response.ContentLength})
 	if err := started.pump(ctx, relay.ShownEnd(response, answer), response); err != nil {
 		a.cut(ctx, started)
 	}
@@ -309,10 +311,14 @@
 	header := make(http.Header)
 	relay.CopyHeader(header, r.head.header)
 	header.Set(outcome.Header, outcome.Answered.String())
-	return answer.Stream(r.head.status, header, func(pass answer.Pass) answer.End {
+	stream := answer.Stream(r.head.status, header, func(pass answer.Pass) answer.End {
 		defer r.leave()
 		return r.feed(ctx, reader, offset, pass)
 	})
+	if r.head.length < 0 {
+		return stream
+	}
+	return stream.Sized(r.head.length - offset)
 }
 
 // feed passes on what the window holds from an offset on, as it comes.
