Encode an operator's answer before its status is said

Cause: the status went out first, and a body that could not be encoded was left out: 200, complete, empty.

Change: the body is encoded whole, and declared with its length; a failure is answered 500, upon which the client asks another instance.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -114,10 +115,17 @@
 	})
 }
 
+// writeJSON answers with a body that is encoded whole before the status is said.
 func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, "the answer cannot be written: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(append(data, '\n'))
 }
 
 func writeError(w http.ResponseWriter, status int, message string) {
