Show that a service's late second answer goes to another caller

Calls that may run again share kept connections, and what stands on one passes for the answer to the next call on it.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -348,3 +348,43 @@
 		t.Errorf("cut %v, %q", got.cut, got.body)
 	}
 }
+
+// A service answers a look-up a second time, late: the copy reaches the entry when
+// the next caller's look-up has gone out on the same connection. Another caller
+// must not be given it for its own answer.
+func TestALateCopyDoesNotAnswerAnothersCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader, before := bufio.NewReader(conn), ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(request.Body)
+			own := head(200, fmt.Sprint("Content-Length: ", len(body))) + string(body)
+			_, _ = io.WriteString(conn, before+own)
+			before = own
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	server := deskEntry(t, entry.Options{}, listener.Addr().String())
+	for _, body := range []string{"one", "two", "three"} {
+		if got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/again", "", body); got.body != body {
+			t.Errorf("the call %q was answered by %q", body, got.body)
+		}
+	}
+}
