--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -388,3 +388,28 @@
 		}
 	}
 }
+
+// An engine without an agent ends its answers with their connection and crashes:
+// the connection closes in good order, behind a whole event or within an object.
+// Such an answer is whole only when it shows that.
+func TestABareEnginesAnswerWithoutAFrameShowsItsEnd(t *testing.T) {
+	object := fmt.Sprintf(`{"model":%q,"choices":[{"text":"words"}]}`, model)
+	event := "data: " + object + "\n\n"
+	for _, c := range []struct {
+		kind, body string
+		whole      bool
+	}{
+		{eventStream, event, false},
+		{eventStream, event + "data: [DONE]\n\n", true},
+		{"Content-Type: application/json", object[:len(object)-3], false},
+		{"Content-Type: application/json", object, true},
+	} {
+		bare := engineServer("floor-1", rawServer(t, head(200, c.kind, "Connection: close")+c.body))
+		bare.Agent = false
+		_, server := newEntry(t, entry.Options{}, newSource(bare))
+		got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+		if got.cut == c.whole || got.outcome != outcome.Answered {
+			t.Errorf("%q: cut %v, told %v with %d", c.body, got.cut, got.outcome, got.status)
+		}
+	}
+}
