--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"github.com/rosemarypass/rosemarypass/coord/membership"
+	"github.com/rosemarypass/rosemarypass/internal/relay"
 )
 
 // maxEvent bounds how much of one event is held back, in bytes. What is longer is
@@ -60,8 +63,13 @@
 	events events
 }
 
-// checkEnd makes an answer's body fail at an end that is none.
-func checkEnd(response *http.Response) {
+// checkEnd makes an answer's body fail at an end that is none. An engine's answer
+// must show its end where its frame does not tell it; its agent has seen to that.
+func (x *exchange) checkEnd(response *http.Response) {
+	if x.call.request.Kind == membership.KindEngine && !gated(x.server.Announcement) {
+		response.Body = readCloser{relay.ShownEnd(response, response.Body), response.Body}
+		return
+	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	if !framed && eventStream(response.Header) {
 		response.Body = &unframed{ReadCloser: response.Body}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -89,7 +89,7 @@
 		x.settled = !relay.Sent(err)
 		return attempted{said: outcome.Decide(outcome.Evidence{Sent: relay.Sent(err)}), crashed: errors.Is(err, errCrashed)}
 	}
-	checkEnd(response)
+	x.checkEnd(response)
 	x.body = response.Body
 	if said := judge(x.call, x.server, response); said != outcome.Answered {
 		x.settled = true
