End an unframed stream by a reset until it is whole

The connection of a caller of HTTP/1.0 is set to reset before the first byte of a stream without a declared length, and to end in good order behind the last: whoever closes it in between, a stop or the end of the process, cannot make a part look whole. It takes answer.ConnContext at the http.Server; internal/daemon sets it.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -11,6 +11,7 @@
 package answer
 
 import (
+	"context"
 	"crypto/tls"
 	"maps"
 	"net"
@@ -161,6 +162,10 @@
 	if a.sized && hasBody(a.status) {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
+	unframed := !a.sized && !r.ProtoAtLeast(1, 1)
+	if unframed {
+		endByReset(r.Context(), true)
+	}
 	w.WriteHeader(a.status)
 	var failure error
 	var passed int64
@@ -195,6 +200,9 @@
 	if !end.complete || failure != nil || a.sized && passed != a.length {
 		return false
 	}
+	if unframed {
+		endByReset(r.Context(), false)
+	}
 	a.allow(w)
 	for name, values := range end.trailer {
 		w.Header()[http.TrailerPrefix+name] = values
@@ -211,6 +219,37 @@
 	}
 }
 
+type connKey struct{}
+
+// ConnContext is for http.Server. With it the connection of a caller that knows no
+// chunks ends by a reset from the beginning of a stream until its end, whoever
+// closes it: a stop, or the system when the process ends.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// endByReset sets how the connection ends when it is closed.
+func endByReset(ctx context.Context, reset bool) {
+	conn, found := ctx.Value(connKey{}).(net.Conn)
+	if !found {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	setLinger(conn, linger)
+}
+
+func setLinger(conn net.Conn, seconds int) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if plain, ok := conn.(*net.TCPConn); ok {
+		_ = plain.SetLinger(seconds)
+	}
+}
+
 // cut ends the connection so that the caller sees that its answer is not whole.
 func cut(w http.ResponseWriter, r *http.Request) {
 	reset(w, r)
@@ -227,11 +266,6 @@
 	if err != nil {
 		return
 	}
-	if secure, ok := conn.(*tls.Conn); ok {
-		conn = secure.NetConn()
-	}
-	if plain, ok := conn.(*net.TCPConn); ok {
-		_ = plain.SetLinger(0)
-	}
+	setLinger(conn, 0)
 	_ = conn.Close()
 }
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -215,3 +215,42 @@
 		t.Errorf("the connection saw %q", w.did)
 	}
 }
+
+// A whole stream ends in good order for a caller of HTTP/1.0, and whatever closes
+// the connection before that resets it.
+func TestAnUnframedStreamEndsWellOnlyAtItsEnd(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		server := httptest.NewUnstartedServer(nil)
+		began, released := make(chan struct{}), make(chan struct{})
+		server.Config.ConnContext = answer.ConnContext
+		server.Config.Handler = answer.Handler(func(*http.Request) answer.Answer {
+			return answer.Stream(http.StatusOK, nil, func(pass answer.Pass) answer.End {
+				_ = pass([]byte("piece"))
+				close(began)
+				<-released
+				return answer.Complete(nil)
+			})
+		})
+		server.Start()
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprint(conn, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+		<-began
+		if !whole {
+			_ = server.Config.Close()
+		}
+		close(released)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if string(body) != "piece" || (err == nil) != whole {
+			t.Errorf("whole %v: got %q, %v", whole, body, err)
+		}
+		_ = conn.Close()
+		server.Close()
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/peertls"
@@ -120,7 +121,7 @@
 		return errors.Wrap(err, setting)
 	}
 	d.addresses[setting] = listener.Addr().String()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: answer.ConnContext}
 	d.duties.Go(func() { _ = server.Serve(wrap(listener)) })
 	d.drains = append(d.drains, func(ctx context.Context) {
 		drain(ctx)
