Show that an entry asks on without end for a rest that brings nothing

docs/design/outcomes.md says four times at most without progress; an agent that begins each rest and breaks off is asked for ever.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -413,3 +413,31 @@
 		}
 	}
 }
+
+// An agent's line is cut behind the header of each rest that it gives. A caller
+// must not be left waiting while the entry asks on and on.
+func TestRestsWithoutProgressComeToAnEnd(t *testing.T) {
+	begun := agentHead(200, eventStream, inChunks)
+	answers := []string{begun + chunk("data: one\n\n")}
+	for range 3 * 4 {
+		answers = append(answers, begun)
+	}
+	answers = append(answers, begun+chunk("data: two\n\n")+lastChunk)
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", rawServer(t, answers...))))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+	if !got.cut || strings.Contains(got.body, "two") {
+		t.Errorf("cut %v, %q", got.cut, got.body)
+	}
+}
+
+// A caller sends more than the entry accepts. It must read why, not a reset
+// connection.
+func TestATooLargeBodyIsRefusedInWords(t *testing.T) {
+	server := deskEntry(t, entry.Options{MaxBodyBytes: 1 << 10})
+	for _, size := range []int{2 << 10, 200 << 10, 2 << 20} {
+		got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", "", strings.Repeat("x", size))
+		if got.status != http.StatusRequestEntityTooLarge || got.outcome != outcome.NotRun || got.cut {
+			t.Errorf("%d bytes: told %v with %d, cut %v", size, got.outcome, got.status, got.cut)
+		}
+	}
+}
