--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -100,6 +100,9 @@
 	begun, current *http.Response
 	reader         io.Reader
 	offset         int64
+	// cutAt is the offset of the last cut, barren how many cuts there were at it.
+	cutAt  int64
+	barren int
 }
 
 func (x *exchange) source(response *http.Response) *source {
@@ -129,6 +132,13 @@
 	if !gated(x.server.Announcement) || errors.Is(context.Cause(x.ctx), relay.ErrStalled) {
 		return false
 	}
+	if s.cutAt != s.offset {
+		s.cutAt, s.barren = s.offset, 0
+	}
+	if s.barren++; s.barren > resumeTries {
+		resumeFailedCount.Add(1)
+		return false
+	}
 	x.watchdog.Touch(x.entry.options.StallTimeout)
 	next, err := x.entry.resume(x.ctx, x.request, x.call, x.server, s.offset)
 	if err != nil {
