--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -335,3 +335,109 @@
 		t.Errorf("asked %d times, told %v with %d", suspicions.asked.Load(), got.outcome, got.status)
 	}
 }
+
+// What another process gives has the status and the type of the answer that was
+// begun, but not its header: an engine's failure is followed by a stranger's.
+func TestTheRestOfAnAnswerHasItsHeader(t *testing.T) {
+	answered := outcome.Header + ": " + outcome.Answered.String()
+	first := head(500, answered, "Content-Type: text/plain", "Engine: a", inChunks) + chunk("failed ")
+	rest := head(500, answered, "Content-Type: text/plain", "Engine: b", inChunks) + chunk("otherwise") + lastChunk
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", rawServer(t, first, rest))))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, false))
+	if !got.cut || got.body != "failed " {
+		t.Errorf("cut %v, %q", got.cut, got.body)
+	}
+}
+
+// A service answers a look-up a second time, late: the copy reaches the entry when
+// the next caller's look-up has gone out on the same connection. Another caller
+// must not be given it for its own answer.
+func TestALateCopyDoesNotAnswerAnothersCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader, before := bufio.NewReader(conn), ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(request.Body)
+			own := head(200, fmt.Sprint("Content-Length: ", len(body))) + string(body)
+			_, _ = io.WriteString(conn, before+own)
+			before = own
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	server := deskEntry(t, entry.Options{}, listener.Addr().String())
+	for _, body := range []string{"one", "two", "three"} {
+		if got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/again", "", body); got.body != body {
+			t.Errorf("the call %q was answered by %q", body, got.body)
+		}
+	}
+}
+
+// An engine without an agent ends its answers with their connection and crashes:
+// the connection closes in good order, behind a whole event or within an object.
+// Such an answer is whole only when it shows that.
+func TestABareEnginesAnswerWithoutAFrameShowsItsEnd(t *testing.T) {
+	object := fmt.Sprintf(`{"model":%q,"choices":[{"text":"words"}]}`, model)
+	event := "data: " + object + "\n\n"
+	for _, c := range []struct {
+		kind, body string
+		whole      bool
+	}{
+		{eventStream, event, false},
+		{eventStream, event + "data: [DONE]\n\n", true},
+		{"Content-Type: application/json", object[:len(object)-3], false},
+		{"Content-Type: application/json", object, true},
+	} {
+		bare := engineServer("floor-1", rawServer(t, head(200, c.kind, "Connection: close")+c.body))
+		bare.Agent = false
+		_, server := newEntry(t, entry.Options{}, newSource(bare))
+		got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+		if got.cut == c.whole || got.outcome != outcome.Answered {
+			t.Errorf("%q: cut %v, told %v with %d", c.body, got.cut, got.outcome, got.status)
+		}
+	}
+}
+
+// An agent's line is cut behind the header of each rest that it gives. A caller
+// must not be left waiting while the entry asks on and on.
+func TestRestsWithoutProgressComeToAnEnd(t *testing.T) {
+	begun := agentHead(200, eventStream, inChunks)
+	answers := []string{begun + chunk("data: one\n\n")}
+	for range 3 * 4 {
+		answers = append(answers, begun)
+	}
+	answers = append(answers, begun+chunk("data: two\n\n")+lastChunk)
+	_, server := newEntry(t, entry.Options{}, newSource(engineServer("floor-1", rawServer(t, answers...))))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, true))
+	if !got.cut || strings.Contains(got.body, "two") {
+		t.Errorf("cut %v, %q", got.cut, got.body)
+	}
+}
+
+// A caller sends more than the entry accepts. It must read why, not a reset
+// connection.
+func TestATooLargeBodyIsRefusedInWords(t *testing.T) {
+	server := deskEntry(t, entry.Options{MaxBodyBytes: 1 << 10})
+	for _, size := range []int{2 << 10, 200 << 10, 2 << 20} {
+		got := rawCall(t, server, "1.1", http.MethodPost, "/services/desk/once", "", strings.Repeat("x", size))
+		if got.status != http.StatusRequestEntityTooLarge || got.outcome != outcome.NotRun || got.cut {
+			t.Errorf("%d bytes: told %v with %d, cut %v", size, got.outcome, got.status, got.cut)
+		}
+	}
+}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,6 +100,9 @@
 	begun, current *http.Response
 	reader         io.Reader
 	offset         int64
+	// cutAt is the offset of the last cut, barren how many cuts there were at it.
+	cutAt  int64
+	barren int
 }
 
 func (x *exchange) source(response *http.Response) *source {
@@ -127,6 +132,13 @@
 	if !gated(x.server.Announcement) || errors.Is(context.Cause(x.ctx), relay.ErrStalled) {
 		return false
 	}
+	if s.cutAt != s.offset {
+		s.cutAt, s.barren = s.offset, 0
+	}
+	if s.barren++; s.barren > resumeTries {
+		resumeFailedCount.Add(1)
+		return false
+	}
 	x.watchdog.Touch(x.entry.options.StallTimeout)
 	next, err := x.entry.resume(x.ctx, x.request, x.call, x.server, s.offset)
 	if err != nil {
@@ -146,10 +158,15 @@
 // sameKind reports whether an answer can be the rest of another. An agent keeps
 // the header of a run; another process at its address does not.
 func sameKind(begun, rest *http.Response) bool {
-	for _, name := range []string{wire.HeaderRan, "Content-Type", "Content-Encoding"} {
-		if begun.Header.Get(name) != rest.Header.Get(name) {
-			return false
-		}
-	}
-	return begun.StatusCode == rest.StatusCode
+	return begun.StatusCode == rest.StatusCode && maps.EqualFunc(lasting(begun.Header), lasting(rest.Header), slices.Equal)
+}
+
+// lasting are the headers that do not depend on when and how much of an answer an
+// agent gives.
+func lasting(header http.Header) http.Header {
+	kept := make(http.Header)
+	relay.CopyHeader(kept, header)
+	kept.Del("Date")
+	kept.Del("Content-Length")
+	return kept
 }
