Show by a test that a request without an id gets another's answer

A caller that names no id gets the late second answer to another's request on a reused connection, with that one's id and signature: without an own id any answer counts.

--- a/internal/upstream/whole_test.go
+++ b/internal/upstream/whole_test.go
@@ -110,3 +110,18 @@
 		}
 	}
 }
+
+// A caller gives its request no id, and the request goes out on a connection on
+// which a late copy of an earlier answer comes. The copy bears the earlier
+// request's id: it is no answer to this one.
+func TestARequestWithoutIdGetsNoAnswerToAnother(t *testing.T) {
+	copied := whole + "HTTP/1.1 400 No id\r\nContent-Length: 2\r\n\r\nno"
+	target, _ := script(t, whole, copied, copied)
+	pool := NewPool(patience)
+	if _, body, err := call(t, pool, target, "r1"); err != nil || body != "hello" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if status, body, err := call(t, pool, target, ""); err == nil && body == "hello" {
+		t.Errorf("a request without an id got %d, %q, the answer to r1", status, body)
+	}
+}
