Show by a test that half an engine's object passes for the whole

A caller of an engine without an agent gets half a JSON object framed as complete, told answered, when the engine ends its answer with its connection and crashes in the middle. An agent takes such an object for broken, the entry does not.

Measured: go test ./internal/entry -run UnframedPartOfAnEngines fails.

--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -335,3 +335,18 @@
 		t.Errorf("asked %d times, told %v with %d", suspicions.asked.Load(), got.outcome, got.status)
 	}
 }
+
+// An engine without an agent ends its answer with its connection, and crashes in
+// the middle: the connection closes in good order. The answer is a JSON object,
+// whose missing end shows that it is a part; an agent tells it by that. A caller
+// must not get half an object as a whole answer.
+func TestAnUnframedPartOfAnEnginesObjectIsNotWhole(t *testing.T) {
+	part := head(200, "Content-Type: application/json", "Connection: close") + `{"model":"` + model + `","choices":[{"text":"wor`
+	engine := engineServer("s0", rawServer(t, part))
+	engine.Agent = false
+	_, server := newEntry(t, entry.Options{}, newSource(engine))
+	got := rawCall(t, server, "1.1", http.MethodPost, "/v1/completions", "", completion("x", 2, false))
+	if got.status == http.StatusOK && !got.cut {
+		t.Errorf("the caller got %d, %q, told %v, as a whole answer", got.status, got.body, got.outcome)
+	}
+}
