Give a request without an id no answer to another

What a caller would see: the late answer to another request, whole and signed, when it names no id itself.

Cause: without an own id any answer counted, on a connection that had carried others.

Change: such a request goes over a connection of its own, which is not kept, and an answer that bears an id is none to it. Calls that use no ids at all, an agent's to its engine, stay as they are.

Result: TestARequestWithoutIdGetsNoAnswerToAnother passes with the tests of internal/upstream, internal/gateway (race detector) and internal/sidecar.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,11 +21,15 @@
 	Header http.Header
 	Body   []byte
 	// ID and IDHeader tell the answer apart: the header that the server
-	// echoes, and its value. Without an ID any answer counts.
+	// echoes, and its value. Without an IDHeader any answer counts. A request
+	// that has an IDHeader and no ID goes over a connection of its own, and its
+	// answer bears no id either: servers echo what they were sent.
 	ID       string
 	IDHeader string
 }
 
+func (r *Request) anonymous() bool { return r.ID == "" && r.IDHeader != "" }
+
 // Response is an answer whose body is still to be read. Exactly one of Release
 // and Abort must follow.
 type Response struct {
@@ -75,7 +79,7 @@
 // Call sends a request and reads the answer's header. The call ends with ctx,
 // which closes the connection, so that the server can stop working.
 func (p *Pool) Call(ctx context.Context, target Target, r *Request) (*Response, error) {
-	c, _, err := p.take(ctx, target, r.ID)
+	c, err := p.take(ctx, target, r)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -95,6 +99,7 @@
 		return nil, err
 	}
 	response.pool, response.target, response.stop = p, target, stop
+	response.keep = response.keep && !r.anonymous()
 	return response, nil
 }
 
@@ -114,7 +119,7 @@
 		if parsed.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := parsed.Header.Get(r.IDHeader); r.ID == "" || id == r.ID {
+		if id := parsed.Header.Get(r.IDHeader); r.IDHeader == "" || id == r.ID {
 			return newResponse(c, parsed, strays), nil
 		}
 		// A late second answer to an earlier request stands where ours is due.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -153,22 +153,21 @@
 }
 
 // take returns the connection that was used last and has not carried the request
-// of this id, or a new one. Of a reused one the server may know already that it
-// is closed.
-func (p *Pool) take(ctx context.Context, target Target, id string) (c *conn, reused bool, err error) {
+// yet, or a new one. Of a reused one the server may know already that it is
+// closed.
+func (p *Pool) take(ctx context.Context, target Target, r *Request) (*conn, error) {
 	now := time.Now()
-	for {
-		c := p.pop(target, id)
+	for !r.anonymous() {
+		c := p.pop(target, r.ID)
 		if c == nil {
 			break
 		}
 		if now.Before(c.expires) && c.quiet() {
-			return c, true, nil
+			return c, nil
 		}
 		_ = c.Close()
 	}
-	c, err = dial(ctx, target.Address, p.dialTimeout)
-	return c, false, err
+	return dial(ctx, target.Address, p.dialTimeout)
 }
 
 func (p *Pool) pop(target Target, id string) *conn {
