Go on with a stream only by events behind the caller's last one

What a caller would see: events a second time behind one without an id, or an object that tells of a failure with a 200, each as a part of its stream and framed as complete.

Cause: only the events of the first read were held against the caller's last id, and any answer of the same status could go on.

Change: the first event that has an id decides, in whichever read it comes; the server that goes on must answer with the type and encoding with which the stream was opened.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -111,24 +111,33 @@
 	}
 }
 
-// A stream goes on only behind the last event that its caller has.
-func TestEventsFollow(t *testing.T) {
+// A stream goes on only behind the last event that its caller has. Events come in
+// any number of reads, and the first ones may have no id.
+func TestEventsGoOn(t *testing.T) {
 	tests := []struct {
-		events, last string
-		want         bool
+		reads  []string
+		behind string
+		want   bool
 	}{
-		{"id: 4\ndata: d\n\nid: 1\n\n", "3", true},
-		{"data: no id\n\nid: 4\n\n", "3", true},
-		{"id: 3\ndata: c\n\nid: 4\n\n", "3", false},
-		{"id:1\r\n\r\n", "3", false},
-		{"id: 10\n\n", "9", true},
-		{"id: x\n\n", "3", true},
-		{"id: 4\n\n", "x", true},
-		{"", "3", true},
+		{[]string{"id: 4\ndata: d\n\nid: 1\n\n"}, "3", true},
+		{[]string{"data: no id\n\nid: 4\n\n"}, "3", true},
+		{[]string{": alive\n\n", "id: 4\n\n", "id: 1\n\n"}, "3", true},
+		{[]string{": alive\n\n", "", "id: 1\n\n"}, "3", false},
+		{[]string{"id: 3\ndata: c\n\nid: 4\n\n"}, "3", false},
+		{[]string{"id:1\r\n\r\n"}, "3", false},
+		{[]string{"id: 10\n\n"}, "9", true},
+		{[]string{"id: x\n\n"}, "3", true},
+		{[]string{"id: 4\n\n"}, "x", true},
+		{[]string{""}, "3", true},
+		{[]string{"id: 1\n\n"}, "", true},
 	}
 	for _, test := range tests {
-		if got := follows([]byte(test.events), test.last); got != test.want {
-			t.Errorf("%q behind %s: %v, want %v", test.events, test.last, got, test.want)
+		r, got := &reply{behind: test.behind}, true
+		for _, events := range test.reads {
+			got = got && r.goesOn([]byte(events))
+		}
+		if got != test.want {
+			t.Errorf("%q behind %s: %v, want %v", test.reads, test.behind, got, test.want)
 		}
 	}
 }
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -51,8 +51,10 @@
 	grantedBy *agentClient
 	// lastEvent is the last event that the caller has.
 	lastEvent string
-	// told is the status that the caller was given, 0 before its header went out.
-	told int
+	// told is the status that the caller was given, 0 before its header went out;
+	// opened is the header that an open stream began with.
+	told   int
+	opened http.Header
 }
 
 const (
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,6 +37,9 @@
 	events   eventBuffer
 	// chunk is what one read of a stream fills.
 	chunk []byte
+	// behind is the event behind which a stream goes on here, empty once an event
+	// has shown that it does, and for a stream that begins here.
+	behind string
 	// held is what the request holds at the server and its agent.
 	held []func()
 }
@@ -95,7 +98,7 @@
 		defer r.release()
 		return answer.Answer{}, j.streamBroke(r, err)
 	}
-	j.told = r.response.Status
+	j.told, j.opened = r.response.Status, r.response.Header
 	return answer.Stream(r.response.Status, r.header(), func(pass answer.Pass) answer.End { return j.feed(r, events, err, pass) }), stepDone
 }
 
@@ -111,9 +114,10 @@
 		case stepFail:
 			return j.cut()
 		}
-		if r, events, err = j.goOn(); r == nil {
+		if r = j.goOn(); r == nil {
 			return j.cut()
 		}
+		events, err = r.read()
 	}
 }
 
@@ -121,6 +125,11 @@
 func (j *journey) passAll(r *reply, events []byte, err error, pass answer.Pass) step {
 	defer r.release()
 	for {
+		if !r.goesOn(events) {
+			r.response.Abort()
+			j.last = "the backend server that was to go on with the stream began it anew"
+			return j.afterFailure(r.server, r.verdict)
+		}
 		if len(events) > 0 {
 			j.noteEvent(time.Now())
 			if pass(events) != nil {
@@ -142,47 +151,62 @@
 }
 
 // goOn finds a server that goes on with a stream of which the caller has the
-// beginning, and reads the first events. A server's failure cannot be given to
-// that caller any more, nor a stream that begins anew.
-func (j *journey) goOn() (r *reply, events []byte, err error) {
+// beginning. No other answer can be given to that caller any more.
+func (j *journey) goOn() *reply {
 	if j.lastEvent == "" {
 		j.last = "the stream's events have no ids to go on behind"
-		return nil, nil, nil
+		return nil
 	}
 	for r := j.next(); r != nil; r = j.next() {
-		if r.response.Status == j.told {
-			events, err := r.read()
-			if follows(events, j.lastEvent) {
-				resumedCount.Add(1)
-				return r, events, err
-			}
+		if j.sameKind(r) {
+			resumedCount.Add(1)
+			r.behind = j.lastEvent
+			return r
 		}
 		r.response.Abort()
 		r.release()
 		j.last = "the backend server that was to go on with the stream did not"
 		if !j.mayRepeat() {
-			return nil, nil, nil
+			return nil
 		}
 	}
-	return nil, nil, nil
+	return nil
 }
 
-// follows is false for events that begin at the given one or before it. Ids that
-// are no numbers have no order to tell.
-func follows(events []byte, last string) bool {
-	for line := range bytes.Lines(events) {
-		value, found := bytes.CutPrefix(line, idField)
-		if !found {
-			continue
+// sameKind reports whether a reply can be the rest of the open stream: a failure
+// that a server tells with a success is not.
+func (j *journey) sameKind(r *reply) bool {
+	for _, name := range []string{"Content-Type", "Content-Encoding"} {
+		if r.response.Header.Get(name) != j.opened.Get(name) {
+			return false
 		}
-		first, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			return true
+	}
+	return r.response.Status == j.told
+}
+
+// goesOn is false for events that the caller has already. Ids that are no numbers
+// have no order to tell, and events without one show nothing yet.
+func (r *reply) goesOn(events []byte) bool {
+	if r.behind == "" {
+		return true
+	}
+	id, found := firstID(events)
+	if !found {
+		return true
+	}
+	first, firstErr := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(r.behind, 10, 64)
+	r.behind = ""
+	return firstErr != nil || lastErr != nil || first > last
+}
+
+func firstID(events []byte) (id string, found bool) {
+	for line := range bytes.Lines(events) {
+		if value, found := bytes.CutPrefix(line, idField); found {
+			return string(bytes.TrimSpace(value)), true
 		}
-		before, err := strconv.ParseInt(last, 10, 64)
-		return err != nil || first > before
 	}
-	return true
+	return "", false
 }
 
 func (j *journey) answered(v *server, status int) {
