Let entries that outnumber the slack have repeats again

Callers of a large deployment got failures that a second server would have made good.

Cause: an entry whose part of the slack is under one saved up one repeat at most, and what is saved beyond the part fades from the moment of payment. By the time a server fails, however soon, less than a whole repeat is left.

Change: such an entry saves up 1.5. Entries with a part of one or more are as they were.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -39,6 +39,10 @@
 	// repeats each must be able to save up one; if all kept it for ever, their
 	// sum alone could break the bound.
 	keptWindows = 0.25
+	// savedMost is the most that an entry saves up whose part of the slack is under
+	// one: so much more than one that a whole repeat is left when a server fails some
+	// time after the request that paid in last.
+	savedMost = 1.5
 )
 
 func newBudget(options Options, m *mesh.Mesh) *budget {
@@ -50,6 +54,14 @@
 	return slackShare * b.options.RepeatSlack / float64(b.entries)
 }
 
+// most is the most that this entry saves up.
+func (b *budget) most() float64 {
+	if part := b.part(); part >= 1 {
+		return part
+	}
+	return savedMost
+}
+
 // noteEntries takes the number of entries that are known.
 func (b *budget) noteEntries(n int) {
 	b.mu.Lock()
@@ -61,7 +73,7 @@
 func (b *budget) began(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens := min(b.left(service, now)+ratioShare*b.options.RepeatRatio, max(1, b.part()))
+	tokens := min(b.left(service, now)+ratioShare*b.options.RepeatRatio, b.most())
 	b.saved[service] = savings{tokens: tokens, at: now}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -74,6 +74,54 @@
 	}
 }
 
+// A server fails some time after it was asked, and what its entry has saved up
+// beyond its part of the slack fades meanwhile. With more entries than the slack
+// has repeats, none of them ever had a whole repeat left, and callers got each
+// failure that a second server would have made good.
+func TestWhatIsSavedUpOutlastsTheTimeToAFailure(t *testing.T) {
+	options := Options{RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindow: 10 * time.Second}
+	for _, entries := range []int{4, 30, 36, 40, 60, 120, 370} {
+		for _, each := range []float64{0.5, 1, 2, 4, 8} {
+			for _, after := range []time.Duration{0, 5 * time.Millisecond, 100 * time.Millisecond} {
+				requests, repeats := 0, 0
+				for i := range entries {
+					r, n := repeatsOfOne(options, entries, each, after, time.Duration(i))
+					repeats += r
+					requests += n
+				}
+				bound := options.RepeatRatio*float64(requests) + options.RepeatSlack
+				if float64(repeats) > bound {
+					t.Errorf("%d entries with %.1f requests a second each repeat %d of %d, the bound is %.0f", entries, each, repeats, requests, bound)
+				}
+				if each >= 2 && repeats < requests/20 {
+					t.Errorf("%d entries with %.1f requests a second each that fail after %v repeat only %d of %d", entries, each, after, repeats, requests)
+				}
+			}
+		}
+	}
+}
+
+// repeatsOfOne counts what one of many entries repeats in a window in which all
+// its requests fail, some time after they began, behind a calm time.
+func repeatsOfOne(options Options, entries int, each float64, after, offset time.Duration) (repeats, requests int) {
+	const calm = time.Minute
+	b := newBudget(options, nil)
+	b.noteEntries(entries)
+	start := time.Unix(1000, 0)
+	spacing := time.Duration(float64(time.Second) / each)
+	for at := offset; at < calm+options.RepeatWindow; at += spacing {
+		b.began("s", start.Add(at))
+		if at < calm {
+			continue
+		}
+		requests++
+		if b.take("s", start.Add(at+after)) {
+			repeats++
+		}
+	}
+	return repeats, requests
+}
+
 func TestServicesDoNotUseUpEachOthersRepeats(t *testing.T) {
 	b := newBudget(Options{RepeatRatio: 0.2, RepeatSlack: 10}, nil)
 	now := time.Unix(1000, 0)
