Take no answer that names a request for that of one without an id

Cause: a request without an id took whatever stood on its connection, also the late answer to another that bears that one's id.

Change: an answer counts when it bears the request's id, and none where the request has none. The drawn readings ask without an id, too.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,7 +21,7 @@
 	Header http.Header
 	Body   []byte
 	// ID and IDHeader tell the answer apart: the header that the server
-	// echoes, and its value. Without an ID any answer counts.
+	// echoes, and its value. Without an ID an answer that bears none counts.
 	ID       string
 	IDHeader string
 }
@@ -114,7 +114,7 @@
 		if parsed.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := parsed.Header.Get(r.IDHeader); r.ID == "" || id == r.ID {
+		if parsed.Header.Get(r.IDHeader) == r.ID {
 			return newResponse(c, parsed, strays), nil
 		}
 		// A late second answer to an earlier request stands where ours is due.
--- a/internal/upstream/drawn_test.go
+++ b/internal/upstream/drawn_test.go
@@ -88,20 +88,29 @@
 
 const drawnID = "r1"
 
+// strayIDs are those of answers to other requests.
+func strayIDs(id string) []string {
+	if id == "" {
+		return []string{"r0", "r1"}
+	}
+	return []string{"r0", "", "r10"}
+}
+
 // drawMessage draws an interim answer, an answer of any framing to this request
 // or to another, or bytes that are none.
-func drawMessage(random *rand.Rand) message {
+func drawMessage(random *rand.Rand, id string) message {
 	switch random.IntN(8) {
 	case 0:
 		return message{text: []string{"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\nId: r1\r\n\r\n"}[random.IntN(2)]}
 	case 1:
 		return message{text: []string{"no answer\r\n\r\n", "HTTP/1.1 what\r\n\r\n", "HTTP/1.1 200 X\r\nTransfer-Encoding: other\r\n\r\n", "HTTP/1.1 200 X\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "\x00\x01\x02\xff"}[random.IntN(5)], broken: true}
 	case 2, 3:
-		m := drawAnswer(random, []string{"r0", "", "r10"}[random.IntN(3)])
+		others := strayIDs(id)
+		m := drawAnswer(random, others[random.IntN(len(others))])
 		m.stray = true
 		return m
 	default:
-		m := drawAnswer(random, drawnID)
+		m := drawAnswer(random, id)
 		m.final = true
 		return m
 	}
@@ -157,6 +166,8 @@
 
 // drawnReading is a server's messages, cut at a byte.
 type drawnReading struct {
+	// id is the request's, empty for one without.
+	id       string
 	messages []message
 	sent     []byte
 	cut      int
@@ -165,10 +176,10 @@
 }
 
 func drawReading(random *rand.Rand) *drawnReading {
-	d := &drawnReading{reset: random.IntN(2) == 0, pieces: []int{1, 7, 4096, 1 << 20}[random.IntN(4)]}
+	d := &drawnReading{id: []string{drawnID, drawnID, drawnID, ""}[random.IntN(4)], reset: random.IntN(2) == 0, pieces: []int{1, 7, 4096, 1 << 20}[random.IntN(4)]}
 	var all strings.Builder
 	for range 1 + random.IntN(5) {
-		m := drawMessage(random)
+		m := drawMessage(random, d.id)
 		d.messages = append(d.messages, m)
 		all.WriteString(m.text)
 	}
@@ -215,7 +226,7 @@
 
 // check holds what a call made of the bytes against what they are.
 func (d *drawnReading) check(t *testing.T) string {
-	got := readAll(t, d.sent[:d.cut], d.reset, d.pieces, &Request{Method: http.MethodPost, URI: "/x", Host: "h", ID: drawnID, IDHeader: "Id"})
+	got := readAll(t, d.sent[:d.cut], d.reset, d.pieces, &Request{Method: http.MethodPost, URI: "/x", Host: "h", ID: d.id, IDHeader: "Id"})
 	m, end := d.outcome()
 	switch {
 	case end < 0 && !got.failed:
