--- a/internal/upstream/whole_test.go
+++ b/internal/upstream/whole_test.go
@@ -125,3 +125,19 @@
 		t.Errorf("a request without an id got %d, %q, the answer to r1", status, body)
 	}
 }
+
+// Of two requests without an id the late answer to the one cannot be told from
+// the answer to the other. They share no connection.
+func TestRequestsWithoutIdShareNoConnection(t *testing.T) {
+	refused := "HTTP/1.1 400 No id\r\nContent-Length: 2\r\n\r\nno"
+	target, connections := script(t, refused, refused, whole, next)
+	pool := NewPool(patience)
+	for i, id := range []string{"", "", "r1", "r2"} {
+		if _, _, err := call(t, pool, target, id); err != nil {
+			t.Errorf("call %d ended with %v", i, err)
+		}
+	}
+	if connections.Load() != 3 {
+		t.Errorf("%d connections were made, want 3", connections.Load())
+	}
+}
