Use no connection again behind a request without an id

Cause: without an id nothing tells a late answer to one request from the answer to the next.

Change: such a connection is closed with its answer. Calls of an engine by its agent, which name no header, share theirs as before: what they get tells itself apart.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,7 +21,8 @@
 	Header http.Header
 	Body   []byte
 	// ID and IDHeader tell the answer apart: the header that the server
-	// echoes, and its value. Without an ID an answer that bears none counts.
+	// echoes, and its value. Without an ID an answer that bears none counts, and
+	// its connection is not used again; without a header any answer counts.
 	ID       string
 	IDHeader string
 }
@@ -115,7 +116,7 @@
 			continue
 		}
 		if parsed.Header.Get(r.IDHeader) == r.ID {
-			return newResponse(c, parsed, strays), nil
+			return newResponse(c, r, parsed, strays), nil
 		}
 		// A late second answer to an earlier request stands where ours is due.
 		if strays++; strays > maxStrays {
@@ -137,12 +138,14 @@
 	return err
 }
 
-func newResponse(c *conn, parsed *http.Response, strays int) *Response {
+func newResponse(c *conn, asked *Request, parsed *http.Response, strays int) *Response {
+	// A late copy of an answer that bears no id could not be told from the next.
+	named := asked.ID != "" || asked.IDHeader == ""
 	framed := parsed.ContentLength >= 0 || slices.Contains(parsed.TransferEncoding, "chunked")
 	whole := &wholeReader{from: parsed.Body}
 	r := &Response{
 		Status: parsed.StatusCode, Header: parsed.Header, Body: whole, Framed: framed, conn: c, whole: whole,
-		keep: framed && !parsed.Close && strays == 0,
+		keep: framed && named && !parsed.Close && strays == 0,
 	}
 	c.noteKeepAlive(parsed.Header.Get("Keep-Alive"), time.Now())
 	return r
