--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,15 +21,12 @@
 	Header http.Header
 	Body   []byte
 	// ID and IDHeader tell the answer apart: the header that the server
-	// echoes, and its value. Without an IDHeader any answer counts. A request
-	// that has an IDHeader and no ID goes over a connection of its own, and its
-	// answer bears no id either: servers echo what they were sent.
+	// echoes, and its value. Without an ID an answer that bears none counts, and
+	// its connection is not used again; without a header any answer counts.
 	ID       string
 	IDHeader string
 }
 
-func (r *Request) anonymous() bool { return r.ID == "" && r.IDHeader != "" }
-
 // Response is an answer whose body is still to be read. Exactly one of Release
 // and Abort must follow.
 type Response struct {
@@ -79,7 +76,7 @@
 // Call sends a request and reads the answer's header. The call ends with ctx,
 // which closes the connection, so that the server can stop working.
 func (p *Pool) Call(ctx context.Context, target Target, r *Request) (*Response, error) {
-	c, err := p.take(ctx, target, r)
+	c, _, err := p.take(ctx, target, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -99,7 +96,6 @@
 		return nil, err
 	}
 	response.pool, response.target, response.stop = p, target, stop
-	response.keep = response.keep && !r.anonymous()
 	return response, nil
 }
 
@@ -119,8 +115,8 @@
 		if parsed.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := parsed.Header.Get(r.IDHeader); r.IDHeader == "" || id == r.ID {
-			return newResponse(c, parsed, strays), nil
+		if parsed.Header.Get(r.IDHeader) == r.ID {
+			return newResponse(c, r, parsed, strays), nil
 		}
 		// A late second answer to an earlier request stands where ours is due.
 		if strays++; strays > maxStrays {
@@ -142,12 +138,14 @@
 	return err
 }
 
-func newResponse(c *conn, parsed *http.Response, strays int) *Response {
+func newResponse(c *conn, asked *Request, parsed *http.Response, strays int) *Response {
+	// A late copy of an answer that bears no id could not be told from the next.
+	named := asked.ID != "" || asked.IDHeader == ""
 	framed := parsed.ContentLength >= 0 || slices.Contains(parsed.TransferEncoding, "chunked")
 	whole := &wholeReader{from: parsed.Body}
 	r := &Response{
 		Status: parsed.StatusCode, Header: parsed.Header, Body: whole, Framed: framed, conn: c, whole: whole,
-		keep: framed && !parsed.Close && strays == 0,
+		keep: framed && named && !parsed.Close && strays == 0,
 	}
 	c.noteKeepAlive(parsed.Header.Get("Keep-Alive"), time.Now())
 	return r
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -153,21 +153,22 @@
 }
 
 // take returns the connection that was used last and has not carried the request
-// yet, or a new one. Of a reused one the server may know already that it is
-// closed.
-func (p *Pool) take(ctx context.Context, target Target, r *Request) (*conn, error) {
+// of this id, or a new one. Of a reused one the server may know already that it
+// is closed.
+func (p *Pool) take(ctx context.Context, target Target, id string) (c *conn, reused bool, err error) {
 	now := time.Now()
-	for !r.anonymous() {
-		c := p.pop(target, r.ID)
+	for {
+		c := p.pop(target, id)
 		if c == nil {
 			break
 		}
 		if now.Before(c.expires) && c.quiet() {
-			return c, nil
+			return c, true, nil
 		}
 		_ = c.Close()
 	}
-	return dial(ctx, target.Address, p.dialTimeout)
+	c, err = dial(ctx, target.Address, p.dialTimeout)
+	return c, false, err
 }
 
 func (p *Pool) pop(target Target, id string) *conn {
