--- a/internal/entry/drawn_test.go
+++ b/internal/entry/drawn_test.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = conn.Close() })
+	t.Cleanup(func() { drop(conn) })
 	return conn, bufio.NewReader(conn)
 }
 
--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -80,10 +80,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	defer drop(conn)
 	return askOn(conn, bufio.NewReader(conn), proto, method, path, key, body)
 }
 
+// drop closes a caller's connection so that its port is free at once.
+func drop(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
 // askOn is rawCall on a given connection.
 func askOn(conn net.Conn, reader *bufio.Reader, proto, method, path, key, body string) told {
 	if key != "" {
