Let tests of refused connections hold the address that refuses

Cause: the address of a server that refuses was that of a listener closed before. A fault of the test.

Change: loopback.Refuse holds a port on which nothing listens for as long as the test needs it; the same in internal/limiter, which did alike.

--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
+	"github.com/rosemarypass/rosemarypass/internal/loopback"
 )
 
 // cutPoint is the step at which a backend server's connection is cut.
@@ -29,33 +30,37 @@
 // cuttingServer is a plain service whose connections are cut at one step. It
 // runs a call once it has the whole body, as the worst case for its caller.
 type cuttingServer struct {
-	listener net.Listener
-	cut      cutPoint
-	mu       sync.Mutex
-	ran      int
+	at  string
+	cut cutPoint
+	mu  sync.Mutex
+	ran int
 }
 
 func startCutting(t *testing.T, cut cutPoint) *cuttingServer {
 	t.Helper()
+	if cut == cutDial {
+		held, err := loopback.Refuse()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = held.Close() })
+		return &cuttingServer{at: held.Address(), cut: cut}
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &cuttingServer{listener: listener, cut: cut}
-	if cut == cutDial {
-		_ = listener.Close()
-		return s
-	}
+	s := &cuttingServer{at: listener.Addr().String(), cut: cut}
 	t.Cleanup(func() { _ = listener.Close() })
-	go s.accept()
+	go s.accept(listener)
 	return s
 }
 
-func (s *cuttingServer) address() string { return s.listener.Addr().String() }
+func (s *cuttingServer) address() string { return s.at }
 
-func (s *cuttingServer) accept() {
+func (s *cuttingServer) accept(listener net.Listener) {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/entry"
 	"github.com/rosemarypass/rosemarypass/internal/limiter"
+	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
 
@@ -178,12 +179,12 @@
 // elsewhere. The caller must not be told that it reached a limit.
 func TestWithoutAnOwnerNoClauseIsBlamed(t *testing.T) {
 	s := startSite(t, sample(generous()))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	held, err := loopback.Refuse()
 	if err != nil {
 		t.Fatal(err)
 	}
-	nobody := listener.Addr().String()
-	_ = listener.Close()
+	defer held.Close()
+	nobody := held.Address()
 	l, _ := s.entry("a", nobody)
 	if _, refused := l.Admit(s.ctx, s.ask(1)); refused == nil || refused.Clause != "" {
 		t.Errorf("%+v", refused)
