--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 )
 
 // startStatus serves the platform's checks and the counters on a listener of
@@ -17,19 +19,18 @@
 		return nil
 	}
 	router := chi.NewRouter()
-	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	router.Get("/readyz", d.ready)
+	router.Method(http.MethodGet, "/healthz", answer.Handler(func(*http.Request) answer.Answer { return answer.Whole(http.StatusOK, nil, nil) }))
+	router.Method(http.MethodGet, "/readyz", answer.Handler(d.ready))
 	router.Get("/debug/vars", expvar.Handler().ServeHTTP)
 	return d.serveHTTP(statusListen, address, plain, router, func(context.Context) {})
 }
 
 // ready answers the platform: this process can do the work of all its roles.
-func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+func (d *Daemon) ready(*http.Request) answer.Answer {
 	for _, check := range d.readiness {
 		if !check() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+			return answer.Whole(http.StatusServiceUnavailable, nil, nil)
 		}
 	}
-	w.WriteHeader(http.StatusOK)
+	return answer.Whole(http.StatusOK, nil, nil)
 }
