Let the platform's callers of HTTP/1.0 see the end of a process as a cut

Cause: a process that ends, or a stop at the end of its time, closes the connections of callers without chunks in good order, which is how a whole stream ends for them. The edge by contracts sets them to reset while a stream is open (answer.ConnContext); the edge by routes did not.

Change: the same for every server of a process of the fleet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/gateway"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
@@ -220,7 +221,7 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: zap.NewStdLog(zap.NewNop()),
+		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnContext: answer.ConnContext,
 	}
 	p.duties.Go(func() { _ = server.Serve(listener) })
 	return server, nil
