Show by a test that a body that stalls is not refused in time

A caller that stalls in its body holds its call in flight for as long as it likes: the bound of the body ends the reading, its deadline is taken back, and net/http then reads the rest of the body before it sends the refusal. A planned stop waits for such calls.

--- a/internal/entry/large_test.go
+++ b/internal/entry/large_test.go
@@ -32,3 +32,24 @@
 		t.Errorf("got %d, the connection ends behind it: %v", response.StatusCode, response.Close)
 	}
 }
+
+// A caller stalls in the middle of its body. When its time is over it is told so;
+// the call must not stay in flight for as long as the caller likes.
+func TestABodyThatStallsIsRefusedInTime(t *testing.T) {
+	_, server := newEntry(t, entry.Options{BodyTimeout: 50 * time.Millisecond}, newSource())
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// Far beyond the time for a body; only a test that fails waits so long.
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, _ = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n%050d", callerKey, 0)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusBadRequest || !response.Close {
+		t.Errorf("got %d, the connection ends behind it: %v", response.StatusCode, response.Close)
+	}
+}
