Hold by a test that a request gives back what it holds

No caller sees this at once: an entry that keeps counting a request takes its server for busier than it is, and sends less there, until it restarts.

--- /dev/null
+++ b/internal/gateway/held_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/internal/mesh"
+)
+
+// plainEdge is an edge whose headers say no more than these tests need.
+type plainEdge struct{}
+
+func (plainEdge) Parse(r *http.Request) Call {
+	return Call{ID: r.Header.Get("Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{"Id": r.Header["Id"]}}
+}
+
+func (plainEdge) Forward(c *Call, hop Hop) http.Header {
+	header := c.Header.Clone()
+	header.Set("Behind", hop.LastEvent)
+	return header
+}
+
+func (plainEdge) Judge(_ int, header http.Header) Verdict {
+	return Verdict{Signed: header.Get("Signed") != "", NotRun: header.Get("Not-Run") != ""}
+}
+
+func (plainEdge) IDHeader() string { return "Id" }
+
+// What a server does with a request in these tests.
+func says(status int, header, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(header, "yes")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func breaksOff(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		says(http.StatusOK, "Signed", body)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// heldAt is an entry before four servers that do the deeds, one after the other.
+func heldAt(t *testing.T, deeds []http.HandlerFunc) *Gateway {
+	t.Helper()
+	documents := mesh.NewDocuments(func([]byte) (*route.Document, error) {
+		split := []route.Share{{Service: "desk", Weight: 1}}
+		return &route.Document{Version: 1, Services: []route.Service{{Name: "desk"}}, Routes: []route.Route{
+			{Host: "h", Prefix: "/look/", Kind: route.KindSafe, Timeout: time.Minute, Target: time.Second, Split: split, Attempts: 2},
+			{Host: "h", Prefix: "/draft/", Kind: route.KindStream, Resumable: true, Timeout: time.Minute, Target: time.Second, Split: split, Attempts: 3},
+		}}, nil
+	}, zap.NewNop())
+	m := mesh.New(mesh.Options{Self: mesh.Process{Name: "entry", Address: "127.0.0.1:1", Entry: true, Started: 1}}, documents, zap.NewNop())
+	g := New(Options{AgentPort: "1", RepeatRatio: 0.2, RepeatSlack: 20}, plainEdge{}, m, zap.NewNop())
+	documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")})
+	var asked atomic.Int64
+	for i := range 4 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			deeds[min(int(asked.Add(1)), len(deeds))-1](w, r)
+		}))
+		t.Cleanup(server.Close)
+		announced := roster.Server{ID: fmt.Sprint("s", i), Born: 1, Sequence: 1, Service: "desk", Address: server.Listener.Addr().String(), Slots: 8}
+		if err := m.Announce(context.Background(), announced); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return g
+}
+
+// A request ends in one of many ways, at the first server or a later one. What it
+// holds at each server it was sent to must be given back: an entry that keeps
+// counting it takes that server for busier than it is, for ever.
+func TestARequestGivesBackWhatItHolds(t *testing.T) {
+	const event = "id: %d\ndata: word\n\n"
+	first, second := fmt.Sprintf(event, 1), fmt.Sprintf(event, 2)
+	fails, refuses := says(http.StatusInternalServerError, "Signed", "failed"), says(http.StatusServiceUnavailable, "Not-Run", "full")
+	tests := map[string]struct {
+		path  string
+		deeds []http.HandlerFunc
+	}{
+		"a whole answer":                   {"/look/", []http.HandlerFunc{says(http.StatusOK, "Signed", "body")}},
+		"an answer that broke off":         {"/look/", []http.HandlerFunc{breaksOff("part")}},
+		"a failure":                        {"/look/", []http.HandlerFunc{fails}},
+		"a refusal":                        {"/look/", []http.HandlerFunc{refuses}},
+		"an unsigned answer":               {"/look/", []http.HandlerFunc{says(http.StatusOK, "Other", "body")}},
+		"a whole stream":                   {"/draft/", []http.HandlerFunc{says(http.StatusOK, "Signed", first)}},
+		"a stream without an event":        {"/draft/", []http.HandlerFunc{breaksOff("")}},
+		"a stream that breaks off":         {"/draft/", []http.HandlerFunc{breaksOff(first)}},
+		"a stream that goes on":            {"/draft/", []http.HandlerFunc{breaksOff(first), says(http.StatusOK, "Signed", second)}},
+		"a stream that cannot go on":       {"/draft/", []http.HandlerFunc{breaksOff(first), fails, refuses, fails}},
+		"a stream that is begun anew":      {"/draft/", []http.HandlerFunc{breaksOff(first), says(http.StatusOK, "Signed", first)}},
+		"a stream that becomes a redirect": {"/draft/", []http.HandlerFunc{breaksOff(first), says(http.StatusFound, "Signed", "there")}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := heldAt(t, test.deeds)
+			r := httptest.NewRequest(http.MethodPost, "http://h"+test.path, strings.NewReader(""))
+			r.Header.Set("Id", "r1")
+			func() {
+				// A cut answer panics, so that net/http ends the connection.
+				defer func() {
+					if cut := recover(); cut != nil && cut != http.ErrAbortHandler {
+						panic(cut)
+					}
+				}()
+				g.ServeHTTP(httptest.NewRecorder(), r)
+			}()
+			g.servers.mu.Lock()
+			defer g.servers.mu.Unlock()
+			if len(g.servers.byID) == 0 {
+				t.Error("no server is known")
+			}
+			for id, v := range g.servers.byID {
+				if v.inflight != 0 {
+					t.Errorf("%d requests count as held at %s", v.inflight, id)
+				}
+			}
+		})
+	}
+}
