Take a stream without a frame and without an event for broken off

What a caller would see: events 1 to 3 of 6, framed as complete: the server that was to go on crashed behind its header, and its connection, which would have told the end, closed in good order before any event.

Change: where only the end of the connection tells the stream's, a stream of which no event came has broken off: another server is tried or the caller is cut.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,6 +37,8 @@
 	events   eventBuffer
 	// chunk is what one read of a stream fills.
 	chunk []byte
+	// begun is true once an event of it was read.
+	begun bool
 	// behind is the event behind which a stream goes on here, empty once an event
 	// has shown that it does, and for a stream that begins here.
 	behind string
@@ -241,7 +243,8 @@
 // read returns the next whole events of a stream, with io.EOF behind the last of
 // a whole one. Half an event is held back: what a broken server left of it must
 // not be joined with another run. Where only the end of the connection tells the
-// stream's, half an event before it shows that the server broke off.
+// stream's, half an event before it, or none at all, shows that the server broke
+// off.
 func (r *reply) read() ([]byte, error) {
 	if r.chunk == nil {
 		r.chunk = make([]byte, streamBuffer)
@@ -249,7 +252,8 @@
 	for {
 		n, err := r.response.Body.Read(r.chunk)
 		whole := r.events.add(r.chunk[:n])
-		if err == io.EOF && !r.response.Framed && r.events.half() {
+		r.begun = r.begun || len(whole) > 0
+		if err == io.EOF && !r.response.Framed && (r.events.half() || !r.begun) {
 			return whole, io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
