Refuse a body that is too large or stalls without waiting for its rest

What callers saw: no answer. The 413 of a caller that waits with the rest of its body was held until that had come, at the edge by routes always, at the one by contracts since its answers are values (net/http no longer learned from the bound that the connection ends). A caller that stalled in its body held its refusal, and its call in flight, for as long as it liked.

Change: these refusals end their connection, upon which net/http sends them at once; the time that a caller has for its body stays set when it has run out.

Result: TestABodyThatIsTooLargeIsRefusedBeforeItsEnd, TestABodyThatStallsIsRefusedInTime and, for the edge by routes, TestABodyOverTheBoundIsRefusedBeforeItsEnd (fails after its 10 s without the change) pass with the tests of entry, gateway and platform.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -48,14 +48,14 @@
 func (e *Entry) readBody(v *visit, r *http.Request) ([]byte, *failure) {
 	_ = v.readDeadline(time.Now().Add(e.options.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, e.options.MaxBodyBytes))
-	_ = v.readDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, message: "the body is larger than this entry accepts"}
+		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, message: "the body is larger than this entry accepts", closing: true}
 	}
 	if err != nil {
-		return nil, &failure{status: http.StatusBadRequest, code: codeMalformed, message: "the body could not be read"}
+		return nil, &failure{status: http.StatusBadRequest, code: codeMalformed, message: "the body could not be read", closing: true}
 	}
+	_ = v.readDeadline(time.Time{})
 	// The body is here: the next hop must not be asked whether it wants it.
 	r.Header.Del("Expect")
 	return body, nil
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -59,6 +59,10 @@
 	allowed []string
 	// doubt is true when an earlier attempt of the request may have run.
 	doubt bool
+	// closing ends the connection behind the answer. Without it net/http reads the
+	// rest of the request's body before it sends the answer, for as long as the
+	// caller takes.
+	closing bool
 }
 
 // after is the failure when earlier attempts left the given doubt.
@@ -124,7 +128,11 @@
 		header.Set(wire.HeaderClause, f.clause)
 	}
 	body := errorBody{Error: errorObject{Message: f.message, Type: errorType(f.status), Code: f.code, Param: f.clause}}
-	return reply{inJSON(f.status, header, body), said}
+	failed := inJSON(f.status, header, body)
+	if f.closing {
+		failed = failed.Closing()
+	}
+	return reply{failed, said}
 }
 
 // inJSON is an answer in JSON.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,7 +208,8 @@
 		// The caller broke off in the middle of its own request.
 		return answer.Answer{}, false
 	case int64(len(body)) > limit:
-		return answer.Text(http.StatusRequestEntityTooLarge, g.ownHeader(call), "the body is larger than the configuration allows"), false
+		// On a connection that goes on, the answer would wait for the rest of the body.
+		return answer.Text(http.StatusRequestEntityTooLarge, g.ownHeader(call), "the body is larger than the configuration allows").Closing(), false
 	}
 	call.Body = body
 	return answer.Answer{}, true
