Take only the word of control for the acceptance of a change

Cause: the operators' client took status 200 for it.

Change: a change is accepted when the answer says so; a success that says less, or cannot be read, is not final: the next instance is asked, and in the end the fate is unknown, upon which the change may be sent again under its id.

Result: TestOnlyTheWordOfControlAcceptsAChange passes; the tests of internal/operator, internal/control, internal/demo and cmd with the race detector do too.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -148,6 +148,7 @@
 		operation: operation,
 		body:      data,
 		into:      &result,
+		accepted:  func() bool { return result.Code == state.CodeOK },
 		timeout:   c.options.AttemptTimeout,
 	})
 	return result, err
@@ -157,9 +158,16 @@
 	method, path, operation string
 	body                    []byte
 	into                    any
-	timeout                 time.Duration
+	// accepted reports whether into holds the word that a change is committed;
+	// it is nil for a reading.
+	accepted func() bool
+	timeout  time.Duration
 }
 
+// errNoWord means that something answered with success and did not say that the
+// change is committed.
+var errNoWord = errors.New("the answer does not say that the change was accepted")
+
 // call tries the instances in turn until one answers. An instance that has no
 // quorum answers 503; another one may have it.
 func (c *Client) call(ctx context.Context, request call) error {
@@ -214,7 +222,23 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		return false, serverError(response.Status, data)
 	}
-	return true, c.finish(response.StatusCode, data, request)
+	if response.StatusCode == http.StatusOK {
+		err := read(data, request)
+		return err == nil, err
+	}
+	return true, refusal(response.StatusCode, data)
+}
+
+// read takes a success. One that cannot be read is not final: another instance
+// may know.
+func read(data []byte, request call) error {
+	if err := json.Unmarshal(data, request.into); err != nil {
+		return errors.Wrap(err, "parse answer")
+	}
+	if request.accepted != nil && !request.accepted() {
+		return errNoWord
+	}
+	return nil
 }
 
 func (c *Client) send(ctx context.Context, url string, request call) (*http.Response, error) {
@@ -229,11 +253,9 @@
 	return c.options.HTTP.Do(r)
 }
 
-func (c *Client) finish(status int, data []byte, request call) error {
-	switch status {
-	case http.StatusOK:
-		return errors.Wrap(json.Unmarshal(data, request.into), "parse answer")
-	case http.StatusUnauthorized:
+// refusal is the error that a status below 500 stands for.
+func refusal(status int, data []byte) error {
+	if status == http.StatusUnauthorized {
 		return ErrUnauthorized
 	}
 	var result state.Result
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -26,10 +26,11 @@
 	}
 	var reply wire.MemberChangeReply
 	return c.call(ctx, call{
-		method:  http.MethodPost,
-		path:    "/admin/v1/members",
-		body:    data,
-		into:    &reply,
-		timeout: c.options.AttemptTimeout,
+		method:   http.MethodPost,
+		path:     "/admin/v1/members",
+		body:     data,
+		into:     &reply,
+		accepted: func() bool { return reply.Code == wire.ReplicaOK },
+		timeout:  c.options.AttemptTimeout,
 	})
 }
