Show by a test that an empty rest loses its trailer

net/http declares the length 0 of an answer to which nothing was written, and has no place for a trailer behind it. An entry that comes back to an agent for the end of an answer gets a whole rest without the trailer.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -254,3 +254,29 @@
 		server.Close()
 	}
 }
+
+// A reader that has all of a body but its end comes back for the rest, which is
+// empty. The trailer must reach it all the same: what it says of the body is
+// lost otherwise, and the answer looks whole.
+func TestATrailerStandsBehindAnEmptyRest(t *testing.T) {
+	for pieces := range 3 {
+		server := httptest.NewServer(answer.Handler(func(*http.Request) answer.Answer {
+			return answer.Stream(http.StatusOK, nil, func(pass answer.Pass) answer.End {
+				for range pieces {
+					_ = pass([]byte("piece "))
+				}
+				return answer.Complete(http.Header{"Checksum": {"c0ffee"}})
+			})
+		}))
+		response, err := http.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.ReadAll(response.Body)
+		if got := response.Trailer.Get("Checksum"); err != nil || got != "c0ffee" {
+			t.Errorf("behind %d pieces: trailer %q, %v", pieces, got, err)
+		}
+		_ = response.Body.Close()
+		server.Close()
+	}
+}
