Send the trailer of a stream without a piece

Cause: net/http declares an answer to which nothing was written with the length 0, which no trailer can follow.

Change: the header of such a stream goes out before its end, so that the end is a chunk.

Result: TestATrailerStandsBehindAnEmptyRest passes; the tests of internal/answer with the race detector do too.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -204,6 +204,11 @@
 		endByReset(r.Context(), false)
 	}
 	a.allow(w)
+	if len(end.trailer) > 0 && passed == 0 && !a.sized && controller.Flush() != nil {
+		// An answer that was begun ends with a chunk, which a trailer can follow;
+		// an empty one would be declared with its length.
+		return false
+	}
 	for name, values := range end.trailer {
 		w.Header()[http.TrailerPrefix+name] = values
 	}
