Let an agent refuse a body that it cannot read without waiting for the rest

The same as at the edges: an entry that sends more than the bound, or stalls, was answered only behind its whole body.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -111,7 +111,8 @@
 	}
 	body, err := readWhole(r)
 	if err != nil {
-		return refusal(http.StatusBadRequest, err.Error())
+		// On a connection that goes on, the refusal would wait for the rest.
+		return refusal(http.StatusBadRequest, err.Error()).Closing()
 	}
 	leave, err := a.isolation.enter(r.Context(), r.Header.Get(wire.HeaderAlone) != "")
 	if err != nil {
