Let no change of the settings end a process that is starting

Callers of that machine would have had no entry.

Cause: the signal that tells of changed settings was listened for only once the process had started; before that it ends a process.

Change: the process listens first of all.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,6 +86,10 @@
 // Run runs a role by the settings at a path until the platform stops the
 // process.
 func Run(role, path string, platform Platform) error {
+	// A change of the settings may be told at any time; who does not listen for it is
+	// ended by it.
+	changes := make(chan os.Signal, 1)
+	signal.Notify(changes, syscall.SIGHUP)
 	s, err := settings.LoadFleet(path)
 	if err != nil {
 		return err
@@ -102,7 +106,7 @@
 		log.Error("the start failed", telemetry.Cause(err))
 		return err
 	}
-	p.waitForStop(path)
+	p.waitForStop(path, changes)
 	p.stop(cancel)
 	log.Info("stopped")
 	return nil
@@ -229,17 +233,16 @@
 
 // waitForStop returns when the platform stops the process, and greets new
 // seeds when the settings change before.
-func (p *process) waitForStop(path string) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (p *process) waitForStop(path string, changes <-chan os.Signal) {
+	stops := make(chan os.Signal, 4)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case got := <-signals:
-			if got != syscall.SIGHUP {
-				return
-			}
+		case <-stops:
+			return
+		case <-changes:
 			p.reload(path)
 		case <-ticker.C:
 			p.reload(path)
