Let the drawn engines send trailers

A whole answer in chunks must come with the trailer that the engine sent behind it, also to a reader that comes back for its end.

--- a/internal/agent/drawn_test.go
+++ b/internal/agent/drawn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -83,6 +84,14 @@
 // relayed is true when its bytes may reach an entry.
 func (r *engineRun) relayed() bool { return r.deed <= deedFailBroken }
 
+// checksum is what stands behind a body in chunks, as its trailer.
+func (r *engineRun) checksum() string {
+	if r.framing != framingChunked {
+		return ""
+	}
+	return fmt.Sprintf("%x", crc32.ChecksumIEEE([]byte(r.content())))
+}
+
 func (r *engineRun) String() string {
 	return fmt.Sprintf("{deed %d, framing %d, status %d, %s, %d bytes in %d pieces, cut %d, reset %v}",
 		r.deed, r.framing, r.status, r.kind, len(r.content()), len(r.pieces), r.cut, r.reset)
@@ -173,7 +182,7 @@
 		}
 	}
 	if r.framing == framingChunked && !broken {
-		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		_, _ = io.WriteString(conn, "0\r\nChecksum: "+r.checksum()+"\r\n\r\n")
 	}
 	if broken && r.reset {
 		conn.reset.Store(true)
@@ -344,6 +353,8 @@
 	status int
 	said   string
 	body   string
+	// checksum is the trailer behind the body.
+	checksum string
 	// clean is true when the end was framed as such, left when the reader did not
 	// wait for the end.
 	clean, left bool
@@ -395,7 +406,7 @@
 	}
 	body, err := io.ReadAll(from)
 	return view{
-		sending: c.sending, offset: c.offset, left: c.leaves(), status: response.StatusCode, said: response.Header.Get(outcome.Header), body: string(body), clean: err == nil && c.most < 0,
+		sending: c.sending, offset: c.offset, left: c.leaves(), status: response.StatusCode, said: response.Header.Get(outcome.Header), body: string(body), clean: err == nil && c.most < 0, checksum: response.Trailer.Get("Checksum"),
 	}
 }
 
@@ -525,7 +536,7 @@
 		return
 	}
 	p.done = true
-	r := p.source(view{status: v.status, body: p.joined, clean: true})
+	r := p.source(view{status: v.status, body: p.joined, checksum: v.checksum, clean: true})
 	switch {
 	case r == nil:
 		t.Errorf("what all readers got together ends as whole and is not: %d bytes: %.300q", len(p.joined), p.joined)
@@ -548,7 +559,7 @@
 		if !r.relayed() || r.status != v.status || v.offset > len(content) {
 			continue
 		}
-		if v.clean && r.whole() && v.body == content[v.offset:] || !v.clean && strings.HasPrefix(content[v.offset:], v.body) {
+		if v.clean && r.whole() && v.body == content[v.offset:] && v.checksum == r.checksum() || !v.clean && strings.HasPrefix(content[v.offset:], v.body) {
 			return r
 		}
 	}
