Hold a caller's leaving against no server

Cause: the answer that ends because its caller left ended like one that broke off.

Change: once the caller is gone nothing is learned of the server.

Result: TestACallerThatLeavesIsNoFailureOfItsServer fails without it, passes with it.

--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -134,3 +134,29 @@
 		})
 	}
 }
+
+// Callers leave in the middle of their streams. Their servers have done nothing
+// wrong: an entry that holds it against them takes its next callers elsewhere.
+func TestACallerThatLeavesIsNoFailureOfItsServer(t *testing.T) {
+	const event = "id: 1\ndata: word\n\n"
+	ctx, leave := context.WithCancel(context.Background())
+	g := heldAt(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		says(http.StatusOK, "Signed", event)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		leave()
+		<-r.Context().Done()
+	}})
+	r := httptest.NewRequest(http.MethodPost, "http://h/draft/", strings.NewReader("")).WithContext(ctx)
+	r.Header.Set("Id", "r1")
+	func() {
+		defer func() { _ = recover() }()
+		g.ServeHTTP(httptest.NewRecorder(), r)
+	}()
+	g.servers.mu.Lock()
+	defer g.servers.mu.Unlock()
+	for id, v := range g.servers.byID {
+		if share := v.health.FailureShare(time.Now()); share != 0 {
+			t.Errorf("%s has a failure share of %.2f", id, share)
+		}
+	}
+}
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -343,8 +343,12 @@
 	return j.afterFailure(v, Verdict{})
 }
 
-// afterFailure records a failure of a server that may have run the request.
+// afterFailure records a failure of a server that may have run the request. A
+// caller that left ends its server's answer as well, which is no failure.
 func (j *journey) afterFailure(v *server, verdict Verdict) step {
+	if j.ctx.Err() != nil {
+		return stepFail
+	}
 	j.servers.learned(v, verdict, func(h *dispatch.Health) { h.Failed(time.Now()) })
 	if j.mayRepeat() {
 		return stepAgain
