Plan a load anew that meets a full engine, before callers are refused

What callers saw: 503 load_failed, true in that it had not run, at an engine that could have run them.

Cause: the engine restarts and a request has an adapter loaded again before its agent knows. The report that tells of the restart can be older than that load; the table takes over what it lists and takes a slot for free that is not. The next load is refused (409), its callers with it, and only then the agent asked what the engine holds.

Change: the agent asks first, and the load is planned anew, once; a second refusal is a failure as before (coord/slots.LoadFull).

--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -155,6 +155,8 @@
 	// order is the asked permit, 0 when none is asked.
 	order   OrderID
 	granted bool
+	// full is true once the engine refused a load for want of a slot.
+	full bool
 }
 
 func (w *want) ask() Ask {
@@ -313,6 +315,24 @@
 	return append(actions, t.plan(now)...)
 }
 
+// LoadFull reports that the engine refused a load for want of a slot: it holds
+// adapters that the table did not know, which must have been adopted before.
+// Requests that wait for the adapter go on waiting, as their load has nothing
+// wrong with it; a second refusal counts as a failure.
+func (t *Table) LoadFull(order OrderID, now time.Time) []Action {
+	ref, s := t.ordered(order, phaseLoading)
+	if s == nil {
+		return nil
+	}
+	w := t.wantOf(ref)
+	if w == nil || w.full {
+		return t.LoadFailed(order, true, now)
+	}
+	w.full = true
+	delete(t.slots, ref)
+	return append([]Action{Return{Order: order}}, t.plan(now)...)
+}
+
 // Unloaded reports that the engine freed a slot.
 func (t *Table) Unloaded(order OrderID, now time.Time) []Action {
 	ref, s := t.ordered(order, phaseUnloading)
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -322,6 +322,44 @@
 	}
 }
 
+// An engine restarts, and an adapter is loaded again before its agent knows. The
+// engine then refuses the next load for want of a slot that the table takes for
+// free. The callers of that load wait until a slot is freed; only a second refusal
+// is told to them.
+func TestALoadThatMeetsAFullEngineIsPlannedAnew(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, again := range []bool{false, true} {
+		table := NewTable(Options{Slots: 1, Queue: 8})
+		load := grantAll(table, table.Request(patient(1, ref(1)), now), now)[0].(Load)
+		table.Adopt(ref(2), true)
+		if got := table.LoadFull(load.Order, now); slices.ContainsFunc(got, isRefusal) {
+			t.Fatalf("the first refusal reached callers: %v", got)
+		}
+		unload := grantAll(table, table.InUse(nil, now), now)[0].(Unload)
+		if unload.Ref != ref(2) {
+			t.Fatalf("unloads %v, want what the engine turned out to hold", unload.Ref)
+		}
+		next := table.Unloaded(unload.Order, now)[0].(Load)
+		if next.Ref != ref(1) {
+			t.Fatalf("loads %v", next.Ref)
+		}
+		var got []Action
+		if again {
+			got = table.LoadFull(next.Order, now)
+		} else {
+			got = table.Loaded(next.Order, now)
+		}
+		if slices.ContainsFunc(got, isRefusal) != again {
+			t.Errorf("refused again %v: %v", again, got)
+		}
+	}
+}
+
+func isRefusal(a Action) bool {
+	_, refusal := a.(Refuse)
+	return refusal
+}
+
 // The least valuable adapter goes: rarely used, or quick to load again.
 func TestEvictionWeighsUseAndLoadTime(t *testing.T) {
 	const quick, slow = 100 * time.Millisecond, time.Second
--- a/internal/agent/slotduty.go
+++ b/internal/agent/slotduty.go
@@ -219,10 +219,11 @@
 		loadFailedCount.Add(1)
 		a.log.Warn("adapter load failed", zap.Stringer("adapter", action.Ref), zap.Error(err))
 	}
-	a.sendEnd(loadDone{action: action, err: err})
 	if refusedBy(err) == http.StatusConflict {
+		// What the engine holds must be known before the load is planned anew.
 		a.reconcile(ctx)
 	}
+	a.sendEnd(loadDone{action: action, err: err})
 }
 
 // reconcile finds the adapters that the engine holds and the table does not
@@ -287,8 +288,11 @@
 
 func (e loadDone) apply(d *slotDuty, now time.Time) []slots.Action {
 	asked, known := d.asked[e.action.Order]
-	if e.err != nil {
-		return d.table.LoadFailed(e.action.Order, refusedBy(e.err) != 0, now)
+	switch refused := refusedBy(e.err); {
+	case refused == http.StatusConflict:
+		return d.table.LoadFull(e.action.Order, now)
+	case e.err != nil:
+		return d.table.LoadFailed(e.action.Order, refused != 0, now)
 	}
 	if known {
 		d.loadTime += time.Duration(loadTimeGain * float64(now.Sub(asked)-d.loadTime))
