A restarted entry goes on with the configuration that it had in force

A member of the log can now keep its commit: a Ready with committed entries names their end in the hard state, and the owner applies them once that is synced. A restarted member gathers the folder's whole state first and puts it in force at once; it waits for no leader. Each change costs one more sync.

--- a/coord/replog/node.go
+++ b/coord/replog/node.go
@@ -18,6 +18,8 @@
 	// handed out to be applied.
 	stable    uint64
 	delivered uint64
+	// keptCommit is the commit that the last hard state named.
+	keptCommit uint64
 
 	tick          uint64
 	elapsed       int
@@ -73,6 +75,8 @@
 		n.configs.append(tail)
 	}
 	n.stable = n.log.lastIndex()
+	n.keptCommit = max(n.commit, restored.HardState.Commit)
+	n.commit = max(n.commit, min(n.keptCommit, n.stable))
 	n.restarted = restored.HardState.Term > 0
 	n.becomeFollower(n.term, "")
 	return n
@@ -252,8 +256,11 @@
 	}
 	n.deliver()
 	r := n.ready
+	if n.options.KeepCommit && n.delivered > n.keptCommit {
+		n.keptCommit, n.hardDirty = n.delivered, true
+	}
 	if n.hardDirty {
-		r.HardState = &HardState{Term: n.term, Vote: n.vote}
+		r.HardState = &HardState{Term: n.term, Vote: n.vote, Commit: n.keptCommit}
 	}
 	if !r.NeedsSync() && len(r.Messages)+len(r.AfterSync)+len(r.Committed)+len(r.Reads)+len(r.FailedReads) == 0 {
 		return Ready{}, false
--- a/coord/replog/schedule_test.go
+++ b/coord/replog/schedule_test.go
@@ -39,12 +39,15 @@
 }
 
 // run returns the first broken rule, empty when there is none.
-func run(seed uint64, s sabotage) string {
+func run(seed uint64, s sabotage) string { return runWith(seed, false, s) }
+
+// runWith runs members that keep their commit, or not.
+func runWith(seed uint64, keep bool, s sabotage) string {
 	voters := []int{3, 3, 3, 5, 1}[seed%5]
 	window := []int{1, 100, 1000}[seed%3]
 	calm := []int{60, 25}[seed%2]
 	storm := seed%7 == 0
-	w := &schedule{world: newWorld(seed, voters, window, s)}
+	w := &schedule{world: newWorld(seed, voters, window, keep, s)}
 	for w.now < scheduleUnits && w.failure == "" {
 		w.step()
 		if w.random.IntN(20) == 0 {
@@ -260,3 +263,28 @@
 		})
 	}
 }
+
+// Members crash while commits are on their way to their disks. One that restarts must go on from all that it had
+// applied, before it hears a leader: its users would otherwise see an accepted change undone.
+func TestARestartedMemberGoesOnFromWhatItHadApplied(t *testing.T) {
+	for shard := range uint64(shards) {
+		t.Run(fmt.Sprint(shard), func(t *testing.T) {
+			t.Parallel()
+			for seed := shard; seed < schedules; seed += shards {
+				if failure := runWith(seed, true, sabotage{}); failure != "" {
+					t.Fatalf("seed %d: %s", seed, failure)
+				}
+			}
+		})
+	}
+}
+
+// An owner that applies a commit before it is on disk goes back when it restarts.
+func TestSchedulesCatchACommitAppliedTooSoon(t *testing.T) {
+	const seed = 6
+	if failure := runWith(seed, true, sabotage{applyBeforeSync: true}); failure == "" {
+		t.Errorf("seed %d shows nothing", seed)
+	} else {
+		t.Log(failure)
+	}
+}
--- a/coord/replog/types.go
+++ b/coord/replog/types.go
@@ -43,6 +43,9 @@
 type HardState struct {
 	Term uint64 `json:"term"`
 	Vote ID     `json:"vote,omitempty"`
+	// Commit is the last entry known to be committed and synced here; 0 where
+	// Options.KeepCommit is not set.
+	Commit uint64 `json:"commit,omitempty"`
 }
 
 // Snapshot is the state after the entry at Index.
@@ -188,6 +191,10 @@
 	MaxUncommittedBytes int
 	// TrailingEntries stay in memory behind a snapshot, for members that lag.
 	TrailingEntries int
+	// KeepCommit makes a Ready with committed entries name their end in its hard
+	// state. An owner that applies them only once that Ready is synced goes on
+	// from all that it had applied when it restarts, without a leader.
+	KeepCommit bool
 	// Random draws election timeouts.
 	Random *rand.Rand
 
--- a/coord/replog/world_test.go
+++ b/coord/replog/world_test.go
@@ -18,6 +18,7 @@
 	voteBeforeSync  bool
 	ackBeforeSync   bool
 	lostDiskKeepsID bool
+	applyBeforeSync bool
 }
 
 // disk is what survives a crash.
@@ -53,15 +54,17 @@
 
 // process is one member with its disk; the state machine is a register.
 type process struct {
-	world    *world
-	id       ID
-	up       bool
-	disk     disk
-	node     *Node
-	queue    []Ready
-	syncAt   int64
-	value    uint64
-	applied  uint64
+	world   *world
+	id      ID
+	up      bool
+	disk    disk
+	node    *Node
+	queue   []Ready
+	syncAt  int64
+	value   uint64
+	applied uint64
+	// had is what it had applied when it crashed last.
+	had      uint64
 	proposed []*operation
 	reads    map[uint64]*operation
 	offset   int64
@@ -81,8 +84,9 @@
 	network   []delivery
 	cut       map[[2]ID]bool
 	lossy     float64
-	// window is MaxAppendBytes of every member.
+	// window is MaxAppendBytes of every member, keep its KeepCommit.
 	window    int
+	keep      bool
 	nextValue uint64
 	nextRead  uint64
 
@@ -93,9 +97,9 @@
 	failure   string
 }
 
-func newWorld(seed uint64, voters, window int, s sabotage) *world {
+func newWorld(seed uint64, voters, window int, keep bool, s sabotage) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), sabotage: s, window: window, cut: make(map[[2]ID]bool),
+		random: rand.New(rand.NewPCG(seed, 1)), sabotage: s, window: window, keep: keep, cut: make(map[[2]ID]bool),
 		committed: make(map[uint64]Entry), leaders: make(map[uint64]ID), votes: make(map[string]ID),
 	}
 	config := Config{Cluster: "test"}
@@ -130,12 +134,18 @@
 	p.up, p.queue, p.proposed, p.reads = true, nil, nil, make(map[uint64]*operation)
 	p.value, p.applied = 0, 0
 	p.node = New(Options{
-		ID: p.id, MaxAppendBytes: p.world.window, MaxInflight: 2, TrailingEntries: 5,
+		ID: p.id, MaxAppendBytes: p.world.window, MaxInflight: 2, TrailingEntries: 5, KeepCommit: p.world.keep,
 		Random: rand.New(rand.NewPCG(p.world.random.Uint64(), 2)), faults: p.world.sabotage.core,
 	}, Restored{HardState: p.disk.hard, Snapshot: p.disk.snapshot, Entries: p.disk.entries})
 	if p.disk.snapshot != nil {
 		p.restore(*p.disk.snapshot)
 	}
+	if p.world.keep {
+		p.work()
+		if p.applied < p.had {
+			p.world.fail("%s is back with %d, it had applied %d", p.id, p.applied, p.had)
+		}
+	}
 }
 
 // crash loses what is not synced; some of what was under way may have reached
@@ -145,7 +155,7 @@
 		p.disk.persist(p.queue[0])
 		p.queue = p.queue[1:]
 	}
-	p.up, p.node = false, nil
+	p.up, p.node, p.had = false, nil, p.applied
 	for _, o := range p.proposed {
 		p.world.unknown(o)
 	}
@@ -181,17 +191,28 @@
 			p.syncAt = p.world.now + p.world.syncTime()
 		}
 		p.queue = append(p.queue, r)
-		if r.Snapshot != nil {
-			p.restore(*r.Snapshot)
-		}
-		for _, e := range r.Committed {
-			p.apply(e)
+		if !p.appliesAfterSync(r) {
+			p.execute(r)
 		}
 		p.answerReads(r)
 	}
 	p.world.checkLeader(p)
 }
 
+func (p *process) appliesAfterSync(r Ready) bool {
+	return p.world.keep && r.NeedsSync() && !p.world.sabotage.applyBeforeSync
+}
+
+// execute gives the state machine what a Ready has for it.
+func (p *process) execute(r Ready) {
+	if r.Snapshot != nil {
+		p.restore(*r.Snapshot)
+	}
+	for _, e := range r.Committed {
+		p.apply(e)
+	}
+}
+
 // sync finishes the disk's work so far, as one group.
 func (p *process) sync() {
 	group := p.queue
@@ -199,7 +220,11 @@
 	for _, r := range group {
 		p.disk.persist(r)
 		p.world.post(p, r.AfterSync)
+		if p.appliesAfterSync(r) {
+			p.execute(r)
+		}
 	}
+	p.answerReads(Ready{})
 	p.node.Synced(group[len(group)-1].Sequence)
 	p.work()
 }
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -69,11 +69,12 @@
 	asked := time.Now()
 	r, err := replica.Open(replica.Options{
 		Instance: h.mesh.options.Self.Name, Address: h.mesh.options.Self.Address, Folder: h.mesh.options.Folder,
-		Founders: h.founders, SnapshotEntries: snapshotEntries, SegmentBytes: segmentBytes,
+		Founders: h.founders, SnapshotEntries: snapshotEntries, SegmentBytes: segmentBytes, KeepCommit: true,
 	}, machine, h.mesh.log)
 	if err != nil {
 		return err
 	}
+	machine.begin()
 	h.current.Store(r)
 	h.opened = time.Now()
 	h.mesh.log.Info("the log's disk is open", zap.Duration("took", h.opened.Sub(asked)))
@@ -171,17 +172,32 @@
 	handlers[methodRead] = rpc.Typed(h.takeRead)
 }
 
-// machine applies the log's entries to the documents.
+// machine applies the log's entries to the documents. While the folder is read
+// it only gathers: a state on the way to the one that was in force before the
+// restart must serve nobody.
 type machine struct {
 	state     document.Machine
 	documents *Documents
+	begun     bool
+}
+
+// begin puts in force what the folder held.
+func (a *machine) begin() {
+	a.begun = true
+	a.put()
+}
+
+func (a *machine) put() {
+	if a.begun {
+		a.documents.Take(a.state.State())
+	}
 }
 
 // Apply implements replica.StateMachine.
 func (a *machine) Apply(index uint64, data []byte) []byte {
 	changed, err := a.state.Apply(index, data)
 	if err == nil && changed {
-		a.documents.Take(a.state.State())
+		a.put()
 	}
 	return []byte("{}")
 }
@@ -194,7 +210,7 @@
 	if err := a.state.Restore(data); err != nil {
 		return err
 	}
-	a.documents.Take(a.state.State())
+	a.put()
 	return nil
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -480,3 +480,28 @@
 	}
 	eventually(t, func() bool { return f.nodes[0].Held(9) && f.nodes[1].Held(9) })
 }
+
+// All processes stop at once and one comes back before the others. Its callers must not be routed by an older
+// configuration than it had in force, nor wait for a leader to be routed at all.
+func TestARestartedEntryGoesOnWithTheConfigurationItHad(t *testing.T) {
+	const last = snapshotEntries + 12
+	f := startFleet(t, 3, 0)
+	eventually(t, func() bool { return f.voters(0) == 3 })
+	for version := uint64(1); version <= last; version++ {
+		f.put(0, version)
+	}
+	for i := range f.nodes {
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == last })
+	}
+	for i := range f.nodes {
+		f.stop(i)
+	}
+	for i := range f.nodes {
+		f.start(i, false)
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().Table != nil })
+		if got := f.nodes[i].Documents().Current().State.Version; got != last {
+			t.Errorf("entry %d is back with version %d, it had %d in force", i, got, last)
+		}
+		f.stop(i)
+	}
+}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -37,6 +37,8 @@
 	// toDisk and toApply wait for room in the rings.
 	toDisk  []diskItem
 	toApply []applyItem
+	// unsynced waits until it is on disk that its entries are committed.
+	unsynced []unsyncedApply
 	// waiters are the callers by index; one that lost its leadership and won it
 	// back may have several at an index, of different terms.
 	waiters map[uint64][]waiter
@@ -46,6 +48,12 @@
 	role    replog.Role
 }
 
+// unsyncedApply is handed out once the Ready with its sequence is on disk.
+type unsyncedApply struct {
+	sequence uint64
+	item     applyItem
+}
+
 func newCore(r *Replica) *core {
 	return &core{Replica: r, waiters: make(map[uint64][]waiter), reads: make(map[uint64]chan<- readAnswer)}
 }
@@ -69,7 +77,7 @@
 		case r := <-c.requests:
 			r.serve(c)
 		case sequence := <-c.synced:
-			c.node.Synced(sequence)
+			c.takeSynced(sequence)
 		case s := <-c.taken:
 			c.compact(s)
 		case ringFor(c.disk, c.toDisk) <- first(c.toDisk):
@@ -91,13 +99,32 @@
 		case r := <-c.requests:
 			r.serve(c)
 		case sequence := <-c.synced:
-			c.node.Synced(sequence)
+			c.takeSynced(sequence)
 		default:
 			return
 		}
 	}
 }
 
+// takeSynced lets go what had to be on disk first.
+func (c *core) takeSynced(sequence uint64) {
+	c.node.Synced(sequence)
+	for len(c.unsynced) > 0 && c.unsynced[0].sequence <= sequence {
+		c.toApply = append(c.toApply, c.unsynced[0].item)
+		c.unsynced = c.unsynced[1:]
+	}
+}
+
+// handOut gives a Ready's snapshot or entries to the state machine, at once or
+// with the Ready's sync.
+func (c *core) handOut(ready replog.Ready, item applyItem) {
+	if c.options.KeepCommit && ready.NeedsSync() {
+		c.unsynced = append(c.unsynced, unsyncedApply{sequence: ready.Sequence, item: item})
+		return
+	}
+	c.toApply = append(c.toApply, item)
+}
+
 // ringFor is nil, which a select passes over, when nothing waits.
 func ringFor[T any](ring chan<- T, waiting []T) chan<- T {
 	if len(waiting) == 0 {
@@ -119,7 +146,7 @@
 // backlogged is true when the disk or the state machine is far behind. Appends
 // and proposals are then pushed back; heartbeats and votes are not.
 func (c *core) backlogged() bool {
-	return len(c.toDisk) >= maxBacklog || len(c.toApply) >= maxBacklog
+	return len(c.toDisk) >= maxBacklog || len(c.toApply)+len(c.unsynced) >= maxBacklog
 }
 
 func (c *core) step(messages []replog.Message) {
@@ -145,20 +172,21 @@
 			c.toDisk = append(c.toDisk, diskItem{ready: ready, config: config})
 		}
 		if ready.Snapshot != nil {
-			c.toApply = append(c.toApply, applyItem{snapshot: ready.Snapshot})
+			c.handOut(ready, applyItem{snapshot: ready.Snapshot})
 			c.endCovered(ready.Snapshot.Index)
 		}
 		if slices.ContainsFunc(ready.Committed, func(e replog.Entry) bool { return e.Config != nil }) {
 			c.publish()
 		}
-		c.handOutCommitted(ready.Committed)
+		c.handOutCommitted(ready)
 		c.answerReads(ready)
 	}
 	c.noteLeader()
 }
 
 // handOutCommitted gives entries to the state machine, with their waiters.
-func (c *core) handOutCommitted(entries []replog.Entry) {
+func (c *core) handOutCommitted(ready replog.Ready) {
+	entries := ready.Committed
 	if len(entries) == 0 {
 		return
 	}
@@ -174,7 +202,7 @@
 		}
 		delete(c.waiters, e.Index)
 	}
-	c.toApply = append(c.toApply, item)
+	c.handOut(ready, item)
 }
 
 // endCovered answers the waiters whose entries a snapshot covers: whether they
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -16,7 +16,7 @@
 	lost, won := make(chan proposeAnswer, 1), make(chan proposeAnswer, 1)
 	c.await(10, 1, lost)
 	c.await(10, 3, won)
-	c.handOutCommitted([]replog.Entry{{Index: 10, Term: 3, Data: []byte("x")}})
+	c.handOutCommitted(replog.Ready{Committed: []replog.Entry{{Index: 10, Term: 3, Data: []byte("x")}}})
 	if answer := <-lost; !errors.Is(answer.err, ErrNotCommitted) {
 		t.Errorf("the earlier caller got %+v", answer)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -55,6 +55,10 @@
 	// ElectionTicks and HeartbeatTicks are those of the core.
 	ElectionTicks  int
 	HeartbeatTicks int
+	// KeepCommit applies an entry only once it is on disk that it is committed: a
+	// restarted instance then begins with all that it had applied, and waits for
+	// no leader. It costs each change the time of another sync.
+	KeepCommit bool
 	// SnapshotEntries is how many entries are applied between snapshots.
 	SnapshotEntries uint64
 	// SegmentBytes is the size at which a new file of the log begins.
@@ -194,8 +198,14 @@
 		ID:             r.self.ID,
 		ElectionTicks:  r.options.ElectionTicks,
 		HeartbeatTicks: r.options.HeartbeatTicks,
+		KeepCommit:     r.options.KeepCommit,
 		Random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, restored)
+	if ready, ok := r.node.Ready(); ok {
+		if err := r.applyItem(applyItem{entries: ready.Committed}); err != nil {
+			return err
+		}
+	}
 	r.publish()
 	return nil
 }
