Give a connection up that does not open within 0.3 s

After a loss of power the agents had the configuration only 1.0 s after their start: the first packet to an entry whose machine was not up yet is sent again after a second, and the call waited for it. In the same way a start asked for at a dark machine held up all others to it, as they share one connection, and a lost packet to a server cost its request a second.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,9 +118,10 @@
 	stopping atomic.Int64
 }
 
-// dialTimeout bounds a new connection to a server: within a region it takes a
-// few milliseconds, and a lost packet is sent again after a second.
-const dialTimeout = 1200 * time.Millisecond
+// dialTimeout bounds a new connection to a server. Within a region it takes a few
+// milliseconds; a lost packet is sent again after a second only, in which another
+// server, or another connection, could have answered.
+const dialTimeout = 300 * time.Millisecond
 
 // New returns a gateway.
 func New(options Options, edge Edge, m *mesh.Mesh, log *zap.Logger) *Gateway {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -181,12 +181,19 @@
 	return nil
 }
 
+// connectTimeout bounds a new connection: a few ways between regions. To a
+// machine without power none ever opens, the first packet is sent again after a
+// second, and all other calls to the address wait meanwhile.
+const connectTimeout = 300 * time.Millisecond
+
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil && !disconnected(c.conn) {
 		return c.conn, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
 	raw, err := c.identity.Dial(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
