--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -16,6 +16,8 @@
 const (
 	// Absent adapters would have to be loaded from the store.
 	Absent Residence = iota
+	// Near adapters were held lately: the server brings them from its own memory.
+	Near
 	// Stale adapters are held in an outdated version and in use.
 	Stale
 	// Resident adapters can start at once, as can requests without an adapter.
@@ -82,6 +84,9 @@
 	homeCost  = 0.12
 	homeStep  = 0.18
 	homeRanks = 2
+	// nearCost makes a server that held the adapter lately the next choice behind
+	// those that hold it now.
+	nearCost = 0.06
 	// staleCost makes an engine that must first finish its running requests the
 	// last choice of those that can be had.
 	staleCost = 0.55
@@ -111,6 +116,9 @@
 const (
 	// staleTime is what running requests usually need to end.
 	staleTime = 1500 * time.Millisecond
+	// nearShare is how much sooner an adapter comes from the server's own memory
+	// than from the store, as the platform's pages have it.
+	nearShare = 0.1
 	// lateFrom is the share of the target from which on being late grows likely,
 	// lateBy where it is certain.
 	lateFrom = 0.75
@@ -202,6 +210,8 @@
 		return 0
 	case c.Residence == Stale:
 		return staleTime
+	case c.Residence == Near:
+		return time.Duration(nearShare * float64(c.LoadTime))
 	default:
 		return c.LoadTime
 	}
@@ -213,6 +223,8 @@
 		return 0
 	case c.Residence == Stale:
 		return staleCost
+	case c.Residence == Near:
+		return nearCost
 	case home > 0:
 		return min(homeCost+homeStep*float64(home-1), loadCost)
 	default:
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -112,3 +112,38 @@
 		t.Errorf("the share of failures goes from %.2f to %.2f", before, after)
 	}
 }
+
+// An adapter comes back soonest from where it was dropped last: elsewhere it is another load from the store.
+func TestAnAdapterGoesBackToTheServerThatDroppedIt(t *testing.T) {
+	candidates := []Candidate{candidate("one"), candidate("two"), candidate("three")}
+	for i := range candidates {
+		candidates[i].Residence, candidates[i].LoadTime = Absent, 280*time.Millisecond
+	}
+	r := Request{Adapter: "m/a", DataCentre: "here", Target: 800 * time.Millisecond}
+	home := Pick(candidates, r, none)
+	away := (home + 1) % len(candidates)
+	var held Held
+	held.Take([]string{"m/a", "m/b"})
+	held.Take([]string{"m/b"})
+	if !held.Near("m/a") || held.Near("m/b") {
+		t.Fatalf("it remembers %+v", held)
+	}
+	candidates[away].Residence = Near
+	if got := Pick(candidates, r, none); got != away {
+		t.Errorf("picked %d, want %d", got, away)
+	}
+	candidates[home].Residence = Resident
+	if got := Pick(candidates, r, none); got != home {
+		t.Errorf("with a holder picked %d, want %d", got, home)
+	}
+}
+
+func TestWhatAServerDroppedIsForgottenInTime(t *testing.T) {
+	var held Held
+	for i := range maxDropped + 5 {
+		held.Take([]string{string(rune(0x4e00 + i))})
+	}
+	if held.Near(string(rune(0x4e00))) || !held.Near(string(rune(0x4e00+maxDropped+3))) || len(held.dropped) != maxDropped {
+		t.Errorf("it remembers %d", len(held.dropped))
+	}
+}
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -24,7 +25,7 @@
 		return known
 	}
 	ctx, stop := context.WithCancel(ctx)
-	a := &agentClient{stop: stop, near: near, client: rpc.NewClient(address)}
+	a := &agentClient{stop: stop, sameCentre: near, client: rpc.NewClient(address)}
 	a.pause.Store(int64(watchPauseFar))
 	s.agents[address] = a
 	go a.run(ctx)
@@ -35,7 +36,7 @@
 func (s *servers) pace(near, far int) {
 	nearPause, farPause := watchPauses(near, far)
 	for _, agent := range s.agents {
-		if agent.near {
+		if agent.sameCentre {
 			agent.pause.Store(int64(nearPause))
 		} else {
 			agent.pause.Store(int64(farPause))
@@ -53,13 +54,15 @@
 type agentClient struct {
 	stop   context.CancelFunc
 	client *rpc.Client
-	// near is true in the own data centre; pause is that between two answers, in
+	// sameCentre is true in the own data centre; pause is that between two answers, in
 	// nanoseconds.
-	near  bool
-	pause atomic.Int64
+	sameCentre bool
+	pause      atomic.Int64
 
 	mu    sync.Mutex
 	state wire.EngineState
+	// held remembers what the engine has dropped.
+	held dispatch.Held
 	// asked are the own starts since the state was taken.
 	asked asked
 }
@@ -107,13 +110,42 @@
 			state.Held, state.Stale = known.Held, known.Stale
 		}
 		known = state
-		a.mu.Lock()
-		a.state, a.asked = state, asked{since: time.Now()}
-		a.mu.Unlock()
+		a.take(state)
 		sleep(ctx, pause)
 	}
 }
 
+// take takes a state. An engine that holds no model has lost all it kept in its
+// memory as well.
+func (a *agentClient) take(state wire.EngineState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case state.Known && len(state.Models) == 0:
+		a.held = dispatch.Held{}
+	case state.Known && state.HeldChange != a.state.HeldChange:
+		a.held.Take(state.Held)
+	}
+	a.state, a.asked = state, asked{since: time.Now()}
+}
+
+// forget forgets what an earlier incarnation of the engine kept.
+func (a *agentClient) forget() {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held = dispatch.Held{}
+}
+
+// near is true for an adapter that the engine has dropped and most likely keeps.
+func (a *agentClient) near(adapter string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held.Near(adapter)
+}
+
 func (a *agentClient) snapshot() (wire.EngineState, asked) {
 	if a == nil {
 		return wire.EngineState{}, asked{}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -81,6 +81,7 @@
 		known.entry = e
 		if known.agent == nil && hasEngine(table, e.Service) {
 			known.agent = s.watch(ctx, e.Address, e.DataCentre == s.options.DataCentre)
+			known.agent.forget()
 		}
 	}
 	followed := make(map[*agentClient]bool)
@@ -100,7 +101,7 @@
 		case !followed[agent]:
 			agent.stop()
 			delete(s.agents, address)
-		case agent.near:
+		case agent.sameCentre:
 			near++
 		default:
 			far++
@@ -162,6 +163,9 @@
 	c.LoadTime = time.Duration(state.LoadMillis) * time.Millisecond
 	c.Model = holds(state.Models, model) && !state.Leaving
 	c.Residence = residence(&state, r.Adapter)
+	if c.Residence == dispatch.Absent && v.agent.near(r.Adapter) {
+		c.Residence = dispatch.Near
+	}
 	return c
 }
 
