Hold failures that all servers share against none of them

Each failure counted against its server, so that requests were driven from engine to engine, away from where their adapters were: 127 loads in ten seconds brought an adapter that another engine held.

Only what a server fails beyond the middle one of its service, and beyond what chance adds to that, weighs in the choice.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -133,6 +133,7 @@
 func Pick(candidates []Candidate, r Request, draw func() float64) int {
 	best, lowest := -1, 0.0
 	homes := homeOrder(candidates, r.Adapter)
+	shared := sharedFailures(candidates)
 	for pass := range 2 {
 		for i := range candidates {
 			c := &candidates[i]
@@ -140,7 +141,7 @@
 			if !c.Model || c.Barred && pass == 0 {
 				continue
 			}
-			cost := Cost(c, &r, homes[c.ID]) + jitterCost*draw()
+			cost := Cost(c, &r, homes[c.ID]) + failureCost*max(c.FailureShare-shared, 0) + jitterCost*draw()
 			if best < 0 || cost < lowest {
 				best, lowest = i, cost
 			}
@@ -177,11 +178,11 @@
 	return homes
 }
 
-// Cost estimates what a choice would cost; home is the server's rank for the
+// Cost estimates what a choice would cost, failures aside; home is the server's rank for the
 // adapter, 0 when it has none.
 func Cost(c *Candidate, r *Request, home int) float64 {
 	wait := c.Delay + c.Answer + c.Cold + residenceTime(c, r)
-	cost := residenceCost(c, r, home) + pressure(c, r) + lateness(wait, r) + failureCost*c.FailureShare
+	cost := residenceCost(c, r, home) + pressure(c, r) + lateness(wait, r)
 	if c.DataCentre != r.DataCentre {
 		cost += farCost
 	}
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -113,6 +113,28 @@
 	}
 }
 
+// Status reads fail at every server alike, for what they ask. The others must stay where their adapters and
+// connections are; a server that alone fails must still be left.
+func TestErrorsOfAllServersSayNothingOfOne(t *testing.T) {
+	place := func(shares ...float64) int {
+		candidates := make([]Candidate, len(shares))
+		for i, share := range shares {
+			candidates[i] = candidate(string(rune('a' + i)))
+			candidates[i].FailureShare = share
+			if i > 0 {
+				candidates[i].Residence, candidates[i].LoadTime = Absent, 280*time.Millisecond
+			}
+		}
+		return Pick(candidates, Request{Adapter: "m/a", DataCentre: "here", Target: 500 * time.Millisecond}, none)
+	}
+	if got := place(0.45, 0.33, 0.38, 0.41, 0.36); got != 0 {
+		t.Errorf("with failures everywhere the holder is left for server %d", got)
+	}
+	if got := place(0.45, 0, 0.05, 0, 0.02); got == 0 {
+		t.Error("the only server that fails is kept")
+	}
+}
+
 // An adapter comes back soonest from where it was dropped last: elsewhere it is another load from the store.
 func TestAnAdapterGoesBackToTheServerThatDroppedIt(t *testing.T) {
 	candidates := []Candidate{candidate("one"), candidate("two"), candidate("three")}
--- a/coord/dispatch/health.go
+++ b/coord/dispatch/health.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // Health is what an entry learns of one server from its answers. The zero value
 // is a server of which nothing is known.
@@ -60,3 +64,22 @@
 
 // Answer is the usual time to the first byte.
 func (h *Health) Answer() time.Duration { return h.answer }
+
+// sharedFailures is the share of failures that says nothing of one server: what
+// the middle one of them shows, and what chance adds to it. Requests that fail
+// wherever they run would otherwise drive the others from server to server, away
+// from where their adapters are.
+func sharedFailures(candidates []Candidate) float64 {
+	shares := make([]float64, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].Model {
+			shares = append(shares, candidates[i].FailureShare)
+		}
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	middle := shares[(len(shares)-1)/2]
+	return middle + math.Sqrt(middle*(1-middle)*sampleWeight/(2-sampleWeight))
+}
