Hold no prompt up before an engine's reading rate is known

Nothing is held up until a rate is known; 2,000 tokens read without a pause tell a first one, and it is kept when the engine restarts, which is the same machine.

--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -8,19 +8,28 @@
 // third of a second in the middle of fluent answers.
 //
 // Prompts are started no faster than a share of the engine's reading rate,
-// which is learned from prompts that were read alone.
+// which is learned from prompts that were read alone, and until there are enough
+// of these from all that it read without a pause. Before anything is known
+// prompts are not held up: after a restart there are no streams to halt, and
+// many callers wait for their first event.
 type pace struct {
 	fit fit
+	// busySince is when the engine began to read prompts, behind a pause, and
+	// busyRead the tokens that it has read since. busyRate is what that gave, in
+	// tokens a millisecond; 0 while unknown.
+	busySince time.Time
+	busyRead  int
+	busyRate  float64
 	// readUntil is when the prompts that were started will have been read at
 	// the paced rate.
 	readUntil time.Time
 }
 
 const (
-	// initialRate, in tokens a millisecond, stands until an engine's own rate is
-	// known: half of what today's accelerators read, so that a first guess does
-	// not halt streams.
-	initialRate = 10.0
+	// leastBusy is how many tokens must have been read without a pause before they
+	// tell a rate, and busyWeight the weight of the newest such rate.
+	leastBusy  = 2000
+	busyWeight = 0.3
 	// readShare is the share of the rate that prompts may take while little
 	// waits. With r of it taken, a pause of three steps of s ms lasts 3s/(1-r) ms
 	// at most: 0.7 keeps steps of 12 to 20 ms within 200 ms.
@@ -65,25 +74,55 @@
 	f.nt = f.nt*fade + n*t
 }
 
-// rate is in tokens a millisecond.
+// rate is in tokens a millisecond; 0 while unknown.
 func (f *fit) rate() float64 {
 	if f.weight < leastSamples {
-		return initialRate
+		return 0
 	}
 	meanN, meanT := f.n/f.weight, f.t/f.weight
 	variance := f.nn/f.weight - meanN*meanN
 	slope := (f.nt/f.weight - meanN*meanT) / max(variance, 1)
 	if variance < leastSpread*leastSpread || slope <= 0 {
-		return initialRate
+		return 0
 	}
 	return min(max(1/slope, slowest), fastest)
 }
 
-// cost is how long a prompt takes at the paced rate.
+// rate is in tokens a millisecond; 0 while unknown.
+func (p *pace) rate() float64 {
+	if rate := p.fit.rate(); rate > 0 {
+		return rate
+	}
+	return p.busyRate
+}
+
+// cost is how long a prompt takes at the paced rate, 0 while that is unknown.
 func (p *pace) cost(prompt int, share float64) time.Duration {
-	return time.Duration(float64(prompt) / (p.fit.rate() * share) * float64(time.Millisecond))
+	rate := p.rate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(prompt) / (rate * share) * float64(time.Millisecond))
 }
 
+// read counts a prompt that was read while the engine was busy with prompts.
+func (p *pace) read(prompt int, now time.Time) {
+	p.busyRead += prompt
+	took := float64(now.Sub(p.busySince)) / float64(time.Millisecond)
+	if p.busyRead < leastBusy || took <= 0 {
+		return
+	}
+	rate := min(max(float64(p.busyRead)/took, slowest), fastest)
+	if p.busyRate == 0 {
+		p.busyRate = rate
+		return
+	}
+	p.busyRate += busyWeight * (rate - p.busyRate)
+}
+
+// kept is what stays known when the engine restarts: it is the same machine.
+func (p *pace) kept() pace { return pace{fit: p.fit, busyRate: p.busyRate} }
+
 // opens is when the next prompt may start.
 func (p *pace) opens() time.Time { return p.readUntil.Add(-burst) }
 
@@ -146,6 +185,7 @@
 	}
 	s.begun, s.seen = true, true
 	t.keep(s)
+	t.pace.read(s.prompt, now)
 	if s.alone {
 		t.pace.fit.add(s.prompt, now.Sub(s.at))
 	}
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -117,6 +117,9 @@
 func (t *Table) start(r *Request, now time.Time) Action {
 	share := t.share()
 	alone := !t.reading()
+	if alone {
+		t.pace.busySince, t.pace.busyRead = now, 0
+	}
 	t.disturb()
 	prompt := t.unread(r)
 	t.started[r.ID] = &started{adapter: r.Adapter, prompt: prompt, tokens: r.Tokens, parts: r.Parts, at: now, alone: alone}
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -246,7 +246,7 @@
 	clear(t.unloaded)
 	t.tokens = 0
 	t.leaving = false
-	t.pace = pace{}
+	t.pace = t.pace.kept()
 	t.parts = make(map[string]map[string]bool)
 	return t.refuseAll(ReasonRestarted)
 }
