Bound what one call of the log carries to 256 KB

A leader's peak of memory was 40 MB where its peers had 17: a member that had been frozen for seven seconds got all that it had missed in one call of up to 4 MB, and JSON and base64 copied that several times, into buffers that are kept for the next message (heap profile of a trial: the buffers of the encoder).

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -31,3 +32,28 @@
 		t.Errorf("the caller that a snapshot covers got %+v", answer)
 	}
 }
+
+// A peer that was frozen gets all that it missed. In one call the encoding of some megabytes stayed in the leader's
+// memory for good: each call carries a bounded part, and every message is sent once and in order.
+func TestWhatAPeerMissedIsSentInBoundedParts(t *testing.T) {
+	const messages, size = 40, 100 << 10
+	lane := make(chan replog.Message, messages)
+	for i := range messages {
+		lane <- replog.Message{Kind: replog.KindAppend, Index: uint64(i), Entries: []replog.Entry{{Data: make([]byte, size)}}}
+	}
+	var sent []uint64
+	for len(lane) > 0 {
+		part, _ := collect(<-lane, lane)
+		bytes := 0
+		for _, m := range part {
+			sent = append(sent, m.Index)
+			bytes += len(m.Entries[0].Data)
+		}
+		if bytes >= envelopeBytes+size {
+			t.Errorf("one call carries %d bytes in %d messages", bytes, len(part))
+		}
+	}
+	if len(sent) != messages || !slices.IsSorted(sent) {
+		t.Errorf("sent were %v", sent)
+	}
+}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -23,10 +23,10 @@
 	// laneSize bounds the messages that wait for a peer; when full, new ones
 	// are dropped, and the core sends again what matters.
 	laneSize = 256
-	// envelopeMessages and envelopeBytes bound one call, so that it fits into a
-	// frame after its encoding.
+	// envelopeMessages and envelopeBytes bound one call. Its encoding takes several times
+	// its size at both ends, and a peer that was away gets all that it missed at once.
 	envelopeMessages = 64
-	envelopeBytes    = 4 << 20
+	envelopeBytes    = 256 << 10
 	// maxLearnt bounds the senders that are remembered beside the configuration.
 	maxLearnt = 64
 	// callTimeout bounds one call; a peer that is cut off silently costs no more.
