--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,9 @@
 	versionGraceShare = 0.4
 	// memoryShare of the limit is the collector's goal.
 	memoryShare = 0.7
+	// garbagePercent is how much garbage may pile up beside what is in use, in
+	// percent of it. The peak is paid for, and collecting takes little of a core.
+	garbagePercent = 35
 )
 
 // Platform translates between a deployment's protocol and the product.
@@ -95,6 +98,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit())))
 	log := telemetry.NewBoundedLogger(s.Instance, linesDropped)
 	defer func() { _ = log.Sync() }()
