--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/route"
@@ -217,32 +216,6 @@
 	return "", false
 }
 
-func (j *journey) answered(v *server, status int) {
-	answeredCount.Add(1)
-	if j.first == 0 {
-		j.first = time.Since(j.arrived)
-	}
-	firstLatency.Record(j.first)
-	if j.grantedBy != nil {
-		startLatency.Record(j.waited)
-	}
-	late := j.first > j.route.Target || j.route.Gap > 0 && j.longestGap > j.route.Gap
-	switch {
-	case late:
-		lateCount.Add(1)
-		j.note("request answered late", v, status)
-	case j.arrivals > 1 || ordinary(j.call.ID):
-		j.note("request answered", v, status)
-	}
-}
-
-// ordinaryShare is how many answers in time stand for one line in the log: an
-// entry's volume then follows its failures, not its load.
-const ordinaryShare = 16
-
-// ordinary picks the same requests on every entry.
-func ordinary(id string) bool { return xxhash.Sum64String(id)%ordinaryShare == 0 }
-
 // streamBuffer holds what arrives at once.
 const streamBuffer = 4 << 10
 
@@ -291,19 +264,6 @@
 	return j.afterFailure(r.server, r.verdict)
 }
 
-// noteEvent measures the time to the first event and the pauses behind it.
-func (j *journey) noteEvent(now time.Time) {
-	if j.eventAt.IsZero() {
-		j.first = now.Sub(j.arrived)
-		if j.grantedBy != nil {
-			j.grantedBy.begun(j.call.ID, j.starts)
-		}
-	} else {
-		j.longestGap = max(j.longestGap, now.Sub(j.eventAt))
-	}
-	j.eventAt = now
-}
-
 // eventBuffer cuts a stream into whole events.
 type eventBuffer struct {
 	held []byte
