Decide once whether a failed request may be offered again

The entry by contracts asked this of its retry budget, the one by routes had its own rule beside it: both that what may have run must not run twice unless it is idempotent, and that no request has more than its attempts. retry.Fate says so for both now; who pays for the repeat stays with each. A table test names the cases.

--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -114,11 +114,11 @@
 }
 
 func (b *Budget) refusal(e Ended) Reason {
+	fate := Fate{Outcome: e.Outcome, Idempotent: e.Idempotent, Attempts: e.Attempt, Most: b.limits.Attempts}
+	if reason := fate.Refusal(); reason != ReasonNone {
+		return reason
+	}
 	switch {
-	case e.Outcome != outcome.NotRun && !e.Idempotent:
-		return ReasonMayHaveRun
-	case e.Attempt >= b.limits.Attempts:
-		return ReasonAttempts
 	case b.spent[e.Contract]+1 > b.limits.PerContract:
 		return ReasonContractBudget
 	case b.total+1 > b.limits.Total:
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -102,3 +102,24 @@
 	}
 	return float64(attempts) / stormRequests
 }
+
+// Both edges ask this of an attempt that failed. A wrong answer runs a booking twice, or gives up a read that another
+// server would have answered.
+func TestWhetherARequestMayBeOfferedAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		fate retry.Fate
+		want retry.Reason
+	}{
+		{"a booking that did not run", retry.Fate{Outcome: outcome.NotRun, Attempts: 1, Most: 2}, retry.ReasonNone},
+		{"a booking that may have run", retry.Fate{Outcome: outcome.Unknown, Attempts: 1, Most: 2}, retry.ReasonMayHaveRun},
+		{"a read that may have run", retry.Fate{Outcome: outcome.Unknown, Idempotent: true, Attempts: 1, Most: 2}, retry.ReasonNone},
+		{"a read that had its attempts", retry.Fate{Outcome: outcome.Unknown, Idempotent: true, Attempts: 2, Most: 2}, retry.ReasonAttempts},
+		{"a booking that had its attempts and never ran", retry.Fate{Outcome: outcome.NotRun, Attempts: 2, Most: 2}, retry.ReasonAttempts},
+	}
+	for _, test := range tests {
+		if got := test.fate.Refusal(); got != test.want {
+			t.Errorf("%s: %q, want %q", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
+	"github.com/rosemarypass/rosemarypass/coord/outcome"
+	"github.com/rosemarypass/rosemarypass/coord/retry"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
@@ -116,7 +118,8 @@
 
 // mayRepeat is true when a request that may have run can be sent once more.
 func (j *journey) mayRepeat() bool {
-	return j.route.Idempotent() && j.runs < max(j.route.Attempts, 1)
+	fate := retry.Fate{Outcome: outcome.Unknown, Idempotent: j.route.Idempotent(), Attempts: j.runs, Most: max(j.route.Attempts, 1)}
+	return fate.Refusal() == retry.ReasonNone
 }
 
 // notRun takes a server's word that it did not run the request.
