Keep places free for callers that can still be in time

A burst over engines that are too few makes nearly everybody late: requests that are late already take each place of the batch as it comes free, the next callers find none and are late in their turn. Played in virtual time with twice the callers that an engine can serve, 32 of 960 were in time (480 could be).

Each request that becomes late although its adapter is there keeps one more place free for those that are not; that fades with a half-life of two seconds. Late ones start while fewer places are taken.

--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -9,6 +9,7 @@
 // plan starts what can start and orders what the rest needs.
 func (t *Table) plan(now time.Time) []Action {
 	actions := t.replaceOutdated(now)
+	t.noteLate(now)
 	t.order(now)
 	kept := t.waiting[:0]
 	for _, r := range t.waiting {
@@ -91,7 +92,7 @@
 // canRun is true while the batch and the memory have room. A request that is
 // larger than the memory is let through alone: the engine refuses it itself.
 func (t *Table) canRun(r *Request, now time.Time) bool {
-	if len(t.started) >= t.options.Batch || now.Before(t.pace.opens()) {
+	if len(t.started) >= t.room(r, now) || now.Before(t.pace.opens()) {
 		return false
 	}
 	return t.tokens+r.Tokens <= t.options.MemoryTokens || len(t.started) == 0
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -49,6 +49,8 @@
 	Target time.Time
 	// Latest is when a start is of no use any more.
 	Latest time.Time
+	// late is true once a start would miss the target.
+	late bool
 }
 
 // Action is something that the owner must do.
@@ -154,6 +156,8 @@
 	// newest are the versions that were named, with when this table heard.
 	newest map[string]named
 	pace   pace
+	// reserve is kept free for requests that can be in time.
+	reserve reserve
 	// parts are those that the engine has read, by adapter.
 	parts map[string]map[string]bool
 	// unloaded are the adapters that the engine has dropped, and when: a report
