Read prompts as fast as the streams beside them bear

Where much waited, prompts took 0.95 of an engine's reading rate.

An entry tells the agent the longest pause of each stream that ends, and the one that its route allows. A pause that was too long lowers the share by 0.03, a stream without one raises it by 0.001, between 0.7 and 0.95.

--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -34,10 +34,8 @@
 	// waits. With r of it taken, a pause of three steps of s ms lasts 3s/(1-r) ms
 	// at most: 0.7 keeps steps of 12 to 20 ms within 200 ms.
 	readShare = 0.7
-	// rushShare is the share where much waits: those that wait lose more by it
-	// than the running ones by longer pauses.
-	rushShare = 0.95
-	// rushFrom and rushBy are the waits between which the share rises.
+	// rushFrom and rushBy are the waits between which the share rises to the most
+	// that streams bear.
 	rushFrom = 300 * time.Millisecond
 	rushBy   = 1200 * time.Millisecond
 	// burst may be started beyond the pace: the reading of a prompt begins with
@@ -140,7 +138,7 @@
 		backlog += t.pace.cost(t.unread(&t.waiting[i]), readShare)
 	}
 	rush := float64(backlog-rushFrom) / float64(rushBy-rushFrom)
-	return readShare + (rushShare-readShare)*min(max(rush, 0), 1)
+	return readShare + (t.pauses.most()-readShare)*min(max(rush, 0), 1)
 }
 
 // Ranks is how many ranks Delay tells apart.
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -156,6 +156,7 @@
 	// newest are the versions that were named, with when this table heard.
 	newest map[string]named
 	pace   pace
+	pauses pauses
 	// reserve is kept free for requests that can be in time.
 	reserve reserve
 	// parts are those that the engine has read, by adapter.
@@ -182,7 +183,7 @@
 
 // New returns a table for an engine that holds nothing.
 func New(options Options) *Table {
-	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), ending: make(map[string]ending), newest: make(map[string]named), unloaded: make(map[string]time.Time), parts: make(map[string]map[string]bool)}
+	return &Table{options: options, places: make(map[string]*place), started: make(map[string]*started), ending: make(map[string]ending), newest: make(map[string]named), unloaded: make(map[string]time.Time), parts: make(map[string]map[string]bool), pauses: pauses{below: firstBelow}}
 }
 
 // SetOptions changes what is known of the engine.
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -196,16 +196,25 @@
 }
 
 // begun tells that a request has produced its first event.
-func (a *agentClient) begun(id string, try int) { a.tell(wire.MethodStartBegun, id, try) }
+func (a *agentClient) begun(id string, try int) {
+	a.tell(wire.MethodStartBegun, wire.StartDone{ID: id, Try: try})
+}
 
 // done tells that a request has ended.
-func (a *agentClient) done(id string, try int) { a.tell(wire.MethodStartDone, id, try) }
+func (a *agentClient) done(id string, try int) {
+	a.tell(wire.MethodStartDone, wire.StartDone{ID: id, Try: try})
+}
+
+// ended tells that a request has ended whose stream had pauses.
+func (a *agentClient) ended(id string, try int, longest, allowed time.Duration) {
+	a.tell(wire.MethodStartDone, wire.StartDone{ID: id, Try: try, PauseMillis: longest.Milliseconds(), AllowedMillis: allowed.Milliseconds()})
+}
 
-func (a *agentClient) tell(method, id string, try int) {
+func (a *agentClient) tell(method string, told wire.StartDone) {
 	go func() {
 		call, cancel := context.WithTimeout(context.Background(), grantMargin)
 		defer cancel()
 		// An agent that cannot be told finds out by the engine's reports.
-		_ = a.client.Call(call, method, wire.StartDone{ID: id, Try: try}, &wire.Empty{})
+		_ = a.client.Call(call, method, told, &wire.Empty{})
 	}()
 }
--- a/internal/gateway/journey.go
+++ b/internal/gateway/journey.go
@@ -163,7 +163,7 @@
 	if granted {
 		j.grantedBy = v.agent
 		start := j.starts
-		release = func() { v.agent.done(j.call.ID, start) }
+		release = func() { v.agent.ended(j.call.ID, start, j.longestGap, j.route.Gap) }
 	}
 	r, next := j.offer(v)
 	if r == nil {
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -93,7 +93,12 @@
 }
 
 func (s *Sidecar) done(_ context.Context, in wire.StartDone) (wire.Empty, error) {
-	return wire.Empty{}, s.submit(func(d *duty) { d.end(in.ID, in.Try) })
+	return wire.Empty{}, s.submit(func(d *duty) {
+		if in.PauseMillis > 0 {
+			d.table.Paused(time.Duration(in.PauseMillis)*time.Millisecond, time.Duration(in.AllowedMillis)*time.Millisecond)
+		}
+		d.end(in.ID, in.Try)
+	})
 }
 
 func (s *Sidecar) begun(_ context.Context, in wire.StartDone) (wire.Empty, error) {
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -58,6 +58,10 @@
 type StartDone struct {
 	ID  string `json:"id"`
 	Try int    `json:"try"`
+	// PauseMillis is the longest pause between two events of a stream that has
+	// ended, AllowedMillis the one that its route allows; 0 where none was seen.
+	PauseMillis   int64 `json:"pauseMillis,omitempty"`
+	AllowedMillis int64 `json:"allowedMillis,omitempty"`
 }
 
 // StartWatch asks for a state newer than Change.
