Bring two adapters at once, and count only loads from the store

An agent brought one adapter at a time once loads took over 560 ms, a bound from an earlier engine's 280, and reckoned loads from the engine's own memory (53 ms) into what the store takes, so that what it told callers of a load was too short.

Two at once throughout; only loads from the store are reckoned.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -116,7 +116,7 @@
 
 // untilLoaded is how long an adapter that is asked for now would take to come.
 func (d *duty) untilLoaded() time.Duration {
-	before := d.table.LoadBacklog() / d.loadsAtOnce()
+	before := d.table.LoadBacklog() / loadsAtOnce
 	return time.Duration(before+1) * d.loadTime
 }
 
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -104,7 +104,7 @@
 			d.sequence++
 		}
 		if order.Load && r.result == OrderAccepted && order.Adapter != "" {
-			d.ordered[name] = now
+			d.ordered[name] = orderedLoad{at: now, near: d.kept.Near(name)}
 		}
 		if !order.Load && r.result == OrderDone {
 			d.perform(d.table.Unloaded(name, now))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/coord/residency"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
@@ -44,13 +47,14 @@
 	// maxQueue bounds the requests that wait for a start, as a multiple of the
 	// batch: more could not start before their callers give up.
 	maxQueue = 8
-	// loadsWhenCalm is how many adapters are on their way to one engine while the
-	// store is calm, and loadsWhenSlow while it is not: it gives all of them
-	// the same in sum, and one after the other the first ones come sooner.
-	loadsWhenCalm = 2
-	loadsWhenSlow = 1
-	// slowLoad is the usual load time from which the store counts as slow.
-	slowLoad = 2 * calmLoad
+	// loadsAtOnce is how many adapters are on their way to one engine. The store
+	// gives all engines the same in sum beyond its knee, where one after the other
+	// would bring the first ones sooner; below it two come in the time of one.
+	loadsAtOnce = 2
+	// guessedLoad stands for the time of a load until one was seen.
+	guessedLoad = 280 * time.Millisecond
+	// loadWeight is the weight of the newest load in their usual time.
+	loadWeight = 0.4
 )
 
 // Sidecar is the agent.
@@ -89,10 +93,12 @@
 	reports  chan reported
 	results  chan ordered
 	ordering bool
-	// ordered is when the loads under way were accepted.
-	ordered map[string]time.Time
-	// loadTime is what loads took lately.
+	// ordered are the loads under way.
+	ordered map[string]orderedLoad
+	// loadTime is what loads from the store took lately, kept what the engine keeps
+	// in its own memory.
 	loadTime time.Duration
+	kept     dispatch.Held
 	// emptySince is since when the engine holds no model; asking is true while a
 	// permit to load one is asked for, permitted is the model that it named.
 	emptySince time.Time
@@ -102,6 +108,13 @@
 	summed time.Time
 }
 
+// orderedLoad is a load that the engine has accepted.
+type orderedLoad struct {
+	at time.Time
+	// near is true for one from the engine's own memory.
+	near bool
+}
+
 // reported is the result of a report, ordered that of an order.
 type reported struct {
 	asked  time.Time
@@ -120,7 +133,7 @@
 	d := &duty{
 		Sidecar: s, token: time.Now().UnixMilli(), waiters: make(map[string]chan<- wire.StartReply), tries: make(map[string]int),
 		table:   residency.New(residency.Options{Queue: 1}),
-		reports: make(chan reported, 1), results: make(chan ordered, 1), ordered: make(map[string]time.Time), loadTime: calmLoad,
+		reports: make(chan reported, 1), results: make(chan ordered, 1), ordered: make(map[string]orderedLoad), loadTime: guessedLoad,
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -180,19 +193,11 @@
 		d.service = service
 		d.table.SetOptions(residency.Options{
 			Places: service.Engine.AdapterSlots, Batch: service.Engine.Batch, MemoryTokens: service.Engine.MemoryTokens,
-			Loads: d.loadsAtOnce(), Queue: maxQueue * service.Engine.Batch, Grace: d.options.VersionGrace,
+			Loads: loadsAtOnce, Queue: maxQueue * service.Engine.Batch, Grace: d.options.VersionGrace,
 		})
 	}
 }
 
-// loadsAtOnce is how many loads may be under way.
-func (d *duty) loadsAtOnce() int {
-	if d.loadTime > slowLoad {
-		return loadsWhenSlow
-	}
-	return loadsWhenCalm
-}
-
 // ask asks the engine for its report.
 func (d *duty) ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -220,6 +225,7 @@
 	}
 	d.report, d.known = report, true
 	d.noteLoaded(now)
+	d.kept.Take(slices.Collect(maps.Keys(report.Adapters)))
 	d.forgetTries()
 	if !d.ordering {
 		d.sequence = report.Sequence
@@ -235,27 +241,22 @@
 	d.provideModel(ctx, now)
 }
 
-const (
-	// calmLoad is what a load is taken to last until one was seen.
-	calmLoad = 280 * time.Millisecond
-	// loadWeight is the weight of the newest load in their usual time.
-	loadWeight = 0.4
-)
-
 // loadLatency is what loads of adapters took.
 var loadLatency = telemetry.LatencyOf("sidecar_load_millis")
 
 // noteLoaded logs how long the adapters that are there now took.
 func (d *duty) noteLoaded(now time.Time) {
-	for name, since := range d.ordered {
+	for name, load := range d.ordered {
 		if _, held := d.report.Adapters[name]; !held {
 			continue
 		}
 		delete(d.ordered, name)
-		d.loadTime += time.Duration(loadWeight * float64(now.Sub(since)-d.loadTime))
-		d.setOptions(d.documents.Current().Table)
-		loadLatency.Record(now.Sub(since))
-		d.log.Info("adapter loaded", zap.String("adapter", name), zap.Duration("took", now.Sub(since)), zap.Int("coming", len(d.report.Coming)), zap.Int("waiting", d.table.Waiting()))
+		took := now.Sub(load.at)
+		if !load.near {
+			d.loadTime += time.Duration(loadWeight * float64(took-d.loadTime))
+		}
+		loadLatency.Record(took)
+		d.log.Info("adapter loaded", zap.String("adapter", name), zap.Duration("took", took), zap.Bool("near", load.near), zap.Int("coming", len(d.report.Coming)), zap.Int("waiting", d.table.Waiting()))
 	}
 }
 
@@ -280,6 +281,7 @@
 	d.sequence = report.Sequence
 	d.orders, d.unanswered = nil, nil
 	clear(d.ordered)
+	d.kept = dispatch.Held{}
 	d.perform(d.table.Restarted())
 }
 
