--- /dev/null
+++ b/internal/mesh/restart_test.go
@@ -0,0 +1,110 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+)
+
+// All processes stop at once and one comes back before the others. Its callers must not be routed by an older
+// configuration than it had in force, nor wait for a leader to be routed at all.
+func TestARestartedEntryGoesOnWithTheConfigurationItHad(t *testing.T) {
+	const last = snapshotEntries + 12
+	f := startFleet(t, 3, 0)
+	eventually(t, func() bool { return f.voters(0) == 3 })
+	for version := uint64(1); version <= last; version++ {
+		f.put(0, version)
+	}
+	for i := range f.nodes {
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == last })
+	}
+	for i := range f.nodes {
+		f.stop(i)
+	}
+	for i := range f.nodes {
+		f.start(i, false)
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().Table != nil })
+		if got := f.nodes[i].Documents().Current().State.Version; got != last {
+			t.Errorf("entry %d is back with version %d, it had %d in force", i, got, last)
+		}
+		f.stop(i)
+	}
+}
+
+// An entry restarts, and the servers announce themselves again only some tenths of a second later. It must know
+// them at once, or each caller until then is refused; a server that ended meanwhile must not stay for long.
+func TestARestartedEntryRecallsItsServers(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	serving := roster.Server{ID: "s", Born: 1, Sequence: 4, Service: "x", Address: "a:1", Models: []string{"m"}}
+	left := roster.Server{ID: "gone", Born: 1, Sequence: 2, Service: "x", Address: "a:2"}
+	for _, s := range []roster.Server{serving, left} {
+		if err := f.nodes[0].Announce(context.Background(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.nodes[0].Leave(context.Background(), left.ID, left.Born); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool {
+		data, err := os.ReadFile(f.nodes[0].serversPath())
+		return err == nil && bytes.Contains(data, []byte(`"gone":true`))
+	})
+	f.stop(0)
+	f.start(0, false)
+	known := f.nodes[0].Serving()
+	if len(known) != 1 || known[0].ID != serving.ID || known[0].Models[0] != "m" {
+		t.Fatalf("it is back with %+v", known)
+	}
+	left.Sequence = 3
+	if err := f.nodes[0].Announce(context.Background(), left); err != nil || f.nodes[0].MayServe(left.ID) {
+		t.Errorf("a late announcement brings a server back that left: %v", err)
+	}
+	if !f.nodes[0].Doubt(serving.ID) || len(f.nodes[0].Serving()) != 0 {
+		t.Error("a server that answered as another one is still listed")
+	}
+	serving.Sequence = 5
+	if err := f.nodes[0].Announce(context.Background(), serving); err != nil || f.nodes[0].Doubt(serving.ID) {
+		t.Errorf("a server that was heard is doubted: %v", err)
+	}
+}
+
+// A loss of power leaves a part of the file of servers. The entry must start all the same.
+func TestATornListOfServersIsPassedOver(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	if err := os.MkdirAll(f.folders[0], 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(f.folders[0], serversFile), []byte(`[{"id":"s","bo`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.start(0, true)
+	if known := f.nodes[0].Serving(); len(known) != 0 {
+		t.Errorf("it knows %+v", known)
+	}
+	f.put(0, 1)
+}
+
+// Processes restart together and ask each other for the configuration. One that asks another that has none either
+// must go on to the next, and not wait there while a third one has it on its disk.
+func TestARestartedProcessFindsTheConfigurationWithoutALeader(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	eventually(t, func() bool { return f.voters(0) == 2 })
+	f.put(0, 7)
+	for i := range f.nodes {
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 7 })
+	}
+	for i := range f.nodes {
+		f.stop(i)
+	}
+	// The other disk stays away: no leader can be there.
+	for _, i := range []int{3, 2, 0} {
+		f.start(i, false)
+	}
+	for _, i := range []int{3, 2, 0} {
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 7 })
+	}
+}
