Keep a pulled configuration on the disk before it is in force

Callers of a restarted entry could meet an older configuration than it had had in force, or none. An entry with a disk pulls from another one while its own log lags, and acted by that at once; its log said some 35 ms later that the entry is committed. A stop in between lost it, and without a leader nobody told.

--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -54,6 +54,7 @@
 // bears its source's address.
 const (
 	originLog  = "own log"
+	originDisk = "own disk"
 	originRead = "confirmed read at "
 	originPull = "pulled from "
 )
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -97,7 +97,7 @@
 			return
 		}
 		if reply.Newer {
-			m.documents.Take(reply.State, originPull+address)
+			m.takePulled(reply.State, originPull+address)
 		}
 		told = reply.Digest
 		now := time.Now()
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	machine.begin()
+	machine.begin(h.mesh.keeper.recall())
 	h.current.Store(r)
 	h.opened = time.Now()
 	h.mesh.log.Info("the log's disk is open", zap.Duration("took", h.opened.Sub(asked)),
@@ -182,9 +182,13 @@
 	begun     bool
 }
 
-// begin puts in force what the folder held.
-func (a *machine) begin() {
+// begin puts in force what the folder held: the log's state, or a newer one that
+// was pulled.
+func (a *machine) begin(kept document.State) {
 	a.begun = true
+	if kept.Index > a.state.State().Index {
+		a.documents.Take(kept, originDisk)
+	}
 	a.put()
 }
 
@@ -251,6 +255,6 @@
 	held := m.documents.Current().State
 	var reply pullReply
 	if err := client.Call(call, methodPull, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version}, &reply); err == nil && reply.Newer {
-		m.documents.Take(reply.State, originPull+address)
+		m.takePulled(reply.State, originPull+address)
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -70,6 +70,8 @@
 	log       *zap.Logger
 	documents *Documents
 	host      *logHost
+	// keeper is nil without a disk.
+	keeper *keeper
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -107,6 +109,7 @@
 	}
 	if options.Folder != "" {
 		m.host = newLogHost(m)
+		m.keeper = newKeeper(options.Folder, log)
 		m.recall(time.Now())
 	}
 	return m
@@ -149,6 +152,7 @@
 	}
 	if m.host != nil {
 		m.duties.Go(func() { m.host.run(ctx) })
+		m.duties.Go(func() { m.keeper.run(ctx) })
 		m.duties.Go(func() { m.keepServers(ctx) })
 	} else {
 		m.duties.Go(func() { m.follow(ctx) })
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -57,7 +57,7 @@
 		err := m.forward(ctx, address, methodRead, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version}, &reply)
 		if err == nil {
 			if reply.Newer {
-				m.documents.Take(reply.State, originRead+address)
+				m.takePulled(reply.State, originRead+address)
 			}
 			return m.documents.Current().State, nil
 		}
--- a/internal/mesh/restart_test.go
+++ b/internal/mesh/restart_test.go
@@ -6,7 +6,11 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 )
 
@@ -88,6 +92,37 @@
 	f.put(0, 1)
 }
 
+// An entry with a disk has a configuration from another one before its own log knows that it is committed.
+func TestAPulledConfigurationIsOnTheDiskBeforeItIsInForce(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	eventually(t, func() bool { return f.voters(0) == 2 })
+	f.put(0, 7)
+	f.stop(1)
+	newer := f.nodes[0].Documents().Current().State
+	newer.Index, newer.Version, newer.Body = newer.Index+10, 9, []byte(`{"Version":9}`)
+	f.nodes[0].takePulled(newer, "test")
+	f.stop(0)
+	f.start(0, false)
+	eventually(t, func() bool { return f.nodes[0].Documents().Current().Table != nil })
+	if got := f.nodes[0].Documents().Current().State.Version; got != 9 {
+		t.Errorf("the entry is back with version %d, it had 9 in force", got)
+	}
+}
+
+// A disk that hangs must not keep a newer configuration from callers.
+func TestAHangingDiskHoldsNoConfigurationBack(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	m := New(Options{Self: Process{Address: f.addresses[0], Entry: true, Disk: true}, Folder: f.folders[0]}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	// Nobody runs the keeper, as if its first write never returned.
+	m.keeper.patience = time.Millisecond
+	for version := uint64(1); version <= 3; version++ {
+		m.takePulled(document.State{Index: version, Version: version, Body: []byte(`{}`)}, "test")
+	}
+	if got := m.Documents().Current().State.Version; got != 3 {
+		t.Errorf("version %d is in force", got)
+	}
+}
+
 // Processes restart together and ask each other for the configuration. One that asks another that has none either
 // must go on to the next, and not wait there while a third one has it on its disk.
 func TestARestartedProcessFindsTheConfigurationWithoutALeader(t *testing.T) {
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -108,8 +108,8 @@
 	return file, nil
 }
 
-// writeAtomically makes a file appear whole and synced, or not at all.
-func writeAtomically(fs FS, folder, name string, data []byte) error {
+// WriteAtomically makes a file appear whole and synced, or not at all.
+func WriteAtomically(fs FS, folder, name string, data []byte) error {
 	temporary := folder + "/" + name + temporarySuffix
 	file, err := fs.Create(temporary)
 	if err != nil {
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return Identity{}, errors.Wrap(err, "encode identity")
 	}
-	return identity, writeAtomically(fs, folder, identityName, data)
+	return identity, WriteAtomically(fs, folder, identityName, data)
 }
 
 func readIdentity(fs FS, path, instance string) (Identity, error) {
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -81,7 +81,7 @@
 		return errors.New("the snapshot is too large")
 	}
 	name := fileName(s.Index, snapshotSuffix)
-	if err := writeAtomically(l.options.FS, l.options.Folder, name, appendFrame(nil, payload)); err != nil {
+	if err := WriteAtomically(l.options.FS, l.options.Folder, name, appendFrame(nil, payload)); err != nil {
 		return err
 	}
 	previous := l.snapshot
