A restarted process acts by a configuration only once it is confirmed

The cause: a process takes what its own disk knows to be committed, or what the first other process holds, as in force. Neither shows that nothing newer was acknowledged. Members of the log learn of a commit up to a heartbeat after the acknowledgement, and a process without a disk remembers nothing.

Now what is held is told apart from what is confirmed. A process that has started looks for a proof that every change acknowledged before it started is in what it holds: a confirmed read from the leader, or the ends of the logs of a majority of the voters (coord/freshness, as the product's own entries do), so that it need not wait for a leader. Members look themselves, one round for all who ask; others ask three members at once. Until then requests wait at the entry as they do without a configuration, or are refused as not run; agents take no limits and versions from it; the leader grants no loads by it.

Red with the proof left out: TestARestartedProcessActsByNothingOlderThanWhatWasInForce (acts by 7, 9 was in force), TestNothingOlderIsInForceAfterDisksAreLostWhileAllElseStops (two of five disks lost, the leader's among them, all else stopped: acts by 2, 3 was acknowledged). TestRequestsWaitForTheConfigurationOfAnEntryThatHasJustStarted now expects 503 where it expected 404, until the configuration is confirmed: a refusal by what may be an old one is the fault itself.

--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -54,21 +54,7 @@
 }
 
 // Standing implements Log.
-func (l replicatedLog) Standing() freshness.Standing {
-	applied := l.replica.Applied()
-	end, status := l.replica.End(), l.replica.Status()
-	standing := freshness.Standing{
-		Term:      end.Term,
-		LastIndex: end.Last,
-		Applied:   applied,
-		Leader:    string(status.Leader),
-		Voter:     end.Config.Voter(status.ID) && l.replica.Failure() == "",
-	}
-	for _, voter := range end.Config.Voters {
-		standing.Voters = append(standing.Voters, voter.Address)
-	}
-	return standing
-}
+func (l replicatedLog) Standing() freshness.Standing { return l.replica.Standing() }
 
 func (c *Control) routeMembers(router chi.Router) {
 	router.Get("/members", c.listMembers)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,7 +181,7 @@
 func (g *Gateway) route(r *http.Request, arrived time.Time) answer.Answer {
 	call := g.edge.Parse(r)
 	if !g.configured() && !g.room.await(r.Context(), g.room.options.Latest(arrived, call.Patience), g.configured) {
-		return g.refuse(&call, "no configuration has arrived yet", retrySoon)
+		return g.refuse(&call, g.unconfigured(), retrySoon)
 	}
 	table := g.mesh.Documents().Current().Table
 	found := table.Lookup(r.Host, r.URL.Path)
@@ -204,7 +204,15 @@
 	return j.run()
 }
 
-func (g *Gateway) configured() bool { return g.mesh.Documents().Current().Table != nil }
+func (g *Gateway) configured() bool { return g.mesh.Documents().Current().Usable() }
+
+// unconfigured says why nothing can be routed.
+func (g *Gateway) unconfigured() string {
+	if g.mesh.Documents().Current().Table == nil {
+		return "no configuration has arrived yet"
+	}
+	return "the configuration may be an old one"
+}
 
 // readBody reads the request's body into the call; where it cannot, it returns
 // what the caller gets instead.
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -39,8 +39,8 @@
 	return w, time.Since(from)
 }
 
-// All entries restart, and requests come before the configuration is there. They must wait for it, as long as they
-// can still come back; an entry that has been up for long refuses them at once.
+// All entries restart, and requests come before the configuration is there, or while it may be an old one. They must
+// wait, as long as they can still come back; an entry that has been up for long refuses them at once.
 func TestRequestsWaitForTheConfigurationOfAnEntryThatHasJustStarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		documents := mesh.NewDocuments(decodeNothing, zap.NewNop())
@@ -49,9 +49,13 @@
 		if w, took := ask(g, 600*time.Millisecond); w.Code != http.StatusServiceUnavailable || took != 200*time.Millisecond || w.Header().Get("Retry-After") == "" {
 			t.Errorf("without a configuration it got %d after %v", w.Code, took)
 		}
-		time.AfterFunc(100*time.Millisecond, func() { documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")}, "test") })
+		documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")}, "test")
+		if w, took := ask(g, 600*time.Millisecond); w.Code != http.StatusServiceUnavailable || took != 200*time.Millisecond {
+			t.Errorf("with a configuration that may be an old one it got %d after %v", w.Code, took)
+		}
+		time.AfterFunc(100*time.Millisecond, func() { documents.Confirm("test") })
 		if w, took := ask(g, 6*time.Second); w.Code != http.StatusNotFound || took > 100*time.Millisecond+2*lookInterval {
-			t.Errorf("with a configuration after 100 ms it got %d after %v", w.Code, took)
+			t.Errorf("with a configuration that is confirmed after 100 ms it got %d after %v", w.Code, took)
 		}
 		// The room's own goroutine ends with its next look.
 		time.Sleep(2 * lookInterval)
--- /dev/null
+++ b/internal/mesh/confirm_test.go
@@ -0,0 +1,118 @@
+package mesh
+
+import (
+	"os"
+	"testing"
+)
+
+// usable waits until a process acts by a configuration, and returns its version then.
+func (f *fleet) usable(i int) uint64 {
+	f.t.Helper()
+	var in *InForce
+	eventually(f.t, func() bool {
+		in = f.nodes[i].Documents().Current()
+		return in.Usable()
+	})
+	return in.State.Version
+}
+
+// Everything stops. Of those that are back first, one missed the last change, and one without a disk, which had it in
+// force, takes what the other holds.
+func TestARestartedProcessActsByNothingOlderThanWhatWasInForce(t *testing.T) {
+	f := startFleet(t, 3, 1)
+	eventually(t, func() bool { return f.voters(0) == 3 })
+	f.put(0, 7)
+	for i := range f.nodes {
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 7 })
+	}
+	f.stop(0)
+	f.put(1, 9)
+	for _, i := range []int{1, 2, 3} {
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 9 })
+	}
+	for i := range f.nodes {
+		f.stop(i)
+	}
+	for _, i := range []int{0, 3} {
+		f.start(i, false)
+		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 7 })
+		if f.nodes[i].Documents().Current().Usable() {
+			t.Errorf("process %d acts by version 7, 9 was in force", i)
+		}
+	}
+	f.start(1, false)
+	for _, i := range []int{0, 1, 3} {
+		if got := f.usable(i); got != 9 {
+			t.Errorf("process %d acts by version %d, 9 was in force", i, got)
+		}
+	}
+}
+
+// As many disks are lost as may be, the leader's among them, and all other machines stop at the same moment, those
+// without a disk too.
+func TestNothingOlderIsInForceAfterDisksAreLostWhileAllElseStops(t *testing.T) {
+	const disks, losses = 5, 2
+	f := newFleet(t, disks, 2)
+	f.losses = losses
+	for i := range f.nodes {
+		f.start(i, true)
+	}
+	eventually(t, func() bool { return f.voters(0) == disks })
+	version := uint64(0)
+	for range 2 {
+		for range 3 {
+			version++
+			f.put(disks, version)
+		}
+		lost := 0
+		for i := range f.nodes {
+			if lost < losses && f.nodes[i] != nil && f.nodes[i].Self().Leads {
+				f.wipe(i)
+				lost++
+			}
+		}
+		for i := 0; lost < losses; i++ {
+			if f.nodes[i] != nil {
+				f.wipe(i)
+				lost++
+			}
+		}
+		for i := range f.nodes {
+			f.stop(i)
+		}
+		for i := range f.nodes {
+			f.start(i, false)
+		}
+		for i := range f.nodes {
+			if got := f.usable(i); got != version {
+				t.Errorf("process %d acts by version %d, %d was acknowledged", i, got, version)
+			}
+		}
+		for i := range disks {
+			eventually(t, func() bool { return f.nodes[i].host.takesPart() && f.voters(i) == disks && f.whole(i) })
+		}
+	}
+}
+
+// wipe stops a process and loses its disk.
+func (f *fleet) wipe(i int) {
+	f.t.Helper()
+	f.stop(i)
+	if err := os.RemoveAll(f.folders[i]); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// whole is true when each voter is a process that runs now.
+func (f *fleet) whole(i int) bool {
+	for _, voter := range f.nodes[i].host.current.Load().Status().Config.Voters {
+		found := false
+		for _, n := range f.nodes {
+			found = found || string(voter.ID) == n.Self().Member
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -14,13 +14,20 @@
 // Decode reads a configuration's body.
 type Decode func(body []byte) (*route.Document, error)
 
-// InForce is the configuration that a process acts by. It is immutable.
+// InForce is the configuration that a process holds, and acts by once it is
+// confirmed. It is immutable.
 type InForce struct {
 	State document.State
 	// Table is nil before the first configuration.
 	Table *route.Table
+	// Confirmed is true once every change that was acknowledged, or in force
+	// anywhere, before this process started is known to be in the state.
+	Confirmed bool
 }
 
+// Usable reports whether requests may be admitted, routed and refused by it.
+func (f *InForce) Usable() bool { return f.Confirmed && f.Table != nil }
+
 // Documents holds the configuration in force in this process. It never steps
 // back: of two states the one with the higher index counts, whichever way it
 // came.
@@ -68,7 +75,7 @@
 	if state.Index <= held.State.Index {
 		return
 	}
-	next := &InForce{State: state, Table: held.Table}
+	next := &InForce{State: state, Table: held.Table, Confirmed: held.Confirmed}
 	switch {
 	case state.Version == held.State.Version:
 		next.State.Body = held.State.Body
@@ -82,8 +89,28 @@
 		}
 		next.Table = route.NewTable(parsed)
 	}
+	d.replace(next)
+	d.log.Info("configuration in force", zap.Bool("confirmed", next.Confirmed), zap.Uint64("version", state.Version), zap.Uint64("index", state.Index), zap.Int("adapterVersions", len(state.Adapters)), zap.String("origin", origin))
+}
+
+// replace makes next the current one and wakes those who wait. The caller holds
+// mu.
+func (d *Documents) replace(next *InForce) {
 	d.current.Store(next)
 	close(d.changed)
 	d.changed = make(chan struct{})
-	d.log.Info("configuration in force", zap.Uint64("version", state.Version), zap.Uint64("index", state.Index), zap.Int("adapterVersions", len(state.Adapters)), zap.String("origin", origin))
+}
+
+// Confirm notes that what is held includes every change that was acknowledged
+// before this process started. The origin says who showed that.
+func (d *Documents) Confirm(origin string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := *d.current.Load()
+	if held.Confirmed {
+		return
+	}
+	held.Confirmed = true
+	d.replace(&held)
+	d.log.Info("configuration confirmed", zap.Uint64("version", held.State.Version), zap.Uint64("index", held.State.Index), zap.String("origin", origin))
 }
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -34,12 +34,17 @@
 // after the disk has failed: what the disk then holds decides what it may say.
 type logHost struct {
 	mesh    *Mesh
+	prover  prover
 	current atomic.Pointer[replica.Replica]
 	// opened is when the disk was opened last; only the host's duty uses it.
 	opened time.Time
 }
 
-func newLogHost(m *Mesh) *logHost { return &logHost{mesh: m} }
+func newLogHost(m *Mesh) *logHost {
+	h := &logHost{mesh: m}
+	h.prover.host = h
+	return h
+}
 
 // identity is the member and the cluster, both empty while the disk cannot be
 // read, and whether this member leads.
@@ -171,6 +176,8 @@
 	}
 	handlers[methodPropose] = rpc.Typed(h.takeProposal)
 	handlers[methodRead] = rpc.Typed(h.takeRead)
+	handlers[methodStanding] = rpc.Typed(h.takeStanding)
+	handlers[methodConfirm] = rpc.Typed(h.takeConfirm)
 }
 
 // machine applies the log's entries to the documents. While the folder is read
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,7 +3,8 @@
 // announcements of backend servers, and hand on the configuration in force.
 //
 // Duties: one for each peer that is greeted, one that follows the
-// configuration where there is no log, one for the log's membership.
+// configuration where there is no log, one that seeks a proof at the start that
+// the configuration held is not an old one, one for the log's membership.
 package mesh
 
 import (
@@ -157,6 +158,7 @@
 	} else {
 		m.duties.Go(func() { m.follow(ctx) })
 	}
+	m.duties.Go(func() { m.confirmStart(ctx) })
 	m.expire(ctx)
 	m.duties.Wait()
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -38,6 +38,8 @@
 	addresses []string
 	folders   []string
 	nodes     []*node
+	// losses is how many disks may be lost at once.
+	losses int
 }
 
 func decode(body []byte) (*route.Document, error) {
@@ -62,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, addresses: addresses}
+	f := &fleet{t: t, addresses: addresses, losses: 1}
 	for i := range disks + others {
 		folder := ""
 		if i < disks {
@@ -83,7 +85,7 @@
 	f.t.Helper()
 	m := New(Options{
 		Self:  Process{Name: fmt.Sprint("p", i), Address: f.addresses[i], Entry: true, Disk: f.folders[i] != "", Started: time.Now().UnixNano()},
-		Seeds: f.addresses[:1], Bootstrap: bootstrap, Folder: f.folders[i], Losses: 1,
+		Seeds: f.addresses[:1], Bootstrap: bootstrap, Folder: f.folders[i], Losses: f.losses,
 	}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
 	if m.keeper != nil {
 		// A disk that is slow beside other work does not hang.
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -15,6 +15,10 @@
 	methodPropose = "mesh.propose"
 	methodRead    = "mesh.read"
 	methodPermit  = "mesh.permit"
+	// methodStanding asks a member of the log for its standing, methodConfirm for
+	// a state that includes every change acknowledged before the question.
+	methodStanding = "mesh.standing"
+	methodConfirm  = "mesh.confirm"
 )
 
 // Process is one process as it describes itself.
@@ -89,6 +93,9 @@
 	Newest uint64 `json:"newest"`
 }
 
+// standingRequest asks a member of the log for its standing.
+type standingRequest struct{}
+
 // proposal is a command for the log.
 type proposal struct {
 	Command json.RawMessage `json:"command"`
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -45,14 +45,14 @@
 const announceMargin = 3 * time.Second
 
 func (p *permits) take(_ context.Context, in permitRequest) (permitReply, error) {
-	table := p.mesh.documents.Current().Table
-	if !p.mesh.Self().Leads || table == nil {
+	current := p.mesh.documents.Current()
+	if !p.mesh.Self().Leads || !current.Usable() {
 		p.mu.Lock()
 		p.leading = false
 		p.mu.Unlock()
 		return permitReply{}, nil
 	}
-	service := table.Service(in.Service)
+	service := current.Table.Service(in.Service)
 	if service == nil || service.Engine == nil {
 		return permitReply{}, nil
 	}
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -142,9 +142,14 @@
 	if err != nil {
 		return pullReply{}, err
 	}
+	return answerState(in, state), nil
+}
+
+// answerState is the state without the body that the asking one has.
+func answerState(in pullRequest, state document.State) pullReply {
 	reply := pullReply{Newer: state.Index > in.Index, State: state}
 	if state.Version == in.Version {
 		reply.State.Body = nil
 	}
-	return reply, nil
+	return reply
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/coord/replog"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -262,6 +263,25 @@
 // has acknowledged.
 func (r *Replica) End() End { return *r.end.Load() }
 
+// Standing is what this instance says of its log to those who ask for a proof.
+// The owner of the state fills in what its followers follow, and reads that
+// afterwards: it may not lie behind Applied.
+func (r *Replica) Standing() freshness.Standing {
+	applied := r.Applied()
+	end, status := r.End(), r.Status()
+	standing := freshness.Standing{
+		Term:      end.Term,
+		LastIndex: end.Last,
+		Applied:   applied,
+		Leader:    string(status.Leader),
+		Voter:     end.Config.Voter(status.ID) && r.Failure() == "",
+	}
+	for _, voter := range end.Config.Voters {
+		standing.Voters = append(standing.Voters, voter.Address)
+	}
+	return standing
+}
+
 // publishEnd makes the end of the log visible. Only the node's owner calls it.
 func (r *Replica) publishEnd() {
 	r.end.Store(&End{Term: r.node.Term(), Last: r.node.LastIndex(), Config: r.node.Config()})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -176,7 +176,7 @@
 // configure takes what the configuration says of the engine and its adapters.
 func (d *duty) configure(now time.Time) {
 	current := d.documents.Current()
-	if current.Table == nil || current.State.Index == d.index {
+	if !current.Usable() || current.State.Index == d.index {
 		return
 	}
 	d.index = current.State.Index
