Refuse nobody for good by a configuration that may be an old one

A request on a route that has been added was answered 404, and a body that a newer configuration allows 413, by an entry that lacks the change: cut off, frozen and just awake, or following one that is. Callers do not come back after either. This is the users' line itself, whatever made the entry lag.

Before it answers so, an entry now asks whether what it holds is the newest, as a process does at its start; what is missing comes with the answer, and the request takes its route. Where no majority can be asked within 0.5 s the answer is 503 with Retry-After: the request has not run. Rounds are shared: what callers ask for does not raise their number.

TestAProcessWithoutAMajorityKnowsOfNoNewest holds the answer of the log to it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -188,7 +188,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
-		Heartbeat: p.settings.Heartbeat(), StopWithin: p.settings.StopWithin() - stopMargin,
+		Heartbeat: p.settings.Heartbeat(), StopWithin: p.settings.StopWithin() - stopMargin, Newest: p.mesh.Newest,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.duties.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,10 @@
 	Heartbeat time.Duration
 	// StopWithin is how long a planned stop may take.
 	StopWithin time.Duration
+	// Newest reports whether every change of the configuration that was
+	// acknowledged before the call is in force here; nil where none is made
+	// elsewhere.
+	Newest func(context.Context) bool
 }
 
 // Gateway serves callers.
@@ -185,6 +189,13 @@
 	}
 	table := g.mesh.Documents().Current().Table
 	found := table.Lookup(r.Host, r.URL.Path)
+	if found == nil {
+		if !g.newest(r.Context()) {
+			return g.refuse(&call, reasonOld, retrySoon)
+		}
+		table = g.mesh.Documents().Current().Table
+		found = table.Lookup(r.Host, r.URL.Path)
+	}
 	if found == nil {
 		noRouteCount.Add(1)
 		g.log.Info("no route", zap.String("request", call.ID), zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Uint64("configuration", table.Version()))
@@ -211,9 +222,27 @@
 	if g.mesh.Documents().Current().Table == nil {
 		return "no configuration has arrived yet"
 	}
-	return "the configuration may be an old one"
+	return reasonOld
+}
+
+// reasonOld is why a request is refused that a newer configuration may allow.
+const reasonOld = "the configuration may be an old one"
+
+// newest reports whether a caller may be refused for good by the configuration
+// that is held: it would not come back, though a newer one may lead it on.
+func (g *Gateway) newest(ctx context.Context) bool {
+	if g.options.Newest == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	return g.options.Newest(ctx)
 }
 
+// newestTimeout bounds the wait for a proof that the configuration is the newest:
+// some exchanges between regions.
+const newestTimeout = 500 * time.Millisecond
+
 // readBody reads the request's body into the call; where it cannot, it returns
 // what the caller gets instead.
 func (g *Gateway) readBody(r *http.Request, call *Call, limit int64) (answer.Answer, bool) {
@@ -228,6 +257,8 @@
 	case err != nil:
 		// The caller broke off in the middle of its own request.
 		return answer.Answer{}, false
+	case int64(len(body)) > limit && !(g.newest(r.Context()) && g.mesh.Documents().Current().Table.Bounds().BodyBytes <= limit):
+		return g.refuse(call, reasonOld, retrySoon).Closing(), false
 	case int64(len(body)) > limit:
 		// On a connection that goes on, the answer would wait for the rest of the body.
 		return answer.Text(http.StatusRequestEntityTooLarge, g.ownHeader(call), "the body is larger than the configuration allows").Closing(), false
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -53,7 +53,7 @@
 		if w, took := ask(g, 600*time.Millisecond); w.Code != http.StatusServiceUnavailable || took != 200*time.Millisecond {
 			t.Errorf("with a configuration that may be an old one it got %d after %v", w.Code, took)
 		}
-		time.AfterFunc(100*time.Millisecond, func() { documents.Confirm("test") })
+		time.AfterFunc(100*time.Millisecond, func() { documents.Confirm() })
 		if w, took := ask(g, 6*time.Second); w.Code != http.StatusNotFound || took > 100*time.Millisecond+2*lookInterval {
 			t.Errorf("with a configuration that is confirmed after 100 ms it got %d after %v", w.Code, took)
 		}
--- a/internal/mesh/confirm.go
+++ b/internal/mesh/confirm.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,8 @@
 	proofTimeout = proofWait + 300*time.Millisecond
 	// proofPause follows a try without a proof.
 	proofPause = 30 * time.Millisecond
+	// askAfter is how long a member looks for a proof before it asks others too.
+	askAfter = 150 * time.Millisecond
 	// proofsAsked is how many members a process without a log asks at once: the
 	// first may be down or cut off.
 	proofsAsked = 3
@@ -34,53 +37,61 @@
 // acknowledged before this process started. What the own disk or the first other
 // process holds may be older than what was in force here a second ago.
 func (m *Mesh) confirmStart(ctx context.Context) {
-	for ctx.Err() == nil && !m.documents.Current().Confirmed {
-		if m.proveHere(ctx) == nil {
-			m.documents.Confirm(originLog)
+	for !m.newestWithin(ctx, 2*proofTimeout) {
+		if wait.For(ctx, proofPause) != nil {
 			return
 		}
-		if address, err := m.askProof(ctx); err == nil {
-			m.documents.Confirm(address)
-			return
-		}
-		_ = wait.For(ctx, proofPause)
 	}
+	m.documents.Confirm()
+}
+
+func (m *Mesh) newestWithin(ctx context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return m.Newest(ctx)
 }
 
-// proveHere proves by the own part of the log.
-func (m *Mesh) proveHere(ctx context.Context) error {
+// Newest reports whether every change that was acknowledged before the call is in
+// force here, and brings what is missing. It is false when no majority of the log
+// can be asked before ctx ends.
+func (m *Mesh) Newest(ctx context.Context) bool { return m.prover.prove(ctx) }
+
+// proveOnce proves by the own part of the log, or by asking its members. A member
+// that is cut off from the other ones may still reach those who reach them.
+func (m *Mesh) proveOnce() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
+	defer cancel()
 	if m.host == nil || !m.host.takesPart() {
-		return errUnproven
+		return m.askProof(ctx)
+	}
+	own, others := make(chan bool, 1), make(chan bool, 1)
+	go func() { own <- m.host.prover.prove(ctx) }()
+	go func() { others <- wait.For(ctx, askAfter) == nil && m.askProof(ctx) }()
+	select {
+	case proven := <-own:
+		return proven || <-others
+	case proven := <-others:
+		return proven || <-own
 	}
-	ctx, cancel := context.WithTimeout(ctx, proofWait)
-	defer cancel()
-	return m.host.prover.prove(ctx)
 }
 
-// askProof asks some members of the log for a state that is not an old one, and
-// returns who gave it.
-func (m *Mesh) askProof(ctx context.Context) (address string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+// askProof asks some members of the log for a state that is not an old one.
+func (m *Mesh) askProof(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	members := m.members()
-	members = members[:min(len(members), proofsAsked)]
-	given := make(chan string, len(members))
+	var given atomic.Bool
 	var asked sync.WaitGroup
-	for _, member := range members {
+	for _, member := range members[:min(len(members), proofsAsked)] {
 		asked.Go(func() {
 			if m.askProofOf(ctx, member) == nil {
-				given <- member
+				given.Store(true)
 				cancel()
 			}
 		})
 	}
 	asked.Wait()
-	select {
-	case address = <-given:
-		return address, nil
-	default:
-		return "", errUnproven
-	}
+	return given.Load()
 }
 
 func (m *Mesh) askProofOf(ctx context.Context, address string) error {
@@ -103,8 +114,8 @@
 func (h *logHost) takeConfirm(ctx context.Context, in pullRequest) (pullReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proofWait)
 	defer cancel()
-	if err := h.prover.prove(ctx); err != nil {
-		return pullReply{}, err
+	if !h.prover.prove(ctx) {
+		return pullReply{}, errUnproven
 	}
 	return answerState(in, h.mesh.documents.Current().State), nil
 }
@@ -119,60 +130,10 @@
 	return standing, nil
 }
 
-// prover looks for proofs, one round for all who ask while the last one runs.
-type prover struct {
-	host *logHost
-
-	mu      sync.Mutex
-	running bool
-	// waiting are those whose question came before the next round.
-	waiting []chan<- bool
-}
-
-// prove returns nil once every change that was acknowledged anywhere before the
-// call is in force here.
-func (p *prover) prove(ctx context.Context) error {
-	answer := make(chan bool, 1)
-	p.mu.Lock()
-	p.waiting = append(p.waiting, answer)
-	if !p.running {
-		p.running = true
-		go p.run()
-	}
-	p.mu.Unlock()
-	select {
-	case proven := <-answer:
-		if proven {
-			return nil
-		}
-	case <-ctx.Done():
-	}
-	return errUnproven
-}
-
-// run looks for proofs until nobody waits for one.
-func (p *prover) run() {
-	for {
-		p.mu.Lock()
-		asking := p.waiting
-		p.waiting = nil
-		p.running = len(asking) > 0
-		p.mu.Unlock()
-		if len(asking) == 0 {
-			return
-		}
-		proven := p.round()
-		for _, answer := range asking {
-			answer <- proven
-		}
-	}
-}
-
-// round asks the leader for a confirmed read and all voters for their standings;
+// proveByVoters asks the leader for a confirmed read and all voters for their standings;
 // the first of the two that shows it is enough. With the second no leader is
 // needed: an acknowledged change lies in the logs of a majority.
-func (p *prover) round() bool {
-	h := p.host
+func (h *logHost) proveByVoters() bool {
 	r := h.current.Load()
 	if r == nil {
 		return false
--- a/internal/mesh/confirm_test.go
+++ b/internal/mesh/confirm_test.go
@@ -116,3 +116,24 @@
 	}
 	return true
 }
+
+// A member of the log is cut off from the other ones. It cannot know what they accept meanwhile, and must not say that
+// what it holds is the newest.
+func TestAProcessWithoutAMajorityKnowsOfNoNewest(t *testing.T) {
+	f := startFleet(t, 3, 1)
+	f.put(0, 7)
+	newest := func(i int) bool { return f.nodes[i].newestWithin(t.Context(), proofTimeout) }
+	for _, i := range []int{0, 3} {
+		eventually(t, func() bool { return newest(i) })
+		if got := f.nodes[i].Documents().Current().State.Version; got != 7 {
+			t.Errorf("process %d takes version %d for the newest, 7 was acknowledged", i, got)
+		}
+	}
+	f.stop(1)
+	f.stop(2)
+	for _, i := range []int{0, 3} {
+		if newest(i) {
+			t.Errorf("process %d takes what it holds for the newest", i)
+		}
+	}
+}
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -102,8 +102,8 @@
 }
 
 // Confirm notes that what is held includes every change that was acknowledged
-// before this process started. The origin says who showed that.
-func (d *Documents) Confirm(origin string) {
+// before this process started.
+func (d *Documents) Confirm() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := *d.current.Load()
@@ -112,5 +112,5 @@
 	}
 	held.Confirmed = true
 	d.replace(&held)
-	d.log.Info("configuration confirmed", zap.Uint64("version", held.State.Version), zap.Uint64("index", held.State.Index), zap.String("origin", origin))
+	d.log.Info("configuration confirmed", zap.Uint64("version", held.State.Version), zap.Uint64("index", held.State.Index))
 }
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -42,7 +42,7 @@
 
 func newLogHost(m *Mesh) *logHost {
 	h := &logHost{mesh: m}
-	h.prover.host = h
+	h.prover.round = h.proveByVoters
 	return h
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -73,6 +73,7 @@
 	host      *logHost
 	// keeper is nil without a disk.
 	keeper *keeper
+	prover prover
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -108,6 +109,7 @@
 		peers: make(map[string]*peer), roster: roster.New(), heardFrom: make(map[string]way), strikes: suspicion.NewStrikes(),
 		progress: make(chan struct{}), unheard: make(map[string]bool),
 	}
+	m.prover.round = m.proveOnce
 	if options.Folder != "" {
 		m.host = newLogHost(m)
 		m.keeper = newKeeper(options.Folder, log)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -125,7 +125,7 @@
 		}
 		documents := mesh.NewDocuments(decode, zap.NewNop())
 		documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")}, "test")
-		documents.Confirm("test")
+		documents.Confirm()
 		options.Name, options.Service, options.VersionGrace = "agent", "llm", time.Second
 		s := New(options, e, documents, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
