Say in the logs what is held and what is in force

It says 'configuration held, not confirmed yet' until the configuration is confirmed, and 'configuration in force' then.

--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -90,7 +90,7 @@
 		next.Table = route.NewTable(parsed)
 	}
 	d.replace(next)
-	d.log.Info("configuration in force", zap.Bool("confirmed", next.Confirmed), zap.Uint64("version", state.Version), zap.Uint64("index", state.Index), zap.Int("adapterVersions", len(state.Adapters)), zap.String("origin", origin))
+	d.tell(next, zap.String("origin", origin))
 }
 
 // replace makes next the current one and wakes those who wait. The caller holds
@@ -112,5 +112,18 @@
 	}
 	held.Confirmed = true
 	d.replace(&held)
-	d.log.Info("configuration confirmed", zap.Uint64("version", held.State.Version), zap.Uint64("index", held.State.Index))
+	d.tell(&held)
+}
+
+// tell logs what is held now.
+func (d *Documents) tell(now *InForce, more ...zap.Field) {
+	message := "configuration in force"
+	switch {
+	case now.Confirmed && now.State.Index == 0:
+		message = "no configuration was accepted yet"
+	case !now.Confirmed:
+		message = "configuration held, not confirmed yet"
+	}
+	fields := []zap.Field{zap.Uint64("version", now.State.Version), zap.Uint64("index", now.State.Index), zap.Int("adapterVersions", len(now.State.Adapters))}
+	d.log.Info(message, append(fields, more...)...)
 }
