A majority knows of a change before it is acknowledged

The leader tells of a commit at once instead of with its next heartbeat, up to 0.1 s later (replog, TellCommit), and the member that took a proposal answers once a majority of the voters has the commit on its disk, or after 0.2 s: the change itself is durable before.

--- a/coord/replog/replication.go
+++ b/coord/replog/replication.go
@@ -162,6 +162,9 @@
 	n.commit = index
 	n.uncommitted = n.log.bytesAfter(index)
 	n.broadcast = true
+	if n.options.TellCommit {
+		n.sendHeartbeats()
+	}
 	n.afterCommit()
 }
 
--- a/coord/replog/sabotage_test.go
+++ b/coord/replog/sabotage_test.go
@@ -41,7 +41,7 @@
 // steadyWorld runs three members until they have a leader.
 func steadyWorld(t *testing.T, s sabotage) (*schedule, *process) {
 	t.Helper()
-	w := &schedule{world: newWorld(1, 3, 1000, false, s)}
+	w := &schedule{world: newWorld(1, 3, 1000, false, false, s)}
 	w.settle()
 	if w.failure != "" {
 		t.Fatal(w.failure)
--- a/coord/replog/schedule_test.go
+++ b/coord/replog/schedule_test.go
@@ -42,12 +42,15 @@
 func run(seed uint64, s sabotage) string { return runWith(seed, false, s) }
 
 // runWith runs members that keep their commit, or not.
-func runWith(seed uint64, keep bool, s sabotage) string {
+func runWith(seed uint64, keep bool, s sabotage) string { return runTelling(seed, keep, false, s) }
+
+// runTelling runs members whose leader tells of commits at once, or not.
+func runTelling(seed uint64, keep, tell bool, s sabotage) string {
 	voters := []int{3, 3, 3, 5, 1}[seed%5]
 	window := []int{1, 100, 1000}[seed%3]
 	calm := []int{60, 25}[seed%2]
 	storm := seed%7 == 0
-	w := &schedule{world: newWorld(seed, voters, window, keep, s)}
+	w := &schedule{world: newWorld(seed, voters, window, keep, tell, s)}
 	for w.now < scheduleUnits && w.failure == "" {
 		w.step()
 		if w.random.IntN(20) == 0 {
@@ -271,8 +274,10 @@
 		t.Run(fmt.Sprint(shard), func(t *testing.T) {
 			t.Parallel()
 			for seed := shard; seed < schedules; seed += shards {
-				if failure := runWith(seed, true, sabotage{}); failure != "" {
-					t.Fatalf("seed %d: %s", seed, failure)
+				for _, tell := range []bool{false, true} {
+					if failure := runTelling(seed, true, tell, sabotage{}); failure != "" {
+						t.Fatalf("seed %d, commits told at once %v: %s", seed, tell, failure)
+					}
 				}
 			}
 		})
--- a/coord/replog/types.go
+++ b/coord/replog/types.go
@@ -195,6 +195,9 @@
 	// state. An owner that applies them only once that Ready is synced goes on
 	// from all that it had applied when it restarts, without a leader.
 	KeepCommit bool
+	// TellCommit makes the leader tell of each commit at once, and not with its next
+	// heartbeat: until a member hears of it, a loss of power leaves it without.
+	TellCommit bool
 	// Random draws election timeouts.
 	Random *rand.Rand
 
--- a/coord/replog/world_test.go
+++ b/coord/replog/world_test.go
@@ -85,8 +85,10 @@
 	cut       map[[2]ID]bool
 	lossy     float64
 	// window is MaxAppendBytes of every member, keep its KeepCommit.
-	window    int
-	keep      bool
+	window int
+	keep   bool
+	// tell is their TellCommit.
+	tell      bool
 	nextValue uint64
 	nextRead  uint64
 
@@ -97,9 +99,9 @@
 	failure   string
 }
 
-func newWorld(seed uint64, voters, window int, keep bool, s sabotage) *world {
+func newWorld(seed uint64, voters, window int, keep, tell bool, s sabotage) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), sabotage: s, window: window, keep: keep, cut: make(map[[2]ID]bool),
+		random: rand.New(rand.NewPCG(seed, 1)), sabotage: s, window: window, keep: keep, tell: tell, cut: make(map[[2]ID]bool),
 		committed: make(map[uint64]Entry), leaders: make(map[uint64]ID), votes: make(map[string]ID),
 	}
 	config := Config{Cluster: "test"}
@@ -134,7 +136,7 @@
 	p.up, p.queue, p.proposed, p.reads = true, nil, nil, make(map[uint64]*operation)
 	p.value, p.applied = 0, 0
 	p.node = New(Options{
-		ID: p.id, MaxAppendBytes: p.world.window, MaxInflight: 2, TrailingEntries: 5, KeepCommit: p.world.keep,
+		ID: p.id, MaxAppendBytes: p.world.window, MaxInflight: 2, TrailingEntries: 5, KeepCommit: p.world.keep, TellCommit: p.world.tell,
 		Random: rand.New(rand.NewPCG(p.world.random.Uint64(), 2)), faults: p.world.sabotage.core,
 	}, Restored{HardState: p.disk.hard, Snapshot: p.disk.snapshot, Entries: p.disk.entries})
 	if p.disk.snapshot != nil {
--- a/internal/mesh/confirm.go
+++ b/internal/mesh/confirm.go
@@ -140,18 +140,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proofWait)
 	defer cancel()
-	own, _ := h.takeStanding(ctx, standingRequest{})
 	reads := make(chan error, 1)
 	go func() {
 		_, err := r.ReadIndex(ctx)
 		reads <- err
 	}()
-	answers := make(chan freshness.Answer)
-	for _, address := range own.Voters {
-		if address != h.mesh.options.Self.Address {
-			go askStandings(ctx, address, answers)
-		}
-	}
+	answers := h.askVoters(ctx)
 	known := make(map[string]freshness.Answer)
 	sent := time.Now()
 	for {
@@ -185,6 +179,21 @@
 	return tracker.State(time.Now()).Kind == freshness.Fresh
 }
 
+// askVoters asks all other voters for their standings until ctx ends.
+func (h *logHost) askVoters(ctx context.Context) <-chan freshness.Answer {
+	answers := make(chan freshness.Answer)
+	own, err := h.takeStanding(ctx, standingRequest{})
+	if err != nil {
+		return answers
+	}
+	for _, address := range own.Voters {
+		if address != h.mesh.options.Self.Address {
+			go askStandings(ctx, address, answers)
+		}
+	}
+	return answers
+}
+
 // askStandings asks a voter again and again: it may start, or apply what it holds,
 // while the round lasts.
 func askStandings(ctx context.Context, address string, answers chan<- freshness.Answer) {
--- a/internal/mesh/confirm_test.go
+++ b/internal/mesh/confirm_test.go
@@ -137,3 +137,22 @@
 		}
 	}
 }
+
+// The leader's disk is lost right behind an acknowledgement, while everything stops. Those that are left would have to
+// elect another leader before they act by anything, if none of them knew that the change is committed.
+func TestAMajorityKnowsOfAnAcknowledgedChange(t *testing.T) {
+	f := startFleet(t, 3, 1)
+	eventually(t, func() bool { return f.voters(0) == 3 })
+	for version := uint64(1); version <= 20; version++ {
+		f.put(int(version)%len(f.nodes), version)
+		know := 0
+		for i := range 3 {
+			if f.nodes[i].Documents().Current().State.Version >= version {
+				know++
+			}
+		}
+		if know < 2 {
+			t.Fatalf("version %d is acknowledged and %d of 3 members know of it", version, know)
+		}
+	}
+}
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -33,15 +33,17 @@
 // logHost runs this process's part of the replicated log, and runs it anew
 // after the disk has failed: what the disk then holds decides what it may say.
 type logHost struct {
-	mesh    *Mesh
-	prover  prover
-	current atomic.Pointer[replica.Replica]
+	mesh   *Mesh
+	prover prover
+	// spreadWait bounds the wait of an acknowledgement for a majority.
+	spreadWait time.Duration
+	current    atomic.Pointer[replica.Replica]
 	// opened is when the disk was opened last; only the host's duty uses it.
 	opened time.Time
 }
 
 func newLogHost(m *Mesh) *logHost {
-	h := &logHost{mesh: m}
+	h := &logHost{mesh: m, spreadWait: spreadWait}
 	h.prover.round = h.proveByVoters
 	return h
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -87,9 +87,9 @@
 		Self:  Process{Name: fmt.Sprint("p", i), Address: f.addresses[i], Entry: true, Disk: f.folders[i] != "", Started: time.Now().UnixNano()},
 		Seeds: f.addresses[:1], Bootstrap: bootstrap, Folder: f.folders[i], Losses: f.losses,
 	}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
-	if m.keeper != nil {
+	if m.host != nil {
 		// A disk that is slow beside other work does not hang.
-		m.keeper.patience = time.Minute
+		m.keeper.patience, m.host.spreadWait = time.Minute, time.Minute
 	}
 	listener, err := Listen(f.addresses[i])
 	if err != nil {
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -110,12 +110,50 @@
 	if r == nil {
 		return fate{Message: "the log is not open"}
 	}
-	if _, _, err := r.Propose(ctx, data); err != nil {
+	index, _, err := r.Propose(ctx, data)
+	if err != nil {
 		return fate{Message: err.Error()}
 	}
+	h.awaitSpread(ctx, index)
 	return fate{Committed: true}
 }
 
+// spreadWait is how long an acknowledgement waits for a majority to know of it.
+const spreadWait = 200 * time.Millisecond
+
+// awaitSpread returns once a majority of the voters has on its disk that an entry
+// is committed, or after a while: the entry itself is durable. If everything then
+// stops, and the leader is lost, what is left proves its state without electing
+// another one first.
+func (h *logHost) awaitSpread(ctx context.Context, index uint64) {
+	ctx, cancel := context.WithTimeout(ctx, h.spreadWait)
+	defer cancel()
+	standings := h.askVoters(ctx)
+	known := make(map[string]bool)
+	for {
+		own, err := h.takeStanding(ctx, standingRequest{})
+		if err != nil {
+			return
+		}
+		known[h.mesh.options.Self.Address] = own.Voter && own.Applied >= index
+		count := 0
+		for _, voter := range own.Voters {
+			if known[voter] {
+				count++
+			}
+		}
+		if count > len(own.Voters)/2 {
+			return
+		}
+		select {
+		case answer := <-standings:
+			known[answer.Address] = answer.Voter && answer.Applied >= index
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (h *logHost) takeProposal(ctx context.Context, in proposal) (fate, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -200,6 +200,7 @@
 		ElectionTicks:  r.options.ElectionTicks,
 		HeartbeatTicks: r.options.HeartbeatTicks,
 		KeepCommit:     r.options.KeepCommit,
+		TellCommit:     r.options.KeepCommit,
 		Random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, restored)
 	if ready, ok := r.node.Ready(); ok {
