Put a first configuration of version 0 in force, also behind named adapters

Found in the search for the class: a copy took a state whose version it held for one whose body it has. Before the first configuration that version is 0, so that one of version 0 was accepted, acknowledged and read back empty, and in force nowhere: every request was refused. Adapters named before it make it so at the processes that pull, too. A pull now says whether a configuration is held, and a copy keeps its table only where it has one.

TestAConfigurationOfVersion0IsInForceEverywhere, red before: both processes hold the version without a body.

--- a/internal/mesh/confirm.go
+++ b/internal/mesh/confirm.go
@@ -97,9 +97,8 @@
 func (m *Mesh) askProofOf(ctx context.Context, address string) error {
 	client := rpc.NewClient(address)
 	defer client.Close()
-	held := m.documents.Current().State
 	var reply pullReply
-	if err := client.Call(ctx, methodConfirm, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version}, &reply); err != nil {
+	if err := client.Call(ctx, methodConfirm, m.request(), &reply); err != nil {
 		return err
 	}
 	if reply.Newer {
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -77,7 +77,7 @@
 	}
 	next := &InForce{State: state, Table: held.Table, Confirmed: held.Confirmed}
 	switch {
-	case state.Version == held.State.Version:
+	case held.Table != nil && state.Version == held.State.Version:
 		next.State.Body = held.State.Body
 	case state.Body != nil:
 		parsed, err := d.decode(state.Body)
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -37,19 +37,23 @@
 		}
 	}
 	state := m.documents.Current().State
-	reply := pullReply{Newer: state.Index > in.Index, Digest: m.knownDigest(), Newest: m.newest()}
+	reply := pullReply{}
+	if state.Index > in.Index {
+		reply = answerState(in, state)
+	}
+	reply.Digest, reply.Newest = m.knownDigest(), m.newest()
 	if reply.Digest != in.Digest {
 		reply.Known = m.Known()
 	}
-	if reply.Newer {
-		reply.State = state
-		if state.Version == in.Version {
-			reply.State.Body = nil
-		}
-	}
 	return reply, nil
 }
 
+// request asks for what is newer than what is held.
+func (m *Mesh) request() pullRequest {
+	held := m.documents.Current()
+	return pullRequest{From: m.Self(), Index: held.State.Index, Version: held.State.Version, Holds: held.Table != nil}
+}
+
 // follow keeps the configuration up to date where there is no log: it asks one
 // entry after the other, and another one as soon as one does not answer.
 func (m *Mesh) follow(ctx context.Context) {
@@ -85,13 +89,15 @@
 		if time.Since(listed) > relistInterval {
 			told, listed = 0, time.Now()
 		}
-		held, patience := m.documents.Current().State, pullWait
+		patience := pullWait
 		if m.seeks() {
 			patience = 0
 		}
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		var reply pullReply
-		err := client.Call(call, methodPull, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version, Digest: told, WaitMillis: patience.Milliseconds()}, &reply)
+		request := m.request()
+		request.Digest, request.WaitMillis = told, patience.Milliseconds()
+		err := client.Call(call, methodPull, request, &reply)
 		cancel()
 		if err != nil {
 			return
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -261,9 +261,8 @@
 	defer client.Close()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	held := m.documents.Current().State
 	var reply pullReply
-	if err := client.Call(call, methodPull, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version}, &reply); err == nil && reply.Newer {
+	if err := client.Call(call, methodPull, m.request(), &reply); err == nil && reply.Newer {
 		m.takePulled(reply.State, originPull+address)
 	}
 }
--- a/internal/mesh/kept.go
+++ b/internal/mesh/kept.go
@@ -109,7 +109,7 @@
 	if state.Index <= held.Index {
 		return
 	}
-	if state.Version == held.Version {
+	if state.Body == nil && state.Version == held.Version {
 		state.Body = held.Body
 	}
 	if m.keeper != nil {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -416,6 +416,24 @@
 	}
 }
 
+// Adapters are named before the first configuration, and its version is 0. Processes without a log must have it too.
+func TestAConfigurationOfVersion0IsInForceEverywhere(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	eventually(t, func() bool {
+		return f.nodes[0].Propose(t.Context(), document.Command{Name: &document.Name{Adapter: "m/a", Version: 3}}) == nil
+	})
+	eventually(t, func() bool { return f.nodes[1].Documents().Current().State.Adapters["m/a"] == 3 })
+	f.put(0, 0)
+	eventually(t, func() bool {
+		return f.nodes[0].Documents().Current().State.Index == f.nodes[1].Documents().Current().State.Index
+	})
+	for i := range f.nodes {
+		if in := f.nodes[i].Documents().Current(); in.Table == nil || in.State.Body == nil {
+			t.Errorf("process %d holds %+v", i, in.State)
+		}
+	}
+}
+
 // Many engines come up empty at once. The store must not get more loads than it
 // allows, also when the leader changes in between.
 func TestLoadsFromTheStoreAreGrantedAtItsRate(t *testing.T) {
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -75,6 +75,9 @@
 	From    Process `json:"from"`
 	Index   uint64  `json:"index"`
 	Version uint64  `json:"version"`
+	// Holds is true when there is a configuration of that version: 0 is a version
+	// too.
+	Holds bool `json:"holds,omitempty"`
 	// Digest is that of the processes that were told with the last answer.
 	Digest uint64 `json:"digest"`
 	// WaitMillis is how long to wait for something newer.
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -52,9 +52,8 @@
 		return m.host.read(ctx)
 	}
 	for _, address := range m.members() {
-		held := m.documents.Current().State
 		var reply pullReply
-		err := m.forward(ctx, address, methodRead, pullRequest{From: m.Self(), Index: held.Index, Version: held.Version}, &reply)
+		err := m.forward(ctx, address, methodRead, m.request(), &reply)
 		if err == nil {
 			if reply.Newer {
 				m.takePulled(reply.State, originRead+address)
@@ -186,7 +185,7 @@
 // answerState is the state without the body that the asking one has.
 func answerState(in pullRequest, state document.State) pullReply {
 	reply := pullReply{Newer: state.Index > in.Index, State: state}
-	if state.Version == in.Version {
+	if in.Holds && state.Version == in.Version {
 		reply.State.Body = nil
 	}
 	return reply
