A process that stood still asks before it acts by what it holds

A machine that is frozen or suspended misses changes that are acknowledged meanwhile. Awake again, its entry routed, refused and granted by what it held until a greeting or a pull told it more, up to some tenths of a second later.

A process signs every 0.25 s, by a clock that goes on while the machine is suspended, that it runs. Where the last sign is 1 s old nothing is admitted, routed or refused for good by the configuration until it is proven the newest anew, as after a start.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,7 +184,7 @@
 // route finds the route of a request and takes the request along it.
 func (g *Gateway) route(r *http.Request, arrived time.Time) answer.Answer {
 	call := g.edge.Parse(r)
-	if !g.configured() && !g.room.await(r.Context(), g.room.options.Latest(arrived, call.Patience), g.configured) {
+	if !g.configured() && !g.awaitConfigured(r.Context(), g.room.options.Latest(arrived, call.Patience)) {
 		return g.refuse(&call, g.unconfigured(), retrySoon)
 	}
 	table := g.mesh.Documents().Current().Table
@@ -215,7 +215,16 @@
 	return j.run()
 }
 
-func (g *Gateway) configured() bool { return g.mesh.Documents().Current().Usable() }
+func (g *Gateway) configured() bool { return g.mesh.Usable() }
+
+// awaitConfigured waits at an entry that has just started for a configuration,
+// and at one that has stood still for a proof that it holds the newest.
+func (g *Gateway) awaitConfigured(ctx context.Context, latest time.Time) bool {
+	if g.room.await(ctx, latest, g.configured) {
+		return true
+	}
+	return g.mesh.Documents().Current().Table != nil && ctx.Err() == nil && time.Now().Before(latest) && g.newest(ctx)
+}
 
 // unconfigured says why nothing can be routed.
 func (g *Gateway) unconfigured() string {
--- a/internal/mesh/confirm.go
+++ b/internal/mesh/confirm.go
@@ -33,16 +33,20 @@
 // one.
 var errUnproven = errors.New("no majority of the log has confirmed the configuration")
 
-// confirmStart seeks a proof that what is held includes every change that was
-// acknowledged before this process started. What the own disk or the first other
-// process holds may be older than what was in force here a second ago.
-func (m *Mesh) confirmStart(ctx context.Context) {
-	for !m.newestWithin(ctx, 2*proofTimeout) {
-		if wait.For(ctx, proofPause) != nil {
+// seekProof seeks a proof that what is held includes every change that was
+// acknowledged before the call. What the own disk or the first other process
+// holds at a start may be older than what was in force here a second ago.
+func (m *Mesh) seekProof(ctx context.Context) {
+	for ctx.Err() == nil {
+		stood := m.pauses.count()
+		proven := m.newestWithin(ctx, 2*proofTimeout)
+		// A proof from before this process stood still says nothing of the time since.
+		if proven && m.pauses.count() == stood {
+			m.documents.Confirm()
 			return
 		}
+		_ = wait.For(ctx, proofPause)
 	}
-	m.documents.Confirm()
 }
 
 func (m *Mesh) newestWithin(ctx context.Context, limit time.Duration) bool {
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -21,7 +21,7 @@
 	// Table is nil before the first configuration.
 	Table *route.Table
 	// Confirmed is true once every change that was acknowledged, or in force
-	// anywhere, before this process started is known to be in the state.
+	// anywhere, before this process started or ran on is known to be in the state.
 	Confirmed bool
 }
 
@@ -102,15 +102,20 @@
 }
 
 // Confirm notes that what is held includes every change that was acknowledged
-// before this process started.
-func (d *Documents) Confirm() {
+// before this process started or ran on.
+func (d *Documents) Confirm() { d.setConfirmed(true) }
+
+// Doubt notes that changes may have been acknowledged that are not held.
+func (d *Documents) Doubt() { d.setConfirmed(false) }
+
+func (d *Documents) setConfirmed(confirmed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := *d.current.Load()
-	if held.Confirmed {
+	if held.Confirmed == confirmed {
 		return
 	}
-	held.Confirmed = true
+	held.Confirmed = confirmed
 	d.replace(&held)
 	d.tell(&held)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,7 +3,7 @@
 // announcements of backend servers, and hand on the configuration in force.
 //
 // Duties: one for each peer that is greeted, one that follows the
-// configuration where there is no log, one that seeks a proof at the start that
+// configuration where there is no log, one that seeks a proof that
 // the configuration held is not an old one, one for the log's membership.
 package mesh
 
@@ -74,6 +74,7 @@
 	// keeper is nil without a disk.
 	keeper *keeper
 	prover prover
+	pauses pauses
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -110,6 +111,7 @@
 		progress: make(chan struct{}), unheard: make(map[string]bool),
 	}
 	m.prover.round = m.proveOnce
+	m.pauses.clock = bootTime
 	if options.Folder != "" {
 		m.host = newLogHost(m)
 		m.keeper = newKeeper(options.Folder, log)
@@ -160,7 +162,7 @@
 	} else {
 		m.duties.Go(func() { m.follow(ctx) })
 	}
-	m.duties.Go(func() { m.confirmStart(ctx) })
+	m.duties.Go(func() { m.keepConfirmed(ctx) })
 	m.expire(ctx)
 	m.duties.Wait()
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -40,6 +40,8 @@
 	nodes     []*node
 	// losses is how many disks may be lost at once.
 	losses int
+	// prepare, when set, changes a process before it runs.
+	prepare func(*Mesh)
 }
 
 func decode(body []byte) (*route.Document, error) {
@@ -91,6 +93,9 @@
 		// A disk that is slow beside other work does not hang.
 		m.keeper.patience, m.host.spreadWait = time.Minute, time.Minute
 	}
+	if f.prepare != nil {
+		f.prepare(m)
+	}
 	listener, err := Listen(f.addresses[i])
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -46,7 +46,7 @@
 
 func (p *permits) take(_ context.Context, in permitRequest) (permitReply, error) {
 	current := p.mesh.documents.Current()
-	if !p.mesh.Self().Leads || !current.Usable() {
+	if !p.mesh.Self().Leads || !p.mesh.Usable() {
 		p.mu.Lock()
 		p.leading = false
 		p.mu.Unlock()
