--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -125,7 +125,12 @@
 // stops, and the leader is lost, what is left proves its state without electing
 // another one first.
 func (h *logHost) awaitSpread(ctx context.Context, index uint64) {
-	ctx, cancel := context.WithTimeout(ctx, h.spreadWait)
+	limit := h.spreadWait
+	if due, ok := ctx.Deadline(); ok {
+		// Half of what is left is the answer's.
+		limit = min(limit, time.Until(due)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	standings := h.askVoters(ctx)
 	known := make(map[string]bool)
