--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -117,6 +117,17 @@
 
 // runWith is run with further options and other models.
 func runWith(t *testing.T, e *fakeEngine, options Options, models []route.Model, test func(t *testing.T, s *Sidecar)) {
+	t.Helper()
+	runHolding(t, e, options, models, func(t *testing.T, s *Sidecar, documents *mesh.Documents) {
+		documents.Confirm()
+		time.Sleep(time.Second)
+		test(t, s)
+	})
+}
+
+// runHolding is runWith with a configuration that is not confirmed.
+func runHolding(t *testing.T, e *fakeEngine, options Options, models []route.Model, test func(t *testing.T, s *Sidecar, documents *mesh.Documents)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		decode := func([]byte) (*route.Document, error) {
 			return &route.Document{Services: []route.Service{{Name: "llm", Engine: &route.Engine{
@@ -125,7 +136,6 @@
 		}
 		documents := mesh.NewDocuments(decode, zap.NewNop())
 		documents.Take(document.State{Index: 1, Version: 1, Body: []byte("{}")}, "test")
-		documents.Confirm()
 		options.Name, options.Service, options.VersionGrace = "agent", "llm", time.Second
 		s := New(options, e, documents, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
@@ -134,8 +144,7 @@
 			s.Run(ctx)
 			close(ended)
 		}()
-		time.Sleep(time.Second)
-		test(t, s)
+		test(t, s, documents)
 		cancel()
 		<-ended
 		// Late orders and loads end.
@@ -143,6 +152,26 @@
 	})
 }
 
+// An agent starts again beside an engine that held nothing, and holds a configuration that may be an old one: with
+// fewer places, or another version of an adapter than the newest.
+func TestAnAgentTakesNoLimitsFromAnUnconfirmedConfiguration(t *testing.T) {
+	e := newFakeEngine(t)
+	runHolding(t, e, Options{}, []route.Model{{Name: "m"}}, func(t *testing.T, s *Sidecar, documents *mesh.Documents) {
+		time.Sleep(time.Second)
+		if reply, err := s.admit(t.Context(), wire.StartRequest{ID: "r1", Adapter: "m/a", Prompt: 10, Tokens: 20, WaitMillis: 500}); err != nil || reply.Start {
+			t.Errorf("it starts a request: %+v, %v", reply, err)
+		}
+		if orders := e.given(); len(orders) != 0 {
+			t.Errorf("it orders %+v", orders)
+		}
+		documents.Confirm()
+		time.Sleep(time.Second)
+		if reply := admit(t, s, "r2", "m/a"); !reply.Start {
+			t.Errorf("refused behind the proof: %s", reply.Reason)
+		}
+	})
+}
+
 func admit(t *testing.T, s *Sidecar, id, adapter string) wire.StartReply {
 	t.Helper()
 	reply, err := s.admit(t.Context(), wire.StartRequest{ID: id, Adapter: adapter, Prompt: 10, Tokens: 20, WaitMillis: 5000})
