--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -20,148 +18,9 @@
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
-	"github.com/rosemarypass/rosemarypass/internal/loopback"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wal"
 )
 
-// node is one process of a fleet on loopback.
-type node struct {
-	*Mesh
-	cancel  context.CancelFunc
-	stopped chan struct{}
-}
-
-// fleet starts processes that know no more than the first as their seed.
-type fleet struct {
-	t         *testing.T
-	addresses []string
-	folders   []string
-	nodes     []*node
-	// losses is how many disks may be lost at once.
-	losses int
-	// prepare, when set, changes a process before it runs.
-	prepare func(*Mesh)
-}
-
-func decode(body []byte) (*route.Document, error) {
-	var d route.Document
-	return &d, json.Unmarshal(body, &d)
-}
-
-// startFleet starts so many processes with and without a disk.
-func startFleet(t *testing.T, disks, others int) *fleet {
-	t.Helper()
-	f := newFleet(t, disks, others)
-	for i := range f.nodes {
-		f.start(i, true)
-	}
-	return f
-}
-
-// newFleet is a fleet of which nothing has started.
-func newFleet(t *testing.T, disks, others int) *fleet {
-	t.Helper()
-	addresses, err := loopback.Addresses(disks + others)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &fleet{t: t, addresses: addresses, losses: 1}
-	for i := range disks + others {
-		folder := ""
-		if i < disks {
-			folder = filepath.Join(t.TempDir(), fmt.Sprint("disk", i))
-		}
-		f.folders = append(f.folders, folder)
-		f.nodes = append(f.nodes, nil)
-	}
-	t.Cleanup(func() {
-		for i := range f.nodes {
-			f.stop(i)
-		}
-	})
-	return f
-}
-
-func (f *fleet) start(i int, bootstrap bool) {
-	f.t.Helper()
-	m := New(Options{
-		Self:  Process{Name: fmt.Sprint("p", i), Address: f.addresses[i], Entry: true, Disk: f.folders[i] != "", Started: time.Now().UnixNano()},
-		Seeds: f.addresses[:1], Bootstrap: bootstrap, Folder: f.folders[i], Losses: f.losses,
-	}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
-	if m.host != nil {
-		// A disk that is slow beside other work does not hang.
-		m.keeper.patience, m.host.spreadWait = time.Minute, time.Minute
-	}
-	if f.prepare != nil {
-		f.prepare(m)
-	}
-	listener, err := Listen(f.addresses[i])
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	server := rpc.NewServer(m.Handlers())
-	go func() { _ = server.Serve(ctx, listener) }()
-	n := &node{Mesh: m, cancel: cancel, stopped: make(chan struct{})}
-	go func() {
-		m.Run(ctx)
-		_ = listener.Close()
-		server.Close()
-		close(n.stopped)
-	}()
-	f.nodes[i] = n
-}
-
-func (f *fleet) stop(i int) {
-	if n := f.nodes[i]; n != nil {
-		n.cancel()
-		<-n.stopped
-		f.nodes[i] = nil
-	}
-}
-
-// eventually waits until a condition holds; the test's own limit ends it.
-func eventually(t *testing.T, holds func() bool) {
-	t.Helper()
-	for !holds() {
-		if t.Context().Err() != nil {
-			t.FailNow()
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
-func (f *fleet) put(i int, version uint64) {
-	f.t.Helper()
-	eventually(f.t, func() bool {
-		body := fmt.Sprintf(`{"Version":%d}`, version)
-		return f.nodes[i].Propose(context.Background(), document.Command{Put: &document.Put{Version: version, Body: []byte(body)}}) == nil
-	})
-}
-
-func (f *fleet) voters(i int) int {
-	r := f.nodes[i].host.current.Load()
-	if r == nil {
-		return 0
-	}
-	return len(r.Status().Config.Voters)
-}
-
-// read waits for a confirmed read and returns its version.
-func (f *fleet) read(i int) uint64 {
-	f.t.Helper()
-	var version uint64
-	eventually(f.t, func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		state, err := f.nodes[i].Read(ctx)
-		version = state.Version
-		return err == nil
-	})
-	return version
-}
-
 // All processes start at once and know one seed, which may have no disk. They
 // must form one log: two would each accept changes that the other never sees.
 func TestProcessesThatKnowOneSeedFormOneLog(t *testing.T) {
