--- a/internal/mesh/follow_test.go
+++ b/internal/mesh/follow_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
@@ -41,18 +43,17 @@
 // The entry that another one follows is cut off from the log and goes on to answer. Each change must come by another way
 // all the same, or callers are routed by an old configuration for as long as the cut lasts.
 func TestASourceThatIsCutOffIsLeft(t *testing.T) {
-	f := startFleet(t, 1, 1)
+	f := startFleet(t, 1, 0)
 	f.put(0, 1)
-	eventually(t, f.nodes[1].Usable)
-	address := startCutOff(t)
-	f.nodes[1].meet(Process{Address: address, Entry: true})
-	eventually(t, func() bool {
-		f.nodes[1].mu.Lock()
-		defer f.nodes[1].mu.Unlock()
-		return f.nodes[1].peers[address].process.Disk
-	})
-	for version := uint64(2); version < 6; version++ {
-		f.put(0, version)
-		eventually(t, func() bool { return f.nodes[1].Documents().Current().State.Version == version })
+	source := startCutOff(t)
+	m := New(Options{Self: Process{Name: "follower", Address: "127.0.0.1:1", Entry: true, Started: 1}, Bootstrap: true}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	// It greets both, follows nobody by itself, and does not seek a first configuration.
+	m.ctx = t.Context()
+	for _, address := range []string{source, f.addresses[0]} {
+		m.meet(Process{Address: address, Entry: true})
+	}
+	m.followOne(t.Context(), source, func() bool { return true })
+	if next := m.source(); next != f.addresses[0] {
+		t.Errorf("it follows %s next, %s has what it lacks", next, f.addresses[0])
 	}
 }
