A stop waits neither for the settings, nor for the mesh, nor for a reader of lines

Callers and the platform saw an entry that got SIGTERM and had not ended after 8 min (soak of 240 processes). The loop that heard the signal also read the settings every 2 s and gave the seeds to the mesh. So it does hang, and not by the size alone: the same happens at any size behind settings that cannot be read, and behind a reader of standard output that stands still, as each line was written by who logged it.

Now signals are awaited by themselves, settings are kept by a duty of their own, lines are written beside those who log them (1,024 may wait, further ones are counted as dropped), and what is left of a stop after its time less 0.25 s ends with the process.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -93,6 +93,7 @@
 	// ended by it.
 	changes := make(chan os.Signal, 1)
 	signal.Notify(changes, syscall.SIGHUP)
+	stops := make(chan os.Signal, 1)
 	s, err := settings.LoadFleet(path)
 	if err != nil {
 		return err
@@ -110,7 +111,9 @@
 		log.Error("the start failed", telemetry.Cause(err))
 		return err
 	}
-	p.waitForStop(path, changes)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	p.duties.Go(func() { p.keepSettings(ctx, path, changes) })
+	<-stops
 	p.stop(cancel)
 	log.Info("stopped")
 	return nil
@@ -235,22 +238,19 @@
 	return server, nil
 }
 
-// waitForStop returns when the platform stops the process, and greets new
-// seeds when the settings change before.
-func (p *process) waitForStop(path string, changes <-chan os.Signal) {
-	stops := make(chan os.Signal, 4)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+// keepSettings greets new seeds when the settings change, until ctx ends. A stop
+// waits for nothing of it: the file may hang, and the mesh may be busy.
+func (p *process) keepSettings(ctx context.Context, path string, changes <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-stops:
+		case <-ctx.Done():
 			return
 		case <-changes:
-			p.reload(path)
 		case <-ticker.C:
-			p.reload(path)
 		}
+		p.reload(path)
 	}
 }
 
@@ -278,6 +278,7 @@
 
 // stop lets what is under way end.
 func (p *process) stop(cancel func()) {
+	time.AfterFunc(p.settings.StopWithin()-stopMargin/2, p.endNow)
 	p.log.Info("stop begins")
 	ctx, end := context.WithTimeout(context.Background(), p.settings.StopWithin()-stopMargin)
 	defer end()
@@ -294,3 +295,11 @@
 	}
 	cancel()
 }
+
+// endNow ends a process whose stop has taken all the time that it may: what is still
+// under way has been given up, and others wait for its end.
+func (p *process) endNow() {
+	p.log.Error("the stop has taken all its time", zap.Int("goroutines", runtime.NumGoroutine()))
+	_ = p.log.Sync()
+	os.Exit(1)
+}
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -14,11 +14,12 @@
 const logBurst = 30
 
 // NewBoundedLogger returns a logger that writes JSON lines to standard output,
-// at most logBurst of one text in a second; dropped counts the rest.
+// at most logBurst of one text in a second; dropped counts the rest. Nobody waits
+// for whoever reads them.
 func NewBoundedLogger(instance string, dropped *expvar.Int) *zap.Logger {
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stdout), zap.InfoLevel)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), newLineWriter(os.Stdout, dropped), zap.InfoLevel)
 	return zap.New(bounded(core, dropped)).With(zap.String("instance", instance))
 }
 
