--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -10,10 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/rosemarypass/rosemarypass/internal/peertls"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -143,105 +141,6 @@
 	}
 }
 
-// Client calls one address and reconnects when the connection is lost.
-type Client struct {
-	address  string
-	identity *peertls.Identity
-	mu       sync.Mutex
-	conn     *jsonrpc2.Conn
-}
-
-// ClientOption changes how a client connects.
-type ClientOption func(*Client)
-
-// WithIdentity secures the client's connections; nil stands for plaintext.
-func WithIdentity(identity *peertls.Identity) ClientOption {
-	return func(c *Client) { c.identity = identity }
-}
-
-// NewClient returns a client that connects on its first call.
-func NewClient(address string, options ...ClientOption) *Client {
-	c := &Client{address: address}
-	for _, option := range options {
-		option(c)
-	}
-	return c
-}
-
-// Call sends one request and waits for its answer or the end of ctx.
-func (c *Client) Call(ctx context.Context, method string, in, out any) error {
-	conn, err := c.connect(ctx)
-	if err != nil {
-		return err
-	}
-	if err := conn.Call(ctx, method, in, out); err != nil {
-		c.dropIfBroken(conn, err)
-		return errors.Wrapf(err, "%s at %s", method, c.address)
-	}
-	return nil
-}
-
-// connectTimeout bounds a new connection: a few ways between regions. To a
-// machine without power none ever opens, the first packet is sent again after a
-// second, and all other calls to the address wait meanwhile.
-const connectTimeout = 300 * time.Millisecond
-
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil && !disconnected(c.conn) {
-		return c.conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	raw, err := c.identity.Dial(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, errors.Wrap(err, "connect")
-	}
-	c.conn = jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(refuse), jsonrpc2.SetLogger(streamErrors{}))
-	return c.conn, nil
-}
-
-// disconnected reports whether the peer has closed an idle connection. A call
-// sent on it would fail with an unknown fate, although it was never received.
-func disconnected(conn *jsonrpc2.Conn) bool {
-	select {
-	case <-conn.DisconnectNotify():
-		return true
-	default:
-		return false
-	}
-}
-
-func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers no calls"}
-}
-
-// dropIfBroken closes the connection unless the peer answered. A connection
-// that timed out may be cut off silently, and only a new one finds out.
-func (c *Client) dropIfBroken(conn *jsonrpc2.Conn, err error) {
-	var answered *jsonrpc2.Error
-	if errors.As(err, &answered) {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn == conn {
-		c.conn = nil
-	}
-	_ = conn.Close()
-}
-
-// Close closes the current connection.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn = nil
-	}
-}
-
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(countedConn{conn}, boundedCodec{})
 }
