Watches of agents that fail keep to their share, and grow rarer

A watch that fails was tried again after 0.1 s, whatever share of all watches the agent has: with 120 agents that start slowly an entry dialled up to 300 of them a second, 120 entries together 36,000 (worked out), and no agent came up under that. Timeouts cause connects, connects cause timeouts.

A watch that fails waits no less than one that is answered.

--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -89,13 +91,16 @@
 	// that watching takes under 2% of a core however many engines there are.
 	nearWatches = 100
 	farWatches  = 60
-	// watchRetry follows a call that failed.
-	watchRetry = 100 * time.Millisecond
 )
 
+// watchRetries follow calls that failed; the share that the agent has of all watches
+// goes before them.
+var watchRetries = backoff.Options{First: 100 * time.Millisecond, Most: 2 * time.Second}
+
 func (a *agentClient) run(ctx context.Context) {
 	defer a.client.Close()
 	var known wire.EngineState
+	var trouble backoff.Trouble
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, watchTimeout)
 		var state wire.EngineState
@@ -105,9 +110,12 @@
 		cancel()
 		pause := time.Duration(a.pause.Load())
 		if err != nil {
-			state, pause = wire.EngineState{}, watchRetry
-		} else if state.HeldChange == known.HeldChange {
-			state.Held, state.Stale = known.Held, known.Stale
+			state, pause = wire.EngineState{}, max(pause, watchRetries.Pause(trouble.Failed(time.Now()), 0, rand.Float64()))
+		} else {
+			trouble.Over()
+			if state.HeldChange == known.HeldChange {
+				state.Held, state.Stale = known.Held, known.Stale
+			}
 		}
 		known = state
 		a.take(state)
