Agents pause between orders that fail at once, and ask ever more seldom for permits

The same fault elsewhere, found by going through all retries: an order with an unknown fate was given again in the next turn of the agent's loop. Behind a timeout of 60 ms that is bounded; where the connection is reset at once it is a tight loop until the next report. And each agent whose engine lost its models asked the leader for a permit every 0.2 s, however long it had waited and however many did: 3,000 questions a second at 600 engines (worked out), while the store gives a few models a second.

Now orders without an answer begin at least 60 ms apart, up to 0.5 s as it lasts; permits 0.1 to 2 s, an eighth of the time that the engine has been empty.

--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -20,7 +22,7 @@
 	if d.emptySince.IsZero() {
 		d.emptySince = now
 	}
-	if d.asking {
+	if d.asking || now.Before(d.askAgain) {
 		return
 	}
 	if model := d.modelAtOnce(); model != "" {
@@ -54,10 +56,20 @@
 	return ""
 }
 
+// permitTries are the questions for a permit while it is not given: engines that
+// have lost their models together all ask the same leader, and the store gives them
+// one after the other.
+var permitTries = backoff.Options{First: idlePoll / 2, Most: 2 * time.Second}
+
+// orderTries are the tries at an order that gets no answer, from the beginning of one
+// to that of the next.
+var orderTries = backoff.Options{First: orderTimeout, Most: 500 * time.Millisecond}
+
 // askPermit asks beside the duty; the answer comes through the ring of calls.
 func (d *duty) askPermit(ctx context.Context) {
 	d.asking = true
 	since, onDisk := d.emptySince, slices.Clone(d.report.OnDisk)
+	d.askAgain = time.Now().Add(permitTries.Pause(time.Since(since), 0, rand.Float64()))
 	go func() {
 		model := d.options.Permit(ctx, d.options.Service, onDisk, since)
 		_ = d.submit(func(d *duty) { d.asking, d.permitted = false, model })
@@ -72,6 +84,8 @@
 	}
 	var order Order
 	switch {
+	case d.unanswered != nil && time.Now().Before(d.orderAgain):
+		return
 	case d.unanswered != nil:
 		// Until a newer order is accepted the unanswered one may still be carried
 		// out; the same order again settles both.
@@ -84,6 +98,7 @@
 	}
 	order.Sequence, order.Holder, order.Token = d.sequence, d.options.Name, d.token
 	d.unanswered, d.ordering = nil, true
+	d.orderAgain = time.Now().Add(orderTries.Pause(d.silence.Failed(time.Now()), 0, rand.Float64()))
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
@@ -98,6 +113,9 @@
 	d.log.Info("order", zap.Bool("load", order.Load), zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Int64("version", order.Version),
 		zap.Int64("sequence", order.Sequence), zap.Uint8("result", uint8(r.result)), telemetry.Cause(r.err))
 	name := order.Model + "/" + order.Adapter
+	if r.result != OrderUnknown {
+		d.silence.Over()
+	}
 	switch r.result {
 	case OrderAccepted, OrderDone:
 		if r.result == OrderAccepted || !order.Load {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/coord/residency"
 	"github.com/rosemarypass/rosemarypass/coord/route"
@@ -88,6 +89,10 @@
 	orders []Order
 	// unanswered is the order whose fate is unknown.
 	unanswered *Order
+	// silence is how long orders have had no answer, orderAgain when the next one may
+	// be given behind one without an answer.
+	silence    backoff.Trouble
+	orderAgain time.Time
 	// Reports and orders are asked for beside the duty, one of each at a time:
 	// an engine that does not answer must not hold up the starts of requests.
 	reports  chan reported
@@ -104,6 +109,8 @@
 	emptySince time.Time
 	asking     bool
 	permitted  string
+	// askAgain is when a permit may be asked for again.
+	askAgain time.Time
 	// summed is when the engine was last summed up in the log.
 	summed time.Time
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"testing"
@@ -37,6 +38,9 @@
 	coming   map[string]int64
 	orders   []Order
 	silent   bool
+	// resets makes all orders fail at once, with an unknown fate; tries counts them.
+	resets bool
+	tries  int
 }
 
 func newFakeEngine(t *testing.T) *fakeEngine {
@@ -57,6 +61,11 @@
 
 func (e *fakeEngine) Order(ctx context.Context, o Order) (OrderResult, error) {
 	e.mu.Lock()
+	e.tries++
+	if e.resets {
+		defer e.mu.Unlock()
+		return OrderUnknown, errors.New("the connection was reset")
+	}
 	if e.hidden > 0 {
 		e.hidden--
 		e.mu.Unlock()
@@ -385,3 +394,41 @@
 		}
 	})
 }
+
+// An engine is rebuilt behind its port and resets each order: the agent must not try again as fast as it is refused.
+func TestOrdersThatFailAtOnceAreNotGivenInATightLoop(t *testing.T) {
+	e := newFakeEngine(t)
+	e.resets = true
+	const lasts = 8 * time.Second
+	run(t, e, func(t *testing.T, s *Sidecar) {
+		ctx, cancel := context.WithTimeout(t.Context(), lasts)
+		defer cancel()
+		_, _ = s.admit(ctx, wire.StartRequest{ID: "1", Adapter: "m/a", WaitMillis: lasts.Milliseconds()})
+		<-ctx.Done()
+	})
+	if most := int(lasts / orderTimeout); e.tries == 0 || e.tries > most/2 {
+		t.Errorf("%d orders were given in %s, %d would follow one another without a pause for the trouble's age", e.tries, lasts, most)
+	}
+}
+
+// Many engines lost their models together and the store brings them one after the other: an agent that has waited for
+// long must not ask as often as at first.
+func TestAPermitThatIsNotGivenIsAskedForEverMoreSeldom(t *testing.T) {
+	e := newFakeEngine(t)
+	e.models = nil
+	var asked []time.Time
+	options := Options{Permit: func(context.Context, string, []string, time.Time) string {
+		asked = append(asked, time.Now())
+		return ""
+	}}
+	runWith(t, e, options, []route.Model{{Name: "m"}, {Name: "rare"}}, func(t *testing.T, _ *Sidecar) {
+		time.Sleep(time.Minute)
+	})
+	const most = 60
+	if len(asked) < 20 || len(asked) > most {
+		t.Errorf("a permit was asked for %d times in a minute, want 20 to %d", len(asked), most)
+	}
+	if last := asked[len(asked)-1].Sub(asked[len(asked)-2]); last < time.Second {
+		t.Errorf("after a minute a permit is asked for every %s", last)
+	}
+}
