Processes without a proof try at a bounded rate, on connections that they keep

Each of 237 processes without a log asked the same three members at once for a proof, on a new connection each, and again 30 ms after each refusal, however long it lasted; permits, forwarded changes and single pulls opened a connection each as well.

- Tries for a proof pause for an eighth of the time without one, 30 ms to 2 s, and no less than a share of 500 tries a second among the processes known.
- Of many processes the second and third member are asked only once the first has had some time (1 ms for each process known); few ask all at once as before.
- Questions to a process share a connection that is kept.
Greetings have theirs.
- Pulls that fail or find nothing newer, and greetings that fail, pause longer the longer it lasts: up to 1 s and up to 0.8 s.
- A member's rounds pause likewise, up to 0.5 s.

Seen failing on the old code: in the first half minute one of 8 processes, and one of 400, tried 1,000 times, and 1,000 times in the second half; 20 questions opened 20 connections.

--- a/internal/mesh/confirm.go
+++ b/internal/mesh/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,8 +11,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
@@ -20,15 +21,25 @@
 	// that there is none, proofTimeout leaves its answer some time.
 	proofWait    = 700 * time.Millisecond
 	proofTimeout = proofWait + 300*time.Millisecond
-	// proofPause follows a try without a proof.
-	proofPause = 30 * time.Millisecond
+	// standingPause is the pause between two questions to a voter while a round lasts.
+	standingPause = 50 * time.Millisecond
 	// askAfter is how long a member looks for a proof before it asks others too.
 	askAfter = 150 * time.Millisecond
-	// proofsAsked is how many members a process without a log asks at once: the
-	// first may be down or cut off.
+	// proofsAsked is how many members a process without a log asks in one round: the
+	// first may be down or cut off. Each further one is asked hedge later for each
+	// process that may ask too: of a few all are asked at once, as nobody waits then
+	// for one that is down, and of many rarely more than the first.
 	proofsAsked = 3
+	hedge       = time.Millisecond
 )
 
+// proofTries are the tries that found no proof, of all who ask the same few members.
+var proofTries = backoff.Options{First: 30 * time.Millisecond, Most: 2 * time.Second, Rate: 500}
+
+// memberTries are the rounds of a member of the log, memberTries.First the pause
+// between two of them also where proofs are found.
+var memberTries = backoff.Options{First: 30 * time.Millisecond, Most: 500 * time.Millisecond}
+
 // errUnproven means that nothing shows that the configuration held is not an old
 // one.
 var errUnproven = errors.New("no majority of the log has confirmed the configuration")
@@ -37,6 +48,7 @@
 // acknowledged before the call. What the own disk or the first other process
 // holds at a start may be older than what was in force here a second ago.
 func (m *Mesh) seekProof(ctx context.Context) {
+	var trouble backoff.Trouble
 	for ctx.Err() == nil {
 		stood := m.pauses.count()
 		proven := m.newestWithin(ctx, 2*proofTimeout)
@@ -45,7 +57,7 @@
 			m.documents.Confirm()
 			return
 		}
-		_ = wait.For(ctx, proofPause)
+		_ = wait.For(ctx, proofTries.Pause(trouble.Failed(time.Now()), m.size(), rand.Float64()))
 	}
 }
 
@@ -86,8 +98,12 @@
 	members := m.members()
 	var given atomic.Bool
 	var asked sync.WaitGroup
-	for _, member := range members[:min(len(members), proofsAsked)] {
+	apart := time.Duration(m.size()) * hedge
+	for i, member := range members[:min(len(members), proofsAsked)] {
 		asked.Go(func() {
+			if i > 0 && wait.For(ctx, time.Duration(i)*apart) != nil {
+				return
+			}
 			if m.askProofOf(ctx, member) == nil {
 				given.Store(true)
 				cancel()
@@ -99,10 +115,8 @@
 }
 
 func (m *Mesh) askProofOf(ctx context.Context, address string) error {
-	client := rpc.NewClient(address)
-	defer client.Close()
 	var reply pullReply
-	if err := client.Call(ctx, methodConfirm, m.request(), &reply); err != nil {
+	if err := m.ask(ctx, address, methodConfirm, m.request(), &reply); err != nil {
 		return err
 	}
 	if reply.Newer {
@@ -191,7 +205,7 @@
 	}
 	for _, address := range own.Voters {
 		if address != h.mesh.options.Self.Address {
-			go askStandings(ctx, address, answers)
+			go h.mesh.askStandings(ctx, address, answers)
 		}
 	}
 	return answers
@@ -199,17 +213,15 @@
 
 // askStandings asks a voter again and again: it may start, or apply what it holds,
 // while the round lasts.
-func askStandings(ctx context.Context, address string, answers chan<- freshness.Answer) {
-	client := rpc.NewClient(address)
-	defer client.Close()
+func (m *Mesh) askStandings(ctx context.Context, address string, answers chan<- freshness.Answer) {
 	for ctx.Err() == nil {
 		var standing freshness.Standing
-		if client.Call(ctx, methodStanding, standingRequest{}, &standing) == nil {
+		if m.ask(ctx, address, methodStanding, standingRequest{}, &standing) == nil {
 			select {
 			case answers <- freshness.Answer{Address: address, Standing: standing}:
 			case <-ctx.Done():
 			}
 		}
-		_ = wait.For(ctx, proofPause)
+		_ = wait.For(ctx, standingPause)
 	}
 }
--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
@@ -14,10 +15,14 @@
 	pullWait = 700 * time.Millisecond
 	// pullTimeout leaves the answer some time behind pullWait.
 	pullTimeout = pullWait + 500*time.Millisecond
-	// pullPause follows a pull that failed.
-	pullPause = 100 * time.Millisecond
-	// seekPause follows a pull from one that holds nothing either.
-	seekPause = 30 * time.Millisecond
+)
+
+var (
+	// pullTries follow pulls that failed, or found their source behind others.
+	pullTries = backoff.Options{First: 100 * time.Millisecond, Most: time.Second}
+	// seekTries follow pulls from those that hold nothing either: processes that
+	// restarted together ask each other.
+	seekTries = backoff.Options{First: 30 * time.Millisecond, Most: time.Second}
 )
 
 func (m *Mesh) takePull(ctx context.Context, in pullRequest) (pullReply, error) {
@@ -57,18 +62,17 @@
 // follow keeps the configuration up to date where there is no log: it asks one
 // entry after the other, and another one as soon as one does not answer.
 func (m *Mesh) follow(ctx context.Context) {
+	var trouble backoff.Trouble
 	for ctx.Err() == nil {
-		address := m.source()
-		if address == "" {
-			_ = wait.For(ctx, pullPause)
-			continue
+		address, held := m.source(), m.documents.Current().State.Index
+		if address != "" && m.followOne(ctx, address, func() bool { return true }) || m.documents.Current().State.Index > held {
+			trouble.Over()
 		}
-		m.followOne(ctx, address, func() bool { return true })
+		tries := pullTries
 		if m.seeks() {
-			_ = wait.For(ctx, seekPause)
-			continue
+			tries = seekTries
 		}
-		_ = wait.For(ctx, pullPause)
+		_ = wait.For(ctx, tries.Pause(trouble.Failed(time.Now()), 0, rand.Float64()))
 	}
 }
 
@@ -79,8 +83,9 @@
 	return !m.options.Bootstrap && m.documents.Current().State.Index == 0
 }
 
-// followOne follows one entry until it fails, lags, or wanted is false.
-func (m *Mesh) followOne(ctx context.Context, address string, wanted func() bool) {
+// followOne follows one entry until it fails, lags, or wanted is false, and reports
+// whether it was of use before.
+func (m *Mesh) followOne(ctx context.Context, address string, wanted func() bool) (useful bool) {
 	client := rpc.NewClient(address)
 	defer client.Close()
 	var told uint64
@@ -100,7 +105,7 @@
 		err := client.Call(call, methodPull, request, &reply)
 		cancel()
 		if err != nil {
-			return
+			return useful
 		}
 		if reply.Newer {
 			m.takePulled(reply.State, originPull+address)
@@ -113,9 +118,11 @@
 		}
 		m.mu.Unlock()
 		if reply.Newest > m.documents.Current().State.Index || m.behind() || m.seeks() {
-			return
+			return useful
 		}
+		useful = true
 	}
+	return useful
 }
 
 // newest is the highest index of a configuration that was heard of.
@@ -135,8 +142,8 @@
 	return m.newest() > m.documents.Current().State.Index
 }
 
-// source picks whom to ask: of those that hold the newest any, with a log and
-// in the own data centre rather.
+// source picks whom to ask: of those that hold the newest any, in the own data
+// centre rather. Those with a log know sooner.
 func (m *Mesh) source() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -145,7 +152,7 @@
 	for address, q := range m.peers {
 		score := rand.Float64()
 		if q.process.Disk {
-			score += 1
+			score++
 		}
 		if q.process.DataCentre == m.options.Self.DataCentre {
 			score++
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,10 @@
 func newLogHost(m *Mesh) *logHost {
 	h := &logHost{mesh: m, spreadWait: spreadWait}
 	h.prover.round = h.proveByVoters
+	h.prover.pause = func(trouble time.Duration) time.Duration {
+		// A round asks the other voters, however many wait for it.
+		return memberTries.Pause(trouble, 0, rand.Float64())
+	}
 	return h
 }
 
@@ -257,12 +262,10 @@
 
 // pullOnce takes what one peer holds.
 func (m *Mesh) pullOnce(ctx context.Context, address string) {
-	client := rpc.NewClient(address)
-	defer client.Close()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var reply pullReply
-	if err := client.Call(call, methodPull, m.request(), &reply); err == nil && reply.Newer {
+	if err := m.ask(call, address, methodPull, m.request(), &reply); err == nil && reply.Newer {
 		m.takePulled(reply.State, originPull+address)
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/modelplan"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
@@ -43,8 +45,6 @@
 	syncInterval = 400 * time.Millisecond
 	// syncTimeout bounds one greeting; one way takes a few milliseconds.
 	syncTimeout = 700 * time.Millisecond
-	// failurePause follows a greeting that failed.
-	failurePause = 300 * time.Millisecond
 	// heardAge is how long after its last word a peer counts as reached.
 	heardAge = 1500 * time.Millisecond
 	// forgetAge is how much longer ago than others a process was heard by anyone
@@ -65,6 +65,11 @@
 	silentAge = 15 * time.Second
 )
 
+// greetingTries follow greetings that failed. The longest pause is shorter than the
+// time after which a process counts as out of reach: one that is there again must
+// not stay so.
+var greetingTries = backoff.Options{First: 300 * time.Millisecond, Most: 800 * time.Millisecond}
+
 // Mesh is this process's part.
 type Mesh struct {
 	options   Options
@@ -111,6 +116,9 @@
 		progress: make(chan struct{}), unheard: make(map[string]bool),
 	}
 	m.prover.round = m.proveOnce
+	m.prover.pause = func(trouble time.Duration) time.Duration {
+		return proofTries.Pause(trouble, m.size(), rand.Float64())
+	}
 	m.pauses.clock = bootTime
 	if options.Folder != "" {
 		m.host = newLogHost(m)
@@ -165,6 +173,18 @@
 	m.duties.Go(func() { m.keepConfirmed(ctx) })
 	m.expire(ctx)
 	m.duties.Wait()
+	if !m.options.Self.Entry {
+		m.closePeers()
+	}
+}
+
+// closePeers closes the connections of a process that greets nobody.
+func (m *Mesh) closePeers() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, q := range m.peers {
+		q.close()
+	}
 }
 
 // SetSeeds greets further seeds.
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
@@ -15,10 +17,13 @@
 
 // peer is another entry.
 type peer struct {
-	mesh   *Mesh
-	client *rpc.Client
-	kick   chan struct{}
-	met    time.Time
+	mesh *Mesh
+	// client carries greetings, questions all other calls: an answer that is large
+	// or waits for something must not hold up the next greeting.
+	client    *rpc.Client
+	questions *rpc.Client
+	kick      chan struct{}
+	met       time.Time
 
 	// The mesh's mu guards these.
 	process Process
@@ -72,9 +77,10 @@
 
 // run greets the peer while there is reason to, and rests otherwise.
 func (q *peer) run(ctx context.Context) {
-	defer q.client.Close()
+	defer q.close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var trouble backoff.Trouble
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,7 +100,9 @@
 		}
 		pause := syncInterval
 		if err := q.greet(ctx, news); err != nil {
-			pause = failurePause
+			pause = greetingTries.Pause(trouble.Failed(time.Now()), 0, rand.Float64())
+		} else {
+			trouble.Over()
 		}
 		timer.Reset(pause)
 	}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -28,7 +29,7 @@
 		return nil
 	}
 	p.SilentMillis = 0
-	q := &peer{mesh: m, process: p, met: now, word: now.Add(-silent), kick: make(chan struct{}, 1), client: rpc.NewClient(p.Address)}
+	q := &peer{mesh: m, process: p, met: now, word: now.Add(-silent), kick: make(chan struct{}, 1), client: rpc.NewClient(p.Address), questions: rpc.NewClient(p.Address)}
 	m.peers[p.Address] = q
 	m.digest += p.digest()
 	m.relink = true
@@ -133,10 +134,38 @@
 		delete(m.peers, address)
 		m.digest -= q.process.digest()
 		m.relink = true
+		// The duty that greets it ends, and closes its connections.
 		q.wake()
 	}
 }
 
+// close closes the connections to a peer.
+func (q *peer) close() {
+	q.client.Close()
+	q.questions.Close()
+}
+
+// ask calls a process on the connection that is kept for questions to it.
+func (m *Mesh) ask(ctx context.Context, address, method string, in, out any) error {
+	m.mu.Lock()
+	q := m.peers[address]
+	m.mu.Unlock()
+	if q != nil {
+		return q.questions.Call(ctx, method, in, out)
+	}
+	client := rpc.NewClient(address)
+	defer client.Close()
+	return client.Call(ctx, method, in, out)
+}
+
+// size is how many processes are known, this one included: what each does of its own
+// accord at the same few others is divided among so many.
+func (m *Mesh) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
+
 // chooseLinks decides whom this process greets. The caller holds mu.
 func (m *Mesh) chooseLinks(self Process, now time.Time) {
 	own := self.digest()
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -11,7 +11,6 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/modelplan"
 	"github.com/rosemarypass/rosemarypass/coord/route"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -143,10 +142,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	client := rpc.NewClient(leader)
-	defer client.Close()
 	var reply permitReply
-	if err := client.Call(ctx, methodPermit, permitRequest{Service: service, OnDisk: onDisk}, &reply); err != nil {
+	if err := m.ask(ctx, leader, methodPermit, permitRequest{Service: service, OnDisk: onDisk}, &reply); err != nil {
 		m.log.Warn("no permit could be asked for", zap.String("leader", leader), telemetry.Cause(err))
 		return m.withoutPermit(service, onDisk, since)
 	}
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
-	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
 
 // ErrUnsure means that the log could not be asked in time: whether a change was
@@ -70,9 +69,7 @@
 func (m *Mesh) forward(ctx context.Context, address, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	client := rpc.NewClient(address)
-	defer client.Close()
-	return client.Call(ctx, method, in, out)
+	return m.ask(ctx, address, method, in, out)
 }
 
 // members lists the processes with a log, those heard of lately first.
--- a/internal/mesh/prover.go
+++ b/internal/mesh/prover.go
@@ -5,13 +5,17 @@
 	"sync"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 // prover looks for proofs, one round for all whose question came before it. What
-// callers ask for does not raise the number of rounds beyond one in proofPause.
+// callers ask for does not raise the number of rounds beyond one a pause.
 type prover struct {
 	round func() bool
+	// pause is that between the beginnings of two rounds, the first one without a
+	// proof having been so long ago.
+	pause func(trouble time.Duration) time.Duration
 
 	mu      sync.Mutex
 	running bool
@@ -39,6 +43,7 @@
 
 // run plays rounds until nobody waits for one.
 func (p *prover) run() {
+	var trouble backoff.Trouble
 	for {
 		p.mu.Lock()
 		asking := p.waiting
@@ -53,6 +58,12 @@
 		for _, answer := range asking {
 			answer <- proven
 		}
-		_ = wait.For(context.Background(), proofPause-time.Since(began))
+		lasts := time.Duration(0)
+		if proven {
+			trouble.Over()
+		} else {
+			lasts = trouble.Failed(began)
+		}
+		_ = wait.For(context.Background(), p.pause(lasts)-time.Since(began))
 	}
 }
