What a greeting tells of others no longer grows with the fleet while it changes

Seen in the soak of 240 processes: greetings took most of the processor, 30% of all samples the decoding of JSON, and 969 greetings waited for the lock of one entry, each from a sender that had given it up after 0.7 s. Wherever two processes did not know quite the same, and in a fleet of which somebody always restarts no two do, each greeting was answered with the list of all processes, 30 kB for 120 of them, and each pull of an agent or an entry likewise. What one process spends grows with the fleet, what hubs and members spend with its square.

- Each process counts the changes of what it knows.
Who greets or pulls says up to where it has heard them, and is told what has changed since.
- The whole list goes to a peer that knows of others at most every 25 ms for each process known: as often as before up to 16 entries, every 3 s at 120.
- Of one process one greeting is taken at a time: the next one is refused while the first still waits.
- In a fleet of more than 16 entries pulls are spread over all of them.
Before, all agents and all entries without a log pulled from its few members.

--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
+	"github.com/rosemarypass/rosemarypass/coord/overlay"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
@@ -48,7 +49,9 @@
 	}
 	reply.Digest, reply.Newest = m.knownDigest(), m.newest()
 	if reply.Digest != in.Digest {
-		reply.Known = m.Known()
+		reply.Known, reply.Heard = m.knownSince(in.Heard)
+	} else {
+		reply.Heard = in.Heard
 	}
 	return reply, nil
 }
@@ -89,10 +92,11 @@
 	client := rpc.NewClient(address)
 	defer client.Close()
 	var told uint64
+	var heard heardList
 	listed := time.Now()
 	for ctx.Err() == nil && wanted() {
 		if time.Since(listed) > relistInterval {
-			told, listed = 0, time.Now()
+			told, heard, listed = 0, heardList{}, time.Now()
 		}
 		patience := pullWait
 		if m.seeks() {
@@ -101,7 +105,7 @@
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		var reply pullReply
 		request := m.request()
-		request.Digest, request.WaitMillis = told, patience.Milliseconds()
+		request.Digest, request.Heard, request.WaitMillis = told, heard, patience.Milliseconds()
 		err := client.Call(call, methodPull, request, &reply)
 		cancel()
 		if err != nil {
@@ -110,7 +114,7 @@
 		if reply.Newer {
 			m.takePulled(reply.State, originPull+address)
 		}
-		told = reply.Digest
+		told, heard = reply.Digest, reply.Heard
 		now := time.Now()
 		m.mu.Lock()
 		for _, p := range reply.Known {
@@ -143,15 +147,17 @@
 }
 
 // source picks whom to ask: of those that hold the newest any, in the own data
-// centre rather. Those with a log know sooner.
+// centre rather. A few processes rather ask those with a log, which know sooner; the
+// members of a large fleet must have time for each other.
 func (m *Mesh) source() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	few := len(m.peers) < overlay.MostHubs
 	best, bestScore := "", -1.0
 	now := time.Now()
 	for address, q := range m.peers {
 		score := rand.Float64()
-		if q.process.Disk {
+		if q.process.Disk && few {
 			score++
 		}
 		if q.process.DataCentre == m.options.Self.DataCentre {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -53,6 +53,10 @@
 	// lostAge is how long a peer that does not answer counts as lost, if nothing
 	// is heard of it: then it is tried again.
 	lostAge = 10 * time.Second
+	// listPause is, for each process that is known, the least pause between two full
+	// lists to a peer that knows of others: what a list costs grows with them, what
+	// lists cost in a second does not. What changes meanwhile is told at once.
+	listPause = 25 * time.Millisecond
 	// relistInterval is the pause between two full lists of the known processes
 	// from a peer, which show who has fallen silent.
 	relistInterval = 30 * time.Second
@@ -81,11 +85,16 @@
 	prover prover
 	pauses pauses
 
+	// taking holds the processes whose greetings are being taken, by address.
+	taking sync.Map
+
 	mu     sync.Mutex
 	peers  map[string]*peer
 	roster *roster.Roster
-	// digest is the sum of the peers' digests.
-	digest uint64
+	// digest is the sum of the peers' digests, changes counts the changes of what is
+	// known of them.
+	digest  uint64
+	changes uint64
 	// relink is true when whom to greet must be decided anew; linkedAt is when
 	// it was, linkedAs this process's own digest then.
 	relink   bool
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -45,9 +45,18 @@
 	SilentMillis int64 `json:"silentMillis,omitempty"`
 }
 
+// heardList says up to where somebody has heard what one incarnation of a process
+// knows of all others. Each such process counts the changes of what it knows.
+type heardList struct {
+	Of     int64  `json:"of,omitempty"`
+	Change uint64 `json:"change,omitempty"`
+}
+
 // greeting tells a peer what it may not know yet.
 type greeting struct {
 	From Process `json:"from"`
+	// Heard is up to where the sender has heard the receiver's list.
+	Heard heardList `json:"heard,omitzero"`
 	// Servers are backend servers whose announcements are news, Beats those of
 	// which it is only news that they live.
 	Servers []roster.Server `json:"servers,omitempty"`
@@ -61,11 +70,12 @@
 	Relies bool `json:"relies,omitempty"`
 }
 
-// greetingReply answers with the peer itself and, where the digests differ,
-// everyone it knows.
+// greetingReply answers with the peer itself and, where the digests differ, whom it
+// knows: what has changed since the sender heard of it, and everyone now and then.
 type greetingReply struct {
 	From  Process   `json:"from"`
 	Known []Process `json:"known,omitempty"`
+	Heard heardList `json:"heard,omitzero"`
 	// Missing are servers of which only a beat came and nothing else is known.
 	Missing []string `json:"missing,omitempty"`
 }
@@ -78,8 +88,10 @@
 	// Holds is true when there is a configuration of that version: 0 is a version
 	// too.
 	Holds bool `json:"holds,omitempty"`
-	// Digest is that of the processes that were told with the last answer.
-	Digest uint64 `json:"digest"`
+	// Digest is that of the processes that were told with the last answer, Heard up to
+	// where it told them; both are 0 when all are wanted.
+	Digest uint64    `json:"digest"`
+	Heard  heardList `json:"heard,omitzero"`
 	// WaitMillis is how long to wait for something newer.
 	WaitMillis int64 `json:"waitMillis,omitempty"`
 }
@@ -91,7 +103,8 @@
 	State document.State `json:"state"`
 	Known []Process      `json:"known,omitempty"`
 	// Digest is that of the processes known to the one that answers.
-	Digest uint64 `json:"digest"`
+	Digest uint64    `json:"digest"`
+	Heard  heardList `json:"heard,omitzero"`
 	// Newest is the highest index that it has heard of at any process.
 	Newest uint64 `json:"newest"`
 }
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
@@ -42,8 +43,13 @@
 	// failed is when it last failed to answer; 0 once it has.
 	failed time.Time
 	lost   bool
-	// listed is when it last told all the processes that it knows.
-	listed time.Time
+	// change is this process's count of changes as of its last one.
+	change uint64
+	// listed is when it last told all the processes that it knows, and listedTo when it
+	// was last told all; heardList is up to where it has told its own.
+	listed    time.Time
+	listedTo  time.Time
+	heardList heardList
 	// confirmed is the roster change up to which the peer has heard.
 	confirmed uint64
 	// missing are servers of which it knows nothing but that they live.
@@ -161,7 +167,7 @@
 	q.mesh.mu.Lock()
 	q.confirmed = max(q.confirmed, sent.change)
 	q.strikes = q.strikes[min(len(sent.Strikes), len(q.strikes)):]
-	q.missing = reply.Missing
+	q.missing, q.heardList = reply.Missing, reply.Heard
 	regained := q.lost
 	q.lost, q.failed = false, time.Time{}
 	if sent.relist {
@@ -214,7 +220,7 @@
 func (q *peer) news(now time.Time) pending {
 	m := q.mesh
 	p := pending{change: m.roster.Change(), relist: now.Sub(q.listed) >= relistInterval}
-	p.Relies = m.relies
+	p.Relies, p.Heard = m.relies, q.heardList
 	p.Strikes = slices.Clone(q.strikes)
 	for _, e := range m.roster.Since(q.confirmed) {
 		switch {
@@ -240,7 +246,15 @@
 	}
 }
 
+// errGreetedTwice means that a greeting came while an earlier one of the same process
+// still waited: its sender has given that one up.
+var errGreetedTwice = errors.New("an earlier greeting of this process is still being taken")
+
 func (m *Mesh) takeGreeting(_ context.Context, in greeting) (greetingReply, error) {
+	if _, taking := m.taking.LoadOrStore(in.From.Address, true); taking {
+		return greetingReply{}, errGreetedTwice
+	}
+	defer m.taking.Delete(in.From.Address)
 	now := time.Now()
 	m.learn(in.From, now)
 	digest := m.knownDigest()
@@ -255,10 +269,19 @@
 			from.wake()
 		}
 	}
+	whole := in.Digest == 0 || from == nil || now.Sub(from.listedTo) >= time.Duration(len(m.peers))*listPause
+	if digest != in.Digest && whole && from != nil {
+		from.listedTo = now
+	}
 	m.mu.Unlock()
 	reply.From = m.Self()
-	if digest != in.Digest {
-		reply.Known = m.Known()
+	switch {
+	case digest == in.Digest:
+		_, reply.Heard = m.knownSince(in.Heard)
+	case whole:
+		reply.Known, reply.Heard = m.knownSince(heardList{})
+	default:
+		reply.Known, reply.Heard = m.knownSince(in.Heard)
 	}
 	return reply, nil
 }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -32,6 +32,7 @@
 	q := &peer{mesh: m, process: p, met: now, word: now.Add(-silent), kick: make(chan struct{}, 1), client: rpc.NewClient(p.Address), questions: rpc.NewClient(p.Address)}
 	m.peers[p.Address] = q
 	m.digest += p.digest()
+	m.noteChange(q)
 	m.relink = true
 	// Until it has described itself nobody can tell whether it is to be greeted.
 	q.linked = p.Started == 0
@@ -76,9 +77,16 @@
 	if before != after {
 		m.digest += after - before
 		m.relink = true
+		m.noteChange(q)
 	}
 }
 
+// noteChange counts a change of what is known of a peer. The caller holds mu.
+func (m *Mesh) noteChange(q *peer) {
+	m.changes++
+	q.change = m.changes
+}
+
 // digest stands for all that others must know of a process. The index of its
 // configuration is told by itself only: it would change all digests with each
 // change of the configuration.
@@ -102,19 +110,27 @@
 
 // Known lists all processes that were heard of, this one included.
 func (m *Mesh) Known() []Process {
-	known := []Process{m.Self()}
+	known, _ := m.knownSince(heardList{})
+	return known
+}
+
+// knownSince lists the processes of which more is known than somebody has heard from
+// this one, and this one, and says up to where that is.
+func (m *Mesh) knownSince(heard heardList) ([]Process, heardList) {
+	self := m.Self()
+	known := []Process{self}
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, q := range m.peers {
-		if q.process.Started != 0 {
+		if q.process.Started != 0 && (heard.Of != self.Started || q.change > heard.Change) {
 			p := q.process
 			p.SilentMillis = now.Sub(q.word).Milliseconds()
 			known = append(known, p)
 		}
 	}
 	slices.SortFunc(known, func(a, b Process) int { return cmp.Compare(a.Address, b.Address) })
-	return known
+	return known, heardList{Of: self.Started, Change: m.changes}
 }
 
 // forgetSilent forgets those of whom nobody has heard for long while others were
--- a/internal/mesh/storm_test.go
+++ b/internal/mesh/storm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -100,3 +101,77 @@
 	}
 	return conn, err
 }
+
+// A process is too busy to take greetings in time. Those whose senders have given them up must not pile up before it.
+func TestGreetingsOfOneProcessDoNotPileUp(t *testing.T) {
+	m := knowing(3)
+	again := greeting{From: Process{Address: "p0:1", Entry: true, Started: 1}}
+	m.mu.Lock()
+	first := make(chan error, 1)
+	go func() {
+		_, err := m.takeGreeting(t.Context(), again)
+		first <- err
+	}()
+	eventually(t, func() bool {
+		_, taking := m.taking.Load(again.From.Address)
+		return taking
+	})
+	if _, err := m.takeGreeting(t.Context(), again); !errors.Is(err, errGreetedTwice) {
+		t.Errorf("a second greeting ended with %v while the first one waited", err)
+	}
+	m.mu.Unlock()
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if _, err := m.takeGreeting(t.Context(), again); err != nil {
+		t.Error(err)
+	}
+}
+
+// In a large fleet somebody always restarts, so that no two know quite the same. What is told of all the others must
+// not grow with their number for each greeting: entries had time for nothing else.
+func TestListsOfALargeFleetAreToldSeldomAndChangesAtOnce(t *testing.T) {
+	const others, lasts = 240, time.Minute
+	synctest.Test(t, func(t *testing.T) {
+		m := knowing(others)
+		from := Process{Address: "p0:1", Entry: true, Started: 1}
+		var heard heardList
+		told, changes := 0, 0
+		for began := time.Now(); time.Since(began) < lasts; time.Sleep(syncInterval) {
+			changes++
+			restarted := Process{Name: "p9", Address: "p9:1", Entry: true, Started: int64(1 + changes)}
+			m.learn(restarted, time.Now())
+			reply, err := m.takeGreeting(t.Context(), greeting{From: from, Digest: 1, Heard: heard})
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := false
+			for _, p := range reply.Known {
+				found = found || p.Address == restarted.Address && p.Started == restarted.Started
+			}
+			if !found {
+				t.Fatalf("the restart %d is not told", changes)
+			}
+			told, heard = told+len(reply.Known), reply.Heard
+		}
+		whole := int(lasts/(others*listPause)) + 1
+		if most := whole*(others+2) + 3*changes; told > most {
+			t.Errorf("%d descriptions were told with %d greetings, %d is the most", told, changes, most)
+		}
+	})
+}
+
+// Somebody who heard another incarnation's list knows nothing of this one's.
+func TestAListIsToldWholeToWhoHeardAnotherIncarnation(t *testing.T) {
+	m := knowing(5)
+	all, heard := m.knownSince(heardList{})
+	if len(all) != 6 {
+		t.Fatalf("%d processes are told, 6 are known", len(all))
+	}
+	if again, _ := m.knownSince(heard); len(again) != 1 {
+		t.Errorf("%d processes are told again", len(again))
+	}
+	if other, _ := m.knownSince(heardList{Of: heard.Of + 1, Change: heard.Change}); len(other) != 6 {
+		t.Errorf("%d processes are told to one who heard another incarnation, 6 are known", len(other))
+	}
+}
