Greetings wait longer for their answers the longer answers are late, and tell of 64 servers at most

Trial at 240 processes, given up when entry 1 had not read the configuration back for 60 s: in some four seconds it sent 136 greetings, 129 of which failed, with 22,800 servers in full, as each failed one is repeated whole. All answers were later than the 0.7 s for which they are awaited, because of the greetings that had been given up and still had to be read: a load that keeps itself up.

While greetings fail their answers are awaited for half of the time that it has lasted, up to 5 s, so that one arrives; connections that cannot be made are given up after 0.3 s as before, so that a cut is found no later. One greeting tells of 64 servers in full at most, the next one follows at once: what has arrived is not told again.

--- a/coord/backoff/backoff.go
+++ b/coord/backoff/backoff.go
@@ -46,5 +46,20 @@
 	return now.Sub(t.since)
 }
 
+// Lasts returns how long failures have lasted, 0 while there is no trouble.
+func (t *Trouble) Lasts(now time.Time) time.Duration {
+	if t.since.IsZero() {
+		return 0
+	}
+	return now.Sub(t.since)
+}
+
 // Over notes a success.
 func (t *Trouble) Over() { t.since = time.Time{} }
+
+// Patience is how long an answer is awaited, between a first and a longest time, when
+// failures have lasted for so long. Where all answers are late because of the load,
+// those that give up and ask anew add to it; one of them must be waited for in the end.
+func Patience(first, most, trouble time.Duration) time.Duration {
+	return min(max(first, trouble/2), most)
+}
--- a/coord/backoff/backoff_test.go
+++ b/coord/backoff/backoff_test.go
@@ -38,10 +38,16 @@
 	if got := trouble.Failed(began); got != 0 {
 		t.Errorf("a first failure has lasted %s", got)
 	}
+	if got := trouble.Lasts(began.Add(time.Second)); got != time.Second {
+		t.Errorf("the failures have lasted %s, want a second", got)
+	}
 	if got := trouble.Failed(began.Add(time.Minute)); got != time.Minute {
 		t.Errorf("the failures have lasted %s, want a minute", got)
 	}
 	trouble.Over()
+	if got := trouble.Lasts(began.Add(time.Hour)); got != 0 {
+		t.Errorf("no failures have lasted %s", got)
+	}
 	if got := trouble.Failed(began.Add(time.Hour)); got != 0 {
 		t.Errorf("a failure behind a success has lasted %s", got)
 	}
@@ -72,3 +78,11 @@
 		}
 	})
 }
+
+func TestPatience(t *testing.T) {
+	for trouble, want := range map[time.Duration]time.Duration{0: time.Second, 3 * time.Second: 1500 * time.Millisecond, time.Minute: 5 * time.Second} {
+		if got := Patience(time.Second, 5*time.Second, trouble); got != want {
+			t.Errorf("after %s of trouble the patience is %s, want %s", trouble, got, want)
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -43,8 +43,13 @@
 	// syncInterval is the pause between greetings when there is no news: a
 	// process that fell silent is noticed after a few of them.
 	syncInterval = 400 * time.Millisecond
-	// syncTimeout bounds one greeting; one way takes a few milliseconds.
+	// syncTimeout bounds one greeting; one way takes a few milliseconds. It grows to
+	// longestSync while greetings fail.
 	syncTimeout = 700 * time.Millisecond
+	longestSync = 5 * time.Second
+	// greetingServers bounds the servers that one greeting tells of in full: what has
+	// arrived is not lost with the rest.
+	greetingServers = 64
 	// heardAge is how long after its last word a peer counts as reached.
 	heardAge = 1500 * time.Millisecond
 	// forgetAge is how much longer ago than others a process was heard by anyone
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -105,10 +105,13 @@
 			continue
 		}
 		pause := syncInterval
-		if err := q.greet(ctx, news); err != nil {
+		if err := q.greet(ctx, news, backoff.Patience(syncTimeout, longestSync, trouble.Lasts(time.Now()))); err != nil {
 			pause = greetingTries.Pause(trouble.Failed(time.Now()), 0, rand.Float64())
 		} else {
 			trouble.Over()
+			if news.more {
+				q.wake()
+			}
 		}
 		timer.Reset(pause)
 	}
@@ -150,12 +153,12 @@
 }
 
 // greet sends the peer what it may not have heard.
-func (q *peer) greet(ctx context.Context, sent pending) error {
+func (q *peer) greet(ctx context.Context, sent pending, patience time.Duration) error {
 	sent.From, sent.Digest = q.mesh.Self(), q.mesh.knownDigest()
 	if sent.relist {
 		sent.Digest = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var reply greetingReply
 	if err := q.client.Call(ctx, methodSync, sent.greeting, &reply); err != nil {
@@ -210,6 +213,8 @@
 	change uint64
 	// relist is true when the peer is asked for all the processes that it knows.
 	relist bool
+	// more is true when not all news went into it.
+	more bool
 }
 
 func (p *pending) empty() bool { return len(p.Servers)+len(p.Beats)+len(p.Strikes) == 0 }
@@ -219,10 +224,15 @@
 // caller holds mu.
 func (q *peer) news(now time.Time) pending {
 	m := q.mesh
-	p := pending{change: m.roster.Change(), relist: now.Sub(q.listed) >= relistInterval}
+	p := pending{change: q.confirmed, relist: now.Sub(q.listed) >= relistInterval}
 	p.Relies, p.Heard = m.relies, q.heardList
 	p.Strikes = slices.Clone(q.strikes)
 	for _, e := range m.roster.Since(q.confirmed) {
+		if len(p.Servers) == greetingServers {
+			p.more = true
+			break
+		}
+		p.change = e.Change
 		switch {
 		case e.Material > q.confirmed:
 			p.Servers = append(p.Servers, e.Server)
@@ -230,6 +240,9 @@
 			p.Beats = append(p.Beats, roster.Beat{ID: e.ID, Born: e.Born, Sequence: e.Sequence})
 		}
 	}
+	if !p.more {
+		p.change = m.roster.Change()
+	}
 	for _, id := range q.missing {
 		if e, ok := m.roster.Get(id); ok {
 			p.Servers = append(p.Servers, e.Server)
