Four messages at a time are decoded, so that signals and timers have their turn

A process runs on one processor, whose turns are first come, first served.

A frame is now read whole, as it arrives, and then decoded by at most four connections at a time; the others wait unscheduled.

--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -110,7 +110,7 @@
 		cancel()
 		pause := time.Duration(a.pause.Load())
 		if err != nil {
-			state, pause = wire.EngineState{}, max(pause, watchRetries.Pause(trouble.Failed(time.Now()), 0, rand.Float64()))
+			state, pause = wire.EngineState{}, retryPause(pause, trouble.Failed(time.Now()), rand.Float64())
 		} else {
 			trouble.Over()
 			if state.HeldChange == known.HeldChange {
@@ -123,6 +123,13 @@
 	}
 }
 
+// retryPause is the pause behind a watch that failed, of an agent whose share of the
+// watches is one in a pause: an engine that does not answer costs no more than one
+// that does.
+func retryPause(share, trouble time.Duration, random float64) time.Duration {
+	return max(share, watchRetries.Pause(trouble, 0, random))
+}
+
 // take takes a state. An engine that holds no model has lost all it kept in its
 // memory as well.
 func (a *agentClient) take(state wire.EngineState) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -264,3 +264,18 @@
 		t.Errorf("a small deployment's agents are watched every %s and %s", near, far)
 	}
 }
+
+// All agents of a large fleet restart at once. Watches that fail must not be tried more often than those that are
+// answered, and ever more seldom: the agents would not come up under them.
+func TestAWatchThatFailsKeepsToItsShare(t *testing.T) {
+	for _, engines := range []int{18, 600} {
+		near, _ := watchPauses(engines, 0)
+		tries := 0
+		for at := time.Duration(0); at < time.Minute; tries++ {
+			at += retryPause(near, at, 0.5)
+		}
+		if most := int(time.Minute / near); tries > most || tries > 600/2 {
+			t.Errorf("one of %d agents was tried %d times in a minute, %d times is its share", engines, tries, most)
+		}
+	}
+}
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"io"
 	"strconv"
 	"strings"
@@ -29,32 +30,50 @@
 	jsonrpc2.VSCodeObjectCodec
 }
 
-// ReadObject implements jsonrpc2.ObjectCodec. It looks at the header before the
-// library's codec reads the frame.
-func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
-	length, err := peekLength(stream)
+// decodesAtOnce bounds the messages that a process decodes at the same time. When many
+// peers speak at once what is left waits unscheduled: signals, timers and the log's
+// heartbeats would otherwise have their turn behind all of it.
+const decodesAtOnce = 4
+
+var decoding = make(chan struct{}, decodesAtOnce)
+
+// ReadObject implements jsonrpc2.ObjectCodec. It looks at the length before it reads
+// a frame, and holds no more of it than has arrived.
+func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	header, length, err := peekLength(stream)
 	if err != nil {
 		return err
 	}
 	if length > MaxFrame {
 		return errFrameTooLarge
 	}
-	return c.VSCodeObjectCodec.ReadObject(stream, v)
+	if _, err := stream.Discard(header); err != nil {
+		return err
+	}
+	var frame bytes.Buffer
+	if _, err := io.CopyN(&frame, stream, int64(length)); err != nil {
+		return err
+	}
+	decoding <- struct{}{}
+	defer func() { <-decoding }()
+	return json.Unmarshal(frame.Bytes(), v)
 }
 
-// peekLength finds the Content-Length in the header without consuming it.
-func peekLength(stream *bufio.Reader) (uint64, error) {
+// peekLength finds the size of the header and the Content-Length in it without
+// consuming it.
+func peekLength(stream *bufio.Reader) (header int, length uint64, err error) {
 	for size := 1; size <= maxHeader; size++ {
 		// Peek waits for size bytes; a header that is complete needs no more.
-		header, err := stream.Peek(size)
+		peeked, err := stream.Peek(size)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
-		if bytes.HasSuffix(header, headerEnd) {
-			return parseLength(string(header))
+		if bytes.HasSuffix(peeked, headerEnd) {
+			length, err = parseLength(string(peeked))
+			return size, length, err
 		}
 	}
-	return 0, errors.New("the message's header is too long")
+	return 0, 0, errors.New("the message's header is too long")
 }
 
 func parseLength(header string) (uint64, error) {
