An agent whose answer to a start was lost is told that the start is not used

Where the answer to a start is lost the entry never sends the request to that engine: it goes to another one, or its caller is told, truly, that it has not run. So nothing was started twice and no caller was told anything wrong. But the agent may have granted the start, and kept an adapter and a place in the batch for a request that never came, until reports showed that it does not run.

Unless the agent itself answered with an error it is now told, as it is for a caller that leaves. Seen failing on the old code: the agent of the test was not told until the test's own end (12 s).

--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -203,6 +203,11 @@
 	}()
 	select {
 	case got := <-done:
+		if got.err != nil && !rpc.Answered(got.err) {
+			// The start may be granted, and would hold its place for a request that goes
+			// elsewhere.
+			a.done(r.ID, r.Try)
+		}
 		return got.reply, got.err
 	case <-ctx.Done():
 		a.done(r.ID, r.Try)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // Many entries see the same servers fail. What they repeat together must stay
@@ -279,3 +283,43 @@
 		}
 	}
 }
+
+// An agent's answer to a start is lost. The request goes elsewhere, and the agent must be told, or it would keep a place
+// for what never comes.
+func TestAnAgentWhoseAnswerToAStartIsLostIsToldThatItIsNotUsed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan wire.StartDone, 1)
+	lost := make(chan struct{})
+	server := rpc.NewServer(map[string]rpc.Handler{
+		wire.MethodStartAdmit: rpc.Typed(func(ctx context.Context, _ wire.StartRequest) (wire.StartReply, error) {
+			<-lost
+			return wire.StartReply{Start: true}, nil
+		}),
+		wire.MethodStartDone: rpc.Typed(func(_ context.Context, in wire.StartDone) (wire.Empty, error) {
+			told <- in
+			return wire.Empty{}, nil
+		}),
+	})
+	go func() { _ = server.Serve(t.Context(), listener) }()
+	t.Cleanup(func() {
+		close(lost)
+		_ = listener.Close()
+		server.Close()
+	})
+	a := &agentClient{client: rpc.NewClient(listener.Addr().String())}
+	defer a.client.Close()
+	if _, err := a.admit(t.Context(), wire.StartRequest{ID: "7", Try: 2}); err == nil {
+		t.Fatal("a start was granted without an answer")
+	}
+	select {
+	case in := <-told:
+		if in.ID != "7" || in.Try != 2 {
+			t.Errorf("the agent was told of %+v", in)
+		}
+	case <-t.Context().Done():
+		t.Error("the agent was not told")
+	}
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -68,6 +68,13 @@
 	return nil
 }
 
+// Answered reports whether a call's error is the peer's own answer. After any other
+// one the peer may have done what it was asked.
+func Answered(err error) bool {
+	var answered *jsonrpc2.Error
+	return errors.As(err, &answered)
+}
+
 // connectTimeout bounds a new connection: a few ways between regions. To a
 // machine without power none ever opens, the first packet is sent again after a
 // second, and all other calls to the address wait meanwhile.
@@ -141,8 +148,7 @@
 // and only a new one finds out; one that carries other answers is only slow at this
 // one, and its end would cost all other calls on it.
 func (c *Client) dropIfBroken(conn *link, began time.Time, err error) {
-	var answered *jsonrpc2.Error
-	if errors.As(err, &answered) || !disconnected(conn) && conn.heard.since(began) {
+	if Answered(err) || !disconnected(conn) && conn.heard.since(began) {
 		return
 	}
 	c.mu.Lock()
