An event without an end is given up after 1 MiB

Now an event of more than 1 MiB is a stream that broke off, and an answer on a stream's route that is no stream is held up to 8 MiB as others are.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/route"
@@ -216,6 +217,21 @@
 	return "", false
 }
 
+// maxEvent bounds an event that is held until it is whole. Engines send some tokens
+// with each.
+const maxEvent = 1 << 20
+
+// errEventTooLarge means that a server sends something without an end.
+var errEventTooLarge = errors.New("an event of the stream is larger than is held")
+
+// mostHeld is how much of an answer is held until an event of it is whole.
+func (r *reply) mostHeld() int {
+	if r.ofEvents() {
+		return maxEvent
+	}
+	return maxAnswer
+}
+
 // streamBuffer holds what arrives at once.
 const streamBuffer = 4 << 10
 
@@ -238,6 +254,9 @@
 		if err == io.EOF {
 			return append(whole, r.events.rest()...), io.EOF
 		}
+		if err == nil && len(r.events.rest()) > r.mostHeld() {
+			err = errEventTooLarge
+		}
 		if err != nil || len(whole) > 0 {
 			return whole, err
 		}
