--- a/internal/mesh/confirm_test.go
+++ b/internal/mesh/confirm_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"testing"
+
+	"github.com/rosemarypass/rosemarypass/coord/document"
 )
 
 // usable waits until a process acts by a configuration, and returns its version then.
@@ -156,3 +158,38 @@
 		}
 	}
 }
+
+// A leader that has stood still does not know whether another one grants loads meanwhile, or by which configuration.
+func TestALeaderWithoutAProofGrantsNoLoads(t *testing.T) {
+	f := startFleet(t, 3, 0)
+	body := `{"Version":1,"Services":[{"Name":"llm","Engine":{"Models":[{"Name":"m"}]}}]}`
+	eventually(t, func() bool {
+		return f.nodes[0].Propose(t.Context(), document.Command{Put: &document.Put{Version: 1, Body: []byte(body)}}) == nil
+	})
+	var leader *node
+	eventually(t, func() bool {
+		for _, n := range f.nodes {
+			if n.Self().Leads && n.Usable() && n.Documents().Current().State.Version == 1 {
+				leader = n
+			}
+		}
+		return leader != nil
+	})
+	grants := func(p *permits) string {
+		reply, err := p.take(t.Context(), permitRequest{Service: "llm"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply.Model
+	}
+	p := newPermits(leader.Mesh)
+	leader.Documents().Doubt()
+	if model := grants(p); model != "" {
+		t.Errorf("a leader without a proof has granted the load of %q", model)
+	}
+	leader.Documents().Confirm()
+	// Another one may lead by now.
+	if model := grants(p); leader.Self().Leads && model != "m" {
+		t.Errorf("a leader with a proof has granted %q", model)
+	}
+}
