Probes of daemons without a proof grow rarer

The same fault elsewhere: a daemon of the edge by contracts whose control instances bring no proof asked all of them every 0.25 s for as long as that lasted: 35,000 questions a second at 970 daemons and 9 instances (worked out), at the moment at which control has lost its quorum. Now an eighth of the time without a proof, up to 4 s; polls go on once a second, and bring the proof with the first answer of an instance that can give it. While probes do bring one, also that nothing can be changed, they are as frequent as before.

Test: in a minute without a proof 10 to 80 probes, the last two at least 2 s apart; the old loop, in which each round follows the last after 0.25 s, makes 240 (worked out: the loop had no seam to count at).

--- a/internal/follow/probe.go
+++ b/internal/follow/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/freshness"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -23,6 +25,10 @@
 	probeTimeout = 700 * time.Millisecond
 )
 
+// probeTries are the probes that bring no proof. Polls go on meanwhile, and a control
+// instance that is there again proves with its first answer.
+var probeTries = backoff.Options{First: probeInterval, Most: 4 * time.Second}
+
 var probeCount = telemetry.Counter("follow_probes")
 
 // answered takes in what a control instance said of itself.
@@ -68,11 +74,26 @@
 		clients[i] = rpc.NewClient(peer, f.options.RPC...)
 		defer clients[i].Close()
 	}
-	for ctx.Err() == nil {
-		_ = wait.For(ctx, probeInterval)
-		if f.probeDue() {
-			f.probe(ctx, clients)
+	f.keepProbing(ctx, func() { f.probe(ctx, clients) })
+}
+
+// keepProbing probes whenever that is due, and ever more seldom while it brings no
+// proof: all daemons ask the same few control instances.
+func (f *Follower) keepProbing(ctx context.Context, probe func()) {
+	var trouble backoff.Trouble
+	pause := probeInterval
+	for wait.For(ctx, pause) == nil {
+		pause = probeInterval
+		if !f.probeDue() {
+			trouble.Over()
+			continue
+		}
+		probe()
+		if f.Freshness().MayAdmit() {
+			trouble.Over()
+			continue
 		}
+		pause = probeTries.Pause(trouble.Failed(time.Now()), 0, rand.Float64())
 	}
 }
 
--- /dev/null
+++ b/internal/follow/probe_test.go
@@ -0,0 +1,28 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Control has no quorum for a minute. Hundreds of daemons must not ask its instances as often all the while as in the
+// first second.
+func TestProbesWithoutAProofGrowRarer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Options{Daemon: "d", Peers: []string{"p:1"}, Lease: 3 * time.Second}, zap.NewNop())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		var probes []time.Time
+		f.keepProbing(ctx, func() { probes = append(probes, time.Now()) })
+		if len(probes) < 10 || len(probes) > 80 {
+			t.Fatalf("%d probes in a minute without a proof, want 10 to 80", len(probes))
+		}
+		if last := probes[len(probes)-1].Sub(probes[len(probes)-2]); last < 2*time.Second {
+			t.Errorf("after a minute a probe is sent every %s", last)
+		}
+	})
+}
