A test of the late copy of an order's answer

Traced in virtual time, with each of the first four orders lost behind such a copy: no request is started on an adapter that is not there, and the adapter comes all the same, as the engine's count and reports show the agent that its order did not hold. Green on the code as it is; the connection for each order that would tell the copies apart is not needed for it.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -41,6 +41,9 @@
 	// resets makes all orders fail at once, with an unknown fate; tries counts them.
 	resets bool
 	tries  int
+	// stale is the try that gets the late copy of an earlier order's answer, and is lost
+	// itself.
+	stale int
 }
 
 func newFakeEngine(t *testing.T) *fakeEngine {
@@ -66,6 +69,10 @@
 		defer e.mu.Unlock()
 		return OrderUnknown, errors.New("the connection was reset")
 	}
+	if e.stale > 0 && e.tries == e.stale {
+		defer e.mu.Unlock()
+		return OrderAccepted, nil
+	}
 	if e.hidden > 0 {
 		e.hidden--
 		e.mu.Unlock()
@@ -432,3 +439,27 @@
 		t.Errorf("after a minute a permit is asked for every %s", last)
 	}
 }
+
+// The late copy of an earlier order's answer stands for that of a load which is lost. No request may be started on an
+// adapter that is not there, and the adapter must come all the same.
+func TestALateCopyOfAnOrdersAnswerStartsNothingWithoutItsAdapter(t *testing.T) {
+	for stale := 1; stale <= 4; stale++ {
+		e := newFakeEngine(t)
+		e.stale = stale
+		run(t, e, func(t *testing.T, s *Sidecar) {
+			for i, adapter := range []string{"m/a", "m/b", "m/c", "m/d"} {
+				id := string(rune('1' + i))
+				reply := admit(t, s, id, adapter)
+				e.mu.Lock()
+				_, held := e.adapters[adapter]
+				e.mu.Unlock()
+				if !reply.Start || !held {
+					t.Errorf("with answer %d stale, the start on %s is granted %v (%s), and the adapter held %v", stale, adapter, reply.Start, reply.Reason, held)
+				}
+				if _, err := s.done(t.Context(), wire.StartDone{ID: id}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+	}
+}
