No report comes between an order without an answer and its repetition

That pause lay between the order without an answer and its repetition, while no order was under way; a report that came in it set the count that the repetition names. An order names the engine's count so that of it and its repetition, carried out late, only one holds. With another count both did, or the repetition was refused and an adapter forgotten that was coming.

Now the pause is a part of the order: nothing changes the count meanwhile, as before.

--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 // provideModel loads a base model into an engine that holds none: one that was
@@ -84,8 +85,6 @@
 	}
 	var order Order
 	switch {
-	case d.unanswered != nil && time.Now().Before(d.orderAgain):
-		return
 	case d.unanswered != nil:
 		// Until a newer order is accepted the unanswered one may still be carried
 		// out; the same order again settles both.
@@ -98,11 +97,17 @@
 	}
 	order.Sequence, order.Holder, order.Token = d.sequence, d.options.Name, d.token
 	d.unanswered, d.ordering = nil, true
-	d.orderAgain = time.Now().Add(orderTries.Pause(d.silence.Failed(time.Now()), 0, rand.Float64()))
+	began := time.Now()
+	again := began.Add(orderTries.Pause(d.silence.Failed(began), 0, 0))
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		limited, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		result, err := d.engine.Order(ctx, order)
+		result, err := d.engine.Order(limited, order)
+		if result == OrderUnknown {
+			// No report may come between this order and its repetition: that must name the
+			// same count, so that only one of the two holds.
+			_ = wait.For(ctx, time.Until(again))
+		}
 		d.results <- ordered{order: order, result: result, err: err}
 	}()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -89,10 +89,8 @@
 	orders []Order
 	// unanswered is the order whose fate is unknown.
 	unanswered *Order
-	// silence is how long orders have had no answer, orderAgain when the next one may
-	// be given behind one without an answer.
-	silence    backoff.Trouble
-	orderAgain time.Time
+	// silence is how long orders have had no answer.
+	silence backoff.Trouble
 	// Reports and orders are asked for beside the duty, one of each at a time:
 	// an engine that does not answer must not hold up the starts of requests.
 	reports  chan reported
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,6 +46,9 @@
 	// stale is the try that gets the late copy of an earlier order's answer, and is lost
 	// itself.
 	stale int
+	// lose, when set, says whether an order gets no answer, and how late it is carried
+	// out.
+	lose func() (bool, time.Duration)
 }
 
 func newFakeEngine(t *testing.T) *fakeEngine {
@@ -73,10 +78,14 @@
 		defer e.mu.Unlock()
 		return OrderAccepted, nil
 	}
-	if e.hidden > 0 {
+	lost, late := e.hidden > 0, e.late
+	if e.lose != nil {
+		lost, late = e.lose()
+	}
+	if lost {
 		e.hidden--
 		e.mu.Unlock()
-		time.AfterFunc(e.late, func() {
+		time.AfterFunc(late, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.carryOut(o)
@@ -463,3 +472,33 @@
 		})
 	}
 }
+
+// Answers to orders are lost, the orders carried out now or later, and reports come in between: the engine must never be
+// ordered to hold more than it can.
+func TestNoEngineIsOverloadedWhileAnswersToOrdersAreLost(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		e := newFakeEngine(t)
+		e.lose = func() (bool, time.Duration) {
+			return random.IntN(3) == 0, time.Duration(random.Int64N(int64(150 * time.Millisecond)))
+		}
+		run(t, e, func(t *testing.T, s *Sidecar) {
+			var requests sync.WaitGroup
+			for i := range 40 {
+				adapter := fmt.Sprintf("m/%c", 'a'+random.IntN(6))
+				requests.Go(func() {
+					id := fmt.Sprint(i)
+					if _, err := s.admit(t.Context(), wire.StartRequest{ID: id, Adapter: adapter, Prompt: 10, Tokens: 20, WaitMillis: 3000}); err != nil {
+						t.Error(err)
+					}
+					_, _ = s.done(t.Context(), wire.StartDone{ID: id})
+				})
+				time.Sleep(time.Duration(random.Int64N(int64(100 * time.Millisecond))))
+			}
+			requests.Wait()
+		})
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
