--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -477,10 +477,11 @@
 // ordered to hold more than it can.
 func TestNoEngineIsOverloadedWhileAnswersToOrdersAreLost(t *testing.T) {
 	for seed := range uint64(200) {
-		random := rand.New(rand.NewPCG(seed, 0))
+		random, losses := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
 		e := newFakeEngine(t)
+		// The engine's mu guards losses.
 		e.lose = func() (bool, time.Duration) {
-			return random.IntN(3) == 0, time.Duration(random.Int64N(int64(150 * time.Millisecond)))
+			return losses.IntN(3) == 0, time.Duration(losses.Int64N(int64(150 * time.Millisecond)))
 		}
 		run(t, e, func(t *testing.T, s *Sidecar) {
 			var requests sync.WaitGroup
