Reset the connection of a call that is given up before its answer is complete

What callers saw: they waited for seconds at an entry, left, and their request reached its server when that woke. Cause: upstream closed the connection of a call that had been given up in an orderly way. The system then still delivers the request, and the close behind it, as soon as the server's machine wakes or the link heals. Change: the end of a call's context, a failed exchange and Abort reset the connection, which takes back what the server has not received. internal/socket holds this for all edges; answer's own copy of it goes there.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"maps"
 	"net"
 	"net/http"
@@ -20,6 +19,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 )
 
 // Answer is the response of a handler. For the zero value, and for an answer with
@@ -239,23 +240,8 @@
 // setResetOnClose sets whether closing the connection resets it or closes it
 // orderly.
 func setResetOnClose(ctx context.Context, reset bool) {
-	conn, found := ctx.Value(connKey{}).(net.Conn)
-	if !found {
-		return
-	}
-	linger := -1
-	if reset {
-		linger = 0
-	}
-	setLinger(conn, linger)
-}
-
-func setLinger(conn net.Conn, seconds int) {
-	if secure, ok := conn.(*tls.Conn); ok {
-		conn = secure.NetConn()
-	}
-	if plain, ok := conn.(*net.TCPConn); ok {
-		_ = plain.SetLinger(seconds)
+	if conn, found := ctx.Value(connKey{}).(net.Conn); found {
+		socket.SetResetOnClose(conn, reset)
 	}
 }
 
@@ -275,6 +261,5 @@
 	if err != nil {
 		return
 	}
-	setLinger(conn, 0)
-	_ = conn.Close()
+	socket.Reset(conn)
 }
--- /dev/null
+++ b/internal/socket/socket.go
@@ -0,0 +1,56 @@
+// Package socket controls how connections end, and reads how their peers ended them.
+package socket
+
+import (
+	"crypto/tls"
+	"net"
+	"syscall"
+)
+
+// SetResetOnClose sets whether closing the connection resets it. A reset discards what the peer
+// has not received yet; without it, the system still delivers that after the close. It has no
+// effect on connections other than TCP.
+func SetResetOnClose(conn net.Conn, reset bool) {
+	plain, ok := transport(conn).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	// The only error is that the connection is closed already.
+	_ = plain.SetLinger(seconds)
+}
+
+// Reset closes the connection and discards what the peer has not received yet.
+func Reset(conn net.Conn) {
+	SetResetOnClose(conn, true)
+	_ = conn.Close()
+}
+
+// ClosedByPeer reports whether the peer has closed or reset the connection, also while data that
+// it sent before is unread. It consumes nothing and does not wait, and returns false when the
+// state cannot be read.
+func ClosedByPeer(conn net.Conn) bool {
+	raw, ok := transport(conn).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	// Control and not Read: the latter would wait for a read in progress.
+	err = control.Control(func(fd uintptr) { closed = hungUp(fd) })
+	return err == nil && closed
+}
+
+// transport returns the connection that carries a TLS connection, and others unchanged.
+func transport(conn net.Conn) net.Conn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		return secure.NetConn()
+	}
+	return conn
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -76,7 +76,7 @@
 )
 
 // Call sends a request and reads the header of the response. When ctx ends, the
-// call ends and its connection is closed, so that the server can stop working.
+// call ends and its connection is reset, so that the server can stop working.
 func (p *Pool) Call(ctx context.Context, target Target, r *Request) (*Response, error) {
 	c, _, err := p.get(ctx, target, r.ID)
 	if err != nil {
@@ -87,11 +87,11 @@
 		return nil, &NotSentError{Cause: ctx.Err()}
 	}
 	c.recordID(r.ID)
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abandon)
 	response, err := exchange(c, r)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		c.abandon()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -183,10 +183,10 @@
 	r.pool.put(r.target, r.conn)
 }
 
-// Abort closes the connection, so that the server can stop working.
+// Abort resets the connection, so that the server can stop working.
 func (r *Response) Abort() {
 	r.stop()
-	_ = r.conn.Close()
+	r.conn.abandon()
 }
 
 // encode returns the serialized request, to be sent in a single write.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 )
 
 const (
@@ -114,6 +116,11 @@
 	return err == nil && idle
 }
 
+// abandon ends a call before its answer is complete. A server that has not read
+// the request yet, because it stands still or its link is cut, must not get it
+// after the caller has left.
+func (c *conn) abandon() { socket.Reset(c.Conn) }
+
 // setExpiry sets how long the connection may be kept, from the value of the
 // response's Keep-Alive header.
 func (c *conn) setExpiry(value string, now time.Time) {
