Relay: a request that is given up takes back what its peer has not received

What callers would see on the product's own path: the same as at the platform's entry, one hop further. An entry sends a request to an agent, or an agent to its engine, that stands still; the caller leaves or the time is over; net/http closes the connection in an orderly way, and the peer reads the request when it wakes. Change: the transport sets the connection to reset before net/http learns that the request's context has ended, and when an answer's body is closed before its end. A connection that is used again closes in an orderly way as before.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 )
 
 // maxIdlePerHost is the maximum number of idle connections per next hop.
@@ -110,16 +112,38 @@
 }
 
 // RoundTrip implements http.RoundTripper. If it returns an error for which Sent
-// is false, no byte of the request was sent or will be.
+// is false, no byte of the request was sent or will be. A request that is given up
+// before its answer is complete takes back what the peer has not received yet.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var used usedConns
+	used := &usedConns{}
+	// net/http closes a connection as soon as its request's context ends. The
+	// connection must be set to reset before that, so net/http gets a context that
+	// ends afterwards.
+	caller := request.Context()
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	stop := context.AfterFunc(caller, func() {
+		used.abandon()
+		cancel(context.Cause(caller))
+	})
+	end := func() {
+		stop()
+		cancel(nil)
+	}
 	trace := &httptrace.ClientTrace{GotConn: used.add}
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	response, err := t.transportFor(request).RoundTrip(request)
-	if err != nil && !used.seal() {
-		return nil, &NotSentError{err}
+	response, err := t.transportFor(request).RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		end()
+		if !used.seal() {
+			err = &NotSentError{err}
+		}
+		return nil, err
 	}
-	return response, err
+	if response.Body == http.NoBody {
+		end()
+		return response, nil
+	}
+	response.Body = &answerBody{ReadCloser: response.Body, abandon: used.abandon, end: end}
+	return response, nil
 }
 
 // CloseIdleConnections closes idle kept-alive connections.
@@ -183,6 +207,8 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	// abandoned is set while closing the connection resets it.
+	abandoned bool
 }
 
 func (c *gatedConn) Write(data []byte) (int, error) {
@@ -216,10 +242,22 @@
 	return c.writes
 }
 
+// setAbandoned sets whether closing the connection takes back what the peer has not
+// received.
+func (c *gatedConn) setAbandoned(abandoned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.abandoned != abandoned {
+		c.abandoned = abandoned
+		socket.SetResetOnClose(c.Conn, abandoned)
+	}
+}
+
 // usedConns records the connections assigned to one request.
 type usedConns struct {
-	mu    sync.Mutex
-	conns []usedConn
+	mu        sync.Mutex
+	conns     []usedConn
+	abandoned bool
 }
 
 type usedConn struct {
@@ -236,9 +274,23 @@
 	conn := raw.(*gatedConn)
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	// A context that ended just as its request's answer was complete may have left
+	// this set.
+	conn.setAbandoned(u.abandoned)
 	u.conns = append(u.conns, usedConn{conn: conn, priorWrites: conn.writeCount()})
 }
 
+// abandon makes the close of the connections reset them, also of those that are
+// added later.
+func (u *usedConns) abandon() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.abandoned = true
+	for _, used := range u.conns {
+		used.conn.setAbandoned(true)
+	}
+}
+
 // seal prevents further writes of the request and reports whether any write of it
 // had started.
 func (u *usedConns) seal() bool {
