Send on no request whose caller has already closed its connection

What callers and engines would see: a process that stood still, or whose accept queue was full, reads requests behind which their callers have closed; some of them go on to a server or an engine all the same, and an agent's run lasts for its lease of 2 s. Cause: the end of a request's context comes from a read that net/http does beside the handler; the send does not wait for it. Change: answer.CallerGone asks the socket itself (POLLRDHUP, also behind unread data). The platform's entry asks before a start and before each send, so after each wait; the product's entry before it claims or admits anything; the agent before a run begins, which from then on is independent of its connection.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -128,6 +128,11 @@
 		leave()
 		return admissionRefusal(err)
 	}
+	if answer.CallerGone(r.Context()) {
+		a.finish(id)
+		leave()
+		return answer.Answer{}
+	}
 	admittedCount.Add(1)
 	started := a.start(r, ref, body, func() {
 		a.finish(id)
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -237,6 +237,18 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// CallerGone reports whether the caller of a request has closed its connection.
+// The context of a request ends a little later, when net/http has read the close:
+// a request that waited unread while this process stood still would be sent on
+// before that. ctx is a request's context under ConnContext.
+func CallerGone(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	conn, found := ctx.Value(connKey{}).(net.Conn)
+	return found && socket.ClosedByPeer(conn)
+}
+
 // setResetOnClose sets whether closing the connection resets it or closes it
 // orderly.
 func setResetOnClose(ctx context.Context, reset bool) {
--- a/internal/entry/inbound.go
+++ b/internal/entry/inbound.go
@@ -67,6 +67,9 @@
 // calls the handler.
 func (e *Entry) receive(in *inbound, r *http.Request, h handlerFunc) reply {
 	requestCount.Add(1)
+	if answer.CallerGone(r.Context()) {
+		return reply{}
+	}
 	ctx, span := telemetry.StartServer(r, telemetry.SpanEntryRequest)
 	in.addCleanup(func() { span.End() })
 	dropInternal(r.Header)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -28,6 +28,8 @@
 	tries int
 	sends int
 	runs  int
+	// left is set once the caller was found to have left.
+	left bool
 	// lastReason is the reason why the last try failed; retryDelay is the time after which a
 	// refused caller should retry.
 	lastReason string
@@ -75,6 +77,9 @@
 
 // run returns the answer for the caller: a server's answer, or the reason why there is none.
 func (x *exchange) run() answer.Answer {
+	if x.callerLeft() {
+		return x.giveUp()
+	}
 	if refused, ok := x.precheck(); ok {
 		return refused
 	}
@@ -94,6 +99,13 @@
 	return x.giveUp()
 }
 
+// callerLeft reports whether nobody waits for the answer any more. The context alone ends too late
+// for a request that waited unread, or whose wait ended in the same moment.
+func (x *exchange) callerLeft() bool {
+	x.left = x.left || answer.CallerGone(x.ctx)
+	return x.left
+}
+
 // precheck refuses requests that must not be sent to any server.
 func (x *exchange) precheck() (answer.Answer, bool) {
 	switch {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -280,7 +280,7 @@
 		x.lastReason = "the time was up in the middle of the stream"
 	}
 	x.log.Info("stream broke off", zap.String("request", x.call.ID), zap.String("server", r.server.entry.ID), zap.String("lastEvent", x.lastEvent), telemetry.Cause(err))
-	if time.Until(x.deadline) > 0 && x.ctx.Err() == nil {
+	if time.Until(x.deadline) > 0 && !x.callerLeft() {
 		x.strikes.connBroken(&x.call, r.server)
 	}
 	return x.recordFailure(r.server, r.verdict)
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -14,7 +14,7 @@
 
 // giveUp returns the answer to a request that no server has answered.
 func (x *exchange) giveUp() answer.Answer {
-	if x.ctx.Err() != nil {
+	if x.callerLeft() {
 		x.callerGone()
 		return answer.Answer{}
 	}
@@ -34,7 +34,7 @@
 
 // abortStream ends an open stream before it is complete.
 func (x *exchange) abortStream() answer.End {
-	if x.ctx.Err() != nil {
+	if x.callerLeft() {
 		x.callerGone()
 		return answer.Cut
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -16,6 +16,9 @@
 
 // offer sends the request to a server that may start it.
 func (x *exchange) offer(v *server) (*reply, step) {
+	if x.callerLeft() {
+		return nil, stepFail
+	}
 	// The server may have announced that it is leaving while the request waited.
 	if !x.mesh.MayServe(v.entry.ID) {
 		x.lastReason = "the backend server leaves"
@@ -82,7 +85,7 @@
 
 // callFailed handles a call that ended without the header of an answer.
 func (x *exchange) callFailed(v *server, err error) step {
-	if x.ctx.Err() != nil {
+	if x.callerLeft() {
 		return stepFail
 	}
 	if !upstream.Sent(err) {
@@ -106,7 +109,7 @@
 // recordFailure records a failure of a server that may have run the request. A caller that
 // leaves also ends its server's answer, which is not a failure.
 func (x *exchange) recordFailure(v *server, verdict Verdict) step {
-	if x.ctx.Err() != nil {
+	if x.callerLeft() {
 		return stepFail
 	}
 	x.servers.observe(v, verdict, func(h *dispatch.Health) { h.Failed(time.Now()) })
