Send to engines on silent machines only when there are no others

Cause: the watch of an agent that does not answer runs out after a second; from then on its state is unknown, no start is asked, and a server without a report looks idle: no queue, no delay. Change: while a watch ends without anything coming back, its engine is silent, and dispatch takes silent servers as it takes those in backoff: when there are no others. Not silent is an engine whose agent refuses or resets connections (its process has ended, the machine is there), or that has answered a request since.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -1,6 +1,6 @@
 // Package dispatch chooses the backend server for a request from a snapshot of
 // the servers as known to an entry. Servers without the request's base model are
-// excluded, and those in backoff are used only if there is no other. Of the
+// excluded, and those in backoff or silent are used only if there is no other. Of the
 // remaining ones, the server with the lowest estimated cost for the caller is
 // picked.
 package dispatch
@@ -58,6 +58,9 @@
 	// Age is the age of the agent's report. It is displayed and does not enter
 	// the cost.
 	Age time.Duration
+	// Silent servers stand on a machine that has stopped answering; they get no
+	// requests while there are others.
+	Silent bool
 	// Model reports whether the server holds the request's base model.
 	Model bool
 	// WarmUp is how much longer the server stays slow after its start.
@@ -154,9 +157,9 @@
 	for pass := range 2 {
 		for i := range candidates {
 			c := &candidates[i]
-			// The second pass includes servers in backoff: they are better than no
-			// server.
-			if !c.Model || c.InBackoff && pass == 0 {
+			// The second pass includes servers in backoff and silent ones: they are
+			// better than no server.
+			if !c.Model || (c.InBackoff || c.Silent) && pass == 0 {
 				continue
 			}
 			cost := Cost(c, &r, homes[c.ID]) + failureCost*max(c.FailureShare-shared, 0) + jitterCost*draw()
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -33,6 +33,10 @@
 		{"server with failures", func(first, _ *Candidate) { first.FailureShare = 0.4 }, 1},
 		{"server in backoff", func(first, _ *Candidate) { first.InBackoff = true }, 1},
 		{"server in backoff if there is no other", func(first, second *Candidate) { first.InBackoff, second.Model = true, false }, 0},
+		{"silent server before one with a queue", func(first, second *Candidate) {
+			first.Silent, second.Running, second.Delay = true, 60, 2*time.Second
+		}, 1},
+		{"silent server if there is no other", func(first, second *Candidate) { first.Silent, second.Model = true, false }, 0},
 		{"full batch", func(first, _ *Candidate) { first.Running = 48 }, 1},
 		{"full memory", func(first, _ *Candidate) { first.Tokens, first.MemoryTokens = 95, 100 }, 1},
 	}
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
@@ -67,6 +69,10 @@
 	held dispatch.Held
 	// sentStarts counts the starts that this entry has requested since state was received.
 	sentStarts startCounts
+	// silentSince is the time since which the agent does not answer although nothing refuses its
+	// connections; zero while it answers. Its machine, and the engine on it, most likely stands
+	// still or is cut off.
+	silentSince time.Time
 }
 
 // startCounts counts the starts requested since a state was received, and the tokens of their
@@ -120,6 +126,7 @@
 		}
 		known = state
 		a.setState(state)
+		a.setSilent(isTimeout(err), time.Now())
 		sleep(ctx, pause)
 	}
 }
@@ -131,6 +138,34 @@
 	return max(minPause, watchBackoff.Pause(failingFor, 0, random))
 }
 
+// isTimeout reports whether a call failed because nothing came back. An agent that has ended
+// refuses or resets connections instead, and its engine goes on.
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
+func (a *agentClient) setSilent(silent bool, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case !silent:
+		a.silentSince = time.Time{}
+	case a.silentSince.IsZero():
+		a.silentSince = now
+	}
+}
+
+// silentAfter reports whether the agent is silent and has been since answeredAt or later.
+func (a *agentClient) silentAfter(answeredAt time.Time) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.silentSince.IsZero() && !answeredAt.After(a.silentSince)
+}
+
 // setState stores a state that the agent reported. An engine without a model has also lost
 // everything that it kept in its memory.
 func (a *agentClient) setState(state wire.EngineState) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,6 +48,7 @@
 		return nil, x.callFailed(v, err)
 	}
 	x.sends++
+	x.servers.headerReceived(v, time.Now())
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
 	if next := x.checkHeader(r, time.Since(sent)); next != stepDone {
 		r.release()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -46,6 +46,8 @@
 	running int
 	slots   int
 	loadAt  time.Time
+	// answeredAt is the time of the last answer's header.
+	answeredAt time.Time
 	// agent is nil for plain services.
 	agent *agentClient
 }
@@ -152,6 +154,7 @@
 	}
 	state, sent := v.agent.snapshot()
 	if !state.Known {
+		c.Silent = v.agent.silentAfter(v.answeredAt)
 		s.applyAnnouncement(v, &c, r, model)
 		return c
 	}
@@ -225,6 +228,12 @@
 	s.mu.Unlock()
 }
 
+func (s *servers) headerReceived(v *server, now time.Time) {
+	s.mu.Lock()
+	v.answeredAt = now
+	s.mu.Unlock()
+}
+
 // observe records the load and the health that an answer showed.
 func (s *servers) observe(v *server, verdict Verdict, f func(*dispatch.Health)) {
 	s.mu.Lock()
