--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -29,7 +31,7 @@
 		return known
 	}
 	ctx, stop := context.WithCancel(ctx)
-	a := &agentClient{stop: stop, sameDataCentre: sameDataCentre, client: rpc.NewClient(address)}
+	a := &agentClient{stop: stop, sameDataCentre: sameDataCentre, client: rpc.NewClient(address), log: s.log.With(zap.String("agent", address))}
 	a.pause.Store(int64(remoteWatchPause))
 	s.agents[address] = a
 	go a.run(ctx)
@@ -58,6 +60,7 @@
 type agentClient struct {
 	stop   context.CancelFunc
 	client *rpc.Client
+	log    *zap.Logger
 	// sameDataCentre is set for an agent in the local data centre. pause is the time between
 	// two watch replies, in nanoseconds.
 	sameDataCentre bool
@@ -126,7 +129,9 @@
 		}
 		known = state
 		a.setState(state)
-		a.setSilent(isTimeout(err), time.Now())
+		if silent := isTimeout(err); a.setSilent(silent, time.Now()) {
+			a.log.Info("agent silent or back", zap.Bool("silent", silent), telemetry.Cause(err))
+		}
 		sleep(ctx, pause)
 	}
 }
@@ -145,15 +150,18 @@
 	return errors.As(err, &failure) && failure.Timeout()
 }
 
-func (a *agentClient) setSilent(silent bool, now time.Time) {
+// setSilent stores whether the agent is silent, and returns whether that has changed.
+func (a *agentClient) setSilent(silent bool, now time.Time) (changed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case !silent:
-		a.silentSince = time.Time{}
-	case a.silentSince.IsZero():
+	if silent != a.silentSince.IsZero() {
+		return false
+	}
+	a.silentSince = time.Time{}
+	if silent {
 		a.silentSince = now
 	}
+	return true
 }
 
 // silentAfter reports whether the agent is silent and has been since answeredAt or later.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,10 @@
 	starts int
 	// grantedBy is the agent that granted the start; nil when none was asked.
 	grantedBy *agentClient
+	// awaited is the server to which the request was sent at sentAt and whose answer has not begun;
+	// nil while there is none.
+	awaited *server
+	sentAt  time.Time
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// status is the status that was sent to the caller, 0 before its header was sent;
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,8 +153,11 @@
 	refusedCount         = telemetry.Counter("gateway_refused")
 	failedCount          = telemetry.Counter("gateway_failed")
 	callersGoneCount     = telemetry.Counter("gateway_callers_gone")
-	repeatCount          = telemetry.Counter("gateway_repeats")
-	resumedCount         = telemetry.Counter("gateway_resumed")
+	// goneUnansweredCount counts the callers that left after their request had been sent to a
+	// server that had not begun to answer.
+	goneUnansweredCount = telemetry.Counter("gateway_callers_gone_unanswered")
+	repeatCount         = telemetry.Counter("gateway_repeats")
+	resumedCount        = telemetry.Counter("gateway_resumed")
 
 	// firstLatency is the time to the first event or to the complete answer; startLatency is
 	// the part of it that agents took to grant the start.
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -45,7 +45,10 @@
 
 func (x *exchange) callerGone() {
 	callersGoneCount.Add(1)
-	x.logResult("caller gone", nil, 0)
+	if x.awaited != nil {
+		goneUnansweredCount.Add(1)
+	}
+	x.logResult("caller gone", x.awaited, 0)
 }
 
 // retryAfterDivisor limits the retry delay: a caller is asked to wait at most this fraction (one
@@ -66,10 +69,14 @@
 	if v != nil {
 		server = v.entry.ID
 	}
+	unanswered := time.Duration(0)
+	if x.awaited != nil {
+		unanswered = time.Since(x.sentAt)
+	}
 	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("service", x.service.Name),
 		zap.Uint64("configuration", x.version), zap.String("adapter", x.call.Adapter), zap.String("server", server), zap.Int("status", status), zap.Int("told", x.status),
 		zap.Int("arrivals", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)),
-		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Int("prompt", x.call.PromptTokens), zap.Int("output", x.call.OutputTokens), zap.String("lastEvent", x.lastEvent),
+		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Duration("unanswered", unanswered), zap.Int("prompt", x.call.PromptTokens), zap.Int("output", x.call.OutputTokens), zap.String("lastEvent", x.lastEvent),
 		zap.Uint8("residence", uint8(x.candidate.Residence)), zap.Int("running", x.candidate.Running), zap.Int("waiting", x.candidate.Waiting),
 		zap.Duration("delay", x.candidate.Delay), zap.Duration("age", x.candidate.Age), zap.String("reason", x.lastReason))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -41,16 +41,17 @@
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	x.servers.requestSent(v)
 	r := &reply{server: v, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
-	sent := time.Now()
+	x.awaited, x.sentAt = v, time.Now()
 	response, err := x.pool.Call(ctx, upstream.Target{Address: v.entry.Address, ID: v.entry.ID}, request)
 	if err != nil {
 		defer r.release()
 		return nil, x.callFailed(v, err)
 	}
 	x.sends++
+	x.awaited = nil
 	x.servers.headerReceived(v, time.Now())
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
-	if next := x.checkHeader(r, time.Since(sent)); next != stepDone {
+	if next := x.checkHeader(r, time.Since(x.sentAt)); next != stepDone {
 		r.release()
 		return nil, next
 	}
@@ -89,6 +90,7 @@
 	if x.callerLeft() {
 		return stepFail
 	}
+	x.awaited = nil
 	if !upstream.Sent(err) {
 		x.lastReason = "the backend server could not be reached"
 		x.servers.observe(v, Verdict{}, func(h *dispatch.Health) { h.Unreachable(time.Now()) })
