A connection that ended does not show that an agent's process has ended

The new log line showed it: an entry that had found an agent silent at 18.0 s took it for ended at 19.0 s, when the timeout of another call closed the connection that they share, and sent 12 more requests to its engine until 20.1 s. Only a refused connection shows that; what else ends a watch leaves the state as it is. Result: a case of TestSilentEngineIsLastChoice fails without this.

--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -129,8 +130,8 @@
 		}
 		known = state
 		a.setState(state)
-		if silent := isTimeout(err); a.setSilent(silent, time.Now()) {
-			a.log.Info("agent silent or back", zap.Bool("silent", silent), telemetry.Cause(err))
+		if a.recordWatch(err, time.Now()) {
+			a.log.Info("agent silent or back", zap.Bool("silent", !a.silentSince.IsZero()), telemetry.Cause(err))
 		}
 		sleep(ctx, pause)
 	}
@@ -143,15 +144,15 @@
 	return max(minPause, watchBackoff.Pause(failingFor, 0, random))
 }
 
-// isTimeout reports whether a call failed because nothing came back. An agent that has ended
-// refuses or resets connections instead, and its engine goes on.
-func isTimeout(err error) bool {
+// recordWatch records how a watch ended, and returns whether the agent has fallen silent or is
+// back. An agent that has ended refuses connections, and its engine goes on. A connection that
+// ended says nothing: the timeout of another call may have closed it.
+func (a *agentClient) recordWatch(err error, now time.Time) (changed bool) {
 	var failure net.Error
-	return errors.As(err, &failure) && failure.Timeout()
-}
-
-// setSilent stores whether the agent is silent, and returns whether that has changed.
-func (a *agentClient) setSilent(silent bool, now time.Time) (changed bool) {
+	silent := errors.As(err, &failure) && failure.Timeout()
+	if !silent && err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if silent != a.silentSince.IsZero() {
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
@@ -24,21 +25,24 @@
 	timeout := errors.Wrap(context.DeadlineExceeded, "watch")
 	connectTimeout := &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
 	refused := &net.OpError{Op: "dial", Err: unix.ECONNREFUSED}
+	closed := errors.Wrap(jsonrpc2.ErrClosed, "watch")
 	failedAt := time.Unix(1000, 0)
 	for _, test := range []struct {
 		name string
-		// fail is the error of the first engine's watch, answered when it answered a request.
-		fail     error
+		// watches are the ends of the first engine's watches, answered is when it answered a request.
+		watches  []error
 		answered time.Time
 		// otherAnswers is set when the other engine's agent answers.
 		otherAnswers bool
 		want         string
 	}{
-		{"the agent does not answer", timeout, failedAt.Add(-time.Second), true, "busy"},
-		{"no connection opens", connectTimeout, time.Time{}, true, "busy"},
-		{"the agent has ended, its engine goes on", refused, time.Time{}, true, "first"},
-		{"the agent does not answer, its engine does", timeout, failedAt.Add(time.Second), true, "first"},
-		{"no agent answers", timeout, time.Time{}, false, "first"},
+		{"the agent does not answer", []error{timeout}, failedAt.Add(-time.Second), true, "busy"},
+		{"no connection opens", []error{connectTimeout}, time.Time{}, true, "busy"},
+		{"the agent does not answer, another call closes the connection", []error{timeout, closed}, time.Time{}, true, "busy"},
+		{"the agent has ended, its engine goes on", []error{closed, refused}, time.Time{}, true, "first"},
+		{"the agent is back after its machine stood still, and has ended", []error{timeout, refused}, time.Time{}, true, "first"},
+		{"the agent does not answer, its engine does", []error{timeout}, failedAt.Add(time.Second), true, "first"},
+		{"no agent answers", []error{timeout}, time.Time{}, false, "first"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			m := mesh.New(mesh.Options{Self: mesh.Process{Address: "127.0.0.1:1", Entry: true}}, mesh.NewDocuments(decodeRoute, zap.NewNop()), zap.NewNop())
@@ -56,10 +60,12 @@
 			if test.otherAnswers {
 				engines["busy"].agent.setState(busy)
 			} else {
-				engines["busy"].agent.setSilent(true, failedAt)
+				engines["busy"].agent.recordWatch(timeout, failedAt)
 				engines["busy"].inflight = 60
 			}
-			engines["first"].agent.setSilent(isTimeout(test.fail), failedAt)
+			for _, err := range test.watches {
+				engines["first"].agent.recordWatch(err, failedAt)
+			}
 			engines["first"].answeredAt = test.answered
 			got, _ := s.choose(t.Context(), &route.Service{Name: "llm", Engine: &route.Engine{}}, dispatch.Request{DataCentre: "d", Target: 800 * time.Millisecond}, "base")
 			if got == nil || got.entry.ID != test.want {
