End the wait for a start when its agent falls silent

Callers whose start had been asked of an agent whose machine then stood still waited for up to 2.2 s (1.2 s of the start and 1 s of the call) before another engine was tried. Now the wait ends when the agent's watch runs out, and the start is released as at a caller's departure.

--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -77,6 +77,8 @@
 	// connections; zero while it answers. Its machine, and the engine on it, most likely stands
 	// still or is cut off.
 	silentSince time.Time
+	// fellSilent is closed when the agent falls silent; nil while nobody waits for that.
+	fellSilent chan struct{}
 }
 
 // startCounts counts the starts requested since a state was received, and the tokens of their
@@ -161,10 +163,24 @@
 	a.silentSince = time.Time{}
 	if silent {
 		a.silentSince = now
+		if a.fellSilent != nil {
+			close(a.fellSilent)
+			a.fellSilent = nil
+		}
 	}
 	return true
 }
 
+// silence returns a channel that is closed when the agent falls silent.
+func (a *agentClient) silence() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fellSilent == nil {
+		a.fellSilent = make(chan struct{})
+	}
+	return a.fellSilent
+}
+
 // silentAfter reports whether the agent is silent and has been since answeredAt or later.
 func (a *agentClient) silentAfter(answeredAt time.Time) bool {
 	if a == nil {
@@ -228,8 +244,12 @@
 // grantMargin is the time that the RPC for a start may take beyond the start's own wait.
 const grantMargin = time.Second
 
-// admit requests a start. When ctx ends, the RPC continues in the background and the start is
-// released: aborting the RPC would close the connection that other requests share.
+// errAgentSilent is the error of a start whose agent fell silent.
+var errAgentSilent = errors.New("the agent fell silent")
+
+// admit requests a start. When ctx ends or the agent falls silent, the RPC continues in the
+// background and the start is released: aborting the RPC would close the connection that other
+// requests share.
 func (a *agentClient) admit(ctx context.Context, r wire.StartRequest) (wire.StartReply, error) {
 	type result struct {
 		reply wire.StartReply
@@ -239,6 +259,7 @@
 	a.sentStarts.count++
 	a.sentStarts.prompt += r.Prompt
 	a.mu.Unlock()
+	silence := a.silence()
 	done := make(chan result, 1)
 	go func() {
 		call, cancel := context.WithTimeout(context.Background(), time.Duration(r.WaitMillis)*time.Millisecond+grantMargin)
@@ -258,6 +279,9 @@
 	case <-ctx.Done():
 		a.notifyDone(r.ID, r.Attempt)
 		return wire.StartReply{}, ctx.Err()
+	case <-silence:
+		a.notifyDone(r.ID, r.Attempt)
+		return wire.StartReply{}, errAgentSilent
 	}
 }
 
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -74,3 +75,32 @@
 		})
 	}
 }
+
+// Guards against a request that waits for the start of an agent that stands still while other
+// engines could serve it.
+func TestStartEndsWhenItsAgentFallsSilent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	a := &agentClient{client: rpc.NewClient(listener.Addr().String())}
+	defer a.client.Close()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := a.admit(t.Context(), wire.StartRequest{ID: "r", WaitMillis: time.Hour.Milliseconds()})
+		ended <- err
+	}()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	a.recordWatch(context.DeadlineExceeded, time.Now())
+	if err := <-ended; !errors.Is(err, errAgentSilent) {
+		t.Errorf("the start ended with %v, want %v", err, errAgentSilent)
+	}
+}
