--- a/internal/demo/tls_test.go
+++ b/internal/demo/tls_test.go
@@ -1,47 +1,27 @@
 package demo_test
 
 import (
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/internal/demo"
-	"github.com/rosemarypass/rosemarypass/internal/pki"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/standin/identity"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 func issueCertificates(t testing.TB) *settings.PeerTLS {
 	t.Helper()
-	authority, err := pki.NewAuthority("demo", time.Now(), time.Hour)
+	files, err := identity.Write(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	instance, err := pki.Issue(authority, "demo", []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now(), time.Hour)
-	if err != nil {
-		t.Fatal(err)
-	}
-	folder := t.TempDir()
-	write := func(name string, data []byte) string {
-		path := filepath.Join(folder, name)
-		if err := os.WriteFile(path, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	return &settings.PeerTLS{
-		Certificate: write("instance.pem", instance.Certificate),
-		Key:         write("instance-key.pem", instance.Key),
-		Authority:   write("authority.pem", authority.Certificate),
-	}
+	return &settings.PeerTLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}
 }
 
 func startDemoWithTLS(t *testing.T) *demo.Demo {
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -89,6 +90,15 @@
 	}
 }
 
+// setUserTimeout makes the kernel close connections to prompt peers on which sent data
+// stays unacknowledged for silenceTimeout.
+func setUserTimeout(ctx context.Context, _, _ string, raw syscall.RawConn) error {
+	if !promptPeer(ctx) {
+		return nil
+	}
+	return socket.SetUserTimeout(raw, silenceTimeout)
+}
+
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/rpc/handshake_test.go
+++ b/internal/rpc/handshake_test.go
@@ -4,40 +4,24 @@
 	"context"
 	"encoding/json"
 	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/internal/peertls"
-	"github.com/rosemarypass/rosemarypass/internal/pki"
+	"github.com/rosemarypass/rosemarypass/internal/standin/identity"
 )
 
 func newIdentity(t *testing.T) *peertls.Identity {
 	t.Helper()
-	authority, err := pki.NewAuthority("test", time.Now(), time.Hour)
+	files, err := identity.Write(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	pair, err := pki.Issue(authority, "instance", []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now(), time.Hour)
+	loaded, err := peertls.Load(files)
 	if err != nil {
 		t.Fatal(err)
 	}
-	folder := t.TempDir()
-	write := func(name string, data []byte) string {
-		path := filepath.Join(folder, name)
-		if err := os.WriteFile(path, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	identity, err := peertls.Load(peertls.Files{
-		Certificate: write("instance.pem", pair.Certificate), Key: write("key.pem", pair.Key), Authority: write("authority.pem", authority.Certificate),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return identity
+	return loaded
 }
 
 // lateListener accepts connections late, as a process does that gets little processor time.
@@ -55,7 +39,7 @@
 // Guards against handshakes that a busy machine never completes because the time to connect bounds
 // them too.
 func TestHandshakeMayTakeLongerThanConnect(t *testing.T) {
-	identity := newIdentity(t)
+	ours := newIdentity(t)
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -64,9 +48,9 @@
 	defer server.Close()
 	defer plain.Close()
 	go func() {
-		_ = server.Serve(t.Context(), identity.Listen(lateListener{Listener: plain, delay: 2 * connectTimeout}))
+		_ = server.Serve(t.Context(), ours.Listen(lateListener{Listener: plain, delay: 2 * connectTimeout}))
 	}()
-	client := NewClient(plain.Addr().String(), WithIdentity(identity))
+	client := NewClient(plain.Addr().String(), WithIdentity(ours))
 	defer client.Close()
 	var reply string
 	if err := client.Call(t.Context(), "any", nil, &reply); err != nil || reply != "answer" {
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -1,6 +1,9 @@
 package socket
 
 import (
+	"syscall"
+	"time"
+
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -15,3 +18,16 @@
 		}
 	}
 }
+
+// SetUserTimeout makes the system close the connection when sent data stays unacknowledged for
+// the given time. By default, Linux retransmits for about 15 minutes.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Wrap(err, "access socket")
+	}
+	return errors.Wrap(sockErr, "set TCP_USER_TIMEOUT")
+}
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -2,5 +2,14 @@
 
 package socket
 
+import (
+	"syscall"
+	"time"
+)
+
 // hungUp returns false: without POLLRDHUP a close behind unread data cannot be seen.
 func hungUp(uintptr) bool { return false }
+
+// SetUserTimeout does nothing: TCP_USER_TIMEOUT is specific to Linux. Only keep-alive probes
+// detect a silent peer on this platform.
+func SetUserTimeout(syscall.RawConn, time.Duration) error { return nil }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -78,18 +78,10 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection
-// whose peer stops acknowledging data. Requests to a server behind a network
-// partition would otherwise hang for minutes.
+// setUserTimeout bounds how long a request to a server behind a network partition
+// hangs, which would otherwise be minutes.
 func setUserTimeout(_ context.Context, _, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return sockErr
+	return socket.SetUserTimeout(raw, userTimeout)
 }
 
 // isIdle reports whether the connection is open and has no unread bytes. Bytes
