An agent applies its configuration before the first report of its engine

An empty engine loads its only model on disk while no configuration is in force. The test confirmed the configuration after the agent's start, and the agent took a confirmed one and the first report in any order: with either, it could load that model although the configuration names several and wants a permit. Now the agent applies what is in force before its first report, and the test prepares it before the start; its checks are unchanged.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -144,6 +144,9 @@
 		table:   residency.New(residency.Options{Queue: 1}),
 		reports: make(chan reportResult, 1), orderReplies: make(chan orderReply, 1), loads: make(map[string]pendingLoad), loadTime: initialLoadTime,
 	}
+	// Before the first report: an engine without a model gets one by the configuration, if that is
+	// in force.
+	l.configure(time.Now())
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	tick := time.NewTimer(idlePoll)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -25,8 +25,7 @@
 // runAgentWith is like runAgent with the given options and models.
 func runAgentWith(t *testing.T, e *fakeEngine, options Options, models []route.Model, test func(t *testing.T, s *Sidecar)) {
 	t.Helper()
-	runAgentUnconfirmed(t, e, options, models, func(t *testing.T, s *Sidecar, documents *mesh.Documents) {
-		documents.Confirm()
+	runAgentFrom(t, e, options, models, (*mesh.Documents).Confirm, func(t *testing.T, s *Sidecar, _ *mesh.Documents) {
 		time.Sleep(time.Second)
 		test(t, s)
 	})
@@ -34,6 +33,12 @@
 
 // runAgentUnconfirmed is like runAgentWith, but the configuration is not confirmed.
 func runAgentUnconfirmed(t *testing.T, e *fakeEngine, options Options, models []route.Model, test func(t *testing.T, s *Sidecar, documents *mesh.Documents)) {
+	t.Helper()
+	runAgentFrom(t, e, options, models, func(*mesh.Documents) {}, test)
+}
+
+// runAgentFrom runs an agent that starts when the configuration was prepared.
+func runAgentFrom(t *testing.T, e *fakeEngine, options Options, models []route.Model, prepare func(*mesh.Documents), test func(t *testing.T, s *Sidecar, documents *mesh.Documents)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		decode := func([]byte) (*route.Document, error) {
@@ -43,6 +48,7 @@
 		}
 		documents := mesh.NewDocuments(decode, zap.NewNop())
 		documents.Apply(document.State{Index: 1, Version: 1, Body: []byte("{}")}, "test")
+		prepare(documents)
 		options.Name, options.Service, options.VersionGrace = "agent", "llm", time.Second
 		s := New(options, e, documents, zap.NewNop())
 		ctx, cancel := context.WithCancel(t.Context())
