Lines for repeats and broken calls: what tells one request from another, and what the budget said

A broken call logged fingerprint 0 for each request without a body, so that one request that ends servers and several looked alike; a repeat was in no line. Now: method, path, caller and size of the body at each broken call; 'request to be sent again' with the tokens left and the number of entries that share the slack; a counter of refused repeats.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -97,6 +97,7 @@
 	defer b.mu.Unlock()
 	available := b.balance(service, now)
 	if available < 1 {
+		repeatsRefusedCount.Add(1)
 		return false
 	}
 	b.buckets[service] = bucket{tokens: available - 1, at: now}
@@ -104,6 +105,13 @@
 	return true
 }
 
+// left returns the tokens of a service and the number of entries that share the slack.
+func (b *budget) left(service string, now time.Time) (tokens float64, entries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balance(service, now), b.entries
+}
+
 func formatSeconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 type Call struct {
 	// ID identifies the attempt; it is empty when the caller sent none.
 	ID string
+	// Caller is the IP address of the caller.
+	Caller string
 	// Model is the base model, Adapter has the form model/adapter. Both are empty when the
 	// caller does not name them.
 	Model   string
@@ -155,6 +158,7 @@
 	// server that had not begun to answer.
 	goneUnansweredCount = telemetry.Counter("gateway_callers_gone_unanswered")
 	repeatCount         = telemetry.Counter("gateway_repeats")
+	repeatsRefusedCount = telemetry.Counter("gateway_repeats_refused")
 	resumedCount        = telemetry.Counter("gateway_resumed")
 
 	// firstLatency is the time to the first event or to the complete answer; startLatency is
@@ -185,6 +189,7 @@
 // route looks up the route of a request and serves the request.
 func (g *Gateway) route(r *http.Request, arrived time.Time) answer.Answer {
 	call := g.edge.Parse(r)
+	call.Caller = callerAddress(r)
 	if !g.configured() && !g.awaitConfigured(r.Context(), g.startupQueue.options.Latest(arrived, call.MaxWait)) {
 		return g.refuse(&call, g.unconfiguredReason(), minRetryAfter)
 	}
@@ -216,6 +221,15 @@
 	return x.run()
 }
 
+// callerAddress returns the IP address from which a request came.
+func callerAddress(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 func (g *Gateway) configured() bool { return g.mesh.Usable() }
 
 // awaitConfigured waits for a configuration at an entry that has just started. At an entry that
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,12 +9,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/relay"
-	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
 
@@ -300,8 +297,7 @@
 // brokeOff records an answer that broke off and returns whether another server may be tried.
 func (x *exchange) brokeOff(msg string, r *reply, err error) step {
 	r.response.Abort()
-	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", r.server.entry.ID), zap.String("lastEvent", x.lastEvent),
-		zap.Uint64("fingerprint", x.call.fingerprint()), telemetry.Cause(err))
+	x.logBroken(msg, r.server, err)
 	if time.Until(x.deadline) > 0 && !x.callerLeft() {
 		x.strikes.connBroken(&x.call, r.server, r.outputFor(time.Now()))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,13 +28,25 @@
 		x.lastReason = "the backend server leaves"
 		return nil, stepRetry
 	}
-	if x.sends > 0 && !x.budget.take(x.service.Name, time.Now()) {
-		x.lastReason = "the budget of repeats is used up: " + x.lastReason
+	if x.sends > 0 && !x.mayRepeat(v) {
 		return nil, stepFail
 	}
 	return x.send(v)
 }
 
+// mayRepeat takes one repeat from the budget and reports whether there was one.
+func (x *exchange) mayRepeat(v *server) bool {
+	now := time.Now()
+	allowed := x.budget.take(x.service.Name, now)
+	left, entries := x.budget.left(x.service.Name, now)
+	x.log.Info("request to be sent again", zap.String("request", x.call.ID), zap.String("service", x.service.Name), zap.String("server", v.entry.ID), zap.Bool("allowed", allowed),
+		zap.Float64("left", left), zap.Int("entries", entries), zap.Int("arrivals", x.sends), zap.String("reason", x.lastReason))
+	if !allowed {
+		x.lastReason = "the budget of repeats is used up: " + x.lastReason
+	}
+	return allowed
+}
+
 // send forwards the request and reads the header of the answer.
 func (x *exchange) send(v *server) (*reply, step) {
 	left := time.Until(x.deadline)
@@ -109,10 +121,16 @@
 	}
 	x.lastReason = "the connection to the backend server broke"
 	x.strikes.connBroken(&x.call, v, 0)
-	x.log.Info("call broke", zap.String("request", x.call.ID), zap.String("server", v.entry.ID), zap.Uint64("fingerprint", x.call.fingerprint()), telemetry.Cause(err))
+	x.logBroken("call broke", v, err)
 	return x.recordFailure(v, Verdict{})
 }
 
+// logBroken logs a call or an answer that broke off, with what tells the request from others.
+func (x *exchange) logBroken(msg string, v *server, err error) {
+	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", v.entry.ID), zap.Uint64("fingerprint", x.call.fingerprint()), zap.String("method", x.call.Method),
+		zap.String("path", x.call.URI), zap.String("caller", x.call.Caller), zap.Int("body", len(x.call.Body)), zap.String("lastEvent", x.lastEvent), telemetry.Cause(err))
+}
+
 // recordFailure records a failure of a server that may have run the request. A caller that
 // leaves also ends its server's answer, which is not a failure.
 func (x *exchange) recordFailure(v *server, verdict Verdict) step {
