--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -21,6 +21,8 @@
 	buckets map[string]bucket
 	// entries is the highest number of entries that has been observed.
 	entries int
+	// started is the start of this process.
+	started time.Time
 }
 
 // bucket is the token bucket of one service; each token allows one repeat.
@@ -46,7 +48,7 @@
 )
 
 func newBudget(options Options, m *mesh.Mesh) *budget {
-	return &budget{options: options, mesh: m, buckets: make(map[string]bucket), entries: 1}
+	return &budget{options: options, mesh: m, buckets: make(map[string]bucket), entries: 1, started: time.Now()}
 }
 
 // ownSlack returns this entry's part of the slack.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,8 @@
 	RepeatSlack float64
 	// RepeatWindow is the time window to which that limit applies.
 	RepeatWindow time.Duration
+	// Restarted is set when an earlier incarnation of this entry may have run.
+	Restarted bool
 	// Heartbeat is the interval between two announcements of a server.
 	Heartbeat time.Duration
 	// StopTimeout is the maximum duration of a planned stop.
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -37,12 +37,20 @@
 // breakAtServers announces three servers, each of which breaks the connection of a call and then
 // listens on or not.
 func breakAtServers(t *testing.T, g *Gateway, call *Call, listening bool) []roster.Server {
+	t.Helper()
+	servers, _ := breakAtListeners(t, g, call, listening)
+	return servers
+}
+
+// breakAtListeners is breakAtServers, and returns the listeners too.
+func breakAtListeners(t *testing.T, g *Gateway, call *Call, listening bool) ([]roster.Server, []net.Listener) {
 	t.Helper()
 	addresses, err := loopback.Addresses(3)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var servers []roster.Server
+	var listeners []net.Listener
 	for _, address := range addresses {
 		if listening {
 			listener, err := net.Listen("tcp", address)
@@ -50,6 +58,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { _ = listener.Close() })
+			listeners = append(listeners, listener)
 		}
 		s := roster.Server{ID: address, Born: 1, Sequence: 1, Service: "s", Address: address}
 		if err := g.mesh.Announce(t.Context(), s); err != nil {
@@ -58,7 +67,7 @@
 		g.strikes.connBroken(call, &server{entry: roster.Entry{Server: s}}, 0)
 		servers = append(servers, s)
 	}
-	return servers
+	return servers, listeners
 }
 
 // newIdleGateway returns a gateway that serves no callers, with the given heartbeat of its servers.
@@ -199,3 +208,35 @@
 		t.Error("the request is refused")
 	}
 }
+
+// Guards against a request without a body that ends server after server, because it could not be told from others.
+func TestCrashingRequestWithoutBodyIsRefused(t *testing.T) {
+	g := newIdleGateway(0)
+	call := &Call{Method: "GET", Host: "h", URI: "/look/7461b9?page=11"}
+	breakAtServers(t, g, call, false)
+	g.strikes.settle(time.Now())
+	if !g.strikes.refused(call) {
+		t.Error("the request is not refused after it ended three servers")
+	}
+	for _, other := range []Call{{Method: "GET", Host: "h", URI: "/look/7461b9?page=12"}, {Method: "GET", Host: "other", URI: call.URI}, {Method: "HEAD", Host: "h", URI: call.URI}} {
+		if g.strikes.refused(&other) {
+			t.Errorf("another request is refused: %+v", other)
+		}
+	}
+}
+
+// Guards against a server whose end is missed, because its listener took one more connection as it ended.
+func TestServerThatAcceptsOnceMoreWhileItEndsIsCounted(t *testing.T) {
+	g := newIdleGateway(time.Second)
+	call := &Call{Method: "POST", URI: "/x", Body: []byte("body")}
+	_, listeners := breakAtListeners(t, g, call, true)
+	now := time.Now()
+	g.strikes.settle(now)
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+	g.strikes.settle(now.Add(settleInterval))
+	if !g.strikes.refused(call) {
+		t.Error("the request is not refused after it ended three servers")
+	}
+}
