An entry that has restarted gets its part of the repeats step by step

Callers saw nothing at first; servers did: entries that were killed again and again while servers failed repeated more in sum than the deployment allows. Cause: each incarnation began with its whole part of the slack, whatever the one before had spent, and took itself for the only entry until its first look at the others (500 ms). The class: state that limits a sum is forgotten by a restart, and the fresh state is the most generous one. Now a process that is not the first of its deployment gets its part over two windows, so that what earlier incarnations left and what it gets stay below the slack however often it restarts; it counts the entries before each repeat.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -198,6 +198,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
+		Restarted: !p.settings.Bootstrap,
 		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.goroutines.Go(func() { p.gateway.Run(ctx) })
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -16,18 +16,20 @@
 type budget struct {
 	options Options
 	mesh    *mesh.Mesh
+	// started is the start of this process.
+	started time.Time
 
 	mu      sync.Mutex
 	buckets map[string]bucket
 	// entries is the highest number of entries that has been observed.
 	entries int
-	// started is the start of this process.
-	started time.Time
 }
 
 // bucket is the token bucket of one service; each token allows one repeat.
 type bucket struct {
-	tokens float64
+	// beyond is the number of tokens beyond those of the granted slack; it is negative where some of
+	// these have been spent.
+	beyond float64
 	at     time.Time
 }
 
@@ -45,6 +47,10 @@
 	// one token. It exceeds 1 far enough that, despite the decay, a whole token is left when a
 	// server fails some time after the last request added to the bucket.
 	minCapacity = 1.5
+	// slackWindows is the number of windows over which an entry that has restarted gets its part of
+	// the slack. In one window, what its earlier incarnations spent and what it gets then stay below
+	// that part divided by slackFactor, however often it restarts.
+	slackWindows = 2
 )
 
 func newBudget(options Options, m *mesh.Mesh) *budget {
@@ -56,6 +62,16 @@
 	return slackFactor * b.options.RepeatSlack / float64(b.entries)
 }
 
+// grantedSlack returns how much of its part of the slack this process has got by the given time. An
+// earlier incarnation may have spent the whole part just before.
+func (b *budget) grantedSlack(at time.Time) float64 {
+	if !b.options.Restarted || b.options.RepeatWindow <= 0 {
+		return b.ownSlack()
+	}
+	share := float64(at.Sub(b.started)) / (slackWindows * float64(b.options.RepeatWindow))
+	return b.ownSlack() * min(max(share, 0), 1)
+}
+
 // capacity returns the highest number of tokens that a bucket can hold.
 func (b *budget) capacity() float64 {
 	if slack := b.ownSlack(); slack >= 1 {
@@ -64,6 +80,17 @@
 	return minCapacity
 }
 
+// observeMesh records the number of entries that are known now.
+func (b *budget) observeMesh() {
+	entries := 0
+	for _, p := range b.mesh.Known() {
+		if p.Entry {
+			entries++
+		}
+	}
+	b.observeEntries(entries)
+}
+
 // observeEntries records the number of known entries.
 func (b *budget) observeEntries(n int) {
 	b.mu.Lock()
@@ -75,19 +102,21 @@
 func (b *budget) credit(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens := min(b.balance(service, now)+ratioFactor*b.options.RepeatRatio, b.capacity())
-	b.buckets[service] = bucket{tokens: tokens, at: now}
+	b.save(service, min(b.balance(service, now)+ratioFactor*b.options.RepeatRatio, b.capacity()), now)
+}
+
+// save records the tokens that a service has. The caller holds mu.
+func (b *budget) save(service string, tokens float64, now time.Time) {
+	b.buckets[service] = bucket{beyond: tokens - b.grantedSlack(now), at: now}
 }
 
 // balance returns the tokens that a service has at the given time. The caller holds mu.
 func (b *budget) balance(service string, now time.Time) float64 {
 	saved, known := b.buckets[service]
-	if !known {
-		return b.ownSlack()
-	}
-	excess := saved.tokens - b.ownSlack()
-	if excess <= 0 || b.options.RepeatWindow <= 0 {
-		return saved.tokens
+	tokens := b.grantedSlack(now) + saved.beyond
+	excess := tokens - b.ownSlack()
+	if !known || excess <= 0 || b.options.RepeatWindow <= 0 {
+		return tokens
 	}
 	halfLives := float64(now.Sub(saved.at)) / (excessHalfLife * float64(b.options.RepeatWindow))
 	return b.ownSlack() + excess*math.Exp2(-halfLives)
@@ -102,7 +131,7 @@
 		repeatsRefusedCount.Add(1)
 		return false
 	}
-	b.buckets[service] = bucket{tokens: available - 1, at: now}
+	b.save(service, available-1, now)
 	repeatCount.Add(1)
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -337,13 +337,7 @@
 			g.servers.start(ctx)
 		case now := <-ticker.C:
 			g.pool.Sweep(now, g.servers.keep)
-			entries := 0
-			for _, p := range g.mesh.Known() {
-				if p.Entry {
-					entries++
-				}
-			}
-			g.budget.observeEntries(entries)
+			g.budget.observeMesh()
 		}
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -36,6 +36,8 @@
 
 // mayRepeat takes one repeat from the budget and reports whether there was one.
 func (x *exchange) mayRepeat(v *server) bool {
+	// An entry that has just started may not have counted the others yet.
+	x.budget.observeMesh()
 	now := time.Now()
 	allowed := x.budget.take(x.service.Name, now)
 	left, entries := x.budget.left(x.service.Name, now)
