An accepted connection does not settle that a server lives on; one that stays open does

Callers saw: where a server's listener outlives its connections, if only by a millisecond, a request that crashes servers was sent on for good. Cause: the end of a server was asked once, right after the break; a connection that its kernel still accepted was taken for its life, and nobody asked again. Now the connection is held and looked at: closed soon, another is opened; refused within two heartbeats of the break, the server has ended; open for a quarter of a second, it lives (a process that stands still too). Where all are closed at once for two heartbeats and no other connection to the server is open, whatever holds its port has no server behind it ('closes connections').

--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -45,6 +45,9 @@
 	Restarted Evidence = "restarted"
 	// Refuses means that after a call broke nothing listened at the server's address.
 	Refuses Evidence = "refuses connections"
+	// Closes means that whatever holds the address of a server whose connections broke closes all new
+	// ones at once.
+	Closes Evidence = "closes connections"
 )
 
 type strikeRecord struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,7 @@
 		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
 		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(),
 	}
-	g.strikes = &strikes{gateway: g, wakeup: make(chan struct{}, 1)}
+	g.strikes = &strikes{gateway: g, wakeup: make(chan struct{}, 1), followed: make(map[upstream.Target]*followed)}
 	return g
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -236,6 +236,14 @@
 	s.mu.Unlock()
 }
 
+// serves reports whether this entry's requests are in flight at a server.
+func (s *servers) serves(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.byID[id]
+	return v != nil && v.inflight > 0
+}
+
 func (s *servers) headerReceived(v *server, now time.Time) {
 	s.mu.Lock()
 	v.answeredAt = now
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -25,6 +25,8 @@
 
 	mu      sync.Mutex
 	pending []pendingStrike
+	// followed holds the servers of the pending strikes.
+	followed map[upstream.Target]*followed
 }
 
 // pendingStrike is a broken call whose server is not known to have ended.
@@ -33,15 +35,23 @@
 	target  upstream.Target
 	born    int64
 	brokeAt time.Time
-	// acceptedAt is when the server, or a later one at its address, accepted a connection; zero
-	// before.
-	acceptedAt time.Time
+}
+
+// followed is a server at which calls broke.
+type followed struct {
+	ending *suspicion.Ending
+	// dialing is true while a connection is being opened, conn the one that is open; nil while
+	// there is none.
+	dialing bool
+	conn    *upstream.Idling
 }
 
 const (
 	// strikeWait is the time within which the end of a crashed server must become known.
 	strikeWait = 20 * time.Second
-	// settleInterval is the interval between two looks at servers whose end is uncertain.
+	// firstLook and settleInterval bound the pause between two looks at servers whose end is
+	// uncertain; it doubles after each.
+	firstLook      = 10 * time.Millisecond
 	settleInterval = 500 * time.Millisecond
 	// maxPending limits the number of tracked broken calls.
 	maxPending = 1024
@@ -95,78 +105,129 @@
 // run looks at broken calls as they come, and again at those whose servers' end is uncertain, until
 // ctx ends.
 func (s *strikes) run(ctx context.Context) {
-	ticker := time.NewTicker(settleInterval)
-	defer ticker.Stop()
+	pause := settleInterval
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wakeup:
-		case <-ticker.C:
+			pause = firstLook
+		case <-timer.C:
+			pause = min(2*pause, settleInterval)
 		}
-		s.settle(time.Now())
+		s.look(ctx, time.Now(), &probes)
+		timer.Reset(pause)
 	}
 }
 
-// settle reports the strikes of servers that are known to have ended and drops those that have
-// expired.
+// settle looks at all broken calls once and waits for what it finds.
 func (s *strikes) settle(now time.Time) {
+	var probes sync.WaitGroup
+	s.look(context.Background(), now, &probes)
+	probes.Wait()
+}
+
+// look checks the connections to the servers of broken calls and opens new ones where they are due.
+func (s *strikes) look(ctx context.Context, now time.Time, probes *sync.WaitGroup) {
 	s.mu.Lock()
-	pending := s.pending
-	s.pending = nil
-	s.mu.Unlock()
-	s.probe(pending, now)
-	var left []pendingStrike
-	for _, p := range pending {
-		switch {
-		case p.strike.Evidence != "":
-			s.record(p, now.Sub(p.brokeAt))
-		case now.Sub(p.brokeAt) < strikeWait && !s.livesOn(p, now):
-			left = append(left, p)
+	defer s.mu.Unlock()
+	for _, p := range s.pending {
+		if s.followed[p.target] == nil {
+			s.followed[p.target] = &followed{ending: suspicion.NewEnding(settleHeartbeats * s.gateway.options.Heartbeat)}
+		}
+	}
+	for target, f := range s.followed {
+		f.checkConn(now)
+		if !f.dialing && f.ending.ProbeDue(now) {
+			f.dialing = true
+			probes.Go(func() { s.probe(ctx, target, f, now) })
 		}
 	}
+	s.judge(now)
+}
+
+// checkConn records whether the open connection still is.
+func (f *followed) checkConn(now time.Time) {
+	switch {
+	case f.conn == nil:
+	case f.conn.IsOpen():
+		f.ending.StillOpen(now)
+	default:
+		f.conn.Close()
+		f.conn = nil
+		f.ending.Closed(now)
+	}
+}
+
+// probe opens a connection to a server at which calls broke. The directory says that a server has
+// ended only when a later one has its address, which takes as long as a restart.
+func (s *strikes) probe(ctx context.Context, target upstream.Target, f *followed, begun time.Time) {
+	start := time.Now()
+	conn, err := s.gateway.pool.Dial(ctx, target)
+	now := begun.Add(time.Since(start))
 	s.mu.Lock()
-	s.pending = append(left, s.pending...)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	f.dialing = false
+	switch {
+	case err == nil && s.followed[target] != f:
+		conn.Release()
+	case err == nil:
+		f.conn = conn
+		f.ending.Opened(now)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		f.ending.Refused()
+	default:
+		f.ending.Unanswered(now)
+	}
+	s.judge(now)
 }
 
-// probe finds out which of the servers have ended. The directory says so only when a later server
-// has the address, which takes as long as a restart. A server that ended refuses connections at
-// once, while one that stands still or is cut off does not answer, and one whose connection was
-// reset accepts the next.
-func (s *strikes) probe(pending []pendingStrike, now time.Time) {
-	byTarget := make(map[upstream.Target][]*pendingStrike)
-	for i := range pending {
-		p := &pending[i]
-		if s.livesOn(*p, now) {
+// judge reports the strikes of servers that are known to have ended, and drops the broken calls
+// whose servers live on or whose time is up. The caller holds mu.
+func (s *strikes) judge(now time.Time) {
+	var left []pendingStrike
+	needed := make(map[upstream.Target]bool)
+	for _, p := range s.pending {
+		f := s.followed[p.target]
+		if f == nil {
+			// It broke since the last look.
+			left = append(left, p)
 			continue
 		}
-		p.strike.Evidence = s.gateway.mesh.Ended(p.strike.Server, p.born)
-		if p.strike.Evidence == "" && p.acceptedAt.IsZero() {
-			byTarget[p.target] = append(byTarget[p.target], p)
+		if f.ending.LivesOn(p.brokeAt, now) || now.Sub(p.brokeAt) >= strikeWait {
+			continue
 		}
+		if p.strike.Evidence = s.evidence(&p, f.ending, now); p.strike.Evidence != "" {
+			s.record(p, now.Sub(p.brokeAt))
+			continue
+		}
+		left = append(left, p)
+		needed[p.target] = true
 	}
-	var probes sync.WaitGroup
-	for target, calls := range byTarget {
-		probes.Go(func() {
-			err := s.gateway.pool.Probe(context.Background(), target)
-			for _, p := range calls {
-				if err == nil {
-					p.acceptedAt = now
-				}
-				if errors.Is(err, syscall.ECONNREFUSED) {
-					p.strike.Evidence = suspicion.Refuses
-				}
-			}
-		})
+	s.pending = left
+	for target, f := range s.followed {
+		if needed[target] {
+			continue
+		}
+		if f.conn != nil {
+			f.conn.Release()
+		}
+		delete(s.followed, target)
 	}
-	probes.Wait()
 }
 
-// livesOn reports whether a broken call's server was there after the break: a later server that
-// accepted the connection in its place would have announced itself.
-func (s *strikes) livesOn(p pendingStrike, now time.Time) bool {
-	return !p.acceptedAt.IsZero() && now.Sub(p.acceptedAt) > settleHeartbeats*s.gateway.options.Heartbeat
+// evidence returns how the server of a broken call is known to have ended; it is empty while it is
+// not.
+func (s *strikes) evidence(p *pendingStrike, ending *suspicion.Ending, now time.Time) suspicion.Evidence {
+	if evidence := s.gateway.mesh.Ended(p.strike.Server, p.born); evidence != "" {
+		return evidence
+	}
+	connected := func() bool { return s.gateway.pool.HasOpen(p.target) || s.gateway.servers.serves(p.strike.Server) }
+	return ending.Evidence(connected, now)
 }
 
 // record makes a strike of a broken call whose server ended.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -195,16 +195,41 @@
 	p.idle[target] = append(p.idle[target], c)
 }
 
-// Probe opens a connection to a target and keeps it for later calls. It returns the error of the
-// dialer if the connection cannot be opened within the dial timeout.
-func (p *Pool) Probe(ctx context.Context, target Target) error {
+// Idling is a connection without a call, outside the pool.
+type Idling struct {
+	pool   *Pool
+	target Target
+	conn   *conn
+}
+
+// Dial opens a connection to a target for no call. The caller must call exactly one of Release and
+// Close. It returns the error of the dialer if the connection cannot be opened within the dial
+// timeout.
+func (p *Pool) Dial(ctx context.Context, target Target) (*Idling, error) {
 	c, err := dial(ctx, target.Address, p.dialTimeout)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	c.setExpiry("", time.Now())
-	p.put(target, c)
-	return nil
+	return &Idling{pool: p, target: target, conn: c}, nil
+}
+
+// IsOpen reports whether the other side has not closed the connection.
+func (i *Idling) IsOpen() bool { return i.conn.isIdle() }
+
+// Release keeps the connection for later calls.
+func (i *Idling) Release() {
+	i.conn.setExpiry("", time.Now())
+	i.pool.put(i.target, i.conn)
+}
+
+// Close closes the connection.
+func (i *Idling) Close() { _ = i.conn.Close() }
+
+// HasOpen reports whether an idle connection to a target is open.
+func (p *Pool) HasOpen(target Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[target], (*conn).isIdle)
 }
 
 // Idle returns the number of idle connections to a target.
