A server is told the time left as its request is written, not before the connection is made

The header with the remaining time was made before the connection: a server was told up to the dial's 300 ms more, and whatever the entry waited for the processor in between.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -51,10 +51,11 @@
 
 // send forwards the request and reads the header of the answer.
 func (x *exchange) send(v *server) (*reply, step) {
-	left := time.Until(x.deadline)
 	request := &upstream.Request{
 		Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Body: x.call.Body, ID: x.call.ID, IDHeader: x.edge.IDHeader(),
-		Header: x.edge.Forward(&x.call, Hop{Server: v.entry.ID, Remaining: left, Rank: x.route.Priority, Engine: x.service.Engine != nil, LastEvent: x.lastEvent}),
+		LateHeader: func() http.Header {
+			return x.edge.Forward(&x.call, Hop{Server: v.entry.ID, Remaining: time.Until(x.deadline), Rank: x.route.Priority, Engine: x.service.Engine != nil, LastEvent: x.lastEvent})
+		},
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	x.servers.requestSent(v)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -19,7 +19,10 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// LateHeader, if set, returns the header in place of Header. It is called once the
+	// connection is there, right before the request is written.
+	LateHeader func() http.Header
+	Body       []byte
 	// ID and IDHeader match the response to the request: IDHeader is the header
 	// that the server echoes, ID its value. If ID is empty, a response without the
 	// header is accepted and its connection is not reused; if IDHeader is empty,
@@ -102,6 +105,9 @@
 }
 
 func exchange(c *conn, r *Request) (*Response, error) {
+	if r.LateHeader != nil {
+		r.Header = r.LateHeader()
+	}
 	if n, err := c.Write(r.encode()); err != nil {
 		if n == 0 {
 			return nil, &NotSentError{Cause: err}
