A request that is answered is not the one that crashes servers

What crashes servers never gets a whole answer. Now a whole answer below 500 clears the strikes from before it, at all entries (a list of its own in greetings: processes of the version before do not take it for strikes). TestPolledReadIsNotRefusedForCrashes failed before; TestAnsweredRequestIsNotRefused, TestAnswerReachesAllEntries and TestStrikesFromBeforeAnswerDoNotCount cannot be built before.

--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -28,6 +28,8 @@
 	Evidence Evidence `json:"evidence,omitempty"`
 	// OutputMillis is the time for which the run had been giving output when the server crashed.
 	OutputMillis int64 `json:"outputMillis,omitempty"`
+	// Answered is set where a run of the request got a whole answer, in place of a crash.
+	Answered bool `json:"answered,omitempty"`
 	// AgeMillis is the time since the server crashed, as far as the sender knows.
 	AgeMillis int64 `json:"ageMillis,omitempty"`
 	// FromHub is set when the strike came from a process that sends it to all other hubs itself.
@@ -53,9 +55,11 @@
 type strikeRecord struct {
 	// strikes holds the strikes by server.
 	strikes map[string]heldStrike
+	// answer is the last whole answer; strikes from before it do not count.
+	answer heldStrike
 	// early counts the strikes of runs that had just begun.
 	early int
-	// last is the time of the last crash.
+	// last is the time of the last crash or answer.
 	last time.Time
 }
 
@@ -131,7 +135,7 @@
 	return false
 }
 
-// Add records a strike and reports whether it says anything new. It returns false for one that it
+// Add records a strike, or an answer, and reports whether it says anything new. It returns false for one that it
 // has no room for.
 func (s *Strikes) Add(strike Strike, now time.Time) bool {
 	at := now.Add(-time.Duration(strike.AgeMillis) * time.Millisecond)
@@ -147,9 +151,17 @@
 		r = &strikeRecord{strikes: make(map[string]heldStrike)}
 		s.records[strike.Fingerprint] = r
 	}
+	if !at.After(r.answer.at) {
+		return false
+	}
 	if at.After(r.last) {
 		r.last = at
 	}
+	if strike.Answered {
+		s.change++
+		r.clear(heldStrike{Strike: strike, at: at, change: s.change})
+		return true
+	}
 	// Of two runs of the request on one server, the one that had just begun counts.
 	known, ok := r.strikes[strike.Server]
 	if ok && (known.early() || !strike.early()) || !ok && len(r.strikes) >= maxRequestStrikes {
@@ -163,6 +175,31 @@
 	return true
 }
 
+// clear removes the strikes from before an answer.
+func (r *strikeRecord) clear(answer heldStrike) {
+	r.answer, r.early = answer, 0
+	for server, held := range r.strikes {
+		switch {
+		case !held.at.After(answer.at):
+			delete(r.strikes, server)
+		case held.early():
+			r.early++
+		}
+	}
+}
+
+// Answered records that a run of the request got a whole answer, which what crashes servers never
+// does. It reports whether the request had strikes.
+func (s *Strikes) Answered(fingerprint uint64, now time.Time) bool {
+	return s.Suspected(fingerprint) && s.Add(Strike{Fingerprint: fingerprint, Answered: true}, now)
+}
+
+// Suspected reports whether the request has strikes.
+func (s *Strikes) Suspected(fingerprint uint64) bool {
+	r := s.records[fingerprint]
+	return r != nil && len(r.strikes) > 0
+}
+
 // Refused reports whether a request must not run.
 func (s *Strikes) Refused(fingerprint uint64, now time.Time) bool {
 	r := s.records[fingerprint]
@@ -208,8 +245,14 @@
 	}
 	var added []heldStrike
 	for _, r := range s.records {
+		if now.Sub(r.last) >= strikeLifetime {
+			continue
+		}
+		if r.answer.change > change {
+			added = append(added, r.answer)
+		}
 		for _, held := range r.strikes {
-			if held.change > change && now.Sub(r.last) < strikeLifetime {
+			if held.change > change {
 				added = append(added, held)
 			}
 		}
--- a/coord/suspicion/strikes_load_test.go
+++ b/coord/suspicion/strikes_load_test.go
@@ -15,15 +15,21 @@
 	loadServers  = 18
 	loadCallers  = 216
 	// loadHolders is the number of servers that a third of the callers and the crashing request use.
-	loadHolders   = 6
-	loadDowntime  = 3 * time.Second
-	strikeDelay   = 20 * time.Millisecond
-	firstOutput   = 100 * time.Millisecond
-	crashAfter    = 50 * time.Millisecond
-	shortestRun   = time.Second
-	runSpread     = 5 * time.Second
-	repeats       = 3
-	crashingID    = 1
+	loadHolders  = 6
+	loadDowntime = 3 * time.Second
+	strikeDelay  = 20 * time.Millisecond
+	firstOutput  = 100 * time.Millisecond
+	crashAfter   = 50 * time.Millisecond
+	shortestRun  = time.Second
+	runSpread    = 5 * time.Second
+	repeats      = 3
+	crashingID   = 1
+	// polledID is the request that loadPollers send again and again, each run of which takes
+	// shortestPoll to shortestPoll and pollSpread.
+	polledID      = 2
+	loadPollers   = 40
+	shortestPoll  = 30 * time.Millisecond
+	pollSpread    = 100 * time.Millisecond
 	crashingBegin = 4 * time.Second
 )
 
@@ -35,6 +41,7 @@
 // loadCaller sends one request after the other, and each again when its server ends.
 type loadCaller struct {
 	crashing    bool
+	polls       bool
 	holdersOnly bool
 	fingerprint uint64
 	left        int
@@ -56,7 +63,7 @@
 }
 
 func newLoad(seed uint64, copies int) *load {
-	l := &load{random: rand.New(rand.NewPCG(seed, 1)), strikes: NewStrikes(), next: crashingID + 1}
+	l := &load{random: rand.New(rand.NewPCG(seed, 1)), strikes: NewStrikes(), next: polledID + 1}
 	for i := range loadCallers {
 		c := &loadCaller{holdersOnly: i%3 == 0}
 		l.renew(c)
@@ -68,7 +75,18 @@
 	return l
 }
 
+// addPollers adds callers that all send the same read.
+func (l *load) addPollers() {
+	for range loadPollers {
+		l.callers = append(l.callers, &loadCaller{polls: true, fingerprint: polledID})
+	}
+}
+
 func (l *load) renew(c *loadCaller) {
+	if c.polls {
+		c.began = time.Time{}
+		return
+	}
 	c.fingerprint, c.left, c.began = l.next, repeats, time.Time{}
 	l.next++
 }
@@ -78,7 +96,11 @@
 	start := time.Unix(1000, 0)
 	for now := start; now.Before(start.Add(loadDuration)); now = now.Add(loadStep) {
 		for len(l.learned) > 0 && !now.Before(l.learned[0].at) {
-			l.strikes.Add(l.learned[0].Strike, now)
+			if l.learned[0].Answered {
+				l.strikes.Answered(l.learned[0].Fingerprint, now)
+			} else {
+				l.strikes.Add(l.learned[0].Strike, now)
+			}
 			l.learned = l.learned[1:]
 		}
 		for _, c := range l.callers {
@@ -89,6 +111,7 @@
 			case !now.Before(c.ends) && c.crashing:
 				l.crash(c.server, now)
 			case !now.Before(c.ends):
+				l.learned = append(l.learned, heldStrike{Strike: Strike{Fingerprint: c.fingerprint, Answered: true}, at: now.Add(strikeDelay)})
 				l.renew(c)
 			}
 		}
@@ -115,6 +138,9 @@
 	if c.crashing {
 		c.ends = now.Add(crashAfter)
 	}
+	if c.polls {
+		c.ends = now.Add(shortestPoll + time.Duration(l.random.Int64N(int64(pollSpread))))
+	}
 }
 
 // crash ends a server and breaks all its runs.
@@ -155,3 +181,24 @@
 		t.Logf("%d copies in flight: %d servers ended and %d other requests were refused in %d plays", copies, crashes, innocent, loadSeeds)
 	}
 }
+
+// Guards against a read that many send all the time, is in flight wherever a server ends, and is refused for it.
+func TestPolledReadIsNotRefusedForCrashes(t *testing.T) {
+	for _, copies := range []int{1, 3} {
+		crashes, innocent := 0, 0
+		for seed := range uint64(loadSeeds) {
+			l := newLoad(seed, copies)
+			l.addPollers()
+			l.play()
+			crashes += l.crashes
+			innocent += l.innocent
+			if most := strikeLimit + copies; l.crashes < strikeLimit || l.crashes > most {
+				t.Errorf("seed %d, %d copies in flight: %d servers ended, want %d to %d", seed, copies, l.crashes, strikeLimit, most)
+			}
+		}
+		if innocent > 0 {
+			t.Errorf("%d copies in flight: %d requests that were only there were refused", copies, innocent)
+		}
+		t.Logf("%d copies in flight: %d servers ended and %d other requests were refused in %d plays", copies, crashes, innocent, loadSeeds)
+	}
+}
--- a/coord/suspicion/strikes_test.go
+++ b/coord/suspicion/strikes_test.go
@@ -197,3 +197,32 @@
 		t.Errorf("%d servers of a request are remembered, want maxRequestStrikes", got)
 	}
 }
+
+// Guards against strikes from before an answer that count when they are heard after it.
+func TestStrikesFromBeforeAnswerDoNotCount(t *testing.T) {
+	const fingerprint = 5
+	now := time.Unix(1000, 0)
+	s := NewStrikes()
+	s.Add(Strike{Fingerprint: fingerprint, Server: "a"}, now)
+	s.Add(Strike{Fingerprint: fingerprint, Server: "b"}, now)
+	if !s.Answered(fingerprint, now.Add(time.Second)) || s.Answered(fingerprint, now.Add(2*time.Second)) {
+		t.Error("an answer is new if and only if there were strikes")
+	}
+	later := now.Add(3 * time.Second)
+	if s.Add(Strike{Fingerprint: fingerprint, Server: "c", AgeMillis: 2500}, later) {
+		t.Error("a strike from before the answer counts")
+	}
+	s.Add(Strike{Fingerprint: fingerprint, Server: "d", AgeMillis: 1000}, later)
+	// Another table learns of them in either order.
+	all, _ := s.Since(0, 10, later)
+	for _, order := range [][]int{{0, 1}, {1, 0}} {
+		other := NewStrikes()
+		other.Add(Strike{Fingerprint: fingerprint, Server: "a", AgeMillis: 3000}, later)
+		for _, i := range order {
+			other.Add(all[i], later)
+		}
+		if got := other.Of(fingerprint); len(got) != 1 || got[0].Server != "d" {
+			t.Errorf("in the order %v: strikes %+v, want only that of d", order, got)
+		}
+	}
+}
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -240,3 +240,23 @@
 		t.Error("the request is not refused after it ended three servers")
 	}
 }
+
+// Guards against a request that is refused for servers that ended around it, though it was answered in between.
+func TestAnsweredRequestIsNotRefused(t *testing.T) {
+	g := newTestGateway(t, []http.HandlerFunc{respond(http.StatusOK, "Signed", "body")})
+	call := plainEdge{}.Parse(newPrompt("/look/"))
+	call.Body = []byte("prompt")
+	strike := func(server string) { g.mesh.Strike(suspicion.Strike{Fingerprint: call.fingerprint(), Server: server}) }
+	strike("a")
+	strike("b")
+	serveAborted(g, "/look/")
+	strike("c")
+	if g.strikes.refused(&call) {
+		t.Error("the request is refused")
+	}
+	strike("d")
+	strike("e")
+	if !g.strikes.refused(&call) {
+		t.Error("the request is not refused after three servers ended since its answer")
+	}
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -371,6 +371,29 @@
 	eventually(t, func() bool { return f.nodes[0].Refused(9) && f.nodes[1].Refused(9) })
 }
 
+// Guards against a request that one entry has seen answered and others refuse for the servers that ended around it.
+func TestAnswerReachesAllEntries(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	strikes := func(n *node) int {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.strikes.Of(9))
+	}
+	eventually(t, func() bool {
+		first, _ := f.nodes[0].countReached(time.Now())
+		second, _ := f.nodes[1].countReached(time.Now())
+		return first == 1 && second == 1
+	})
+	for _, server := range []string{"a", "b", "c"} {
+		f.nodes[0].Strike(suspicion.Strike{Fingerprint: 9, Server: server})
+	}
+	eventually(t, func() bool { return strikes(f.nodes[0]) == 3 && strikes(f.nodes[1]) == 3 })
+	f.nodes[1].Answered(9)
+	eventually(t, func() bool { return !f.nodes[0].Refused(9) && !f.nodes[1].Refused(9) })
+	f.nodes[1].Strike(suspicion.Strike{Fingerprint: 9, Server: "d"})
+	eventually(t, func() bool { return strikes(f.nodes[0]) == 1 && strikes(f.nodes[1]) == 1 })
+}
+
 // Guards against an entry that sends on what has crashed three servers, because it started or was back only after the others had heard.
 func TestEntryThatStartsLaterKnowsOfCrashes(t *testing.T) {
 	const fingerprint = 9
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -64,6 +64,9 @@
 	Beats   []roster.Heartbeat `json:"beats,omitempty"`
 	// Strikes are new strikes against servers that crashed while running a request.
 	Strikes []suspicion.Strike `json:"strikes,omitempty"`
+	// Answers are new answers to requests that had strikes. Entries that do not know them would take
+	// them for strikes in the list above.
+	Answers []suspicion.Strike `json:"answers,omitempty"`
 	// Digest is the digest of the processes that the sender knows.
 	Digest uint64 `json:"digest"`
 	// Spoke is true when the sender is not a hub, and hears only what the hubs that it
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -228,7 +229,7 @@
 	more bool
 }
 
-func (p *pending) empty() bool { return len(p.Servers)+len(p.Beats)+len(p.Strikes) == 0 }
+func (p *pending) empty() bool { return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers) == 0 }
 
 // pendingUpdates lists what the peer has not acknowledged: servers with material changes
 // in full, and heartbeats of the servers that the peer does not hear of on a shorter
@@ -291,7 +292,7 @@
 	m.mu.Lock()
 	from := m.peers[in.From.Address]
 	reply := greetingReply{Missing: m.mergeServers(from, in, now)}
-	m.mergeStrikes(from, !in.Spoke, in.Strikes, now)
+	m.mergeStrikes(from, !in.Spoke, slices.Concat(in.Strikes, in.Answers), now)
 	if from != nil {
 		wasActive := from.active(now)
 		from.lastGreeting, from.inSync, from.spoke = now, in.Digest == digest, in.Spoke
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -18,7 +18,17 @@
 	m.mergeStrikes(nil, false, []suspicion.Strike{strike}, time.Now())
 }
 
-// mergeStrikes records strikes and wakes the peers to which new ones must be forwarded. The
+// Answered records that a run of a request got a whole answer, and notifies all entries if the
+// request had strikes.
+func (m *Mesh) Answered(fingerprint uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.strikes.Suspected(fingerprint) {
+		m.mergeStrikes(nil, false, []suspicion.Strike{{Fingerprint: fingerprint, Answered: true}}, time.Now())
+	}
+}
+
+// mergeStrikes records strikes and answers, and wakes the peers to which new ones must be forwarded. The
 // caller holds mu.
 func (m *Mesh) mergeStrikes(from *peer, fromHub bool, strikes []suspicion.Strike, now time.Time) {
 	for _, strike := range strikes {
@@ -27,6 +37,10 @@
 		if !m.strikes.Add(strike, now) {
 			continue
 		}
+		if strike.Answered {
+			m.log.Info("request was answered: earlier ends of servers do not count against it", zap.Uint64("fingerprint", strike.Fingerprint),
+				zap.Bool("heard", from != nil), zap.Bool("refusedBefore", refusedBefore))
+		}
 		if !refusedBefore && m.strikes.Refused(strike.Fingerprint, now) {
 			m.log.Warn("request refused from now on: backend servers ended while running it", zap.Uint64("fingerprint", strike.Fingerprint),
 				zap.Bool("heard", from != nil), zap.Any("strikes", m.strikes.Of(strike.Fingerprint)))
@@ -67,7 +81,11 @@
 	strikes, last := q.mesh.strikes.Since(q.ackedStrikes, maxGreetingStrikes, now)
 	p.strikeChange, p.more = last, p.more || len(strikes) == maxGreetingStrikes
 	for _, strike := range strikes {
-		if !strike.FromHub || q.spoke || !q.knowsStrikes {
+		switch {
+		case strike.FromHub && !q.spoke && q.knowsStrikes:
+		case strike.Answered:
+			p.Answers = append(p.Answers, strike)
+		default:
 			p.Strikes = append(p.Strikes, strike)
 		}
 	}
