Refused requests are kept on the disk, so that entries that all restart at once still refuse them

Callers saw: after a kill of all entries a request that had crashed three servers crashed three more, after each kill. Cause: what entries know of crashes lived in memory only; each tells the others, but none was left. Entries with a disk now keep the strikes of refused requests beside the servers they know (one writer for both files), and tell those without. TestRestartedEntryRemembersRefusedRequests.

--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -237,6 +238,16 @@
 	return strikes
 }
 
+// Change returns the number of the last strike or answer that was added.
+func (s *Strikes) Change() uint64 { return s.change }
+
+// OfRefused returns the strikes of the requests that are refused, in the order in which they were
+// added.
+func (s *Strikes) OfRefused(now time.Time) []Strike {
+	all, _ := s.Since(0, math.MaxInt, now)
+	return slices.DeleteFunc(all, func(strike Strike) bool { return !s.Refused(strike.Fingerprint, now) })
+}
+
 // Since returns up to limit of the strikes that were added after the change with the given number,
 // in their order, and the number up to which it lists them.
 func (s *Strikes) Since(change uint64, limit int, now time.Time) ([]Strike, uint64) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -141,6 +141,7 @@
 		m.host = newLogHost(m)
 		m.configWriter = newConfigWriter(options.Folder, log)
 		m.loadServers(time.Now())
+		m.loadStrikes(time.Now())
 	}
 	return m
 }
@@ -183,7 +184,8 @@
 	if m.host != nil {
 		m.tasks.Go(func() { m.host.run(ctx) })
 		m.tasks.Go(func() { m.configWriter.run(ctx) })
-		m.tasks.Go(func() { m.persistServers(ctx) })
+		m.tasks.Go(func() { m.serversCopy().run(ctx) })
+		m.tasks.Go(func() { m.strikesCopy().run(ctx) })
 	} else {
 		m.tasks.Go(func() { m.follow(ctx) })
 	}
--- a/internal/mesh/restart_test.go
+++ b/internal/mesh/restart_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
 // All processes stop at once and one restarts before the others. It must not route requests by an older configuration
@@ -55,7 +56,7 @@
 		t.Fatal(err)
 	}
 	eventually(t, func() bool {
-		data, err := os.ReadFile(f.nodes[0].serversPath())
+		data, err := os.ReadFile(f.nodes[0].serversCopy().path())
 		return err == nil && bytes.Contains(data, []byte(`"gone":true`))
 	})
 	f.stop(0)
@@ -83,7 +84,7 @@
 	if err := os.MkdirAll(f.folders[0], 0o700); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(filepath.Join(f.folders[0], serversFile), []byte(`[{"id":"s","bo`), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(f.folders[0], "servers.json"), []byte(`[{"id":"s","bo`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	f.start(0, true)
@@ -159,3 +160,30 @@
 		eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 7 })
 	}
 }
+
+// Guards against a request that ends three more servers, because all entries restarted at once and none remembered it.
+func TestRestartedEntryRemembersRefusedRequests(t *testing.T) {
+	const refused, suspected = 9, 10
+	f := startFleet(t, 1, 0)
+	for _, server := range []string{"a", "b", "c"} {
+		f.nodes[0].Strike(suspicion.Strike{Fingerprint: refused, Server: server})
+	}
+	f.nodes[0].Strike(suspicion.Strike{Fingerprint: suspected, Server: "a"})
+	eventually(t, func() bool {
+		data, err := os.ReadFile(filepath.Join(f.folders[0], "strikes.json"))
+		return err == nil && bytes.Contains(data, []byte(`"server":"c"`))
+	})
+	f.stop(0)
+	m := New(Options{Self: Process{Address: f.addresses[0], Entry: true, Disk: true}, Folder: f.folders[0]}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	if !m.Refused(refused) || m.Refused(suspected) {
+		t.Errorf("after a restart: refused %v, want true; the one with one strike refused %v, want false", m.Refused(refused), m.Refused(suspected))
+	}
+	// Of a time long past nothing is left.
+	if err := os.WriteFile(filepath.Join(f.folders[0], "strikes.json"), []byte(`{"at":1,"strikes":[{"fingerprint":9,"server":"a"},{"fingerprint":9,"server":"b"},{"fingerprint":9,"server":"c"}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	m = New(Options{Self: Process{Address: f.addresses[0], Entry: true, Disk: true}, Folder: f.folders[0]}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	if m.Refused(refused) {
+		t.Error("a request is refused for what was written long ago")
+	}
+}
