The product's own path: an engine that accepts connections while it ends counts as ended

The same cause elsewhere: the agent asked its engine for a report twice at once; where the listener outlives the connections by more than that, the crash counted against nobody and the request crashed the next engine. It asks again with pauses that double (5 to 320 ms) while reports break off. TestEngineThatAcceptsWhileItEndsCountsAsCrashed failed before.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 var (
@@ -85,8 +86,9 @@
 // either, and has not crashed.
 func (a *Agent) incarnationEnded(ctx context.Context, failed *run) bool {
 	report, err := a.orders.report(ctx)
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		// The engine may have ended during the report; the next one shows that.
+	// An engine that is ending may still accept connections, and break them; a later report shows that
+	// it has ended.
+	for pause := firstReportPause; brokeOff(err) && pause <= lastReportPause && wait.For(ctx, pause) == nil; pause *= 2 {
 		report, err = a.orders.report(ctx)
 	}
 	if err != nil {
@@ -95,6 +97,16 @@
 	return failed.incarnation != 0 && report.Incarnation != failed.incarnation
 }
 
+// firstReportPause and lastReportPause bound the pauses between reports of an engine that breaks them
+// off; they double.
+const (
+	firstReportPause = 5 * time.Millisecond
+	lastReportPause  = 320 * time.Millisecond
+)
+
+// brokeOff reports whether a connection was accepted and ended without an answer.
+func brokeOff(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) }
+
 func (a *Agent) reportCrash(ctx context.Context, epoch uint64) {
 	crashCount.Add(1)
 	crash := suspicion.Crash{Server: a.options.Server, Incarnation: uint64(time.Now().UnixNano()), Fingerprints: a.runs.unfinished(epoch)}
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -42,3 +43,26 @@
 		})
 	}
 }
+
+// Guards against a crash that is missed because the engine's listener outlives its connections, or is held by another process for a moment.
+func TestEngineThatAcceptsWhileItEndsCountsAsCrashed(t *testing.T) {
+	const accepted = 4
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer listener.Close()
+		for range accepted {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	a := &Agent{orders: newOrderClient("http://" + listener.Addr().String())}
+	if !a.incarnationEnded(t.Context(), &run{incarnation: 7}) {
+		t.Error("the engine does not count as ended")
+	}
+}
