Test: a server that does not answer delays the ends of no others

The look at broken calls waited for its slowest connection (300 ms); since each server is followed by itself it does not.

--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +20,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/loopback"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
 
 // newPrompt returns a request with a body, by which its repetitions are known.
@@ -260,3 +266,54 @@
 		t.Error("the request is not refused after three servers ended since its answer")
 	}
 }
+
+// silentAddress returns an address at which connections are neither accepted nor refused.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	// The queue holds one connection, which nobody accepts.
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = first.Close() })
+	return address
+}
+
+// Guards against ends of servers that become known only when a server that does not answer has been given up.
+func TestSilentServerDelaysNoOther(t *testing.T) {
+	g := newIdleGateway(time.Second)
+	g.pool = upstream.NewPool(time.Hour)
+	silent := roster.Server{ID: "silent", Born: 1, Sequence: 1, Service: "s", Address: silentAddress(t)}
+	if err := g.mesh.Announce(t.Context(), silent); err != nil {
+		t.Fatal(err)
+	}
+	call := &Call{Method: "POST", URI: "/x", Body: []byte("body")}
+	g.strikes.connBroken(call, &server{entry: roster.Entry{Server: silent}}, 0)
+	breakAtServers(t, g, call, false)
+	ctx, cancel := context.WithCancel(t.Context())
+	var probes sync.WaitGroup
+	g.strikes.look(ctx, time.Now(), &probes)
+	for !g.strikes.refused(call) && t.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	g.strikes.mu.Lock()
+	if f := g.strikes.followed[upstream.Target{Address: silent.Address, ID: silent.ID}]; f == nil || !f.dialing {
+		t.Error("the connection to the silent server is not being opened any more")
+	}
+	g.strikes.mu.Unlock()
+	cancel()
+	probes.Wait()
+}
