--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -174,11 +174,17 @@
 	return found
 }
 
+// propose commits a command. On a busy machine an election can take longer than Propose waits for a
+// leader; what was certainly not committed is proposed again.
 func (c *cluster) propose(i int, command string) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	if _, _, err := c.instances[i].Propose(ctx, []byte(command)); err != nil {
+	_, _, err := c.instances[i].Propose(ctx, []byte(command))
+	for errors.Is(err, replica.ErrNotCommitted) && ctx.Err() == nil {
+		_, _, err = c.instances[i].Propose(ctx, []byte(command))
+	}
+	if err != nil {
 		c.t.Fatalf("propose %.20s on instance %d: %v", command, i, err)
 	}
 }
