Own path: a report that breaks off is recognised in whichever way net/http says so

Traced: where the engine closes the connection before the request is written, net/http returns an error of its own without a type ('server closed idle connection'), which was taken for an answer that says nothing; the crash would have been missed.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"net/url"
 	"sync"
 	"syscall"
 	"time"
@@ -104,8 +104,12 @@
 	lastReportPause  = 320 * time.Millisecond
 )
 
-// brokeOff reports whether a connection was accepted and ended without an answer.
-func brokeOff(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) }
+// brokeOff reports whether a connection was accepted and ended without an answer, which net/http
+// reports in several ways, one of them without a type.
+func brokeOff(err error) bool {
+	var failed *url.Error
+	return errors.As(err, &failed) && !failed.Timeout() && !errors.Is(err, syscall.ECONNREFUSED)
+}
 
 func (a *Agent) reportCrash(ctx context.Context, epoch uint64) {
 	crashCount.Add(1)
