--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -347,6 +347,18 @@
 // Started reports whether a request was started and has not ended.
 func (t *Table) Started(id string) bool { return t.started[id] != nil }
 
+// Loading reports whether the load of an adapter has been ordered and has not ended.
+func (t *Table) Loading(adapter string) bool {
+	a := t.adapters[adapter]
+	return a != nil && a.loading
+}
+
+// Unloading reports whether the unload of an adapter has been ordered and has not ended.
+func (t *Table) Unloading(adapter string) bool {
+	a := t.adapters[adapter]
+	return a != nil && a.unloading
+}
+
 // Tokens returns the maximum memory that the started requests take, in tokens.
 func (t *Table) Tokens() int { return t.tokens }
 
--- a/internal/sidecar/fake_engine_test.go
+++ b/internal/sidecar/fake_engine_test.go
@@ -31,6 +31,8 @@
 	loading     map[string]int64
 	orders      []Order
 	silent      bool
+	// down makes the engine refuse connections.
+	down bool
 	// resetOrders makes all orders fail at once with an unknown outcome; orderCalls counts
 	// the orders.
 	resetOrders bool
@@ -43,6 +45,22 @@
 	loseReply func() (bool, time.Duration)
 }
 
+// errRefused is the error of a call to an engine that is down.
+var errRefused = errors.New("the connection was refused")
+
+// restart ends the engine for a time, after which it is back without adapters.
+func (e *fakeEngine) restart(downtime time.Duration) {
+	e.mu.Lock()
+	e.down = true
+	e.mu.Unlock()
+	time.Sleep(downtime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down, e.sequence = false, 0
+	clear(e.adapters)
+	clear(e.loading)
+}
+
 func newFakeEngine(t *testing.T) *fakeEngine {
 	return &fakeEngine{t: t, born: 1, models: []string{"m"}, adapters: make(map[string]int64), loading: make(map[string]int64)}
 }
@@ -50,6 +68,9 @@
 func (e *fakeEngine) Report(ctx context.Context) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return Report{}, errRefused
+	}
 	if e.silent {
 		e.mu.Unlock()
 		<-ctx.Done()
@@ -62,6 +83,10 @@
 func (e *fakeEngine) Order(ctx context.Context, o Order) (OrderResult, error) {
 	e.mu.Lock()
 	e.orderCalls++
+	if e.down {
+		defer e.mu.Unlock()
+		return OrderConflict, errRefused
+	}
 	if e.resetOrders {
 		defer e.mu.Unlock()
 		return OrderUnknown, errors.New("the connection was reset")
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -84,16 +84,8 @@
 	if l.orderPending || !l.known {
 		return
 	}
-	var order Order
-	switch {
-	case l.unanswered != nil:
-		// Until a newer order is accepted, the unanswered one may still be carried out. Sending
-		// the same order again settles both.
-		order = *l.unanswered
-	case len(l.orders) > 0:
-		order = l.orders[0]
-		l.orders = l.orders[1:]
-	default:
+	order, ok := l.nextOrder()
+	if !ok {
 		return
 	}
 	order.Sequence, order.Holder, order.Token = l.sequence, l.options.Name, l.token
@@ -113,6 +105,37 @@
 	}()
 }
 
+// nextOrder returns the next order that the table still expects. One that waited while the engine
+// did not report may have been forgotten, and its place given to another adapter.
+func (l *loop) nextOrder() (Order, bool) {
+	// Until a newer order is accepted, the unanswered one may still be carried out. Sending
+	// the same order again settles both.
+	if order := l.unanswered; order != nil && l.expects(order) {
+		return *order, true
+	}
+	for len(l.orders) > 0 {
+		order := l.orders[0]
+		l.orders = l.orders[1:]
+		if l.expects(&order) {
+			return order, true
+		}
+	}
+	return Order{}, false
+}
+
+// expects reports whether the table counts on an order about an adapter; those about the model
+// itself are not in the table.
+func (l *loop) expects(o *Order) bool {
+	switch {
+	case o.Adapter == "":
+		return true
+	case o.Load:
+		return l.table.Loading(o.Model + "/" + o.Adapter)
+	default:
+		return l.table.Unloading(o.Model + "/" + o.Adapter)
+	}
+}
+
 // handleOrderReply processes the result of an order.
 func (l *loop) handleOrderReply(r orderReply) {
 	order, now := r.order, time.Now()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -113,6 +113,31 @@
 	})
 }
 
+// Guards against an order that was meant for an engine's earlier incarnation, and that makes the later one hold more adapters than it can.
+func TestOrderForEarlierIncarnationIsDropped(t *testing.T) {
+	e := newFakeEngine(t)
+	e.born = 0
+	runAgent(t, e, func(t *testing.T, s *Sidecar) {
+		admit(t, s, "r1", "m/a")
+		var waiting sync.WaitGroup
+		request := func(id, adapter string) {
+			waiting.Go(func() {
+				_, _ = s.admit(t.Context(), wire.StartRequest{ID: id, Adapter: adapter, Prompt: 10, Tokens: 20, WaitMillis: 1000})
+			})
+		}
+		waiting.Go(func() { e.restart(3 * time.Second) })
+		time.Sleep(time.Millisecond)
+		request("r2", "m/b")
+		waiting.Wait()
+		for state, _ := s.state.get(0); !state.Known; state, _ = s.state.get(0) {
+			time.Sleep(time.Millisecond)
+		}
+		request("r3", "m/c")
+		request("r4", "m/d")
+		waiting.Wait()
+	})
+}
+
 // An engine does not answer an order and carries it out seconds later, when the agent has long
 // given other orders. The late load would exceed the slots and crash the engine, and callers of
 // all adapters there would lose their answers.
