--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,10 +82,12 @@
 	service     *route.Service
 	configIndex uint64
 	report      Report
-	known       bool
-	sequence    int64
-	token       int64
-	waiters     map[string]chan<- wire.StartReply
+	// known is set while the engine reports, reported once it has.
+	known    bool
+	reported bool
+	sequence int64
+	token    int64
+	waiters  map[string]chan<- wire.StartReply
 	// replies are sent once the state that they leave is published.
 	replies []pendingReply
 	// attempts holds the attempt number of each request that has a start or waits for one, by
@@ -237,7 +239,7 @@
 	if !l.known {
 		l.log.Info("the engine reports", zap.Int64("born", report.Born), zap.Strings("models", report.Models), zap.Int64("sequence", report.Sequence))
 	}
-	l.report, l.known = report, true
+	l.report, l.known, l.reported = report, true, true
 	l.recordLoads(now)
 	l.cached.Update(slices.Collect(maps.Keys(report.Adapters)))
 	l.dropEndedAttempts()
@@ -286,7 +288,7 @@
 
 // detectRestart discards the state of an earlier incarnation when the engine has restarted.
 func (l *loop) detectRestart(report Report) {
-	if !l.known && l.report.Born == 0 {
+	if !l.reported {
 		return
 	}
 	if report.Born == l.report.Born && report.Sequence >= l.report.Sequence {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -138,6 +138,20 @@
 	})
 }
 
+// Guards against requests of an engine's earlier incarnation that keep their places, because the engine could not be asked while it restarted.
+func TestRestartBehindFailedReportsIsNoticed(t *testing.T) {
+	e := newFakeEngine(t)
+	e.born = 0
+	runAgent(t, e, func(t *testing.T, s *Sidecar) {
+		admit(t, s, "r1", "m/a")
+		e.restart(time.Second)
+		time.Sleep(2 * idlePoll)
+		if state, _ := s.state.get(0); !state.Known || state.Running != 0 {
+			t.Errorf("after the restart the engine is known: %t, and %d requests count as running", state.Known, state.Running)
+		}
+	})
+}
+
 // An engine does not answer an order and carries it out seconds later, when the agent has long
 // given other orders. The late load would exceed the slots and crash the engine, and callers of
 // all adapters there would lose their answers.
