--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -210,6 +210,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// The server counts the time without a call from here on.
+	c.setExpiry("", time.Now())
 	return &Idling{pool: p, target: target, conn: c}, nil
 }
 
@@ -217,10 +219,7 @@
 func (i *Idling) IsOpen() bool { return i.conn.isIdle() }
 
 // Release keeps the connection for later calls.
-func (i *Idling) Release() {
-	i.conn.setExpiry("", time.Now())
-	i.pool.put(i.target, i.conn)
-}
+func (i *Idling) Release() { i.pool.put(i.target, i.conn) }
 
 // Close closes the connection.
 func (i *Idling) Close() { _ = i.conn.Close() }
