--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,8 @@
 	startupQueue *startupQueue
 	durations    *durations
 	log          *zap.Logger
+	// now returns the time by which the output of servers is measured.
+	now func() time.Time
 	// stopping is the time by which the planned stop must have ended, in Unix nanoseconds; 0
 	// while no stop is in progress.
 	stopping atomic.Int64
@@ -135,7 +137,7 @@
 func New(options Options, edge Edge, m *mesh.Mesh, log *zap.Logger) *Gateway {
 	pool := upstream.NewPool(dialTimeout)
 	g := &Gateway{
-		options: options, edge: edge, mesh: m, pool: pool, log: log,
+		options: options, edge: edge, mesh: m, pool: pool, log: log, now: time.Now,
 		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
 		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(),
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,6 +35,8 @@
 	events   eventBuffer
 	// chunk is the buffer for one read of a stream.
 	chunk []byte
+	// now returns the time by which output is measured.
+	now func() time.Time
 	// outputSince is the time of the first event, or of the header where the answer is no stream; zero
 	// before it.
 	outputSince time.Time
@@ -88,7 +90,7 @@
 // complete, and until then another server can still be tried.
 func (x *exchange) openBuffered(r *reply) (answer.Answer, step) {
 	defer r.release()
-	r.outputSince = time.Now()
+	r.outputSince = r.now()
 	body, err := io.ReadAll(io.LimitReader(r.response.Body, maxAnswer+1))
 	if err != nil {
 		x.lastReason = "the backend server's answer broke off"
@@ -261,7 +263,7 @@
 		n, err := r.response.Body.Read(r.chunk)
 		complete := r.events.add(r.chunk[:n])
 		if r.outputSince.IsZero() && len(complete) > 0 {
-			r.outputSince = time.Now()
+			r.outputSince = r.now()
 		}
 		if err == io.EOF && !r.response.Framed && r.isEventStream() && (r.events.partial() || r.outputSince.IsZero()) {
 			return complete, io.ErrUnexpectedEOF
@@ -299,7 +301,7 @@
 	r.response.Abort()
 	x.logBroken(msg, r.server, err)
 	if time.Until(x.deadline) > 0 && !x.callerLeft() {
-		x.strikes.connBroken(&x.call, r.server, r.outputFor(time.Now()))
+		x.strikes.connBroken(&x.call, r.server, r.outputFor(r.now()))
 	}
 	return x.recordFailure(r.server, r.verdict)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,7 +59,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	x.servers.requestSent(v)
-	r := &reply{server: v, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
+	r := &reply{server: v, now: x.now, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
 	x.awaited, x.sentAt = v, time.Now()
 	response, err := x.pool.Call(ctx, targetOf(v), request)
 	if err != nil {
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -127,33 +127,72 @@
 	}
 }
 
+// handClock is a clock that moves by hand, and counts how often it was read.
+type handClock struct {
+	mu   sync.Mutex
+	read sync.Cond
+	now  time.Time
+	n    int
+}
+
+func newHandClock() *handClock {
+	c := &handClock{now: time.Unix(1000, 0)}
+	c.read.L = &c.mu
+	return c
+}
+
+func (c *handClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	c.read.Broadcast()
+	return c.now
+}
+
+// advance moves the clock once it has been read n times.
+func (c *handClock) advance(n int, by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.n < n {
+		c.read.Wait()
+	}
+	c.now = c.now.Add(by)
+}
+
 // Guards against a server's crash that counts alike for a stream in its middle and for one that had just begun.
 func TestBrokenStreamTellsHowLongItGaveOutput(t *testing.T) {
 	const event = "id: 1\ndata: word\n\n"
 	const lasts = 20 * time.Millisecond
 	for name, test := range map[string]struct {
 		answer string
-		least  int64
+		want   int64
+		// reads is how often the clock is read before the stream breaks.
+		reads int
 	}{
-		"a stream without an event":            {"", 0},
-		"a stream in the middle of its events": {event, lasts.Milliseconds()},
+		"a stream without an event":            {answer: "", want: 0, reads: 0},
+		"a stream in the middle of its events": {answer: event, want: lasts.Milliseconds(), reads: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
+			clock := newHandClock()
 			g := newTestGateway(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
 				respond(http.StatusOK, "Signed", test.answer)(w, r)
 				_ = http.NewResponseController(w).Flush()
-				time.Sleep(lasts)
+				clock.advance(test.reads, lasts)
 				panic(http.ErrAbortHandler)
 			}})
+			g.now = clock.Now
 			serveAborted(g, "/draft/")
+			if len(g.strikes.pending) == 0 {
+				t.Fatal("no broken stream is followed up")
+			}
+			if got := g.strikes.pending[0].strike.OutputMillis; got != test.want {
+				t.Errorf("the first stream gave output for %d ms, want %d", got, test.want)
+			}
 			for _, p := range g.strikes.pending {
-				if got := p.strike.OutputMillis; got < test.least || test.least == 0 && got > 0 {
-					t.Errorf("the stream gave output for %d ms, want %d or more, and none without events", got, test.least)
+				if got := p.strike.OutputMillis; test.want == 0 && got != 0 {
+					t.Errorf("a stream without events gave output for %d ms", got)
 				}
 			}
-			if len(g.strikes.pending) == 0 {
-				t.Error("no broken stream is followed up")
-			}
 		})
 	}
 }
