--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,7 +234,8 @@
 	return host
 }
 
-func (g *Gateway) configured() bool { return g.mesh.Usable() }
+// configured reports whether this entry knows enough to serve.
+func (g *Gateway) configured() bool { return g.mesh.Usable() && g.mesh.Informed() }
 
 // awaitConfigured waits for a configuration at an entry that has just started. At an entry that
 // was suspended it waits for confirmation that the configuration is the newest.
@@ -242,13 +243,16 @@
 	if g.startupQueue.await(ctx, latest, g.configured) {
 		return true
 	}
-	return g.mesh.Documents().Current().Table != nil && ctx.Err() == nil && time.Now().Before(latest) && g.confirmNewest(ctx)
+	return g.mesh.Documents().Current().Table != nil && g.mesh.Informed() && ctx.Err() == nil && time.Now().Before(latest) && g.confirmNewest(ctx)
 }
 
 // unconfiguredReason returns the reason why no request can be routed.
 func (g *Gateway) unconfiguredReason() string {
-	if g.mesh.Documents().Current().Table == nil {
+	switch {
+	case g.mesh.Documents().Current().Table == nil:
 		return "no configuration has arrived yet"
+	case !g.mesh.Informed():
+		return "no other entry has told yet which requests crash servers"
 	}
 	return reasonStaleConfig
 }
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -197,6 +197,30 @@
 	}
 }
 
+// Guards against an entry that has just started and serves before another one has told it which requests crash servers.
+func TestUninformedEntryServesNobody(t *testing.T) {
+	served := 0
+	g := newTestGateway(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		served++
+		respond(http.StatusOK, "Signed", "body")(w, r)
+	}})
+	known := g.mesh.Serving()
+	g.mesh = mesh.New(mesh.Options{Self: mesh.Process{Address: "127.0.0.1:1", Entry: true}, Seeds: []string{"127.0.0.1:2"}}, g.mesh.Documents(), zap.NewNop())
+	for _, e := range known {
+		if err := g.mesh.Announce(t.Context(), e.Server); err != nil {
+			t.Fatal(err)
+		}
+	}
+	request := newPrompt("/look/")
+	ctx, cancel := context.WithTimeout(request.Context(), 50*time.Millisecond)
+	defer cancel()
+	recorder := httptest.NewRecorder()
+	g.ServeHTTP(recorder, request.WithContext(ctx))
+	if served != 0 || recorder.Code != http.StatusServiceUnavailable {
+		t.Errorf("%d requests were served, the status is %d", served, recorder.Code)
+	}
+}
+
 // Guards against a plain service's server that ends in the middle of an answer and counts against nobody.
 func TestBrokenBufferedAnswerIsFollowedUp(t *testing.T) {
 	g := newTestGateway(t, []http.HandlerFunc{abortAfter("part"), respond(http.StatusOK, "Signed", "body")})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,6 +93,11 @@
 	prover       prover
 	pauses       pauseDetector
 
+	// informed is set once no strike from before the start of this process can be missing;
+	// mustInform is when it is set at the latest.
+	informed   atomic.Bool
+	mustInform time.Time
+
 	// syncing holds the addresses of the processes whose greetings are being handled.
 	syncing sync.Map
 
@@ -132,6 +138,7 @@
 		peers: make(map[string]*peer), roster: roster.New(), heardVia: make(map[string]via), strikes: suspicion.NewStrikes(),
 		progress: make(chan struct{}), diskOnly: make(map[string]bool),
 	}
+	m.informed.Store(options.informedAtStart())
 	m.prover.round = m.proveOnce
 	m.prover.interval = func(failingFor time.Duration) time.Duration {
 		return proofBackoff.Pause(failingFor, m.size(), rand.Float64())
@@ -177,6 +184,7 @@
 func (m *Mesh) Run(ctx context.Context) {
 	m.mu.Lock()
 	m.ctx = ctx
+	m.mustInform = time.Now().Add(informTimeout)
 	m.mu.Unlock()
 	for _, seed := range m.options.Seeds {
 		m.addPeer(Process{Address: seed, Entry: true})
@@ -240,6 +248,9 @@
 					delete(m.diskOnly, id)
 				}
 			}
+			if now.After(m.mustInform) {
+				m.setInformed("no other entry has told it in time")
+			}
 			m.forgetSilent()
 			m.chooseLinks(self, now)
 			m.mu.Unlock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -419,7 +419,10 @@
 			})
 			f.stop(2)
 			f.start(2, false)
-			eventually(t, func() bool { return f.nodes[2].Refused(fingerprint) })
+			eventually(t, f.nodes[2].Informed)
+			if !f.nodes[2].Refused(fingerprint) {
+				t.Error("the entry may serve, and does not refuse the request")
+			}
 		})
 	}
 }
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -67,6 +67,8 @@
 	// Answers are new answers to requests that had strikes. Entries that do not know them would take
 	// them for strikes in the list above.
 	Answers []suspicion.Strike `json:"answers,omitempty"`
+	// Uninformed is true when the sender has just started and asks for all strikes.
+	Uninformed bool `json:"uninformed,omitempty"`
 	// Digest is the digest of the processes that the sender knows.
 	Digest uint64 `json:"digest"`
 	// Spoke is true when the sender is not a hub, and hears only what the hubs that it
@@ -82,6 +84,11 @@
 	Cursor listCursor `json:"heard,omitzero"`
 	// Missing are servers of which the peer has received only a heartbeat.
 	Missing []string `json:"missing,omitempty"`
+	// Strikes and Answers are those that the peer holds, if the sender asked for them; Informed is true
+	// when none from before its own start can be missing.
+	Strikes  []suspicion.Strike `json:"strikes,omitempty"`
+	Answers  []suspicion.Strike `json:"answers,omitempty"`
+	Informed bool               `json:"informed,omitempty"`
 }
 
 // pullRequest asks for the configuration if it is newer than the held one.
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -56,6 +56,8 @@
 	acked uint64
 	// missing lists servers of which the peer has received only a heartbeat.
 	missing []string
+	// asked is true once the peer was asked for its strikes, whether it answered or not.
+	asked bool
 	// ackedStrikes is the change of the strikes up to which the peer has received them.
 	// knowsStrikes is false until it has received all of them once, those included that
 	// other hubs send to the hubs that are there.
@@ -160,7 +162,7 @@
 
 // greet sends the pending updates to the peer and processes its reply.
 func (q *peer) greet(ctx context.Context, sent pending, timeout time.Duration) error {
-	sent.From, sent.Digest = q.mesh.Self(), q.mesh.knownDigest()
+	sent.From, sent.Digest, sent.Uninformed = q.mesh.Self(), q.mesh.knownDigest(), !q.mesh.Informed()
 	if sent.relist {
 		sent.Digest = 0
 	}
@@ -189,6 +191,9 @@
 	for _, p := range reply.Known {
 		q.mesh.updateIndirect(p, now)
 	}
+	if sent.Uninformed {
+		q.takeStrikes(&reply, now)
+	}
 	q.mesh.notifyProgress()
 	q.mesh.mu.Unlock()
 	if recovered {
@@ -209,6 +214,10 @@
 		q.lost = true
 		q.resendAll()
 	}
+	if !q.asked && !q.mesh.Informed() {
+		q.asked = true
+		q.mesh.checkInformed()
+	}
 	name := q.process.Name
 	q.mesh.mu.Unlock()
 	if lost {
@@ -293,6 +302,10 @@
 	from := m.peers[in.From.Address]
 	reply := greetingReply{Missing: m.mergeServers(from, in, now)}
 	m.mergeStrikes(from, !in.Spoke, slices.Concat(in.Strikes, in.Answers), now)
+	if in.Uninformed {
+		reply.Informed = m.Informed()
+		reply.Strikes, reply.Answers = m.allStrikes(now)
+	}
 	if from != nil {
 		wasActive := from.active(now)
 		from.lastGreeting, from.inSync, from.spoke = now, in.Digest == digest, in.Spoke
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -35,7 +35,8 @@
 	m.recordChange(q)
 	m.relink = true
 	// Until the process has described itself, it is unknown whether it should be greeted.
-	q.linked = p.Started == 0
+	// One that has just started asks all for their strikes.
+	q.linked = p.Started == 0 || !m.Informed()
 	if m.options.Self.Entry {
 		ctx := m.ctx
 		m.tasks.Go(func() { q.run(ctx) })
@@ -214,7 +215,7 @@
 		}
 	}
 	for address, q := range m.peers {
-		linked := greeted[address] || q.process.Started == 0
+		linked := greeted[address] || q.process.Started == 0 || !m.Informed()
 		if linked && !q.linked {
 			q.wake()
 		}
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,13 +81,26 @@
 func (q *peer) addStrikes(p *pending, now time.Time) {
 	strikes, last := q.mesh.strikes.Since(q.ackedStrikes, maxGreetingStrikes, now)
 	p.strikeChange, p.more = last, p.more || len(strikes) == maxGreetingStrikes
-	for _, strike := range strikes {
-		switch {
-		case strike.FromHub && !q.spoke && q.knowsStrikes:
-		case strike.Answered:
-			p.Answers = append(p.Answers, strike)
-		default:
-			p.Strikes = append(p.Strikes, strike)
+	if !q.spoke && q.knowsStrikes {
+		strikes = slices.DeleteFunc(strikes, func(strike suspicion.Strike) bool { return strike.FromHub })
+	}
+	p.Strikes, p.Answers = splitStrikes(strikes)
+}
+
+// allStrikes returns the strikes and answers that this process holds, as many as a greeting carries;
+// the peer's own greetings bring the rest. The caller holds mu.
+func (m *Mesh) allStrikes(now time.Time) (strikes, answers []suspicion.Strike) {
+	all, _ := m.strikes.Since(0, maxGreetingStrikes, now)
+	return splitStrikes(all)
+}
+
+func splitStrikes(all []suspicion.Strike) (strikes, answers []suspicion.Strike) {
+	for _, strike := range all {
+		if strike.Answered {
+			answers = append(answers, strike)
+			continue
 		}
+		strikes = append(strikes, strike)
 	}
+	return strikes, answers
 }
