--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -19,6 +19,7 @@
 	change uint64
 	// expiredAt is when expired records were last removed.
 	expiredAt time.Time
+	silences  silences
 }
 
 // Strike records that one server crashed while it ran a request.
@@ -31,6 +32,13 @@
 	OutputMillis int64 `json:"outputMillis,omitempty"`
 	// Answered is set where a run of the request got a whole answer, in place of a crash.
 	Answered bool `json:"answered,omitempty"`
+	// Silent is set where the server fell silent under the request, in place of a crash; its age then
+	// counts from when the request was sent. Heard is set where a server was heard, whatever the request.
+	Silent bool `json:"silent,omitempty"`
+	Heard  bool `json:"heard,omitempty"`
+	// Trial is the number of the trial of the request that began, in place of a crash; 0 for none. Server
+	// is then the address of the entry that began it.
+	Trial int `json:"trial,omitempty"`
 	// AgeMillis is the time since the server crashed, as far as the sender knows.
 	AgeMillis int64 `json:"ageMillis,omitempty"`
 	// FromHub is set when the strike came from a process that sends it to all other hubs itself.
@@ -54,8 +62,11 @@
 )
 
 type strikeRecord struct {
-	// strikes holds the strikes by server.
+	// strikes holds the strikes by server, silent the doubts.
 	strikes map[string]heldStrike
+	silent  map[string]heldStrike
+	// trial is the last trial.
+	trial heldStrike
 	// answer is the last whole answer; strikes from before it do not count.
 	answer heldStrike
 	// early counts the strikes of runs that had just begun.
@@ -69,6 +80,8 @@
 	at time.Time
 	// change is the number that the strike got when it was added.
 	change uint64
+	// told is when this entry learned of it.
+	told time.Time
 }
 
 const (
@@ -97,7 +110,9 @@
 )
 
 // NewStrikes returns an empty table.
-func NewStrikes() *Strikes { return &Strikes{records: make(map[uint64]*strikeRecord)} }
+func NewStrikes() *Strikes {
+	return &Strikes{records: make(map[uint64]*strikeRecord), silences: newSilences()}
+}
 
 // early reports whether the run had just begun.
 func (s *Strike) early() bool {
@@ -112,24 +127,43 @@
 	return len(r.strikes) >= strikeLimit
 }
 
-// within reports whether another request was at each of these crashes, and at more.
-func (r *strikeRecord) within(other *strikeRecord) bool {
-	if len(other.strikes) <= len(r.strikes) {
+// struck returns the servers that crashed under the request.
+func (r *strikeRecord) struck() map[string]bool {
+	servers := make(map[string]bool, len(r.strikes))
+	for server := range r.strikes {
+		servers[server] = true
+	}
+	return servers
+}
+
+// withSilent returns the servers that crashed or fell silent under the request.
+func (r *strikeRecord) withSilent() map[string]bool {
+	servers := r.struck()
+	for server := range r.silent {
+		servers[server] = true
+	}
+	return servers
+}
+
+// within reports whether another request was at each of these ends, and at more.
+func within(ends, other map[string]bool) bool {
+	if len(other) <= len(ends) {
 		return false
 	}
-	for server := range r.strikes {
-		if _, there := other.strikes[server]; !there {
+	for server := range ends {
+		if !other[server] {
 			return false
 		}
 	}
 	return true
 }
 
-// explained reports whether another request was at all crashes of this one and at more. It then
+// explained reports whether another request was at all ends of this one and at more. It then
 // crashed the servers, rather than this one.
-func (s *Strikes) explained(r *strikeRecord) bool {
+func (s *Strikes) explained(r *strikeRecord, ends func(*strikeRecord) map[string]bool) bool {
+	own := ends(r)
 	for _, other := range s.records {
-		if other.early == len(other.strikes) && r.within(other) {
+		if len(other.strikes)+len(other.silent) > len(own) && other.early == len(other.strikes) && within(own, ends(other)) {
 			return true
 		}
 	}
@@ -143,6 +177,9 @@
 	if now.Sub(at) >= strikeLifetime {
 		return false
 	}
+	if strike.Heard {
+		return s.addHeard(strike, at)
+	}
 	r := s.records[strike.Fingerprint]
 	if r == nil || now.Sub(r.last) >= strikeLifetime {
 		s.expire(now)
@@ -158,10 +195,18 @@
 	if at.After(r.last) {
 		r.last = at
 	}
-	if strike.Answered {
+	switch {
+	case strike.Answered:
+		if at.Sub(r.answer.at) < repeatedNews && len(r.strikes)+len(r.silent) == 0 {
+			return false
+		}
 		s.change++
 		r.clear(heldStrike{Strike: strike, at: at, change: s.change})
 		return true
+	case strike.Silent:
+		return s.addSilence(r, strike, at, now)
+	case strike.Trial > 0:
+		return s.addTrial(r, strike, at)
 	}
 	// Of two runs of the request on one server, the one that had just begun counts.
 	known, ok := r.strikes[strike.Server]
@@ -176,9 +221,14 @@
 	return true
 }
 
-// clear removes the strikes from before an answer.
+// clear removes the strikes and doubts from before an answer.
 func (r *strikeRecord) clear(answer heldStrike) {
-	r.answer, r.early = answer, 0
+	r.answer, r.early, r.trial = answer, 0, heldStrike{}
+	for server, held := range r.silent {
+		if !held.at.After(answer.at) {
+			delete(r.silent, server)
+		}
+	}
 	for server, held := range r.strikes {
 		switch {
 		case !held.at.After(answer.at):
@@ -195,16 +245,16 @@
 	return s.Suspected(fingerprint) && s.Add(Strike{Fingerprint: fingerprint, Answered: true}, now)
 }
 
-// Suspected reports whether the request has strikes.
+// Suspected reports whether the request has strikes or doubts.
 func (s *Strikes) Suspected(fingerprint uint64) bool {
 	r := s.records[fingerprint]
-	return r != nil && len(r.strikes) > 0
+	return r != nil && len(r.strikes)+len(r.silent) > 0
 }
 
 // Refused reports whether a request must not run.
 func (s *Strikes) Refused(fingerprint uint64, now time.Time) bool {
 	r := s.records[fingerprint]
-	return r != nil && r.atLimit() && now.Sub(r.last) < strikeLifetime && !s.explained(r)
+	return r != nil && r.atLimit() && now.Sub(r.last) < strikeLifetime && !s.explained(r, (*strikeRecord).struck)
 }
 
 // evict removes the requests with the oldest strikes of those that are not refused, and reports
@@ -262,12 +312,13 @@
 		if r.answer.change > change {
 			added = append(added, r.answer)
 		}
-		for _, held := range r.strikes {
-			if held.change > change {
-				added = append(added, held)
-			}
+		if r.trial.change > change {
+			added = append(added, r.trial)
 		}
+		added = appendChanged(added, r.strikes, change)
+		added = appendChanged(added, r.silent, change)
 	}
+	added = appendChanged(added, s.silences.heard, change)
 	if len(added) == 0 {
 		return nil, s.change
 	}
@@ -285,6 +336,16 @@
 	return strikes, last
 }
 
+// appendChanged appends the strikes that were added after a change.
+func appendChanged(added []heldStrike, strikes map[string]heldStrike, change uint64) []heldStrike {
+	for _, held := range strikes {
+		if held.change > change {
+			added = append(added, held)
+		}
+	}
+	return added
+}
+
 // expire removes the requests that are no longer refused or suspected. It looks at all of them, so
 // it does that once in expireInterval.
 func (s *Strikes) expire(now time.Time) {
@@ -292,6 +353,7 @@
 		return
 	}
 	s.expiredAt = now
+	s.expireSilences(now)
 	for fingerprint, r := range s.records {
 		if now.Sub(r.last) >= strikeLifetime {
 			delete(s.records, fingerprint)
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -241,6 +241,16 @@
 	return a.state.Known
 }
 
+// reportedAfter reports whether the agent was heard after a time and its engine reports to it.
+func (a *agentClient) reportedAfter(at time.Time) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Known && a.receivedAt.After(at)
+}
+
 // describe sets what the agent's last report and the starts requested since then say of the engine
 // for a request. It returns false when there is no report.
 func (a *agentClient) describe(c *dispatch.Candidate, r *dispatch.Request, model string, now time.Time) bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,7 +9,9 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/answer"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 // exchange is the state of one request while it is being served.
@@ -128,19 +130,52 @@
 	return answer.Answer{}, false
 }
 
-// refusedForCrashes reports whether the request has crashed too many servers to be sent to
-// another one.
+// refusedForCrashes reports whether the request must not be sent to another server: it has crashed
+// too many, or several fell silent under it and another copy of it is on trial.
 func (x *exchange) refusedForCrashes() bool {
-	if !x.strikes.refused(&x.call) {
-		return false
+	fingerprint := x.call.fingerprint()
+	verdict, left := x.mesh.Judge(fingerprint, x.strikes.grace())
+	switch {
+	case verdict == suspicion.Refuse:
+		refusedCrashingCount.Add(1)
+		x.crashes = true
+		x.lastReason = "this request has crashed several backend servers"
+		x.log.Info("request has crashed backend servers", zap.String("request", x.call.ID), zap.Uint64("fingerprint", fingerprint))
+		return true
+	case verdict == suspicion.Wait:
+		x.refuseDoubted(left)
+		return true
+	}
+	return false
+}
+
+// refuseDoubted notes that the request must wait for the trial of another copy.
+func (x *exchange) refuseDoubted(left time.Duration) {
+	refusedDoubtedCount.Add(1)
+	x.lastReason, x.retryDelay = "several backend servers fell silent while running this request, and a copy of it is on trial", left
+	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.call.fingerprint()), zap.Duration("wait", left))
+}
+
+// mayRunAlone begins the trial of a request under which servers fell silent, and reports whether the
+// request may be sent.
+func (x *exchange) mayRunAlone() bool {
+	fingerprint, grace := x.call.fingerprint(), x.strikes.grace()
+	if verdict, _ := x.mesh.Judge(fingerprint, grace); verdict != suspicion.RunAlone {
+		return true
 	}
-	refusedCrashingCount.Add(1)
-	x.crashes = true
-	x.lastReason = "this request has crashed several backend servers"
-	x.log.Info("request has crashed backend servers", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.call.fingerprint()))
-	return true
+	if x.mesh.BeginTrial(fingerprint, grace) {
+		_ = wait.For(x.ctx, trialSettle)
+		if x.mesh.HasTrial(fingerprint) {
+			return true
+		}
+	}
+	x.refuseDoubted(minRetryAfter)
+	return false
 }
 
+// trialSettle is the time in which entries that begin the same trial hear of each other.
+const trialSettle = 25 * time.Millisecond
+
 // nextReply offers the request to servers until one of them answers. It returns nil when the
 // request is to be given up.
 func (x *exchange) nextReply() *reply {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,7 @@
 		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
 		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(),
 	}
-	g.strikes = &strikes{gateway: g, wakeup: make(chan struct{}, 1), followed: make(map[upstream.Target]*followed)}
+	g.strikes = &strikes{gateway: g, wakeup: make(chan struct{}, 1), followed: make(map[upstream.Target]*followed), unanswered: make(map[*unanswered]bool)}
 	return g
 }
 
@@ -155,9 +155,11 @@
 	startupWaitCount = telemetry.Counter("gateway_held_at_start")
 
 	refusedCrashingCount = telemetry.Counter("gateway_refused_crashing")
-	refusedCount         = telemetry.Counter("gateway_refused")
-	failedCount          = telemetry.Counter("gateway_failed")
-	callersGoneCount     = telemetry.Counter("gateway_callers_gone")
+	// refusedDoubtedCount counts the requests that had to wait for the trial of another copy.
+	refusedDoubtedCount = telemetry.Counter("gateway_refused_doubted")
+	refusedCount        = telemetry.Counter("gateway_refused")
+	failedCount         = telemetry.Counter("gateway_failed")
+	callersGoneCount    = telemetry.Counter("gateway_callers_gone")
 	// goneUnansweredCount counts the callers that left after their request had been sent to a
 	// server that had not begun to answer.
 	goneUnansweredCount = telemetry.Counter("gateway_callers_gone_unanswered")
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,7 +20,7 @@
 		return nil, stepFail
 	}
 	// Other entries may have learned of its crashes while the request waited.
-	if x.refusedForCrashes() {
+	if x.refusedForCrashes() || !x.mayRunAlone() {
 		return nil, stepFail
 	}
 	// The server may have announced that it is leaving while the request waited.
@@ -61,11 +61,17 @@
 	x.servers.requestSent(v)
 	r := &reply{server: v, now: x.now, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
 	x.awaited, x.sentAt = v, time.Now()
+	watched := x.strikes.sent(&x.call, v, x.sentAt)
 	response, err := x.pool.Call(ctx, targetOf(v), request)
 	if err != nil {
 		defer r.release()
+		// What ended for the time or the caller says nothing of the server.
+		if ctx.Err() == nil {
+			x.strikes.settled(watched)
+		}
 		return nil, x.callFailed(v, err)
 	}
+	x.strikes.settled(watched)
 	x.sends++
 	x.awaited = nil
 	x.servers.headerReceived(v, time.Now())
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -250,6 +250,14 @@
 	s.mu.Unlock()
 }
 
+// heardAfter reports whether a server, or the agent beside it of its engine, was heard after a time.
+func (s *servers) heardAfter(v *server, at time.Time) bool {
+	s.mu.Lock()
+	answeredAt, agent := v.answeredAt, v.agent
+	s.mu.Unlock()
+	return answeredAt.After(at) || agent.reportedAfter(at)
+}
+
 // observe records the load and the health that an answer showed.
 func (s *servers) observe(v *server, verdict Verdict, f func(*dispatch.Health)) {
 	s.mu.Lock()
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -27,6 +27,9 @@
 	pending []pendingStrike
 	// followed holds the servers of the pending strikes.
 	followed map[upstream.Target]*followed
+	// unanswered holds the calls without an answer, lookedAt is when they were last looked at.
+	unanswered map[*unanswered]bool
+	lookedAt   time.Time
 }
 
 // pendingStrike is a broken call whose server is not known to have ended.
@@ -97,11 +100,6 @@
 	strikeLatency = telemetry.LatencyOf("gateway_strike_millis")
 )
 
-// refused reports whether the request has crashed too many servers.
-func (s *strikes) refused(c *Call) bool {
-	return s.gateway.mesh.Refused(c.fingerprint())
-}
-
 // run looks at broken calls as they come, and again at those whose servers' end is uncertain, until
 // ctx ends.
 func (s *strikes) run(ctx context.Context) {
@@ -148,6 +146,7 @@
 		}
 	}
 	s.judge(now)
+	s.lookUnanswered(now)
 }
 
 // checkConn records whether the open connection still is.
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -30,14 +30,20 @@
 	return r
 }
 
+// refused reports whether a request has crashed too many servers.
+func (s *strikes) refused(c *Call) bool { return s.gateway.mesh.Refused(c.fingerprint()) }
+
 // serveAborted serves such a request, whose answer may break off.
-func serveAborted(g *Gateway, path string) {
+func serveAborted(g *Gateway, path string) { serveCut(g, newPrompt(path)) }
+
+// serveCut serves a request whose answer may end in an aborted connection.
+func serveCut(g *Gateway, r *http.Request) {
 	defer func() {
 		if cut := recover(); cut != nil && cut != http.ErrAbortHandler {
 			panic(cut)
 		}
 	}()
-	g.ServeHTTP(httptest.NewRecorder(), newPrompt(path))
+	g.ServeHTTP(httptest.NewRecorder(), r)
 }
 
 // breakAtServers announces three servers, each of which breaks the connection of a call and then
--- /dev/null
+++ b/internal/gateway/unanswered.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+// unanswered is a call without an answer. A server whose machine loses power under a request says
+// nothing: the call stays open until its time is up or its caller leaves, and the request must not be
+// sent to server after server meanwhile.
+type unanswered struct {
+	fingerprint uint64
+	server      *server
+	sentAt      time.Time
+}
+
+const (
+	// silentAfter is the time without any sign of a server after which it counts as silent under a
+	// request.
+	silentAfter = 750 * time.Millisecond
+	// heartbeatSlack is the time by which a server's heartbeat may come late at the entries.
+	heartbeatSlack = 250 * time.Millisecond
+)
+
+// silentCount counts the calls under which servers fell silent.
+var silentCount = telemetry.Counter("gateway_silent_servers")
+
+// grace returns the time in which a server that lives is heard by some entry.
+func (s *strikes) grace() time.Duration { return s.gateway.options.Heartbeat + heartbeatSlack }
+
+// sent begins to watch a call; nil when too many are watched.
+func (s *strikes) sent(c *Call, v *server, now time.Time) *unanswered {
+	u := &unanswered{fingerprint: c.fingerprint(), server: v, sentAt: now}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.unanswered) >= maxPending {
+		strikesDroppedCount.Add(1)
+		return nil
+	}
+	s.unanswered[u] = true
+	return u
+}
+
+// settled ends the watch of a call that was answered, or whose connection broke.
+func (s *strikes) settled(u *unanswered) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.unanswered, u)
+}
+
+// lookUnanswered reports the servers that have given no sign since a call began to run. The caller
+// holds mu.
+func (s *strikes) lookUnanswered(now time.Time) {
+	// Calls that were open while this process stood still cannot be judged.
+	stoodStill := now.Sub(s.lookedAt) > 2*settleInterval
+	s.lookedAt = now
+	if stoodStill {
+		clear(s.unanswered)
+	}
+	for u := range s.unanswered {
+		if now.Sub(u.sentAt) < silentAfter {
+			continue
+		}
+		delete(s.unanswered, u)
+		if s.gateway.servers.heardAfter(u.server, u.sentAt.Add(suspicion.BeginTime)) {
+			continue
+		}
+		silentCount.Add(1)
+		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.fingerprint), zap.String("server", u.server.entry.ID),
+			zap.Duration("after", now.Sub(u.sentAt)))
+		s.gateway.mesh.Strike(suspicion.Strike{Fingerprint: u.fingerprint, Server: u.server.entry.ID, Silent: true, AgeMillis: now.Sub(u.sentAt).Milliseconds()})
+	}
+}
--- /dev/null
+++ b/internal/gateway/unanswered_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+)
+
+// leaveUnanswered sends a request whose caller leaves once a server has it, until three servers had it.
+func leaveUnanswered(t *testing.T, g *Gateway, arrived <-chan struct{}) {
+	t.Helper()
+	servers := make(map[*server]bool)
+	for len(servers) < 3 {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		serveCut(g, newPrompt("/look/").WithContext(ctx))
+		for u := range g.strikes.unanswered {
+			servers[u.server] = true
+		}
+	}
+}
+
+// lookLater looks at the unanswered calls once they are old enough to be judged.
+func lookLater(g *Gateway) {
+	time.Sleep(silentAfter)
+	now := time.Now()
+	g.strikes.lookedAt = now
+	g.strikes.lookUnanswered(now)
+}
+
+// promptFingerprint returns the fingerprint of newPrompt.
+func promptFingerprint(g *Gateway) uint64 {
+	call := g.edge.Parse(newPrompt("/look/"))
+	call.Body = []byte("prompt")
+	return call.fingerprint()
+}
+
+// silentGateway returns a gateway whose servers answer nothing, and what they receive.
+func silentGateway(t *testing.T) (*Gateway, <-chan struct{}) {
+	t.Helper()
+	arrived, ended := make(chan struct{}, 64), make(chan struct{})
+	g := newTestGateway(t, []http.HandlerFunc{func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-ended
+	}})
+	t.Cleanup(func() { close(ended) })
+	return g, arrived
+}
+
+// Guards against a request that goes on from one silent server to the next, because its caller had left when each fell silent.
+func TestRequestOfDepartedCallerIsFollowedUp(t *testing.T) {
+	g, arrived := silentGateway(t)
+	leaveUnanswered(t, g, arrived)
+	lookLater(g)
+	fingerprint := promptFingerprint(g)
+	if got, _ := g.mesh.Judge(fingerprint, 0); got != suspicion.RunAlone {
+		t.Fatalf("after three silent servers the request is to %s, want %s", got, suspicion.RunAlone)
+	}
+	g.options.Heartbeat = -heartbeatSlack
+	if !g.mesh.BeginTrial(fingerprint, 0) {
+		t.Fatal("no trial begins")
+	}
+	recorder := httptest.NewRecorder()
+	g.ServeHTTP(recorder, newPrompt("/look/"))
+	if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
+		t.Errorf("while a copy is on trial another gets %d, header %v", recorder.Code, recorder.Header())
+	}
+}
+
+// Guards against a request that is doubted because its callers left a server before it could answer.
+func TestRequestLeftEarlyIsNotDoubted(t *testing.T) {
+	g, arrived := silentGateway(t)
+	leaveUnanswered(t, g, arrived)
+	for u := range g.strikes.unanswered {
+		g.servers.headerReceived(u.server, u.sentAt.Add(silentAfter))
+	}
+	lookLater(g)
+	if got, _ := g.mesh.Judge(promptFingerprint(g), 0); got != suspicion.Run {
+		t.Errorf("the request is to %s although its servers answered others", got)
+	}
+}
+
+// Guards against an entry that takes all servers for silent because it stood still itself.
+func TestEntryThatStoodStillDoubtsNobody(t *testing.T) {
+	g, arrived := silentGateway(t)
+	g.strikes.lookedAt = time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	serveCut(g, newPrompt("/look/").WithContext(ctx))
+	g.strikes.settle(time.Now().Add(time.Minute))
+	if g.mesh.Suspected(promptFingerprint(g)) {
+		t.Error("a server counts as silent after the entry's own pause")
+	}
+}
--- a/internal/mesh/informed.go
+++ b/internal/mesh/informed.go
@@ -18,13 +18,13 @@
 
 // informedAtStart reports whether nobody can tell a process more than it knows.
 func (o *Options) informedAtStart() bool {
-	return o.Bootstrap || !slices.ContainsFunc(o.Seeds, func(seed string) bool { return seed != o.Self.Address })
+	return o.Bootstrap || !o.Self.Entry || !slices.ContainsFunc(o.Seeds, func(seed string) bool { return seed != o.Self.Address })
 }
 
 // takeStrikes merges the strikes of a peer's reply. The caller holds mu.
 func (q *peer) takeStrikes(reply *greetingReply, now time.Time) {
 	q.asked = true
-	q.mesh.mergeStrikes(q, true, slices.Concat(reply.Strikes, reply.Answers), now)
+	q.mesh.mergeStrikes(q, true, reply.Strikes, now)
 	if reply.Informed {
 		q.mesh.setInformed("told by another entry")
 		return
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -394,6 +394,57 @@
 	eventually(t, func() bool { return strikes(f.nodes[0]) == 1 && strikes(f.nodes[1]) == 1 })
 }
 
+// Guards against a request that waits for trials at some entries, because only another one heard the server that was taken for silent.
+func TestHeardServerEndsDoubtsEverywhere(t *testing.T) {
+	const fingerprint = 9
+	f := startFleet(t, 1, 1)
+	eventually(t, func() bool {
+		first, _ := f.nodes[0].countReached(time.Now())
+		second, _ := f.nodes[1].countReached(time.Now())
+		return first == 1 && second == 1
+	})
+	servers := []roster.Server{{ID: "a", Sequence: 1, Address: "a:1"}, {ID: "b", Sequence: 1, Address: "b:1"}, {ID: "c", Sequence: 1, Address: "c:1"}}
+	for _, server := range servers {
+		f.nodes[0].Strike(suspicion.Strike{Fingerprint: fingerprint, Server: server.ID, Silent: true, AgeMillis: 1000})
+	}
+	verdicts := func(want suspicion.Verdict) func() bool {
+		return func() bool {
+			first, _ := f.nodes[0].Judge(fingerprint, 0)
+			second, _ := f.nodes[1].Judge(fingerprint, 0)
+			return first == want && second == want
+		}
+	}
+	eventually(t, verdicts(suspicion.RunAlone))
+	if !f.nodes[1].BeginTrial(fingerprint, 0) {
+		t.Fatal("no trial begins")
+	}
+	eventually(t, verdicts(suspicion.Wait))
+	if err := f.nodes[1].Announce(t.Context(), servers[2]); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, verdicts(suspicion.Run))
+}
+
+// Guards against doubts that an entry brings forward long after another one has heard the server or answered the request.
+func TestDoubtIsRefutedByWhatIsKnown(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	m := f.nodes[0]
+	if err := m.Announce(t.Context(), roster.Server{ID: "a", Sequence: 1, Address: "a:1"}); err != nil {
+		t.Fatal(err)
+	}
+	m.Answered(2)
+	m.Strike(suspicion.Strike{Fingerprint: 1, Server: "a", Silent: true, AgeMillis: 5000})
+	m.Strike(suspicion.Strike{Fingerprint: 2, Server: "b", Silent: true, AgeMillis: 5000})
+	m.Strike(suspicion.Strike{Fingerprint: 3, Server: "b", Silent: true, AgeMillis: 5000})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for fingerprint, want := range map[uint64]bool{1: false, 2: false, 3: true} {
+		if got := m.strikes.Suspected(fingerprint); got != want {
+			t.Errorf("request %d is doubted: %t", fingerprint, got)
+		}
+	}
+}
+
 // Guards against an entry that sends on what has crashed three servers, because it started or was back only after the others had heard.
 func TestEntryThatStartsLaterKnowsOfCrashes(t *testing.T) {
 	const fingerprint = 9
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -67,6 +67,9 @@
 	// Answers are new answers to requests that had strikes. Entries that do not know them would take
 	// them for strikes in the list above.
 	Answers []suspicion.Strike `json:"answers,omitempty"`
+	// Doubts are new silences of servers under requests, their ends and trials, in a list of their own
+	// for the same reason.
+	Doubts []suspicion.Strike `json:"doubts,omitempty"`
 	// Uninformed is true when the sender has just started and asks for all strikes.
 	Uninformed bool `json:"uninformed,omitempty"`
 	// Digest is the digest of the processes that the sender knows.
@@ -84,10 +87,9 @@
 	Cursor listCursor `json:"heard,omitzero"`
 	// Missing are servers of which the peer has received only a heartbeat.
 	Missing []string `json:"missing,omitempty"`
-	// Strikes and Answers are those that the peer holds, if the sender asked for them; Informed is true
-	// when none from before its own start can be missing.
+	// Strikes are those that the peer holds, with answers and doubts, if the sender asked for them;
+	// Informed is true when none from before its own start can be missing.
 	Strikes  []suspicion.Strike `json:"strikes,omitempty"`
-	Answers  []suspicion.Strike `json:"answers,omitempty"`
 	Informed bool               `json:"informed,omitempty"`
 }
 
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -238,7 +238,9 @@
 	more bool
 }
 
-func (p *pending) empty() bool { return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers) == 0 }
+func (p *pending) empty() bool {
+	return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers)+len(p.Doubts) == 0
+}
 
 // pendingUpdates lists what the peer has not acknowledged: servers with material changes
 // in full, and heartbeats of the servers that the peer does not hear of on a shorter
@@ -301,10 +303,10 @@
 	m.mu.Lock()
 	from := m.peers[in.From.Address]
 	reply := greetingReply{Missing: m.mergeServers(from, in, now)}
-	m.mergeStrikes(from, !in.Spoke, slices.Concat(in.Strikes, in.Answers), now)
+	m.mergeStrikes(from, !in.Spoke, slices.Concat(in.Strikes, in.Answers, in.Doubts), now)
 	if in.Uninformed {
 		reply.Informed = m.Informed()
-		reply.Strikes, reply.Answers = m.allStrikes(now)
+		reply.Strikes = m.allStrikes(now)
 	}
 	if from != nil {
 		wasActive := from.active(now)
@@ -393,6 +395,7 @@
 	_, material := m.roster.Apply(s, now)
 	m.heardVia[s.ID] = viaDirect
 	delete(m.diskOnly, s.ID)
+	m.heard(s.ID, now)
 	change := m.roster.Change()
 	if material {
 		m.wakeAll()
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -20,10 +20,11 @@
 }
 
 // Answered records that a run of a request got a whole answer, and notifies all entries if the
-// request had strikes.
+// request had strikes or doubts.
 func (m *Mesh) Answered(fingerprint uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.strikes.RecordAnswer(fingerprint, time.Now())
 	if m.strikes.Suspected(fingerprint) {
 		m.mergeStrikes(nil, false, []suspicion.Strike{{Fingerprint: fingerprint, Answered: true}}, time.Now())
 	}
@@ -34,10 +35,14 @@
 func (m *Mesh) mergeStrikes(from *peer, fromHub bool, strikes []suspicion.Strike, now time.Time) {
 	for _, strike := range strikes {
 		strike.FromHub = fromHub
+		if refuted, ok := m.refute(strike, now); ok {
+			strike = refuted
+		}
 		refusedBefore := m.strikes.Refused(strike.Fingerprint, now)
 		if !m.strikes.Add(strike, now) {
 			continue
 		}
+		m.logDoubt(from, strike)
 		if strike.Answered {
 			m.log.Info("request was answered: earlier ends of servers do not count against it", zap.Uint64("fingerprint", strike.Fingerprint),
 				zap.Bool("heard", from != nil), zap.Bool("refusedBefore", refusedBefore))
@@ -52,6 +57,77 @@
 	}
 }
 
+// refute returns what this process knows against a doubt: an answer to the request, or a heartbeat of
+// the server. The caller holds mu.
+func (m *Mesh) refute(strike suspicion.Strike, now time.Time) (suspicion.Strike, bool) {
+	if !strike.Silent {
+		return suspicion.Strike{}, false
+	}
+	sentAt := now.Add(-time.Duration(strike.AgeMillis) * time.Millisecond)
+	if at, ok := m.strikes.AnsweredAfter(strike.Fingerprint, sentAt); ok {
+		return suspicion.Strike{Fingerprint: strike.Fingerprint, Answered: true, AgeMillis: now.Sub(at).Milliseconds()}, true
+	}
+	e, ok := m.roster.Get(strike.Server)
+	if !ok || e.Gone || m.heardVia[strike.Server] != viaDirect || e.LastHeard.Sub(sentAt) <= suspicion.BeginTime {
+		return suspicion.Strike{}, false
+	}
+	return suspicion.Strike{Server: strike.Server, Heard: true, AgeMillis: now.Sub(e.LastHeard).Milliseconds()}, true
+}
+
+// heard ends the doubts about a server of which a heartbeat has just arrived. The caller holds mu.
+func (m *Mesh) heard(server string, now time.Time) {
+	if m.strikes.Doubted(server, now) {
+		m.mergeStrikes(nil, false, []suspicion.Strike{{Server: server, Heard: true}}, now)
+	}
+}
+
+// logDoubt logs what changes whether a request may run.
+func (m *Mesh) logDoubt(from *peer, strike suspicion.Strike) {
+	switch {
+	case strike.Silent:
+		m.log.Info("server fell silent under a request", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("server", strike.Server),
+			zap.Int64("sentMillisAgo", strike.AgeMillis), zap.Bool("heard", from != nil))
+	case strike.Heard:
+		m.log.Info("silent server was heard", zap.String("server", strike.Server), zap.Bool("heard", from != nil))
+	case strike.Trial > 0:
+		m.log.Info("request on trial after servers fell silent", zap.Uint64("fingerprint", strike.Fingerprint), zap.Int("trial", strike.Trial), zap.Bool("heard", from != nil))
+	}
+}
+
+// Judge returns what may be done with a request (suspicion.Strikes.Judge).
+func (m *Mesh) Judge(fingerprint uint64, grace time.Duration) (suspicion.Verdict, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.strikes.Judge(fingerprint, grace, time.Now())
+}
+
+// Suspected reports whether a request has strikes or doubts.
+func (m *Mesh) Suspected(fingerprint uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.strikes.Suspected(fingerprint)
+}
+
+// BeginTrial begins a trial of a request, if one may begin, and tells all entries. The request may be
+// sent if HasTrial is still true once the others may have told theirs.
+func (m *Mesh) BeginTrial(fingerprint uint64, grace time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	trial, ok := m.strikes.BeginTrial(fingerprint, m.options.Self.Address, grace, now)
+	if ok {
+		m.mergeStrikes(nil, false, []suspicion.Strike{trial}, now)
+	}
+	return ok
+}
+
+// HasTrial reports whether this process has the last trial of a request.
+func (m *Mesh) HasTrial(fingerprint uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.strikes.HasTrial(fingerprint, m.options.Self.Address)
+}
+
 // Refused reports whether a request has crashed too many servers to run again.
 func (m *Mesh) Refused(fingerprint uint64) bool {
 	m.mu.Lock()
@@ -84,23 +160,27 @@
 	if !q.spoke && q.knowsStrikes {
 		strikes = slices.DeleteFunc(strikes, func(strike suspicion.Strike) bool { return strike.FromHub })
 	}
-	p.Strikes, p.Answers = splitStrikes(strikes)
+	p.Strikes, p.Answers, p.Doubts = splitStrikes(strikes)
 }
 
-// allStrikes returns the strikes and answers that this process holds, as many as a greeting carries;
-// the peer's own greetings bring the rest. The caller holds mu.
-func (m *Mesh) allStrikes(now time.Time) (strikes, answers []suspicion.Strike) {
+// allStrikes returns the strikes that this process holds, as many as a greeting carries; its own
+// greetings bring the rest. The caller holds mu.
+func (m *Mesh) allStrikes(now time.Time) []suspicion.Strike {
 	all, _ := m.strikes.Since(0, maxGreetingStrikes, now)
-	return splitStrikes(all)
+	return all
 }
 
-func splitStrikes(all []suspicion.Strike) (strikes, answers []suspicion.Strike) {
+// splitStrikes splits strikes into the lists of a greeting.
+func splitStrikes(all []suspicion.Strike) (strikes, answers, doubts []suspicion.Strike) {
 	for _, strike := range all {
-		if strike.Answered {
+		switch {
+		case strike.Answered:
 			answers = append(answers, strike)
-			continue
+		case strike.Silent || strike.Heard || strike.Trial > 0:
+			doubts = append(doubts, strike)
+		default:
+			strikes = append(strikes, strike)
 		}
-		strikes = append(strikes, strike)
 	}
-	return strikes, answers
+	return strikes, answers, doubts
 }
