--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,8 @@
 	deadline time.Time
 	// version is the version of the configuration that routed the request.
 	version uint64
+	// hash is the fingerprint of the request; 0 until it is needed.
+	hash uint64
 
 	tried map[string]bool
 	// tries counts the servers to which the request was offered, sends those to which it was
@@ -130,10 +132,18 @@
 	return answer.Answer{}, false
 }
 
+// fingerprint returns the fingerprint of the request, whose body has been read.
+func (x *exchange) fingerprint() uint64 {
+	if x.hash == 0 {
+		x.hash = x.call.fingerprint()
+	}
+	return x.hash
+}
+
 // refusedForCrashes reports whether the request must not be sent to another server: it has crashed
 // too many, or several fell silent under it and another copy of it is on trial.
 func (x *exchange) refusedForCrashes() bool {
-	fingerprint := x.call.fingerprint()
+	fingerprint := x.fingerprint()
 	verdict, left := x.mesh.Judge(fingerprint, x.strikes.grace())
 	switch {
 	case verdict == suspicion.Refuse:
@@ -153,13 +163,13 @@
 func (x *exchange) refuseDoubted(left time.Duration) {
 	refusedDoubtedCount.Add(1)
 	x.lastReason, x.retryDelay = "several backend servers fell silent while running this request, and a copy of it is on trial", left
-	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.call.fingerprint()), zap.Duration("wait", left))
+	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.Duration("wait", left))
 }
 
 // mayRunAlone begins the trial of a request under which servers fell silent, and reports whether the
 // request may be sent.
 func (x *exchange) mayRunAlone() bool {
-	fingerprint, grace := x.call.fingerprint(), x.strikes.grace()
+	fingerprint, grace := x.fingerprint(), x.strikes.grace()
 	if verdict, _ := x.mesh.Judge(fingerprint, grace); verdict != suspicion.RunAlone {
 		return true
 	}
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -87,7 +87,7 @@
 func (x *exchange) recordAnswer(v *server, status int) {
 	answeredCount.Add(1)
 	if status < http.StatusInternalServerError {
-		x.mesh.Answered(x.call.fingerprint())
+		x.mesh.Answered(x.fingerprint())
 	}
 	if x.route.Kind == route.KindStream && status < http.StatusMultipleChoices {
 		x.durations.record(x.route.Name, time.Since(x.arrived))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -61,7 +61,7 @@
 	x.servers.requestSent(v)
 	r := &reply{server: v, now: x.now, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
 	x.awaited, x.sentAt = v, time.Now()
-	watched := x.strikes.sent(&x.call, v, x.sentAt)
+	watched := x.strikes.sent(x.fingerprint(), v, x.sentAt)
 	response, err := x.pool.Call(ctx, targetOf(v), request)
 	if err != nil {
 		defer r.release()
@@ -136,7 +136,7 @@
 
 // logBroken logs a call or an answer that broke off, with what tells the request from others.
 func (x *exchange) logBroken(msg string, v *server, err error) {
-	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", v.entry.ID), zap.Uint64("fingerprint", x.call.fingerprint()), zap.String("method", x.call.Method),
+	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", v.entry.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.String("method", x.call.Method),
 		zap.String("path", x.call.URI), zap.String("caller", x.call.Caller), zap.Int("body", len(x.call.Body)), zap.String("lastEvent", x.lastEvent), telemetry.Cause(err))
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -258,6 +258,14 @@
 	return answeredAt.After(at) || agent.reportedAfter(at)
 }
 
+// agentReports reports whether an agent that is not silent reports the state of the server's engine.
+func (s *servers) agentReports(v *server) bool {
+	s.mu.Lock()
+	answeredAt, agent := v.answeredAt, v.agent
+	s.mu.Unlock()
+	return agent.isKnown() && !agent.silentAfter(answeredAt)
+}
+
 // observe records the load and the health that an answer showed.
 func (s *servers) observe(v *server, verdict Verdict, f func(*dispatch.Health)) {
 	s.mu.Lock()
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -22,6 +22,11 @@
 	// silentAfter is the time without any sign of a server after which it counts as silent under a
 	// request.
 	silentAfter = 750 * time.Millisecond
+	// agentPatience is the time for which an agent that is not silent itself may owe a report of its
+	// engine: those of other data centres come seldom.
+	agentPatience = 2 * time.Second
+	// maxSilences bounds the doubts of one look, which go to all entries.
+	maxSilences = 32
 	// heartbeatSlack is the time by which a server's heartbeat may come late at the entries.
 	heartbeatSlack = 250 * time.Millisecond
 )
@@ -33,8 +38,8 @@
 func (s *strikes) grace() time.Duration { return s.gateway.options.Heartbeat + heartbeatSlack }
 
 // sent begins to watch a call; nil when too many are watched.
-func (s *strikes) sent(c *Call, v *server, now time.Time) *unanswered {
-	u := &unanswered{fingerprint: c.fingerprint(), server: v, sentAt: now}
+func (s *strikes) sent(fingerprint uint64, v *server, now time.Time) *unanswered {
+	u := &unanswered{fingerprint: fingerprint, server: v, sentAt: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.unanswered) >= maxPending {
@@ -61,17 +66,23 @@
 	if stoodStill {
 		clear(s.unanswered)
 	}
+	doubts := 0
 	for u := range s.unanswered {
-		if now.Sub(u.sentAt) < silentAfter {
+		age := now.Sub(u.sentAt)
+		if age < silentAfter || age < agentPatience && s.gateway.servers.agentReports(u.server) {
 			continue
 		}
 		delete(s.unanswered, u)
 		if s.gateway.servers.heardAfter(u.server, u.sentAt.Add(suspicion.BeginTime)) {
 			continue
 		}
+		if doubts++; doubts > maxSilences {
+			strikesDroppedCount.Add(1)
+			continue
+		}
 		silentCount.Add(1)
 		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.fingerprint), zap.String("server", u.server.entry.ID),
-			zap.Duration("after", now.Sub(u.sentAt)))
-		s.gateway.mesh.Strike(suspicion.Strike{Fingerprint: u.fingerprint, Server: u.server.entry.ID, Silent: true, AgeMillis: now.Sub(u.sentAt).Milliseconds()})
+			zap.Duration("after", age))
+		s.gateway.mesh.Strike(suspicion.Strike{Fingerprint: u.fingerprint, Server: u.server.entry.ID, Silent: true, AgeMillis: age.Milliseconds()})
 	}
 }
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // leaveUnanswered sends a request whose caller leaves once a server has it, until three servers had it.
@@ -102,3 +103,35 @@
 		t.Error("a server counts as silent after the entry's own pause")
 	}
 }
+
+// Guards against doubts of every request that waits at a busy engine of another data centre, whose agent's reports come seldom.
+func TestEngineWhoseAgentReportsIsGivenTime(t *testing.T) {
+	reported := wire.EngineState{Known: true}
+	for name, test := range map[string]struct {
+		state      wire.EngineState
+		receivedAt time.Duration
+		silent     bool
+		age        time.Duration
+		want       bool
+	}{
+		"its report may still come":        {state: reported, age: agentPatience - 1, want: false},
+		"its report has come":              {state: reported, receivedAt: time.Second, age: agentPatience, want: false},
+		"it owes the report for long":      {state: reported, age: agentPatience, want: true},
+		"its engine does not report to it": {age: silentAfter, want: true},
+		"it is silent itself":              {state: reported, silent: true, age: silentAfter, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, sentAt := newTestGateway(t, nil), time.Now()
+			agent := &agentClient{state: test.state, receivedAt: sentAt.Add(test.receivedAt)}
+			if test.silent {
+				agent.silentSince = sentAt
+			}
+			g.strikes.sent(1, &server{agent: agent}, sentAt)
+			g.strikes.lookedAt = sentAt.Add(test.age)
+			g.strikes.lookUnanswered(sentAt.Add(test.age))
+			if got := g.mesh.Suspected(1); got != test.want {
+				t.Errorf("doubted %t, want %t", got, test.want)
+			}
+		})
+	}
+}
