--- a/coord/suspicion/silence.go
+++ b/coord/suspicion/silence.go
@@ -131,7 +131,7 @@
 		return Run, 0
 	case s.Refused(fingerprint, now):
 		return Refuse, 0
-	case len(r.strikes)+s.doubts(r, grace, now) < strikeLimit || s.explained(r, (*strikeRecord).withSilent):
+	case !s.doubted(r, grace, now):
 		return Run, 0
 	case r.trial.Trial == 0:
 		return RunAlone, 0
@@ -145,6 +145,13 @@
 // maxTrialDoublings keeps the pause between two trials below the lifetime of strikes.
 const maxTrialDoublings = 6
 
+// doubted reports whether the doubts about a request, with its strikes, are so many that it must run
+// alone.
+func (s *Strikes) doubted(r *strikeRecord, grace time.Duration, now time.Time) bool {
+	doubts := s.doubts(r, grace, now)
+	return doubts > 0 && len(r.strikes)+doubts >= r.limit() && !s.explained(r, (*strikeRecord).withSilent)
+}
+
 // doubts counts the servers that fell silent as a request began to run on them. One that was silent
 // before, under another request, was not ended by this one.
 func (s *Strikes) doubts(r *strikeRecord, grace time.Duration, now time.Time) int {
--- a/coord/suspicion/silence_test.go
+++ b/coord/suspicion/silence_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// Guards against a request that waits for trials although no server fell silent under it, or only one after it had long given output.
+func TestStrikesAloneBringNoTrial(t *testing.T) {
+	s, now := NewStrikes(), silenceStart
+	for _, server := range []string{"a", "b", "c"} {
+		s.Add(Strike{Fingerprint: 1, Server: server, OutputMillis: 2 * BeginTime.Milliseconds()}, now)
+	}
+	if got, _ := s.Judge(1, testGrace, now); got != Run {
+		t.Errorf("after three ends in its middle the request is to %s", got)
+	}
+	addSilent(s, 1, now, now, "d")
+	if got, _ := s.Judge(1, testGrace, now.Add(testGrace)); got != Run {
+		t.Errorf("after one silent server more the request is to %s", got)
+	}
+}
+
 // Guards against doubts that come after what refutes them, from entries that were told later, and stay.
 func TestRefutedDoubtIsNotTaken(t *testing.T) {
 	s := NewStrikes()
--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -120,11 +120,14 @@
 }
 
 // atLimit reports whether so many servers crashed that the request must not run.
-func (r *strikeRecord) atLimit() bool {
+func (r *strikeRecord) atLimit() bool { return len(r.strikes) >= r.limit() }
+
+// limit returns the number of ends from which the request must not run.
+func (r *strikeRecord) limit() int {
 	if r.early < len(r.strikes) {
-		return len(r.strikes) >= lateStrikeLimit
+		return lateStrikeLimit
 	}
-	return len(r.strikes) >= strikeLimit
+	return strikeLimit
 }
 
 // struck returns the servers that crashed under the request.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -143,39 +143,42 @@
 // refusedForCrashes reports whether the request must not be sent to another server: it has crashed
 // too many, or several fell silent under it and another copy of it is on trial.
 func (x *exchange) refusedForCrashes() bool {
-	fingerprint := x.fingerprint()
-	verdict, left := x.mesh.Judge(fingerprint, x.strikes.grace())
-	switch {
-	case verdict == suspicion.Refuse:
+	verdict := x.judge()
+	return verdict == suspicion.Refuse || verdict == suspicion.Wait
+}
+
+// mayRun reports whether the request may be sent now, and begins its trial where it must run alone.
+func (x *exchange) mayRun() bool {
+	switch x.judge() {
+	case suspicion.Run:
+		return true
+	case suspicion.RunAlone:
+		return x.beginTrial()
+	default:
+		return false
+	}
+}
+
+// judge asks what may be done with the request, and notes why it must not be sent.
+func (x *exchange) judge() suspicion.Verdict {
+	verdict, left := x.mesh.Judge(x.fingerprint(), x.strikes.grace())
+	switch verdict {
+	case suspicion.Refuse:
 		refusedCrashingCount.Add(1)
 		x.crashes = true
 		x.lastReason = "this request has crashed several backend servers"
-		x.log.Info("request has crashed backend servers", zap.String("request", x.call.ID), zap.Uint64("fingerprint", fingerprint))
-		return true
-	case verdict == suspicion.Wait:
+		x.log.Info("request has crashed backend servers", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()))
+	case suspicion.Wait:
 		x.refuseDoubted(left)
-		return true
 	}
-	return false
+	return verdict
 }
 
-// refuseDoubted notes that the request must wait for the trial of another copy.
-func (x *exchange) refuseDoubted(left time.Duration) {
-	refusedDoubtedCount.Add(1)
-	x.lastReason, x.retryDelay = "several backend servers fell silent while running this request, and a copy of it is on trial", left
-	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.Duration("wait", left))
-}
-
-// mayRunAlone begins the trial of a request under which servers fell silent, and reports whether the
-// request may be sent.
-func (x *exchange) mayRunAlone() bool {
-	fingerprint, grace := x.fingerprint(), x.strikes.grace()
-	if verdict, _ := x.mesh.Judge(fingerprint, grace); verdict != suspicion.RunAlone {
-		return true
-	}
-	if x.mesh.BeginTrial(fingerprint, grace) {
+// beginTrial begins the trial of the request and reports whether this entry has it.
+func (x *exchange) beginTrial() bool {
+	if x.mesh.BeginTrial(x.fingerprint(), x.strikes.grace()) {
 		_ = wait.For(x.ctx, trialSettle)
-		if x.mesh.HasTrial(fingerprint) {
+		if x.mesh.HasTrial(x.fingerprint()) {
 			return true
 		}
 	}
@@ -183,6 +186,13 @@
 	return false
 }
 
+// refuseDoubted notes that the request must wait for the trial of another copy.
+func (x *exchange) refuseDoubted(left time.Duration) {
+	refusedDoubtedCount.Add(1)
+	x.lastReason, x.retryDelay = "several backend servers fell silent while running this request, and a copy of it is on trial", left
+	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.Duration("wait", left))
+}
+
 // trialSettle is the time in which entries that begin the same trial hear of each other.
 const trialSettle = 25 * time.Millisecond
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,7 +20,7 @@
 		return nil, stepFail
 	}
 	// Other entries may have learned of its crashes while the request waited.
-	if x.refusedForCrashes() || !x.mayRunAlone() {
+	if !x.mayRun() {
 		return nil, stepFail
 	}
 	// The server may have announced that it is leaving while the request waited.
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -30,30 +30,36 @@
 	}
 }
 
-// mergeStrikes records strikes and answers, and wakes the peers to which new ones must be forwarded. The
-// caller holds mu.
+// mergeStrikes records strikes, answers and doubts, and wakes the peers to which new ones must be
+// forwarded. The caller holds mu.
 func (m *Mesh) mergeStrikes(from *peer, fromHub bool, strikes []suspicion.Strike, now time.Time) {
 	for _, strike := range strikes {
-		strike.FromHub = fromHub
 		if refuted, ok := m.refute(strike, now); ok {
-			strike = refuted
-		}
-		refusedBefore := m.strikes.Refused(strike.Fingerprint, now)
-		if !m.strikes.Add(strike, now) {
+			// All must hear it, the process that doubts included.
+			m.mergeStrike(nil, false, refuted, now)
 			continue
 		}
-		m.logDoubt(from, strike)
-		if strike.Answered {
-			m.log.Info("request was answered: earlier ends of servers do not count against it", zap.Uint64("fingerprint", strike.Fingerprint),
-				zap.Bool("heard", from != nil), zap.Bool("refusedBefore", refusedBefore))
-		}
-		if !refusedBefore && m.strikes.Refused(strike.Fingerprint, now) {
-			m.log.Warn("request refused from now on: backend servers ended while running it", zap.Uint64("fingerprint", strike.Fingerprint),
-				zap.Bool("heard", from != nil), zap.Any("strikes", m.strikes.Of(strike.Fingerprint)))
-		}
-		for _, q := range m.relayTargets(from, fromHub, now) {
-			q.wake()
-		}
+		m.mergeStrike(from, fromHub, strike, now)
+	}
+}
+
+func (m *Mesh) mergeStrike(from *peer, fromHub bool, strike suspicion.Strike, now time.Time) {
+	strike.FromHub = fromHub
+	refusedBefore := m.strikes.Refused(strike.Fingerprint, now)
+	if !m.strikes.Add(strike, now) {
+		return
+	}
+	m.logDoubt(from, strike)
+	if strike.Answered {
+		m.log.Info("request was answered: earlier ends of servers do not count against it", zap.Uint64("fingerprint", strike.Fingerprint),
+			zap.Bool("heard", from != nil), zap.Bool("refusedBefore", refusedBefore))
+	}
+	if !refusedBefore && m.strikes.Refused(strike.Fingerprint, now) {
+		m.log.Warn("request refused from now on: backend servers ended while running it", zap.Uint64("fingerprint", strike.Fingerprint),
+			zap.Bool("heard", from != nil), zap.Any("strikes", m.strikes.Of(strike.Fingerprint)))
+	}
+	for _, q := range m.relayTargets(from, fromHub, now) {
+		q.wake()
 	}
 }
 
