Lines tell the software version at which streams begin and go on

The lines of the incident's entries name no version of a server's software, so they cannot tell whether a stream went on at another one within one answer or over a caller's attempts. No decision uses them yet.

--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -26,6 +26,9 @@
 	// DataCentre is the data centre in which the server runs.
 	DataCentre string `json:"dataCentre"`
 	Slots      int    `json:"slots"`
+	// Version is the version of the server's software, without an order; empty when it
+	// tells none.
+	Version string `json:"version,omitempty"`
 	// Leaving reports whether the server has stopped accepting new work, Gone
 	// whether it has terminated.
 	Leaving bool `json:"leaving,omitempty"`
@@ -117,7 +120,7 @@
 		s.Leaving = s.Leaving || known.Leaving
 	}
 	material = !ok || known.Born != s.Born || known.Leaving != s.Leaving || known.Gone != s.Gone || known.Address != s.Address ||
-		known.Service != s.Service || !slices.Equal(known.Models, s.Models)
+		known.Service != s.Service || known.Version != s.Version || !slices.Equal(known.Models, s.Models)
 	entry := &Entry{Server: s, LastHeard: now}
 	switch {
 	case material:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,6 +59,9 @@
 	// nil while there is none.
 	awaited *server
 	sentAt  time.Time
+	// began is the software version of the server that gave the caller the first event of this answer;
+	// empty before it.
+	began string
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// status is the status that was sent to the caller, 0 before its header was sent;
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,11 @@
 	OutputTokens int
 	// MaxWait is how long the caller waits; 0 when it did not say.
 	MaxWait time.Duration
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this
+	// attempt takes up, ResumeAfter the ID of the last event that the caller has. Both are empty for
+	// a new request.
+	Resumes     string
+	ResumeAfter string
 	// Method, URI, Host and Header are forwarded.
 	Method string
 	URI    string
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,6 +44,8 @@
 	// for a stream that begins here, and once an event has shown that the reply continues the
 	// stream.
 	resumeAfter string
+	// noted is set once the software version of the server was logged.
+	noted bool
 	// releases are the functions that free what the request holds at the server and its agent.
 	releases []func()
 }
@@ -149,6 +151,7 @@
 			return x.recordFailure(r.server, r.verdict)
 		}
 		if len(events) > 0 {
+			x.noteVersion(r)
 			x.recordEvent(time.Now())
 			if pass(events) != nil {
 				r.response.Abort()
