Entries tell each other at which software version streams began

When an entry is dead, nobody knew at which version its streams had begun. While one version serves nothing is told; what is open when a second one appears is told then. An entry that started asks others which versions served before, and says whether that list is complete.

--- a/internal/mesh/informed.go
+++ b/internal/mesh/informed.go
@@ -16,6 +16,17 @@
 // request that all others refuse.
 func (m *Mesh) Informed() bool { return m.informed.Load() }
 
+// isUninformed reports whether the next greetings ask for what other entries know from before the
+// start of this process.
+func (m *Mesh) isUninformed() bool {
+	if !m.Informed() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.streams.isComplete(time.Now())
+}
+
 // informedAtStart reports whether nobody can tell a process more than it knows.
 func (o *Options) informedAtStart() bool {
 	return o.Bootstrap || !o.Self.Entry || !slices.ContainsFunc(o.Seeds, func(seed string) bool { return seed != o.Self.Address })
@@ -23,6 +34,9 @@
 
 // takeStrikes merges the strikes of a peer's reply. The caller holds mu.
 func (q *peer) takeStrikes(reply *greetingReply, now time.Time) {
+	if q.mesh.Informed() {
+		return
+	}
 	q.asked = true
 	q.mesh.mergeStrikes(q, true, reply.Strikes, now)
 	if reply.Informed {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -120,6 +120,8 @@
 	heardVia map[string]via
 	// strikes records the requests that crashed servers; updates are sent to peers.
 	strikes *suspicion.Strikes
+	// streams knows at which software version streams began.
+	streams *streams
 	// demand counts the requests for models that this process received.
 	demand modelplan.Demand
 	// diskOnly holds the servers that are known only from the disk.
@@ -139,6 +141,7 @@
 		progress: make(chan struct{}), diskOnly: make(map[string]bool),
 	}
 	m.informed.Store(options.informedAtStart())
+	m.streams = newStreams(m)
 	m.prover.round = m.proveOnce
 	m.prover.interval = func(failingFor time.Duration) time.Duration {
 		return proofBackoff.Pause(failingFor, m.size(), rand.Float64())
@@ -149,6 +152,8 @@
 		m.configWriter = newConfigWriter(options.Folder, log)
 		m.loadServers(time.Now())
 		m.loadStrikes(time.Now())
+		m.streams.file = newStreamsFile(m.streams, options.Folder)
+		m.streams.file.load(time.Now())
 	}
 	return m
 }
@@ -172,6 +177,9 @@
 		methodSync: rpc.Typed(m.handleSync),
 		methodPull: rpc.Typed(m.handlePull),
 
+		methodTellStreams: rpc.Typed(m.handleTellStreams),
+		methodAskStream:   rpc.Typed(m.handleAskStream),
+
 		methodPermit: rpc.Typed(newPermits(m).handle),
 	}
 	if m.host != nil {
@@ -194,9 +202,11 @@
 		m.tasks.Go(func() { m.configWriter.run(ctx) })
 		m.tasks.Go(func() { m.serversCopy().run(ctx) })
 		m.tasks.Go(func() { m.strikesCopy().run(ctx) })
+		m.tasks.Go(func() { m.streams.file.run(ctx) })
 	} else {
 		m.tasks.Go(func() { m.follow(ctx) })
 	}
+	m.tasks.Go(func() { m.streams.run(ctx) })
 	m.tasks.Go(func() { m.watchPauses(ctx) })
 	m.expire(ctx)
 	m.tasks.Wait()
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/streamversion"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
 
@@ -19,6 +20,9 @@
 	// that includes every change acknowledged before the request.
 	methodStanding = "mesh.standing"
 	methodConfirm  = "mesh.confirm"
+	// methodTellStreams tells a process at which versions streams began, methodAskStream asks it.
+	methodTellStreams = "mesh.tellStreams"
+	methodAskStream   = "mesh.askStream"
 )
 
 // Process is the description of one process, as reported by itself.
@@ -70,7 +74,8 @@
 	// Doubts are new silences of servers under requests, their ends and trials, in a list of their own
 	// for the same reason.
 	Doubts []suspicion.Strike `json:"doubts,omitempty"`
-	// Uninformed is true when the sender has just started and asks for all strikes.
+	// Uninformed is true when the sender has just started and asks for all strikes and for the
+	// software versions that served.
 	Uninformed bool `json:"uninformed,omitempty"`
 	// Digest is the digest of the processes that the sender knows.
 	Digest uint64 `json:"digest"`
@@ -91,6 +96,10 @@
 	// Informed is true when none from before its own start can be missing.
 	Strikes  []suspicion.Strike `json:"strikes,omitempty"`
 	Informed bool               `json:"informed,omitempty"`
+	// Versions are the software versions that the peer heard of, if the sender asked for them;
+	// VersionsComplete is true when none can be missing.
+	Versions         []streamversion.SeenVersion `json:"versions,omitempty"`
+	VersionsComplete bool                        `json:"versionsComplete,omitempty"`
 }
 
 // pullRequest asks for the configuration if it is newer than the held one.
@@ -124,6 +133,25 @@
 	Newest uint64 `json:"newest"`
 }
 
+// streamRecords tells at which versions streams began.
+type streamRecords struct {
+	Records []streamversion.Record `json:"records"`
+}
+
+// streamRequest asks at which version a stream began.
+type streamRequest struct {
+	Stream streamversion.Stream `json:"stream"`
+}
+
+// streamReply holds the record, if the process has one, and the versions that it heard of; Complete
+// is true when none can be missing.
+type streamReply struct {
+	Found    bool                        `json:"found,omitempty"`
+	Record   streamversion.Record        `json:"record,omitzero"`
+	Versions []streamversion.SeenVersion `json:"versions,omitempty"`
+	Complete bool                        `json:"complete,omitempty"`
+}
+
 // standingRequest asks a member of the log for its standing.
 type standingRequest struct{}
 
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -162,7 +162,7 @@
 
 // greet sends the pending updates to the peer and processes its reply.
 func (q *peer) greet(ctx context.Context, sent pending, timeout time.Duration) error {
-	sent.From, sent.Digest, sent.Uninformed = q.mesh.Self(), q.mesh.knownDigest(), !q.mesh.Informed()
+	sent.From, sent.Digest, sent.Uninformed = q.mesh.Self(), q.mesh.knownDigest(), q.mesh.isUninformed()
 	if sent.relist {
 		sent.Digest = 0
 	}
@@ -192,6 +192,7 @@
 		q.mesh.updateIndirect(p, now)
 	}
 	if sent.Uninformed {
+		q.mesh.streams.mergeVersions(reply.Versions, reply.VersionsComplete, now)
 		q.takeStrikes(&reply, now)
 	}
 	q.mesh.notifyProgress()
@@ -307,6 +308,7 @@
 	if in.Uninformed {
 		reply.Informed = m.Informed()
 		reply.Strikes = m.allStrikes(now)
+		reply.Versions, reply.VersionsComplete = m.streams.seen.List(now), m.streams.isComplete(now)
 	}
 	if from != nil {
 		wasActive := from.active(now)
@@ -344,6 +346,7 @@
 	for _, s := range in.Servers {
 		isNew, material := m.roster.Apply(s, now)
 		if isNew {
+			m.streams.heardVersion(&s, now)
 			m.heardVia[s.ID] = path
 			delete(m.diskOnly, s.ID)
 		}
@@ -356,6 +359,7 @@
 			continue
 		}
 		if b.Sequence > before.Sequence {
+			m.streams.heardVersion(&before.Server, now)
 			m.heardVia[b.ID] = path
 			delete(m.diskOnly, b.ID)
 		}
@@ -392,7 +396,10 @@
 	}
 	now := time.Now()
 	m.mu.Lock()
-	_, material := m.roster.Apply(s, now)
+	newest, material := m.roster.Apply(s, now)
+	if newest {
+		m.streams.heardVersion(&s, now)
+	}
 	m.heardVia[s.ID] = viaDirect
 	delete(m.diskOnly, s.ID)
 	m.heard(s.ID, now)
--- a/internal/mesh/servers_file.go
+++ b/internal/mesh/servers_file.go
@@ -30,6 +30,7 @@
 	heardAt := now.Add(diskOnlyTimeout - silentRetention)
 	for _, s := range servers {
 		m.roster.Apply(s, heardAt)
+		m.streams.heardVersion(&s, now)
 		m.heardVia[s.ID] = viaDirect
 		m.diskOnly[s.ID] = true
 	}
--- /dev/null
+++ b/internal/mesh/streams_file.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/streamversion"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+const (
+	// streamsFileName is the file of streams and versions, one JSON object a line. It is not synced: it
+	// outlives the process, and after a power loss what is missing is unknown.
+	streamsFileName = "streams.jsonl"
+	// maxStreamsFile is the size at which the file is written anew, without what has expired.
+	maxStreamsFile = 1 << 20
+	// streamsFileQueue bounds the lines that wait for the disk; those beyond it are not written.
+	streamsFileQueue = 1024
+)
+
+var streamsUnwrittenCount = telemetry.Counter("mesh_streams_unwritten")
+
+// streamLine is one line of the file, written at a time of day: a stream, or the versions that were
+// heard of. The clock's error shortens or extends how long a stream is remembered.
+type streamLine struct {
+	AtMillis int64                       `json:"at"`
+	Stream   *streamversion.Record       `json:"stream,omitempty"`
+	Versions []streamversion.SeenVersion `json:"versions,omitempty"`
+}
+
+// streamsFile keeps streams and versions on the disk: when all entries restart at once, none is left
+// that could tell.
+type streamsFile struct {
+	streams *streams
+	path    string
+	lines   chan streamLine
+	// file and size are those of the open file; file is nil where it could not be opened.
+	file *os.File
+	size int
+}
+
+func newStreamsFile(s *streams, folder string) *streamsFile {
+	return &streamsFile{streams: s, path: filepath.Join(folder, streamsFileName), lines: make(chan streamLine, streamsFileQueue)}
+}
+
+// add queues a line. A nil file, of a process without a disk, keeps nothing.
+func (f *streamsFile) add(line streamLine) {
+	if f == nil {
+		return
+	}
+	line.AtMillis = time.Now().UnixMilli()
+	select {
+	case f.lines <- line:
+	default:
+		streamsUnwrittenCount.Add(1)
+	}
+}
+
+func (f *streamsFile) addStreams(records []streamversion.Record) {
+	for i := range records {
+		f.add(streamLine{Stream: &records[i]})
+	}
+}
+
+// run writes the queued lines until ctx ends.
+func (f *streamsFile) run(ctx context.Context) {
+	defer f.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case line := <-f.lines:
+			if err := f.write(f.encodeQueued(line)); err != nil {
+				f.close()
+				f.streams.mesh.log.Warn("failed to write a file to disk", zap.String("file", streamsFileName), telemetry.Cause(err))
+			}
+		}
+	}
+}
+
+func (f *streamsFile) close() {
+	if f.file != nil {
+		_ = f.file.Close()
+		f.file = nil
+	}
+}
+
+// encodeQueued encodes a line and those that wait behind it.
+func (f *streamsFile) encodeQueued(line streamLine) []byte {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	for {
+		_ = encoder.Encode(line)
+		select {
+		case line = <-f.lines:
+		default:
+			return out.Bytes()
+		}
+	}
+}
+
+// write appends to the file, or writes it anew when it has grown large.
+func (f *streamsFile) write(data []byte) error {
+	if f.file == nil || f.size+len(data) > maxStreamsFile {
+		// What is queued is known to the table already.
+		return f.rewrite()
+	}
+	n, err := f.file.Write(data)
+	f.size += n
+	return err
+}
+
+// rewrite replaces the file by what is known now.
+func (f *streamsFile) rewrite() error {
+	f.close()
+	s := f.streams
+	now := time.Now()
+	s.mesh.mu.Lock()
+	records, versions := s.table.All(now), s.seen.List(now)
+	s.mesh.mu.Unlock()
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	_ = encoder.Encode(streamLine{AtMillis: now.UnixMilli(), Versions: versions})
+	for i := range records {
+		_ = encoder.Encode(streamLine{AtMillis: now.UnixMilli(), Stream: &records[i]})
+	}
+	if err := os.WriteFile(f.path+".tmp", out.Bytes(), 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(f.path+".tmp", f.path); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(f.path, os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	f.file, f.size = file, out.Len()
+	return nil
+}
+
+// load restores what was known. The caller holds mesh.mu, or is the only one that knows the mesh.
+func (f *streamsFile) load(now time.Time) {
+	data, err := os.ReadFile(f.path)
+	if err != nil {
+		return
+	}
+	streams, versions, unread := 0, 0, 0
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	lines.Buffer(nil, maxStreamsFile)
+	for lines.Scan() {
+		var line streamLine
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			unread++
+			continue
+		}
+		if line.Stream != nil {
+			streams++
+			line.Stream.LeftMillis -= max(now.UnixMilli()-line.AtMillis, 0)
+			f.streams.table.Put(*line.Stream, false, now)
+		}
+		for i := range line.Versions {
+			// Servers of it may have been heard until the process ended.
+			line.Versions[i].AgeMillis = 0
+		}
+		versions += len(line.Versions)
+		f.streams.mergeVersions(line.Versions, true, now)
+	}
+	f.streams.mesh.log.Info("streams recalled from the disk", zap.Int("streams", streams), zap.Int("versions", versions), zap.Int("unread", unread))
+}
--- /dev/null
+++ b/internal/mesh/streams_test.go
@@ -0,0 +1,136 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/streamversion"
+)
+
+const streamService = "llm"
+
+// announceVersion announces a server of a version at one entry.
+func (f *fleet) announceVersion(i int, id, version string) {
+	f.t.Helper()
+	eventually(f.t, func() bool {
+		s := roster.Server{ID: id, Born: time.Now().UnixMilli(), Sequence: time.Now().UnixNano(), Service: streamService, Address: id + ":1", Version: version}
+		return f.nodes[i].Announce(context.Background(), s) == nil
+	})
+}
+
+// awaitVersions waits until all entries know a number of versions.
+func (f *fleet) awaitVersions(n int) {
+	f.t.Helper()
+	for _, node := range f.nodes {
+		eventually(f.t, func() bool { return node == nil || len(node.KnownVersions(streamService).Versions) == n })
+	}
+}
+
+func (f *fleet) recordStream(i int, attempt, version string) {
+	f.nodes[i].RecordStream(context.Background(), streamversion.Record{Stream: streamversion.Of(attempt), Service: streamService, Version: version, LeftMillis: 60_000})
+}
+
+// awaitVersionOf waits until an entry says at which version a stream began.
+func (f *fleet) awaitVersionOf(i int, attempt, version string) {
+	f.t.Helper()
+	eventually(f.t, func() bool {
+		q := f.nodes[i].StreamVersion(context.Background(), attempt, streamService)
+		if q.Found && q.Record.Version != version {
+			f.t.Fatalf("entry %d says that stream %s began at %q, want %q", i, attempt, q.Record.Version, version)
+		}
+		return q.Found
+	})
+}
+
+// Guards against streams of which nobody knows the version once the entry that began them, and another one, is dead.
+func TestStreamVersionOutlivesItsEntry(t *testing.T) {
+	f := startFleet(t, 2, 3)
+	f.announceVersion(0, "a", "v1")
+	f.announceVersion(1, "b", "v2")
+	f.awaitVersions(2)
+	eventually(t, func() bool { return len(f.nodes[4].streams.nodes()) == 4 })
+	for i := range 20 {
+		f.recordStream(4, fmt.Sprint("s", i), "v1")
+	}
+	f.stop(4)
+	f.stop(3)
+	for i := range 20 {
+		f.awaitVersionOf(i%3, fmt.Sprint("s", i), "v1")
+	}
+	if q := f.nodes[0].StreamVersion(context.Background(), "never", streamService); q.Found || len(q.Versions) != 2 {
+		t.Errorf("of a made-up stream %+v is known", q)
+	}
+}
+
+// Guards against streams that were open when a second version appeared, and of which nobody was told before.
+func TestOpenStreamsAreToldWhenSecondVersionAppears(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	f.announceVersion(0, "a", "v1")
+	f.awaitVersions(1)
+	eventually(t, func() bool { return len(f.nodes[2].streams.nodes()) == 2 })
+	f.recordStream(2, "s", "v1")
+	if q := f.nodes[1].knownOfStream(streamversion.Of("s"), streamService); q.Found {
+		t.Error("another entry was told while one version serves")
+	}
+	f.announceVersion(0, "b", "v2")
+	eventually(t, func() bool {
+		q := f.nodes[1].knownOfStream(streamversion.Of("s"), streamService)
+		return q.Found && q.Record.Version == "v1"
+	})
+}
+
+// Guards against streams, and versions, that nobody knows once all entries have restarted at the same time.
+func TestStreamVersionsOutliveRestartOfAll(t *testing.T) {
+	f := startFleet(t, 2, 1)
+	f.announceVersion(0, "a", "v1")
+	f.announceVersion(0, "b", "v2")
+	f.awaitVersions(2)
+	eventually(t, func() bool { return len(f.nodes[2].streams.nodes()) == 2 })
+	f.recordStream(2, "s", "v1")
+	for _, folder := range f.folders[:2] {
+		eventually(t, func() bool {
+			data, _ := os.ReadFile(filepath.Join(folder, streamsFileName))
+			return len(data) > 0
+		})
+	}
+	for i := range f.nodes {
+		f.stop(i)
+	}
+	for i := range f.nodes {
+		f.start(i, false)
+	}
+	f.awaitVersions(2)
+	f.awaitVersionOf(2, "s", "v1")
+	eventually(t, func() bool { return f.nodes[2].KnownVersions(streamService).Complete })
+}
+
+// Guards against an entry that has just started and takes the versions that it has heard of for all.
+func TestStartedEntryLearnsEarlierVersions(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.start(0, true)
+	f.start(1, true)
+	f.announceVersion(0, "a", "v1")
+	// The server restarts as another version under its ID.
+	f.announceVersion(0, "a", "v2")
+	eventually(t, func() bool { return len(f.nodes[1].KnownVersions(streamService).Versions) > 0 })
+	f.start(2, false)
+	eventually(t, func() bool { return f.nodes[2].KnownVersions(streamService).Complete })
+	if got := f.nodes[2].KnownVersions(streamService).Versions; len(got) != 2 {
+		t.Errorf("the started entry knows the versions %v, want v1 and v2", got)
+	}
+}
+
+// Guards against an entry that was told by nobody and takes the versions that it has heard of for all.
+func TestLoneStartedEntryKnowsNoEarlierVersions(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	f.start(1, false)
+	f.announceVersion(1, "a", "v1")
+	if q := f.nodes[1].KnownVersions(streamService); q.Complete {
+		t.Errorf("the versions %v count as all that served before the start", q.Versions)
+	}
+}
