A stream goes on only at the software version that began it

Cause: where a stream goes on was chosen as for a new request, by load, adapter and distance alone, both within one answer and for a caller's next try at any entry; a version was a field that nobody read. Class: a choice that is made again without what the first one bound.

Change: an exchange is bound to the version of the server that gave the first event. Within one answer and for a caller's try, servers of other versions are no candidates. A try asks who knows the stream; what nobody knows goes on only where no second version can have served, and is refused at once otherwise, with 503. A server that restarted under its id may be another version by now: a plain one goes on with a stream only once it was heard since the break, an engine only where its agent's report names the same start. A header that names no attempt, several or an unknown one, and a server that tells no version among others, count as unknown. A version of another type or of more than 128 bytes names no server.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -73,6 +73,9 @@
 	Silent bool
 	// Model reports whether the server holds the request's base model.
 	Model bool
+	// Excluded servers must not get the request: a stream that goes on must not go to a
+	// server of another software version.
+	Excluded bool
 	// WarmUp is how much longer the server stays slow after its start.
 	WarmUp time.Duration
 }
@@ -189,7 +192,7 @@
 			c := &candidates[i]
 			// The second pass includes servers in backoff and silent ones: they are
 			// better than no server.
-			if !c.Model || (c.InBackoff || c.Silent) && pass == 0 {
+			if c.Excluded || !c.Model || (c.InBackoff || c.Silent) && pass == 0 {
 				continue
 			}
 			cost := Cost(c, &r, homes[c.ID]) + failureCost*max(c.FailureShare-shared, 0) + jitterCost*draw()
@@ -232,7 +235,7 @@
 	}
 	first := make([]home, 0, copyRanks+1)
 	for i := range candidates {
-		if !candidates[i].Model {
+		if candidates[i].Excluded || !candidates[i].Model {
 			continue
 		}
 		h := home{id: candidates[i].ID, weight: rendezvous.Weight(adapter, candidates[i].ID)}
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -251,6 +251,14 @@
 	return a.state.Known && a.receivedAt.After(at)
 }
 
+// runs reports whether the agent's engine is the incarnation with a start time, as far as its reports
+// tell one.
+func (a *agentClient) runs(born int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Born == 0 || a.state.Born == born
+}
+
 // describe sets what the agent's last report and the starts requested since then say of the engine
 // for a request. It returns false when there is no report.
 func (a *agentClient) describe(c *dispatch.Candidate, r *dispatch.Request, model string, now time.Time) bool {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -10,7 +10,7 @@
 )
 
 func (x *exchange) choose() (*server, pick) {
-	return x.servers.choose(context.Background(), x.service, x.query(), x.call.Model)
+	return x.servers.choose(context.Background(), x.service, x.query(), x.call.Model, &x.lineage)
 }
 
 // query describes the request to the choice of a server.
@@ -58,6 +58,10 @@
 	case !reply.Start:
 		x.lastReason = "the engine's agent refused the start: " + reply.Reason
 		return false, false
+	case x.lineage.bound && !v.agent.runs(v.entry.Born):
+		v.agent.notifyDone(x.call.ID, x.starts)
+		x.lastReason = "the engine has restarted"
+		return false, false
 	}
 	return true, true
 }
--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -33,6 +33,6 @@
 	service := &route.Service{Name: "llm", Engine: &route.Engine{}}
 	b.ReportAllocs()
 	for b.Loop() {
-		s.choose(b.Context(), service, dispatch.Request{Adapter: "base/a7", DataCentre: "d", Target: 800 * time.Millisecond}, "base")
+		s.choose(b.Context(), service, dispatch.Request{Adapter: "base/a7", DataCentre: "d", Target: 800 * time.Millisecond}, "base", &lineage{})
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,6 +20,7 @@
 	ctx      context.Context
 	call     Call
 	route    *route.Route
+	table    *route.Table
 	service  *route.Service
 	arrived  time.Time
 	deadline time.Time
@@ -59,9 +60,8 @@
 	// nil while there is none.
 	awaited *server
 	sentAt  time.Time
-	// began is the software version of the server that gave the caller the first event of this answer;
-	// empty before it.
-	began string
+	// lineage binds a stream to the software version at which it began.
+	lineage lineage
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// status is the status that was sent to the caller, 0 before its header was sent;
@@ -131,6 +131,8 @@
 		return x.refuse(&x.call, "this entry stops", 0), true
 	case x.refusedForCrashes():
 		return x.giveUp(), true
+	case !x.findLineage():
+		return x.giveUp(), true
 	}
 	return answer.Answer{}, false
 }
@@ -222,7 +224,7 @@
 // tryServer offers the request to one server. If it returns no reply, the step says whether
 // another server may be tried.
 func (x *exchange) tryServer() (*reply, step) {
-	v, picked := x.choose()
+	v, picked := x.awaitConfirmed()
 	if v == nil && x.runs == 0 {
 		chosen := func() bool {
 			v, picked = x.choose()
@@ -232,7 +234,7 @@
 	}
 	x.picked = picked
 	if v == nil {
-		x.lastReason, x.retryDelay = "no backend server of the service is there", x.serversRetryAfter()
+		x.lastReason, x.retryDelay = x.noServerReason()
 		return nil, stepFail
 	}
 	query := x.query()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,9 +49,10 @@
 	OutputTokens int
 	// MaxWait is how long the caller waits; 0 when it did not say.
 	MaxWait time.Duration
-	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this
-	// attempt takes up, ResumeAfter the ID of the last event that the caller has. Both are empty for
-	// a new request.
+	// TakesUp is set where the caller has events of the stream from an earlier attempt. Resumes is the ID
+	// of the attempt that brought the first of them, empty where the caller names none or several, and
+	// ResumeAfter the ID of the last event that it has.
+	TakesUp     bool
 	Resumes     string
 	ResumeAfter string
 	// Method, URI, Host and Header are forwarded.
@@ -226,7 +227,7 @@
 		deadline = arrived.Add(call.MaxWait)
 	}
 	x := &exchange{
-		Gateway: g, ctx: r.Context(), call: call, route: found, arrived: arrived, deadline: deadline,
+		Gateway: g, ctx: r.Context(), call: call, route: found, table: table, arrived: arrived, deadline: deadline,
 		service: table.Service(found.Pick(rand.Float64())), version: table.Version(), tried: make(map[string]bool),
 	}
 	return x.run()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,8 +44,10 @@
 	// for a stream that begins here, and once an event has shown that the reply continues the
 	// stream.
 	resumeAfter string
-	// noted is set once the software version of the server was logged.
-	noted bool
+	// checked is set once the software version of the server was checked, at the directory's change
+	// rosterChange.
+	checked      bool
+	rosterChange uint64
 	// releases are the functions that free what the request holds at the server and its agent.
 	releases []func()
 }
@@ -150,8 +152,12 @@
 			x.lastReason = "the backend server that was to go on with the stream began it anew"
 			return x.recordFailure(r.server, r.verdict)
 		}
+		if len(events) > 0 && !x.checkVersion(r) {
+			r.response.Abort()
+			x.lastReason = "the backend server that was to go on with the stream has restarted"
+			return x.recordFailure(r.server, r.verdict)
+		}
 		if len(events) > 0 {
-			x.noteVersion(r)
 			x.recordEvent(time.Now())
 			if pass(events) != nil {
 				r.response.Abort()
@@ -178,6 +184,9 @@
 		x.lastReason = "the stream's events have no ids to go on behind"
 		return nil
 	}
+	if !x.rebind() {
+		return nil
+	}
 	for r := x.nextReply(); r != nil; r = x.nextReply() {
 		if x.continuesStream(r) {
 			resumedCount.Add(1)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -123,16 +123,20 @@
 }
 
 // choose selects a server for a request; it returns nil when there is none.
-func (s *servers) choose(ctx context.Context, service *route.Service, r dispatch.Request, model string) (*server, pick) {
+func (s *servers) choose(ctx context.Context, service *route.Service, r dispatch.Request, model string, l *lineage) (*server, pick) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(ctx)
 	known := s.byService[service.Name]
 	candidates := s.candidates[:0]
+	l.unconfirmed = false
 	for _, v := range known {
+		may, unconfirmed := s.mayServeStream(v, l)
+		l.unconfirmed = l.unconfirmed || unconfirmed
 		c := s.candidate(v, service, &r, model, now)
 		c.Connected = s.pool.Idle(targetOf(v)) > 0
+		c.Excluded = !may
 		candidates = append(candidates, c)
 	}
 	s.candidates = candidates
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -68,7 +68,7 @@
 				engines["first"].agent.recordWatch(err, failedAt)
 			}
 			engines["first"].answeredAt = test.answered
-			got, _ := s.choose(t.Context(), &route.Service{Name: "llm", Engine: &route.Engine{}}, dispatch.Request{DataCentre: "d", Target: 800 * time.Millisecond}, "base")
+			got, _ := s.choose(t.Context(), &route.Service{Name: "llm", Engine: &route.Engine{}}, dispatch.Request{DataCentre: "d", Target: 800 * time.Millisecond}, "base", &lineage{})
 			if got == nil || got.entry.ID != test.want {
 				t.Errorf("chose %+v, want %s", got, test.want)
 			}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -132,7 +132,7 @@
 	now := time.Now()
 	held, stale := l.table.Held(now)
 	state := wire.EngineState{
-		Known: l.known && l.service != nil, Leaving: l.report.Leaving,
+		Known: l.known && l.service != nil, Born: l.report.Born, Leaving: l.report.Leaving,
 		Running: l.table.Running(), Waiting: l.table.Waiting(), Tokens: l.table.Tokens(),
 		DelayMillis: delays(l.table.Delay(now)), PromptMillis: l.table.PromptCost().Round(delayStep / 4).Milliseconds(),
 		PlaceMillis: l.table.PlaceTime().Round(delayStep / 4).Milliseconds(), SlotMillis: l.table.SlotDelay().Round(delayStep).Milliseconds(),
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -85,6 +85,9 @@
 	Change uint64 `json:"change"`
 	// Known is false until the engine has sent a report.
 	Known bool `json:"known"`
+	// Born is the start time of the engine's incarnation, in Unix milliseconds of its own
+	// clock; 0 if its reports tell none.
+	Born int64 `json:"born,omitempty"`
 	// Leaving is true if the engine accepts no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	Running int  `json:"running"`
