A taken-up stream waits shortly for processes that are starting and may know it

A holder that does not answer is now asked again every 250 ms for at most 2 s, within the time that the caller waits; where all have answered that they do not know, the stream is still refused at once. A stream that began at another service of its route's split goes on there also when that is learned late.

--- a/coord/streamversion/decide.go
+++ b/coord/streamversion/decide.go
@@ -11,6 +11,8 @@
 	// other can have served within Retention.
 	Versions []string
 	Complete bool
+	// Unreached is set where a process that may hold the record could not be asked.
+	Unreached bool
 }
 
 // Verdict says where a stream may go on.
@@ -41,8 +43,15 @@
 	ReasonUncertain    = "servers of several versions may have sent the stream's events"
 	ReasonUnknown      = "nobody knows at which version the stream began, and several serve"
 	ReasonIncomplete   = "nobody knows at which version the stream began, and not all versions that served are known here"
+	ReasonUnreached    = "those that may know at which version the stream began cannot be asked"
 )
 
+// MayChange reports whether the same question may soon be decided otherwise: processes that are starting
+// will answer, or will have been told what they do not know.
+func (d Decision) MayChange() bool {
+	return d.Reason == ReasonIncomplete || d.Reason == ReasonUnreached
+}
+
 // Decide decides where a stream may go on.
 func Decide(q Question) Decision {
 	switch {
@@ -54,6 +63,8 @@
 		return Decision{Verdict: AnyServer}
 	case q.Found:
 		return Decision{Reason: ReasonUncertain}
+	case q.Unreached:
+		return Decision{Reason: ReasonUnreached}
 	case len(q.Versions) > 1:
 		return Decision{Reason: ReasonUnknown}
 	default:
--- a/coord/streamversion/streamversion_test.go
+++ b/coord/streamversion/streamversion_test.go
@@ -35,6 +35,8 @@
 		{"unknown, one version", Question{Service: "llm", Versions: []string{"v1"}, Complete: true}, Decision{Verdict: AnyServer}},
 		{"unknown, one version, others may be missing", Question{Service: "llm", Versions: []string{"v1"}}, Decision{Reason: ReasonIncomplete}},
 		{"unknown, no server tells a version", Question{Service: "llm", Versions: []string{""}}, Decision{Verdict: AnyServer}},
+		{"unknown, holders do not answer", Question{Service: "llm", Versions: []string{"v1", "v2"}, Complete: true, Unreached: true}, Decision{Reason: ReasonUnreached}},
+		{"unknown, one version, holders do not answer", Question{Service: "llm", Versions: []string{"v1"}, Complete: true, Unreached: true}, Decision{Verdict: AnyServer}},
 		{"unknown, nothing heard yet", Question{Service: "llm"}, Decision{Reason: ReasonIncomplete}},
 	} {
 		if got := Decide(test.q); got != test.want {
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -32,8 +32,12 @@
 
 var versionRefusedCount = telemetry.Counter("gateway_refused_version")
 
-// maxNewcomerWait limits the wait at an entry that does not know yet which versions served.
-const maxNewcomerWait = 2 * time.Second
+const (
+	// maxLineageWait limits the wait for processes that are starting and may know the stream's version,
+	// lineageRecheck is the interval at which they are asked again.
+	maxLineageWait = 2 * time.Second
+	lineageRecheck = 250 * time.Millisecond
+)
 
 // findLineage finds out at which version a stream that the caller takes up began. It reports false
 // where the stream must not go on.
@@ -48,18 +52,9 @@
 	}
 	x.lineage.stream = streamversion.Of(x.call.Resumes)
 	started := time.Now()
-	known := x.mesh.StreamVersion(x.ctx, x.call.Resumes, x.service.Name)
-	if known.Found && known.Record.Service != x.service.Name && x.leadsTo(known.Record.Service) {
-		x.service = x.table.Service(known.Record.Service)
-		known.Service = x.service.Name
-	}
-	decided := streamversion.Decide(known)
-	for decided.Reason == streamversion.ReasonIncomplete && time.Since(started) < min(maxNewcomerWait, time.Until(x.startDeadline())) {
-		if wait.For(x.ctx, recheckInterval) != nil {
-			break
-		}
-		known = x.mesh.StreamVersion(x.ctx, x.call.Resumes, x.service.Name)
-		decided = streamversion.Decide(known)
+	known, decided := x.askLineage()
+	for decided.MayChange() && time.Since(started)+lineageRecheck < min(maxLineageWait, time.Until(x.startDeadline())) && wait.For(x.ctx, lineageRecheck) == nil {
+		known, decided = x.askLineage()
 	}
 	x.log.Info("stream taken up", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("after", x.call.ResumeAfter), zap.String("service", x.service.Name),
 		zap.Bool("found", known.Found), zap.String("began", known.Record.Version), zap.Strings("versions", known.Versions), zap.Bool("complete", known.Complete),
@@ -67,6 +62,16 @@
 	return x.bind(decided)
 }
 
+// askLineage asks once at which version the stream began. Where the route leads to the service at which it
+// began, that service goes on with it.
+func (x *exchange) askLineage() (streamversion.Question, streamversion.Decision) {
+	known := x.mesh.StreamVersion(x.ctx, x.call.Resumes, x.service.Name)
+	if began := known.Record.Service; known.Found && began != x.service.Name && x.leadsTo(began) {
+		x.service, known.Service = x.table.Service(began), began
+	}
+	return known, streamversion.Decide(known)
+}
+
 // leadsTo reports whether the route leads to a service.
 func (x *exchange) leadsTo(service string) bool {
 	for _, share := range x.route.Split {
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -222,13 +222,14 @@
 	if q.Found || q.Complete && len(q.Versions) <= 1 {
 		return q
 	}
-	if record, ok := m.streams.ask(ctx, stream); ok {
-		q.Found, q.Record = true, record
-		return q
+	unreached := stream != 0 && m.streams.ask(ctx, stream)
+	// Those that were asked also told of the versions that they heard of.
+	q = m.knownOfStream(stream, service)
+	if !q.Found {
+		q.Unreached = unreached
+		streamsUnknownCount.Add(1)
 	}
-	streamsUnknownCount.Add(1)
-	// Those that were asked told of the versions that they heard of.
-	return m.knownOfStream(stream, service)
+	return q
 }
 
 // KnownVersions returns which versions of a service served, as far as this process knows.
@@ -247,23 +248,28 @@
 	return q
 }
 
-// ask asks the holders of a stream for its record, and keeps it: the caller may come again.
-func (s *streams) ask(ctx context.Context, stream streamversion.Stream) (streamversion.Record, bool) {
+// ask asks the holders of a stream for its record, and keeps it: the caller may come again. It reports
+// whether one of them did not answer before the record was found.
+func (s *streams) ask(ctx context.Context, stream streamversion.Stream) (unreached bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	holders := streamversion.Asked(stream, s.nodes())
-	replies := make(chan streamReply, len(holders))
+	replies := make(chan *streamReply, len(holders))
 	for _, holder := range holders {
 		go func() {
-			var reply streamReply
-			if err := s.mesh.call(ctx, holder.Address, methodAskStream, streamRequest{Stream: stream}, &reply); err != nil {
-				reply = streamReply{}
+			reply := &streamReply{}
+			if err := s.mesh.call(ctx, holder.Address, methodAskStream, streamRequest{Stream: stream}, reply); err != nil {
+				reply = nil
 			}
 			replies <- reply
 		}()
 	}
 	for range holders {
 		reply := <-replies
+		if reply == nil {
+			unreached = true
+			continue
+		}
 		now := time.Now()
 		s.mesh.mu.Lock()
 		s.mergeVersions(reply.Versions, reply.Complete, now)
@@ -272,10 +278,10 @@
 		}
 		s.mesh.mu.Unlock()
 		if reply.Found {
-			return reply.Record, true
+			return unreached
 		}
 	}
-	return streamversion.Record{}, false
+	return unreached
 }
 
 func (m *Mesh) handleTellStreams(_ context.Context, in streamRecords) (struct{}, error) {
