--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -126,27 +126,32 @@
 // they may come from another version than the events before them.
 func (x *exchange) checkVersion(r *reply) bool {
 	change := x.mesh.RosterChange()
-	if r.checked && r.rosterChange == change {
+	if !r.checked {
+		r.checked, r.rosterChange = true, change
+		return x.checkFirstEvents(r)
+	}
+	if r.rosterChange == change {
 		return true
 	}
-	begins := x.eventAt.IsZero()
+	r.rosterChange = change
+	if x.lineage.began != "" && !x.sameIncarnation(r.server) {
+		// The incarnation that was chosen is gone, and something goes on to answer at its address.
+		x.recordBegin(r, false)
+	}
+	return true
+}
+
+// checkFirstEvents judges the first events of a reply.
+func (x *exchange) checkFirstEvents(r *reply) bool {
 	same := x.sameIncarnation(r.server)
-	firstOfReply := !r.checked
-	r.checked, r.rosterChange = true, change
-	switch {
-	case !begins && firstOfReply || x.lineage.goesOn && firstOfReply:
-		if !same && x.lineage.bound {
-			return false
-		}
+	if x.lineage.goesOn && x.lineage.bound && !same {
+		return false
+	}
+	if x.lineage.goesOn {
 		x.noteContinuation(r)
-		if begins {
-			x.recordBegin(r, same)
-		}
-	case firstOfReply:
+	}
+	if x.eventAt.IsZero() {
 		x.recordBegin(r, same)
-	case !same && x.lineage.began != "":
-		// The incarnation that was chosen is gone, and something goes on to answer at its address.
-		x.recordBegin(r, false)
 	}
 	return true
 }
