Versions on the disk are synced; refused writes pause; made-up services are forgotten

After a power loss of all machines a version whose line had not reached the disk would have passed for one that never served, and the streams of it that nobody knows for streams of the only version. Lines of versions, which are few, and the file's name are synced now; those of streams are not. While a disk refuses writes, each stream made the whole file be tried anew: nothing is written for a second now.

--- a/coord/streamversion/seen.go
+++ b/coord/streamversion/seen.go
@@ -34,6 +34,7 @@
 func (s *Seen) Heard(service, version string, at time.Time) (several bool) {
 	versions := s.services[service]
 	if versions == nil {
+		s.sweep(at)
 		versions = make(map[string]time.Time)
 		s.services[service] = versions
 	}
@@ -50,6 +51,15 @@
 	return len(versions) > 1
 }
 
+// sweep removes the services of which nothing was heard for long.
+func (s *Seen) sweep(now time.Time) {
+	for service := range s.services {
+		if len(s.Of(service, now)) == 0 {
+			delete(s.services, service)
+		}
+	}
+}
+
 // expire removes the versions of a service that were not heard for long.
 func (s *Seen) expire(service string, now time.Time) {
 	versions := s.services[service]
--- a/coord/streamversion/streamversion_test.go
+++ b/coord/streamversion/streamversion_test.go
@@ -177,6 +177,12 @@
 	if !seen.Several("llm", start.Add(time.Second)) {
 		t.Error("several versions count as one")
 	}
+	for i := range 100 {
+		seen.Heard(fmt.Sprint("made-up", i), "v1", start.Add(time.Duration(i)*time.Second))
+	}
+	if got, limit := len(seen.services), int(Retention/time.Second)+1; got > limit {
+		t.Errorf("%d services are held, at most %d were heard within the retention", got, limit)
+	}
 }
 
 func nodes(n int) []Node {
--- a/internal/mesh/streams_file.go
+++ b/internal/mesh/streams_file.go
@@ -16,13 +16,16 @@
 )
 
 const (
-	// streamsFileName is the file of streams and versions, one JSON object a line. It is not synced: it
-	// outlives the process, and after a power loss what is missing is unknown.
+	// streamsFileName is the file of streams and versions, one JSON object a line. Versions are synced:
+	// after a power loss, one that is missing would pass for one that never served. Streams are not, as
+	// those that are missing are unknown.
 	streamsFileName = "streams.jsonl"
 	// maxStreamsFile is the size at which the file is written anew, without what has expired.
 	maxStreamsFile = 1 << 20
 	// streamsFileQueue bounds the lines that wait for the disk; those beyond it are not written.
 	streamsFileQueue = 1024
+	// streamsFileRetry is the pause after a failed write.
+	streamsFileRetry = time.Second
 )
 
 var streamsUnwrittenCount = telemetry.Counter("mesh_streams_unwritten")
@@ -41,13 +44,17 @@
 	streams *streams
 	path    string
 	lines   chan streamLine
-	// file and size are those of the open file; file is nil where it could not be opened.
-	file *os.File
-	size int
+	// file and size are those of the open file; file is nil until the first write and after a failed one,
+	// behind which nothing is written before retryAt.
+	file    *os.File
+	size    int
+	retryAt time.Time
+	// sync makes what was written durable.
+	sync func(*os.File) error
 }
 
 func newStreamsFile(s *streams, folder string) *streamsFile {
-	return &streamsFile{streams: s, path: filepath.Join(folder, streamsFileName), lines: make(chan streamLine, streamsFileQueue)}
+	return &streamsFile{streams: s, path: filepath.Join(folder, streamsFileName), lines: make(chan streamLine, streamsFileQueue), sync: (*os.File).Sync}
 }
 
 // add queues a line. A nil file, of a process without a disk, keeps nothing.
@@ -77,8 +84,14 @@
 		case <-ctx.Done():
 			return
 		case line := <-f.lines:
-			if err := f.write(f.encodeQueued(line)); err != nil {
+			data, durable := f.encodeQueued(line)
+			if time.Now().Before(f.retryAt) {
+				streamsUnwrittenCount.Add(1)
+				continue
+			}
+			if err := f.write(data, durable); err != nil {
 				f.close()
+				f.retryAt = time.Now().Add(streamsFileRetry)
 				f.streams.mesh.log.Warn("failed to write a file to disk", zap.String("file", streamsFileName), telemetry.Cause(err))
 			}
 		}
@@ -92,28 +105,32 @@
 	}
 }
 
-// encodeQueued encodes a line and those that wait behind it.
-func (f *streamsFile) encodeQueued(line streamLine) []byte {
+// encodeQueued encodes a line and those that wait behind it, and reports whether they must be durable.
+func (f *streamsFile) encodeQueued(line streamLine) (data []byte, durable bool) {
 	var out bytes.Buffer
 	encoder := json.NewEncoder(&out)
 	for {
 		_ = encoder.Encode(line)
+		durable = durable || len(line.Versions) > 0
 		select {
 		case line = <-f.lines:
 		default:
-			return out.Bytes()
+			return out.Bytes(), durable
 		}
 	}
 }
 
 // write appends to the file, or writes it anew when it has grown large.
-func (f *streamsFile) write(data []byte) error {
+func (f *streamsFile) write(data []byte, durable bool) error {
 	if f.file == nil || f.size+len(data) > maxStreamsFile {
 		// What is queued is known to the table already.
 		return f.rewrite()
 	}
 	n, err := f.file.Write(data)
 	f.size += n
+	if err == nil && durable {
+		err = f.sync(f.file)
+	}
 	return err
 }
 
@@ -131,18 +148,32 @@
 	for i := range records {
 		_ = encoder.Encode(streamLine{AtMillis: now.UnixMilli(), Stream: &records[i]})
 	}
-	if err := os.WriteFile(f.path+".tmp", out.Bytes(), 0o600); err != nil {
+	file, err := os.OpenFile(f.path+".tmp", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	// It is closed by the next failure or at the end.
+	f.file, f.size = file, out.Len()
+	if _, err := file.Write(out.Bytes()); err != nil {
+		return err
+	}
+	if err := f.sync(file); err != nil {
 		return err
 	}
 	if err := os.Rename(f.path+".tmp", f.path); err != nil {
 		return err
 	}
-	file, err := os.OpenFile(f.path, os.O_WRONLY|os.O_APPEND, 0o600)
+	return f.syncFolder()
+}
+
+// syncFolder makes the file's name durable.
+func (f *streamsFile) syncFolder() error {
+	folder, err := os.Open(filepath.Dir(f.path))
 	if err != nil {
 		return err
 	}
-	f.file, f.size = file, out.Len()
-	return nil
+	defer folder.Close()
+	return f.sync(folder)
 }
 
 // load restores what was known. The caller holds mesh.mu, or is the only one that knows the mesh.
--- a/internal/mesh/streams_test.go
+++ b/internal/mesh/streams_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/streamversion"
 )
@@ -134,3 +136,54 @@
 		t.Errorf("the versions %v count as all that served before the start", q.Versions)
 	}
 }
+
+// Guards against a version that is missing after a power loss and so passes for one that never served, and against a sync for each stream.
+func TestVersionsOnDiskAreSynced(t *testing.T) {
+	f := newStreamsFile(newStreams(New(Options{Bootstrap: true}, NewDocuments(decode, zap.NewNop()), zap.NewNop())), t.TempDir())
+	synced := 0
+	f.sync = func(*os.File) error {
+		synced++
+		return nil
+	}
+	for _, step := range []struct {
+		line streamLine
+		// syncs are those of this step: of the new file and its folder, or of the line.
+		syncs int
+	}{
+		{streamLine{Stream: &streamversion.Record{Stream: 1, LeftMillis: 1000}}, 2},
+		{streamLine{Stream: &streamversion.Record{Stream: 2, LeftMillis: 1000}}, 0},
+		{streamLine{Versions: []streamversion.SeenVersion{{Service: streamService, Version: "v2"}}}, 1},
+	} {
+		synced = 0
+		data, durable := f.encodeQueued(step.line)
+		if err := f.write(data, durable); err != nil {
+			t.Fatal(err)
+		}
+		if synced != step.syncs {
+			t.Errorf("%+v: synced %d times, want %d", step.line, synced, step.syncs)
+		}
+	}
+	f.close()
+}
+
+// Guards against a whole file that is tried anew for each stream while the disk refuses writes.
+func TestRefusedWritesAreNotRepeatedAtOnce(t *testing.T) {
+	f := newStreamsFile(newStreams(New(Options{Bootstrap: true}, NewDocuments(decode, zap.NewNop()), zap.NewNop())), filepath.Join(t.TempDir(), "missing"))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		f.run(ctx)
+		close(done)
+	}()
+	f.add(streamLine{Stream: &streamversion.Record{Stream: 1}})
+	before := streamsUnwrittenCount.Value()
+	eventually(t, func() bool {
+		f.add(streamLine{Stream: &streamversion.Record{Stream: 2}})
+		return streamsUnwrittenCount.Value() > before
+	})
+	cancel()
+	<-done
+	if f.retryAt.IsZero() || f.file != nil {
+		t.Errorf("retry at %v, file %v after a refused write", f.retryAt, f.file)
+	}
+}
