--- a/coord/streamversion/streamversion_test.go
+++ b/coord/streamversion/streamversion_test.go
@@ -108,12 +108,11 @@
 		table, now, puts := NewTable(size), start, []put{}
 		// naive merges all puts of a stream that were known when the next one came.
 		naive := func(stream Stream) (version string, until time.Time) {
-			at := start
 			for _, p := range puts {
 				if p.Stream != stream {
 					continue
 				}
-				at = p.until.Add(-p.Left())
+				at := p.until.Add(-p.Left())
 				if until.After(at) && version != p.Version {
 					version = ""
 				} else {
