Records of open streams are written once; a test waits for what it needs on the disk

While no other entry could be told, each new stream made all untold ones go to the disk again: 54 lines for 9 streams at a lone entry (TestUntoldStreamsAreWrittenOnce failed so before). They are written when the second version appears, each new one when it begins.

--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -71,6 +71,7 @@
 	}
 	s.mesh.log.Info("several software versions serve", zap.String("service", server.Service), zap.Strings("versions", s.seen.Of(server.Service, now)))
 	// Until now nobody needed to know of the streams that are open.
+	s.file.addStreams(s.table.Untold(now, func(service string) bool { return service == server.Service }))
 	s.wake()
 }
 
@@ -188,7 +189,6 @@
 	s.mesh.mu.Lock()
 	untold := s.table.Untold(now, func(service string) bool { return s.seen.Several(service, now) })
 	s.mesh.mu.Unlock()
-	s.file.addStreams(untold)
 	nodes := s.nodes()
 	byHolder := make(map[streamversion.Node][]streamversion.Record)
 	for _, r := range untold {
--- a/internal/mesh/streams_test.go
+++ b/internal/mesh/streams_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 	for _, folder := range f.folders[:2] {
 		eventually(t, func() bool {
 			data, _ := os.ReadFile(filepath.Join(folder, streamsFileName))
-			return len(data) > 0
+			return strings.Contains(string(data), "\"stream\":{")
 		})
 	}
 	for i := range f.nodes {
@@ -196,3 +197,27 @@
 	cancel()
 	<-done
 }
+
+// Guards against a disk that gets the records of all open streams again and again while no other entry can be told.
+func TestUntoldStreamsAreWrittenOnce(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	f.announceVersion(0, "a", "v1")
+	f.awaitVersions(1)
+	path := filepath.Join(f.folders[0], streamsFileName)
+	lines := func() int {
+		data, _ := os.ReadFile(path)
+		return strings.Count(string(data), "\"stream\":{")
+	}
+	f.recordStream(0, "before", "v1")
+	f.announceVersion(0, "b", "v2")
+	eventually(t, func() bool { return lines() == 1 })
+	const more = 8
+	for i := range more {
+		f.recordStream(0, fmt.Sprint("s", i), "v1")
+		time.Sleep(tellInterval)
+	}
+	eventually(t, func() bool { return lines() >= 1+more })
+	if got := lines(); got != 1+more {
+		t.Errorf("%d lines of streams for %d streams", got, 1+more)
+	}
+}
