Entries tell each other which versions served, not only what servers run now

An entry that was told of a server only after it had restarted as another version never heard of the version before, and called its list complete all the same: a started entry that asked it knew one version where two had served, and would have let a stream that nobody knows go on anywhere. Greetings now carry the versions when there are new ones.

--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -74,6 +74,9 @@
 	// Doubts are new silences of servers under requests, their ends and trials, in a list of their own
 	// for the same reason.
 	Doubts []suspicion.Strike `json:"doubts,omitempty"`
+	// Versions are the software versions that the sender heard of, if there are new ones: the servers
+	// above tell only what they run now.
+	Versions []streamversion.SeenVersion `json:"versions,omitempty"`
 	// Uninformed is true when the sender has just started and asks for all strikes and for the
 	// software versions that served.
 	Uninformed bool `json:"uninformed,omitempty"`
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -63,6 +63,8 @@
 	// other hubs send to the hubs that are there.
 	ackedStrikes uint64
 	knowsStrikes bool
+	// ackedVersions is the change of the software versions up to which the peer has received them.
+	ackedVersions uint64
 }
 
 // via is how a server was heard of. It decides which peers receive its heartbeat.
@@ -152,7 +154,7 @@
 	if !updates.empty() {
 		return updates, actionGreet
 	}
-	q.acked, q.ackedStrikes, q.knowsStrikes = updates.change, updates.strikeChange, true
+	q.acked, q.ackedStrikes, q.knowsStrikes, q.ackedVersions = updates.change, updates.strikeChange, true, updates.versionChange
 	// A spoke must greet its hub itself, to report that it depends on it.
 	if !q.linked || q.inSync && !m.spoke && now.Sub(q.lastGreeting) < syncInterval && !updates.relist {
 		return pending{}, actionSkip
@@ -180,6 +182,7 @@
 	if q.process.Started == sent.to {
 		q.acked = max(q.acked, sent.change)
 		q.ackedStrikes = max(q.ackedStrikes, sent.strikeChange)
+		q.ackedVersions = max(q.ackedVersions, sent.versionChange)
 		q.knowsStrikes = q.knowsStrikes || !sent.more
 	}
 	q.missing, q.cursor = reply.Missing, reply.Cursor
@@ -230,9 +233,10 @@
 type pending struct {
 	greeting
 	// to is the incarnation of the peer.
-	to           int64
-	change       uint64
-	strikeChange uint64
+	to            int64
+	change        uint64
+	strikeChange  uint64
+	versionChange uint64
 	// relist is true when the peer is asked for all processes that it knows.
 	relist bool
 	// more is true when not all updates fit into the greeting.
@@ -240,7 +244,7 @@
 }
 
 func (p *pending) empty() bool {
-	return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers)+len(p.Doubts) == 0
+	return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers)+len(p.Doubts)+len(p.Versions) == 0
 }
 
 // pendingUpdates lists what the peer has not acknowledged: servers with material changes
@@ -267,6 +271,9 @@
 		p.change = m.roster.Change()
 	}
 	q.addStrikes(&p, now)
+	if p.versionChange = m.streams.seen.Change(); p.versionChange != q.ackedVersions {
+		p.Versions = m.streams.seen.List(now)
+	}
 	for _, id := range q.missing {
 		if e, ok := m.roster.Get(id); ok {
 			p.Servers = append(p.Servers, e.Server)
@@ -275,10 +282,10 @@
 	return p
 }
 
-// resendAll makes the next greetings carry all servers and strikes: the peer has missed
+// resendAll makes the next greetings carry all servers, strikes and versions: the peer has missed
 // updates, or has forgotten them over a restart. The caller holds mu.
 func (q *peer) resendAll() {
-	q.acked, q.ackedStrikes, q.knowsStrikes = 0, 0, false
+	q.acked, q.ackedStrikes, q.knowsStrikes, q.ackedVersions = 0, 0, false, 0
 }
 
 // wake makes the peer's task check immediately for updates.
@@ -304,6 +311,7 @@
 	m.mu.Lock()
 	from := m.peers[in.From.Address]
 	reply := greetingReply{Missing: m.mergeServers(from, in, now)}
+	m.streams.mergeVersions(in.Versions, false, now)
 	m.mergeStrikes(from, !in.Spoke, slices.Concat(in.Strikes, in.Answers, in.Doubts), now)
 	if in.Uninformed {
 		reply.Informed = m.Informed()
