--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,9 @@
 	// tokens.
 	PromptTokens int
 	OutputTokens int
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, in their order;
+	// the last part of a prompt is its own.
+	SharedParts []string
 	// MaxWait is how long the caller waits; 0 when it did not say.
 	MaxWait time.Duration
 	// TakesUp is set where the caller has events of the stream from an earlier attempt. Resumes is the ID
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -137,7 +137,7 @@
 // logBroken logs a call or an answer that broke off, with what tells the request from others.
 func (x *exchange) logBroken(msg string, v *server, err error) {
 	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", v.entry.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.String("method", x.call.Method),
-		zap.String("path", x.call.URI), zap.String("caller", x.call.Caller), zap.Int("body", len(x.call.Body)), zap.String("lastEvent", x.lastEvent), telemetry.Cause(err))
+		zap.String("path", x.call.URI), zap.String("caller", x.call.Caller), zap.Int("body", len(x.call.Body)), zap.Strings("parts", x.call.SharedParts), zap.String("lastEvent", x.lastEvent), telemetry.Cause(err))
 }
 
 // recordFailure records a failure of a server that may have run the request. A caller that
