A part of prompts that ends servers is found, and requests that hold it are refused

Cause: a request was known again only as a whole, and no two of these are alike. Class: evidence is kept under a key that is narrower than its cause.

Each end of a server counts against the parts of the prompts that it had just begun to answer, at whichever entries; a run that gives output for longer than 0.5 s, or a whole answer, proves its parts sound. Four ends since then convict, unless one request brought the part each time, another part explains the ends, or the part is popular and its servers ended together. A refused part is tried again after 8, 32 and 128 s; two that cannot be told apart are tried apart at once. Same table, messages and disk file as for requests: bounded by 4,096 records.

Tests changed for new signatures only: BeginTrial, Judge and connBroken take requests and calls in place of their parts.

--- a/coord/suspicion/silence.go
+++ b/coord/suspicion/silence.go
@@ -46,7 +46,9 @@
 	if len(q.recent) >= answersKept || now.Sub(q.recentFrom) >= answerLifetime/2 {
 		q.earlier, q.recent, q.recentFrom = q.recent, make(map[uint64]time.Time), now
 	}
-	q.recent[fingerprint] = now
+	if now.After(q.recent[fingerprint]) {
+		q.recent[fingerprint] = now
+	}
 }
 
 // AnsweredAfter returns the answer that a request got after the given time.
@@ -121,7 +123,7 @@
 	return true
 }
 
-// Judge returns what may be done with a request: RunAlone stands for a trial, and the time is how long
+// Judge returns what may be done with a request as a whole: RunAlone stands for a trial, and the time is how long
 // to wait where the verdict is Wait. Doubts count
 // once they are older than grace, the time in which a server that lives is heard.
 func (s *Strikes) Judge(fingerprint uint64, grace time.Duration, now time.Time) (Verdict, time.Duration) {
@@ -149,7 +151,7 @@
 // alone.
 func (s *Strikes) doubted(r *strikeRecord, grace time.Duration, now time.Time) bool {
 	doubts := s.doubts(r, grace, now)
-	return doubts > 0 && len(r.strikes)+doubts >= r.limit() && !s.explained(r, (*strikeRecord).withSilent)
+	return doubts > 0 && !r.isPopular() && len(r.strikes)+doubts >= r.limit() && !s.explained(r, (*strikeRecord).withSilent)
 }
 
 // doubts counts the servers that fell silent as a request began to run on them. One that was silent
@@ -164,12 +166,10 @@
 	return n
 }
 
-// BeginTrial returns the trial of a request that an entry may begin, to be told to all entries.
-func (s *Strikes) BeginTrial(fingerprint uint64, entry string, grace time.Duration, now time.Time) (Strike, bool) {
-	if verdict, _ := s.Judge(fingerprint, grace, now); verdict != RunAlone {
-		return Strike{}, false
-	}
-	return Strike{Fingerprint: fingerprint, Trial: s.records[fingerprint].trial.Trial + 1, Server: entry}, true
+// nextTrial returns the next trial of a request or part, to be told to all entries.
+func (s *Strikes) nextTrial(fingerprint uint64, entry string) Strike {
+	r := s.records[fingerprint]
+	return Strike{Fingerprint: fingerprint, Part: r.part, Trial: r.trial.Trial + 1, Server: entry}
 }
 
 // HasTrial reports whether an entry has the last trial of a request.
--- a/coord/suspicion/silence_test.go
+++ b/coord/suspicion/silence_test.go
@@ -35,12 +35,12 @@
 	now = now.Add(testGrace)
 	judge(RunAlone, 0, 0)
 	for pause, server := firstTrialPause, 0; pause <= 4*firstTrialPause; pause *= 2 {
-		trial, ok := s.BeginTrial(1, "e1", testGrace, now)
-		if !ok || !s.Add(trial, now) {
+		trials := s.BeginTrials(Request{Fingerprint: 1}, "e1", testGrace, now)
+		if len(trials) != 1 || !s.Add(trials[0], now) {
 			t.Fatal("no trial begins")
 		}
 		judge(Wait, pause, pause)
-		if _, again := s.BeginTrial(1, "e1", testGrace, now); again {
+		if again := s.BeginTrials(Request{Fingerprint: 1}, "e1", testGrace, now); len(again) > 0 {
 			t.Error("two trials begin at once")
 		}
 		addSilent(s, 1, now, now, fmt.Sprint("trial", server))
@@ -121,7 +121,7 @@
 	told, other := NewStrikes(), NewStrikes()
 	addSilent(told, 1, silenceStart, silenceStart, "a", "b", "c")
 	now := silenceStart.Add(testGrace)
-	trial, _ := told.BeginTrial(1, "e1", testGrace, now)
+	trial := told.BeginTrials(Request{Fingerprint: 1}, "e1", testGrace, now)[0]
 	told.Add(trial, now)
 	told.Add(Strike{Server: "x", Heard: true}, now)
 	all, _ := told.Since(0, 100, now)
@@ -144,8 +144,8 @@
 	for _, s := range []*Strikes{first, second} {
 		addSilent(s, 1, silenceStart, silenceStart, "a", "b", "c")
 	}
-	one, _ := first.BeginTrial(1, "e1", testGrace, now)
-	other, _ := second.BeginTrial(1, "e2", testGrace, now)
+	one := first.BeginTrials(Request{Fingerprint: 1}, "e1", testGrace, now)[0]
+	other := second.BeginTrials(Request{Fingerprint: 1}, "e2", testGrace, now)[0]
 	first.Add(one, now)
 	second.Add(other, now)
 	if first.Add(other, now) || !second.Add(one, now) {
--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// Strikes counts, by request fingerprint, the servers that crashed while they
-// ran a request. It replaces trials where servers run many requests at once and
-// retries arrive within seconds: a request that has crashed strikeLimit servers
-// is refused for a time. Strikes does no I/O; entries notify each other of
-// strikes.
+// Strikes counts, by fingerprint, the servers that crashed while they ran a
+// request, or requests whose prompts share a part. It replaces trials where
+// servers run many requests at once and retries arrive within seconds: a request
+// that has crashed strikeLimit servers is refused for a time. Strikes does no I/O;
+// entries notify each other of strikes.
 type Strikes struct {
 	records map[uint64]*strikeRecord
 	// change is the number of the last strike that was added.
@@ -22,15 +22,24 @@
 	silences  silences
 }
 
-// Strike records that one server crashed while it ran a request.
+// Strike records that one server crashed while it ran a request, or one whose prompt holds a part.
 type Strike struct {
 	Fingerprint uint64 `json:"fingerprint"`
+	// Part is the ID of the part that Fingerprint stands for, Request then the fingerprint of the request
+	// that ran; both are empty where Fingerprint stands for a request.
+	Part    string `json:"part,omitempty"`
+	Request uint64 `json:"request,omitempty"`
+	// RunMillis is the time from the sending of the request until its server was known to have crashed.
+	RunMillis int64 `json:"runMillis,omitempty"`
+	// Popular is set where a run had proved the part sound shortly before.
+	Popular bool `json:"popular,omitempty"`
 	// Server is the incarnation of the server that crashed.
 	Server   string   `json:"server"`
 	Evidence Evidence `json:"evidence,omitempty"`
 	// OutputMillis is the time for which the run had been giving output when the server crashed.
 	OutputMillis int64 `json:"outputMillis,omitempty"`
-	// Answered is set where a run of the request got a whole answer, in place of a crash.
+	// Answered is set where a run of the request got a whole answer, or proved the part sound, in place of a
+	// crash.
 	Answered bool `json:"answered,omitempty"`
 	// Silent is set where the server fell silent under the request, in place of a crash; its age then
 	// counts from when the request was sent. Heard is set where a server was heard, whatever the request.
@@ -62,6 +71,8 @@
 )
 
 type strikeRecord struct {
+	// part is the ID of a part of prompts; empty where the record is that of a request.
+	part string
 	// strikes holds the strikes by server, silent the doubts.
 	strikes map[string]heldStrike
 	silent  map[string]heldStrike
@@ -114,17 +125,31 @@
 	return &Strikes{records: make(map[uint64]*strikeRecord), silences: newSilences()}
 }
 
-// early reports whether the run had just begun.
-func (s *Strike) early() bool {
+// Early reports whether the run had just begun.
+func (s *Strike) Early() bool {
 	return time.Duration(s.OutputMillis)*time.Millisecond <= earlyOutput
 }
 
 // atLimit reports whether so many servers crashed that the request must not run.
-func (r *strikeRecord) atLimit() bool { return len(r.strikes) >= r.limit() }
+func (r *strikeRecord) atLimit() bool { return r.ends() >= r.limit() }
+
+// ends returns the number of ends that count.
+func (r *strikeRecord) ends() int { return r.count(slices.Collect(maps.Values(r.strikes))) }
+
+// count returns how many of these ends count.
+func (r *strikeRecord) count(ends []heldStrike) int {
+	if r.isPopular() {
+		return successive(ends)
+	}
+	return len(ends)
+}
 
 // limit returns the number of ends from which the request must not run.
 func (r *strikeRecord) limit() int {
-	if r.early < len(r.strikes) {
+	switch {
+	case r.part != "":
+		return partStrikeLimit
+	case r.early < len(r.strikes):
 		return lateStrikeLimit
 	}
 	return strikeLimit
@@ -148,11 +173,8 @@
 	return servers
 }
 
-// within reports whether another request was at each of these ends, and at more.
+// within reports whether another request was at each of these ends.
 func within(ends, other map[string]bool) bool {
-	if len(other) <= len(ends) {
-		return false
-	}
 	for server := range ends {
 		if !other[server] {
 			return false
@@ -161,18 +183,31 @@
 	return true
 }
 
-// explained reports whether another request was at all ends of this one and at more. It then
-// crashed the servers, rather than this one.
+// explained reports whether another request or part was at all ends of this one and at more. It then
+// crashed the servers, rather than this one. A request also explains the ends of a part that it alone
+// brought.
 func (s *Strikes) explained(r *strikeRecord, ends func(*strikeRecord) map[string]bool) bool {
 	own := ends(r)
 	for _, other := range s.records {
-		if len(other.strikes)+len(other.silent) > len(own) && other.early == len(other.strikes) && within(own, ends(other)) {
+		least := len(own) + 1
+		if r.part != "" && other.part == "" {
+			least = len(own)
+		}
+		if other == r || len(other.strikes)+len(other.silent) < least || !other.mayBeCause() {
+			continue
+		}
+		if others := ends(other); len(others) >= least && within(own, others) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayBeCause reports whether the request or part may have crashed servers, rather than been there.
+func (r *strikeRecord) mayBeCause() bool {
+	return r.early == len(r.strikes) && (!r.isPopular() || r.atLimit())
+}
+
 // Add records a strike, or an answer, and reports whether it says anything new. It returns false for one that it
 // has no room for.
 func (s *Strikes) Add(strike Strike, now time.Time) bool {
@@ -192,6 +227,10 @@
 		r = &strikeRecord{strikes: make(map[string]heldStrike)}
 		s.records[strike.Fingerprint] = r
 	}
+	if strike.Part != "" {
+		r.part = strike.Part
+		strike.Popular = strike.Popular || s.popularAt(r, strike.Fingerprint, at)
+	}
 	if !at.After(r.answer.at) {
 		return false
 	}
@@ -213,10 +252,10 @@
 	}
 	// Of two runs of the request on one server, the one that had just begun counts.
 	known, ok := r.strikes[strike.Server]
-	if ok && (known.early() || !strike.early()) || !ok && len(r.strikes) >= maxRequestStrikes {
+	if ok && (known.Early() || !strike.Early()) || !ok && len(r.strikes) >= maxRequestStrikes {
 		return false
 	}
-	if strike.early() {
+	if strike.Early() {
 		r.early++
 	}
 	s.change++
@@ -236,7 +275,7 @@
 		switch {
 		case !held.at.After(answer.at):
 			delete(r.strikes, server)
-		case held.early():
+		case held.Early():
 			r.early++
 		}
 	}
@@ -254,10 +293,10 @@
 	return r != nil && len(r.strikes)+len(r.silent) > 0
 }
 
-// Refused reports whether a request must not run.
+// Refused reports whether a request must not run, or which part of prompts requests must not hold.
 func (s *Strikes) Refused(fingerprint uint64, now time.Time) bool {
 	r := s.records[fingerprint]
-	return r != nil && r.atLimit() && now.Sub(r.last) < strikeLifetime && !s.explained(r, (*strikeRecord).struck)
+	return r != nil && r.atLimit() && now.Sub(r.last) < strikeLifetime && !s.explained(r, (*strikeRecord).struck) && s.staysAtLimit(r)
 }
 
 // evict removes the requests with the oldest strikes of those that are not refused, and reports
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,8 +26,8 @@
 	deadline time.Time
 	// version is the version of the configuration that routed the request.
 	version uint64
-	// hash is the fingerprint of the request; 0 until it is needed.
-	hash uint64
+	// known is what the request is known by; zero until it is needed.
+	known suspicion.Request
 
 	tried map[string]bool
 	// tries counts the servers to which the request was offered, sends those to which it was
@@ -137,14 +137,16 @@
 	return answer.Answer{}, false
 }
 
-// fingerprint returns the fingerprint of the request, whose body has been read.
-func (x *exchange) fingerprint() uint64 {
-	if x.hash == 0 {
-		x.hash = x.call.fingerprint()
+// identity returns what the request, whose body has been read, is known by.
+func (x *exchange) identity() suspicion.Request {
+	if x.known.Fingerprint == 0 {
+		x.known = x.call.request()
 	}
-	return x.hash
+	return x.known
 }
 
+func (x *exchange) fingerprint() uint64 { return x.identity().Fingerprint }
+
 // refusedForCrashes reports whether the request must not be sent to another server: it has crashed
 // too many, or several fell silent under it and another copy of it is on trial.
 func (x *exchange) refusedForCrashes() bool {
@@ -166,36 +168,50 @@
 
 // judge asks what may be done with the request, and notes why it must not be sent.
 func (x *exchange) judge() suspicion.Verdict {
-	verdict, left := x.mesh.Judge(x.fingerprint(), x.strikes.grace())
-	switch verdict {
+	d := x.mesh.Decide(x.identity(), x.strikes.grace())
+	switch d.Verdict {
 	case suspicion.Refuse:
-		refusedCrashingCount.Add(1)
-		x.crashes = true
-		x.lastReason = "this request has crashed several backend servers"
-		x.log.Info("request has crashed backend servers", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()))
+		x.refuseCrashing(d)
 	case suspicion.Wait:
-		x.refuseDoubted(left)
+		x.refuseTried(d)
 	}
-	return verdict
+	return d.Verdict
 }
 
 // beginTrial begins the trial of the request and reports whether this entry has it.
 func (x *exchange) beginTrial() bool {
-	if x.mesh.BeginTrial(x.fingerprint(), x.strikes.grace()) {
+	if trials := x.mesh.BeginTrials(x.identity(), x.strikes.grace()); len(trials) > 0 {
 		_ = wait.For(x.ctx, trialSettle)
-		if x.mesh.HasTrial(x.fingerprint()) {
+		if x.mesh.HasTrials(trials) {
 			return true
 		}
 	}
-	x.refuseDoubted(minRetryAfter)
+	x.refuseTried(suspicion.Decision{Left: minRetryAfter})
 	return false
 }
 
-// refuseDoubted notes that the request must wait for the trial of another copy.
-func (x *exchange) refuseDoubted(left time.Duration) {
+// refuseCrashing notes that the request, or a part of its prompt, has crashed too many servers.
+func (x *exchange) refuseCrashing(d suspicion.Decision) {
+	refusedCrashingCount.Add(1)
+	x.crashes = true
+	x.lastReason = "this request has crashed several backend servers"
+	if d.Part != "" {
+		refusedPartCount.Add(1)
+		x.lastReason = "a part of this prompt has crashed several backend servers"
+	}
+	x.log.Info("request has crashed backend servers", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.String("part", d.Part))
+}
+
+// refuseTried notes that the request must wait for the trial of another one.
+func (x *exchange) refuseTried(d suspicion.Decision) {
 	refusedDoubtedCount.Add(1)
-	x.lastReason, x.retryDelay = "several backend servers fell silent while running this request, and a copy of it is on trial", left
-	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.Duration("wait", left))
+	x.lastReason = "several backend servers fell silent while running this request, and a copy of it is on trial"
+	if d.Part != "" {
+		x.lastReason = "several backend servers ended or fell silent under a part of this prompt, and another request with it is on trial"
+	}
+	x.retryDelay = d.Left
+	x.log.Info("request waits for the trial of a copy", zap.String("request", x.call.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.String("part", d.Part),
+		zap.Duration("wait", d.Left))
 }
 
 // trialSettle is the time in which entries that begin the same trial hear of each other.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,8 @@
 	startupWaitCount = telemetry.Counter("gateway_held_at_start")
 
 	refusedCrashingCount = telemetry.Counter("gateway_refused_crashing")
+	// refusedPartCount counts those of them that were refused for a part of their prompts.
+	refusedPartCount = telemetry.Counter("gateway_refused_crashing_part")
 	// refusedDoubtedCount counts the requests that had to wait for the trial of another copy.
 	refusedDoubtedCount = telemetry.Counter("gateway_refused_doubted")
 	refusedCount        = telemetry.Counter("gateway_refused")
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,6 +44,8 @@
 	// for a stream that begins here, and once an event has shown that the reply continues the
 	// stream.
 	resumeAfter string
+	// proved is set once the reply has shown that the parts of the prompt crash no servers.
+	proved bool
 	// checked is set once the software version of the server was checked, at the directory's change
 	// rosterChange.
 	checked      bool
@@ -107,7 +109,7 @@
 	}
 	r.response.Release()
 	x.status = r.response.Status
-	x.recordAnswer(r.server, r.response.Status)
+	x.recordAnswer(r)
 	return answer.Full(r.response.Status, r.header(), body), stepDone
 }
 
@@ -159,6 +161,7 @@
 		}
 		if len(events) > 0 {
 			x.recordEvent(time.Now())
+			x.proveEarly(r)
 			if pass(events) != nil {
 				r.response.Abort()
 				return stepFail
@@ -168,7 +171,7 @@
 		switch {
 		case err == io.EOF:
 			r.response.Release()
-			x.recordAnswer(r.server, r.response.Status)
+			x.recordAnswer(r)
 			return stepDone
 		case err != nil:
 			return x.streamFailed(r, err)
@@ -313,7 +316,7 @@
 	r.response.Abort()
 	x.logBroken(msg, r.server, err)
 	if time.Until(x.deadline) > 0 && !x.callerLeft() {
-		x.strikes.connBroken(&x.call, r.server, r.outputFor(r.now()))
+		x.strikes.connBroken(brokenCall{call: &x.call, server: r.server, sentAt: x.sentAt, output: r.outputFor(r.now())})
 	}
 	return x.recordFailure(r.server, r.verdict)
 }
--- a/internal/gateway/release_test.go
+++ b/internal/gateway/release_test.go
@@ -23,7 +23,7 @@
 type plainEdge struct{}
 
 func (plainEdge) Parse(r *http.Request) Call {
-	return Call{ID: r.Header.Get("Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{"Id": r.Header["Id"]}}
+	return Call{ID: r.Header.Get("Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{"Id": r.Header["Id"]}, SharedParts: r.Header["Part"]}
 }
 
 func (plainEdge) Forward(c *Call, hop Hop) http.Header {
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -84,11 +84,10 @@
 		zap.Duration("delay", x.picked.Delay), zap.Duration("age", x.picked.Age), zap.Int("declined", x.offers.DeclinedCount()), zap.String("reason", x.lastReason))
 }
 
-func (x *exchange) recordAnswer(v *server, status int) {
+func (x *exchange) recordAnswer(r *reply) {
+	v, status := r.server, r.response.Status
 	answeredCount.Add(1)
-	if status < http.StatusInternalServerError {
-		x.mesh.Answered(x.fingerprint())
-	}
+	x.proveWhole(r)
 	if x.route.Kind == route.KindStream && status < http.StatusMultipleChoices {
 		x.durations.record(x.route.Name, time.Since(x.arrived))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -61,7 +61,7 @@
 	x.servers.requestSent(v)
 	r := &reply{server: v, now: x.now, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
 	x.awaited, x.sentAt = v, time.Now()
-	watched := x.strikes.sent(x.fingerprint(), v, x.sentAt)
+	watched := x.strikes.sent(x.identity(), v, x.sentAt)
 	response, err := x.pool.Call(ctx, targetOf(v), request)
 	if err != nil {
 		defer r.release()
@@ -129,7 +129,7 @@
 		return stepFail
 	}
 	x.lastReason = "the connection to the backend server broke"
-	x.strikes.connBroken(&x.call, v, 0)
+	x.strikes.connBroken(brokenCall{call: &x.call, server: v, sentAt: x.sentAt})
 	x.logBroken("call broke", v, err)
 	return x.recordFailure(v, Verdict{})
 }
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -11,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
@@ -35,11 +38,22 @@
 // pendingStrike is a broken call whose server is not known to have ended.
 type pendingStrike struct {
 	strike  suspicion.Strike
+	request suspicion.Request
 	target  upstream.Target
 	born    int64
+	sentAt  time.Time
 	brokeAt time.Time
 }
 
+// brokenCall is a call whose connection has ended.
+type brokenCall struct {
+	call   *Call
+	server *server
+	sentAt time.Time
+	// output is the time for which output had been arriving.
+	output time.Duration
+}
+
 // followed is a server at which calls broke.
 type followed struct {
 	ending *suspicion.Ending
@@ -71,9 +85,21 @@
 	return h.Sum64()
 }
 
-// connBroken records that the connection to a server broke during a request, of which output had
-// been arriving for the given time.
-func (s *strikes) connBroken(c *Call, v *server, output time.Duration) {
+// request returns what the request is known by.
+func (c *Call) request() suspicion.Request {
+	request := suspicion.Request{Fingerprint: c.fingerprint()}
+	for _, id := range c.SharedParts[:min(len(c.SharedParts), suspicion.MaxParts)] {
+		part := suspicion.Part{ID: id, Fingerprint: xxhash.Sum64String("part\x00" + id)}
+		if !slices.Contains(request.Parts, part) {
+			request.Parts = append(request.Parts, part)
+		}
+	}
+	return request
+}
+
+// connBroken records that the connection to a server ended during a request.
+func (s *strikes) connBroken(b brokenCall) {
+	v := b.server
 	// A server that leaves ends what it still runs when its time is up.
 	if announced, _ := s.gateway.mesh.Announced(v.entry.ID); announced.Leaving {
 		return
@@ -84,8 +110,11 @@
 		strikesDroppedCount.Add(1)
 		return
 	}
-	strike := suspicion.Strike{Fingerprint: c.fingerprint(), Server: v.entry.ID, OutputMillis: output.Milliseconds()}
-	s.pending = append(s.pending, pendingStrike{strike: strike, target: targetOf(v), born: v.entry.Born, brokeAt: time.Now()})
+	request := b.call.request()
+	strike := suspicion.Strike{Fingerprint: request.Fingerprint, Server: v.entry.ID, OutputMillis: b.output.Milliseconds()}
+	s.pending = append(s.pending, pendingStrike{
+		strike: strike, request: request, target: targetOf(v), born: v.entry.Born, sentAt: b.sentAt, brokeAt: time.Now(),
+	})
 	select {
 	case s.wakeup <- struct{}{}:
 	default:
@@ -233,7 +262,45 @@
 func (s *strikes) record(p pendingStrike, after time.Duration) {
 	strikeCount.Add(1)
 	strikeLatency.Record(after)
-	s.gateway.log.Warn("backend server ended while running a request", zap.Uint64("fingerprint", p.strike.Fingerprint),
+	s.gateway.log.Warn("backend server ended while running a request", zap.Uint64("fingerprint", p.strike.Fingerprint), zap.Strings("parts", partIDs(p.request)),
 		zap.String("server", p.strike.Server), zap.String("evidence", string(p.strike.Evidence)), zap.Int64("output", p.strike.OutputMillis), zap.Duration("after", after))
-	s.gateway.mesh.Strike(p.strike)
+	strikes := []suspicion.Strike{p.strike}
+	if p.strike.Early() {
+		for _, strike := range mesh.PartStrikes(p.request) {
+			strike.Server, strike.Evidence, strike.OutputMillis = p.strike.Server, p.strike.Evidence, p.strike.OutputMillis
+			strike.RunMillis = (p.brokeAt.Sub(p.sentAt) + after).Milliseconds()
+			strikes = append(strikes, strike)
+		}
+	}
+	s.gateway.mesh.Strike(strikes...)
+}
+
+// partIDs returns the IDs of the parts that a request is known by.
+func partIDs(request suspicion.Request) []string {
+	ids := make([]string, 0, len(request.Parts))
+	for _, part := range request.Parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
+// proveEarly records that a reply has got past the time in which what crashes servers does so.
+func (x *exchange) proveEarly(r *reply) {
+	if !r.proved && r.outputFor(r.now()) > suspicion.BeginTime {
+		r.proved = true
+		x.mesh.Proved(x.identity())
+	}
+}
+
+// proveWhole records what a whole answer proves.
+func (x *exchange) proveWhole(r *reply) {
+	var proof []suspicion.Strike
+	status := r.response.Status
+	if status < http.StatusInternalServerError {
+		proof = append(proof, suspicion.Strike{Fingerprint: x.fingerprint()})
+	}
+	if status < http.StatusMultipleChoices && !r.proved {
+		proof = append(proof, mesh.PartStrikes(x.identity())...)
+	}
+	x.mesh.AnsweredBefore(0, proof...)
 }
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -76,7 +76,7 @@
 		if err := g.mesh.Announce(t.Context(), s); err != nil {
 			t.Fatal(err)
 		}
-		g.strikes.connBroken(call, &server{entry: roster.Entry{Server: s}}, 0)
+		g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: s}}})
 		servers = append(servers, s)
 	}
 	return servers, listeners
@@ -276,7 +276,7 @@
 		if err := g.mesh.Announce(t.Context(), s); err != nil {
 			t.Fatal(err)
 		}
-		g.strikes.connBroken(call, &server{entry: roster.Entry{Server: s}}, 0)
+		g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: s}}})
 		g.strikes.settle(time.Now())
 	}
 	if g.strikes.refused(call) {
@@ -370,7 +370,7 @@
 		t.Fatal(err)
 	}
 	call := &Call{Method: "POST", URI: "/x", Body: []byte("body")}
-	g.strikes.connBroken(call, &server{entry: roster.Entry{Server: silent}}, 0)
+	g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: silent}}})
 	breakAtServers(t, g, call, false)
 	ctx, cancel := context.WithCancel(t.Context())
 	var probes sync.WaitGroup
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
+	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -13,9 +14,9 @@
 // nothing: the call stays open until its time is up or its caller leaves, and the request must not be
 // sent to server after server meanwhile.
 type unanswered struct {
-	fingerprint uint64
-	server      *server
-	sentAt      time.Time
+	request suspicion.Request
+	server  *server
+	sentAt  time.Time
 }
 
 const (
@@ -38,8 +39,8 @@
 func (s *strikes) grace() time.Duration { return s.gateway.options.Heartbeat + heartbeatSlack }
 
 // sent begins to watch a call; nil when too many are watched.
-func (s *strikes) sent(fingerprint uint64, v *server, now time.Time) *unanswered {
-	u := &unanswered{fingerprint: fingerprint, server: v, sentAt: now}
+func (s *strikes) sent(request suspicion.Request, v *server, now time.Time) *unanswered {
+	u := &unanswered{request: request, server: v, sentAt: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.unanswered) >= maxPending {
@@ -81,8 +82,12 @@
 			continue
 		}
 		silentCount.Add(1)
-		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.fingerprint), zap.String("server", u.server.entry.ID),
+		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.request.Fingerprint), zap.Strings("parts", partIDs(u.request)), zap.String("server", u.server.entry.ID),
 			zap.Duration("after", age))
-		s.gateway.mesh.Strike(suspicion.Strike{Fingerprint: u.fingerprint, Server: u.server.entry.ID, Silent: true, AgeMillis: age.Milliseconds()})
+		strikes := append(mesh.PartStrikes(u.request), suspicion.Strike{Fingerprint: u.request.Fingerprint})
+		for i := range strikes {
+			strikes[i].Server, strikes[i].Silent, strikes[i].AgeMillis = u.server.entry.ID, true, age.Milliseconds()
+		}
+		s.gateway.mesh.Strike(strikes...)
 	}
 }
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -60,12 +60,12 @@
 	g, arrived := silentGateway(t)
 	leaveUnanswered(t, g, arrived)
 	lookLater(g)
-	fingerprint := promptFingerprint(g)
-	if got, _ := g.mesh.Judge(fingerprint, 0); got != suspicion.RunAlone {
+	request := suspicion.Request{Fingerprint: promptFingerprint(g)}
+	if got := g.mesh.Decide(request, 0).Verdict; got != suspicion.RunAlone {
 		t.Fatalf("after three silent servers the request is to %s, want %s", got, suspicion.RunAlone)
 	}
 	g.options.Heartbeat = -heartbeatSlack
-	if !g.mesh.BeginTrial(fingerprint, 0) {
+	if len(g.mesh.BeginTrials(request, 0)) != 1 {
 		t.Fatal("no trial begins")
 	}
 	recorder := httptest.NewRecorder()
@@ -83,7 +83,7 @@
 		g.servers.headerReceived(u.server, u.sentAt.Add(silentAfter))
 	}
 	lookLater(g)
-	if got, _ := g.mesh.Judge(promptFingerprint(g), 0); got != suspicion.Run {
+	if got := g.mesh.Decide(suspicion.Request{Fingerprint: promptFingerprint(g)}, 0).Verdict; got != suspicion.Run {
 		t.Errorf("the request is to %s although its servers answered others", got)
 	}
 }
@@ -126,7 +126,7 @@
 			if test.silent {
 				agent.silentSince = sentAt
 			}
-			g.strikes.sent(1, &server{agent: agent}, sentAt)
+			g.strikes.sent(suspicion.Request{Fingerprint: 1}, &server{agent: agent}, sentAt)
 			g.strikes.lookedAt = sentAt.Add(test.age)
 			g.strikes.lookUnanswered(sentAt.Add(test.age))
 			if got := g.mesh.Suspected(1); got != test.want {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -407,15 +407,14 @@
 	for _, server := range servers {
 		f.nodes[0].Strike(suspicion.Strike{Fingerprint: fingerprint, Server: server.ID, Silent: true, AgeMillis: 1000})
 	}
+	request := suspicion.Request{Fingerprint: fingerprint}
 	verdicts := func(want suspicion.Verdict) func() bool {
 		return func() bool {
-			first, _ := f.nodes[0].Judge(fingerprint, 0)
-			second, _ := f.nodes[1].Judge(fingerprint, 0)
-			return first == want && second == want
+			return f.nodes[0].Decide(request, 0).Verdict == want && f.nodes[1].Decide(request, 0).Verdict == want
 		}
 	}
 	eventually(t, verdicts(suspicion.RunAlone))
-	if !f.nodes[1].BeginTrial(fingerprint, 0) {
+	if len(f.nodes[1].BeginTrials(request, 0)) != 1 {
 		t.Fatal("no trial begins")
 	}
 	eventually(t, verdicts(suspicion.Wait))
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -12,21 +12,44 @@
 // maxGreetingStrikes bounds the strikes that one greeting carries.
 const maxGreetingStrikes = 256
 
-// Strike records that a server crashed while running a request, and notifies all entries.
-func (m *Mesh) Strike(strike suspicion.Strike) {
+// Strike records that a server crashed while running a request, and notifies all entries. There is one
+// strike for the request, and one for each part of its prompt that counts.
+func (m *Mesh) Strike(strikes ...suspicion.Strike) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.mergeStrikes(nil, false, []suspicion.Strike{strike}, time.Now())
+	m.mergeStrikes(nil, false, strikes, time.Now())
 }
 
 // Answered records that a run of a request got a whole answer, and notifies all entries if the
 // request had strikes or doubts.
 func (m *Mesh) Answered(fingerprint uint64) {
+	m.AnsweredBefore(0, suspicion.Strike{Fingerprint: fingerprint})
+}
+
+// Proved records that a run of a request showed that the parts of its prompt crash no servers, and
+// notifies all entries of those that had strikes or doubts.
+func (m *Mesh) Proved(request suspicion.Request) { m.AnsweredBefore(0, PartStrikes(request)...) }
+
+// PartStrikes returns a strike for each part of a request's prompt.
+func PartStrikes(request suspicion.Request) []suspicion.Strike {
+	strikes := make([]suspicion.Strike, 0, len(request.Parts))
+	for _, part := range request.Parts {
+		strikes = append(strikes, suspicion.Strike{Fingerprint: part.Fingerprint, Part: part.ID, Request: request.Fingerprint})
+	}
+	return strikes
+}
+
+// AnsweredBefore records answers that came some time ago.
+func (m *Mesh) AnsweredBefore(age time.Duration, answers ...suspicion.Strike) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.strikes.RecordAnswer(fingerprint, time.Now())
-	if m.strikes.Suspected(fingerprint) {
-		m.mergeStrikes(nil, false, []suspicion.Strike{{Fingerprint: fingerprint, Answered: true}}, time.Now())
+	now := time.Now()
+	for _, answer := range answers {
+		m.strikes.RecordAnswer(answer.Fingerprint, now.Add(-age))
+		if m.strikes.Suspected(answer.Fingerprint) {
+			answer.Answered, answer.AgeMillis = true, age.Milliseconds()
+			m.mergeStrikes(nil, false, []suspicion.Strike{answer}, now)
+		}
 	}
 }
 
@@ -45,21 +68,54 @@
 
 func (m *Mesh) mergeStrike(from *peer, fromHub bool, strike suspicion.Strike, now time.Time) {
 	strike.FromHub = fromHub
-	refusedBefore := m.strikes.Refused(strike.Fingerprint, now)
+	before := standing{ends: m.strikes.Ends(strike.Fingerprint), refused: m.strikes.Refused(strike.Fingerprint, now)}
 	if !m.strikes.Add(strike, now) {
 		return
 	}
 	m.logDoubt(from, strike)
+	after := standing{ends: m.strikes.Ends(strike.Fingerprint), refused: m.strikes.Refused(strike.Fingerprint, now)}
+	if strike.Part != "" {
+		m.logPart(from, strike, before, after)
+	} else {
+		m.logRequest(from, strike, before, after)
+	}
+	for _, q := range m.relayTargets(from, fromHub, now) {
+		q.wake()
+	}
+}
+
+// standing is what is held against a request, or a part of prompts.
+type standing struct {
+	ends    int
+	refused bool
+}
+
+// logRequest logs what changes whether a request may run.
+func (m *Mesh) logRequest(from *peer, strike suspicion.Strike, before, after standing) {
 	if strike.Answered {
 		m.log.Info("request was answered: earlier ends of servers do not count against it", zap.Uint64("fingerprint", strike.Fingerprint),
-			zap.Bool("heard", from != nil), zap.Bool("refusedBefore", refusedBefore))
+			zap.Bool("heard", from != nil), zap.Bool("refusedBefore", before.refused))
 	}
-	if !refusedBefore && m.strikes.Refused(strike.Fingerprint, now) {
+	if !before.refused && after.refused {
 		m.log.Warn("request refused from now on: backend servers ended while running it", zap.Uint64("fingerprint", strike.Fingerprint),
 			zap.Bool("heard", from != nil), zap.Any("strikes", m.strikes.Of(strike.Fingerprint)))
 	}
-	for _, q := range m.relayTargets(from, fromHub, now) {
-		q.wake()
+}
+
+// minLoggedEnds is the number of ends from which a line tells of a part: at one end, all parts that its
+// server had begun on are suspected.
+const minLoggedEnds = 2
+
+// logPart logs what changes whether requests with a part in their prompts may run.
+func (m *Mesh) logPart(from *peer, strike suspicion.Strike, before, after standing) {
+	fields := []zap.Field{zap.String("part", strike.Part), zap.Uint64("request", strike.Request), zap.Bool("heard", from != nil), zap.Int("ends", after.ends)}
+	switch {
+	case strike.Answered && (before.refused || before.ends >= minLoggedEnds):
+		m.log.Info("part of prompts is cleared: a run with it gave output", append(fields, zap.Int("endsBefore", before.ends), zap.Bool("refusedBefore", before.refused))...)
+	case !before.refused && after.refused:
+		m.log.Warn("part of prompts refused from now on: backend servers ended as they began to answer it", append(fields, zap.Any("strikes", m.strikes.Of(strike.Fingerprint)))...)
+	case after.ends > before.ends && after.ends >= minLoggedEnds:
+		m.log.Info("part of prompts is suspected: a backend server ended as it began to answer it", append(fields, zap.String("server", strike.Server), zap.Bool("popular", strike.Popular))...)
 	}
 }
 
@@ -71,7 +127,7 @@
 	}
 	sentAt := now.Add(-time.Duration(strike.AgeMillis) * time.Millisecond)
 	if at, ok := m.strikes.AnsweredAfter(strike.Fingerprint, sentAt); ok {
-		return suspicion.Strike{Fingerprint: strike.Fingerprint, Answered: true, AgeMillis: now.Sub(at).Milliseconds()}, true
+		return suspicion.Strike{Fingerprint: strike.Fingerprint, Part: strike.Part, Answered: true, AgeMillis: now.Sub(at).Milliseconds()}, true
 	}
 	e, ok := m.roster.Get(strike.Server)
 	if !ok || e.Gone || m.heardVia[strike.Server] != viaDirect || e.LastHeard.Sub(sentAt) <= suspicion.BeginTime {
@@ -91,20 +147,20 @@
 func (m *Mesh) logDoubt(from *peer, strike suspicion.Strike) {
 	switch {
 	case strike.Silent:
-		m.log.Info("server fell silent under a request", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("server", strike.Server),
+		m.log.Info("server fell silent under a request", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("part", strike.Part), zap.String("server", strike.Server),
 			zap.Int64("sentMillisAgo", strike.AgeMillis), zap.Bool("heard", from != nil))
 	case strike.Heard:
 		m.log.Info("silent server was heard", zap.String("server", strike.Server), zap.Bool("heard", from != nil))
 	case strike.Trial > 0:
-		m.log.Info("request on trial after servers fell silent", zap.Uint64("fingerprint", strike.Fingerprint), zap.Int("trial", strike.Trial), zap.Bool("heard", from != nil))
+		m.log.Info("request on trial after servers fell silent", zap.Uint64("fingerprint", strike.Fingerprint), zap.String("part", strike.Part), zap.Int("trial", strike.Trial), zap.Bool("heard", from != nil))
 	}
 }
 
-// Judge returns what may be done with a request (suspicion.Strikes.Judge).
-func (m *Mesh) Judge(fingerprint uint64, grace time.Duration) (suspicion.Verdict, time.Duration) {
+// Decide returns what may be done with a request (suspicion.Strikes.Decide).
+func (m *Mesh) Decide(request suspicion.Request, grace time.Duration) suspicion.Decision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.strikes.Judge(fingerprint, grace, time.Now())
+	return m.strikes.Decide(request, grace, time.Now())
 }
 
 // Suspected reports whether a request has strikes or doubts.
@@ -114,24 +170,24 @@
 	return m.strikes.Suspected(fingerprint)
 }
 
-// BeginTrial begins a trial of a request, if one may begin, and tells all entries. The request may be
-// sent if HasTrial is still true once the others may have told theirs.
-func (m *Mesh) BeginTrial(fingerprint uint64, grace time.Duration) bool {
+// BeginTrials begins the trials that a request needs to run, if they may begin, and tells all entries. The
+// request may be sent if HasTrials is still true once the others may have told theirs.
+func (m *Mesh) BeginTrials(request suspicion.Request, grace time.Duration) []suspicion.Strike {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	trial, ok := m.strikes.BeginTrial(fingerprint, m.options.Self.Address, grace, now)
-	if ok {
-		m.mergeStrikes(nil, false, []suspicion.Strike{trial}, now)
-	}
-	return ok
+	trials := m.strikes.BeginTrials(request, m.options.Self.Address, grace, now)
+	m.mergeStrikes(nil, false, trials, now)
+	return trials
 }
 
-// HasTrial reports whether this process has the last trial of a request.
-func (m *Mesh) HasTrial(fingerprint uint64) bool {
+// HasTrials reports whether this process has all of these trials.
+func (m *Mesh) HasTrials(trials []suspicion.Strike) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.strikes.HasTrial(fingerprint, m.options.Self.Address)
+	return len(trials) > 0 && !slices.ContainsFunc(trials, func(trial suspicion.Strike) bool {
+		return !m.strikes.HasTrial(trial.Fingerprint, m.options.Self.Address)
+	})
 }
 
 // Refused reports whether a request has crashed too many servers to run again.
