An answer that ends with its connection proves nothing until its server lives on

What callers would see: a server that ends right after some events of an answer without length or chunks leaves what looks like a whole answer. It cleared the request, and now the parts of its prompt, of all earlier ends: a request that ends such servers was never refused. Cause: the end of a connection taken for the end of an answer (the same class as the listener that outlives its server). Such an answer is followed up like a broken call now: where its server lives on, it counts from when it came; where the server has ended, that is an end under it.

TestAnswerThatEndsWithItsConnectionProvesNothing failed before for both kinds of route (part "aa" and the request are cleared); TestServerBehindUnframedAnswerIsFollowedUp holds both sides.

--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 )
@@ -96,3 +97,84 @@
 		})
 	}
 }
+
+// unframed answers with a body that ends with its connection.
+func unframed(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
+		_ = conn.Close()
+	}
+}
+
+// Guards against the end of a server that is taken for the end of its answer, and clears what ended it.
+func TestAnswerThatEndsWithItsConnectionProvesNothing(t *testing.T) {
+	for path, body := range map[string]string{"/look/": "body", "/draft/": "id: 1\ndata: word\n\n"} {
+		t.Run(path, func(t *testing.T) {
+			g := newTestGateway(t, []http.HandlerFunc{unframed(body)})
+			call := callWith(0)
+			call.URI, call.Host = path, "h"
+			known := plainEdge{}.Parse(promptWith(0, path))
+			known.Body = call.Body
+			strikes := append(mesh.PartStrikes(known.request()), suspicion.Strike{Fingerprint: known.fingerprint()})
+			for i := range strikes {
+				strikes[i].Server = "v"
+			}
+			g.mesh.Strike(strikes...)
+			serveCut(g, promptWith(0, path))
+			for _, strike := range strikes {
+				if !g.mesh.Suspected(strike.Fingerprint) {
+					t.Errorf("part %q is cleared", strike.Part)
+				}
+			}
+			if len(g.strikes.pending) != 1 {
+				t.Errorf("%d servers are followed up, want 1", len(g.strikes.pending))
+			}
+		})
+	}
+}
+
+// Guards against sound parts that stay suspected, and ended servers that count against nobody, where answers end with their connections.
+func TestServerBehindUnframedAnswerIsFollowedUp(t *testing.T) {
+	const heartbeat = time.Second
+	for name, listening := range map[string]bool{"it has ended": false, "it lives on": true} {
+		t.Run(name, func(t *testing.T) {
+			g := newIdleGateway(heartbeat)
+			proof := mesh.PartStrikes(callWith(0).request())
+			now := time.Now()
+			for i := range 2 {
+				servers, _ := breakAtListeners(t, g, callWith(i), listening)
+				g.strikes.pending = nil
+				for n, s := range servers {
+					g.strikes.connBroken(brokenCall{call: callWith(10*i + n), server: &server{entry: roster.Entry{Server: s}}, proof: proof})
+				}
+				g.strikes.settle(now)
+			}
+			want := suspicion.Refuse
+			if listening {
+				want = suspicion.Run
+				earlier, later := proof[0], proof[0]
+				earlier.Server, earlier.AgeMillis = "earlier", (10 * heartbeat).Milliseconds()
+				g.mesh.Strike(earlier)
+				g.strikes.settle(now.Add(heartbeat / 2))
+				if !g.mesh.Suspected(earlier.Fingerprint) {
+					t.Error("the answer counts before its server has shown that it lives on")
+				}
+				g.strikes.settle(now.Add(4 * heartbeat))
+				if g.mesh.Suspected(earlier.Fingerprint) {
+					t.Error("the answer does not clear an earlier end")
+				}
+				later.Server = "later"
+				if g.mesh.Strike(later); !g.mesh.Suspected(later.Fingerprint) {
+					t.Error("the answer clears a later end")
+				}
+			}
+			if got := verdictOnPart(g); got != want {
+				t.Errorf("a request with the part is to %s, want %s", got, want)
+			}
+		})
+	}
+}
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -43,6 +43,9 @@
 	born    int64
 	sentAt  time.Time
 	brokeAt time.Time
+	// proof is what the answer proves if its server lives on: the end of the connection was the end of
+	// the answer, or that of the server. It is empty where the call broke.
+	proof []suspicion.Strike
 }
 
 // brokenCall is a call whose connection has ended.
@@ -52,6 +55,8 @@
 	sentAt time.Time
 	// output is the time for which output had been arriving.
 	output time.Duration
+	// proof is empty unless the answer was whole, if its server lives on.
+	proof []suspicion.Strike
 }
 
 // followed is a server at which calls broke.
@@ -113,7 +118,7 @@
 	request := b.call.request()
 	strike := suspicion.Strike{Fingerprint: request.Fingerprint, Server: v.entry.ID, OutputMillis: b.output.Milliseconds()}
 	s.pending = append(s.pending, pendingStrike{
-		strike: strike, request: request, target: targetOf(v), born: v.entry.Born, sentAt: b.sentAt, brokeAt: time.Now(),
+		strike: strike, request: request, target: targetOf(v), born: v.entry.Born, sentAt: b.sentAt, brokeAt: time.Now(), proof: b.proof,
 	})
 	select {
 	case s.wakeup <- struct{}{}:
@@ -226,7 +231,11 @@
 			left = append(left, p)
 			continue
 		}
-		if f.ending.LivesOn(p.brokeAt, now) || now.Sub(p.brokeAt) >= strikeWait {
+		if f.ending.LivesOn(p.brokeAt, now) {
+			s.gateway.mesh.AnsweredBefore(now.Sub(p.brokeAt), p.proof...)
+			continue
+		}
+		if now.Sub(p.brokeAt) >= strikeWait {
 			continue
 		}
 		if p.strike.Evidence = s.evidence(&p, f.ending, now); p.strike.Evidence != "" {
@@ -292,15 +301,20 @@
 	}
 }
 
-// proveWhole records what a whole answer proves.
+// proveWhole records what a whole answer proves. An answer that ended with its connection looks whole as
+// well where its server ended.
 func (x *exchange) proveWhole(r *reply) {
 	var proof []suspicion.Strike
-	status := r.response.Status
+	status, output := r.response.Status, r.outputFor(r.now())
 	if status < http.StatusInternalServerError {
 		proof = append(proof, suspicion.Strike{Fingerprint: x.fingerprint()})
 	}
 	if status < http.StatusMultipleChoices && !r.proved {
 		proof = append(proof, mesh.PartStrikes(x.identity())...)
 	}
-	x.mesh.AnsweredBefore(0, proof...)
+	if r.response.Framed || output > suspicion.BeginTime {
+		x.mesh.AnsweredBefore(0, proof...)
+		return
+	}
+	x.strikes.connBroken(brokenCall{call: &x.call, server: r.server, sentAt: x.sentAt, output: output, proof: proof})
 }
