An entry that has started is told first what is refused

What callers would see: an entry that has just started sends on what all others refuse. Its question was answered with the oldest 256 strikes, after which it took itself for informed; an end brings up to three times as many strikes now as before, so that after some ends those of the fatal part were not among them. What is refused comes first; OfRefused judges each fingerprint once. TestRefusedPartIsToldFirst (400 requests suspected) failed with the former order. Found by reading.

--- a/coord/suspicion/parts_test.go
+++ b/coord/suspicion/parts_test.go
@@ -466,3 +466,21 @@
 		})
 	}
 }
+
+// Guards against an entry that has started and is not told what is refused, because so much else is suspected.
+func TestRefusedPartIsToldFirst(t *testing.T) {
+	s, now := NewStrikes(), partsStart
+	for i := range uint64(400) {
+		endUnder(s, "v", 0, now, requestWith(1<<40+i, 1<<41+i))
+	}
+	for i := range partStrikeLimit {
+		endUnder(s, fmt.Sprint("w", i), 0, now, requestWith(uint64(firstPlain+i), fatalPart))
+	}
+	other := NewStrikes()
+	for _, strike := range s.All(256, now) {
+		other.Add(strike, now)
+	}
+	if got := verdictOn(other, now, fatalPart); got != Refuse {
+		t.Errorf("at the entry that was told, a request with the part is to %s", got)
+	}
+}
--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -333,11 +333,37 @@
 // Change returns the number of the last strike or answer that was added.
 func (s *Strikes) Change() uint64 { return s.change }
 
-// OfRefused returns the strikes of the requests that are refused, in the order in which they were
-// added.
+// OfRefused returns the strikes of the requests and parts that are refused, in the order in which they
+// were added.
 func (s *Strikes) OfRefused(now time.Time) []Strike {
+	refused, _ := s.splitByRefusal(now)
+	return refused
+}
+
+// All returns up to limit of the strikes, those of what is refused first.
+func (s *Strikes) All(limit int, now time.Time) []Strike {
+	refused, others := s.splitByRefusal(now)
+	all := append(refused, others...)
+	return all[:min(len(all), limit)]
+}
+
+// splitByRefusal returns all strikes, split by whether their request or part is refused.
+func (s *Strikes) splitByRefusal(now time.Time) (refused, others []Strike) {
 	all, _ := s.Since(0, math.MaxInt, now)
-	return slices.DeleteFunc(all, func(strike Strike) bool { return !s.Refused(strike.Fingerprint, now) })
+	known := make(map[uint64]bool)
+	for _, strike := range all {
+		isRefused, ok := known[strike.Fingerprint]
+		if !ok {
+			isRefused = s.Refused(strike.Fingerprint, now)
+			known[strike.Fingerprint] = isRefused
+		}
+		if isRefused {
+			refused = append(refused, strike)
+		} else {
+			others = append(others, strike)
+		}
+	}
+	return refused, others
 }
 
 // Since returns up to limit of the strikes that were added after the change with the given number,
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -228,8 +228,7 @@
 // allStrikes returns the strikes that this process holds, as many as a greeting carries; its own
 // greetings bring the rest. The caller holds mu.
 func (m *Mesh) allStrikes(now time.Time) []suspicion.Strike {
-	all, _ := m.strikes.Since(0, maxGreetingStrikes, now)
-	return all
+	return m.strikes.All(maxGreetingStrikes, now)
 }
 
 // splitStrikes splits strikes into the lists of a greeting.
