A popular part excuses no other, and an entry that has just started takes all parts for popular

Popular parts explain only each other's ends now; ends that an entry reports in its first 10 s count one after the other only.

--- a/coord/suspicion/parts.go
+++ b/coord/suspicion/parts.go
@@ -42,6 +42,8 @@
 	partStrikeLimit = strikeLimit + 1
 	// popularFor is the time after a proof of soundness in which a part counts as popular.
 	popularFor = answerLifetime
+	// LearningTime is the time after its start in which an entry cannot know what is popular.
+	LearningTime = popularFor
 	// refusedPartPause is the pause after the last end until a refused part is tried again, and
 	// disputedPartPause the first one between two trials of a part for which something speaks. Pauses are
 	// multiplied by partPauseGrowth after each trial.
@@ -138,7 +140,7 @@
 func (s *Strikes) disputed(r *strikeRecord, parts []Part) bool {
 	own := r.struck()
 	for fingerprint, other := range s.records {
-		if other == r || other.part == "" || len(other.strikes) != len(own) || !other.mayBeCause() || !within(own, other.struck()) {
+		if other == r || other.part == "" || len(other.strikes) != len(own) || !other.mayBeCause(r) || !within(own, other.struck()) {
 			continue
 		}
 		if !slices.ContainsFunc(parts, func(part Part) bool { return part.Fingerprint == fingerprint }) {
@@ -208,7 +210,7 @@
 
 // outweighs reports whether a part at the limit is more likely to have caused ends than another one.
 func (r *strikeRecord) outweighs(other *strikeRecord) bool {
-	if r.part == "" || !r.atLimit() {
+	if r.part == "" || !r.atLimit() || r.isPopular() && !other.isPopular() {
 		return false
 	}
 	return len(r.strikes) > len(other.strikes) || other.isPopular() && !r.isPopular()
--- a/coord/suspicion/parts_test.go
+++ b/coord/suspicion/parts_test.go
@@ -162,6 +162,50 @@
 	}
 }
 
+// Guards against parts that are refused because many servers end together before their entries know which parts are popular.
+func TestPartsAtEntriesThatHaveJustStartedOutliveServersThatEndTogether(t *testing.T) {
+	for name, test := range map[string]struct {
+		gap    time.Duration
+		unsure bool
+		want   Verdict
+	}{
+		"all at the same moment":                        {0, true, Run},
+		"one after the other's run":                     {150 * time.Millisecond, true, Refuse},
+		"at the same moment, at entries that know more": {0, false, Refuse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, now := NewStrikes(), partsStart
+			for i := range partStrikeLimit + 2 {
+				now = now.Add(test.gap)
+				s.Add(Strike{Fingerprint: rarePart, Part: partID(rarePart), Request: uint64(firstPlain + i), Server: fmt.Sprint("v", i), RunMillis: 100, Unsure: test.unsure}, now)
+			}
+			if got := verdictOn(s, now, rarePart); got != test.want {
+				t.Errorf("a request with it is to %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a fatal part that is excused by a popular one, which was at all of its ends and at more.
+func TestPopularPartExcusesNoOther(t *testing.T) {
+	s, now := NewStrikes(), partsStart
+	prove(s, now, popularPart)
+	for i := range partStrikeLimit + 2 {
+		now = now.Add(300 * time.Millisecond)
+		request := requestWith(uint64(firstPlain+i), popularPart, fatalPart)
+		if i < 2 {
+			request = requestWith(uint64(firstPlain+i), popularPart)
+		}
+		endUnder(s, fmt.Sprint("v", i), 100*time.Millisecond, now, request)
+	}
+	if got := verdictOn(s, now, popularPart, fatalPart); got != Refuse {
+		t.Errorf("a request with both is to %s", got)
+	}
+	if got := verdictOn(s, now, popularPart); got != Run {
+		t.Errorf("a request with the popular part is to %s", got)
+	}
+}
+
 // Guards against a part that nobody can use again, because it was always beside the one that crashed servers.
 func TestPartsOfTheSameEndsAreToldApart(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -33,6 +33,8 @@
 	RunMillis int64 `json:"runMillis,omitempty"`
 	// Popular is set where a run had proved the part sound shortly before.
 	Popular bool `json:"popular,omitempty"`
+	// Unsure is set where the entry that saw the crash had just started, and cannot know what is popular.
+	Unsure bool `json:"unsure,omitempty"`
 	// Server is the incarnation of the server that crashed.
 	Server   string   `json:"server"`
 	Evidence Evidence `json:"evidence,omitempty"`
@@ -138,7 +140,7 @@
 
 // count returns how many of these ends count.
 func (r *strikeRecord) count(ends []heldStrike) int {
-	if r.isPopular() {
+	if r.isPopular() || slices.ContainsFunc(ends, func(end heldStrike) bool { return end.Unsure }) {
 		return successive(ends)
 	}
 	return len(ends)
@@ -193,7 +195,7 @@
 		if r.part != "" && other.part == "" {
 			least = len(own)
 		}
-		if other == r || len(other.strikes)+len(other.silent) < least || !other.mayBeCause() {
+		if other == r || len(other.strikes)+len(other.silent) < least || !other.mayBeCause(r) {
 			continue
 		}
 		if others := ends(other); len(others) >= least && within(own, others) {
@@ -203,9 +205,13 @@
 	return false
 }
 
-// mayBeCause reports whether the request or part may have crashed servers, rather than been there.
-func (r *strikeRecord) mayBeCause() bool {
-	return r.early == len(r.strikes) && (!r.isPopular() || r.atLimit())
+// mayBeCause reports whether the request or part may have crashed servers, rather than the other one. A
+// popular part may only have in place of another popular one.
+func (r *strikeRecord) mayBeCause(other *strikeRecord) bool {
+	if r.early < len(r.strikes) {
+		return false
+	}
+	return !r.isPopular() || other.isPopular() && r.atLimit()
 }
 
 // Add records a strike, or an answer, and reports whether it says anything new. It returns false for one that it
--- a/internal/mesh/strikes.go
+++ b/internal/mesh/strikes.go
@@ -17,7 +17,12 @@
 func (m *Mesh) Strike(strikes ...suspicion.Strike) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.mergeStrikes(nil, false, strikes, time.Now())
+	now := time.Now()
+	learning := now.Sub(time.Unix(0, m.options.Self.Started)) < suspicion.LearningTime
+	for i := range strikes {
+		strikes[i].Unsure = learning && strikes[i].Part != ""
+	}
+	m.mergeStrikes(nil, false, strikes, now)
 }
 
 // Answered records that a run of a request got a whole answer, and notifies all entries if the
