Ends of servers are ordered by when the calls broke, not by when that became known

What callers would see: an entry that had just started counts only ends that came one after the other, and took a run for sent before the end before if that end was not known yet.

A part's strikes carry the age of the break. At entries that have just started ends count once for all that come within 25 ms (the time in which entries hear of each other), elsewhere as before.

--- a/coord/suspicion/parts.go
+++ b/coord/suspicion/parts.go
@@ -44,6 +44,8 @@
 	popularFor = answerLifetime
 	// LearningTime is the time after its start in which an entry cannot know what is popular.
 	LearningTime = popularFor
+	// sameMoment is the time within which entries may see servers end that ended together.
+	sameMoment = 25 * time.Millisecond
 	// refusedPartPause is the pause after the last end until a refused part is tried again, and
 	// disputedPartPause the first one between two trials of a part for which something speaks. Pauses are
 	// multiplied by partPauseGrowth after each trial.
@@ -175,15 +177,26 @@
 	return proved || r.answer.at.After(since)
 }
 
-// successive counts the ends that followed one another: each run was sent once the end before was
-// known. Servers that end at the same moment have another cause than the part that all of them ran.
+// successive counts the ends that followed one another: each run was sent after the end before. Servers
+// that end at the same moment have another cause than the part that all of them ran.
 func successive(ends []heldStrike) int {
+	return countApart(ends, func(last time.Time, end heldStrike) bool {
+		return end.at.Add(-time.Duration(end.RunMillis) * time.Millisecond).After(last)
+	})
+}
+
+// moments counts the ends that did not come together.
+func moments(ends []heldStrike) int {
+	return countApart(ends, func(last time.Time, end heldStrike) bool { return end.at.Sub(last) > sameMoment })
+}
+
+// countApart counts the ends, in their order, that stand apart from the one that was counted last.
+func countApart(ends []heldStrike, apart func(last time.Time, end heldStrike) bool) int {
 	slices.SortFunc(ends, func(a, b heldStrike) int { return a.at.Compare(b.at) })
 	n := 0
 	var last time.Time
 	for _, end := range ends {
-		sentAt := end.at.Add(-time.Duration(end.RunMillis) * time.Millisecond)
-		if sentAt.After(last) {
+		if n == 0 || apart(last, end) {
 			n, last = n+1, end.at
 		}
 	}
--- a/coord/suspicion/parts_test.go
+++ b/coord/suspicion/parts_test.go
@@ -169,14 +169,14 @@
 		want   Verdict
 	}{
 		"all at the same moment":                        {0, true, Run},
-		"one after the other's run":                     {150 * time.Millisecond, true, Refuse},
+		"one after the other":                           {150 * time.Millisecond, true, Refuse},
 		"at the same moment, at entries that know more": {0, false, Refuse},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, now := NewStrikes(), partsStart
 			for i := range partStrikeLimit + 2 {
 				now = now.Add(test.gap)
-				s.Add(Strike{Fingerprint: rarePart, Part: partID(rarePart), Request: uint64(firstPlain + i), Server: fmt.Sprint("v", i), RunMillis: 100, Unsure: test.unsure}, now)
+				s.Add(Strike{Fingerprint: rarePart, Part: partID(rarePart), Request: uint64(firstPlain + i), Server: fmt.Sprint("v", i), RunMillis: 1000, Unsure: test.unsure}, now)
 			}
 			if got := verdictOn(s, now, rarePart); got != test.want {
 				t.Errorf("a request with it is to %s, want %s", got, test.want)
--- a/coord/suspicion/strikes.go
+++ b/coord/suspicion/strikes.go
@@ -29,7 +29,7 @@
 	// that ran; both are empty where Fingerprint stands for a request.
 	Part    string `json:"part,omitempty"`
 	Request uint64 `json:"request,omitempty"`
-	// RunMillis is the time from the sending of the request until its server was known to have crashed.
+	// RunMillis is the time from the sending of the request until its server crashed.
 	RunMillis int64 `json:"runMillis,omitempty"`
 	// Popular is set where a run had proved the part sound shortly before.
 	Popular bool `json:"popular,omitempty"`
@@ -140,8 +140,11 @@
 
 // count returns how many of these ends count.
 func (r *strikeRecord) count(ends []heldStrike) int {
-	if r.isPopular() || slices.ContainsFunc(ends, func(end heldStrike) bool { return end.Unsure }) {
+	switch {
+	case r.isPopular():
 		return successive(ends)
+	case slices.ContainsFunc(ends, func(end heldStrike) bool { return end.Unsure }):
+		return moments(ends)
 	}
 	return len(ends)
 }
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -277,7 +277,8 @@
 	if p.strike.Early() {
 		for _, strike := range mesh.PartStrikes(p.request) {
 			strike.Server, strike.Evidence, strike.OutputMillis = p.strike.Server, p.strike.Evidence, p.strike.OutputMillis
-			strike.RunMillis = (p.brokeAt.Sub(p.sentAt) + after).Milliseconds()
+			// Which of two ends came first is decided by when the calls broke, not by when that was known.
+			strike.AgeMillis, strike.RunMillis = after.Milliseconds(), p.brokeAt.Sub(p.sentAt).Milliseconds()
 			strikes = append(strikes, strike)
 		}
 	}
