A stream that falls silent in its beginning is followed up like a call without an answer

What callers would see: a server that writes its first events and loses power. Its caller leaves, the call ends for the caller, and nothing says that the server ended: the request, or the part of its prompt, goes on from server to server. The watch of calls without an answer ended with the header.

TestStreamThatFallsSilentInItsBeginningIsFollowedUp does not end without the change (no server is followed up).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -46,6 +46,8 @@
 	resumeAfter string
 	// proved is set once the reply has shown that the parts of the prompt crash no servers.
 	proved bool
+	// watched is the watch of the beginning of a stream; nil for other answers.
+	watched *unanswered
 	// checked is set once the software version of the server was checked, at the directory's change
 	// rosterChange.
 	checked      bool
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -71,11 +71,11 @@
 		}
 		return nil, x.callFailed(v, err)
 	}
-	x.strikes.settled(watched)
 	x.sends++
 	x.awaited = nil
 	x.servers.headerReceived(v, time.Now())
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
+	x.watchBeginning(r, watched)
 	if next := x.checkHeader(r, time.Since(x.sentAt)); next != stepDone {
 		r.release()
 		return nil, next
@@ -83,6 +83,23 @@
 	return r, stepDone
 }
 
+// watchBeginning goes on to watch a stream until it has got past its beginning, and ends the watch of any
+// other answer.
+func (x *exchange) watchBeginning(r *reply, watched *unanswered) {
+	if !x.isStream(r) {
+		x.strikes.settled(watched)
+		return
+	}
+	r.watched = watched
+	x.strikes.begun(watched, time.Now())
+	r.releases = append(r.releases, func() {
+		// What ended for the time or the caller says nothing of the server.
+		if !x.callerLeft() && time.Until(x.deadline) > 0 {
+			x.strikes.settled(watched)
+		}
+	})
+}
+
 // checkHeader decides how to proceed after the header of an answer; stepDone means that the
 // answer can be relayed to the caller.
 func (x *exchange) checkHeader(r *reply, took time.Duration) step {
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -298,6 +298,7 @@
 func (x *exchange) proveEarly(r *reply) {
 	if !r.proved && r.outputFor(r.now()) > suspicion.BeginTime {
 		r.proved = true
+		x.strikes.settled(r.watched)
 		x.mesh.Proved(x.identity())
 	}
 }
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -38,14 +38,17 @@
 
 // serveCut serves a request whose answer may end in an aborted connection.
 func serveCut(g *Gateway, r *http.Request) {
-	defer func() {
-		if cut := recover(); cut != nil && cut != http.ErrAbortHandler {
-			panic(cut)
-		}
-	}()
+	defer expectAbort()
 	g.ServeHTTP(httptest.NewRecorder(), r)
 }
 
+// expectAbort takes the panic of an answer that was aborted.
+func expectAbort() {
+	if cut := recover(); cut != nil && cut != http.ErrAbortHandler {
+		panic(cut)
+	}
+}
+
 // breakAtServers announces three servers, each of which breaks the connection of a call and then
 // listens on or not.
 func breakAtServers(t *testing.T, g *Gateway, call *Call, listening bool) []roster.Server {
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -16,7 +16,8 @@
 type unanswered struct {
 	request suspicion.Request
 	server  *server
-	sentAt  time.Time
+	// sentAt is when the request was sent, or when its answer began.
+	sentAt time.Time
 }
 
 const (
@@ -51,7 +52,19 @@
 	return u
 }
 
-// settled ends the watch of a call that was answered, or whose connection broke.
+// begun goes on to watch a call whose answer has begun: its server may fall silent behind the first events
+// of a stream as well.
+func (s *strikes) begun(u *unanswered, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u != nil && (s.unanswered[u] || len(s.unanswered) < maxPending) {
+		u.sentAt = now
+		s.unanswered[u] = true
+	}
+}
+
+// settled ends the watch of a call that was answered, or whose answer got past its beginning, or whose connection
+// broke.
 func (s *strikes) settled(u *unanswered) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -135,3 +136,61 @@
 		})
 	}
 }
+
+// writeCounter is a caller that leaves once it has received a number of writes.
+type writeCounter struct {
+	*httptest.ResponseRecorder
+	left  int
+	leave context.CancelFunc
+}
+
+func (w *writeCounter) Write(p []byte) (int, error) {
+	if w.left--; w.left == 0 {
+		defer w.leave()
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a request that goes on from one server to the next, because each falls silent behind the first event of its stream.
+func TestStreamThatFallsSilentInItsBeginningIsFollowedUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		events int
+		want   suspicion.Verdict
+	}{
+		"nothing follows the first event":    {1, suspicion.RunAlone},
+		"the stream gets past its beginning": {2, suspicion.Run},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			g := newTestGateway(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+				respond(http.StatusOK, "Signed", "")(w, r)
+				for i := range test.events {
+					if i > 0 {
+						time.Sleep(suspicion.BeginTime + time.Millisecond)
+					}
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: word\n\n", i+1)
+					_ = http.NewResponseController(w).Flush()
+				}
+				<-ended
+			}})
+			t.Cleanup(func() { close(ended) })
+			for tries, servers := 0, make(map[*server]bool); tries < 3 || test.want != suspicion.Run && len(servers) < 3; tries++ {
+				ctx, leave := context.WithCancel(t.Context())
+				caller := &writeCounter{ResponseRecorder: httptest.NewRecorder(), left: test.events, leave: leave}
+				func() {
+					defer expectAbort()
+					g.ServeHTTP(caller, newPrompt("/draft/").WithContext(ctx))
+				}()
+				for u := range g.strikes.unanswered {
+					servers[u.server] = true
+				}
+			}
+			lookLater(g)
+			call := g.edge.Parse(newPrompt("/draft/"))
+			call.Body = []byte("prompt")
+			if got := g.mesh.Decide(suspicion.Request{Fingerprint: call.fingerprint()}, 0).Verdict; got != test.want {
+				t.Errorf("the request is to %s, want %s", got, test.want)
+			}
+		})
+	}
+}
