An engine's next incarnation rejects orders that were meant for an earlier one

The first copy of a load that got no answer from the engine's earlier incarnation names order count 22; the later incarnation, which counts from 0, stood at 22 when the copy was carried out, seven seconds later, with all places taken.

The agent raises its fencing number with each incarnation, so that the first order that the new one accepts closes it to all earlier ones; until then its count is 0 and what it holds is read from its report. Where an entry has told the agent the incarnation's ID with a start, orders name it too, for engines that do not check fences; where a start keeps its ID only the fence helps. The order's line tells the fencing number, the ID, the birth and the count that the engine reported.

A report that was requested before an order was answered no longer sets the count back: in the same trace the order at 12.2125 s went out with count 21 after 22 had been reached, and got 409.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -41,7 +41,7 @@
 	query := x.query()
 	conditions := x.offers.Conditions(x.picked.Choice, &x.picked.Candidate, left)
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: x.call.ID, Attempt: x.starts, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
+		ID: x.call.ID, Attempt: x.starts, Engine: v.entry.ID, Born: v.entry.Born, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
 		Rank: x.route.Priority, Prompt: x.call.PromptTokens, Tokens: x.tokens(),
 		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -60,6 +60,7 @@
 		reply <- wire.StartReply{Reason: reasonEngineUnknown}
 		return
 	}
+	l.learnEngine(in.Engine, in.Born)
 	now := time.Now()
 	if previous, known := l.attempts[in.ID]; known {
 		l.release(in.ID, previous)
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -59,6 +59,9 @@
 	// Holder is the name of the agent that gives the order, Token its fencing number.
 	Holder string
 	Token  int64
+	// Engine is the ID of the incarnation that the order is meant for; any other rejects it. It is empty
+	// while the ID is not known.
+	Engine string
 }
 
 // OrderResult is the outcome of an order.
--- a/internal/sidecar/fake_engine_test.go
+++ b/internal/sidecar/fake_engine_test.go
@@ -43,6 +43,11 @@
 	// loseReply, if set, decides whether an order gets no answer, and after which delay it is
 	// carried out.
 	loseReply func() (bool, time.Duration)
+	// token is the highest fencing number seen, id the ID that orders must name if they name one.
+	token int64
+	id    string
+	// rejected counts the orders with an outdated fencing number or another ID.
+	rejected int
 }
 
 // errRefused is the error of a call to an engine that is down.
@@ -56,7 +61,7 @@
 	time.Sleep(downtime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.down, e.sequence = false, 0
+	e.down, e.sequence, e.token = false, 0, 0
 	clear(e.adapters)
 	clear(e.loading)
 }
@@ -116,6 +121,15 @@
 
 // execute carries out an order. The caller holds mu.
 func (e *fakeEngine) execute(o Order) OrderResult {
+	if e.id != "" && o.Engine != "" && o.Engine != e.id {
+		e.rejected++
+		return OrderRefused
+	}
+	if o.Token < e.token {
+		e.rejected++
+		return OrderFenced
+	}
+	e.token = o.Token
 	if o.Sequence != e.sequence {
 		return OrderConflict
 	}
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -88,7 +88,7 @@
 	if !ok {
 		return
 	}
-	order.Sequence, order.Holder, order.Token = l.sequence, l.options.Name, l.token
+	order.Sequence, order.Holder, order.Token, order.Engine = l.sequence, l.options.Name, l.token, l.currentEngine()
 	l.unanswered, l.orderPending = nil, true
 	sentAt := time.Now()
 	retryAt := sentAt.Add(orderBackoff.Pause(l.orderFailures.Failed(sentAt), 0, 0))
@@ -105,6 +105,21 @@
 	}()
 }
 
+// currentEngine returns the ID of the engine's current incarnation; empty while it is not known.
+func (l *loop) currentEngine() string {
+	if l.engineBorn != l.report.Born {
+		return ""
+	}
+	return l.engineID
+}
+
+// learnEngine records the ID of an incarnation of the engine.
+func (l *loop) learnEngine(id string, born int64) {
+	if id != "" && born != 0 && born >= l.engineBorn {
+		l.engineID, l.engineBorn = id, born
+	}
+}
+
 // nextOrder returns the next order that the table still expects. One that waited while the engine
 // did not report may have been forgotten, and its place given to another adapter.
 func (l *loop) nextOrder() (Order, bool) {
@@ -140,10 +155,12 @@
 func (l *loop) handleOrderReply(r orderReply) {
 	order, now := r.order, time.Now()
 	l.log.Info("order", zap.Bool("load", order.Load), zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Int64("version", order.Version),
-		zap.Int64("sequence", order.Sequence), zap.Uint8("result", uint8(r.result)), telemetry.Cause(r.err))
+		zap.Int64("sequence", order.Sequence), zap.Int64("token", order.Token), zap.String("engine", order.Engine), zap.Int64("born", l.report.Born),
+		zap.Int64("reported", l.report.Sequence), zap.Uint8("result", uint8(r.result)), telemetry.Cause(r.err))
 	name := order.Model + "/" + order.Adapter
 	if r.result != OrderUnknown {
 		l.orderFailures.Succeeded()
+		l.answeredAt = now
 	}
 	switch r.result {
 	case OrderAccepted, OrderDone:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -86,8 +86,15 @@
 	known    bool
 	reported bool
 	sequence int64
-	token    int64
-	waiters  map[string]chan<- wire.StartReply
+	// token is the fencing number of orders. Each incarnation of the engine gets a higher one.
+	token int64
+	// engineID names the engine's incarnation that was born at engineBorn, as told by the entries that
+	// request starts on it; empty until one has.
+	engineID   string
+	engineBorn int64
+	// answeredAt is when the last order was answered.
+	answeredAt time.Time
+	waiters    map[string]chan<- wire.StartReply
 	// replies are sent once the state that they leave is published.
 	replies []pendingReply
 	// attempts holds the attempt number of each request that has a start or waits for one, by
@@ -243,9 +250,7 @@
 	l.recordLoads(now)
 	l.cached.Update(slices.Collect(maps.Keys(report.Adapters)))
 	l.dropEndedAttempts()
-	if !l.orderPending {
-		l.sequence = report.Sequence
-	}
+	l.takeCount(report, r.sentAt)
 	if report.Leaving {
 		l.perform(l.table.Leave())
 	}
@@ -257,6 +262,14 @@
 	l.ensureModel(ctx, now)
 }
 
+// takeCount takes over the engine's order count, unless the report may lack the effect of an order that was
+// sent or answered since it was requested.
+func (l *loop) takeCount(report Report, requestedAt time.Time) {
+	if !l.orderPending && requestedAt.After(l.answeredAt) {
+		l.sequence = report.Sequence
+	}
+}
+
 // loadLatency is the latency of adapter loads.
 var loadLatency = telemetry.LatencyOf("sidecar_load_millis")
 
@@ -294,8 +307,12 @@
 	if report.Born == l.report.Born && report.Sequence >= l.report.Sequence {
 		return
 	}
-	l.log.Warn("the engine has restarted", zap.Int64("born", report.Born), zap.Int64("sequence", report.Sequence), zap.Int64("before", l.report.Sequence))
-	l.sequence = report.Sequence
+	// An order that got no answer from the earlier incarnation may still reach this one, when its order
+	// count is the expected one again. The higher fencing number makes the engine reject it.
+	l.token++
+	l.log.Warn("the engine has restarted", zap.Int64("born", report.Born), zap.Int64("sequence", report.Sequence), zap.Int64("before", l.report.Sequence),
+		zap.Int64("bornBefore", l.report.Born), zap.Int64("token", l.token))
+	l.sequence, l.answeredAt = report.Sequence, time.Time{}
 	l.orders, l.unanswered = nil, nil
 	clear(l.loads)
 	l.cached = dispatch.Held{}
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -20,6 +20,10 @@
 	// Attempt numbers the attempts to start this request. A new attempt also ends
 	// the one before it.
 	Attempt int `json:"try"`
+	// Engine is the ID of the engine's incarnation that the entry chose, Born its time of birth in Unix
+	// milliseconds. The agent cannot ask its engine for the ID.
+	Engine string `json:"engine,omitempty"`
+	Born   int64  `json:"born,omitempty"`
 	// Adapter has the form model/adapter. It is empty for the base model alone.
 	Adapter string `json:"adapter,omitempty"`
 	// Version is the newest version of the adapter that the entry knows, or 0 if
