A stream goes on at a plain server once an announcement is known to have been sent after the break

What is passed on now tells when it, and the announcement before it, arrived at the first entry; and a server may go on with a stream once an announcement has followed one that arrived after the break. A server sends one after the other, so that one was sent after the break. Ways weighed are in docs/design/stream-versions.md; it holds unless a greeting travels for longer than a heartbeat.

The wait itself, p50 and p99, was not measured.

A refusal's time to come back left out that other entries' credit comes with their next exchange (13 ms told where 75 were needed); it is added.

--- a/coord/credit/holder.go
+++ b/coord/credit/holder.go
@@ -246,6 +246,10 @@
 		h.accrue(a, now)
 		a.level += g.Units
 		a.full = g.Full
-		a.deniedUntil = now.Add(time.Duration(g.AfterMillis) * time.Millisecond)
+		a.deniedUntil = now
+		if g.AfterMillis > 0 {
+			// What other entries create reaches the pool with their next exchange.
+			a.deniedUntil = now.Add(time.Duration(g.AfterMillis)*time.Millisecond + h.options.Interval)
+		}
 	}
 }
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -40,6 +40,27 @@
 	// model/adapter@version.
 	Models   []string `json:"models,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
+	// Ages is set only on its way between daemons.
+	Ages
+}
+
+// Ages tells when a daemon that passes an announcement on knows it, and the one before it, to have arrived at
+// the first daemon.
+type Ages struct {
+	// AgeMillis is the time since the announcement arrived; 0 at the first daemon.
+	AgeMillis int64 `json:"ageMillis,omitempty"`
+	// EarlierMillis is the time since an earlier announcement of the same incarnation arrived, at the same
+	// version; 0 if none is known.
+	EarlierMillis int64 `json:"earlierMillis,omitempty"`
+}
+
+// arrivals returns the times to which the ages point.
+func (a Ages) arrivals(now time.Time) (newest, earlier time.Time) {
+	newest = now.Add(-time.Duration(max(a.AgeMillis, 0)) * time.Millisecond)
+	if a.EarlierMillis > 0 {
+		earlier = now.Add(-time.Duration(a.EarlierMillis) * time.Millisecond)
+	}
+	return newest, earlier
 }
 
 // newer reports whether s supersedes b, an announcement with the same ID.
@@ -59,6 +80,7 @@
 	ID       string `json:"id"`
 	Born     int64  `json:"born"`
 	Sequence int64  `json:"sequence"`
+	Ages
 }
 
 // heartbeatInterval is the minimum time between two changes of an entry that
@@ -69,8 +91,12 @@
 // Entry is a server as known to this daemon.
 type Entry struct {
 	Server
-	// LastHeard is when the newest announcement arrived at this daemon.
+	// LastHeard is when the newest announcement arrived at the first daemon, as far as this one knows.
 	LastHeard time.Time
+	// HeardBefore is when an earlier announcement of the same incarnation arrived at the first daemon, at the
+	// same version; zero if none is known. A server sends one announcement after the other, so it sent the
+	// newest one later than that.
+	HeardBefore time.Time
 	// Change is the number of this roster's change that last updated the entry;
 	// higher numbers are newer.
 	Change uint64
@@ -81,6 +107,26 @@
 	changedAt time.Time
 }
 
+// Aged returns the announcement with its ages, to be passed on.
+func (e *Entry) Aged(now time.Time) Server {
+	s := e.Server
+	s.Ages = e.ages(now)
+	return s
+}
+
+// Heartbeat returns the announcement as a heartbeat, to be passed on.
+func (e *Entry) Heartbeat(now time.Time) Heartbeat {
+	return Heartbeat{ID: e.ID, Born: e.Born, Sequence: e.Sequence, Ages: e.ages(now)}
+}
+
+func (e *Entry) ages(now time.Time) Ages {
+	ages := Ages{AgeMillis: max(now.Sub(e.LastHeard).Milliseconds(), 0)}
+	if !e.HeardBefore.IsZero() {
+		ages.EarlierMillis = max(now.Sub(e.HeardBefore).Milliseconds(), 1)
+	}
+	return ages
+}
+
 // Roster holds the servers by ID.
 type Roster struct {
 	entries map[string]*Entry
@@ -121,7 +167,12 @@
 	}
 	material = !ok || known.Born != s.Born || known.Leaving != s.Leaving || known.Gone != s.Gone || known.Address != s.Address ||
 		known.Service != s.Service || known.Version != s.Version || !slices.Equal(known.Models, s.Models)
-	entry := &Entry{Server: s, LastHeard: now}
+	entry := &Entry{Server: s}
+	entry.LastHeard, entry.HeardBefore = s.arrivals(now)
+	entry.Ages = Ages{}
+	if ok && known.Born == s.Born && known.Version == s.Version {
+		entry.HeardBefore = later(entry.HeardBefore, later(known.LastHeard, known.HeardBefore))
+	}
 	switch {
 	case material:
 		r.recordMaterial(entry, now)
@@ -138,6 +189,13 @@
 	return true, material
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ApplyHeartbeat applies a heartbeat. missing reports whether the incarnation is
 // unknown to this daemon, which then needs its full announcement.
 func (r *Roster) ApplyHeartbeat(b Heartbeat, now time.Time) (missing bool) {
@@ -149,7 +207,7 @@
 		return false
 	}
 	s := known.Server
-	s.Sequence = b.Sequence
+	s.Sequence, s.Ages = b.Sequence, b.Ages
 	// ColdMillis was relative to the time of the last announcement.
 	s.ColdMillis = max(s.ColdMillis-now.Sub(known.LastHeard).Milliseconds(), 0)
 	if _, material := r.Apply(s, now); !material {
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -18,8 +18,8 @@
 	// is the stream by which other entries know it, 0 for none.
 	goesOn bool
 	stream streamversion.Stream
-	// bound is set where the stream may go on only at servers of version, of which something was heard
-	// after since.
+	// bound is set where the stream may go on only at servers of version, of which an announcement is known
+	// to have been sent after since.
 	bound   bool
 	version string
 	since   time.Time
@@ -193,9 +193,10 @@
 		return v.agent.runs(v.entry.Born), false
 	}
 	// A server that restarted under its ID may have another version, which it tells with its next
-	// announcement.
+	// announcement. One that arrives after the stream broke may have been sent before; one that follows it was
+	// not.
 	e, ok := s.mesh.Announced(v.entry.ID)
-	heard := ok && e.LastHeard.After(l.since)
+	heard := ok && e.HeardBefore.After(l.since)
 	return heard, !heard
 }
 
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -262,9 +262,9 @@
 		p.change = e.Change
 		switch {
 		case e.Material > q.acked:
-			p.Servers = append(p.Servers, e.Server)
+			p.Servers = append(p.Servers, e.Aged(now))
 		case m.heardVia[e.ID] == viaDirect || q.spoke:
-			p.Beats = append(p.Beats, roster.Heartbeat{ID: e.ID, Born: e.Born, Sequence: e.Sequence})
+			p.Beats = append(p.Beats, e.Heartbeat(now))
 		}
 	}
 	if !p.more {
@@ -276,7 +276,7 @@
 	}
 	for _, id := range q.missing {
 		if e, ok := m.roster.Get(id); ok {
-			p.Servers = append(p.Servers, e.Server)
+			p.Servers = append(p.Servers, e.Aged(now))
 		}
 	}
 	return p
