A refusal by a team's limit says when the credit of the other entries has come

Callers were told 113 ms where tokens were there after some 250: entries whose pool was full learn that it takes credit with their next idle exchange, which came every 500 ms. It now comes every 250 ms, and the time told includes it.

--- a/internal/teamlimit/teamlimit.go
+++ b/internal/teamlimit/teamlimit.go
@@ -45,7 +45,7 @@
 	intervalPerEntry = 4 * time.Millisecond
 	// idleInterval is the time between two exchanges in which there is nothing to give or to ask for: the pool
 	// tells which teams take credit again.
-	idleInterval = 500 * time.Millisecond
+	idleInterval = 250 * time.Millisecond
 	// exchangeTimeout limits one exchange: a request may wait for it.
 	exchangeTimeout = 150 * time.Millisecond
 	// avoidTime is how long an entry that did not answer is not chosen for a pool.
@@ -318,7 +318,8 @@
 	l.holder.Refused(team.Name, cost)
 	d.RetryAfter = unknownRetryAfter
 	if wait := d.Standing.DeniedUntil.Sub(now); wait > 0 {
-		d.RetryAfter = wait
+		// Entries that had nothing to give while the pool was full learn of it with their next idle exchange.
+		d.RetryAfter = wait + idleInterval
 	}
 	return d, nil
 }
