--- a/internal/teamlimit/teamlimit.go
+++ b/internal/teamlimit/teamlimit.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -80,6 +81,10 @@
 	// avoided holds the entries that did not answer, until when.
 	avoided map[string]time.Time
 	links   [poolCount]link
+	// settledAt is when this entry began to create credit, a moment after its start; waiting is the number of
+	// requests that wait for its first credit.
+	settledAt time.Time
+	waiting   int
 }
 
 // link is the exchange with one pool.
@@ -107,7 +112,8 @@
 
 // Run exchanges credit until ctx ends.
 func (l *Limits) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	due := make(chan struct{}, 1)
+	timer := time.AfterFunc(0, func() { due <- struct{}{} })
 	defer timer.Stop()
 	for {
 		select {
@@ -115,10 +121,9 @@
 			return
 		case <-l.documents.Changed():
 			l.configure(time.Now())
-			continue
-		case <-timer.C:
+		case <-due:
+			timer.Reset(l.refresh(ctx))
 		}
-		timer.Reset(l.refresh(ctx))
 	}
 }
 
@@ -160,6 +165,9 @@
 	among := l.share.Observe(len(l.entries), ready, connected, now)
 	sharedAmongGauge.Set(int64(among))
 	l.holder.SetShare(among, interval, now)
+	if among > 0 && l.settledAt.IsZero() {
+		l.settledAt = now
+	}
 	l.configureLocked(now)
 	if len(l.limits) == 0 {
 		return interval
@@ -274,6 +282,59 @@
 	Standing credit.Standing
 }
 
+// isStarting reports whether the first credit may not have covered those yet that waited for it. The caller holds
+// mu.
+func (l *Limits) isStarting(now time.Time) bool {
+	return l.settledAt.IsZero() || now.Sub(l.settledAt) < firstCreditTime
+}
+
+const (
+	// maxUnsettled bounds the requests that wait at an entry that has just started, settleTimeout their wait
+	// and settlePause the pause between two of their tries.
+	maxUnsettled  = 512
+	settleTimeout = time.Second
+	settlePause   = 20 * time.Millisecond
+	// firstCreditTime is the time at the rate of a limit in which requests that waited for an entry to start
+	// are covered.
+	firstCreditTime = 500 * time.Millisecond
+)
+
+// admitUnsettled covers a request at an entry that has just started, and creates its first credit a moment later.
+// It waits for that credit: what its team may use is not known to be used up.
+func (l *Limits) admitUnsettled(ctx context.Context, team *route.Team, cost float64) bool {
+	if !l.enterUnsettled() {
+		return false
+	}
+	defer l.leaveUnsettled()
+	until := time.Now().Add(settleTimeout)
+	for time.Now().Before(until) && wait.For(ctx, settlePause) == nil {
+		l.mu.Lock()
+		covered := l.take(team.Name, cost, 1, time.Now())
+		l.mu.Unlock()
+		if covered {
+			return true
+		}
+	}
+	return false
+}
+
+// enterUnsettled reports whether a request may wait for the first credit.
+func (l *Limits) enterUnsettled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isStarting(time.Now()) || l.waiting >= maxUnsettled {
+		return false
+	}
+	l.waiting++
+	return true
+}
+
+func (l *Limits) leaveUnsettled() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting--
+}
+
 // maxExchanges is for how many exchanges a request waits: the one in progress may have begun before it.
 const maxExchanges = 2
 
@@ -281,7 +342,11 @@
 func (l *Limits) Admit(ctx context.Context, team *route.Team, cost float64) Decision {
 	l.mu.Lock()
 	l.holder.Asked(team.Name, cost, time.Now())
+	covered := l.take(team.Name, cost, 0, time.Now())
 	l.mu.Unlock()
+	if covered || l.admitUnsettled(ctx, team, cost) {
+		return Decision{Admitted: true}
+	}
 	for exchanges := 0; ; exchanges++ {
 		d, pending := l.admit(ctx, team, cost, exchanges)
 		if pending == nil {
@@ -315,6 +380,7 @@
 		d.Standing = l.holder.Standing(team.Name, now)
 	}
 	refusedCount.Add(1)
+	teamsUse.add(team.Name, cost, false)
 	l.holder.Refused(team.Name, cost)
 	d.RetryAfter = unknownRetryAfter
 	if wait := d.Standing.DeniedUntil.Sub(now); wait > 0 {
@@ -330,6 +396,7 @@
 		return false
 	}
 	admittedCount.Add(1)
+	teamsUse.add(team, cost, true)
 	if exchanges > 0 {
 		waitedCount.Add(1)
 	}
@@ -341,4 +408,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holder.Return(team.Name, cost)
+	teamsUse.add(team.Name, -cost, true)
 }
--- a/internal/teamlimit/teamlimit_test.go
+++ b/internal/teamlimit/teamlimit_test.go
@@ -221,6 +221,26 @@
 	})
 }
 
+// Guards against callers below their limit who are refused because their entry, or all of them, have just started.
+func TestEntryThatHasStartedRefusesNobody(t *testing.T) {
+	play(t, 9, func(t *testing.T, w *network) {
+		for _, n := range w.nodes {
+			n.stop()
+			n.start()
+		}
+		var requests sync.WaitGroup
+		for i := range 40 {
+			requests.Go(func() {
+				if d := w.nodes[i%len(w.nodes)].limits.Admit(t.Context(), testTeam, 200); !d.Admitted {
+					t.Errorf("request %d was refused, with %+v", i, d)
+				}
+			})
+			time.Sleep(25 * time.Millisecond)
+		}
+		requests.Wait()
+	})
+}
+
 // Guards against exchanges for teams that nobody uses.
 func TestIdleTeamsCostLittle(t *testing.T) {
 	play(t, 9, func(t *testing.T, w *network) {
