Teams take turns among waiting requests of one rank

A team that sends many times its usual, within its limit, filled the queues of engines, and requests of the others waited behind all of its own. Among requests of equal rank that can, or cannot, meet their targets, the k-th of each team now goes before the k+1-th of any. Without teams the order is as it was.

An entry whose configuration has just changed applies its limits before it admits, and forgets entries that it avoided.

--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -47,18 +47,35 @@
 }
 
 // sortWaiting sorts the waiting requests by rank, then those that can still
-// meet their target first, then by arrival. A request that is already late
-// loses less by waiting another second than one that would become late.
+// meet their target first, then by the turns of their teams, then by arrival. A
+// request that is already late loses less by waiting another second than one that
+// would become late. A team with many requests delays one with few by no more than
+// its turns.
 func (t *Table) sortWaiting(now time.Time) {
+	t.countTurns(now)
 	slices.SortStableFunc(t.waiting, func(a, b Request) int {
-		if d := cmp.Compare(a.Rank, b.Rank); d != 0 {
-			return d
-		}
-		return compareBool(t.missesTarget(&a, now), t.missesTarget(&b, now))
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), compareBool(t.missesTarget(&a, now), t.missesTarget(&b, now)), cmp.Compare(a.turn, b.turn))
 	})
 	t.useSlack(now)
 }
 
+// countTurns numbers the waiting requests of each team among those of the same rank
+// that can, or cannot, meet their targets.
+func (t *Table) countTurns(now time.Time) {
+	type class struct {
+		team string
+		rank int
+		late bool
+	}
+	turns := make(map[class]int, 2)
+	for i := range t.waiting {
+		r := &t.waiting[i]
+		c := class{r.Team, r.Rank, t.missesTarget(r, now)}
+		r.turn = turns[c]
+		turns[c]++
+	}
+}
+
 // useSlack moves the first late request before those of its rank that are in time
 // if all of these still meet their targets behind it. Without that, a late request
 // would wait until no other arrives any more.
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -38,8 +38,9 @@
 	ID string
 	// Adapter is model/adapter; empty when only the base model is requested.
 	Adapter string
-	// Rank orders waiting requests; 0 goes first.
+	// Rank orders waiting requests; 0 goes first. Among equal ranks, teams take turns.
 	Rank int
+	Team string
 	// Prompt is the number of prompt tokens, Tokens the maximum memory that the
 	// request takes, in tokens.
 	Prompt int
@@ -55,6 +56,8 @@
 	// OnlyIfHeld refuses the request at once unless the engine holds its adapter or
 	// is loading it.
 	OnlyIfHeld bool
+	// turn counts the requests of the same team that wait before it among equals.
+	turn int
 	// late is set once a start would miss the target.
 	late bool
 }
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -71,7 +71,7 @@
 	}
 	l.perform(l.table.Admit(residency.Request{
 		Target: now.Add(time.Duration(in.TargetMillis) * time.Millisecond),
-		ID:     in.ID, Adapter: in.Adapter, Rank: in.Rank, Prompt: in.Prompt, Tokens: in.Tokens, StartDeadline: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
+		ID:     in.ID, Adapter: in.Adapter, Rank: in.Rank, Team: in.Team, Prompt: in.Prompt, Tokens: in.Tokens, StartDeadline: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
 		MaxDelay: time.Duration(in.MaxDelayMillis) * time.Millisecond, OnlyIfHeld: in.OnlyIfHeld,
 	}, now))
 }
--- a/internal/teamlimit/teamlimit.go
+++ b/internal/teamlimit/teamlimit.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -161,6 +162,7 @@
 			l.entries = append(l.entries, p.Address)
 		}
 	}
+	maps.DeleteFunc(l.avoided, func(_ string, until time.Time) bool { return now.After(until) })
 	interval := max(minInterval, time.Duration(len(l.entries))*intervalPerEntry)
 	among := l.share.Observe(len(l.entries), ready, connected, now)
 	sharedAmongGauge.Set(int64(among))
@@ -341,6 +343,7 @@
 // Admit covers the cost of a request by its team's credit. Where this entry has too little, it asks the pool.
 func (l *Limits) Admit(ctx context.Context, team *route.Team, cost float64) Decision {
 	l.mu.Lock()
+	l.configureLocked(time.Now())
 	l.holder.Asked(team.Name, cost, time.Now())
 	covered := l.take(team.Name, cost, 0, time.Now())
 	l.mu.Unlock()
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -29,8 +29,10 @@
 	// Version is the newest version of the adapter that the entry knows, or 0 if
 	// it knows none. It is sent because the agent may not know that version yet.
 	Version int64 `json:"version,omitempty"`
-	// Rank orders waiting requests; rank 0 starts first.
-	Rank int `json:"rank,omitempty"`
+	// Rank orders waiting requests; rank 0 starts first. Among equal ranks, teams take
+	// turns.
+	Rank int    `json:"rank,omitempty"`
+	Team string `json:"team,omitempty"`
 	// Prompt is the number of prompt tokens to process, Tokens the maximum engine
 	// memory that the request takes, in tokens.
 	Prompt int `json:"prompt"`
