An exchange of credit costs the same however many teams are idle at an entry

Each exchange went through all limits: with 3,000 teams a keeper that answers 250 calls a second would have hashed 750,000 names a second (worked out; some 5% of a core, more than control may take). Teams are listed by pool when a configuration comes in force. No decision changes.

--- a/coord/credit/holder.go
+++ b/coord/credit/holder.go
@@ -1,10 +1,6 @@
 package credit
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 // Holder is the credit of one entry. It is not safe for concurrent use.
 type Holder struct {
@@ -184,15 +180,15 @@
 }
 
 // Transfers returns what to tell the pools of the given teams, and takes from the accounts what it gives away.
-// wanted lists the teams whose pools are known to take credit.
-func (h *Holder) Transfers(chosen func(team string) bool, wanted map[string]bool, now time.Time) []Transfer {
+// wanted holds the teams whose pools are known to take credit.
+func (h *Holder) Transfers(teams []string, wanted map[string]bool, now time.Time) []Transfer {
 	if h.entries == 1 {
 		return nil
 	}
 	var transfers []Transfer
-	for _, team := range slices.Sorted(maps.Keys(h.accounts)) {
+	for _, team := range teams {
 		a := h.accounts[team]
-		if !a.limit.Limited() || !chosen(team) {
+		if a == nil || !a.limit.Limited() {
 			continue
 		}
 		if wanted[team] {
--- a/coord/credit/model_test.go
+++ b/coord/credit/model_test.go
@@ -101,12 +101,11 @@
 			m.retry(i)
 		}
 	}
-	transfers := h.Transfers(func(string) bool { return true }, m.wanted[i], m.now)
+	transfers := h.Transfers([]string{modelTeam}, m.wanted[i], m.now)
 	m.send(i, keeper, func() {
-		limits := map[string]Limit{modelTeam: m.limit}
 		grants := m.pools[keeper].Exchange(transfers, func(string) Limit { return m.limit }, m.now)
 		wanted := make(map[string]bool)
-		for _, team := range m.pools[keeper].Wanted(limits) {
+		for _, team := range m.pools[keeper].Wanted([]string{modelTeam}, func(string) Limit { return m.limit }) {
 			wanted[team] = true
 		}
 		m.send(keeper, i, func() {
--- a/coord/credit/pools.go
+++ b/coord/credit/pools.go
@@ -88,10 +88,11 @@
 	q.deniedAt = now
 }
 
-// Wanted lists the teams, of those given with their limits, whose pools take credit.
-func (p *Pools) Wanted(limits map[string]Limit) []string {
+// Wanted lists the teams, of those given, whose pools take credit. limits returns the limit of a team.
+func (p *Pools) Wanted(teams []string, limits func(team string) Limit) []string {
 	var wanted []string
-	for team, limit := range limits {
+	for _, team := range teams {
+		limit := limits(team)
 		if q := p.pools[team]; limit.Limited() && (q == nil || q.level < limit.stock()*fullPart) {
 			wanted = append(wanted, team)
 		}
--- a/internal/teamlimit/bench_test.go
+++ b/internal/teamlimit/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
 // benchTeams is the number of teams at the size to design for.
@@ -70,3 +71,25 @@
 		}
 	}
 }
+
+// BenchmarkIdleTeams measures an exchange, at the entry that keeps the pool, while no team is used and all pools are full.
+func BenchmarkIdleTeams(b *testing.B) {
+	documents := benchDocuments()
+	l := New(credit.Options{Window: 8 * time.Second}, benchPeers{1}, documents, zap.NewNop())
+	l.configure(time.Now())
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		pool := i % poolCount
+		l.mu.Lock()
+		if i < poolCount {
+			fill := make([]credit.Transfer, 0, len(l.teams[pool]))
+			for _, team := range l.teams[pool] {
+				fill = append(fill, credit.Transfer{Team: team, Give: 1e12})
+			}
+			l.keep(wire.CreditExchange{Pool: pool, Transfers: fill}, time.Now())
+		}
+		l.keep(wire.CreditExchange{Pool: pool}, time.Now())
+		l.mu.Unlock()
+	}
+}
--- a/internal/teamlimit/teamlimit.go
+++ b/internal/teamlimit/teamlimit.go
@@ -75,7 +75,9 @@
 	holder *credit.Holder
 	pools  *credit.Pools
 	share  credit.Share
+	// limits are those of the configuration with the given index, teams the names of the limited teams by pool.
 	limits map[string]credit.Limit
+	teams  [poolCount][]string
 	index  uint64
 	// entries are the addresses of those known at the last interval; the keepers of pools are chosen from them.
 	entries []string
@@ -141,10 +143,11 @@
 		return
 	}
 	l.index = current.State.Index
-	l.limits = make(map[string]credit.Limit)
+	l.limits, l.teams = make(map[string]credit.Limit), [poolCount][]string{}
 	for _, team := range current.Table.Teams() {
 		if team.Limit.Limited() {
-			l.limits[team.Name] = team.Limit
+			pool := poolOf(team.Name)
+			l.limits[team.Name], l.teams[pool] = team.Limit, append(l.teams[pool], team.Name)
 		}
 	}
 	l.holder.SetLimits(l.limits, now)
@@ -206,7 +209,7 @@
 	if keeper == "" {
 		return nil
 	}
-	transfers := l.holder.Transfers(func(team string) bool { return poolOf(team) == pool }, k.wanted, now)
+	transfers := l.holder.Transfers(l.teams[pool], k.wanted, now)
 	if len(transfers) == 0 && !asked && now.Sub(k.at) < idleInterval {
 		return nil
 	}
@@ -256,15 +259,11 @@
 
 // keep answers an exchange with a pool that is kept here. The caller holds mu.
 func (l *Limits) keep(in wire.CreditExchange, now time.Time) wire.CreditReply {
-	reply := wire.CreditReply{Grants: l.pools.Exchange(in.Transfers, func(team string) credit.Limit { return l.limits[team] }, now)}
-	limits := make(map[string]credit.Limit)
-	for team, limit := range l.limits {
-		if poolOf(team) == in.Pool {
-			limits[team] = limit
-		}
+	if in.Pool < 0 || in.Pool >= poolCount {
+		return wire.CreditReply{}
 	}
-	reply.Wanted = l.pools.Wanted(limits)
-	return reply
+	limitOf := func(team string) credit.Limit { return l.limits[team] }
+	return wire.CreditReply{Grants: l.pools.Exchange(in.Transfers, limitOf, now), Wanted: l.pools.Wanted(l.teams[in.Pool], limitOf)}
 }
 
 func (l *Limits) handleExchange(_ context.Context, in wire.CreditExchange) (wire.CreditReply, error) {
