The use of each team is a kind of counter that the check of the operators' page knows

It is now made by telemetry.UseOf, which the check reads too, so that an undocumented one of its kind is found as well.

--- a/internal/teamlimit/teamlimit.go
+++ b/internal/teamlimit/teamlimit.go
@@ -63,6 +63,9 @@
 	exchangeCount    = telemetry.Counter("team_limit_exchanges")
 	exchangeLost     = telemetry.Counter("team_limit_exchanges_lost")
 	sharedAmongGauge = telemetry.Counter("team_limit_shared_among")
+
+	// teamUse is in the units of the teams' limits.
+	teamUse = telemetry.UseOf("team_limit_use")
 )
 
 // Limits enforces the limits of teams at one entry.
@@ -382,7 +385,7 @@
 		d.Standing = l.holder.Standing(team.Name, now)
 	}
 	refusedCount.Add(1)
-	teamsUse.add(team.Name, cost, false)
+	teamUse.Refuse(team.Name, cost)
 	l.holder.Refused(team.Name, cost)
 	d.RetryAfter = unknownRetryAfter
 	if wait := d.Standing.DeniedUntil.Sub(now); wait > 0 {
@@ -398,7 +401,7 @@
 		return false
 	}
 	admittedCount.Add(1)
-	teamsUse.add(team, cost, true)
+	teamUse.Admit(team, cost)
 	if exchanges > 0 {
 		waitedCount.Add(1)
 	}
@@ -410,5 +413,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holder.Return(team.Name, cost)
-	teamsUse.add(team.Name, -cost, true)
+	teamUse.Admit(team.Name, -cost)
 }
--- a/internal/telemetry/counters_test.go
+++ b/internal/telemetry/counters_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	counterCall = regexp.MustCompile(`telemetry\.(?:Counter|LatencyOf)\((?:"([a-zA-Z0-9_]+)"(\)| \+ ))?`)
+	counterCall = regexp.MustCompile(`telemetry\.(?:Counter|LatencyOf|UseOf)\((?:"([a-zA-Z0-9_]+)"(\)| \+ ))?`)
 	pageName    = regexp.MustCompile("`([a-zA-Z0-9_]+)`")
 )
 
