Entries log when a server names, changes and lifts its rate, and count what is sent meanwhile

The header is read (platform/), a table keeps it by the server's incarnation with the evidence's age (coord/serverrate: an overtaken answer lifts nothing, a next life has none), and lines say what changed and how many requests went there. Nothing obeys it yet. Measured: the package's tests, 300 drawn sequences of three entries that tell each other; TestCountersAreDocumented.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,11 @@
 	Running int
 	Waiting int
 	Slots   int
+	// NamesRate is set when the answer names the rate at which the server takes requests from all entries
+	// together, Rate is that rate in requests a second, and RateFault is why it cannot be read.
+	NamesRate bool
+	Rate      float64
+	RateFault error
 }
 
 // Options configures a gateway.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -76,6 +76,7 @@
 	x.awaited = nil
 	x.servers.headerReceived(v, time.Now())
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
+	x.servers.observeRate(v, r.verdict, x.sentAt)
 	x.watchBeginning(r, watched)
 	if next := x.checkHeader(r, time.Since(x.sentAt)); next != stepDone {
 		r.release()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
+	"github.com/rosemarypass/rosemarypass/coord/serverrate"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -52,12 +53,20 @@
 	answeredAt time.Time
 	// agent is nil for plain services.
 	agent *agentClient
+	// atRate counts the requests that were sent while the server named a rate and not logged yet, since
+	// atRateSince; rateFaultAt is when a rate that cannot be read was logged last.
+	atRate      int
+	atRateSince time.Time
+	rateFaultAt time.Time
 }
 
 func targetOf(v *server) upstream.Target {
 	return upstream.Target{Address: v.entry.Address, ID: v.entry.ID}
 }
 
+// life identifies the incarnation.
+func (v *server) life() serverrate.Life { return serverrate.Life{ID: v.entry.ID, Born: v.entry.Born} }
+
 func newServers(options Options, m *mesh.Mesh, pool *upstream.Pool, log *zap.Logger) *servers {
 	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server), agents: make(map[string]*agentClient)}
 }
@@ -229,9 +238,13 @@
 
 // requestSent and requestEnded count the requests in flight at a server.
 func (s *servers) requestSent(v *server) {
+	_, rated := s.mesh.ServerRate(v.life())
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	v.inflight++
-	s.mu.Unlock()
+	if rated {
+		s.countAtRate(v, time.Now())
+	}
 }
 
 func (s *servers) requestEnded(v *server) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
 	"github.com/rosemarypass/rosemarypass/coord/modelplan"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/serverrate"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
@@ -122,6 +123,8 @@
 	strikes *suspicion.Strikes
 	// streams knows at which software version streams began.
 	streams *streams
+	// rates knows which servers name a rate.
+	rates *serverrate.Table
 	// demand counts the requests for models that this process received.
 	demand modelplan.Demand
 	// diskOnly holds the servers that are known only from the disk.
@@ -137,7 +140,7 @@
 func New(options Options, documents *Documents, log *zap.Logger) *Mesh {
 	m := &Mesh{
 		options: options, log: log, documents: documents,
-		peers: make(map[string]*peer), roster: roster.New(), heardVia: make(map[string]via), strikes: suspicion.NewStrikes(),
+		peers: make(map[string]*peer), roster: roster.New(), heardVia: make(map[string]via), strikes: suspicion.NewStrikes(), rates: serverrate.NewTable(),
 		progress: make(chan struct{}), diskOnly: make(map[string]bool),
 	}
 	m.informed.Store(options.informedAtStart())
@@ -261,6 +264,7 @@
 			if now.After(m.mustInform) {
 				m.setInformed("no other entry has told it in time")
 			}
+			m.forgetRates()
 			m.forgetSilent()
 			m.chooseLinks(self, now)
 			m.mu.Unlock()
