--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,8 +27,8 @@
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/sharedlimit"
 	"github.com/rosemarypass/rosemarypass/internal/sidecar"
-	"github.com/rosemarypass/rosemarypass/internal/teamlimit"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -138,7 +138,7 @@
 	handlers := p.mesh.Handlers()
 	switch role {
 	case RoleEntry:
-		limits := teamlimit.New(p.settings.TeamLimits(), p.mesh, documents, p.log)
+		limits := sharedlimit.New(sharedlimit.Teams, p.settings.TeamLimits(), p.mesh, sharedlimit.TeamLimits(documents), p.log)
 		maps.Copy(handlers, limits.Handlers())
 		p.goroutines.Go(func() { limits.Run(ctx) })
 		if err := p.startEntry(ctx, limits); err != nil {
@@ -198,7 +198,7 @@
 	return peers
 }
 
-func (p *process) startEntry(ctx context.Context, limits *teamlimit.Limits) error {
+func (p *process) startEntry(ctx context.Context, limits *sharedlimit.Limits) error {
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,7 +17,7 @@
 
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
-	"github.com/rosemarypass/rosemarypass/internal/teamlimit"
+	"github.com/rosemarypass/rosemarypass/internal/sharedlimit"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
@@ -129,7 +129,7 @@
 	// the call is in force here. It is nil where changes are not made elsewhere.
 	ConfirmNewest func(context.Context) bool
 	// Limits enforces the limits of teams. It is nil where there are none.
-	Limits *teamlimit.Limits
+	Limits *sharedlimit.Limits
 }
 
 // Gateway is the HTTP handler that serves callers.
--- a/internal/gateway/team.go
+++ b/internal/gateway/team.go
@@ -92,7 +92,7 @@
 		return answer.Answer{}, false
 	}
 	cost := x.team.Cost(x.tokens())
-	d := x.options.Limits.Admit(x.ctx, x.team, cost)
+	d := x.options.Limits.Admit(x.ctx, x.team.Name, cost)
 	if d.Admitted {
 		x.charged = cost
 		return answer.Answer{}, false
@@ -115,7 +115,7 @@
 		return true
 	}
 	cost := x.team.Cost(x.tokens())
-	if !x.options.Limits.Admit(x.ctx, x.team, cost).Admitted {
+	if !x.options.Limits.Admit(x.ctx, x.team.Name, cost).Admitted {
 		x.lastReason = "the limit of the caller's team is used up: " + x.lastReason
 		return false
 	}
@@ -126,7 +126,7 @@
 // returnCharge gives back what a request that did not run has taken from its team's limit.
 func (x *exchange) returnCharge() {
 	if x.runs == 0 && x.charged > 0 {
-		x.options.Limits.Return(x.team, x.charged)
+		x.options.Limits.Return(x.team.Name, x.charged)
 		x.charged = 0
 	}
 }
--- a/internal/teamlimit/bench_test.go
+++ b/internal/sharedlimit/bench_test.go
@@ -1,4 +1,4 @@
-package teamlimit
+package sharedlimit
 
 import (
 	"context"
@@ -53,7 +53,7 @@
 // BenchmarkAdmit measures what a request costs at an entry for its caller's key, its team and the team's limit.
 func BenchmarkAdmit(b *testing.B) {
 	documents := benchDocuments()
-	l := New(credit.Options{Window: 8 * time.Second, OverRatio: 0.1, OverUnits: 11_000}, benchPeers{17}, documents, zap.NewNop())
+	l := New(Teams, credit.Options{Window: 8 * time.Second, OverRatio: 0.1, OverUnits: 11_000}, benchPeers{17}, TeamLimits(documents), zap.NewNop())
 	for l.settledAt.IsZero() {
 		l.refresh(b.Context())
 		time.Sleep(20 * time.Millisecond)
@@ -66,7 +66,7 @@
 	b.ResetTimer()
 	for i := range b.N {
 		team := documents.Current().Table.TeamByKey(contract.DigestKey(keys[i%benchTeams]))
-		if !l.Admit(b.Context(), team, 1500).Admitted {
+		if !l.Admit(b.Context(), team.Name, 1500).Admitted {
 			b.Fatal("refused")
 		}
 	}
@@ -75,7 +75,7 @@
 // BenchmarkIdleTeams measures an exchange, at the entry that keeps the pool, while no team is used and all pools are full.
 func BenchmarkIdleTeams(b *testing.B) {
 	documents := benchDocuments()
-	l := New(credit.Options{Window: 8 * time.Second}, benchPeers{1}, documents, zap.NewNop())
+	l := New(Teams, credit.Options{Window: 8 * time.Second}, benchPeers{1}, TeamLimits(documents), zap.NewNop())
 	l.configure(time.Now())
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -83,8 +83,8 @@
 		pool := i % poolCount
 		l.mu.Lock()
 		if i < poolCount {
-			fill := make([]credit.Transfer, 0, len(l.teams[pool]))
-			for _, team := range l.teams[pool] {
+			fill := make([]credit.Transfer, 0, len(l.names[pool]))
+			for _, team := range l.names[pool] {
 				fill = append(fill, credit.Transfer{Team: team, Give: 1e12})
 			}
 			l.keep(wire.CreditExchange{Pool: pool, Transfers: fill}, time.Now())
--- /dev/null
+++ b/internal/sharedlimit/kind.go
@@ -0,0 +1,62 @@
+package sharedlimit
+
+import (
+	"expvar"
+
+	"github.com/rosemarypass/rosemarypass/coord/credit"
+	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+	"github.com/rosemarypass/rosemarypass/internal/wire"
+)
+
+// Kind is a kind of limits, with the counters that show it.
+type Kind struct {
+	name string
+	// method is the method by which entries exchange credit of the kind.
+	method string
+	// waitsAtStart makes requests wait for the first credit of an entry that has just started.
+	waitsAtStart bool
+
+	admitted, waited, refused *expvar.Int
+	exchanges, exchangesLost  *expvar.Int
+	// sharedAmong is a gauge.
+	sharedAmong *expvar.Int
+	// use is in the units of the limits.
+	use *telemetry.Use
+}
+
+// Teams are the limits of callers' teams.
+var Teams = &Kind{
+	name: "team", method: wire.MethodExchangeCredit, waitsAtStart: true,
+	admitted: telemetry.Counter("team_limit_admitted"), waited: telemetry.Counter("team_limit_admitted_after_exchange"), refused: telemetry.Counter("team_limit_refused"),
+	exchanges: telemetry.Counter("team_limit_exchanges"), exchangesLost: telemetry.Counter("team_limit_exchanges_lost"),
+	sharedAmong: telemetry.Counter("team_limit_shared_among"), use: telemetry.UseOf("team_limit_use"),
+}
+
+// Source tells the limits in force, by name.
+type Source interface {
+	// Version returns a number that changes with the limits. usable is false while none may be enforced by what
+	// is known.
+	Version() (version uint64, usable bool)
+	Limits() map[string]credit.Limit
+	// Changed returns a channel that is closed at a change, nil where changes are only polled.
+	Changed() <-chan struct{}
+}
+
+// TeamLimits returns the limits of the teams in the configuration in force.
+func TeamLimits(documents *mesh.Documents) Source { return teamLimits{documents} }
+
+type teamLimits struct{ *mesh.Documents }
+
+func (t teamLimits) Version() (uint64, bool) {
+	current := t.Current()
+	return current.State.Index, current.Usable()
+}
+
+func (t teamLimits) Limits() map[string]credit.Limit {
+	limits := make(map[string]credit.Limit)
+	for _, team := range t.Current().Table.Teams() {
+		limits[team.Name] = team.Limit
+	}
+	return limits
+}
--- a/internal/teamlimit/teamlimit.go
+++ b/internal/sharedlimit/sharedlimit.go
@@ -1,8 +1,8 @@
-// Package teamlimit enforces the limits of teams at an entry: it admits requests within the entry's credit,
-// exchanges credit with the pools at other entries, and keeps the pools that others choose it for.
+// Package sharedlimit enforces, at an entry, limits that hold over all entries: it admits requests within the
+// entry's credit, exchanges credit with the pools at other entries, and keeps the pools that others choose it for.
 //
 // Background tasks: one that exchanges credit periodically, and one call for each pool at the most.
-package teamlimit
+package sharedlimit
 
 import (
 	"cmp"
@@ -17,7 +17,6 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/credit"
 	"github.com/rosemarypass/rosemarypass/coord/rendezvous"
-	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -39,7 +38,7 @@
 }
 
 const (
-	// poolCount is the number of pools; each team's credit is in one of them. It bounds the calls of an entry.
+	// poolCount is the number of pools; the credit of each name is in one of them. It bounds the calls of an entry.
 	poolCount = 4
 	// minInterval is the least time between two exchanges with a pool. It grows with the number of entries, so
 	// that who keeps a pool is called at most 1/intervalPerEntry times a second.
@@ -56,32 +55,21 @@
 	unknownRetryAfter = 400 * time.Millisecond
 )
 
-var (
-	admittedCount    = telemetry.Counter("team_limit_admitted")
-	waitedCount      = telemetry.Counter("team_limit_admitted_after_exchange")
-	refusedCount     = telemetry.Counter("team_limit_refused")
-	exchangeCount    = telemetry.Counter("team_limit_exchanges")
-	exchangeLost     = telemetry.Counter("team_limit_exchanges_lost")
-	sharedAmongGauge = telemetry.Counter("team_limit_shared_among")
-
-	// teamUse is in the units of the teams' limits.
-	teamUse = telemetry.UseOf("team_limit_use")
-)
-
-// Limits enforces the limits of teams at one entry.
+// Limits enforces the limits of one kind at one entry.
 type Limits struct {
-	peers     Peers
-	documents *mesh.Documents
-	log       *zap.Logger
+	kind   *Kind
+	peers  Peers
+	source Source
+	log    *zap.Logger
 
 	mu     sync.Mutex
 	holder *credit.Holder
 	pools  *credit.Pools
 	share  credit.Share
-	// limits are those of the configuration with the given index, teams the names of the limited teams by pool.
-	limits map[string]credit.Limit
-	teams  [poolCount][]string
-	index  uint64
+	// limits are those of the given version of the source, names those that are limited by pool.
+	limits  map[string]credit.Limit
+	names   [poolCount][]string
+	version uint64
 	// entries are the addresses of those known at the last interval; the keepers of pools are chosen from them.
 	entries []string
 	// avoided holds the entries that did not answer, until when.
@@ -98,22 +86,22 @@
 	// pending is closed at the end of the exchange in progress; nil while there is none.
 	pending chan struct{}
 	at      time.Time
-	// wanted holds the teams that take credit, as the pool told last.
+	// wanted holds the names whose pools take credit, as told last.
 	wanted map[string]bool
 }
 
 // New returns limits that admit nothing until Run has learned of the other entries.
-func New(options credit.Options, peers Peers, documents *mesh.Documents, log *zap.Logger) *Limits {
+func New(kind *Kind, options credit.Options, peers Peers, source Source, log *zap.Logger) *Limits {
 	options.Interval = minInterval
 	return &Limits{
-		peers: peers, documents: documents, log: log, holder: credit.NewHolder(options, time.Now()), pools: credit.NewPools(),
+		kind: kind, peers: peers, source: source, log: log, holder: credit.NewHolder(options, time.Now()), pools: credit.NewPools(),
 		limits: make(map[string]credit.Limit), avoided: make(map[string]time.Time),
 	}
 }
 
 // Handlers returns the methods that other entries call.
 func (l *Limits) Handlers() map[string]rpc.Handler {
-	return map[string]rpc.Handler{wire.MethodExchangeCredit: rpc.Typed(l.handleExchange)}
+	return map[string]rpc.Handler{l.kind.method: rpc.Typed(l.handleExchange)}
 }
 
 // Run exchanges credit until ctx ends.
@@ -125,7 +113,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.documents.Changed():
+		case <-l.source.Changed():
 			l.configure(time.Now())
 		case <-due:
 			timer.Reset(l.refresh(ctx))
@@ -133,7 +121,7 @@
 	}
 }
 
-// configure applies the limits of the configuration in force. The caller must not hold mu.
+// configure applies the limits in force. The caller must not hold mu.
 func (l *Limits) configure(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -141,18 +129,21 @@
 }
 
 func (l *Limits) configureLocked(now time.Time) {
-	current := l.documents.Current()
-	if !current.Usable() || current.State.Index == l.index {
+	version, usable := l.source.Version()
+	if !usable || version == l.version {
 		return
 	}
-	l.index = current.State.Index
-	l.limits, l.teams = make(map[string]credit.Limit), [poolCount][]string{}
-	for _, team := range current.Table.Teams() {
-		if team.Limit.Limited() {
-			pool := poolOf(team.Name)
-			l.limits[team.Name], l.teams[pool] = team.Limit, append(l.teams[pool], team.Name)
+	l.version = version
+	l.limits, l.names = make(map[string]credit.Limit), [poolCount][]string{}
+	for name, limit := range l.source.Limits() {
+		if limit.Limited() {
+			pool := poolOf(name)
+			l.limits[name], l.names[pool] = limit, append(l.names[pool], name)
 		}
 	}
+	for _, names := range l.names {
+		slices.Sort(names)
+	}
 	l.holder.SetLimits(l.limits, now)
 }
 
@@ -171,7 +162,7 @@
 	maps.DeleteFunc(l.avoided, func(_ string, until time.Time) bool { return now.After(until) })
 	interval := max(minInterval, time.Duration(len(l.entries))*intervalPerEntry)
 	among := l.share.Observe(len(l.entries), ready, connected, now)
-	sharedAmongGauge.Set(int64(among))
+	l.kind.sharedAmong.Set(int64(among))
 	l.holder.SetShare(among, interval, now)
 	if among > 0 && l.settledAt.IsZero() {
 		l.settledAt = now
@@ -186,8 +177,8 @@
 	return interval
 }
 
-// poolOf returns the number of the pool that holds a team's credit.
-func poolOf(team string) int { return int(xxhash.Sum64String(team) % poolCount) }
+// poolOf returns the number of the pool that holds the credit of a name.
+func poolOf(name string) int { return int(xxhash.Sum64String(name) % poolCount) }
 
 // keeper returns the address of the entry that keeps a pool. Entries that know different ones may choose
 // differently, which only divides the pool. The caller holds mu.
@@ -212,12 +203,12 @@
 	if keeper == "" {
 		return nil
 	}
-	transfers := l.holder.Transfers(l.teams[pool], k.wanted, now)
+	transfers := l.holder.Transfers(l.names[pool], k.wanted, now)
 	if len(transfers) == 0 && !asked && now.Sub(k.at) < idleInterval {
 		return nil
 	}
 	k.at = now
-	exchangeCount.Add(1)
+	l.kind.exchanges.Add(1)
 	in := wire.CreditExchange{Pool: pool, Transfers: transfers}
 	if keeper == l.peers.Self().Address {
 		l.receive(pool, l.keep(in, now), now)
@@ -234,16 +225,16 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply wire.CreditReply
-	err := l.peers.Call(ctx, keeper, wire.MethodExchangeCredit, in, &reply)
+	err := l.peers.Call(ctx, keeper, l.kind.method, in, &reply)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.links[in.Pool].pending = nil
 	if err != nil {
 		// What was given is lost: the keeper may have it.
-		exchangeLost.Add(1)
+		l.kind.exchangesLost.Add(1)
 		l.avoided[keeper] = now.Add(avoidTime)
-		l.log.Info("credit not exchanged", zap.Int("pool", in.Pool), zap.String("keeper", keeper), zap.Int("teams", len(in.Transfers)), telemetry.Cause(err))
+		l.log.Info("credit not exchanged", zap.Int("pool", in.Pool), zap.String("keeper", keeper), zap.String("kind", l.kind.name), zap.Int("names", len(in.Transfers)), telemetry.Cause(err))
 	} else {
 		l.receive(in.Pool, reply, now)
 	}
@@ -254,8 +245,8 @@
 func (l *Limits) receive(pool int, reply wire.CreditReply, now time.Time) {
 	l.holder.Receive(reply.Grants, now)
 	wanted := make(map[string]bool, len(reply.Wanted))
-	for _, team := range reply.Wanted {
-		wanted[team] = true
+	for _, name := range reply.Wanted {
+		wanted[name] = true
 	}
 	l.links[pool].wanted = wanted
 }
@@ -265,8 +256,8 @@
 	if in.Pool < 0 || in.Pool >= poolCount {
 		return wire.CreditReply{}
 	}
-	limitOf := func(team string) credit.Limit { return l.limits[team] }
-	return wire.CreditReply{Grants: l.pools.Exchange(in.Transfers, limitOf, now), Wanted: l.pools.Wanted(l.teams[in.Pool], limitOf)}
+	limitOf := func(name string) credit.Limit { return l.limits[name] }
+	return wire.CreditReply{Grants: l.pools.Exchange(in.Transfers, limitOf, now), Wanted: l.pools.Wanted(l.names[in.Pool], limitOf)}
 }
 
 func (l *Limits) handleExchange(_ context.Context, in wire.CreditExchange) (wire.CreditReply, error) {
@@ -277,7 +268,7 @@
 	return l.keep(in, now), nil
 }
 
-// Decision says whether a request is within its team's limit.
+// Decision says whether a request is within a limit.
 type Decision struct {
 	Admitted bool
 	// RetryAfter is the time in which the limit is expected to cover a refused request.
@@ -304,16 +295,16 @@
 )
 
 // admitUnsettled covers a request at an entry that has just started, and creates its first credit a moment later.
-// It waits for that credit: what its team may use is not known to be used up.
-func (l *Limits) admitUnsettled(ctx context.Context, team *route.Team, cost float64) bool {
-	if !l.enterUnsettled() {
+// It waits for that credit: what its limit covers is not known to be used up.
+func (l *Limits) admitUnsettled(ctx context.Context, name string, cost float64) bool {
+	if !l.kind.waitsAtStart || !l.enterUnsettled() {
 		return false
 	}
 	defer l.leaveUnsettled()
 	until := time.Now().Add(settleTimeout)
 	for time.Now().Before(until) && wait.For(ctx, settlePause) == nil {
 		l.mu.Lock()
-		covered := l.take(team.Name, cost, 1, time.Now())
+		covered := l.take(name, cost, 1, time.Now())
 		l.mu.Unlock()
 		if covered {
 			return true
@@ -342,18 +333,18 @@
 // maxExchanges is for how many exchanges a request waits: the one in progress may have begun before it.
 const maxExchanges = 2
 
-// Admit covers the cost of a request by its team's credit. Where this entry has too little, it asks the pool.
-func (l *Limits) Admit(ctx context.Context, team *route.Team, cost float64) Decision {
+// Admit covers the cost of a request by the credit of a name. Where this entry has too little, it asks the pool.
+func (l *Limits) Admit(ctx context.Context, name string, cost float64) Decision {
 	l.mu.Lock()
 	l.configureLocked(time.Now())
-	l.holder.Asked(team.Name, cost, time.Now())
-	covered := l.take(team.Name, cost, 0, time.Now())
+	l.holder.Asked(name, cost, time.Now())
+	covered := l.take(name, cost, 0, time.Now())
 	l.mu.Unlock()
-	if covered || l.admitUnsettled(ctx, team, cost) {
+	if covered || l.admitUnsettled(ctx, name, cost) {
 		return Decision{Admitted: true}
 	}
 	for exchanges := 0; ; exchanges++ {
-		d, pending := l.admit(ctx, team, cost, exchanges)
+		d, pending := l.admit(ctx, name, cost, exchanges)
 		if pending == nil {
 			return d
 		}
@@ -366,27 +357,27 @@
 }
 
 // admit tries once to cover a request. pending is the exchange after which to try again, nil for none.
-func (l *Limits) admit(ctx context.Context, team *route.Team, cost float64, exchanges int) (d Decision, pending <-chan struct{}) {
+func (l *Limits) admit(ctx context.Context, name string, cost float64, exchanges int) (d Decision, pending <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if l.take(team.Name, cost, exchanges, now) {
+	if l.take(name, cost, exchanges, now) {
 		return Decision{Admitted: true}, nil
 	}
-	d.Standing = l.holder.Standing(team.Name, now)
+	d.Standing = l.holder.Standing(name, now)
 	if exchanges < maxExchanges && !now.Before(d.Standing.DeniedUntil) {
 		// The exchange must outlast the request: what it takes and gives belongs to the entry.
-		if pending = l.exchange(context.WithoutCancel(ctx), poolOf(team.Name), now, true); pending != nil {
+		if pending = l.exchange(context.WithoutCancel(ctx), poolOf(name), now, true); pending != nil {
 			return d, pending
 		}
-		if l.take(team.Name, cost, maxExchanges, now) {
+		if l.take(name, cost, maxExchanges, now) {
 			return Decision{Admitted: true}, nil
 		}
-		d.Standing = l.holder.Standing(team.Name, now)
+		d.Standing = l.holder.Standing(name, now)
 	}
-	refusedCount.Add(1)
-	teamUse.Refuse(team.Name, cost)
-	l.holder.Refused(team.Name, cost)
+	l.kind.refused.Add(1)
+	l.kind.use.Refuse(name, cost)
+	l.holder.Refused(name, cost)
 	d.RetryAfter = unknownRetryAfter
 	if wait := d.Standing.DeniedUntil.Sub(now); wait > 0 {
 		// Entries that had nothing to give while the pool was full learn of it with their next idle exchange.
@@ -396,22 +387,22 @@
 }
 
 // take covers a request, if it can. The caller holds mu.
-func (l *Limits) take(team string, cost float64, exchanges int, now time.Time) bool {
-	if !l.holder.Take(team, cost, now) {
+func (l *Limits) take(name string, cost float64, exchanges int, now time.Time) bool {
+	if !l.holder.Take(name, cost, now) {
 		return false
 	}
-	admittedCount.Add(1)
-	teamUse.Admit(team, cost)
+	l.kind.admitted.Add(1)
+	l.kind.use.Admit(name, cost)
 	if exchanges > 0 {
-		waitedCount.Add(1)
+		l.kind.waited.Add(1)
 	}
 	return true
 }
 
 // Return gives back the cost of a request that did not run.
-func (l *Limits) Return(team *route.Team, cost float64) {
+func (l *Limits) Return(name string, cost float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holder.Return(team.Name, cost)
-	teamUse.Admit(team.Name, -cost)
+	l.holder.Return(name, cost)
+	l.kind.use.Admit(name, -cost)
 }
--- a/internal/teamlimit/teamlimit_test.go
+++ b/internal/sharedlimit/sharedlimit_test.go
@@ -1,4 +1,4 @@
-package teamlimit
+package sharedlimit
 
 import (
 	"context"
@@ -98,7 +98,7 @@
 	documents.Apply(document.State{Index: 1, Version: 1, Body: json.RawMessage("{}")}, "test")
 	documents.Confirm()
 	ctx, stop := context.WithCancel(n.t.Context())
-	limits := New(credit.Options{Window: 8 * time.Second, OverRatio: 0.1, OverUnits: 11_000}, n, documents, zap.NewNop())
+	limits := New(Teams, credit.Options{Window: 8 * time.Second, OverRatio: 0.1, OverUnits: 11_000}, n, TeamLimits(documents), zap.NewNop())
 	n.mu.Lock()
 	n.limits, n.stop = limits, stop
 	n.mu.Unlock()
@@ -132,7 +132,7 @@
 		began := time.Now()
 		for range 10 {
 			requests.Go(func() {
-				if d := w.nodes[3].limits.Admit(t.Context(), testTeam, 1500); !d.Admitted {
+				if d := w.nodes[3].limits.Admit(t.Context(), testTeam.Name, 1500); !d.Admitted {
 					t.Errorf("refused, with %+v", d)
 				}
 			})
@@ -150,15 +150,15 @@
 		limits := w.nodes[3].limits
 		var d Decision
 		for d.Admitted = true; d.Admitted; {
-			d = limits.Admit(t.Context(), testTeam, 1500)
+			d = limits.Admit(t.Context(), testTeam.Name, 1500)
 		}
 		began := time.Now()
-		d = limits.Admit(t.Context(), testTeam, 1500)
+		d = limits.Admit(t.Context(), testTeam.Name, 1500)
 		if took := time.Since(began); d.Admitted || took > 0 {
 			t.Errorf("a request beyond the limit was answered after %s, admitted: %t", took, d.Admitted)
 		}
 		time.Sleep(d.RetryAfter + 50*time.Millisecond)
-		if again := limits.Admit(t.Context(), testTeam, 1500); !again.Admitted {
+		if again := limits.Admit(t.Context(), testTeam.Name, 1500); !again.Admitted {
 			t.Errorf("refused again after %s, with %+v", d.RetryAfter, again)
 		}
 	})
@@ -185,7 +185,7 @@
 		time.Sleep(time.Second)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
-			if other.limits.Admit(t.Context(), testTeam, 1000).Admitted {
+			if other.limits.Admit(t.Context(), testTeam.Name, 1000).Admitted {
 				admitted++
 			}
 		}
@@ -203,7 +203,7 @@
 			for range 200 {
 				n := w.nodes[restart%len(w.nodes)]
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-				if n.limits.Admit(ctx, testTeam, 1500).Admitted {
+				if n.limits.Admit(ctx, testTeam.Name, 1500).Admitted {
 					tokens += 1500
 				}
 				cancel()
@@ -231,7 +231,7 @@
 		var requests sync.WaitGroup
 		for i := range 40 {
 			requests.Go(func() {
-				if d := w.nodes[i%len(w.nodes)].limits.Admit(t.Context(), testTeam, 200); !d.Admitted {
+				if d := w.nodes[i%len(w.nodes)].limits.Admit(t.Context(), testTeam.Name, 200); !d.Admitted {
 					t.Errorf("request %d was refused, with %+v", i, d)
 				}
 			})
@@ -266,7 +266,7 @@
 // Guards against a limit for a team that has none.
 func TestTeamWithoutLimitIsAdmitted(t *testing.T) {
 	play(t, 3, func(t *testing.T, w *network) {
-		if d := w.nodes[0].limits.Admit(t.Context(), &route.Team{Name: "unlimited"}, 1e9); !d.Admitted {
+		if d := w.nodes[0].limits.Admit(t.Context(), "unlimited", 1e9); !d.Admitted {
 			t.Errorf("refused, with %+v", d)
 		}
 	})
