Credit holds a server's rate: no overdraft, nothing kept at entries, pauses by who asks in vain

Changes to coord/credit: a bound on what all entries hold beside the pools; the pause after asking in vain follows from how many ask, not from how many entries there are (one entry of 300 waited 1.2 s); a request that went elsewhere withdraws what it asked for (at 300 entries 0.3 of a rate of 0.5 lay at entries whose request had gone).

--- a/coord/credit/credit.go
+++ b/coord/credit/credit.go
@@ -1,4 +1,4 @@
-// Package credit enforces the limits of teams over all entries, without an owner.
+// Package credit enforces limits over all entries, of teams and of servers that name a rate, without an owner.
 //
 // A limit's rate is divided evenly among the entries: each creates its part as credit, in units, and a request
 // is admitted where its cost is covered. Entries with more than they need give credit to a pool at one of them,
@@ -41,6 +41,9 @@
 	Window    time.Duration
 	OverRatio float64
 	OverUnits float64
+	// MaxHeld bounds what all entries together hold beside the pools, as a time at a limit's rate; 0 for no bound.
+	// With it they hold no more than what they create between two exchanges.
+	MaxHeld time.Duration
 	// Interval is the time between two exchanges with a pool.
 	Interval time.Duration
 }
@@ -73,4 +76,6 @@
 	Full bool `json:"full,omitempty"`
 	// AfterMillis is the time in which the pool is expected to have what was asked for and not granted.
 	AfterMillis int64 `json:"afterMillis,omitempty"`
+	// PauseMillis is the least time after which to ask again: the more entries ask in vain, the longer.
+	PauseMillis int64 `json:"pauseMillis,omitempty"`
 }
--- a/coord/credit/holder.go
+++ b/coord/credit/holder.go
@@ -47,6 +47,9 @@
 	// keptRequests is the least number of requests for which an entry keeps credit. What covers fewer is of
 	// more use in the pool, where it adds up to whole requests.
 	keptRequests = 2
+	// minAskPause is the least pause before an entry asks again for what a pool did not have, unless exchanges
+	// are more frequent.
+	minAskPause = 100 * time.Millisecond
 )
 
 // NewHolder returns the holder of a process that started now, without credit.
@@ -93,7 +96,11 @@
 	if h.entries == 1 {
 		return a.limit.stock()
 	}
-	return max(h.target(a, now), h.created(a)*surplusIntervals*h.options.Interval.Seconds())
+	surplus := surplusIntervals * h.options.Interval
+	if h.options.MaxHeld > 0 {
+		surplus = min(surplus, h.options.MaxHeld)
+	}
+	return max(h.target(a, now), h.created(a)*surplus.Seconds())
 }
 
 func (h *Holder) accrue(a *account, now time.Time) {
@@ -147,6 +154,18 @@
 	}
 }
 
+// Withdrawn records that a request that Take did not cover does not wait for credit any more: what is asked for
+// later is not meant for it.
+func (h *Holder) Withdrawn(name string, cost float64) {
+	a := h.accounts[name]
+	if a == nil {
+		return
+	}
+	if a.lacking -= cost; a.lacking <= 0 {
+		a.lacking, a.largest = 0, 0
+	}
+}
+
 // Return gives back the cost of a request that did not run.
 func (h *Holder) Return(team string, cost float64) {
 	if a := h.accounts[team]; a != nil && a.limit.Limited() {
@@ -223,10 +242,11 @@
 	return t, t.Give > 0 || t.Ask > 0 || t.Refused > 0
 }
 
-// target returns the level that an entry keeps.
+// target returns the level that an entry keeps; none where what all hold is bounded: an entry that was in demand
+// would keep what others need.
 func (h *Holder) target(a *account, now time.Time) float64 {
 	target := a.decayedUse(now) * targetIntervals * h.options.Interval.Seconds()
-	if target < keptRequests*a.mean {
+	if h.options.MaxHeld > 0 || target < keptRequests*a.mean {
 		return 0
 	}
 	return target
@@ -244,8 +264,9 @@
 		a.full = g.Full
 		a.deniedUntil = now
 		if g.AfterMillis > 0 {
-			// What other entries create reaches the pool with their next exchange.
-			a.deniedUntil = now.Add(time.Duration(g.AfterMillis)*time.Millisecond + h.options.Interval)
+			// What other entries create reaches the pool with their next exchanges.
+			pause := min(max(minAskPause, time.Duration(g.PauseMillis)*time.Millisecond), h.options.Interval)
+			a.deniedUntil = now.Add(time.Duration(g.AfterMillis)*time.Millisecond + pause)
 		}
 	}
 }
--- a/coord/credit/model_test.go
+++ b/coord/credit/model_test.go
@@ -12,6 +12,9 @@
 // sheet is how exactly limits must hold in the model, as an operator's sheet says it.
 var sheet = Options{Window: 8 * time.Second, OverRatio: 0.1, OverUnits: 11_000, Interval: 100 * time.Millisecond}
 
+// modelStart is when each play begins.
+var modelStart = time.Unix(1000, 0)
+
 const (
 	modelTeam = "team"
 	modelStep = 10 * time.Millisecond
@@ -21,6 +24,8 @@
 type model struct {
 	random  *rand.Rand
 	limit   Limit
+	options Options
+	steps   int64
 	holders []*Holder
 	pools   []*Pools
 	// upAt is when an entry has settled after its last start; cutUntil is until when it reaches no other.
@@ -53,7 +58,11 @@
 }
 
 func newModel(seed uint64, entries int, limit Limit) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), limit: limit, now: time.Unix(1000, 0), delay: 2 * time.Millisecond, keeper: func(int) int { return 0 }}
+	return newModelOf(seed, entries, limit, sheet)
+}
+
+func newModelOf(seed uint64, entries int, limit Limit, options Options) *model {
+	m := &model{options: options, random: rand.New(rand.NewPCG(seed, 1)), limit: limit, now: modelStart, delay: 2 * time.Millisecond, keeper: func(int) int { return 0 }}
 	for range entries {
 		m.holders, m.pools, m.wanted = append(m.holders, nil), append(m.pools, nil), append(m.wanted, nil)
 		m.pending, m.waiting = append(m.pending, 0), append(m.waiting, nil)
@@ -67,7 +76,7 @@
 
 // start begins a new incarnation of an entry, which knows nothing.
 func (m *model) start(i int) {
-	m.holders[i], m.pools[i], m.wanted[i] = NewHolder(sheet, m.now), NewPools(), nil
+	m.holders[i], m.pools[i], m.wanted[i] = NewHolder(m.options, m.now), NewPools(), nil
 	m.pending[i], m.waiting[i] = 0, nil
 	m.holders[i].SetLimits(map[string]Limit{modelTeam: m.limit}, m.now)
 	m.upAt[i] = m.now.Add(settleTime)
@@ -144,7 +153,11 @@
 	if w.tries > 2 || m.now.Before(m.holders[i].Standing(modelTeam, m.now).DeniedUntil) {
 		m.denied++
 		m.refused += w.cost
-		m.holders[i].Refused(modelTeam, w.cost)
+		if m.options.MaxHeld == 0 {
+			m.holders[i].Refused(modelTeam, w.cost)
+		} else {
+			m.holders[i].Withdrawn(modelTeam, w.cost)
+		}
 		return
 	}
 	m.waiting[i] = append(m.waiting[i], w)
@@ -187,13 +200,15 @@
 			break
 		}
 	}
+	m.steps++
+	period := int64(m.options.Interval / modelStep)
 	for i, h := range m.holders {
 		entries := len(m.holders)
 		if m.now.Before(m.upAt[i]) {
 			entries = 0
 		}
-		h.SetShare(entries, sheet.Interval, m.now)
-		if m.now.UnixMilli()/10%10 == int64(i%10) {
+		h.SetShare(entries, m.options.Interval, m.now)
+		if m.steps%period == int64(i)%period {
 			m.exchange(i)
 		}
 	}
--- a/coord/credit/pools.go
+++ b/coord/credit/pools.go
@@ -19,6 +19,8 @@
 	// denied is what was asked for in vain or refused lately, in units, at deniedAt.
 	denied   float64
 	deniedAt time.Time
+	// askedInVain counts the exchanges of late that asked for more than there was.
+	askedInVain float64
 }
 
 const (
@@ -27,6 +29,9 @@
 	abandonedAfter = 2 * time.Second
 	// deniedHalfLife is the half-life of what was asked for in vain: callers come back, or give up.
 	deniedHalfLife = time.Second
+	// pausePerAsk is the pause before the next exchange, for each that asked in vain of late: it bounds the
+	// exchanges of all entries together.
+	pausePerAsk = 4 * time.Millisecond
 	// fullPart is the part of its capacity at which a pool counts as full.
 	fullPart = 0.95
 )
@@ -75,6 +80,8 @@
 	if missing := t.Least - g.Units; missing > 0 {
 		wait := max(min(missing, top)-q.level+q.denied, 0) / limit.Rate
 		g.AfterMillis = int64(math.Ceil(1000 * min(wait, maxWait.Seconds())))
+		q.askedInVain++
+		g.PauseMillis = int64(q.askedInVain * float64(pausePerAsk.Milliseconds()))
 	}
 	g.Full = q.level >= top*fullPart
 	return g
@@ -84,7 +91,8 @@
 const maxWait = 10 * time.Second
 
 func (q *pool) decayDenied(now time.Time) {
-	q.denied *= math.Exp2(-now.Sub(q.deniedAt).Seconds() / deniedHalfLife.Seconds())
+	decay := math.Exp2(-now.Sub(q.deniedAt).Seconds() / deniedHalfLife.Seconds())
+	q.denied, q.askedInVain = q.denied*decay, q.askedInVain*decay
 	q.deniedAt = now
 }
 
