Entries keep the rates that servers name, together

Cause: no decision read the rate. Class: what a server asks for in its answers was passed on to callers and had no reader. Change: an answer's rate goes to a table by the server's life, entries tell each other namings and liftings with ages, and each request takes a turn right before it is written, from the credit that also holds teams' limits (server_rate_*). A server without a turn is no candidate and no failure; where none has one, 503 at once with the expected time; more urgent ranks first. A server that has not answered for a second is asked again, or nobody would learn that the rate is over. Why it holds: credit is created in parts whose sum is the rate; at most 5.75 r + 1 of the 6 r + 5 that a server bears.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -62,6 +62,9 @@
 	FailureShare float64
 	// Connected reports whether an open connection can be reused.
 	Connected bool
+	// Due servers name a rate and have not been asked for a while whether they still do: only their answers
+	// to requests tell.
+	Due bool
 	// InBackoff servers failed recently and get no requests until their backoff
 	// ends.
 	InBackoff bool
@@ -141,6 +144,9 @@
 	// queueCost is added for each request beyond the batch: a batch of a few
 	// dozen requests turns over within a few seconds.
 	queueCost = 0.06
+	// dueGain makes a server that is due win against others that stand as well, but for a new connection
+	// and the distance.
+	dueGain = connectCost + remoteCost + jitterCost
 	// failureCost is the cost of a failed answer, multiplied by the server's share
 	// of failures beyond the share common to all servers.
 	failureCost = 2.5
@@ -265,6 +271,9 @@
 	if !c.Connected {
 		cost += connectCost
 	}
+	if c.Due {
+		cost -= dueGain
+	}
 	if r.Tried[c.ID] {
 		cost += triedCost
 	}
--- a/coord/serverrate/table.go
+++ b/coord/serverrate/table.go
@@ -92,6 +92,9 @@
 func (t *Table) Change() uint64  { return t.told }
 func (t *Table) Version() uint64 { return t.version }
 
+// Len returns the number of servers of which something is known.
+func (t *Table) Len() int { return len(t.records) }
+
 // Rate returns the rate that a server names, in requests a second.
 func (t *Table) Rate(life Life) (rate float64, named bool) {
 	if r := t.records[life]; r != nil && r.inForce() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/credit"
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/gateway"
@@ -141,7 +142,10 @@
 		limits := sharedlimit.New(sharedlimit.Teams, p.settings.TeamLimits(), p.mesh, sharedlimit.TeamLimits(documents), p.log)
 		maps.Copy(handlers, limits.Handlers())
 		p.goroutines.Go(func() { limits.Run(ctx) })
-		if err := p.startEntry(ctx, limits); err != nil {
+		turns := sharedlimit.New(sharedlimit.ServerRates, credit.ServerOptions(), p.mesh, sharedlimit.ServerRateLimits(p.mesh), p.log)
+		maps.Copy(handlers, turns.Handlers())
+		p.goroutines.Go(func() { turns.Run(ctx) })
+		if err := p.startEntry(ctx, limits, turns); err != nil {
 			return err
 		}
 	case RoleAgent:
@@ -198,12 +202,12 @@
 	return peers
 }
 
-func (p *process) startEntry(ctx context.Context, limits *sharedlimit.Limits) error {
+func (p *process) startEntry(ctx context.Context, limits, turns *sharedlimit.Limits) error {
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
 		Restarted: !p.settings.Bootstrap,
-		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits,
+		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits, Turns: turns,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.goroutines.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,6 +59,10 @@
 	eventAt    time.Time
 	// starts counts the starts that were requested.
 	starts int
+	// denials counts the servers that were chosen and had no turn, turn is the server of which it has taken one;
+	// nil where it names no rate.
+	denials int
+	turn    *server
 	// grantedBy is the agent that granted the start; nil when none was asked.
 	grantedBy *agentClient
 	// awaited is the server to which the request was sent at sentAt and whose answer has not begun;
@@ -257,6 +261,10 @@
 		x.startupQueue.await(x.ctx, x.startDeadline().Add(-minRemaining), chosen)
 	}
 	x.picked = picked
+	if v == nil && x.awaitTurn(picked.noTurnUntil) {
+		x.tries--
+		return nil, stepRetry
+	}
 	if v == nil {
 		x.lastReason, x.retryDelay = x.noServerReason()
 		return nil, stepFail
@@ -267,6 +275,7 @@
 		return nil, stepFail
 	}
 	x.tried[v.entry.ID] = true
+	defer x.servers.awaitTurnAt(v)()
 	requestedAt := time.Now()
 	granted, ok := x.start(v)
 	x.waited += time.Since(requestedAt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,8 @@
 	ConfirmNewest func(context.Context) bool
 	// Limits enforces the limits of teams. It is nil where there are none.
 	Limits *sharedlimit.Limits
+	// Turns keeps the rates that servers name. It is nil where they are not kept.
+	Turns *sharedlimit.Limits
 }
 
 // Gateway is the HTTP handler that serves callers.
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -214,6 +214,9 @@
 
 // noServerReason returns why there is no server, and after which time one may be back.
 func (x *exchange) noServerReason() (string, time.Duration) {
+	if !x.picked.noTurnUntil.IsZero() {
+		return x.noTurnReason()
+	}
 	if x.lineage.bound {
 		versionRefusedCount.Add(1)
 		return "no backend server of the version at which the stream began is there", x.serversRetryAfter()
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -13,6 +13,8 @@
 	sentAtRateCount = telemetry.Counter("gateway_sent_at_rate")
 	// rateFaultCount counts the answers whose rate cannot be read.
 	rateFaultCount = telemetry.Counter("gateway_rates_unreadable")
+	// noTurnCount counts the requests that were refused since each server that could serve them was at its rate.
+	noTurnCount = telemetry.Counter("gateway_refused_no_turn")
 )
 
 const (
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,7 +28,11 @@
 		x.lastReason = "the backend server leaves"
 		return nil, stepRetry
 	}
+	if !x.takeTurn(v) {
+		return nil, x.turnDenied()
+	}
 	if x.sends > 0 && !(x.mayRepeat(v) && x.chargeRepeat()) {
+		x.returnTurn()
 		return nil, stepFail
 	}
 	return x.send(v)
@@ -136,6 +140,7 @@
 	}
 	x.awaited = nil
 	if !upstream.Sent(err) {
+		x.returnTurn()
 		x.lastReason = "the backend server could not be reached"
 		x.servers.observe(v, Verdict{}, func(h *dispatch.Health) { h.Unreachable(time.Now()) })
 		return stepRetry
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -37,6 +37,8 @@
 	agents map[string]*agentClient
 	// candidates is the memory of choose, which is used for each request.
 	candidates []dispatch.Candidate
+	// shortages are the refusals for want of a turn, by service.
+	shortages map[string]*shortage
 }
 
 // server is one incarnation of a backend server.
@@ -53,6 +55,8 @@
 	answeredAt time.Time
 	// agent is nil for plain services.
 	agent *agentClient
+	// awaiting counts the requests that have chosen the server while it names a rate and are not sent yet.
+	awaiting int
 	// atRate counts the requests that were sent while the server named a rate and not logged yet, since
 	// atRateSince; rateFaultAt is when a rate that cannot be read was logged last.
 	atRate      int
@@ -68,7 +72,7 @@
 func (v *server) life() serverrate.Life { return serverrate.Life{ID: v.entry.ID, Born: v.entry.Born} }
 
 func newServers(options Options, m *mesh.Mesh, pool *upstream.Pool, log *zap.Logger) *servers {
-	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server), agents: make(map[string]*agentClient)}
+	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server), agents: make(map[string]*agentClient), shortages: make(map[string]*shortage)}
 }
 
 // start begins to watch the agents of the known servers before the first request.
@@ -140,18 +144,21 @@
 	known := s.byService[service.Name]
 	candidates := s.candidates[:0]
 	l.unconfirmed = false
+	turns := s.turnsOf(service.Name, r.Rank, now)
 	for _, v := range known {
 		may, unconfirmed := s.mayServeStream(v, l)
 		l.unconfirmed = l.unconfirmed || unconfirmed
 		c := s.candidate(v, service, &r, model, now)
 		c.Connected = s.pool.Idle(targetOf(v)) > 0
-		c.Excluded = !may
+		rated, hasTurn := turns.judge(v, c.Model && may)
+		c.Excluded = !may || !hasTurn
+		c.Due = rated && now.Sub(v.answeredAt) >= rateDueTime
 		candidates = append(candidates, c)
 	}
 	s.candidates = candidates
 	choice := dispatch.Pick(candidates, r, rand.Float64)
 	if choice.Index < 0 {
-		return nil, pick{}
+		return nil, pick{noTurnUntil: turns.earliest}
 	}
 	return known[choice.Index], pick{Choice: choice, Candidate: candidates[choice.Index]}
 }
@@ -160,6 +167,9 @@
 type pick struct {
 	dispatch.Choice
 	dispatch.Candidate
+	// noTurnUntil is when a turn is expected at a server that could serve the request but for the rate that it
+	// names; zero where there is none such.
+	noTurnUntil time.Time
 }
 
 // maxLoadAge is the age up to which a load reported with an answer is used.
@@ -238,7 +248,7 @@
 
 // requestSent and requestEnded count the requests in flight at a server.
 func (s *servers) requestSent(v *server) {
-	_, rated := s.mesh.ServerRate(v.life())
+	_, rated := s.mesh.ServerRates().Rates[v.life()]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.inflight++
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -125,6 +125,8 @@
 	streams *streams
 	// rates knows which servers name a rate.
 	rates *serverrate.Table
+	// ratesInForce is what the table says, for those that do not hold mu.
+	ratesInForce atomic.Pointer[ServerRates]
 	// demand counts the requests for models that this process received.
 	demand modelplan.Demand
 	// diskOnly holds the servers that are known only from the disk.
@@ -143,6 +145,7 @@
 		peers: make(map[string]*peer), roster: roster.New(), heardVia: make(map[string]via), strikes: suspicion.NewStrikes(), rates: serverrate.NewTable(),
 		progress: make(chan struct{}), diskOnly: make(map[string]bool),
 	}
+	m.publishRates()
 	m.informed.Store(options.informedAtStart())
 	m.streams = newStreams(m)
 	m.prover.round = m.proveOnce
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/coord/serverrate"
 	"github.com/rosemarypass/rosemarypass/coord/streamversion"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 )
@@ -77,8 +78,10 @@
 	// Versions are the software versions that the sender heard of, if there are new ones: the servers
 	// above tell only what they run now.
 	Versions []streamversion.SeenVersion `json:"versions,omitempty"`
-	// Uninformed is true when the sender has just started and asks for all strikes and for the
-	// software versions that served.
+	// Rates are what is new of the rates that servers name.
+	Rates []serverrate.Naming `json:"rates,omitempty"`
+	// Uninformed is true when the sender has just started and asks for all strikes, for the software
+	// versions that served, and for the rates that servers name.
 	Uninformed bool `json:"uninformed,omitempty"`
 	// Digest is the digest of the processes that the sender knows.
 	Digest uint64 `json:"digest"`
@@ -103,6 +106,8 @@
 	// VersionsComplete is true when none can be missing.
 	Versions         []streamversion.SeenVersion `json:"versions,omitempty"`
 	VersionsComplete bool                        `json:"versionsComplete,omitempty"`
+	// Rates are those that servers name, if the sender asked for them.
+	Rates []serverrate.Naming `json:"rates,omitempty"`
 }
 
 // pullRequest asks for the configuration if it is newer than the held one.
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -65,6 +65,8 @@
 	knowsStrikes bool
 	// ackedVersions is the change of the software versions up to which the peer has received them.
 	ackedVersions uint64
+	// ackedRates is the change of the servers' rates up to which the peer has received them.
+	ackedRates uint64
 }
 
 // via is how a server was heard of. It decides which peers receive its heartbeat.
@@ -154,7 +156,7 @@
 	if !updates.empty() {
 		return updates, actionGreet
 	}
-	q.acked, q.ackedStrikes, q.knowsStrikes, q.ackedVersions = updates.change, updates.strikeChange, true, updates.versionChange
+	q.acked, q.ackedStrikes, q.knowsStrikes, q.ackedVersions, q.ackedRates = updates.change, updates.strikeChange, true, updates.versionChange, updates.rateChange
 	// A spoke must greet its hub itself, to report that it depends on it.
 	if !q.linked || q.inSync && !m.spoke && now.Sub(q.lastGreeting) < syncInterval && !updates.relist {
 		return pending{}, actionSkip
@@ -183,6 +185,7 @@
 		q.acked = max(q.acked, sent.change)
 		q.ackedStrikes = max(q.ackedStrikes, sent.strikeChange)
 		q.ackedVersions = max(q.ackedVersions, sent.versionChange)
+		q.ackedRates = max(q.ackedRates, sent.rateChange)
 		q.knowsStrikes = q.knowsStrikes || !sent.more
 	}
 	q.missing, q.cursor = reply.Missing, reply.Cursor
@@ -197,6 +200,7 @@
 	if sent.Uninformed {
 		q.mesh.streams.mergeVersions(reply.Versions, reply.VersionsComplete, now)
 		q.takeStrikes(&reply, now)
+		q.mesh.mergeRates(q, true, reply.Rates, now)
 	}
 	q.mesh.notifyProgress()
 	q.mesh.mu.Unlock()
@@ -237,6 +241,7 @@
 	change        uint64
 	strikeChange  uint64
 	versionChange uint64
+	rateChange    uint64
 	// relist is true when the peer is asked for all processes that it knows.
 	relist bool
 	// more is true when not all updates fit into the greeting.
@@ -244,7 +249,7 @@
 }
 
 func (p *pending) empty() bool {
-	return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers)+len(p.Doubts)+len(p.Versions) == 0
+	return len(p.Servers)+len(p.Beats)+len(p.Strikes)+len(p.Answers)+len(p.Doubts)+len(p.Versions)+len(p.Rates) == 0
 }
 
 // pendingUpdates lists what the peer has not acknowledged: servers with material changes
@@ -274,6 +279,9 @@
 	if p.versionChange = m.streams.seen.Change(); p.versionChange != q.ackedVersions {
 		p.Versions = m.streams.seen.List(now)
 	}
+	if p.rateChange = m.rates.Change(); p.rateChange != q.ackedRates {
+		p.Rates = m.rates.Since(q.ackedRates, q.spoke, now)
+	}
 	for _, id := range q.missing {
 		if e, ok := m.roster.Get(id); ok {
 			p.Servers = append(p.Servers, e.Aged(now))
@@ -282,10 +290,10 @@
 	return p
 }
 
-// resendAll makes the next greetings carry all servers, strikes and versions: the peer has missed
+// resendAll makes the next greetings carry all servers, strikes, versions and rates: the peer has missed
 // updates, or has forgotten them over a restart. The caller holds mu.
 func (q *peer) resendAll() {
-	q.acked, q.ackedStrikes, q.knowsStrikes, q.ackedVersions = 0, 0, false, 0
+	q.acked, q.ackedStrikes, q.knowsStrikes, q.ackedVersions, q.ackedRates = 0, 0, false, 0, 0
 }
 
 // wake makes the peer's task check immediately for updates.
@@ -312,11 +320,13 @@
 	from := m.peers[in.From.Address]
 	reply := greetingReply{Missing: m.mergeServers(from, in, now)}
 	m.streams.mergeVersions(in.Versions, false, now)
+	m.mergeRates(from, !in.Spoke, in.Rates, now)
 	m.mergeStrikes(from, !in.Spoke, slices.Concat(in.Strikes, in.Answers, in.Doubts), now)
 	if in.Uninformed {
 		reply.Informed = m.Informed()
 		reply.Strikes = m.allStrikes(now)
 		reply.Versions, reply.VersionsComplete = m.streams.seen.List(now), m.streams.isComplete(now)
+		reply.Rates = m.rates.Since(0, true, now)
 	}
 	if from != nil {
 		wasActive := from.active(now)
--- a/internal/sharedlimit/sharedlimit.go
+++ b/internal/sharedlimit/sharedlimit.go
@@ -169,7 +169,7 @@
 	}
 	l.configureLocked(now)
 	if len(l.limits) == 0 {
-		return interval
+		return max(interval, l.kind.idleRefresh)
 	}
 	for i := range l.links {
 		l.exchange(ctx, i, now, false)
@@ -377,11 +377,18 @@
 	}
 	l.kind.refused.Add(1)
 	l.kind.use.Refuse(name, cost)
-	l.holder.Refused(name, cost)
+	if l.kind.returning {
+		l.holder.Refused(name, cost)
+	} else {
+		l.holder.Withdrawn(name, cost)
+	}
 	d.RetryAfter = unknownRetryAfter
 	if wait := d.Standing.DeniedUntil.Sub(now); wait > 0 {
-		// Entries that had nothing to give while the pool was full learn of it with their next idle exchange.
-		d.RetryAfter = wait + idleInterval
+		d.RetryAfter = wait
+		if l.kind.returning {
+			// Entries that had nothing to give while the pool was full learn of it with their next idle exchange.
+			d.RetryAfter += idleInterval
+		}
 	}
 	return d, nil
 }
@@ -399,6 +406,15 @@
 	return true
 }
 
+// Standing returns the credit of a name at this entry.
+func (l *Limits) Standing(name string) credit.Standing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.configureLocked(now)
+	return l.holder.Standing(name, now)
+}
+
 // Return gives back the cost of a request that did not run.
 func (l *Limits) Return(name string, cost float64) {
 	l.mu.Lock()
--- a/internal/wire/credit.go
+++ b/internal/wire/credit.go
@@ -5,6 +5,9 @@
 // MethodExchangeCredit exchanges credit with a pool that the called entry keeps.
 const MethodExchangeCredit = "credit.exchange"
 
+// MethodExchangeTurns does so for turns at servers that name a rate.
+const MethodExchangeTurns = "turns.exchange"
+
 // CreditExchange is what an entry tells the keeper of a pool.
 type CreditExchange struct {
 	// Pool is the number of the pool.
