What is read from servers is bounded in one place, and all incomplete answers together

Callers waited to their deadline, and an entry of 31 MB grew to 453 MB, where servers wrote heads or interim answers without end; a line of an event cost half a second of processor time. Cause: heads and interim answers had no bound at all, bodies one each and none together. Class: a peer decides how much we keep.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -260,6 +260,16 @@
 	return found && socket.ClosedByPeer(conn)
 }
 
+// BoundRead bounds the time at which a request's body must have been read; a reader beyond it gets a timeout. The
+// returned function ends the bound. ctx is a request's context under ConnContext.
+func BoundRead(ctx context.Context, until time.Time) (end func()) {
+	conn, found := ctx.Value(connKey{}).(net.Conn)
+	if !found || conn.SetReadDeadline(until) != nil {
+		return func() {}
+	}
+	return func() { _ = conn.SetReadDeadline(time.Time{}) }
+}
+
 // setResetOnClose sets whether closing the connection resets it or closes it
 // orderly.
 func setResetOnClose(ctx context.Context, reset bool) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,10 @@
 	// configurations set for callers.
 	headerTimeout = 30 * time.Second
 	idleTimeout   = 10 * time.Minute
+	// ownBodyTimeout bounds the time to read a request that is not a caller's.
+	ownBodyTimeout = 30 * time.Second
+	// answerMemoryPart is the part of the memory that incomplete answers of servers may take together.
+	answerMemoryPart = 8
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 256 << 10
 	// versionGraceRatio is the fraction of the maximum version delay during which
@@ -207,18 +211,18 @@
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
 		Restarted: !p.settings.Bootstrap,
-		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits, Turns: turns,
+		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits, Turns: turns, AnswerBytes: p.settings.MemoryLimit() / answerMemoryPart,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.goroutines.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+p.platform.ReadyPath, p.ready)
-	if _, err := p.serve(p.settings.ReadyListen, ready); err != nil {
+	if _, err := p.serve(p.settings.ReadyListen, ready, ownBodyTimeout); err != nil {
 		return err
 	}
-	if _, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.log)); err != nil {
+	if _, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.log), ownBodyTimeout); err != nil {
 		return err
 	}
-	callers, err := p.serve(p.settings.CallerListen, p.gateway)
+	callers, err := p.serve(p.settings.CallerListen, p.gateway, 0)
 	p.callers = callers
 	return err
 }
@@ -229,7 +233,7 @@
 	status := http.NewServeMux()
 	status.Handle("GET /debug/vars", expvar.Handler())
 	status.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	_, err := p.serve(p.settings.StatusListen, status)
+	_, err := p.serve(p.settings.StatusListen, status, ownBodyTimeout)
 	return err
 }
 
@@ -239,7 +243,8 @@
 	}
 }
 
-func (p *process) serve(address string, handler http.Handler) (*drain.Connections, error) {
+// serve serves an address. readTimeout bounds the time to read a request, 0 where the handler does.
+func (p *process) serve(address string, handler http.Handler, readTimeout time.Duration) (*drain.Connections, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -248,7 +253,7 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnContext: answer.ConnContext,
 	}
 	connections, tracked := drain.Track(server, listener)
--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -18,7 +18,7 @@
 // BenchmarkChoose is one choice among 117 engines with ten adapters each.
 func BenchmarkChoose(b *testing.B) {
 	m := mesh.New(mesh.Options{Self: mesh.Process{Address: "127.0.0.1:1", Entry: true}}, mesh.NewDocuments(decodeRoute, zap.NewNop()), zap.NewNop())
-	s := newServers(Options{DataCentre: "d"}, m, upstream.NewPool(time.Second), zap.NewNop())
+	s := newServers(Options{DataCentre: "d"}, m, upstream.NewPool(time.Second, upstream.NewMemory(0)), zap.NewNop())
 	var list []*server
 	for i := range 117 {
 		state := wire.EngineState{Known: true, HeldChange: 1, Batch: 12, MemoryTokens: 60_000, Running: i % 12, DelayMillis: []int64{0, 20, 40}, Models: []string{"base"}}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,10 +9,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/answer"
@@ -130,16 +132,20 @@
 	ConfirmNewest func(context.Context) bool
 	// Limits enforces the limits of teams. It is nil where there are none.
 	Limits *sharedlimit.Limits
+	// AnswerBytes bounds what answers that are not complete hold together; 0 for the default.
+	AnswerBytes int64
 	// Turns keeps the rates that servers name. It is nil where they are not kept.
 	Turns *sharedlimit.Limits
 }
 
 // Gateway is the HTTP handler that serves callers.
 type Gateway struct {
-	options      Options
-	edge         Edge
-	mesh         *mesh.Mesh
-	pool         *upstream.Pool
+	options Options
+	edge    Edge
+	mesh    *mesh.Mesh
+	pool    *upstream.Pool
+	// memory bounds what answers that are not complete hold together.
+	memory       *upstream.Memory
 	servers      *servers
 	budget       *budget
 	strikes      *strikes
@@ -160,9 +166,10 @@
 
 // New returns a gateway.
 func New(options Options, edge Edge, m *mesh.Mesh, log *zap.Logger) *Gateway {
-	pool := upstream.NewPool(dialTimeout)
+	memory := upstream.NewMemory(options.AnswerBytes)
+	pool := upstream.NewPool(dialTimeout, memory)
 	g := &Gateway{
-		options: options, edge: edge, mesh: m, pool: pool, log: log, now: time.Now,
+		options: options, edge: edge, mesh: m, pool: pool, memory: memory, log: log, now: time.Now,
 		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
 		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(),
 	}
@@ -237,13 +244,13 @@
 		return g.deny(r, &call, found)
 	}
 	table := found.table
-	if refused, ok := g.readBody(r, &call, table.Bounds().BodyBytes); !ok {
-		return refused
-	}
 	deadline := arrived.Add(found.route.Timeout)
 	if call.MaxWait > 0 && call.MaxWait < found.route.Timeout {
 		deadline = arrived.Add(call.MaxWait)
 	}
+	if refused, ok := g.readBody(r, &call, table.Bounds().BodyBytes, deadline); !ok {
+		return refused
+	}
 	x := &exchange{
 		Gateway: g, ctx: r.Context(), call: call, route: found.route, team: found.team, rank: table.Rank(found.team, found.route), table: table, arrived: arrived, deadline: deadline,
 		service: table.Service(found.route.Pick(rand.Float64())), version: table.Version(), tried: make(map[string]bool),
@@ -301,17 +308,21 @@
 // allows for several round trips between regions.
 const newestTimeout = 500 * time.Millisecond
 
-// readBody reads the body of the request into the call. If that fails, it returns the answer
-// for the caller.
-func (g *Gateway) readBody(r *http.Request, call *Call, limit int64) (answer.Answer, bool) {
+// readBody reads the body of the request into the call, until the deadline at the latest. If that fails, it returns
+// the answer for the caller.
+func (g *Gateway) readBody(r *http.Request, call *Call, limit int64, deadline time.Time) (answer.Answer, bool) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return answer.Answer{}, true
 	}
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	endBound := answer.BoundRead(r.Context(), deadline)
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	endBound()
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return answer.Text(http.StatusRequestTimeout, g.ownHeader(call), "the body did not arrive in time").WithConnectionClose(), false
 	case err != nil:
 		// The caller aborted its own request.
 		return answer.Answer{}, false
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -18,15 +18,6 @@
 // maxAnswer limits the size of an answer that is buffered completely before it is relayed.
 const maxAnswer = 8 << 20
 
-// drain reads an answer that is not needed, so that its connection can be reused.
-func drain(response *upstream.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer)); err != nil {
-		response.Abort()
-		return
-	}
-	response.Release()
-}
-
 // reply is a server's answer while it is being relayed.
 type reply struct {
 	server   *server
@@ -54,6 +45,8 @@
 	rosterChange uint64
 	// releases are the functions that free what the request holds at the server and its agent.
 	releases []func()
+	// held is what the reply holds of the memory for answers.
+	held *upstream.Holding
 }
 
 // outputFor returns the time for which output has been arriving.
@@ -99,16 +92,17 @@
 func (x *exchange) openBuffered(r *reply) (answer.Answer, step) {
 	defer r.release()
 	r.outputSince = r.now()
-	body, err := io.ReadAll(io.LimitReader(r.response.Body, maxAnswer+1))
-	if err != nil {
-		x.lastReason = "the backend server's answer broke off"
-		return answer.Answer{}, x.brokeOff("answer broke off", r, err)
-	}
-	if len(body) > maxAnswer {
+	body, err := upstream.ReadBody(r.response.Body, maxAnswer, x.memory)
+	if errors.Is(err, upstream.ErrTooLarge) || errors.Is(err, upstream.ErrNoMemory) {
 		r.response.Abort()
 		x.lastReason = "the backend server's answer is too large"
+		x.logBroken("answer given up", r.server, err)
 		return answer.Answer{}, x.recordFailure(r.server, r.verdict)
 	}
+	if err != nil {
+		x.lastReason = "the backend server's answer broke off"
+		return answer.Answer{}, x.brokeOff("answer broke off", r, err)
+	}
 	r.response.Release()
 	x.status = r.response.Status
 	x.recordAnswer(r)
@@ -253,8 +247,15 @@
 // few tokens with each event.
 const maxEvent = 1 << 20
 
-// errEventTooLarge is returned when a server sends data without the end of an event.
-var errEventTooLarge = errors.New("an event of the stream is larger than is held")
+// maxEventID limits the length of an event's ID, in bytes: it is sent to the server that goes on with the stream.
+const maxEventID = 1 << 10
+
+var (
+	// errEventTooLarge is returned when a server sends data without the end of an event.
+	errEventTooLarge = errors.New("an event of the stream is larger than is held")
+	// errEventIDTooLong is returned when an event's ID cannot be sent to another server.
+	errEventIDTooLong = errors.New("an event's ID is too long")
+)
 
 // maxBuffered returns how much of an answer is buffered until an event is complete.
 func (r *reply) maxBuffered() int {
@@ -288,8 +289,8 @@
 		if err == io.EOF {
 			return append(complete, r.events.rest()...), io.EOF
 		}
-		if err == nil && len(r.events.rest()) > r.maxBuffered() {
-			err = errEventTooLarge
+		if err == nil {
+			err = r.checkHeld()
 		}
 		if err != nil || len(complete) > 0 {
 			return complete, err
@@ -297,6 +298,17 @@
 	}
 }
 
+// checkHeld returns an error if what is held of an incomplete event, or of an answer without events, is too large.
+func (r *reply) checkHeld() error {
+	if len(r.events.rest()) > r.maxBuffered() {
+		return errEventTooLarge
+	}
+	if len(r.events.id) > maxEventID {
+		return errEventIDTooLong
+	}
+	return r.held.Grow(cap(r.events.buf))
+}
+
 // isEventStream reports whether the answer can consist of events. It returns false only when
 // the content type says otherwise.
 func (r *reply) isEventStream() bool {
@@ -335,13 +347,18 @@
 	idField         = []byte("id:")
 )
 
+// longestSeparator is the length of the longest separator, in bytes.
+const longestSeparator = 3
+
 // add appends data and returns the bytes of the events that are now complete.
 func (b *eventBuffer) add(data []byte) []byte {
+	// What was held before has no end of an event, but may have its beginning.
+	from := max(len(b.buf)-longestSeparator+1, 0)
 	b.buf = append(b.buf, data...)
 	end := 0
 	for _, blank := range eventSeparators {
-		if at := bytes.LastIndex(b.buf, blank); at >= 0 {
-			end = max(end, at+len(blank))
+		if at := bytes.LastIndex(b.buf[from:], blank); at >= 0 {
+			end = max(end, from+at+len(blank))
 		}
 	}
 	if end == 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -64,7 +64,8 @@
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	x.servers.requestSent(v)
-	r := &reply{server: v, now: x.now, releases: []func(){cancel, func() { x.servers.requestEnded(v) }}}
+	held := x.memory.Hold()
+	r := &reply{server: v, now: x.now, held: held, releases: []func(){cancel, func() { x.servers.requestEnded(v) }, held.Release}}
 	x.awaited, x.sentAt = v, time.Now()
 	watched := x.strikes.sent(x.identity(), v, x.sentAt)
 	response, err := x.pool.Call(ctx, targetOf(v), request)
@@ -185,7 +186,7 @@
 
 // handleNotRun handles an answer in which the server states that it did not run the request.
 func (x *exchange) handleNotRun(v *server, response *upstream.Response, verdict Verdict) step {
-	drain(response)
+	response.Discard()
 	x.lastReason = "the backend server did not take it"
 	x.servers.observe(v, verdict, func(h *dispatch.Health) {
 		if !verdict.Misdirected {
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -47,7 +47,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			m := mesh.New(mesh.Options{Self: mesh.Process{Address: "127.0.0.1:1", Entry: true}}, mesh.NewDocuments(decodeRoute, zap.NewNop()), zap.NewNop())
-			s := newServers(Options{DataCentre: "d"}, m, upstream.NewPool(time.Second), zap.NewNop())
+			s := newServers(Options{DataCentre: "d"}, m, upstream.NewPool(time.Second, upstream.NewMemory(0)), zap.NewNop())
 			engines := map[string]*server{}
 			for _, id := range []string{"busy", "first"} {
 				announced := roster.Server{ID: id, Born: 1, Sequence: 1, Service: "llm", Address: "127.0.0.1:1", DataCentre: "d", Slots: 48, Models: []string{"base"}}
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -367,7 +367,7 @@
 // Guards against ends of servers that become known only when a server that does not answer has been given up.
 func TestSilentServerDelaysNoOther(t *testing.T) {
 	g := newIdleGateway(time.Second)
-	g.pool = upstream.NewPool(time.Hour)
+	g.pool = upstream.NewPool(time.Hour, upstream.NewMemory(0))
 	silent := roster.Server{ID: "silent", Born: 1, Sequence: 1, Service: "s", Address: silentAddress(t)}
 	if err := g.mesh.Announce(t.Context(), silent); err != nil {
 		t.Fatal(err)
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -21,6 +21,9 @@
 // idleTimeout is how long an idle connection is kept.
 const idleTimeout = 90 * time.Second
 
+// maxResponseHeaderBytes bounds the head of a response, with the interim responses before it.
+const maxResponseHeaderBytes = 64 << 10
+
 // NewClient returns a client with a new Transport that returns redirects to the
 // caller: following one would run a call at a server that the caller did not
 // choose.
@@ -112,6 +115,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// A server in trouble may write a head without end.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	for _, option := range options {
 		option(dial, shared)
--- a/internal/upstream/abandon_test.go
+++ b/internal/upstream/abandon_test.go
@@ -34,7 +34,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(network.Close)
-			pool, target := NewPool(testTimeout), Target{Address: network.Address(), ID: "s"}
+			pool, target := NewPool(testTimeout, NewMemory(0)), Target{Address: network.Address(), ID: "s"}
 			for range c.want {
 				if _, _, _, err := pool.CallBuffered(t.Context(), target, pathRequest("served"), 1<<10); err != nil {
 					t.Fatal(err)
--- a/internal/upstream/body_test.go
+++ b/internal/upstream/body_test.go
@@ -13,11 +13,11 @@
 // limit it would be taken for the complete report, and whatever follows the
 // limit would be taken as absent.
 func TestCallBufferedRejectsOversizedBody(t *testing.T) {
-	for limit, fits := range map[int64]bool{4: false, 5: true, 6: true} {
+	for limit, fits := range map[int]bool{4: false, 5: true, 6: true} {
 		target, _ := startServer(t, response1)
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
-		_, _, body, err := NewPool(testTimeout).CallBuffered(ctx, target, newRequest("r1"), limit)
+		_, _, body, err := NewPool(testTimeout, NewMemory(0)).CallBuffered(ctx, target, newRequest("r1"), limit)
 		if (err == nil) != fits || fits && string(body) != "hello" || !fits && body != nil {
 			t.Errorf("limit %d bytes: got %q, %v", limit, body, err)
 		}
@@ -33,7 +33,7 @@
 	body := strings.Repeat("x", maxStrayBytes+1) + response1
 	late := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	target, _ := startServer(t, late+strings.Replace(response1, "hello", "right", 1))
-	if status, body, err := call(t, NewPool(testTimeout), target, "r1"); err == nil && body != "right" {
+	if status, body, err := call(t, NewPool(testTimeout, NewMemory(0)), target, "r1"); err == nil && body != "right" {
 		t.Errorf("got response %d, %q", status, body)
 	}
 }
@@ -54,7 +54,7 @@
 			target, _ := startServer(t, text)
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			defer cancel()
-			pool := NewPool(testTimeout)
+			pool := NewPool(testTimeout, NewMemory(0))
 			response, err := pool.Call(ctx, target, newRequest("r1"))
 			if err != nil {
 				// A reset may overtake the header.
@@ -103,7 +103,7 @@
 			go serveScript(conn, responses)
 		}
 	}()
-	pool, target := NewPool(testTimeout), Target{Address: listener.Addr().String()}
+	pool, target := NewPool(testTimeout, NewMemory(0)), Target{Address: listener.Addr().String()}
 	for i, want := range []string{"r1 503 ", "r2 200 there", "r1 200 hello"} {
 		id, _, _ := strings.Cut(want, " ")
 		status, body, err := call(t, pool, target, id)
@@ -119,7 +119,7 @@
 func TestRequestWithoutIDIgnoresStrayResponse(t *testing.T) {
 	duplicate := response1 + "HTTP/1.1 400 No id\r\nContent-Length: 2\r\n\r\nno"
 	target, _ := startServer(t, response1, duplicate, duplicate)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	if _, body, err := call(t, pool, target, "r1"); err != nil || body != "hello" {
 		t.Fatalf("got %q, %v", body, err)
 	}
@@ -133,7 +133,7 @@
 func TestRequestsWithoutIDDoNotShareConnection(t *testing.T) {
 	refused := "HTTP/1.1 400 No id\r\nContent-Length: 2\r\n\r\nno"
 	target, connections := startServer(t, refused, refused, response1, response2)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	for i, id := range []string{"", "", "r1", "r2"} {
 		if _, _, err := call(t, pool, target, id); err != nil {
 			t.Errorf("call %d ended with %v", i, err)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -71,13 +71,6 @@
 // to this request.
 var ErrInvalidResponse = errors.New("server sent no valid response to the request")
 
-// maxStrays is the number of responses to earlier requests that are skipped on a
-// connection; maxStrayBytes bounds the body of each, in bytes.
-const (
-	maxStrays     = 2
-	maxStrayBytes = 1 << 20
-)
-
 // Call sends a request and reads the header of the response. When ctx ends, the
 // call ends and its connection is reset, so that the server can stop working.
 func (p *Pool) Call(ctx context.Context, target Target, r *Request) (*Response, error) {
@@ -114,25 +107,32 @@
 		}
 		return nil, errors.Wrap(err, "send")
 	}
-	strays := 0
+	strays, interim := 0, 0
+	c.bound(maxHeadBytes)
 	for {
-		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		parsed, err := c.readHead(r.Method)
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
 		if parsed.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				return nil, ErrInvalidResponse
+			}
 			continue
 		}
 		if parsed.Header.Get(r.IDHeader) == r.ID {
+			c.unbound()
 			return newResponse(c, r, parsed, strays), nil
 		}
 		// This is a late duplicate response to an earlier request.
 		if strays++; strays > maxStrays {
 			return nil, ErrInvalidResponse
 		}
+		c.bound(2 * maxStrayBytes)
 		if err := discardBody(parsed.Body); err != nil {
 			return nil, errors.Wrap(ErrInvalidResponse, err.Error())
 		}
+		c.bound(maxHeadBytes)
 	}
 }
 
@@ -189,6 +189,18 @@
 	r.pool.put(r.target, r.conn)
 }
 
+// Discard ends a response whose body nobody needs: it reads the body, so that the connection can be reused, if that
+// ends soon.
+func (r *Response) Discard() {
+	_ = r.conn.SetReadDeadline(time.Now().Add(unneededTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxUnneeded+1))
+	if err != nil || n > maxUnneeded {
+		r.Abort()
+		return
+	}
+	r.Release()
+}
+
 // Abort resets the connection, so that the server can stop working.
 func (r *Response) Abort() {
 	r.stop()
@@ -223,22 +235,15 @@
 	return b.Bytes()
 }
 
-// ErrTooLarge reports that a response exceeds the size limit of its reader.
-var ErrTooLarge = errors.New("response body exceeds the size limit")
-
 // CallBuffered sends a request and reads the complete response. It returns
 // ErrTooLarge if the body has more than limit bytes: a truncated body would be
 // mistaken for a complete one.
-func (p *Pool) CallBuffered(ctx context.Context, target Target, r *Request, limit int64) (status int, header http.Header, body []byte, err error) {
+func (p *Pool) CallBuffered(ctx context.Context, target Target, r *Request, limit int) (status int, header http.Header, body []byte, err error) {
 	response, err := p.Call(ctx, target, r)
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = ErrTooLarge
-	}
-	if err != nil {
+	if body, err = ReadBody(response.Body, limit, p.memory); err != nil {
 		response.Abort()
 		return 0, nil, nil, errors.Wrap(err, "read the answer's body")
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,6 +51,46 @@
 	// recentIDs holds the ids of the last requests sent on the connection.
 	recentIDs [maxRecentIDs]string
 	calls     int
+	// left is how many bytes may be read until the bound is moved, negative for any number.
+	left int64
+}
+
+// bound bounds what is read from now on, in bytes.
+func (c *conn) bound(size int64) { c.left = size }
+
+func (c *conn) unbound() { c.left = -1 }
+
+// boundedReader reads from a connection within its bound.
+type boundedReader struct{ *conn }
+
+func (b boundedReader) Read(p []byte) (int, error) {
+	c := b.conn
+	if c.left == 0 {
+		return 0, ErrTooLarge
+	}
+	if c.left > 0 {
+		p = p[:min(int64(len(p)), c.left)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.left > 0 {
+		c.left -= int64(n)
+	}
+	return n, err
+}
+
+// readHead waits for a response and reads its head.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if err := c.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+		return nil, err
+	}
+	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return parsed, c.SetReadDeadline(time.Time{})
 }
 
 // maxRecentIDs is the number of later requests during which a late duplicate
@@ -75,7 +116,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw, left: -1}
+	c.reader = bufio.NewReaderSize(boundedReader{c}, readBufferSize)
+	return c
 }
 
 // setUserTimeout bounds how long a request to a server behind a network partition
@@ -133,6 +180,7 @@
 // connection to an earlier incarnation must not carry requests for a later one.
 type Pool struct {
 	dialTimeout time.Duration
+	memory      *Memory
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
@@ -147,9 +195,9 @@
 // maxIdle is the maximum number of idle connections per target.
 const maxIdle = 32
 
-// NewPool returns a pool with no connections.
-func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{dialTimeout: dialTimeout, idle: make(map[Target][]*conn)}
+// NewPool returns a pool with no connections. What its responses hold together is bounded by memory.
+func NewPool(dialTimeout time.Duration, memory *Memory) *Pool {
+	return &Pool{dialTimeout: dialTimeout, memory: memory, idle: make(map[Target][]*conn)}
 }
 
 // get returns the most recently used idle connection on which no request with
--- a/internal/upstream/idling_test.go
+++ b/internal/upstream/idling_test.go
@@ -9,7 +9,7 @@
 func TestHeldConnectionExpiresFromItsOpening(t *testing.T) {
 	const held = 20 * time.Millisecond
 	target, _ := startServer(t)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	idling, err := pool.Dial(t.Context(), target)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -19,7 +19,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	taken := false
-	response, err := NewPool(testTimeout).Call(ctx, Target{Address: listener.Addr().String(), ID: "s"}, &Request{
+	response, err := NewPool(testTimeout, NewMemory(0)).Call(ctx, Target{Address: listener.Addr().String(), ID: "s"}, &Request{
 		Method: http.MethodGet, URI: "/x", Host: "h", ID: "1", IDHeader: "Id",
 		LateHeader: func() http.Header {
 			// Without a connection there is nothing to accept.
--- a/internal/upstream/random_test.go
+++ b/internal/upstream/random_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -29,6 +28,9 @@
 func (c *scriptedConn) Close() error                { return nil }
 func (c *scriptedConn) SetDeadline(time.Time) error { return nil }
 
+// SetReadDeadline implements net.Conn: all bytes are there.
+func (c *scriptedConn) SetReadDeadline(time.Time) error { return nil }
+
 func (c *scriptedConn) Read(p []byte) (int, error) {
 	n, err := c.data.Read(p[:min(len(p), c.maxRead)])
 	if err == io.EOF && c.reset {
@@ -53,12 +55,12 @@
 // response to its end.
 func readResponse(t *testing.T, sent []byte, reset bool, maxRead int, r *Request) result {
 	raw := &scriptedConn{data: bytes.NewReader(sent), reset: reset, maxRead: maxRead}
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	c := newConn(raw)
 	response, err := exchange(c, r)
 	if err != nil {
 		return result{failed: true}
 	}
-	pool := NewPool(time.Second)
+	pool := NewPool(time.Second, NewMemory(0))
 	response.pool, response.stop = pool, func() bool { return true }
 	body, err := io.ReadAll(response.Body)
 	got := result{status: response.Status, body: string(body), failed: err != nil}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -107,7 +107,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			target, _ := startServer(t, test.text)
-			_, body, err := call(t, NewPool(testTimeout), target, "r1")
+			_, body, err := call(t, NewPool(testTimeout, NewMemory(0)), target, "r1")
 			if (err == nil) != test.ok || body != test.body {
 				t.Errorf("got %q, %v; want %q, ok = %v", body, err, test.body, test.ok)
 			}
@@ -120,7 +120,7 @@
 
 func TestConnectionIsReused(t *testing.T) {
 	target, connections := startServer(t, response1, response2)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	for _, id := range []string{"r1", "r2"} {
 		if _, _, err := call(t, pool, target, id); err != nil {
 			t.Fatal(err)
@@ -135,7 +135,7 @@
 // reused, they would be read as the response to the next request.
 func TestConnectionWithTrailingBytesIsNotReused(t *testing.T) {
 	target, connections := startServer(t, response1+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", response2)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	if _, _, err := call(t, pool, target, "r1"); err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +149,7 @@
 
 func TestClosedIdleConnectionIsNotReused(t *testing.T) {
 	target, _ := startServer(t, response1+"<end>", response2)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	if _, _, err := call(t, pool, target, "r1"); err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +171,7 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	_, _, err = call(t, NewPool(testTimeout), Target{Address: address}, "r1")
+	_, _, err = call(t, NewPool(testTimeout, NewMemory(0)), Target{Address: address}, "r1")
 	if err == nil || Sent(err) {
 		t.Errorf("got %v, want a NotSentError", err)
 	}
@@ -201,7 +201,7 @@
 		_, _ = conn.Read(make([]byte, 1))
 		ended <- err
 	}()
-	_, err = NewPool(testTimeout).Call(ctx, Target{Address: listener.Addr().String()}, newRequest("r1"))
+	_, err = NewPool(testTimeout, NewMemory(0)).Call(ctx, Target{Address: listener.Addr().String()}, newRequest("r1"))
 	if !errors.Is(err, context.Canceled) {
 		t.Errorf("the call ended with %v, want context.Canceled", err)
 	}
@@ -212,7 +212,7 @@
 
 func TestSweepClosesConnectionsOfRemovedServers(t *testing.T) {
 	target, _ := startServer(t, response1)
-	pool := NewPool(testTimeout)
+	pool := NewPool(testTimeout, NewMemory(0))
 	if _, _, err := call(t, pool, target, "r1"); err != nil {
 		t.Fatal(err)
 	}
