A turn belongs to the request that was sent, and is awaited only until it is there

Found on reading the diff. A request that had reached a server at its rate and then could not reach another gave the first one's turn back, so one more than its rate could reach it; and a request counted as waiting for a turn until its answer began, so that slow servers at small rates got fewer than they name. The turn is forgotten once the next server is tried; waiting ends with the turn.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,6 +63,8 @@
 	// nil where it names no rate.
 	denials int
 	turn    *server
+	// awaitsTurnAt is the server that was chosen and of which no turn was taken yet; nil where it names no rate.
+	awaitsTurnAt *server
 	// grantedBy is the agent that granted the start; nil when none was asked.
 	grantedBy *agentClient
 	// awaited is the server to which the request was sent at sentAt and whose answer has not begun;
@@ -275,7 +277,8 @@
 		return nil, stepFail
 	}
 	x.tried[v.entry.ID] = true
-	defer x.servers.awaitTurnAt(v)()
+	x.awaitTurnAt(v)
+	defer x.endAwait()
 	requestedAt := time.Now()
 	granted, ok := x.start(v)
 	x.waited += time.Since(requestedAt)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/coord/serverrate"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
+	"github.com/rosemarypass/rosemarypass/internal/sharedlimit"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -55,7 +56,9 @@
 	answeredAt time.Time
 	// agent is nil for plain services.
 	agent *agentClient
-	// awaiting counts the requests that have chosen the server while it names a rate and are not sent yet.
+	// rateName is the name under which its rate is limited. awaiting counts the requests that have chosen it while
+	// it names one and have no turn yet.
+	rateName string
 	awaiting int
 	// atRate counts the requests that were sent while the server named a rate and not logged yet, since
 	// atRateSince; rateFaultAt is when a rate that cannot be read was logged last.
@@ -99,6 +102,7 @@
 			s.byID[e.ID] = known
 		}
 		known.entry = e
+		known.rateName = sharedlimit.ServerName(known.life())
 		if known.agent == nil && hasEngine(table, e.Service) {
 			known.agent = s.watch(ctx, e.Address, e.DataCentre == s.options.DataCentre)
 			known.agent.resetHeld()
@@ -248,7 +252,7 @@
 
 // requestSent and requestEnded count the requests in flight at a server.
 func (s *servers) requestSent(v *server) {
-	_, rated := s.mesh.ServerRates().Rates[v.life()]
+	rated := s.isRated(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.inflight++
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -76,7 +76,7 @@
 	if _, rated = t.rates.Rates[v.life()]; !rated {
 		return false, true
 	}
-	standing := t.limits.Standing(sharedlimit.ServerName(v.life()))
+	standing := t.limits.Standing(v.rateName)
 	at := expected(&standing, v.awaiting, t.now)
 	if t.yields && at.Before(t.now.Add(urgentTime)) {
 		at = t.now.Add(urgentTime)
@@ -106,19 +106,32 @@
 	return at
 }
 
-// awaitTurnAt counts a request that has chosen a server that names a rate, until the returned function is called.
-func (s *servers) awaitTurnAt(v *server) (done func()) {
-	if _, rated := s.mesh.ServerRates().Rates[v.life()]; !rated {
-		return func() {}
+// awaitTurnAt counts the request among those that have chosen a server that names a rate, until endAwait.
+func (x *exchange) awaitTurnAt(v *server) {
+	if !x.servers.isRated(v) {
+		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	x.awaitsTurnAt = v
+	x.servers.mu.Lock()
+	defer x.servers.mu.Unlock()
 	v.awaiting++
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		v.awaiting--
+}
+
+// endAwait ends awaitTurnAt: the request has its turn, or goes elsewhere.
+func (x *exchange) endAwait() {
+	if x.awaitsTurnAt == nil {
+		return
 	}
+	x.servers.mu.Lock()
+	defer x.servers.mu.Unlock()
+	x.awaitsTurnAt.awaiting--
+	x.awaitsTurnAt = nil
+}
+
+// isRated reports whether a server names a rate.
+func (s *servers) isRated(v *server) bool {
+	_, rated := s.mesh.ServerRates().Rates[v.life()]
+	return rated
 }
 
 // recordShortage records a refusal for want of a turn, and returns the time after which to come back: behind those
@@ -134,10 +147,10 @@
 	refused := known.add(rank, now)
 	rate := 0.0
 	for _, v := range s.byService[service] {
-		if _, rated := s.mesh.ServerRates().Rates[v.life()]; !rated {
+		if !s.isRated(v) {
 			continue
 		}
-		standing := s.options.Turns.Standing(sharedlimit.ServerName(v.life()))
+		standing := s.options.Turns.Standing(v.rateName)
 		rate += standing.Limit.Rate / float64(max(standing.Entries, 1))
 	}
 	after := max(earliest.Sub(now), minRetryAfter)
@@ -149,13 +162,13 @@
 
 // takeTurn takes a turn at a server that names a rate, and reports whether there was one.
 func (x *exchange) takeTurn(v *server) bool {
-	if x.options.Turns == nil {
-		return true
-	}
-	if _, rated := x.mesh.ServerRates().Rates[v.life()]; !rated {
+	// A turn that was taken before belongs to a request that was sent.
+	x.turn = nil
+	if x.options.Turns == nil || !x.servers.isRated(v) {
 		return true
 	}
-	d := x.options.Turns.Admit(x.ctx, sharedlimit.ServerName(v.life()), 1)
+	d := x.options.Turns.Admit(x.ctx, v.rateName, 1)
+	x.endAwait()
 	if d.Admitted {
 		x.turn = v
 		return true
@@ -167,7 +180,7 @@
 // returnTurn gives back the turn of a request that was not sent.
 func (x *exchange) returnTurn() {
 	if x.turn != nil {
-		x.options.Turns.Return(sharedlimit.ServerName(x.turn.life()), 1)
+		x.options.Turns.Return(x.turn.rateName, 1)
 		x.turn = nil
 	}
 }
