Credit: hosts of pools, names, demand: what is meant in place of keepers, teams and asked

Tidying of the parts that teams' limits and servers' rates share: a pool is hosted (not kept), limits go by name (not team), RecordDemand was Asked, what goes to other entries is gossip. The log field keeper is host; the JSON names stay as they were, as entries of both kinds exchange during an upgrade. No decision changes. Measured: the packages' tests.

--- a/coord/credit/credit.go
+++ b/coord/credit/credit.go
@@ -2,7 +2,7 @@
 //
 // A limit's rate is divided evenly among the entries: each creates its part as credit, in units, and a request
 // is admitted where its cost is covered. Entries with more than they need give credit to a pool at one of them,
-// and those that need more take it from there, so a team can use its whole limit at one entry.
+// and those that need more take it from there, so the whole limit can be used at one entry.
 //
 // What all entries together admit in any time never exceeds what they create in it, what the pools held before,
 // and the overdraft, whichever entries reach each other:
@@ -11,12 +11,12 @@
 //   - Who gives subtracts first, and who receives adds last: a lost message loses credit.
 //   - A process that starts has none. What its earlier incarnation held is lost.
 //
-// So nothing depends on who keeps a pool, nor on all agreeing about it.
+// So nothing depends on who hosts a pool, nor on all agreeing about it.
 package credit
 
 import "time"
 
-// Limit is what a team may use over all entries, in units: tokens, or requests.
+// Limit is what all entries together admit for a name, in units: tokens, or requests.
 type Limit struct {
 	// Rate is in units per second; 0 means that there is no limit.
 	Rate float64
@@ -57,9 +57,9 @@
 	return overdraftPart * (o.OverRatio*(l.Rate*o.Window.Seconds()+l.Burst) + o.OverUnits)
 }
 
-// Transfer is what an entry gives to the pool of a team, and what it asks for.
+// Transfer is what an entry gives to the pool of a name, and what it asks for.
 type Transfer struct {
-	Team string  `json:"team"`
+	Name string  `json:"team"`
 	Give float64 `json:"give,omitempty"`
 	Ask  float64 `json:"ask,omitempty"`
 	// Least is the smallest part of Ask that helps; 0 where any part does.
@@ -70,7 +70,7 @@
 
 // Grant is the answer to a transfer.
 type Grant struct {
-	Team  string  `json:"team"`
+	Name  string  `json:"team"`
 	Units float64 `json:"units,omitempty"`
 	// Full is set where the pool takes nothing more.
 	Full bool `json:"full,omitempty"`
--- a/coord/credit/holder.go
+++ b/coord/credit/holder.go
@@ -13,7 +13,7 @@
 	started time.Time
 }
 
-// account is an entry's credit for one team.
+// account is an entry's credit for one name.
 type account struct {
 	limit Limit
 	// level is the credit at the time at; it is negative while the overdraft is used.
@@ -57,20 +57,20 @@
 	return &Holder{options: options, accounts: make(map[string]*account), started: now}
 }
 
-// SetLimits replaces the limits of all teams.
+// SetLimits replaces all limits.
 func (h *Holder) SetLimits(limits map[string]Limit, now time.Time) {
-	for team, limit := range limits {
-		if a := h.accounts[team]; a != nil {
+	for name, limit := range limits {
+		if a := h.accounts[name]; a != nil {
 			h.accrue(a, now)
 			a.limit, a.full = limit, false
 			a.level = min(a.level, limit.stock())
 			continue
 		}
-		h.accounts[team] = &account{limit: limit, at: now, usedAt: now}
+		h.accounts[name] = &account{limit: limit, at: now, usedAt: now}
 	}
-	for team := range h.accounts {
-		if _, known := limits[team]; !known {
-			delete(h.accounts, team)
+	for name := range h.accounts {
+		if _, known := limits[name]; !known {
+			delete(h.accounts, name)
 		}
 	}
 }
@@ -83,7 +83,7 @@
 	h.entries, h.options.Interval = entries, interval
 }
 
-// created returns the rate at which this entry creates credit of a team.
+// created returns the rate at which this entry creates credit of a name.
 func (h *Holder) created(a *account) float64 {
 	if h.entries == 0 {
 		return 0
@@ -124,17 +124,17 @@
 	return grown * h.options.overdraft(a.limit) / float64(h.entries)
 }
 
-// Asked records that a request arrived, whether it is covered or not.
-func (h *Holder) Asked(team string, cost float64, now time.Time) {
-	if a := h.accounts[team]; a != nil {
+// RecordDemand records that a request arrived, whether it is covered or not.
+func (h *Holder) RecordDemand(name string, cost float64, now time.Time) {
+	if a := h.accounts[name]; a != nil {
 		a.use, a.usedAt = a.decayedUse(now)+cost/useTime.Seconds(), now
 		a.mean += meanWeight * (cost - a.mean)
 	}
 }
 
-// Take covers the cost of a request and reports whether it could. A team without a limit is always covered.
-func (h *Holder) Take(team string, cost float64, now time.Time) bool {
-	a := h.accounts[team]
+// Take covers the cost of a request and reports whether it could. A name without a limit is always covered.
+func (h *Holder) Take(name string, cost float64, now time.Time) bool {
+	a := h.accounts[name]
 	if a == nil || !a.limit.Limited() {
 		return true
 	}
@@ -148,8 +148,8 @@
 }
 
 // Refused records that a request was refused because Take did not cover it.
-func (h *Holder) Refused(team string, cost float64) {
-	if a := h.accounts[team]; a != nil {
+func (h *Holder) Refused(name string, cost float64) {
+	if a := h.accounts[name]; a != nil {
 		a.refused += cost
 	}
 }
@@ -167,8 +167,8 @@
 }
 
 // Return gives back the cost of a request that did not run.
-func (h *Holder) Return(team string, cost float64) {
-	if a := h.accounts[team]; a != nil && a.limit.Limited() {
+func (h *Holder) Return(name string, cost float64) {
+	if a := h.accounts[name]; a != nil && a.limit.Limited() {
 		a.level = min(a.level+cost, a.limit.stock())
 	}
 }
@@ -178,7 +178,7 @@
 	return a.use / (1 + elapsed*(1+elapsed/2))
 }
 
-// Standing describes an entry's credit for one team.
+// Standing describes an entry's credit for one name.
 type Standing struct {
 	Limit Limit
 	Level float64
@@ -188,9 +188,9 @@
 	DeniedUntil time.Time
 }
 
-// Standing returns an entry's credit for one team.
-func (h *Holder) Standing(team string, now time.Time) Standing {
-	a := h.accounts[team]
+// Standing returns an entry's credit for one name.
+func (h *Holder) Standing(name string, now time.Time) Standing {
+	a := h.accounts[name]
 	if a == nil {
 		return Standing{Entries: h.entries}
 	}
@@ -198,32 +198,32 @@
 	return Standing{Limit: a.limit, Level: a.level, Entries: h.entries, DeniedUntil: a.deniedUntil}
 }
 
-// Transfers returns what to tell the pools of the given teams, and takes from the accounts what it gives away.
-// wanted holds the teams whose pools are known to take credit.
-func (h *Holder) Transfers(teams []string, wanted map[string]bool, now time.Time) []Transfer {
+// Transfers returns what to tell the pools of the given names, and takes from the accounts what it gives away.
+// wanted holds the names whose pools are known to take credit.
+func (h *Holder) Transfers(names []string, wanted map[string]bool, now time.Time) []Transfer {
 	if h.entries == 1 {
 		return nil
 	}
 	var transfers []Transfer
-	for _, team := range teams {
-		a := h.accounts[team]
+	for _, name := range names {
+		a := h.accounts[name]
 		if a == nil || !a.limit.Limited() {
 			continue
 		}
-		if wanted[team] {
+		if wanted[name] {
 			a.full = false
 		}
-		if t, any := h.transfer(team, a, now); any {
+		if t, any := h.transfer(name, a, now); any {
 			transfers = append(transfers, t)
 		}
 	}
 	return transfers
 }
 
-func (h *Holder) transfer(team string, a *account, now time.Time) (t Transfer, any bool) {
+func (h *Holder) transfer(name string, a *account, now time.Time) (t Transfer, any bool) {
 	h.accrue(a, now)
 	target := h.target(a, now)
-	t = Transfer{Team: team, Refused: a.refused}
+	t = Transfer{Name: name, Refused: a.refused}
 	switch {
 	case a.largest > 0:
 		// Parts of a request's cost at many entries cover nothing: the pool gets them all, and returns what
@@ -255,7 +255,7 @@
 // Receive adds what a pool granted.
 func (h *Holder) Receive(grants []Grant, now time.Time) {
 	for _, g := range grants {
-		a := h.accounts[g.Team]
+		a := h.accounts[g.Name]
 		if a == nil {
 			continue
 		}
--- a/coord/credit/model_test.go
+++ b/coord/credit/model_test.go
@@ -141,7 +141,7 @@
 func (m *model) request(i int, cost float64) {
 	m.requests++
 	m.asked += cost
-	m.holders[i].Asked(modelTeam, cost, m.now)
+	m.holders[i].RecordDemand(modelTeam, cost, m.now)
 	m.try(i, waiter{cost: cost})
 }
 
--- a/coord/credit/pools.go
+++ b/coord/credit/pools.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// Pools holds the credit that entries have given away, by team, at the entry that keeps it. It is not safe for
+// Pools holds the credit that entries have given away, by name, at the entry that hosts them. It is not safe for
 // concurrent use.
 type Pools struct {
 	pools map[string]*pool
-	// asked is when an entry last exchanged credit here.
-	asked time.Time
+	// lastExchange is when an entry last exchanged credit here.
+	lastExchange time.Time
 }
 
-// pool is the credit of one team that no entry holds.
+// pool is the credit of one name that no entry holds.
 type pool struct {
 	level float64
 	// denied is what was asked for in vain or refused lately, in units, at deniedAt.
 	denied   float64
 	deniedAt time.Time
-	// askedInVain counts the exchanges of late that asked for more than there was.
-	askedInVain float64
+	// deniedExchanges counts the exchanges of late that asked for more than there was.
+	deniedExchanges float64
 }
 
 const (
@@ -40,22 +40,22 @@
 func NewPools() *Pools { return &Pools{pools: make(map[string]*pool)} }
 
 // Exchange takes what an entry gives and grants what it asks for, as far as the pools have it. limits returns
-// the limit of a team.
-func (p *Pools) Exchange(transfers []Transfer, limits func(team string) Limit, now time.Time) []Grant {
-	if now.Sub(p.asked) > abandonedAfter {
+// the limit of a name.
+func (p *Pools) Exchange(transfers []Transfer, limits func(name string) Limit, now time.Time) []Grant {
+	if now.Sub(p.lastExchange) > abandonedAfter {
 		clear(p.pools)
 	}
-	p.asked = now
+	p.lastExchange = now
 	var grants []Grant
 	for _, t := range transfers {
-		limit := limits(t.Team)
+		limit := limits(t.Name)
 		if !limit.Limited() || !(t.Give >= 0 && t.Ask >= 0 && t.Least >= 0 && t.Refused >= 0) {
 			continue
 		}
-		q := p.pools[t.Team]
+		q := p.pools[t.Name]
 		if q == nil {
 			q = &pool{deniedAt: now}
-			p.pools[t.Team] = q
+			p.pools[t.Name] = q
 		}
 		grants = append(grants, q.exchange(t, limit, now))
 	}
@@ -66,7 +66,7 @@
 	top := limit.stock()
 	q.level = min(q.level+t.Give, top)
 	q.decayDenied(now)
-	g := Grant{Team: t.Team}
+	g := Grant{Name: t.Name}
 	switch {
 	case t.Ask <= 0:
 	case t.Least <= q.level:
@@ -80,8 +80,8 @@
 	if missing := t.Least - g.Units; missing > 0 {
 		wait := max(min(missing, top)-q.level+q.denied, 0) / limit.Rate
 		g.AfterMillis = int64(math.Ceil(1000 * min(wait, maxWait.Seconds())))
-		q.askedInVain++
-		g.PauseMillis = int64(q.askedInVain * float64(pausePerAsk.Milliseconds()))
+		q.deniedExchanges++
+		g.PauseMillis = int64(q.deniedExchanges * float64(pausePerAsk.Milliseconds()))
 	}
 	g.Full = q.level >= top*fullPart
 	return g
@@ -92,25 +92,25 @@
 
 func (q *pool) decayDenied(now time.Time) {
 	decay := math.Exp2(-now.Sub(q.deniedAt).Seconds() / deniedHalfLife.Seconds())
-	q.denied, q.askedInVain = q.denied*decay, q.askedInVain*decay
+	q.denied, q.deniedExchanges = q.denied*decay, q.deniedExchanges*decay
 	q.deniedAt = now
 }
 
-// Wanted lists the teams, of those given, whose pools take credit. limits returns the limit of a team.
-func (p *Pools) Wanted(teams []string, limits func(team string) Limit) []string {
+// Wanted lists the names, of those given, whose pools take credit. limits returns the limit of a name.
+func (p *Pools) Wanted(names []string, limits func(name string) Limit) []string {
 	var wanted []string
-	for _, team := range teams {
-		limit := limits(team)
-		if q := p.pools[team]; limit.Limited() && (q == nil || q.level < limit.stock()*fullPart) {
-			wanted = append(wanted, team)
+	for _, name := range names {
+		limit := limits(name)
+		if q := p.pools[name]; limit.Limited() && (q == nil || q.level < limit.stock()*fullPart) {
+			wanted = append(wanted, name)
 		}
 	}
 	return wanted
 }
 
-// Level returns the credit of one team that is here.
-func (p *Pools) Level(team string) float64 {
-	if q := p.pools[team]; q != nil {
+// Level returns the credit of one name that is here.
+func (p *Pools) Level(name string) float64 {
+	if q := p.pools[name]; q != nil {
 		return q.level
 	}
 	return 0
--- a/coord/serverrate/table.go
+++ b/coord/serverrate/table.go
@@ -46,14 +46,14 @@
 )
 
 const (
-	// tellPause is the least time between two tellings of one server.
-	tellPause = 500 * time.Millisecond
+	// gossipPause is the least time between two messages to other entries about one server.
+	gossipPause = 500 * time.Millisecond
 	// transitMargin is added to the age of a lifting that others are told: while a naming is on its way to
 	// them it grows older than they know, and a lifting must not count as the later one for that.
 	transitMargin = 500 * time.Millisecond
-	// liftRetold is the time for which a lifting is told again with later evidence: others may have had an
+	// liftGossipTime is the time for which a lifting is told again with later evidence: others may have had an
 	// answer with the rate shortly before.
-	liftRetold = 3 * time.Second
+	liftGossipTime = 3 * time.Second
 	// ownTrust is the time for which an entry's own answers count more than what others tell of the rate.
 	ownTrust = time.Second
 )
@@ -61,9 +61,9 @@
 // Table holds the rates that an entry knows. It is not safe for concurrent use.
 type Table struct {
 	records map[Life]*record
-	// told counts what must be told to others, version the changes to what is in force.
-	told    uint64
-	version uint64
+	// gossiped counts the changes that other entries must hear of, version the changes to what is in force.
+	gossiped uint64
+	version  uint64
 }
 
 // record is what is known of one server.
@@ -72,10 +72,10 @@
 	// namedAt is when the last answer with a rate arrived, at any entry, ownAt when it did here. liftedAt is
 	// when the last request was sent whose answer had none.
 	namedAt, ownAt, liftedAt time.Time
-	// toldChange is the value of Table.told when the record was last told, at toldAt and with toldRate.
-	toldChange uint64
-	toldAt     time.Time
-	toldRate   float64
+	// gossipChange is the value of Table.gossiped when the record was last given to other entries, at gossipedAt and with gossipedRate.
+	gossipChange uint64
+	gossipedAt   time.Time
+	gossipedRate float64
 	// endedAt is when the rate was lifted here; endedHere is set where an answer to this entry lifted it.
 	endedAt   time.Time
 	endedHere bool
@@ -88,8 +88,8 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: make(map[Life]*record)} }
 
-// Change returns the number of the last change to be told, Version that of the last change to what is in force.
-func (t *Table) Change() uint64  { return t.told }
+// Change returns the number of the last change that other entries must hear of, Version that of the last change to what is in force.
+func (t *Table) Change() uint64  { return t.gossiped }
 func (t *Table) Version() uint64 { return t.version }
 
 // Len returns the number of servers of which something is known.
@@ -135,10 +135,10 @@
 	switch {
 	case !was:
 		t.version++
-		t.tell(r, false, now)
+		t.gossip(r, false, now)
 		return Named
-	case r.rate != r.toldRate && now.Sub(r.toldAt) >= tellPause:
-		t.tell(r, false, now)
+	case r.rate != r.gossipedRate && now.Sub(r.gossipedAt) >= gossipPause:
+		t.gossip(r, false, now)
 	}
 	if before == rate {
 		return Unchanged
@@ -161,10 +161,10 @@
 	case was:
 		r.endedAt = now
 		t.version++
-		t.tell(r, false, now)
+		t.gossip(r, false, now)
 		return Lifted
-	case now.Sub(r.endedAt) < liftRetold && now.Sub(r.toldAt) >= tellPause:
-		t.tell(r, false, now)
+	case now.Sub(r.endedAt) < liftGossipTime && now.Sub(r.gossipedAt) >= gossipPause:
+		t.gossip(r, false, now)
 	}
 	return Unchanged
 }
@@ -188,7 +188,7 @@
 		return Unchanged
 	}
 	t.version++
-	t.tell(r, fromHub, now)
+	t.gossip(r, fromHub, now)
 	if was {
 		return Changed
 	}
@@ -207,21 +207,21 @@
 	}
 	r.endedAt = now
 	t.version++
-	t.tell(r, fromHub, now)
+	t.gossip(r, fromHub, now)
 	return Lifted
 }
 
-func (t *Table) tell(r *record, fromHub bool, now time.Time) {
-	t.told++
-	r.toldChange, r.toldAt, r.toldRate, r.fromHub = t.told, now, r.rate, fromHub
+func (t *Table) gossip(r *record, fromHub bool, now time.Time) {
+	t.gossiped++
+	r.gossipChange, r.gossipedAt, r.gossipedRate, r.fromHub = t.gossiped, now, r.rate, fromHub
 }
 
-// Since returns what is to be told after a change, to a process that hears from other hubs itself unless toSpoke
+// Since returns what other entries must hear of after a change. A process hears from other hubs itself unless toSpoke
 // is set.
 func (t *Table) Since(change uint64, toSpoke bool, now time.Time) []Naming {
 	var namings []Naming
 	for life, r := range t.records {
-		if r.toldChange > change && (toSpoke || !r.fromHub) {
+		if r.gossipChange > change && (toSpoke || !r.fromHub) {
 			namings = append(namings, r.naming(life, now))
 		}
 	}
--- a/internal/sharedlimit/bench_test.go
+++ b/internal/sharedlimit/bench_test.go
@@ -85,11 +85,11 @@
 		if i < poolCount {
 			fill := make([]credit.Transfer, 0, len(l.names[pool]))
 			for _, team := range l.names[pool] {
-				fill = append(fill, credit.Transfer{Team: team, Give: 1e12})
+				fill = append(fill, credit.Transfer{Name: team, Give: 1e12})
 			}
-			l.keep(wire.CreditExchange{Pool: pool, Transfers: fill}, time.Now())
+			l.answerExchange(wire.CreditExchange{Pool: pool, Transfers: fill}, time.Now())
 		}
-		l.keep(wire.CreditExchange{Pool: pool}, time.Now())
+		l.answerExchange(wire.CreditExchange{Pool: pool}, time.Now())
 		l.mu.Unlock()
 	}
 }
--- a/internal/sharedlimit/sharedlimit.go
+++ b/internal/sharedlimit/sharedlimit.go
@@ -41,7 +41,7 @@
 	// poolCount is the number of pools; the credit of each name is in one of them. It bounds the calls of an entry.
 	poolCount = 4
 	// minInterval is the least time between two exchanges with a pool. It grows with the number of entries, so
-	// that who keeps a pool is called at most 1/intervalPerEntry times a second.
+	// that the host of a pool is called at most 1/intervalPerEntry times a second.
 	minInterval      = 100 * time.Millisecond
 	intervalPerEntry = 4 * time.Millisecond
 	// idleInterval is the time between two exchanges in which there is nothing to give or to ask for: the pool
@@ -70,7 +70,7 @@
 	limits  map[string]credit.Limit
 	names   [poolCount][]string
 	version uint64
-	// entries are the addresses of those known at the last interval; the keepers of pools are chosen from them.
+	// entries are the addresses of those known at the last interval; the hosts of pools are chosen from them.
 	entries []string
 	// avoided holds the entries that did not answer, until when.
 	avoided map[string]time.Time
@@ -180,9 +180,9 @@
 // poolOf returns the number of the pool that holds the credit of a name.
 func poolOf(name string) int { return int(xxhash.Sum64String(name) % poolCount) }
 
-// keeper returns the address of the entry that keeps a pool. Entries that know different ones may choose
+// hostOf returns the address of the entry that hosts a pool. Entries that know different ones may choose
 // differently, which only divides the pool. The caller holds mu.
-func (l *Limits) keeper(pool int, now time.Time) string {
+func (l *Limits) hostOf(pool int, now time.Time) string {
 	key := string(rune('0' + pool))
 	candidates := slices.DeleteFunc(slices.Clone(l.entries), func(address string) bool { return now.Before(l.avoided[address]) })
 	if len(candidates) == 0 {
@@ -192,56 +192,56 @@
 }
 
 // exchange begins an exchange with a pool and returns a channel that is closed at its end; if one is in progress,
-// it returns that one's. Unless asked is set, it begins none that has nothing to tell, but for a rare one. The
+// it returns that one's. Unless needed is set, it begins none that has nothing to tell, but for a rare one. The
 // caller holds mu.
-func (l *Limits) exchange(ctx context.Context, pool int, now time.Time, asked bool) <-chan struct{} {
+func (l *Limits) exchange(ctx context.Context, pool int, now time.Time, needed bool) <-chan struct{} {
 	k := &l.links[pool]
 	if k.pending != nil {
 		return k.pending
 	}
-	keeper := l.keeper(pool, now)
-	if keeper == "" {
+	host := l.hostOf(pool, now)
+	if host == "" {
 		return nil
 	}
 	transfers := l.holder.Transfers(l.names[pool], k.wanted, now)
-	if len(transfers) == 0 && !asked && now.Sub(k.at) < idleInterval {
+	if len(transfers) == 0 && !needed && now.Sub(k.at) < idleInterval {
 		return nil
 	}
 	k.at = now
 	l.kind.exchanges.Add(1)
 	in := wire.CreditExchange{Pool: pool, Transfers: transfers}
-	if keeper == l.peers.Self().Address {
-		l.receive(pool, l.keep(in, now), now)
+	if host == l.peers.Self().Address {
+		l.receive(pool, l.answerExchange(in, now), now)
 		return nil
 	}
 	done := make(chan struct{})
 	k.pending = done
-	go l.call(ctx, keeper, in, done)
+	go l.call(ctx, host, in, done)
 	return done
 }
 
 // call carries out one exchange.
-func (l *Limits) call(ctx context.Context, keeper string, in wire.CreditExchange, done chan struct{}) {
+func (l *Limits) call(ctx context.Context, host string, in wire.CreditExchange, done chan struct{}) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply wire.CreditReply
-	err := l.peers.Call(ctx, keeper, l.kind.method, in, &reply)
+	err := l.peers.Call(ctx, host, l.kind.method, in, &reply)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.links[in.Pool].pending = nil
 	if err != nil {
-		// What was given is lost: the keeper may have it.
+		// What was given is lost: the host may have it.
 		l.kind.exchangesLost.Add(1)
-		l.avoided[keeper] = now.Add(avoidTime)
-		l.log.Info("credit not exchanged", zap.Int("pool", in.Pool), zap.String("keeper", keeper), zap.String("kind", l.kind.name), zap.Int("names", len(in.Transfers)), telemetry.Cause(err))
+		l.avoided[host] = now.Add(avoidTime)
+		l.log.Info("credit not exchanged", zap.Int("pool", in.Pool), zap.String("host", host), zap.String("kind", l.kind.name), zap.Int("names", len(in.Transfers)), telemetry.Cause(err))
 	} else {
 		l.receive(in.Pool, reply, now)
 	}
 	close(done)
 }
 
-// receive applies a keeper's answer. The caller holds mu.
+// receive applies a host's answer. The caller holds mu.
 func (l *Limits) receive(pool int, reply wire.CreditReply, now time.Time) {
 	l.holder.Receive(reply.Grants, now)
 	wanted := make(map[string]bool, len(reply.Wanted))
@@ -251,8 +251,8 @@
 	l.links[pool].wanted = wanted
 }
 
-// keep answers an exchange with a pool that is kept here. The caller holds mu.
-func (l *Limits) keep(in wire.CreditExchange, now time.Time) wire.CreditReply {
+// answerExchange answers an exchange with a pool that this entry hosts. The caller holds mu.
+func (l *Limits) answerExchange(in wire.CreditExchange, now time.Time) wire.CreditReply {
 	if in.Pool < 0 || in.Pool >= poolCount {
 		return wire.CreditReply{}
 	}
@@ -265,7 +265,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.configureLocked(now)
-	return l.keep(in, now), nil
+	return l.answerExchange(in, now), nil
 }
 
 // Decision says whether a request is within a limit.
@@ -337,7 +337,7 @@
 func (l *Limits) Admit(ctx context.Context, name string, cost float64) Decision {
 	l.mu.Lock()
 	l.configureLocked(time.Now())
-	l.holder.Asked(name, cost, time.Now())
+	l.holder.RecordDemand(name, cost, time.Now())
 	covered := l.take(name, cost, 0, time.Now())
 	l.mu.Unlock()
 	if covered || l.admitUnsettled(ctx, name, cost) {
--- a/internal/sharedlimit/sharedlimit_test.go
+++ b/internal/sharedlimit/sharedlimit_test.go
@@ -169,12 +169,12 @@
 	play(t, 9, func(t *testing.T, w *network) {
 		first := w.nodes[0].limits
 		first.mu.Lock()
-		keeper := first.keeper(poolOf(testTeam.Name), time.Now())
+		host := first.hostOf(poolOf(testTeam.Name), time.Now())
 		first.mu.Unlock()
 		var other *node
 		w.mu.Lock()
 		for _, n := range w.nodes {
-			n.down = n.name == keeper
+			n.down = n.name == host
 			if !n.down && other == nil {
 				other = n
 			}
@@ -190,7 +190,7 @@
 			}
 		}
 		if admitted < 45 {
-			t.Errorf("%d of 50 requests were admitted at half of the limit, while the first keeper is gone", admitted)
+			t.Errorf("%d of 50 requests were admitted at half of the limit, while the first host is gone", admitted)
 		}
 	})
 }
