Two tests that scheduling alone could turn red

TestUpdatesReachAllThroughHubs: the leaving server was announced once, and its entry refused it as it had greeted too few others within 1.5 s of the machine's clock (Announce returns this error in no other case); servers send a refused announcement again, and so does the test now. What it guards, that the change reaches all, is unchanged.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -202,10 +202,12 @@
 			return known && e.Sequence > 1
 		})()
 	})
-	server.Sequence, server.Leaving = beat.Sequence+1, true
-	if err := n.Announce(context.Background(), server); err != nil {
-		t.Fatal(err)
-	}
+	server.Sequence, server.Leaving = beat.Sequence, true
+	eventually(t, func() bool {
+		// An entry that greets few others in time, as on a busy machine, refuses it, and the server sends it again.
+		server.Sequence++
+		return n.Announce(context.Background(), server) == nil
+	})
 	eventually(t, everywhere(func(n *node) bool { return !n.MayServe("s") }))
 }
 
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -131,9 +131,11 @@
 func TestHeadThatTricklesIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
-		defer client.Close()
 		c := newConn(client)
-		go func() {
+		var serving sync.WaitGroup
+		defer serving.Wait()
+		defer client.Close()
+		serving.Go(func() {
 			defer server.Close()
 			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
 				return
@@ -146,7 +148,7 @@
 					return
 				}
 			}
-		}()
+		})
 		started := time.Now()
 		request := newRequest("r1")
 		request.Body, request.Method = nil, http.MethodGet
