A stop says what it waits for and what it leaves; a handler's panic is logged

The lines could not tell a stop that left work behind from a kill, a panic (net/http's errors went to a logger that writes nothing) or a stop whose time was up. Change: three lines of an entry's stop with connections by state, requests under way (16 named) and ended; a line for signals that come meanwhile; panics of handlers are logged with request and stack and counted (handler_panics); net/http's own errors are lines. No decision changed.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -150,6 +150,27 @@
 	}
 }
 
+// Tally tells how many connections are open, and how many of them are in a state.
+type Tally struct{ Open, New, Active, Idle int }
+
+// Tally counts the open connections.
+func (c *Connections) Tally() Tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tally := Tally{Open: len(c.open)}
+	for conn := range c.open {
+		switch conn.state {
+		case http.StateNew:
+			tally.New++
+		case http.StateActive:
+			tally.Active++
+		case http.StateIdle:
+			tally.Idle++
+		}
+	}
+	return tally
+}
+
 // Shutdown accepts no more connections, closes those that are unused, and waits until
 // the requests on the others have been answered or ctx ends.
 func (c *Connections) Shutdown(ctx context.Context) error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,13 +40,6 @@
 )
 
 const (
-	// balancerDrainDelay is how long the load balancer may still send callers to
-	// this entry after the first readiness check has failed: two checks one second
-	// apart, plus a connection that is being established.
-	balancerDrainDelay = 2300 * time.Millisecond
-	// stopMargin is subtracted from the stop timeout, so that the process exits
-	// before the platform's limit.
-	stopMargin = 500 * time.Millisecond
 	// headerTimeout bounds the time to read a caller's request header, idleTimeout
 	// the time that a connection may be idle. Both are above the limits that
 	// configurations set for callers.
@@ -125,6 +118,7 @@
 	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	p.goroutines.Go(func() { p.watchSettings(ctx, path, reloadSignals) })
 	<-stopSignals
+	go p.reportFurtherSignals(stopSignals)
 	p.stop(cancel)
 	log.Info("stopped")
 	return nil
@@ -253,8 +247,8 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(zap.NewNop()), ConnContext: answer.ConnContext,
+		Handler: p.reportPanics(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: p.serverErrors(), ConnContext: answer.ConnContext,
 	}
 	connections, tracked := drain.Track(server, listener)
 	p.goroutines.Go(func() { _ = server.Serve(tracked) })
@@ -290,42 +284,3 @@
 	}
 	p.mesh.AddSeeds(p.peerSeeds(s.Seeds))
 }
-
-// leadershipTransferTimeout bounds the transfer of leadership in the replicated log.
-const leadershipTransferTimeout = 3 * time.Second
-
-func (p *process) transferLeadership(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
-	defer cancel()
-	p.mesh.Stop(ctx)
-}
-
-// stop performs a planned stop: it transfers leadership and lets requests in
-// progress finish within the stop timeout.
-func (p *process) stop(cancel func()) {
-	time.AfterFunc(p.settings.StopTimeout()-stopMargin/2, p.forceExit)
-	p.log.Info("stop begins")
-	ctx, cancelTimeout := context.WithTimeout(context.Background(), p.settings.StopTimeout()-stopMargin)
-	defer cancelTimeout()
-	if p.gateway != nil {
-		p.gateway.Stop()
-		// The transfer runs concurrently: without a quorum it cannot succeed, and it
-		// must not reduce the time that callers' requests have left.
-		go p.transferLeadership(ctx)
-		timer := time.NewTimer(balancerDrainDelay)
-		<-timer.C
-		if err := p.callers.Shutdown(ctx); err != nil {
-			p.log.Warn("requests were cut off by the stop", telemetry.Cause(err))
-		}
-	}
-	cancel()
-}
-
-// forceExit exits a process whose planned stop has reached the time limit. Work
-// still in progress is abandoned, because the platform and other processes wait
-// for the exit.
-func (p *process) forceExit() {
-	p.log.Error("the stop has taken all its time", zap.Int("goroutines", runtime.NumGoroutine()))
-	_ = p.log.Sync()
-	os.Exit(1)
-}
--- /dev/null
+++ b/internal/fleet/stop.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"runtime"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+const (
+	// balancerDrainDelay is how long the load balancer may still send callers to
+	// this entry after the first readiness check has failed: two checks one second
+	// apart, plus a connection that is being established.
+	balancerDrainDelay = 2300 * time.Millisecond
+	// stopMargin is subtracted from the stop timeout, so that the process exits
+	// before the platform's limit.
+	stopMargin = 500 * time.Millisecond
+	// leadershipTransferTimeout bounds the transfer of leadership in the replicated log.
+	leadershipTransferTimeout = 3 * time.Second
+	// maxNamedRequests bounds the requests that the last line of a stop names.
+	maxNamedRequests = 16
+)
+
+// stop performs a planned stop: it transfers leadership and lets requests in
+// progress finish within the stop timeout.
+func (p *process) stop(cancel func()) {
+	began := time.Now()
+	time.AfterFunc(p.settings.StopTimeout()-stopMargin/2, p.forceExit)
+	ctx, cancelTimeout := context.WithTimeout(context.Background(), p.settings.StopTimeout()-stopMargin)
+	defer cancelTimeout()
+	if p.gateway == nil {
+		p.log.Info("stop begins")
+	} else {
+		p.stopEntry(ctx, began)
+	}
+	cancel()
+}
+
+func (p *process) stopEntry(ctx context.Context, began time.Time) {
+	p.gateway.Stop()
+	p.log.Info("stop begins", p.stopFields(began)...)
+	// The transfer runs concurrently: without a quorum it cannot succeed, and it
+	// must not reduce the time that callers' requests have left.
+	go p.transferLeadership(ctx)
+	timer := time.NewTimer(balancerDrainDelay)
+	<-timer.C
+	p.log.Info("stop accepts no more connections", p.stopFields(began)...)
+	err := p.callers.Shutdown(ctx)
+	if err != nil {
+		p.log.Warn("requests were cut off by the stop", telemetry.Cause(err))
+	}
+	p.log.Info("stop ends", append(p.stopFields(began), zap.Bool("inTime", err == nil))...)
+}
+
+// stopFields are what tells how far a stop is: the callers' connections by state, and their requests.
+func (p *process) stopFields(began time.Time) []zap.Field {
+	connections := p.callers.Tally()
+	requests := p.gateway.UnderWay(maxNamedRequests)
+	return []zap.Field{
+		zap.Duration("after", time.Since(began)), zap.Int("connections", connections.Open), zap.Int("new", connections.New), zap.Int("active", connections.Active), zap.Int("idle", connections.Idle),
+		zap.Int("underWay", requests.Count), zap.Strings("requests", requests.IDs), zap.Int64("ended", requests.Ended), zap.String("lastEnded", requests.LastEnded),
+	}
+}
+
+// reportFurtherSignals logs the signals that come while a stop is in progress.
+func (p *process) reportFurtherSignals(signals <-chan os.Signal) {
+	for received := range signals {
+		p.log.Info("signal ignored: the stop is in progress", zap.Stringer("signal", received))
+	}
+}
+
+func (p *process) transferLeadership(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
+	defer cancel()
+	p.mesh.Stop(ctx)
+}
+
+// forceExit exits a process whose planned stop has reached the time limit. Work
+// still in progress is abandoned, because the platform and other processes wait
+// for the exit.
+func (p *process) forceExit() {
+	p.log.Error("the stop has taken all its time", zap.Int("goroutines", runtime.NumGoroutine()))
+	_ = p.log.Sync()
+	os.Exit(1)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	strikes      *strikes
 	startupQueue *startupQueue
 	durations    *durations
+	underWay     underWay
 	log          *zap.Logger
 	// now returns the time by which the output of servers is measured.
 	now func() time.Time
@@ -212,6 +213,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer g.underWay.begin(r.Header.Get(g.edge.IDHeader()))()
 	answer.Handler(g.answer).ServeHTTP(w, r)
 }
 
