--- a/internal/drain/connections_test.go
+++ b/internal/drain/connections_test.go
@@ -97,6 +97,56 @@
 	}
 }
 
+// heldListener holds each connection between its acceptance and the return of Accept, until resume is closed.
+type heldListener struct {
+	net.Listener
+	accepted, resume chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.resume
+	}
+	return conn, err
+}
+
+// Guards against a stop that ends while a connection is being accepted: its request is passed on and gets no answer.
+func TestStopWaitsForConnectionThatIsBeingAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldListener{Listener: listener, accepted: make(chan struct{}), resume: make(chan struct{})}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })}
+	connections, tracked := Track(server, held)
+	go func() { _ = server.Serve(tracked) }()
+	resume := sync.OnceFunc(func() { close(held.resume) })
+	t.Cleanup(func() {
+		resume()
+		_ = server.Close()
+	})
+	conn := dial(t, &stoppingServer{address: listener.Addr().String()})
+	send(t, conn, "/first")
+	<-held.accepted
+	stopped := make(chan error, 1)
+	go func() { stopped <- connections.Shutdown(context.Background()) }()
+	time.Sleep(5 * lookInterval)
+	select {
+	case <-stopped:
+		t.Fatal("the stop ended while a connection was being accepted")
+	default:
+	}
+	resume()
+	if body, last := receive(t, bufio.NewReader(conn)); body != "/first" || !last {
+		t.Errorf("got %q, last on its connection: %v; want the answer and the connection's end", body, last)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+}
+
 func TestStopClosesUnusedConnections(t *testing.T) {
 	s := startServer(t)
 	close(s.resume)
@@ -179,6 +229,23 @@
 	}
 }
 
+// Guards against a stop that closes a connection that was opened long ago while its first request is being read.
+func TestStopKeepsNewConnectionWhoseFirstRequestIsBeingRead(t *testing.T) {
+	client, accepted := connect(t)
+	opened := time.Now()
+	conn := &connection{TCPConn: accepted, state: http.StateNew, since: opened, unusedAt: -1}
+	c := &Connections{open: map[*connection]struct{}{conn: {}}}
+	send(t, client, "/first")
+	if _, err := conn.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		if left := c.closeUnused(opened.Add(2 * firstRequestTimeout)); left != 1 {
+			t.Fatal("the connection is closed while its request is being read")
+		}
+	}
+}
+
 // connect returns both ends of a connection.
 func connect(t *testing.T) (client net.Conn, accepted *net.TCPConn) {
 	t.Helper()
