A stop leaves by a count that each connection is in before it can be read from

Cause, found by reading and shown by tests of ours, not by the users' record: a stop asked a list "is anything left?" that was not told of work at the moment when work was taken. A connection was unknown between the kernel's acceptance and the end of Accept; a hijacked one left the list at once; bytes that were read of the first request of a connection opened 5 s ago did not count; and the stop closed connections itself, on two looks of the clock, beside the goroutine that reads them. Change: a call of Accept is counted before it begins, its connection from then until its socket is closed, and a stop ends only when both counts are zero. A stop closes no connection any more: it ends the read that waits for the next request by a deadline in the past. Either that read has returned bytes, and the deadline is taken back and the request is served, or it has not, and all bytes stay unread. So nothing depends on how long a process that is behind takes between two looks. TestStopKeepsNewConnectionWhoseFirstRequestIsBeingRead holds the connection to more than before: it must be counted and go on to be read. TestBytesReadBehindTheCloseAreNotServed is replaced: what was read is now served, so it demands that (TestBytesReadAtTheEndOfAConnectionAreServed) and that nothing is read behind an end (TestNothingIsReadBehindTheEndOfAConnection).

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -15,84 +15,31 @@
 	"github.com/rosemarypass/rosemarypass/internal/socket"
 )
 
-// Connections are the connections of an http.Server, which a planned stop closes
-// without losing a request. http.Server.Shutdown closes a connection as idle although
-// its next request has arrived and only waits to be read, which takes long in a
-// process that is behind; the caller cannot tell whether that request has run.
+// Connections are the connections of an http.Server, which a planned stop ends without losing a
+// request: http.Server.Shutdown closes a connection as idle although its next request has arrived
+// and only waits to be read, which takes long in a process that is behind.
+//
+// Invariants: a connection is counted before the server can read from it, and until its socket is
+// closed; bytes that were read belong to a request that is served to its end. A stop therefore never
+// closes a connection itself. It ends the read that waits for the next request, which either has
+// returned bytes, so that the request is served, or leaves all bytes unread.
 type Connections struct {
 	stopping atomic.Bool
 	hook     func(net.Conn, http.ConnState)
 
 	mu       sync.Mutex
 	listener net.Listener
-	open     map[*connection]struct{}
-}
-
-// connection is a connection of a caller.
-type connection struct {
-	*net.TCPConn
-
-	// readMu protects reads, which counts the reads that returned bytes, readsBefore, which
-	// is its value at the last change of state, and ended, which is set once a stop has found
-	// the connection unused.
-	readMu      sync.Mutex
-	reads       int64
-	readsBefore int64
-	ended       bool
-
-	// Connections.mu protects the following fields.
-	state http.ConnState
-	since time.Time
-	// unusedAt is the value of reads when the last look found the connection unused;
-	// -1 when it did not.
-	unusedAt int64
-}
-
-// Read implements net.Conn.
-func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	if c.ended {
-		// What was read in the moment of the close must not be served: its caller gets
-		// no answer.
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
-		c.reads++
-	}
-	return n, err
-}
-
-// endIfUnread ends the connection unless bytes were read since the given count, and
-// returns the count.
-func (c *connection) endIfUnread(since int64) (reads int64, ended bool) {
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	c.ended = c.reads == since
-	return c.reads, c.ended
-}
-
-// changeState records a change of the connection's state; Connections.mu must be held.
-func (c *connection) changeState(state http.ConnState) {
-	c.state, c.since, c.unusedAt = state, time.Now(), -1
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	c.readsBefore = c.reads
-}
-
-// isReading reports whether bytes were read that have not become a request yet: the
-// server changes the state only once it has the whole header.
-func (c *connection) isReading() bool {
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	return c.reads != c.readsBefore
+	// accepting counts the calls of Accept in progress: each may hold a connection that is not in
+	// open yet. closed is set once none may begin.
+	accepting int
+	closed    bool
+	open      map[*connection]struct{}
 }
 
 const (
-	// lookInterval is the interval at which a stop looks for unused connections. One
-	// is closed when two looks in a row find it unused: a request that was read together
-	// with the one before it has changed the state by the second.
+	// lookInterval is the interval at which a stop looks for unused connections. A kept connection
+	// is ended when it was idle for that long: a caller that has just got an answer may be sending
+	// its next request.
 	lookInterval = 20 * time.Millisecond
 	// firstRequestTimeout is how long a stop waits for the first request of a new
 	// connection.
@@ -115,18 +62,45 @@
 
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
+	if !l.connections.beginAccept() {
+		return nil, net.ErrClosed
+	}
 	conn, err := l.Listener.Accept()
+	return l.connections.endAccept(conn, err)
+}
+
+// beginAccept counts a call of Accept; false once the listener is closed.
+func (c *Connections) beginAccept() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.accepting++
+	return true
+}
+
+// endAccept ends the count of a call of Accept and counts its connection instead.
+func (c *Connections) endAccept(conn net.Conn, err error) (net.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepting--
 	plain, ok := conn.(*net.TCPConn)
 	if err != nil || !ok {
 		return conn, err
 	}
-	tracked := &connection{TCPConn: plain, state: http.StateNew, since: time.Now(), unusedAt: -1}
-	l.connections.mu.Lock()
-	defer l.connections.mu.Unlock()
-	l.connections.open[tracked] = struct{}{}
+	tracked := newConnection(plain, c.forget)
+	c.open[tracked] = struct{}{}
 	return tracked, nil
 }
 
+// forget ends the count of a connection whose socket is closed.
+func (c *Connections) forget(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
 // changed is the server's ConnState hook.
 func (c *Connections) changed(conn net.Conn, state http.ConnState) {
 	plain := conn
@@ -134,32 +108,22 @@
 		plain = secure.NetConn()
 	}
 	if tracked, ok := plain.(*connection); ok {
-		c.record(tracked, state)
+		tracked.changeState(state, time.Now())
 	}
 	if c.hook != nil {
 		c.hook(conn, state)
 	}
 }
 
-func (c *Connections) record(conn *connection, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn.changeState(state)
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.open, conn)
-	}
-}
-
 // Tally tells how many connections are open, and how many of them are in a state.
 type Tally struct{ Open, New, Active, Idle int }
 
 // Tally counts the open connections.
 func (c *Connections) Tally() Tally {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	tally := Tally{Open: len(c.open)}
-	for conn := range c.open {
-		switch conn.state {
+	open, _ := c.counted()
+	tally := Tally{Open: len(open)}
+	for _, conn := range open {
+		switch conn.currentState() {
 		case http.StateNew:
 			tally.New++
 		case http.StateActive:
@@ -171,16 +135,26 @@
 	return tally
 }
 
-// Shutdown accepts no more connections, closes those that are unused, and waits until
+// counted returns the open connections, and how many there are with those that are being accepted.
+func (c *Connections) counted() (open []*connection, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open = make([]*connection, 0, len(c.open))
+	for conn := range c.open {
+		open = append(open, conn)
+	}
+	return open, len(open) + c.accepting
+}
+
+// Shutdown accepts no more connections, ends those that are unused, and waits until
 // the requests on the others have been answered or ctx ends.
 func (c *Connections) Shutdown(ctx context.Context) error {
 	c.stopping.Store(true)
-	// The only error is that the listener is closed already.
-	_ = c.listener.Close()
+	c.closeListener()
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
 	for {
-		left := c.closeUnused(time.Now())
+		left := c.endUnused(time.Now())
 		if left == 0 {
 			return nil
 		}
@@ -192,32 +166,115 @@
 	}
 }
 
-// closeUnused closes the connections that this look and the one before found unused,
-// and returns the number of those that stay open.
-func (c *Connections) closeUnused(now time.Time) int {
+func (c *Connections) closeListener() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	// The only error is that the listener is closed already.
+	_ = c.listener.Close()
+}
+
+// endUnused ends the unused connections, and returns how many are left: an ended one is counted until the
+// server has closed it.
+func (c *Connections) endUnused(now time.Time) int {
+	open, count := c.counted()
+	for _, conn := range open {
+		conn.endIfUnused(now)
+	}
+	return count
+}
+
+// connection is a connection of a caller.
+type connection struct {
+	*net.TCPConn
+	// closed is called once the socket is closed.
+	closed func(*connection)
+
+	mu sync.Mutex
+	// reads counts the reads that returned bytes, readsBefore is its value at the last change of
+	// state.
+	reads       int64
+	readsBefore int64
+	// ended is set while the stop's deadline ends the reads of the connection.
+	ended bool
+	state http.ConnState
+	since time.Time
+}
+
+func newConnection(plain *net.TCPConn, closed func(*connection)) *connection {
+	return &connection{TCPConn: plain, closed: closed, state: http.StateNew, since: time.Now()}
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.recordRead()
+	}
+	return n, err
+}
+
+// recordRead records that bytes were read: the connection is in use.
+func (c *connection) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn := range c.open {
-		if !conn.unused(now) {
-			conn.unusedAt = -1
-			continue
-		}
-		reads, ended := conn.endIfUnread(conn.unusedAt)
-		if ended {
-			_ = conn.Close()
-			delete(c.open, conn)
-		}
-		conn.unusedAt = reads
+	c.reads++
+	c.resume()
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	err := c.TCPConn.Close()
+	c.closed(c)
+	return err
+}
+
+// changeState records a change of the connection's state.
+func (c *connection) changeState(state http.ConnState, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.since, c.readsBefore = state, now, c.reads
+	if state == http.StateActive {
+		// The request may have been read together with the one before.
+		c.resume()
+	}
+}
+
+func (c *connection) currentState() http.ConnState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// resume takes back the end of a connection that turned out to be in use; mu must be held.
+func (c *connection) resume() {
+	if c.ended {
+		c.ended = false
+		// The only error is that the connection is closed already.
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// readsEnded is a read deadline that has passed.
+var readsEnded = time.Unix(1, 0)
+
+// endIfUnused ends the wait for the next request, whereupon the server closes the connection.
+func (c *connection) endIfUnused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isUnused(now) {
+		c.ended = true
+		// The only error is that the connection is closed already.
+		_ = c.SetReadDeadline(readsEnded)
 	}
-	return len(c.open)
 }
 
-// unused reports whether no request is in progress on the connection or waits to be
-// read.
-func (c *connection) unused(now time.Time) bool {
+// isUnused reports whether no request is in progress on the connection, is being read or waits to be
+// read; mu must be held.
+func (c *connection) isUnused(now time.Time) bool {
 	switch c.state {
 	case http.StateIdle:
-		if c.isReading() {
+		if c.reads != c.readsBefore || now.Sub(c.since) < lookInterval {
 			return false
 		}
 	case http.StateNew:
--- a/internal/drain/connections_test.go
+++ b/internal/drain/connections_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // stoppingServer is a server that stands still before it reads the second request of a connection,
@@ -182,22 +185,33 @@
 	}
 }
 
-// Guards against a request that is served although its connection was closed in the moment in which it
-// was read.
-func TestBytesReadBehindTheCloseAreNotServed(t *testing.T) {
+// Guards against a request that is passed on although its connection is closed in the moment in which it is read.
+func TestBytesReadAtTheEndOfAConnectionAreServed(t *testing.T) {
 	client, accepted := connect(t)
-	conn := &connection{TCPConn: accepted}
-	send(t, client, "/first")
-	if n, err := conn.Read(make([]byte, 4)); n != 4 || err != nil {
-		t.Fatalf("read %d bytes, %v", n, err)
-	}
-	reads, ended := conn.endIfUnread(0)
-	if ended || reads != 1 {
-		t.Errorf("ended %v with %d reads, want neither after a read", ended, reads)
-	}
-	if _, ended := conn.endIfUnread(reads); !ended {
-		t.Error("not ended although nothing was read since")
+	conn := newConnection(accepted, func(*connection) {})
+	conn.changeState(http.StateIdle, time.Now())
+	long := time.Now().Add(time.Minute)
+	for _, arrive := range []func(){conn.recordRead, func() { conn.changeState(http.StateActive, time.Now()) }} {
+		conn.changeState(http.StateIdle, time.Now())
+		conn.endIfUnused(long)
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("reading from an ended connection gives %v, want its deadline", err)
+		}
+		arrive()
+		send(t, client, "/rest")
+		if n, err := conn.Read(make([]byte, 100)); n == 0 || err != nil {
+			t.Errorf("read %d bytes, %v, of a request of which bytes had been read", n, err)
+		}
 	}
+}
+
+// Guards against bytes that are taken from a connection that is ended: they must stay unread, so that nothing is passed on.
+func TestNothingIsReadBehindTheEndOfAConnection(t *testing.T) {
+	client, accepted := connect(t)
+	conn := newConnection(accepted, func(*connection) {})
+	conn.changeState(http.StateIdle, time.Now())
+	conn.endIfUnused(time.Now().Add(time.Minute))
+	send(t, client, "/late")
 	if n, err := conn.Read(make([]byte, 4)); n != 0 || err == nil {
 		t.Errorf("read %d bytes behind the end, %v", n, err)
 	}
@@ -205,45 +219,65 @@
 
 // Guards against a stop of a process that is behind, whose looks follow each other before what was read has become a request: its connection was closed while it was passed on.
 func TestStopKeepsConnectionOfRequestThatIsBeingRead(t *testing.T) {
-	client, accepted := connect(t)
-	conn := &connection{TCPConn: accepted, unusedAt: -1}
-	c := &Connections{open: map[*connection]struct{}{conn: {}}}
-	c.record(conn, http.StateIdle)
+	client, conn, c := countedConnection(t)
+	conn.changeState(http.StateIdle, time.Now())
 	send(t, client, "/second")
 	if _, err := conn.Read(make([]byte, 100)); err != nil {
 		t.Fatal(err)
 	}
 	for range 3 {
-		if left := c.closeUnused(time.Now()); left != 1 {
-			t.Fatal("the connection is closed while its request is being read")
+		if left := c.endUnused(time.Now().Add(time.Minute)); left != 1 || conn.ended {
+			t.Fatal("the connection is ended while its request is being read")
 		}
 	}
-	c.record(conn, http.StateActive)
-	c.record(conn, http.StateIdle)
-	left := 1
-	for range 2 {
-		left = c.closeUnused(time.Now())
-	}
-	if left != 0 {
+	conn.changeState(http.StateActive, time.Now())
+	conn.changeState(http.StateIdle, time.Now())
+	if c.endUnused(time.Now().Add(time.Minute)); !conn.ended {
 		t.Error("the connection stays open after the answer")
 	}
 }
 
 // Guards against a stop that closes a connection that was opened long ago while its first request is being read.
 func TestStopKeepsNewConnectionWhoseFirstRequestIsBeingRead(t *testing.T) {
-	client, accepted := connect(t)
-	opened := time.Now()
-	conn := &connection{TCPConn: accepted, state: http.StateNew, since: opened, unusedAt: -1}
-	c := &Connections{open: map[*connection]struct{}{conn: {}}}
+	client, conn, c := countedConnection(t)
 	send(t, client, "/first")
 	if _, err := conn.Read(make([]byte, 100)); err != nil {
 		t.Fatal(err)
 	}
 	for range 3 {
-		if left := c.closeUnused(opened.Add(2 * firstRequestTimeout)); left != 1 {
+		if left := c.endUnused(time.Now().Add(2 * firstRequestTimeout)); left != 1 {
 			t.Fatal("the connection is closed while its request is being read")
 		}
 	}
+	conn.changeState(http.StateActive, time.Now())
+	send(t, client, "/body")
+	if n, err := conn.Read(make([]byte, 100)); n == 0 || err != nil {
+		t.Errorf("read %d bytes, %v, of a request that was being read", n, err)
+	}
+}
+
+// Guards against a connection that leaves the count before its socket is closed, as hijacked ones did.
+func TestConnectionIsCountedUntilItsSocketIsClosed(t *testing.T) {
+	_, conn, c := countedConnection(t)
+	for _, state := range []http.ConnState{http.StateActive, http.StateHijacked, http.StateClosed} {
+		c.changed(conn, state)
+		if left := c.endUnused(time.Now().Add(time.Minute)); left != 1 {
+			t.Errorf("%d connections are counted in state %v, want 1", left, state)
+		}
+	}
+	_ = conn.Close()
+	if left := c.endUnused(time.Now()); left != 0 {
+		t.Errorf("%d connections are counted after the end, want none", left)
+	}
+}
+
+// countedConnection returns the caller's end of a connection, and the connection with its count.
+func countedConnection(t *testing.T) (client net.Conn, conn *connection, c *Connections) {
+	client, accepted := connect(t)
+	c = &Connections{open: make(map[*connection]struct{})}
+	conn = newConnection(accepted, c.forget)
+	c.open[conn] = struct{}{}
+	return client, conn, c
 }
 
 // connect returns both ends of a connection.
