A process that is told to stop while it starts stops; callers are served last

Cause: SIGTERM was asked for only after the start, which served callers before its last steps. Change: the signal is asked for before the start, the start runs beside the wait for it, and callers are served as its last step, unless a stop has begun; such a stop waits for nobody.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,8 +83,13 @@
 	log        *zap.Logger
 	mesh       *mesh.Mesh
 	gateway    *gateway.Gateway
-	callers    *drain.Connections
 	goroutines sync.WaitGroup
+
+	// callersMu protects callers, the connections of callers, which is nil before they are served, and
+	// stopping, which is set once they must not be served any more.
+	callersMu sync.Mutex
+	callers   *drain.Connections
+	stopping  bool
 }
 
 // droppedLines counts the lines that the bounded logger dropped.
@@ -97,11 +102,12 @@
 	// handler is installed first because an unhandled SIGHUP terminates the process.
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
-	stopSignals := make(chan os.Signal, 1)
 	s, err := settings.LoadFleet(path)
 	if err != nil {
 		return err
 	}
+	stopSignals := make(chan os.Signal, maxQueuedSignals)
+	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryLimit())))
@@ -111,19 +117,28 @@
 	log.Info("start", zap.String("role", role), zap.Strings("seeds", s.Seeds), zap.Bool("bootstrap", s.Bootstrap), zap.String("dataFolder", s.DataFolder))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := p.start(ctx, role); err != nil {
-		log.Error("start failed", telemetry.Cause(err))
-		return err
+	started := make(chan error, 1)
+	go func() { started <- p.start(ctx, role) }()
+	for {
+		select {
+		case err := <-started:
+			if err != nil {
+				log.Error("start failed", telemetry.Cause(err))
+				return err
+			}
+			p.goroutines.Go(func() { p.watchSettings(ctx, path, reloadSignals) })
+		case received := <-stopSignals:
+			go p.reportFurtherSignals(stopSignals)
+			p.stop(cancel, received)
+			log.Info("stopped")
+			return nil
+		}
 	}
-	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
-	p.goroutines.Go(func() { p.watchSettings(ctx, path, reloadSignals) })
-	<-stopSignals
-	go p.reportFurtherSignals(stopSignals)
-	p.stop(cancel)
-	log.Info("stopped")
-	return nil
 }
 
+// maxQueuedSignals is the number of signals that wait to be reported; more are of no use.
+const maxQueuedSignals = 4
+
 func (p *process) start(ctx context.Context, role string) error {
 	documents := mesh.NewDocuments(p.platform.Decode, p.log)
 	peerAddress := p.peerAddress(role)
@@ -159,11 +174,21 @@
 	if err := p.startStatus(); err != nil {
 		return err
 	}
-	listener, err := mesh.Listen(peerAddress)
+	if err := p.startPeers(ctx, peerAddress, rpc.NewServer(handlers)); err != nil {
+		return err
+	}
+	if role == RoleEntry {
+		return p.serveCallers()
+	}
+	return nil
+}
+
+// startPeers serves other processes and takes part in the mesh.
+func (p *process) startPeers(ctx context.Context, address string, server *rpc.Server) error {
+	listener, err := mesh.Listen(address)
 	if err != nil {
 		return err
 	}
-	server := rpc.NewServer(handlers)
 	p.goroutines.Go(func() { _ = server.Serve(ctx, listener) })
 	p.goroutines.Go(func() {
 		<-ctx.Done()
@@ -216,11 +241,31 @@
 	if _, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.log), ownBodyTimeout); err != nil {
 		return err
 	}
+	return nil
+}
+
+// serveCallers serves callers, unless the process has been told to stop. It is the last step of a start:
+// until then a stop has nobody to wait for.
+func (p *process) serveCallers() error {
+	p.callersMu.Lock()
+	defer p.callersMu.Unlock()
+	if p.stopping {
+		return nil
+	}
 	callers, err := p.serve(p.settings.CallerListen, p.gateway, 0)
 	p.callers = callers
 	return err
 }
 
+// beginStop returns the connections of the callers that a stop waits for; nil where none is served, and
+// none will be.
+func (p *process) beginStop() *drain.Connections {
+	p.callersMu.Lock()
+	defer p.callersMu.Unlock()
+	p.stopping = true
+	return p.callers
+}
+
 // startStatus starts serving counters, histograms and a health check to the
 // platform and operators.
 func (p *process) startStatus() error {
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -27,38 +28,38 @@
 
 // stop performs a planned stop: it transfers leadership and lets requests in
 // progress finish within the stop timeout.
-func (p *process) stop(cancel func()) {
+func (p *process) stop(cancel func(), received os.Signal) {
 	began := time.Now()
 	time.AfterFunc(p.settings.StopTimeout()-stopMargin/2, p.forceExit)
 	ctx, cancelTimeout := context.WithTimeout(context.Background(), p.settings.StopTimeout()-stopMargin)
 	defer cancelTimeout()
-	if p.gateway == nil {
-		p.log.Info("stop begins")
+	if callers := p.beginStop(); callers != nil {
+		p.stopEntry(ctx, callers, began)
 	} else {
-		p.stopEntry(ctx, began)
+		p.log.Info("stop begins: no callers are served", zap.Stringer("signal", received))
 	}
 	cancel()
 }
 
-func (p *process) stopEntry(ctx context.Context, began time.Time) {
+func (p *process) stopEntry(ctx context.Context, callers *drain.Connections, began time.Time) {
 	p.gateway.Stop()
-	p.log.Info("stop begins", p.stopFields(began)...)
+	p.log.Info("stop begins", p.stopFields(callers, began)...)
 	// The transfer runs concurrently: without a quorum it cannot succeed, and it
 	// must not reduce the time that callers' requests have left.
 	go p.transferLeadership(ctx)
 	timer := time.NewTimer(balancerDrainDelay)
 	<-timer.C
-	p.log.Info("stop accepts no more connections", p.stopFields(began)...)
-	err := p.callers.Shutdown(ctx)
+	p.log.Info("stop accepts no more connections", p.stopFields(callers, began)...)
+	err := callers.Shutdown(ctx)
 	if err != nil {
 		p.log.Warn("requests were cut off by the stop", telemetry.Cause(err))
 	}
-	p.log.Info("stop ends", append(p.stopFields(began), zap.Bool("inTime", err == nil))...)
+	p.log.Info("stop ends", append(p.stopFields(callers, began), zap.Bool("inTime", err == nil))...)
 }
 
 // stopFields are what tells how far a stop is: the callers' connections by state, and their requests.
-func (p *process) stopFields(began time.Time) []zap.Field {
-	connections := p.callers.Tally()
+func (p *process) stopFields(callers *drain.Connections, began time.Time) []zap.Field {
+	connections := callers.Tally()
 	requests := p.gateway.UnderWay(maxNamedRequests)
 	return []zap.Field{
 		zap.Duration("after", time.Since(began)), zap.Int("connections", connections.Open), zap.Int("new", connections.New), zap.Int("active", connections.Active), zap.Int("idle", connections.Idle),
