--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -49,6 +49,7 @@
 	go p.transferLeadership(ctx)
 	timer := time.NewTimer(balancerDrainDelay)
 	<-timer.C
+	p.gateway.EndAdmission()
 	p.log.Info("stop accepts no more connections", p.stopFields(callers, began)...)
 	err := callers.Shutdown(ctx)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,8 @@
 	// stopping is the time by which the planned stop must have ended, in Unix nanoseconds; 0
 	// while no stop is in progress.
 	stopping atomic.Int64
+	// admissionEnded is set once a stop accepts no more connections.
+	admissionEnded atomic.Bool
 }
 
 // dialTimeout limits the time to establish a connection to a server. Within a region this takes
@@ -390,6 +392,10 @@
 // Stop begins a planned stop: from now on answers ask callers to reconnect.
 func (g *Gateway) Stop() { g.stopping.Store(time.Now().Add(g.options.StopTimeout).UnixNano()) }
 
+// EndAdmission tells that the stop accepts no more connections: a request that still comes, on an open one,
+// is served only if it must end before the stop does.
+func (g *Gateway) EndAdmission() { g.admissionEnded.Store(true) }
+
 // Ready reports whether the load balancer should send callers here.
 func (g *Gateway) Ready() bool {
 	return g.stopping.Load() == 0 && g.configured()
