Gateway: what a planned stop decides stands in one file

Tidying: Stop, EndAdmission, Ready and what a stopping entry still takes were in three places. No decision changed; the tests of gateway and fleet pass with -race.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -300,26 +300,3 @@
 	r.releases = append(r.releases, release)
 	return r, next
 }
-
-// mayOutlastStop reports whether a request may still be running when this entry stops. While balancers may
-// still send callers here, only streams that are expected to last longer are refused: a refusal costs its
-// caller a retry. For a route that has not served a stream yet, the route's timeout is the only known limit.
-// Whoever comes later has another entry at hand, and must not be cut off: its deadline decides.
-func (x *exchange) mayOutlastStop() bool {
-	stopBy := x.stopping.Load()
-	if stopBy == 0 {
-		return false
-	}
-	left := time.Until(time.Unix(0, stopBy))
-	if x.admissionEnded.Load() {
-		return left < time.Until(x.deadline)
-	}
-	if x.route.Kind != route.KindStream {
-		return false
-	}
-	longest := x.durations.typicalMax(x.route.Name)
-	if longest == 0 {
-		longest = x.route.Timeout
-	}
-	return left < longest
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,12 +153,8 @@
 	underWay     underWay
 	log          *zap.Logger
 	// now returns the time by which the output of servers is measured.
-	now func() time.Time
-	// stopping is the time by which the planned stop must have ended, in Unix nanoseconds; 0
-	// while no stop is in progress.
-	stopping atomic.Int64
-	// admissionEnded is set once a stop accepts no more connections.
-	admissionEnded atomic.Bool
+	now  func() time.Time
+	stop stop
 }
 
 // dialTimeout limits the time to establish a connection to a server. Within a region this takes
@@ -224,7 +219,7 @@
 func (g *Gateway) answer(r *http.Request) answer.Answer {
 	arrived := time.Now()
 	requestCount.Add(1)
-	if g.stopping.Load() != 0 {
+	if g.stop.begun() {
 		return g.route(r, arrived).WithConnectionClose()
 	}
 	return g.route(r, arrived)
@@ -388,15 +383,3 @@
 		}
 	}
 }
-
-// Stop begins a planned stop: from now on answers ask callers to reconnect.
-func (g *Gateway) Stop() { g.stopping.Store(time.Now().Add(g.options.StopTimeout).UnixNano()) }
-
-// EndAdmission tells that the stop accepts no more connections: a request that still comes, on an open one,
-// is served only if it must end before the stop does.
-func (g *Gateway) EndAdmission() { g.admissionEnded.Store(true) }
-
-// Ready reports whether the load balancer should send callers here.
-func (g *Gateway) Ready() bool {
-	return g.stopping.Load() == 0 && g.configured()
-}
