--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -287,24 +288,36 @@
 }
 
 // Sweep closes the idle connections that have expired and those to targets for
-// which keep returns false.
+// which keep returns false. The pool's lock is held while nothing else is called.
 func (p *Pool) Sweep(now time.Time, keep func(Target) bool) {
+	for _, target := range p.targets() {
+		p.sweepTarget(now, target, keep(target))
+	}
+}
+
+// targets returns the targets with idle connections.
+func (p *Pool) targets() []Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for target, conns := range p.idle {
-		live := conns[:0]
-		for _, c := range conns {
-			if now.Before(c.expires) && keep(target) {
-				live = append(live, c)
-			} else {
-				_ = c.Close()
-			}
-		}
-		clear(conns[len(live):])
-		if len(live) == 0 {
-			delete(p.idle, target)
+	return slices.Collect(maps.Keys(p.idle))
+}
+
+func (p *Pool) sweepTarget(now time.Time, target Target, keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[target]
+	live := conns[:0]
+	for _, c := range conns {
+		if keep && now.Before(c.expires) {
+			live = append(live, c)
 		} else {
-			p.idle[target] = live
+			_ = c.Close()
 		}
 	}
+	clear(conns[len(live):])
+	if len(live) == 0 {
+		delete(p.idle, target)
+	} else {
+		p.idle[target] = live
+	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -222,6 +222,27 @@
 	}
 }
 
+// Guards against a process that stands still for good: who is asked which connections to keep may ask the pool meanwhile, under a lock of its own.
+func TestSweepHoldsNoLockWhileItAsks(t *testing.T) {
+	target, _ := startServer(t, response1)
+	pool := NewPool(testTimeout, NewMemory(0))
+	if _, _, err := call(t, pool, target, "r1"); err != nil {
+		t.Fatal(err)
+	}
+	asked := false
+	pool.Sweep(time.Now(), func(Target) bool {
+		asked = true
+		if !pool.mu.TryLock() {
+			t.Fatal("the pool's lock is held")
+		}
+		pool.mu.Unlock()
+		return true
+	})
+	if !asked || len(pool.idle) != 1 {
+		t.Errorf("asked %v, connections to %d targets kept; want the one", asked, len(pool.idle))
+	}
+}
+
 func TestKeepAliveTimeoutSetsExpiry(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for value, want := range map[string]time.Duration{
