What a server announces is replaced as a whole while requests read it

What callers could see: a request that is sent with half of one announcement of its server and half of the next (a service's software version, an address); none was seen. Change: the announcement is a pointer that is replaced; the agent and the rate's name stand from the beginning of a server on; one whose service has become one of engines begins anew.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -41,7 +41,7 @@
 	query := x.query()
 	conditions := x.offers.Conditions(x.picked.Choice, &x.picked.Candidate, left)
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: x.call.ID, Attempt: x.starts, Engine: v.entry.ID, Born: v.entry.Born, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
+		ID: x.call.ID, Attempt: x.starts, Engine: v.entry().ID, Born: v.entry().Born, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
 		Rank: x.rank, Team: x.teamName(), Prompt: x.call.PromptTokens, Tokens: x.tokens(),
 		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
@@ -53,12 +53,12 @@
 	case reply.Declined:
 		x.offers.Declined()
 		x.tries--
-		delete(x.tried, v.entry.ID)
+		delete(x.tried, v.entry().ID)
 		fallthrough
 	case !reply.Start:
 		x.lastReason = "the engine's agent refused the start: " + reply.Reason
 		return false, false
-	case x.lineage.bound && !v.agent.runs(v.entry.Born):
+	case x.lineage.bound && !v.agent.runs(v.entry().Born):
 		v.agent.notifyDone(x.call.ID, x.starts)
 		x.lastReason = "the engine has restarted"
 		return false, false
--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -25,7 +25,7 @@
 		for j := range 10 {
 			state.Held = append(state.Held, fmt.Sprintf("base/a%d", 10*i+j))
 		}
-		v := &server{entry: roster.Entry{Server: roster.Server{ID: fmt.Sprint("i-", i), DataCentre: "d"}}, agent: &agentClient{}}
+		v := newServer(roster.Entry{Server: roster.Server{ID: fmt.Sprint("i-", i), DataCentre: "d"}}, &agentClient{})
 		v.agent.setState(state)
 		list = append(list, v)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -276,7 +276,7 @@
 		x.lastReason, x.retryDelay = "no engine can start it while its caller waits", wait
 		return nil, stepFail
 	}
-	x.tried[v.entry.ID] = true
+	x.tried[v.entry().ID] = true
 	x.awaitTurnAt(v)
 	defer x.endAwait()
 	requestedAt := time.Now()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -212,7 +212,7 @@
 		if err := m.Announce(t.Context(), alive); err != nil {
 			t.Fatal(err)
 		}
-		g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: alive}}})
+		g.strikes.connBroken(brokenCall{call: call, server: newServer(roster.Entry{Server: alive}, nil)})
 	}
 	g.strikes.settle(now)
 	if g.strikes.refused(call) {
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -115,11 +115,11 @@
 // sameIncarnation reports whether a server has not announced itself as another incarnation, or at
 // another version, since it was chosen.
 func (x *exchange) sameIncarnation(v *server) bool {
-	if v.agent.isKnown() && !v.agent.runs(v.entry.Born) {
+	if v.agent.isKnown() && !v.agent.runs(v.entry().Born) {
 		return false
 	}
-	e, ok := x.mesh.Announced(v.entry.ID)
-	return !ok || e.Born == v.entry.Born && e.Version == v.entry.Version
+	e, ok := x.mesh.Announced(v.entry().ID)
+	return !ok || e.Born == v.entry().Born && e.Version == v.entry().Version
 }
 
 // checkVersion judges the next events of a reply, before the caller gets them. It reports false where
@@ -159,7 +159,7 @@
 // recordBegin records the version of the server that gave the first event, for the caller's next try at
 // any entry.
 func (x *exchange) recordBegin(r *reply, certain bool) {
-	x.lineage.began = r.server.entry.Version
+	x.lineage.began = r.server.entry().Version
 	if !certain {
 		x.lineage.began = ""
 	}
@@ -177,8 +177,8 @@
 
 // noteContinuation logs at which version a stream goes on.
 func (x *exchange) noteContinuation(r *reply) {
-	x.log.Info("stream goes on", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("server", r.server.entry.ID),
-		zap.String("version", r.server.entry.Version), zap.Bool("bound", x.lineage.bound), zap.String("began", x.lineage.version), zap.String("after", x.call.ResumeAfter), zap.String("lastEvent", x.lastEvent))
+	x.log.Info("stream goes on", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("server", r.server.entry().ID),
+		zap.String("version", r.server.entry().Version), zap.Bool("bound", x.lineage.bound), zap.String("began", x.lineage.version), zap.String("after", x.call.ResumeAfter), zap.String("lastEvent", x.lastEvent))
 }
 
 // mayServeStream reports whether a server may serve the stream as far as its software version decides,
@@ -187,15 +187,15 @@
 	switch {
 	case !l.bound:
 		return true, false
-	case v.entry.Version != l.version:
+	case v.entry().Version != l.version:
 		return false, false
 	case v.agent.isKnown():
-		return v.agent.runs(v.entry.Born), false
+		return v.agent.runs(v.entry().Born), false
 	}
 	// A server that restarted under its ID may have another version, which it tells with its next
 	// announcement. One that arrives after the stream broke may have been sent before; one that follows it was
 	// not.
-	e, ok := s.mesh.Announced(v.entry.ID)
+	e, ok := s.mesh.Announced(v.entry().ID)
 	heard := ok && e.HeardBefore.After(l.since)
 	return heard, !heard
 }
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -149,7 +149,7 @@
 				servers, _ := breakAtListeners(t, g, callWith(i), listening)
 				g.strikes.pending = nil
 				for n, s := range servers {
-					g.strikes.connBroken(brokenCall{call: callWith(10*i + n), server: &server{entry: roster.Entry{Server: s}}, proof: proof})
+					g.strikes.connBroken(brokenCall{call: callWith(10*i + n), server: newServer(roster.Entry{Server: s}, nil), proof: proof})
 				}
 				g.strikes.settle(now)
 			}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -47,7 +47,7 @@
 	}
 	s.mu.Unlock()
 	if due {
-		s.log.Warn("backend server named a rate that cannot be read", zap.String("server", v.entry.ID), telemetry.Cause(fault))
+		s.log.Warn("backend server named a rate that cannot be read", zap.String("server", v.entry().ID), telemetry.Cause(fault))
 	}
 }
 
@@ -60,7 +60,7 @@
 	}
 	v.atRate++
 	if elapsed := now.Sub(v.atRateSince); elapsed >= atRateInterval {
-		s.log.Info("requests sent to a backend server that names a rate", zap.String("server", v.entry.ID), zap.Int("requests", v.atRate), zap.Duration("within", elapsed))
+		s.log.Info("requests sent to a backend server that names a rate", zap.String("server", v.entry().ID), zap.Int("requests", v.atRate), zap.Duration("within", elapsed))
 		v.atRate = 0
 	}
 }
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -71,7 +71,7 @@
 func (x *exchange) logResult(msg string, v *server, status int) {
 	server := ""
 	if v != nil {
-		server = v.entry.ID
+		server = v.entry().ID
 	}
 	unanswered := time.Duration(0)
 	if x.awaited != nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,7 +24,7 @@
 		return nil, stepFail
 	}
 	// The server may have announced that it is leaving while the request waited.
-	if !x.mesh.MayServe(v.entry.ID) {
+	if !x.mesh.MayServe(v.entry().ID) {
 		x.lastReason = "the backend server leaves"
 		return nil, stepRetry
 	}
@@ -45,7 +45,7 @@
 	now := time.Now()
 	allowed := x.budget.take(x.service.Name, now)
 	left, entries := x.budget.left(x.service.Name, now)
-	x.log.Info("request to be sent again", zap.String("request", x.call.ID), zap.String("service", x.service.Name), zap.String("server", v.entry.ID), zap.Bool("allowed", allowed),
+	x.log.Info("request to be sent again", zap.String("request", x.call.ID), zap.String("service", x.service.Name), zap.String("server", v.entry().ID), zap.Bool("allowed", allowed),
 		zap.Float64("left", left), zap.Int("entries", entries), zap.Int("arrivals", x.sends), zap.String("reason", x.lastReason))
 	if !allowed {
 		x.lastReason = "the budget of repeats is used up: " + x.lastReason
@@ -58,7 +58,7 @@
 	request := &upstream.Request{
 		Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Body: x.call.Body, ID: x.call.ID, IDHeader: x.edge.IDHeader(),
 		LateHeader: func() http.Header {
-			return x.edge.Forward(&x.call, Hop{Server: v.entry.ID, Remaining: time.Until(x.deadline), Rank: x.rank, Engine: x.service.Engine != nil, LastEvent: x.lastEvent,
+			return x.edge.Forward(&x.call, Hop{Server: v.entry().ID, Remaining: time.Until(x.deadline), Rank: x.rank, Engine: x.service.Engine != nil, LastEvent: x.lastEvent,
 				Authenticated: x.table.HasTeams(), Team: x.teamName()})
 		},
 	}
@@ -124,7 +124,7 @@
 		return stepDone
 	}
 	x.servers.observe(r.server, r.verdict, func(h *dispatch.Health) { h.Failed(time.Now()) })
-	x.log.Info("backend server failed", zap.String("request", x.call.ID), zap.String("server", r.server.entry.ID), zap.Int("status", r.response.Status),
+	x.log.Info("backend server failed", zap.String("request", x.call.ID), zap.String("server", r.server.entry().ID), zap.Int("status", r.response.Status),
 		zap.Int("runs", x.runs), zap.Bool("repeat", x.mayRetry()), zap.Int("told", x.status), zap.String("lastEvent", x.lastEvent))
 	if x.mayRetry() {
 		r.response.Abort()
@@ -161,7 +161,7 @@
 
 // logBroken logs a call or an answer that broke off, with what tells the request from others.
 func (x *exchange) logBroken(msg string, v *server, err error) {
-	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", v.entry.ID), zap.Uint64("fingerprint", x.fingerprint()), zap.String("method", x.call.Method),
+	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("server", v.entry().ID), zap.Uint64("fingerprint", x.fingerprint()), zap.String("method", x.call.Method),
 		zap.String("path", x.call.URI), zap.String("caller", x.call.Caller), zap.Int("body", len(x.call.Body)), zap.Strings("parts", x.call.SharedParts), zap.String("lastEvent", x.lastEvent), telemetry.Cause(err))
 }
 
@@ -193,10 +193,10 @@
 			h.Failed(time.Now())
 		}
 	})
-	if verdict.Misdirected && x.mesh.DropDiskOnly(v.entry.ID) {
+	if verdict.Misdirected && x.mesh.DropDiskOnly(v.entry().ID) {
 		x.tries--
 	}
-	x.log.Info("backend server did not run a request", zap.String("request", x.call.ID), zap.String("server", v.entry.ID),
+	x.log.Info("backend server did not run a request", zap.String("request", x.call.ID), zap.String("server", v.entry().ID),
 		zap.Int("status", response.Status), zap.String("adapter", x.call.Adapter))
 	return stepRetry
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,9 +43,16 @@
 	shortages map[string]*shortage
 }
 
-// server is one incarnation of a backend server.
+// server is one incarnation of a backend server. Requests read announced, agent and rateName at any time; servers.mu
+// protects the other fields.
 type server struct {
-	entry  roster.Entry
+	// announced is what it announced last; it is replaced as a whole.
+	announced atomic.Pointer[roster.Entry]
+	// agent is nil for plain services.
+	agent *agentClient
+	// rateName is the name under which its rate is limited.
+	rateName string
+
 	health dispatch.Health
 	// inflight counts this entry's requests that were sent to the server and have not ended.
 	inflight int
@@ -54,11 +62,7 @@
 	loadAt  time.Time
 	// answeredAt is the time of the last answer's header.
 	answeredAt time.Time
-	// agent is nil for plain services.
-	agent *agentClient
-	// rateName is the name under which its rate is limited. awaiting counts the requests that have chosen it while
-	// it names one and have no turn yet.
-	rateName string
+	// awaiting counts the requests that have chosen it while it names a rate and have no turn yet.
 	awaiting int
 	// atRate counts the requests that were sent while the server named a rate and not logged yet, since
 	// atRateSince; rateFaultAt is when a rate that cannot be read was logged last.
@@ -67,12 +71,25 @@
 	rateFaultAt time.Time
 }
 
+// newServer returns a server as it was announced, with the agent beside it.
+func newServer(e roster.Entry, agent *agentClient) *server {
+	v := &server{agent: agent}
+	v.announced.Store(&e)
+	v.rateName = sharedlimit.ServerName(v.life())
+	return v
+}
+
+// entry returns what the server announced last.
+func (v *server) entry() *roster.Entry { return v.announced.Load() }
+
 func targetOf(v *server) upstream.Target {
-	return upstream.Target{Address: v.entry.Address, ID: v.entry.ID}
+	return upstream.Target{Address: v.entry().Address, ID: v.entry().ID}
 }
 
 // life identifies the incarnation.
-func (v *server) life() serverrate.Life { return serverrate.Life{ID: v.entry.ID, Born: v.entry.Born} }
+func (v *server) life() serverrate.Life {
+	return serverrate.Life{ID: v.entry().ID, Born: v.entry().Born}
+}
 
 func newServers(options Options, m *mesh.Mesh, pool *upstream.Pool, log *zap.Logger) *servers {
 	return &servers{options: options, mesh: m, pool: pool, log: log, byID: make(map[string]*server), agents: make(map[string]*agentClient), shortages: make(map[string]*shortage)}
@@ -94,19 +111,16 @@
 	}
 	s.change = change
 	seen := make(map[string]bool)
-	for _, e := range s.mesh.Serving() {
+	serving := s.mesh.Serving()
+	for i := range serving {
+		e := &serving[i]
 		seen[e.ID] = true
-		known := s.byID[e.ID]
-		if known == nil || known.entry.Born != e.Born || known.entry.Address != e.Address {
-			known = &server{}
-			s.byID[e.ID] = known
-		}
-		known.entry = e
-		known.rateName = sharedlimit.ServerName(known.life())
-		if known.agent == nil && hasEngine(table, e.Service) {
-			known.agent = s.watch(ctx, e.Address, e.DataCentre == s.options.DataCentre)
-			known.agent.resetHeld()
+		known, engine := s.byID[e.ID], hasEngine(table, e.Service)
+		if known == nil || known.entry().Born != e.Born || known.entry().Address != e.Address || engine && known.agent == nil {
+			s.byID[e.ID] = newServer(*e, s.watchEngine(ctx, engine, e))
+			continue
 		}
+		known.announced.Store(e)
 	}
 	watched := make(map[*agentClient]bool)
 	s.byService = make(map[string][]*server)
@@ -117,7 +131,7 @@
 			continue
 		}
 		watched[known.agent] = true
-		s.byService[known.entry.Service] = append(s.byService[known.entry.Service], known)
+		s.byService[known.entry().Service] = append(s.byService[known.entry().Service], known)
 	}
 	local, remote := 0, 0
 	for address, agent := range s.agents {
@@ -134,6 +148,16 @@
 	s.setPauses(local, remote)
 }
 
+// watchEngine returns the client of the agent beside an engine whose memory is unknown; nil for other servers.
+func (s *servers) watchEngine(ctx context.Context, engine bool, e *roster.Entry) *agentClient {
+	if !engine {
+		return nil
+	}
+	agent := s.watch(ctx, e.Address, e.DataCentre == s.options.DataCentre)
+	agent.resetHeld()
+	return agent
+}
+
 func hasEngine(table *route.Table, service string) bool {
 	found := table.Service(service)
 	return found != nil && found.Engine != nil
@@ -181,9 +205,9 @@
 
 func (s *servers) candidate(v *server, service *route.Service, r *dispatch.Request, model string, now time.Time) dispatch.Candidate {
 	c := dispatch.Candidate{
-		ID: v.entry.ID, DataCentre: v.entry.DataCentre, Batch: v.entry.Slots, Running: v.inflight, Residence: dispatch.Resident, Model: true,
+		ID: v.entry().ID, DataCentre: v.entry().DataCentre, Batch: v.entry().Slots, Running: v.inflight, Residence: dispatch.Resident, Model: true,
 		Answer: v.health.Answer(), FailureShare: v.health.FailureShare(now), InBackoff: v.health.InBackoff(now),
-		WarmUp: time.Duration(v.entry.ColdMillis)*time.Millisecond - now.Sub(v.entry.LastHeard),
+		WarmUp: time.Duration(v.entry().ColdMillis)*time.Millisecond - now.Sub(v.entry().LastHeard),
 	}
 	c.WarmUp = max(c.WarmUp, 0)
 	if service.Engine == nil {
@@ -216,7 +240,7 @@
 // applyAnnouncement fills in the state of an engine without a known agent state from the
 // engine's own announcements.
 func (s *servers) applyAnnouncement(v *server, c *dispatch.Candidate, r *dispatch.Request, model string) {
-	announced, _ := s.mesh.Announced(v.entry.ID)
+	announced, _ := s.mesh.Announced(v.entry().ID)
 	c.Model = holds(announced.Models, model)
 	c.Residence = dispatch.Absent
 	if r.Adapter == "" {
@@ -314,5 +338,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.byID[target.ID]
-	return v != nil && v.entry.Address == target.Address
+	return v != nil && v.entry().Address == target.Address
 }
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -54,7 +54,7 @@
 				if err := m.Announce(t.Context(), announced); err != nil {
 					t.Fatal(err)
 				}
-				engines[id] = &server{entry: roster.Entry{Server: announced}, agent: &agentClient{}}
+				engines[id] = newServer(roster.Entry{Server: announced}, &agentClient{})
 			}
 			s.byService = map[string][]*server{"llm": {engines["busy"], engines["first"]}}
 			busy := wire.EngineState{Known: true, Batch: 48, Running: 60, DelayMillis: []int64{3000}, Models: []string{"base"}}
@@ -69,7 +69,7 @@
 			}
 			engines["first"].answeredAt = test.answered
 			got, _ := s.choose(t.Context(), &route.Service{Name: "llm", Engine: &route.Engine{}}, dispatch.Request{DataCentre: "d", Target: 800 * time.Millisecond}, "base", &lineage{})
-			if got == nil || got.entry.ID != test.want {
+			if got == nil || got.entry().ID != test.want {
 				t.Errorf("chose %+v, want %s", got, test.want)
 			}
 		})
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -106,7 +106,7 @@
 func (s *strikes) connBroken(b brokenCall) {
 	v := b.server
 	// A server that leaves ends what it still runs when its time is up.
-	if announced, _ := s.gateway.mesh.Announced(v.entry.ID); announced.Leaving {
+	if announced, _ := s.gateway.mesh.Announced(v.entry().ID); announced.Leaving {
 		return
 	}
 	s.mu.Lock()
@@ -116,9 +116,9 @@
 		return
 	}
 	request := b.call.request()
-	strike := suspicion.Strike{Fingerprint: request.Fingerprint, Server: v.entry.ID, OutputMillis: b.output.Milliseconds()}
+	strike := suspicion.Strike{Fingerprint: request.Fingerprint, Server: v.entry().ID, OutputMillis: b.output.Milliseconds()}
 	s.pending = append(s.pending, pendingStrike{
-		strike: strike, request: request, target: targetOf(v), born: v.entry.Born, sentAt: b.sentAt, brokeAt: time.Now(), proof: b.proof,
+		strike: strike, request: request, target: targetOf(v), born: v.entry().Born, sentAt: b.sentAt, brokeAt: time.Now(), proof: b.proof,
 	})
 	select {
 	case s.wakeup <- struct{}{}:
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -79,7 +79,7 @@
 		if err := g.mesh.Announce(t.Context(), s); err != nil {
 			t.Fatal(err)
 		}
-		g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: s}}})
+		g.strikes.connBroken(brokenCall{call: call, server: newServer(roster.Entry{Server: s}, nil)})
 		servers = append(servers, s)
 	}
 	return servers, listeners
@@ -279,7 +279,7 @@
 		if err := g.mesh.Announce(t.Context(), s); err != nil {
 			t.Fatal(err)
 		}
-		g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: s}}})
+		g.strikes.connBroken(brokenCall{call: call, server: newServer(roster.Entry{Server: s}, nil)})
 		g.strikes.settle(time.Now())
 	}
 	if g.strikes.refused(call) {
@@ -373,7 +373,7 @@
 		t.Fatal(err)
 	}
 	call := &Call{Method: "POST", URI: "/x", Body: []byte("body")}
-	g.strikes.connBroken(brokenCall{call: call, server: &server{entry: roster.Entry{Server: silent}}})
+	g.strikes.connBroken(brokenCall{call: call, server: newServer(roster.Entry{Server: silent}, nil)})
 	breakAtServers(t, g, call, false)
 	ctx, cancel := context.WithCancel(t.Context())
 	var probes sync.WaitGroup
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -24,8 +24,7 @@
 	s := newServers(Options{DataCentre: "d", Turns: turns}, m, upstream.NewPool(time.Second, upstream.NewMemory(0)), zap.NewNop())
 	var list []*server
 	for i := range count {
-		v := &server{entry: roster.Entry{Server: roster.Server{ID: fmt.Sprint("s", i), Born: 1, DataCentre: "d", Service: "desk"}}}
-		v.rateName = sharedlimit.ServerName(v.life())
+		v := newServer(roster.Entry{Server: roster.Server{ID: fmt.Sprint("s", i), Born: 1, DataCentre: "d", Service: "desk"}}, nil)
 		m.RateNamed(v.life(), rate)
 		list = append(list, v)
 	}
@@ -37,12 +36,12 @@
 func TestTurnOfASentRequestIsNotGivenBack(t *testing.T) {
 	s, list := newRatedServers(t, 1, 1)
 	x := &exchange{Gateway: &Gateway{servers: s, mesh: s.mesh, options: s.options}, turn: list[0]}
-	unrated := &server{entry: roster.Entry{Server: roster.Server{ID: "other", Born: 1}}}
+	unrated := newServer(roster.Entry{Server: roster.Server{ID: "other", Born: 1}}, nil)
 	if !x.takeTurn(unrated) {
 		t.Error("a server without a rate was denied")
 	}
 	if x.turn != nil {
-		t.Errorf("the turn at %s would be given back", x.turn.entry.ID)
+		t.Errorf("the turn at %s would be given back", x.turn.entry().ID)
 	}
 }
 
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -95,11 +95,11 @@
 			continue
 		}
 		silentCount.Add(1)
-		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.request.Fingerprint), zap.Strings("parts", partIDs(u.request)), zap.String("server", u.server.entry.ID),
+		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.request.Fingerprint), zap.Strings("parts", partIDs(u.request)), zap.String("server", u.server.entry().ID),
 			zap.Duration("after", age))
 		strikes := append(mesh.PartStrikes(u.request), suspicion.Strike{Fingerprint: u.request.Fingerprint})
 		for i := range strikes {
-			strikes[i].Server, strikes[i].Silent, strikes[i].AgeMillis = u.server.entry.ID, true, age.Milliseconds()
+			strikes[i].Server, strikes[i].Silent, strikes[i].AgeMillis = u.server.entry().ID, true, age.Milliseconds()
 		}
 		s.gateway.mesh.Strike(strikes...)
 	}
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -127,7 +128,7 @@
 			if test.silent {
 				agent.silentSince = sentAt
 			}
-			g.strikes.sent(suspicion.Request{Fingerprint: 1}, &server{agent: agent}, sentAt)
+			g.strikes.sent(suspicion.Request{Fingerprint: 1}, newServer(roster.Entry{}, agent), sentAt)
 			g.strikes.lookedAt = sentAt.Add(test.age)
 			g.strikes.lookUnanswered(sentAt.Add(test.age))
 			if got := g.mesh.Suspected(1); got != test.want {
