A stop accepts who has connected, and leaves no end of an answer behind in its sockets

No line tells of either. Causes: closing a listener resets what waits to be accepted; closing a socket with unread bytes resets its connection, and the system discards what it has not delivered. Change: a stop goes on to accept until nobody waits (0.5 s at most). Whoever closes a connection waits until the caller's system has acknowledged all, 0.5 s at most, and reads away what came meanwhile, while the connection is counted: at each close in a stop, and at those with unread bytes at any time; a close that must reset does so at once. A connection that is no TCP connection is refused, since no stop could count it. A request that was begun is waited for as long as its caller may take to send it (3 s from the last read): a new connection counted from its acceptance before, so that a first request in two pieces got 400, and a stray line end held a stop to its end. TestStopKeepsConnectionOfRequestThatIsBeingRead demanded that a request that is being read keeps its connection from being ended for ever; it now demands that it is not ended while its caller may take to send it, and that one which is read later still is served, which is what its caller sees. Two faults in one commit, as they share Close and the look.

--- a/internal/answer/writers_test.go
+++ b/internal/answer/writers_test.go
@@ -14,7 +14,7 @@
 // those that pass it to this package, and those that serve operators and tests.
 var allowedWriters = []string{
 	"internal/agent/gate.go", "internal/entry/inbound.go", "internal/gateway/gateway.go",
-	"internal/control/", "internal/fleet/fleet.go", "internal/standin/",
+	"internal/control/", "internal/fleet/fleet.go", "internal/fleet/panics.go", "internal/standin/",
 }
 
 // A handler with access to the caller's connection can write a second header,
--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,9 +21,9 @@
 // and only waits to be read, which takes long in a process that is behind.
 //
 // Invariants: a connection is counted before the server can read from it, and until its socket is
-// closed; bytes that were read belong to a request that is served to its end. A stop therefore never
-// closes a connection itself. It ends the read that waits for the next request, which either has
-// returned bytes, so that the request is served, or leaves all bytes unread.
+// closed; a request that was read whole is served, except behind an answer that ends its connection.
+// A stop therefore never closes a connection itself. It ends the read that waits for the next request,
+// which either has returned bytes, so that the request is served, or leaves all bytes unread.
 type Connections struct {
 	stopping atomic.Bool
 	hook     func(net.Conn, http.ConnState)
@@ -30,10 +31,12 @@
 	mu       sync.Mutex
 	listener net.Listener
 	// accepting counts the calls of Accept in progress: each may hold a connection that is not in
-	// open yet. closed is set once none may begin.
-	accepting int
-	closed    bool
-	open      map[*connection]struct{}
+	// open yet. acceptsNone is set once none may begin.
+	accepting   int
+	acceptsNone bool
+	open        map[*connection]struct{}
+	// pendingTimeout is how long a stop goes on to accept connections while more are always waiting.
+	pendingTimeout time.Duration
 }
 
 const (
@@ -41,15 +44,21 @@
 	// is ended when it was idle for that long: a caller that has just got an answer may be sending
 	// its next request.
 	lookInterval = 20 * time.Millisecond
-	// firstRequestTimeout is how long a stop waits for the first request of a new
-	// connection.
-	firstRequestTimeout = 5 * time.Second
+	// requestTimeout is how long a stop waits for a request on a new connection, and for the rest of one
+	// that was read in part.
+	requestTimeout = 3 * time.Second
+	// defaultPendingTimeout is the usual pendingTimeout.
+	defaultPendingTimeout = 500 * time.Millisecond
+	// lingerTimeout is how long the end of a connection waits for its caller's system to take the end of an
+	// answer, and lingerStep is the pause between two looks.
+	lingerTimeout = 500 * time.Millisecond
+	lingerStep    = time.Millisecond
 )
 
 // Track follows the connections of a server that has not begun to serve. The server
 // must then serve the listener that is returned.
 func Track(server *http.Server, listener net.Listener) (*Connections, net.Listener) {
-	c := &Connections{hook: server.ConnState, listener: listener, open: make(map[*connection]struct{})}
+	c := &Connections{hook: server.ConnState, listener: listener, open: make(map[*connection]struct{}), pendingTimeout: defaultPendingTimeout}
 	server.ConnState = c.changed
 	server.Handler = answer.CloseWhile(c.stopping.Load, server.Handler)
 	return c, &trackedListener{Listener: listener, connections: c}
@@ -73,7 +82,7 @@
 func (c *Connections) beginAccept() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.acceptsNone {
 		return false
 	}
 	c.accepting++
@@ -85,11 +94,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.accepting--
+	if err != nil {
+		return nil, err
+	}
 	plain, ok := conn.(*net.TCPConn)
-	if err != nil || !ok {
-		return conn, err
+	if !ok {
+		_ = conn.Close()
+		return nil, errors.Errorf("%T is no TCP connection: a stop could not count it", conn)
 	}
-	tracked := newConnection(plain, c.forget)
+	tracked := newConnection(plain, c)
 	c.open[tracked] = struct{}{}
 	return tracked, nil
 }
@@ -150,9 +163,10 @@
 // the requests on the others have been answered or ctx ends.
 func (c *Connections) Shutdown(ctx context.Context) error {
 	c.stopping.Store(true)
-	c.closeListener()
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
+	c.acceptPending(ctx, ticker.C)
+	c.closeListener()
 	for {
 		left := c.endUnused(time.Now())
 		if left == 0 {
@@ -166,16 +180,30 @@
 	}
 }
 
+// acceptPending waits until no connection waits to be accepted, but not for ever. Closing the
+// listener would reset them, and their callers could not tell whether a request that they have sent runs.
+func (c *Connections) acceptPending(ctx context.Context, tick <-chan time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, c.pendingTimeout)
+	defer cancel()
+	for socket.HasPending(c.listener) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+		}
+	}
+}
+
 func (c *Connections) closeListener() {
 	c.mu.Lock()
-	c.closed = true
+	c.acceptsNone = true
 	c.mu.Unlock()
 	// The only error is that the listener is closed already.
 	_ = c.listener.Close()
 }
 
-// endUnused ends the unused connections, and returns how many are left: an ended one is counted until the
-// server has closed it.
+// endUnused ends the unused connections, and returns how many were counted before: an ended one is counted until
+// the server has closed it.
 func (c *Connections) endUnused(now time.Time) int {
 	open, count := c.counted()
 	for _, conn := range open {
@@ -187,22 +215,22 @@
 // connection is a connection of a caller.
 type connection struct {
 	*net.TCPConn
-	// closed is called once the socket is closed.
-	closed func(*connection)
-
-	mu sync.Mutex
-	// reads counts the reads that returned bytes, readsBefore is its value at the last change of
-	// state.
-	reads       int64
-	readsBefore int64
+	owner *Connections
+
+	mu    sync.Mutex
+	state http.ConnState
+	// usedAt is the time of the last change of state, or of the last read that returned bytes.
+	usedAt time.Time
+	// hasRead is set once bytes were read in the present state.
+	hasRead bool
 	// ended is set while the stop's deadline ends the reads of the connection.
 	ended bool
-	state http.ConnState
-	since time.Time
+	// resets is set while a close of the connection must reset it.
+	resets bool
 }
 
-func newConnection(plain *net.TCPConn, closed func(*connection)) *connection {
-	return &connection{TCPConn: plain, closed: closed, state: http.StateNew, since: time.Now()}
+func newConnection(plain *net.TCPConn, owner *Connections) *connection {
+	return &connection{TCPConn: plain, owner: owner, state: http.StateNew, usedAt: time.Now()}
 }
 
 // Read implements net.Conn.
@@ -218,22 +246,60 @@
 func (c *connection) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reads++
+	c.hasRead, c.usedAt = true, time.Now()
 	c.resume()
 }
 
+// SetLinger is that of net.TCPConn; 0 makes the close reset the connection.
+func (c *connection) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.resets = seconds == 0
+	c.mu.Unlock()
+	return c.TCPConn.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
+	if !c.mustReset() {
+		c.awaitReceipt()
+	}
 	err := c.TCPConn.Close()
-	c.closed(c)
+	c.owner.forget(c)
 	return err
 }
 
+func (c *connection) mustReset() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resets
+}
+
+// awaitReceipt waits until the caller's system has what was written. A socket that is closed while bytes are
+// unread resets its connection, and what was not received yet is lost with it; so may it be at the end of
+// the process.
+func (c *connection) awaitReceipt() {
+	if !c.owner.stopping.Load() && !socket.HasInput(c.TCPConn) || !socket.HasUnacknowledged(c.TCPConn) {
+		return
+	}
+	// An error of these calls shows in the next look or read: the connection has ended.
+	_ = c.CloseWrite()
+	unneeded := make([]byte, unneededBytes)
+	for until := time.Now().Add(lingerTimeout); time.Now().Before(until) && socket.HasUnacknowledged(c.TCPConn); {
+		_ = c.SetReadDeadline(time.Now().Add(lingerStep))
+		if _, err := c.TCPConn.Read(unneeded); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			time.Sleep(lingerStep)
+		}
+	}
+}
+
+// unneededBytes is the size of a read of bytes that are discarded.
+const unneededBytes = 4 << 10
+
 // changeState records a change of the connection's state.
 func (c *connection) changeState(state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since, c.readsBefore = state, now, c.reads
+	c.state, c.usedAt, c.hasRead = state, now, false
 	if state == http.StateActive {
 		// The request may have been read together with the one before.
 		c.resume()
@@ -272,18 +338,12 @@
 // isUnused reports whether no request is in progress on the connection, is being read or waits to be
 // read; mu must be held.
 func (c *connection) isUnused(now time.Time) bool {
-	switch c.state {
-	case http.StateIdle:
-		if c.reads != c.readsBefore || now.Sub(c.since) < lookInterval {
-			return false
-		}
-	case http.StateNew:
-		// A TLS handshake has been read before the first request.
-		if now.Sub(c.since) < firstRequestTimeout {
-			return false
-		}
-	default:
+	quiet := requestTimeout
+	switch {
+	case c.state == http.StateIdle && !c.hasRead:
+		quiet = lookInterval
+	case c.state != http.StateIdle && c.state != http.StateNew:
 		return false
 	}
-	return !socket.HasUnread(c.TCPConn)
+	return now.Sub(c.usedAt) >= quiet && !socket.HasUnread(c.TCPConn)
 }
--- a/internal/drain/connections_test.go
+++ b/internal/drain/connections_test.go
@@ -188,7 +188,7 @@
 // Guards against a request that is passed on although its connection is closed in the moment in which it is read.
 func TestBytesReadAtTheEndOfAConnectionAreServed(t *testing.T) {
 	client, accepted := connect(t)
-	conn := newConnection(accepted, func(*connection) {})
+	conn := newConnection(accepted, &Connections{})
 	conn.changeState(http.StateIdle, time.Now())
 	long := time.Now().Add(time.Minute)
 	for _, arrive := range []func(){conn.recordRead, func() { conn.changeState(http.StateActive, time.Now()) }} {
@@ -208,7 +208,7 @@
 // Guards against bytes that are taken from a connection that is ended: they must stay unread, so that nothing is passed on.
 func TestNothingIsReadBehindTheEndOfAConnection(t *testing.T) {
 	client, accepted := connect(t)
-	conn := newConnection(accepted, func(*connection) {})
+	conn := newConnection(accepted, &Connections{})
 	conn.changeState(http.StateIdle, time.Now())
 	conn.endIfUnused(time.Now().Add(time.Minute))
 	send(t, client, "/late")
@@ -225,12 +225,18 @@
 	if _, err := conn.Read(make([]byte, 100)); err != nil {
 		t.Fatal(err)
 	}
-	for range 3 {
-		if left := c.endUnused(time.Now().Add(time.Minute)); left != 1 || conn.ended {
-			t.Fatal("the connection is ended while its request is being read")
+	for _, later := range []time.Duration{lookInterval, requestTimeout / 2} {
+		if left := c.endUnused(time.Now().Add(later)); left != 1 || conn.ended {
+			t.Fatalf("the connection is ended %s later, while its request is being read", later)
 		}
 	}
+	// A process may be behind for longer than a caller takes to send a request.
+	c.endUnused(time.Now().Add(time.Minute))
 	conn.changeState(http.StateActive, time.Now())
+	send(t, client, "/rest")
+	if n, err := conn.Read(make([]byte, 100)); n == 0 || err != nil {
+		t.Fatalf("read %d bytes, %v, of a request that was being read", n, err)
+	}
 	conn.changeState(http.StateIdle, time.Now())
 	if c.endUnused(time.Now().Add(time.Minute)); !conn.ended {
 		t.Error("the connection stays open after the answer")
@@ -245,7 +251,7 @@
 		t.Fatal(err)
 	}
 	for range 3 {
-		if left := c.endUnused(time.Now().Add(2 * firstRequestTimeout)); left != 1 {
+		if left := c.endUnused(time.Now().Add(2 * requestTimeout)); left != 1 {
 			t.Fatal("the connection is closed while its request is being read")
 		}
 	}
@@ -275,7 +281,7 @@
 func countedConnection(t *testing.T) (client net.Conn, conn *connection, c *Connections) {
 	client, accepted := connect(t)
 	c = &Connections{open: make(map[*connection]struct{})}
-	conn = newConnection(accepted, c.forget)
+	conn = newConnection(accepted, c)
 	c.open[conn] = struct{}{}
 	return client, conn, c
 }
--- a/internal/drain/stop_test.go
+++ b/internal/drain/stop_test.go
@@ -76,6 +76,54 @@
 	}
 }
 
+// slowListener accepts each connection only once it may.
+type slowListener struct {
+	*net.TCPListener
+	may chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	<-l.may
+	return l.TCPListener.Accept()
+}
+
+// Guards against a stop that resets connections that wait to be accepted by a process that is behind.
+func TestStopServesConnectionsThatWaitToBeAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow := &slowListener{TCPListener: listener.(*net.TCPListener), may: make(chan struct{}, 3)}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })}
+	connections, tracked := Track(server, slow)
+	connections.pendingTimeout = time.Hour
+	go func() { _ = server.Serve(tracked) }()
+	t.Cleanup(func() {
+		close(slow.may)
+		_ = server.Close()
+	})
+	log, conns := newRequestLog(), make([]net.Conn, 2)
+	for i := range conns {
+		conns[i] = dial(t, &stoppingServer{address: listener.Addr().String()})
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- connections.Shutdown(context.Background()) }()
+	time.Sleep(5 * lookInterval)
+	var callers sync.WaitGroup
+	for i, conn := range conns {
+		slow.may <- struct{}{}
+		callers.Go(func() { sendOne(conn, bufio.NewReader(conn), fmt.Sprint("/", i), log) })
+	}
+	callers.Wait()
+	slow.may <- struct{}{}
+	if err := <-stopped; err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+	if len(log.answered) != len(conns) {
+		t.Errorf("got answers to %v, want two", log.answered)
+	}
+}
+
 // sendUntilGone sends requests with different paths until nobody accepts a connection: each on a new connection, or as many as
 // each connection takes.
 func sendUntilGone(address, prefix string, renew bool, log *requestLog) {
--- a/internal/gateway/underway.go
+++ b/internal/gateway/underway.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// underWay holds the requests that are being served, until the last byte of their answers was
-// written.
+// underWay holds the requests that are being served, until their handlers have returned; the connection is open a
+// little longer.
 type underWay struct {
 	mu       sync.Mutex
 	requests map[*string]struct{}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -38,12 +38,27 @@
 // It consumes nothing and does not wait, and returns false when the state cannot be read.
 func HasUnread(conn net.Conn) bool { return ask(conn, unread) }
 
+// HasPending reports whether connections wait to be accepted. It does not wait, and returns false when the
+// state cannot be read.
+func HasPending(listener net.Listener) bool {
+	raw, ok := listener.(syscall.Conn)
+	return ok && askSocket(raw, readable)
+}
+
+// HasInput reports whether reading from the connection would not wait: bytes are unread, or its peer has closed it.
+func HasInput(conn net.Conn) bool { return ask(conn, readable) }
+
+// HasUnacknowledged reports whether the peer's system has not acknowledged all that was written. It returns false
+// when the state cannot be read.
+func HasUnacknowledged(conn net.Conn) bool { return ask(conn, unacknowledged) }
+
 // ask asks a question of the connection's socket; false when it cannot be asked.
 func ask(conn net.Conn, question func(fd uintptr) bool) bool {
 	raw, ok := transport(conn).(syscall.Conn)
-	if !ok {
-		return false
-	}
+	return ok && askSocket(raw, question)
+}
+
+func askSocket(raw syscall.Conn, question func(fd uintptr) bool) bool {
 	control, err := raw.SyscallConn()
 	if err != nil {
 		return false
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -20,6 +20,15 @@
 	return events&unix.POLLIN != 0 && events&closedEvents == 0
 }
 
+// readable reports whether a connection waits to be accepted at a listener, or bytes at a connection.
+func readable(fd uintptr) bool { return pending(fd)&unix.POLLIN != 0 }
+
+// unacknowledged reports whether sent bytes, or the end of what is sent, are not acknowledged.
+func unacknowledged(fd uintptr) bool {
+	queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	return err == nil && queued > 0
+}
+
 // pending returns the events that are pending on a socket, none when they cannot be read.
 func pending(fd uintptr) int16 {
 	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -13,6 +13,12 @@
 // unread returns false: whether bytes wait cannot be asked without reading them.
 func unread(uintptr) bool { return false }
 
+// readable returns false: the state of a listener cannot be asked.
+func readable(uintptr) bool { return false }
+
+// unacknowledged returns false: the state cannot be asked.
+func unacknowledged(uintptr) bool { return false }
+
 // SetUserTimeout does nothing: TCP_USER_TIMEOUT is specific to Linux. Only keep-alive probes
 // detect a silent peer on this platform.
 func SetUserTimeout(syscall.RawConn, time.Duration) error { return nil }
