A stop answers operators and backend servers whose requests were read

What an operator would see: a change that is accepted while its entry stops ends without an answer; a heartbeat or a leave likewise. Cause: the connections of the control listener were tracked and nobody waited for them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,6 +84,8 @@
 	mesh       *mesh.Mesh
 	gateway    *gateway.Gateway
 	goroutines sync.WaitGroup
+	// control are the connections of operators and backend servers. It is set before callers are served.
+	control *drain.Connections
 
 	// callersMu protects callers, the connections of callers, which is nil before they are served, and
 	// stopping, which is set once they must not be served any more.
@@ -238,10 +240,9 @@
 	if _, err := p.serve(p.settings.ReadyListen, ready, ownBodyTimeout); err != nil {
 		return err
 	}
-	if _, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.log), ownBodyTimeout); err != nil {
-		return err
-	}
-	return nil
+	control, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.log), ownBodyTimeout)
+	p.control = control
+	return err
 }
 
 // serveCallers serves callers, unless the process has been told to stop. It is the last step of a start:
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -20,6 +20,9 @@
 	// stopMargin is subtracted from the stop timeout, so that the process exits
 	// before the platform's limit.
 	stopMargin = 500 * time.Millisecond
+	// controlStopTimeout is how long a stop waits for the answers to operators and backend servers. A change is
+	// confirmed or given up sooner.
+	controlStopTimeout = time.Second
 	// leadershipTransferTimeout bounds the transfer of leadership in the replicated log.
 	leadershipTransferTimeout = 3 * time.Second
 	// maxNamedRequests bounds the requests that the last line of a stop names.
@@ -55,9 +58,23 @@
 	if err != nil {
 		p.log.Warn("requests were cut off by the stop", telemetry.Cause(err))
 	}
+	controlCtx, cancelControl := context.WithTimeout(ctx, controlStopTimeout)
+	defer cancelControl()
+	p.stopControl(controlCtx)
 	p.log.Info("stop ends", append(p.stopFields(callers, began), zap.Bool("inTime", err == nil))...)
 }
 
+// stopControl answers the operators and backend servers whose requests were read. They were served for as long as
+// callers were.
+func (p *process) stopControl(ctx context.Context) {
+	if p.control == nil {
+		return
+	}
+	if err := p.control.Shutdown(ctx); err != nil {
+		p.log.Info("calls of operators or backend servers were cut off by the stop", telemetry.Cause(err))
+	}
+}
+
 // stopFields are what tells how far a stop is: the callers' connections by state, and their requests.
 func (p *process) stopFields(callers *drain.Connections, began time.Time) []zap.Field {
 	connections := callers.Tally()
