A stop of an entry holds back no answer until the end of its claim is recorded

A stopped entry (own edge) settled claims and trials within the request: runDetached asked the closed gate for admission and, refused, ran the settlement before the answer. With control out of reach the answer of a call that a server had run waited up to a minute, or was cut by the stop's deadline.

The request that settles is counted itself, so the settlement joins its count (Gate.Join): the answer goes out at once, and the stop waits for the settlement all the same.

TestStopDelaysNoAnswerForItsClaim (fake time) failed before: "the answer was held back for 1m1s, want at most 1s". go test -race ./internal/entry ok (12.6 s); gofmt, vet, staticcheck clean.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -148,14 +148,11 @@
 }
 
 // runDetached runs settle, which ends a claim, after the caller has its answer. A
-// stop of the entry waits for it.
+// stop of the entry waits for it. The request that calls it must be in flight itself:
+// a stop that has begun then waits for settle too, and delays no answer for it.
 func (e *Entry) runDetached(ctx context.Context, settle func(context.Context)) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	if !e.gate.Enter() {
-		defer cancel()
-		settle(ctx)
-		return
-	}
+	e.gate.Join()
 	go func() {
 		defer e.gate.Leave()
 		defer cancel()
