A stop flushes the traces after it has drained the roles

An operator who traced to a file or a collector saw no spans of the requests that a stop waited for: the flush was registered last and drains run in reverse order, so it ran first and ended the exporter.

It is registered before the roles. start takes the roles to start, so that the test can bring its own.

TestStopWritesTracesOfLastRequests failed before ("the span of the last request is not among the traces"), 20 of 20 runs pass. go test -race ./internal/daemon ok (7.1 s); gofmt, vet, staticcheck clean.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,8 +60,16 @@
 	aborted int
 }
 
+// startRole starts a role of a daemon if its settings name the role, and registers how a
+// stop drains it.
+type startRole func(*Daemon, context.Context) error
+
 // Start opens the listeners and starts the background tasks of every role.
 func Start(s settings.Settings, log *zap.Logger) (*Daemon, error) {
+	return start(s, log, (*Daemon).loadIdentity, (*Daemon).startStatus, (*Daemon).startControl, (*Daemon).startAgent, (*Daemon).startEntry)
+}
+
+func start(s settings.Settings, log *zap.Logger, roles ...startRole) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{settings: s, log: log, stop: cancel, addresses: make(map[string]string)}
 	flush, err := telemetry.StartTraces(ctx, telemetry.TraceOptions{
@@ -75,14 +83,14 @@
 		cancel()
 		return nil, err
 	}
-	startFuncs := []func(context.Context) error{d.loadIdentity, d.startStatus, d.startControl, d.startAgent, d.startEntry}
-	for _, start := range startFuncs {
-		if err := start(ctx); err != nil {
+	// A stop drains in reverse order: the traces of the last requests are flushed too.
+	d.drains = append(d.drains, func(ctx context.Context) { _ = flush(ctx) })
+	for _, role := range roles {
+		if err := role(d, ctx); err != nil {
 			d.Stop(ctx)
 			return nil, err
 		}
 	}
-	d.drains = append(d.drains, func(ctx context.Context) { _ = flush(ctx) })
 	log.Info("started")
 	return d, nil
 }
