A signal that comes during the start stops the process gracefully

rosemaryd asked for SIGTERM only after its start, when the listeners had served for a while already: a SIGTERM in between ended the process at once and cut its requests.

Signals are asked for before the start and obeyed after it. runUntilSignal does that for serve and demo.

--- a/cmd/rosemaryd/main.go
+++ b/cmd/rosemaryd/main.go
@@ -123,24 +123,30 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.Start(s, log)
-	if err != nil {
-		return err
-	}
-	return stopOnSignal(s.DrainTimeout(), d.Stop)
+	return runUntilSignal(s.DrainTimeout(), func() (stopFunc, error) {
+		d, err := daemon.Start(s, log)
+		if err != nil {
+			return nil, err
+		}
+		return d.Stop, nil
+	})
 }
 
 func runDemo(listen string) error {
+	return runUntilSignal(demoStopTimeout, func() (stopFunc, error) { return startDemo(listen) })
+}
+
+func startDemo(listen string) (stopFunc, error) {
 	d, err := demo.Start(listen, zap.NewNop())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	fmt.Println("rosemarypass demo: all roles, a stand-in engine and a stand-in service are running. Try:")
 	fmt.Println(d.CurlCommand())
 	fmt.Println("For rosemaryctl:")
 	fmt.Printf("export ROSEMARY_CONTROL=%s ROSEMARY_KEY=%s\n", d.OperatorURL(), demo.OperatorKey)
 	fmt.Printf("Checks and counters: http://%s/readyz and /debug/vars\n", d.Status)
-	return stopOnSignal(demoStopTimeout, d.Stop)
+	return d.Stop, nil
 }
 
 func (c standinCommand) engineOptions() engine.Options {
@@ -175,13 +181,22 @@
 	return <-errs
 }
 
-// stopOnSignal waits for SIGTERM or SIGINT and then calls stop with a context
-// that expires after timeout. A second signal cancels the context, which aborts
-// the requests in flight. stopOnSignal returns an error if requests were aborted,
-// so that the exit code reflects it.
-func stopOnSignal(timeout time.Duration, stop func(context.Context) int) error {
+// stopFunc stops a started process gracefully and returns the number of requests that
+// it aborted.
+type stopFunc func(context.Context) int
+
+// runUntilSignal starts a process, waits for SIGTERM or SIGINT and then stops it with a
+// context that expires after timeout. A signal that comes during the start, when the
+// process may serve already, takes effect after it. A second signal cancels the context,
+// which aborts the requests in flight. runUntilSignal returns an error if requests were
+// aborted, so that the exit code reflects it.
+func runUntilSignal(timeout time.Duration, start func() (stopFunc, error)) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop, err := start()
+	if err != nil {
+		return err
+	}
 	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
