A stop of an agent waits for the answers that entries may still ask for

An agent (own edge) counted a run until its engine had answered. An entry whose connection broke in the middle of an answer asks for the rest within the lease of 2 s; if the engine had finished by then, a stop found nothing in flight and ended the process, and the answer was lost although the agent held all of it. Whether the engine had crashed was lost the same way.

A run is in flight until its engine has ended and its answer is settled: read to its end, told to be without one, cancelled, superseded, or its lease expired. A run in progress still counts once. An answer without a final status counts as unknown: its reader was never released, nor its run removed.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -51,6 +52,9 @@
 	epoch       uint64
 	incarnation uint64
 	cancel      context.CancelFunc
+	// settle tells that nobody will ask for the answer, or for more of it. Until then a
+	// stop of the agent waits for the run. Calls after the first have no effect.
+	settle func()
 	// window holds the retained part of the answer.
 	window *window
 	// ready is closed when head is set.
@@ -93,6 +97,7 @@
 	defer s.mu.Unlock()
 	if previous, ok := s.byID[r.request]; ok {
 		previous.cancel()
+		previous.settle()
 	}
 	s.byID[r.request] = r
 }
@@ -125,12 +130,13 @@
 		epoch:       a.crashes.current(),
 		incarnation: a.incarnation.Load(),
 	}
+	leave := a.joinRun()
+	started.settle = sync.OnceFunc(leave)
 	a.runs.add(started)
 	started.lease = time.AfterFunc(reattachLease, func() { a.abandon(started) })
 	started.lease.Stop()
-	a.gate.Join()
 	go func() {
-		defer a.gate.Leave()
+		defer leave()
 		defer done()
 		defer cancel()
 		a.execute(ctx, started, r, body)
@@ -138,9 +144,23 @@
 	return started
 }
 
+// joinRun counts a run as in flight until leave has been called twice: at the end of the
+// engine's work and once the answer is settled.
+func (a *Agent) joinRun() (leave func()) {
+	a.gate.Join()
+	var open atomic.Int32
+	open.Store(2)
+	return func() {
+		if open.Add(-1) == 0 {
+			a.gate.Leave()
+		}
+	}
+}
+
 // abandon ends a run that has had no reader for the time of a lease.
 func (a *Agent) abandon(r *run) {
 	a.runs.remove(r)
+	r.settle()
 	if r.ended() {
 		return
 	}
@@ -164,6 +184,11 @@
 		started.refuse("the engine lost the adapter")
 		return
 	}
+	if response.StatusCode < http.StatusOK {
+		// An answer without a final status cannot be passed on.
+		a.failUnanswered(ctx, started, outcome.Unknown)
+		return
+	}
 	content := io.Reader(response.Body)
 	if succeeded := response.StatusCode < http.StatusBadRequest; succeeded {
 		model, full, err := relay.PeekModel(response.Body)
@@ -307,11 +332,13 @@
 		return answer.Answer{}
 	}
 	if r.head.outcome != outcome.Answered {
+		r.settle()
 		r.removeReader()
 		return r.head.unanswered()
 	}
 	reader, err := r.window.attach(offset)
 	if err != nil {
+		r.settle()
 		r.removeReader()
 		return r.answerGone(err)
 	}
@@ -334,6 +361,7 @@
 	for {
 		n, err := r.window.next(ctx, reader, offset, buffer)
 		if err == io.EOF {
+			r.settle()
 			return answer.Complete(r.trailer())
 		}
 		if err != nil || pass(buffer[:n]) != nil {
@@ -391,6 +419,7 @@
 			cancelledCount.Add(1)
 		}
 		found.cancel()
+		found.settle()
 	}
 	return answer.Full(http.StatusNoContent, nil, nil)
 }
