A stop of an entry waits until the agents of callers that left are told

When a caller left, the entry (own edge) told the agent in a goroutine that no gate counted: a stop found nothing in flight, the process ended, and the engine worked on until the agent's lease of 2 s was over.

The message joins the count of its request; cancelTimeout (1 s) bounds it.

--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -81,10 +81,13 @@
 }
 
 // cancelRun tells the agent that no caller waits for the run any more. If the
-// request is lost, the run ends when its lease at the agent expires.
+// request is lost, the run ends when its lease at the agent expires. A stop of the
+// entry waits for it; the request that calls it must be in flight itself.
 func (e *Entry) cancelRun(r *http.Request, server placement.Server) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), cancelTimeout)
+	e.gate.Join()
 	go func() {
+		defer e.gate.Leave()
 		defer cancel()
 		response, err := e.callRun(ctx, r, server, http.MethodDelete, 0)
 		if err == nil {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -80,3 +80,56 @@
 		}
 	})
 }
+
+// Guards against a stop that ends before the agent of a request whose caller left has been
+// told, so that its engine works on in vain.
+func TestStopWaitsForCancelOfRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := make(chan struct{})
+		serve := func(conn net.Conn) {
+			defer conn.Close()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if request.Method == http.MethodDelete {
+				<-told
+				_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+				return
+			}
+			<-t.Context().Done()
+		}
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go serve(server)
+			return client, nil
+		}
+		client := &http.Client{Transport: relay.NewTransportOver(dial)}
+		e := entry.New(entry.Options{}, newSource(engineServer("a", "a.test")), client, zap.NewNop())
+		caller, leave := context.WithCancel(t.Context())
+		request := httptest.NewRequestWithContext(caller, http.MethodPost, "/v1/completions", strings.NewReader(completion("x", 2, false)))
+		request.Header.Set("Authorization", "Bearer "+callerKey)
+		go func() {
+			defer func() {
+				// A response that is not complete is aborted with this panic.
+				if reason := recover(); reason != nil && reason != http.ErrAbortHandler {
+					panic(reason)
+				}
+			}()
+			e.Handler().ServeHTTP(httptest.NewRecorder(), request)
+		}()
+		synctest.Wait()
+		leave()
+		left := make(chan int, 1)
+		go func() { left <- e.Wait(t.Context()) }()
+		synctest.Wait()
+		if len(left) > 0 {
+			t.Error("the stop ended before the agent was told")
+		}
+		close(told)
+		if n := <-left; n != 0 {
+			t.Errorf("the stop left %d requests", n)
+		}
+	})
+}
