A stop of a control instance answers the commands of other processes that it has taken

A control instance (own edge) that stopped closed its peers' connections whatever went on there. An operator who had sent a change to another instance was told that its outcome is unknown, and entries sent claims again.

rpc.Server counts the calls of methods that commit a command from the moment at which they are read until their answers are written. Shutdown refuses later ones, which were not executed (IsStopping; a forwarded change counts as not committed and is tried again), and waits for those taken, 2 s at most. Other methods, on which a commit depends or which wait for changes, are served until the connections close.

TestShutdownAnswersTakenCallsAndTakesNoMore failed with Close in place of the count ("connection is closed" for the command that was taken); TestChangeThatStoppingLeaderRefusesIsNotCommitted failed before ("unknown whether it was committed"). go test -race of rpc, replica, daemon, control, limiter, sidecar ok; gofmt, vet, staticcheck clean.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -45,13 +45,15 @@
 	d.background.Go(func() { quotas.Run(ctx) })
 	loads := control.NewLoadBroker(broker.Options{})
 	handlers[wire.MethodLoads] = rpc.Typed(loads.Sync)
-	server := rpc.NewServer(handlers)
+	server := rpc.NewServer(handlers, rpc.WithDrain(committingMethods...))
 	d.background.Go(func() { loads.Run(ctx) })
 	d.background.Go(func() { _ = server.Serve(ctx, d.identity.Listen(listener)) })
 	d.background.Go(func() { c.Run(ctx) })
-	d.drains = append(d.drains, func(context.Context) {
+	d.drains = append(d.drains, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, commandDrainTimeout)
+		defer cancel()
 		_ = listener.Close()
-		server.Close()
+		server.Shutdown(ctx)
 	})
 	d.control = c
 	return d.serveHTTP(operatorListen, s.OperatorListen, d.identity.ListenPublic, c.OperatorHandler(), stopReplica)
@@ -88,5 +90,15 @@
 	}, nil
 }
 
+// committingMethods are the calls of other processes that commit a command to the log. A
+// stop answers those in progress: their callers could not tell whether they took effect.
+var committingMethods = []string{
+	wire.MethodReplicaPropose, wire.MethodReplicaChange, wire.MethodClaim, wire.MethodSuspect, wire.MethodFence,
+}
+
+// commandDrainTimeout bounds the wait of a stop for commands of other processes. Most
+// callers wait no longer for one.
+const commandDrainTimeout = 2 * time.Second
+
 // leadershipTransferTimeout bounds the leadership transfer during a planned stop.
 const leadershipTransferTimeout = 3 * time.Second
--- a/internal/replica/forward.go
+++ b/internal/replica/forward.go
@@ -63,8 +63,9 @@
 }
 
 // forward calls another instance, usually the leader. If the connection could not be
-// established, nothing was sent and the error is ErrNotCommitted; after any other
-// failure the other instance may have executed the call, and the error is ErrUnknown.
+// established, or the other instance stops and did not take the call, the error is
+// ErrNotCommitted; after any other failure it may have executed the call, and the error is
+// ErrUnknown.
 func (r *Replica) forward(ctx context.Context, address, method string, in, out any) error {
 	client := r.pool.get(address)
 	err := client.Call(ctx, method, in, out)
@@ -74,7 +75,7 @@
 	}
 	client.Close()
 	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if rpc.IsStopping(err) || errors.As(err, &opErr) && opErr.Op == "dial" {
 		return notCommitted(err)
 	}
 	return unknownOutcome(err)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -50,14 +51,34 @@
 // Server serves calls on all connections of a listener.
 type Server struct {
 	handlers map[string]Handler
-	mu       sync.Mutex
-	conns    map[*jsonrpc2.Conn]struct{}
-	closed   bool
+	// drained holds the methods whose calls calls counts.
+	drained map[string]bool
+	calls   *drain.Gate
+	mu      sync.Mutex
+	conns   map[*jsonrpc2.Conn]struct{}
+	closed  bool
+}
+
+// ServerOption configures a server.
+type ServerOption func(*Server)
+
+// WithDrain makes Shutdown wait for the calls of these methods. They must not depend on
+// calls of each other.
+func WithDrain(methods ...string) ServerOption {
+	return func(s *Server) {
+		for _, method := range methods {
+			s.drained[method] = true
+		}
+	}
 }
 
 // NewServer returns a server for the given methods.
-func NewServer(handlers map[string]Handler) *Server {
-	return &Server{handlers: handlers, conns: make(map[*jsonrpc2.Conn]struct{})}
+func NewServer(handlers map[string]Handler, options ...ServerOption) *Server {
+	s := &Server{handlers: handlers, drained: make(map[string]bool), calls: drain.NewGate(), conns: make(map[*jsonrpc2.Conn]struct{})}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Serve accepts connections until the listener closes.
@@ -109,13 +130,49 @@
 	if s.closed || len(s.conns) >= maxConns {
 		return false
 	}
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch))
+	handler := countedHandler{server: s, next: jsonrpc2.HandlerWithError(s.dispatch)}
 	rpc := jsonrpc2.NewConn(ctx, newStream(conn), handler, jsonrpc2.SetLogger(streamErrorCounter{}))
 	s.conns[rpc] = struct{}{}
 	go s.removeOnDisconnect(rpc)
 	return true
 }
 
+// countedHandler handles each call in a goroutine of its own, and counts those that a stop
+// waits for from the moment at which they are read until their responses are written.
+type countedHandler struct {
+	server *Server
+	next   jsonrpc2.Handler
+}
+
+// Handle implements jsonrpc2.Handler. The connection reads no further call meanwhile.
+func (h countedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	switch {
+	case !h.server.drained[request.Method]:
+		go h.next.Handle(ctx, conn, request)
+	case h.server.calls.Enter():
+		go func() {
+			defer h.server.calls.Leave()
+			h.next.Handle(ctx, conn, request)
+		}()
+	default:
+		go refuseStopping(ctx, conn, request)
+	}
+}
+
+// codeStopping is the code of the error for a call that a stopping server did not take.
+const codeStopping = -32001
+
+func refuseStopping(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	// A caller that does not get the refusal sees the end of the connection.
+	_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: codeStopping, Message: "the process stops"})
+}
+
+// IsStopping reports whether a call failed because its server stops. It was not executed.
+func IsStopping(err error) bool {
+	var rpcErr *jsonrpc2.Error
+	return errors.As(err, &rpcErr) && rpcErr.Code == codeStopping
+}
+
 // streamErrorCounter counts the errors that the library would log, because any
 // unauthenticated peer can cause them.
 type streamErrorCounter struct{}
@@ -142,6 +199,14 @@
 	return handler(ctx, params)
 }
 
+// Shutdown refuses further calls of the methods of WithDrain, waits until those in progress
+// have been answered or ctx ends, and closes every connection. All other methods are served
+// until then.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.calls.Wait(ctx)
+	s.Close()
+}
+
 // Close closes every connection.
 func (s *Server) Close() {
 	s.mu.Lock()
