Mesh: how long a member of the log is asked is set by the caller; a test no longer depends on 225 ms of the clock

TestMajorityKnowsAcknowledgedChange was red beside load: a change was acknowledged that 1 of 3 members knew as committed. The test's processes wait a minute for a majority, but a change that is proposed where there is no log is forwarded, with 450 ms for the attempt, half of which (225 ms) bounds that wait. Of 16 failures beside load 14 were versions 3, 7, 11, 15 and 19, which the process without a disk proposes; 2 were version 1, whose process may not have been a member yet (not traced).

The settings of a deployment stay 450 and 200 ms. The product is not at fault: the change is on a majority's disks when it is acknowledged.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -93,6 +93,8 @@
 	packer       bodyPacker
 	prover       prover
 	pauses       pauseDetector
+	// forwardTimeout bounds one attempt at one member of the log.
+	forwardTimeout time.Duration
 
 	// informed is set once no strike from before the start of this process can be missing;
 	// mustInform is when it is set at the latest.
@@ -143,7 +145,7 @@
 	m := &Mesh{
 		options: options, log: log, documents: documents,
 		peers: make(map[string]*peer), roster: roster.New(), heardVia: make(map[string]via), strikes: suspicion.NewStrikes(), rates: serverrate.NewTable(),
-		progress: make(chan struct{}), diskOnly: make(map[string]bool),
+		progress: make(chan struct{}), diskOnly: make(map[string]bool), forwardTimeout: forwardTimeout,
 	}
 	m.publishRates()
 	m.informed.Store(options.informedAtStart())
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -67,7 +67,7 @@
 }
 
 func (m *Mesh) forward(ctx context.Context, address, method string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.forwardTimeout)
 	defer cancel()
 	return m.call(ctx, address, method, in, out)
 }
@@ -156,7 +156,7 @@
 }
 
 func (h *logHost) handlePropose(ctx context.Context, in proposal) (proposalResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.mesh.forwardTimeout)
 	defer cancel()
 	return h.propose(ctx, in.Command), nil
 }
@@ -175,7 +175,7 @@
 }
 
 func (h *logHost) handleRead(ctx context.Context, in pullRequest) (pullReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.mesh.forwardTimeout)
 	defer cancel()
 	state, err := h.read(ctx)
 	if err != nil {
