--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,5 +1,6 @@
-// Package drain counts the in-flight requests of a role, so that a graceful
-// shutdown can reject new requests and wait for the others.
+// Package drain lets a process stop without losing a request: a Gate counts the
+// in-flight requests of a role, Connections those of callers, each from before any
+// work on them begins.
 package drain
 
 import (
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -80,7 +80,9 @@
 	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.String("service", x.service.Name),
 		zap.Uint64("configuration", x.version), zap.String("adapter", x.call.Adapter), zap.String("server", server), zap.Int("status", status), zap.Int("told", x.status),
 		zap.Int("arrivals", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)),
-		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Duration("unanswered", unanswered), zap.Int("prompt", x.call.PromptTokens), zap.Int("output", x.call.OutputTokens), zap.Strings("parts", x.call.SharedParts), zap.String("lastEvent", x.lastEvent), zap.String("began", x.lineage.began), zap.String("resumes", x.call.Resumes),
+		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Duration("unanswered", unanswered),
+		zap.Int("prompt", x.call.PromptTokens), zap.Int("output", x.call.OutputTokens), zap.Strings("parts", x.call.SharedParts),
+		zap.String("lastEvent", x.lastEvent), zap.String("began", x.lineage.began), zap.String("resumes", x.call.Resumes),
 		zap.Uint8("residence", uint8(x.picked.Residence)), zap.Int("running", x.picked.Running), zap.Int("waiting", x.picked.Waiting),
 		zap.Duration("delay", x.picked.Delay), zap.Duration("age", x.picked.Age), zap.Int("declined", x.offers.DeclinedCount()), zap.String("reason", x.lastReason))
 }
