A connection that is reset waits until its caller's system has what was written before

Cause: for such a caller a cut is a reset, and a reset discards what the caller has not received; it reads events of 100 KB slowly. Change: before a reset, as before the other ends, the close waits until the caller's system has all, and for 0.5 s after it last took something: a caller that reads slowly but steadily gets all. Bytes of a caller that stands still for 0.5 s are lost as before.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -49,8 +49,8 @@
 	requestTimeout = 3 * time.Second
 	// defaultPendingTimeout is the usual pendingTimeout.
 	defaultPendingTimeout = 500 * time.Millisecond
-	// lingerTimeout is how long the end of a connection waits for its caller's system to take the end of an
-	// answer, and lingerStep is the pause between two looks.
+	// lingerTimeout is how long the end of a connection waits for its caller's system to take more of an answer,
+	// and lingerStep is the pause between two looks.
 	lingerTimeout = 500 * time.Millisecond
 	lingerStep    = time.Millisecond
 )
@@ -260,7 +260,11 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	if !c.mustReset() {
+	if c.mustReset() {
+		c.awaitReceipt()
+	} else if c.owner.stopping.Load() || socket.HasInput(c.TCPConn) {
+		// The error shows in the close.
+		_ = c.CloseWrite()
 		c.awaitReceipt()
 	}
 	err := c.TCPConn.Close()
@@ -274,21 +278,22 @@
 	return c.resets
 }
 
-// awaitReceipt waits until the caller's system has what was written. A socket that is closed while bytes are
-// unread resets its connection, and what was not received yet is lost with it; so may it be at the end of
-// the process.
+// awaitReceipt waits until the caller's system has what was written, or takes no more of it for lingerTimeout. A
+// reset discards what was not received yet; so does the close of a socket while bytes are unread, and
+// perhaps the end of the process.
 func (c *connection) awaitReceipt() {
-	if !c.owner.stopping.Load() && !socket.HasInput(c.TCPConn) || !socket.HasUnacknowledged(c.TCPConn) {
-		return
-	}
-	// An error of these calls shows in the next look or read: the connection has ended.
-	_ = c.CloseWrite()
 	unneeded := make([]byte, unneededBytes)
-	for until := time.Now().Add(lingerTimeout); time.Now().Before(until) && socket.HasUnacknowledged(c.TCPConn); {
+	left, until := socket.Unacknowledged(c.TCPConn), time.Now().Add(lingerTimeout)
+	for left > 0 && time.Now().Before(until) {
 		_ = c.SetReadDeadline(time.Now().Add(lingerStep))
 		if _, err := c.TCPConn.Read(unneeded); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			time.Sleep(lingerStep)
 		}
+		now := socket.Unacknowledged(c.TCPConn)
+		if now < left {
+			until = time.Now().Add(lingerTimeout)
+		}
+		left = now
 	}
 }
 
--- a/internal/drain/receipt_test.go
+++ b/internal/drain/receipt_test.go
@@ -9,6 +9,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 )
 
 // smallBuffer makes a caller's system take little that the caller has not read.
@@ -67,6 +71,39 @@
 	}
 }
 
+// Guards against a cut answer of which the caller gets half an event, as a reset discards what it has not received.
+func TestCallerReceivesWhatWasWrittenBeforeAReset(t *testing.T) {
+	const size = 100 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = conn.Write(make([]byte, size))
+		socket.Reset(conn)
+	})}
+	_, tracked := Track(server, listener)
+	go func() { _ = server.Serve(tracked) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := (&net.Dialer{Control: smallBuffer}).Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	content, err := io.ReadAll(conn)
+	if len(content) != size || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("received %d bytes of %d and then %v, want all and then a reset", len(content), size, err)
+	}
+}
+
 // Guards against a stop that waits to its end for the rest of a request that its caller does not send.
 func TestStopDoesNotWaitForTheRestOfARequestThatIsNotSent(t *testing.T) {
 	client, conn, c := countedConnection(t)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -48,9 +48,16 @@
 // HasInput reports whether reading from the connection would not wait: bytes are unread, or its peer has closed it.
 func HasInput(conn net.Conn) bool { return ask(conn, readable) }
 
-// HasUnacknowledged reports whether the peer's system has not acknowledged all that was written. It returns false
-// when the state cannot be read.
-func HasUnacknowledged(conn net.Conn) bool { return ask(conn, unacknowledged) }
+// Unacknowledged returns how many bytes, the end of what is sent among them, the peer's system has not acknowledged.
+// It returns 0 when the state cannot be read.
+func Unacknowledged(conn net.Conn) int {
+	bytes := 0
+	ask(conn, func(fd uintptr) bool {
+		bytes = unacknowledged(fd)
+		return true
+	})
+	return bytes
+}
 
 // ask asks a question of the connection's socket; false when it cannot be asked.
 func ask(conn net.Conn, question func(fd uintptr) bool) bool {
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -23,10 +23,13 @@
 // readable reports whether a connection waits to be accepted at a listener, or bytes at a connection.
 func readable(fd uintptr) bool { return pending(fd)&unix.POLLIN != 0 }
 
-// unacknowledged reports whether sent bytes, or the end of what is sent, are not acknowledged.
-func unacknowledged(fd uintptr) bool {
+// unacknowledged returns the number of sent bytes that are not acknowledged, 0 when it cannot be read.
+func unacknowledged(fd uintptr) int {
 	queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	return err == nil && queued > 0
+	if err != nil {
+		return 0
+	}
+	return queued
 }
 
 // pending returns the events that are pending on a socket, none when they cannot be read.
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -16,8 +16,8 @@
 // readable returns false: the state of a listener cannot be asked.
 func readable(uintptr) bool { return false }
 
-// unacknowledged returns false: the state cannot be asked.
-func unacknowledged(uintptr) bool { return false }
+// unacknowledged returns 0: the state cannot be asked.
+func unacknowledged(uintptr) int { return 0 }
 
 // SetUserTimeout does nothing: TCP_USER_TIMEOUT is specific to Linux. Only keep-alive probes
 // detect a silent peer on this platform.
