--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -44,7 +44,15 @@
 			}
 			sinceSnapshot += uint64(len(item.entries))
 		}
-		if sinceSnapshot >= r.options.SnapshotEntries && r.takeSnapshot() {
+		if sinceSnapshot < r.options.SnapshotEntries {
+			continue
+		}
+		taken, err := r.takeSnapshot()
+		if err != nil {
+			r.errs <- err
+			return
+		}
+		if taken {
 			sinceSnapshot = 0
 		}
 	}
@@ -71,17 +79,16 @@
 
 // takeSnapshot passes a snapshot to the core, unless the core has not yet received
 // the previous one. It reports whether it did.
-func (r *Replica) takeSnapshot() bool {
+func (r *Replica) takeSnapshot() (bool, error) {
 	if len(r.snapshots) > 0 {
-		return false
+		return false, nil
 	}
 	data, err := r.machine.Snapshot()
 	if err != nil {
-		r.errs <- errors.Wrap(err, "take a snapshot")
-		return false
+		return false, errors.Wrap(err, "take a snapshot")
 	}
 	r.snapshots <- machineSnapshot{index: r.applied.load(), data: data}
-	return true
+	return true, nil
 }
 
 // appliedIndex is the index of the last applied entry. Callers can wait for it to
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -94,6 +94,10 @@
 	// accepts no further appends and proposals above maxBacklog.
 	diskQueueSize  = 256
 	applyQueueSize = 64
+	// errSenders is the number of errors that can be reported: one each by the founding of
+	// the log, the disk and the state machine. None of them may wait, as the core receives
+	// one at the most.
+	errSenders = 3
 	// maxBacklog limits the items that wait in the core for the disk, and those
 	// that wait for the state machine.
 	maxBacklog = 1024
@@ -175,7 +179,7 @@
 		requests:   make(chan request, requestQueueSize),
 		diskQueue:  make(chan diskItem, diskQueueSize),
 		synced:     make(chan uint64, diskQueueSize),
-		errs:       make(chan error, 2),
+		errs:       make(chan error, errSenders),
 		applyQueue: make(chan applyItem, applyQueueSize),
 		snapshots:  make(chan machineSnapshot, 1),
 		waiting:    newWaitingTable(),
