RPC: close connections without waiting for a peer that reads nothing

The end of a TLS connection sends an alert, for which crypto/tls allows five seconds. With a peer that stopped reading, Client.mu was held meanwhile (Close, dropIfBroken), so that further calls waited for it whatever their deadlines; Server.Close waited that long for each such connection under Server.mu; and a failed write held the connection's sending lock for 6 s in place of the 1 s of writeTimeout.

The carrier closes the transport under the TLS connection. Connections without TLS, such as those of the mesh, behave as before.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -197,6 +197,9 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *activityConn) Close() error { return closeTransport(c.Conn) }
+
 // activeSince reports whether any data arrived after start.
 func (c *activityConn) activeSince(start time.Time) bool {
 	last := c.last.Load()
--- a/internal/rpc/count.go
+++ b/internal/rpc/count.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -47,6 +48,19 @@
 	return written, nil
 }
 
+// Close implements net.Conn.
+func (c countedConn) Close() error { return closeTransport(c.Conn) }
+
+// closeTransport closes a connection without the TLS alert that announces its end, which
+// waits for seconds on a peer that stopped reading. The end of a message is known by its
+// length, so that the alert tells the peer nothing.
+func closeTransport(conn net.Conn) error {
+	if secure, ok := conn.(*tls.Conn); ok {
+		return secure.NetConn().Close()
+	}
+	return conn.Close()
+}
+
 func (c countedConn) writeChunk(data []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
