Sidecar: a permit waits for room in the queue of calls

An engine without a model stayed without one for the rest of its agent's run if the answer to its permit request arrived while the queue of calls was full: the answer was dropped, and permitPending kept any further request from being sent.

The goroutine of the request, of which there is one at a time, now waits for room or the end of the agent. The event loop never waits for it.

--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -67,14 +67,17 @@
 var orderBackoff = backoff.Options{Initial: orderTimeout, Max: 500 * time.Millisecond}
 
 // requestPermit requests a permit outside the event loop; the reply arrives through the queue
-// of calls.
+// of calls. It waits for room there: no other permit is requested before it has arrived.
 func (l *loop) requestPermit(ctx context.Context) {
 	l.permitPending = true
 	since, onDisk := l.emptySince, slices.Clone(l.report.OnDisk)
 	l.nextPermitAt = time.Now().Add(permitBackoff.Pause(time.Since(since), 0, rand.Float64()))
 	go func() {
 		model := l.options.Permit(ctx, l.options.Service, onDisk, since)
-		_ = l.submit(func(l *loop) { l.permitPending, l.permittedModel = false, model })
+		select {
+		case l.calls <- func(l *loop) { l.permitPending, l.permittedModel = false, model }:
+		case <-ctx.Done():
+		}
 	}()
 }
 
