--- a/docs/known_red_test.go
+++ b/docs/known_red_test.go
@@ -35,14 +35,16 @@
 	tests := []struct {
 		name, list string
 		pass       bool
+		// failed is what the end of the output names.
+		failed string
 	}{
-		{"all red tests are listed", all, true},
-		{"one failing test is not listed", "./a TestRed" + entrySuffix + "./coord/c TestRed" + entrySuffix, false},
-		{"a failing test of the same name in another package is not listed", "./a TestRed" + entrySuffix + "./a TestParts/red" + entrySuffix, false},
-		{"nothing is listed", "", false},
-		{"a listed test does not exist", all + "./b TestRed" + entrySuffix, false},
-		{"a line without a reason", all + "./b TestGreen\n", false},
-		{"a line that matches all tests", all + "./a .*" + entrySuffix, false},
+		{"all red tests are listed", all, true, ""},
+		{"one failing test is not listed", "./a TestRed" + entrySuffix + "./coord/c TestRed" + entrySuffix, false, "--- FAIL: TestParts/red"},
+		{"a failing test of the same name in another package is not listed", "./a TestRed" + entrySuffix + "./a TestParts/red" + entrySuffix, false, "--- FAIL: TestRed"},
+		{"nothing is listed", "", false, "--- FAIL: TestParts/red"},
+		{"a listed test does not exist", all + "./b TestRed" + entrySuffix, false, ""},
+		{"a line without a reason", all + "./b TestGreen\n", false, ""},
+		{"a line that matches all tests", all + "./a .*" + entrySuffix, false, ""},
 	}
 	tree := t.TempDir()
 	write := func(name, content string) {
@@ -69,6 +71,9 @@
 			if (err == nil) != test.pass {
 				t.Errorf("passed: %v, want %v\n%s", err == nil, test.pass, out)
 			}
+			if _, end, found := strings.Cut(string(out), "\nFailed:\n"); found != (test.failed != "") || !strings.Contains(end, test.failed) {
+				t.Errorf("the end does not name what failed, want %q:\n%s", test.failed, out)
+			}
 			if test.pass && !strings.Contains(string(out), test.list) {
 				t.Errorf("the list is not printed:\n%s", out)
 			}
