Agent: a run can be found only once it is complete

An entry that asked for the rest of an answer in the moment in which its run was registered ended the handler with a nil timer: its caller's connection to the agent closed without an answer. The run was registered before its lease was set.

Now the lease is set first.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -132,9 +132,10 @@
 	}
 	leave := a.joinRun()
 	started.settle = sync.OnceFunc(leave)
-	a.runs.add(started)
+	// An entry can ask for the answer as soon as the run is registered.
 	started.lease = time.AfterFunc(reattachLease, func() { a.abandon(started) })
 	started.lease.Stop()
+	a.runs.add(started)
 	go func() {
 		defer leave()
 		defer done()
