--- a/internal/sharedlimit/sharedlimit.go
+++ b/internal/sharedlimit/sharedlimit.go
@@ -75,6 +75,8 @@
 	// avoided holds the entries that did not answer, until when.
 	avoided map[string]time.Time
 	links   [poolCount]link
+	// exchangedAt is when the periodic exchanges were last begun.
+	exchangedAt time.Time
 	// settledAt is when this entry began to create credit, a moment after its start; waiting is the number of
 	// requests that wait for its first credit.
 	settledAt time.Time
@@ -168,11 +170,18 @@
 		l.settledAt = now
 	}
 	l.configureLocked(now)
-	if len(l.limits) == 0 {
-		return max(interval, l.kind.idleRefresh)
+	if now.Sub(l.exchangedAt) >= interval {
+		l.exchangedAt = now
+		for i := range l.links {
+			l.exchange(ctx, i, now, false)
+		}
 	}
-	for i := range l.links {
-		l.exchange(ctx, i, now, false)
+	switch {
+	case among != len(l.entries):
+		// The number of entries is not known yet, or grows.
+		return minInterval
+	case len(l.limits) == 0:
+		return max(interval, l.kind.idleRefresh)
 	}
 	return interval
 }
