A reset waits for a caller that reads slowly, not only for one that stands still for less than half a second

A caller of HTTP/1.0 that reads 4 KiB every 37 ms got 345,126 of some 409,700 bytes of a stream that its server had cut, the last event in half (known red of TestSoakStops with the race detector). Such a caller makes room in steps of up to 64 KiB, so its system acknowledged nothing for over the 0.5 s after which the entry gave up and reset the connection.

The wait before a reset now lasts 30 s without progress, as a write on our own edge, and a stop's end ends it; where the end discards nothing it stays 0.5 s. The pauses between looks grow to 20 ms. Tried before and dropped: the deadline of the last write as the bound, which the users' path does not set.

TestCallerReceivesWhatWasWrittenBeforeAReset with a caller that waits 1 s: 24,576 of 102,400 bytes before, all now.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -49,10 +49,14 @@
 	requestTimeout = 3 * time.Second
 	// defaultPendingTimeout is the usual pendingTimeout.
 	defaultPendingTimeout = 500 * time.Millisecond
-	// lingerTimeout is how long the end of a connection waits for its caller's system to take more of an answer,
-	// and lingerStep is the pause between two looks.
+	// lingerTimeout is how long the end of a connection waits for its caller's system to take more of an answer;
+	// resetTimeout is the same where the end discards what was not taken. It is no shorter than the usual time for a
+	// write: a caller that reads slowly makes room in steps of up to 64 KiB. A stop's end ends both.
 	lingerTimeout = 500 * time.Millisecond
+	resetTimeout  = 30 * time.Second
+	// lingerStep and maxLingerStep are the first and the longest pause between two looks.
 	lingerStep    = time.Millisecond
+	maxLingerStep = 20 * time.Millisecond
 )
 
 // Track follows the connections of a server that has not begun to serve. The server
@@ -261,11 +265,11 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	if c.mustReset() {
-		c.awaitReceipt()
+		c.awaitReceipt(resetTimeout)
 	} else if c.owner.stopping.Load() || socket.HasInput(c.TCPConn) {
 		// The error shows in the close.
 		_ = c.CloseWrite()
-		c.awaitReceipt()
+		c.awaitReceipt(lingerTimeout)
 	}
 	err := c.TCPConn.Close()
 	c.owner.forget(c)
@@ -278,22 +282,21 @@
 	return c.resets
 }
 
-// awaitReceipt waits until the caller's system has what was written, or takes no more of it for lingerTimeout. A
+// awaitReceipt waits until the caller's system has what was written, or takes no more of it for the given time. A
 // reset discards what was not received yet; so does the close of a socket while bytes are unread, and
 // perhaps the end of the process.
-func (c *connection) awaitReceipt() {
+func (c *connection) awaitReceipt(patience time.Duration) {
 	unneeded := make([]byte, unneededBytes)
-	left, until := socket.Unacknowledged(c.TCPConn), time.Now().Add(lingerTimeout)
+	left, until, step := socket.Unacknowledged(c.TCPConn), time.Now().Add(patience), lingerStep
 	for left > 0 && time.Now().Before(until) {
-		_ = c.SetReadDeadline(time.Now().Add(lingerStep))
+		_ = c.SetReadDeadline(time.Now().Add(step))
 		if _, err := c.TCPConn.Read(unneeded); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			time.Sleep(lingerStep)
+			time.Sleep(step)
 		}
-		now := socket.Unacknowledged(c.TCPConn)
-		if now < left {
-			until = time.Now().Add(lingerTimeout)
+		step = min(2*step, maxLingerStep)
+		if now := socket.Unacknowledged(c.TCPConn); now != left {
+			left, until, step = now, time.Now().Add(patience), lingerStep
 		}
-		left = now
 	}
 }
 
--- a/internal/drain/receipt_test.go
+++ b/internal/drain/receipt_test.go
@@ -20,31 +20,38 @@
 	return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
 }
 
+// serveTracked starts a server whose connections are tracked, and connects a caller whose system takes little.
+func serveTracked(t *testing.T, handler http.HandlerFunc) (*Connections, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	connections, tracked := Track(server, listener)
+	go func() { _ = server.Serve(tracked) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := (&net.Dialer{Control: smallBuffer}).Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return connections, conn
+}
+
 // Guards against the end of an answer that is lost with its connection, which a close with unread bytes resets: the caller had sent more, and reads slowly.
 func TestAnswerIsReceivedWholeAlthoughItsCallerSentMore(t *testing.T) {
 	const size = 100 << 10
 	for name, more := range map[string]string{"nothing": "", "a line end": "\r\n", "a request": "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			began, answer := make(chan struct{}), make(chan struct{})
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			connections, conn := serveTracked(t, func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.ReadAll(r.Body)
 				w.Header().Set("Connection", "close")
 				close(began)
 				<-answer
 				_, _ = w.Write(make([]byte, size))
-			})}
-			connections, tracked := Track(server, listener)
-			go func() { _ = server.Serve(tracked) }()
-			t.Cleanup(func() { _ = server.Close() })
-			conn, err := (&net.Dialer{Control: smallBuffer}).Dial("tcp", listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Close()
+			})
 			if _, err := io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"); err != nil {
 				t.Fatal(err)
 			}
@@ -71,14 +78,10 @@
 	}
 }
 
-// Guards against a cut answer of which the caller gets half an event, as a reset discards what it has not received.
+// Guards against a cut answer of which a caller that reads slowly gets half an event, as a reset discards what it has not received.
 func TestCallerReceivesWhatWasWrittenBeforeAReset(t *testing.T) {
 	const size = 100 << 10
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	_, conn := serveTracked(t, func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			t.Error(err)
@@ -86,18 +89,11 @@
 		}
 		_, _ = conn.Write(make([]byte, size))
 		socket.Reset(conn)
-	})}
-	_, tracked := Track(server, listener)
-	go func() { _ = server.Serve(tracked) }()
-	t.Cleanup(func() { _ = server.Close() })
-	conn, err := (&net.Dialer{Control: smallBuffer}).Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	})
 	if _, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(2 * lingerTimeout)
 	content, err := io.ReadAll(conn)
 	if len(content) != size || !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("received %d bytes of %d and then %v, want all and then a reset", len(content), size, err)
