Entries tell when they reached each step of their start

After all processes were killed, serving was back after 11 s at 299 machines, and nothing told what the entries waited for: the lines that exist name some steps, in the time of day, each process for itself.

Each step is a gauge (start_..._millis), and one line a start, "entry serves", holds the milliseconds from the start of the process to each. No decision reads them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,8 @@
 // droppedLines counts the lines that the bounded logger dropped.
 var droppedLines = telemetry.Counter("log_lines_dropped")
 
+var callersAccepted = telemetry.ProcessStart().Step("callersAccepted", telemetry.Counter("start_callers_accepted_millis"))
+
 // Run runs a process of the given role with the settings file at path until the
 // platform stops the process.
 func Run(role, path string, platform Platform) error {
@@ -255,6 +257,9 @@
 	}
 	callers, err := p.serve(p.settings.CallerListen, p.gateway, 0)
 	p.callers = callers
+	if err == nil {
+		callersAccepted.Reach()
+	}
 	return err
 }
 
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -218,6 +218,9 @@
 	case state.Known && state.HeldChange != a.state.HeldChange:
 		a.held.Update(state.Held)
 	}
+	if state.Known {
+		agentReported.Reach()
+	}
 	a.state, a.load, a.sent, a.receivedAt = state, loadOf(&state), dispatch.Sent{}, time.Now()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,8 @@
 	// now returns the time by which the output of servers is measured.
 	now  func() time.Time
 	stop stop
+	// startReported is set once the line about the start is written. Only Run uses it.
+	startReported bool
 }
 
 // dialTimeout limits the time to establish a connection to a server. Within a region this takes
@@ -219,6 +221,7 @@
 func (g *Gateway) answer(r *http.Request) answer.Answer {
 	arrived := time.Now()
 	requestCount.Add(1)
+	firstRequest.Reach()
 	if g.stop.begun() {
 		return g.route(r, arrived).WithConnectionClose()
 	}
@@ -380,6 +383,7 @@
 		case now := <-ticker.C:
 			g.pool.Sweep(now, g.servers.keep)
 			g.budget.observeMesh()
+			g.reportStart(now)
 		}
 	}
 }
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -97,6 +97,9 @@
 	if x.first == 0 {
 		x.first = time.Since(x.arrived)
 	}
+	if status < http.StatusMultipleChoices {
+		firstServed.Reach()
+	}
 	firstLatency.Record(x.first)
 	if x.grantedBy != nil {
 		startLatency.Record(x.waited)
@@ -123,6 +126,7 @@
 func (x *exchange) recordEvent(now time.Time) {
 	if x.eventAt.IsZero() {
 		x.first = now.Sub(x.arrived)
+		firstServed.Reach()
 		if x.grantedBy != nil {
 			x.grantedBy.notifyFirstEvent(x.call.ID, x.starts)
 		}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -112,6 +112,9 @@
 	s.change = change
 	seen := make(map[string]bool)
 	serving := s.mesh.Serving()
+	if len(serving) > 0 {
+		serverKnown.Reach()
+	}
 	for i := range serving {
 		e := &serving[i]
 		seen[e.ID] = true
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -97,6 +97,12 @@
 // caller holds mu.
 func (d *Documents) replace(next *ActiveConfig) {
 	d.current.Store(next)
+	if next.Table != nil {
+		configHeld.Reach()
+	}
+	if next.Usable() {
+		configConfirmed.Reach()
+	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
--- a/internal/mesh/informed.go
+++ b/internal/mesh/informed.go
@@ -62,5 +62,6 @@
 		return
 	}
 	m.relink = true
+	strikesKnown.Reach()
 	m.log.Info("strikes from before the start are known", zap.String("reason", reason), zap.Uint64("strikes", m.strikes.Change()))
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -148,7 +148,10 @@
 		progress: make(chan struct{}), diskOnly: make(map[string]bool), forwardTimeout: forwardTimeout,
 	}
 	m.publishRates()
-	m.informed.Store(options.informedAtStart())
+	if options.informedAtStart() {
+		m.informed.Store(true)
+		strikesKnown.Reach()
+	}
 	m.streams = newStreams(m)
 	m.prover.round = m.proveOnce
 	m.prover.interval = func(failingFor time.Duration) time.Duration {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -49,6 +49,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if q := m.addPeerLocked(p, now); q != nil {
+		peerHeard.Reach()
 		if q.process.Started != p.Started {
 			q.resendAll()
 		}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -16,6 +16,7 @@
 	droppedMessages = telemetry.Counter("replica_messages_dropped")
 	leaderChanges   = telemetry.Counter("replica_leader_changes")
 	committedCount  = telemetry.Counter("replica_entries_committed")
+	leaderKnown     = telemetry.ProcessStart().Step("leaderKnown", telemetry.Counter("start_leader_known_millis"))
 )
 
 // request is a caller's request to the core. Exactly one of serve and refuse is
@@ -246,6 +247,7 @@
 	c.publish()
 	if leader != c.leader && leader != "" {
 		leaderChanges.Add(1)
+		leaderKnown.Reach()
 		c.log.Info("leader", zap.String("leader", string(leader)), zap.Uint64("term", c.Status().Term))
 	}
 	c.role, c.leader = role, leader
--- a/internal/sharedlimit/kind.go
+++ b/internal/sharedlimit/kind.go
@@ -30,6 +30,9 @@
 	exchanges, exchangesLost  *expvar.Int
 	// sharedAmong is a gauge.
 	sharedAmong *expvar.Int
+	// firstCredit is reached when the entry begins to create credit, entriesSteady when the number of entries stood
+	// still for the first time.
+	firstCredit, entriesSteady *telemetry.StartStep
 	// use is in the units of the limits.
 	use *telemetry.Use
 }
@@ -40,6 +43,8 @@
 	admitted: telemetry.Counter("team_limit_admitted"), waited: telemetry.Counter("team_limit_admitted_after_exchange"), refused: telemetry.Counter("team_limit_refused"),
 	exchanges: telemetry.Counter("team_limit_exchanges"), exchangesLost: telemetry.Counter("team_limit_exchanges_lost"),
 	sharedAmong: telemetry.Counter("team_limit_shared_among"), use: telemetry.UseOf("team_limit_use"),
+	firstCredit:   telemetry.ProcessStart().Step("firstCredit", telemetry.Counter("start_first_credit_millis")),
+	entriesSteady: telemetry.ProcessStart().Step("entriesSteady", telemetry.Counter("start_entries_steady_millis")),
 }
 
 // ServerRates are the rates that backend servers name. A request that gets no turn at one goes to another.
--- a/internal/sharedlimit/sharedlimit.go
+++ b/internal/sharedlimit/sharedlimit.go
@@ -165,9 +165,13 @@
 	interval := max(minInterval, time.Duration(len(l.entries))*intervalPerEntry)
 	among := l.share.Observe(len(l.entries), ready, connected, now)
 	l.kind.sharedAmong.Set(int64(among))
+	if among > 0 && among == len(l.entries) {
+		l.kind.entriesSteady.Reach()
+	}
 	l.holder.SetShare(among, interval, now)
 	if among > 0 && l.settledAt.IsZero() {
 		l.settledAt = now
+		l.kind.firstCredit.Reach()
 	}
 	l.configureLocked(now)
 	if now.Sub(l.exchangedAt) >= interval {
