Limits: entries exchange nothing while nothing is limited; the first credit counts once it is no longer divided ahead

And the time in which a request may wait for first credit began while the rate was divided among 90,000, at an entry that learns of 300 at once.

--- a/internal/sharedlimit/sharedlimit.go
+++ b/internal/sharedlimit/sharedlimit.go
@@ -169,12 +169,12 @@
 		l.kind.entriesSteady.Reach()
 	}
 	l.holder.SetShare(among, interval, now)
-	if among > 0 && l.settledAt.IsZero() {
+	if among > 0 && among <= mostAhead*len(l.entries) && l.settledAt.IsZero() {
 		l.settledAt = now
 		l.kind.firstCredit.Reach()
 	}
 	l.configureLocked(now)
-	if now.Sub(l.exchangedAt) >= interval {
+	if len(l.limits) > 0 && now.Sub(l.exchangedAt) >= interval {
 		l.exchangedAt = now
 		for i := range l.links {
 			l.exchange(ctx, i, now, false)
@@ -302,6 +302,9 @@
 	maxUnsettled  = 512
 	settleTimeout = time.Second
 	settlePause   = 20 * time.Millisecond
+	// mostAhead is how many times the known entries a rate may be divided among for it to count as the first credit:
+	// right behind a start, an entry that learns of all others at once divides among far more.
+	mostAhead = 2
 	// firstCreditTime is the time at the rate of a limit in which requests that waited for an entry to start
 	// are covered.
 	firstCreditTime = 500 * time.Millisecond
--- a/internal/sharedlimit/sharedlimit_test.go
+++ b/internal/sharedlimit/sharedlimit_test.go
@@ -107,9 +107,14 @@
 
 // play starts entries in virtual time, and stops them after f.
 func play(t *testing.T, entries int, f func(t *testing.T, w *network)) {
+	t.Helper()
+	playWith(t, entries, testTeam.Limit, f)
+}
+
+func playWith(t *testing.T, entries int, limit credit.Limit, f func(t *testing.T, w *network)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &network{t: t, limit: testTeam.Limit}
+		w := &network{t: t, limit: limit}
 		for i := range entries {
 			w.nodes = append(w.nodes, &node{network: w, name: fmt.Sprint("entry-", i)})
 		}
