A wait for a caller's receipt ends when the caller has reset its connection, and with a stop's time

Nothing is unacknowledged behind a reset now, and no close waits once a stop's time is up. TestNothingIsUnacknowledgedBehindAReset (32,768 bytes before) and TestNoCloseWaitsBeyondAStop (not closed in 15 s) failed before.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -26,7 +26,9 @@
 // which either has returned bytes, so that the request is served, or leaves all bytes unread.
 type Connections struct {
 	stopping atomic.Bool
-	hook     func(net.Conn, http.ConnState)
+	// cut is set once a stop's time is up.
+	cut  atomic.Bool
+	hook func(net.Conn, http.ConnState)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -178,6 +180,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			c.cut.Store(true)
 			return errors.Wrapf(ctx.Err(), "%d connections in use", left)
 		case <-ticker.C:
 		}
@@ -282,13 +285,13 @@
 	return c.resets
 }
 
-// awaitReceipt waits until the caller's system has what was written, or takes no more of it for the given time. A
-// reset discards what was not received yet; so does the close of a socket while bytes are unread, and
+// awaitReceipt waits until the caller's system has what was written, or takes no more of it for the given time, or
+// a stop's time is up. A reset discards what was not received yet; so does the close of a socket while bytes are unread, and
 // perhaps the end of the process.
 func (c *connection) awaitReceipt(patience time.Duration) {
 	unneeded := make([]byte, unneededBytes)
 	left, until, step := socket.Unacknowledged(c.TCPConn), time.Now().Add(patience), lingerStep
-	for left > 0 && time.Now().Before(until) {
+	for left > 0 && !c.owner.cut.Load() && time.Now().Before(until) {
 		_ = c.SetReadDeadline(time.Now().Add(step))
 		if _, err := c.TCPConn.Read(unneeded); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			time.Sleep(step)
--- a/internal/drain/receipt_test.go
+++ b/internal/drain/receipt_test.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// Guards against a close behind the end of a stop's time that still waits for a caller that takes nothing.
+func TestNoCloseWaitsBeyondAStop(t *testing.T) {
+	begun := make(chan struct{})
+	connections, conn := serveTracked(t, func(w http.ResponseWriter, r *http.Request) {
+		own, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = own.Write(make([]byte, 1<<20))
+		close(begun)
+		socket.Reset(own)
+	})
+	if _, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	ended, end := context.WithCancel(t.Context())
+	end()
+	if err := connections.Shutdown(ended); err == nil {
+		t.Error("the stop waited for the connection")
+	}
+	for until := time.Now().Add(resetTimeout / 2); connections.Tally().Open > 0; time.Sleep(lingerStep) {
+		if time.Now().After(until) {
+			t.Fatal("the connection is not closed")
+		}
+	}
+}
+
 // Guards against a stop that waits to its end for the rest of a request that its caller does not send.
 func TestStopDoesNotWaitForTheRestOfARequestThatIsNotSent(t *testing.T) {
 	client, conn, c := countedConnection(t)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -48,8 +48,8 @@
 // HasInput reports whether reading from the connection would not wait: bytes are unread, or its peer has closed it.
 func HasInput(conn net.Conn) bool { return ask(conn, readable) }
 
-// Unacknowledged returns how many bytes, the end of what is sent among them, the peer's system has not acknowledged.
-// It returns 0 when the state cannot be read.
+// Unacknowledged returns how many bytes, the end of what is sent among them, the peer's system has not acknowledged
+// and still may. It returns 0 when the peer has reset the connection, or the state cannot be read.
 func Unacknowledged(conn net.Conn) int {
 	bytes := 0
 	ask(conn, func(fd uintptr) bool {
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -23,8 +23,14 @@
 // readable reports whether a connection waits to be accepted at a listener, or bytes at a connection.
 func readable(fd uintptr) bool { return pending(fd)&unix.POLLIN != 0 }
 
-// unacknowledged returns the number of sent bytes that are not acknowledged, 0 when it cannot be read.
+// tcpClosed is the state of a socket that was reset or whose close both sides have completed.
+const tcpClosed = 7
+
+// unacknowledged returns the number of sent bytes that are not acknowledged and still may be, 0 when it cannot be read.
 func unacknowledged(fd uintptr) int {
+	if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == tcpClosed {
+		return 0
+	}
 	queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 	if err != nil {
 		return 0
--- a/internal/socket/socket_linux_test.go
+++ b/internal/socket/socket_linux_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -51,6 +52,28 @@
 	}
 }
 
+// Guards against a wait for a peer that has reset the connection to take what it never will.
+func TestNothingIsUnacknowledgedBehindAReset(t *testing.T) {
+	client, server := connect(t)
+	if _, err := server.Write(make([]byte, 64<<10)); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = server.Write(make([]byte, 64<<20)) }()
+	for Unacknowledged(server) == 0 {
+		runtime.Gosched()
+	}
+	Reset(client)
+	for !ClosedByPeer(server) {
+		runtime.Gosched()
+	}
+	if left := Unacknowledged(server); left != 0 {
+		t.Errorf("%d bytes are unacknowledged, want none", left)
+	}
+}
+
 // Guards against a departure that goes unnoticed because data stands before it, or because a read
 // of the connection is in progress.
 func TestClosedByPeer(t *testing.T) {
