--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -25,8 +25,10 @@
 	controlStopTimeout = time.Second
 	// leadershipTransferTimeout bounds the transfer of leadership in the replicated log.
 	leadershipTransferTimeout = 3 * time.Second
-	// maxNamedRequests bounds the requests that the last line of a stop names.
+	// maxNamedRequests bounds the requests that a line of a stop names, maxNamedCut those that its last one names:
+	// nothing else tells which it cut.
 	maxNamedRequests = 16
+	maxNamedCut      = 512
 )
 
 // stop performs a planned stop: it transfers leadership and lets requests in
@@ -46,14 +48,14 @@
 
 func (p *process) stopEntry(ctx context.Context, callers *drain.Connections, began time.Time) {
 	p.gateway.Stop()
-	p.log.Info("stop begins", p.stopFields(callers, began)...)
+	p.log.Info("stop begins", p.stopFields(callers, began, maxNamedRequests)...)
 	// The transfer runs concurrently: without a quorum it cannot succeed, and it
 	// must not reduce the time that callers' requests have left.
 	go p.transferLeadership(ctx)
 	timer := time.NewTimer(balancerDrainDelay)
 	<-timer.C
 	p.gateway.EndAdmission()
-	p.log.Info("stop accepts no more connections", p.stopFields(callers, began)...)
+	p.log.Info("stop accepts no more connections", p.stopFields(callers, began, maxNamedRequests)...)
 	err := callers.Shutdown(ctx)
 	if err != nil {
 		p.log.Warn("requests were cut off by the stop", telemetry.Cause(err))
@@ -61,7 +63,7 @@
 	controlCtx, cancelControl := context.WithTimeout(ctx, controlStopTimeout)
 	defer cancelControl()
 	p.stopControl(controlCtx)
-	p.log.Info("stop ends", append(p.stopFields(callers, began), zap.Bool("inTime", err == nil))...)
+	p.log.Info("stop ends", append(p.stopFields(callers, began, maxNamedCut), zap.Bool("inTime", err == nil))...)
 }
 
 // stopControl answers the operators and backend servers whose requests were read. They were served for as long as
@@ -75,10 +77,10 @@
 	}
 }
 
-// stopFields are what tells how far a stop is: the callers' connections by state, and their requests.
-func (p *process) stopFields(callers *drain.Connections, began time.Time) []zap.Field {
+// stopFields are what tells how far a stop is: the callers' connections by state, and at most named of their requests.
+func (p *process) stopFields(callers *drain.Connections, began time.Time, named int) []zap.Field {
 	connections := callers.Tally()
-	requests := p.gateway.UnderWay(maxNamedRequests)
+	requests := p.gateway.UnderWay(named)
 	return []zap.Field{
 		zap.Duration("after", time.Since(began)), zap.Int("connections", connections.Open), zap.Int("new", connections.New), zap.Int("active", connections.Active), zap.Int("idle", connections.Idle),
 		zap.Int("underWay", requests.Count), zap.Strings("requests", requests.IDs), zap.Int64("ended", requests.Ended), zap.String("lastEnded", requests.LastEnded),
