Replica: callers behind a later leader's log are refused at its first committed entry

A leader that is replaced may hold several entries that no one else has. Its successor's log can end before the last of them; the callers waiting there were resolved only by an entry that reached their index, and waited for their own timeouts without one. Terms do not decrease along a log, so such an entry can never be committed once an entry of a later term is committed before it. TestCallerBehindLaterLeadersLogIsRefused fails without the change (the caller still waits) and passes with it.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -209,9 +209,30 @@
 		}
 		delete(c.waiters, e.Index)
 	}
+	c.refuseSuperseded(entries[len(entries)-1])
 	c.enqueueApply(ready, item)
 }
 
+// refuseSuperseded refuses the waiters behind a committed entry of a later term. Terms do not decrease along a log,
+// so their entries can never be committed, and no entry of the new leader may reach their indexes for a long time.
+func (c *core) refuseSuperseded(committed replog.Entry) {
+	for index, waiters := range c.waiters {
+		if index <= committed.Index {
+			continue
+		}
+		c.waiters[index] = slices.DeleteFunc(waiters, func(w waiter) bool {
+			if w.term >= committed.Term {
+				return false
+			}
+			w.reply <- proposeResult{err: notCommitted(errors.New("a later leader's log ends before the entry"))}
+			return true
+		})
+		if len(c.waiters[index]) == 0 {
+			delete(c.waiters, index)
+		}
+	}
+}
+
 // failCovered fails the waiters at the indexes that a snapshot covers: it is not
 // known whether the snapshot contains their entries or those of another leader.
 func (c *core) failCovered(index uint64) {
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -33,6 +33,33 @@
 	}
 }
 
+// A leader that was replaced holds two entries that no one else has, and its successor's log ends before the second
+// one. The caller of the second one must be refused as soon as the successor's entry is committed; it would otherwise
+// wait until its own timeout, although its command can never be committed.
+func TestCallerBehindLaterLeadersLogIsRefused(t *testing.T) {
+	c := newCore(&Replica{})
+	lost, pending := make(chan proposeResult, 1), make(chan proposeResult, 1)
+	c.addWaiter(11, 1, lost)
+	c.addWaiter(12, 3, pending)
+	c.enqueueCommitted(replog.Ready{Committed: []replog.Entry{{Index: 10, Term: 3}}})
+	select {
+	case answer := <-lost:
+		if !errors.Is(answer.err, ErrNotCommitted) {
+			t.Errorf("caller behind the later leader's log got %+v, want ErrNotCommitted", answer)
+		}
+	default:
+		t.Error("caller behind the later leader's log still waits")
+	}
+	select {
+	case answer := <-pending:
+		t.Errorf("caller of the later leader's own entry got %+v, want it to wait", answer)
+	default:
+	}
+	if len(c.waiters) != 1 {
+		t.Errorf("waiters are kept at %d indexes, want 1", len(c.waiters))
+	}
+}
+
 // A peer that was unresponsive receives its complete backlog. If it were sent in a single call, the leader would
 // permanently retain several megabytes of encoding buffers. Each call must be bounded, and every message must be sent
 // once and in order.
