Entry: Server-Load is read with three or four fields

Cause: a header with a fourth field, the current speed of the server's machine, was dropped as a whole, so that no entry knew the load of a plain server that sends one.

Change: three valid counts are used whatever follows them. The fourth field is read into Verdict.Slow.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,10 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slow is how long work takes on the server's machine now, as a factor of the usual time; 0 where the
+	// answer does not tell it. LoadFault is why a part of the reported load cannot be read.
+	Slow      float64
+	LoadFault error
 	// NamesRate is set when the answer names the rate at which the server takes requests from all entries
 	// together, Rate is that rate in requests a second, and RateFault is why it cannot be read.
 	NamesRate bool
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -82,6 +82,7 @@
 	x.servers.headerReceived(v, time.Now())
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
 	x.servers.observeRate(v, r.verdict, x.sentAt)
+	x.servers.observeLoadFault(v, r.verdict)
 	x.watchBeginning(r, watched)
 	if next := x.checkHeader(r, time.Since(x.sentAt)); next != stepDone {
 		r.release()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -69,6 +69,8 @@
 	atRate      int
 	atRateSince time.Time
 	rateFaultAt time.Time
+	// loadFaultLogged is set once a reported load that cannot be read was logged.
+	loadFaultLogged bool
 }
 
 // newServer returns a server as it was announced, with the agent beside it.
