Choice of a server: the speed of servers' machines and held prompts

Cause: nothing in the choice knew that a machine is slow for some tenths of a second, nor that an agent holds long prompts back meanwhile.

Change: Speed keeps the factor that a server told, decayed towards 1 with a half-life of 300 ms and bounded to 0.2 to 8. Health averages the times to the first byte divided by the factor of their answers. The delay of a start counts the hold for prompts above HoldAbove, less the age of the report; the time to the first byte counts by how much longer the factor makes the reading of the request's own prompt.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -55,9 +55,18 @@
 	// when unknown.
 	Tokens       int
 	MemoryTokens int
-	// Answer is the usual time to the first byte of the server's answers, 0 when
+	// Answer is the expected time to the first byte of the server's answers, 0 when
 	// unknown.
 	Answer time.Duration
+	// Slow is how long work takes on the server's machine, as a factor of the usual
+	// time, as of the agent's report; 0 when unknown. PromptTime is the usual time
+	// to read 1,000 prompt tokens.
+	Slow       float64
+	PromptTime time.Duration
+	// HoldAbove is the number of prompt tokens above which the agent holds starts
+	// back as of its report, 0 for none; Hold is for how long.
+	HoldAbove int
+	Hold      time.Duration
 	// FailureShare is the share of failures among the server's recent answers.
 	FailureShare float64
 	// Connected reports whether an open connection can be reused.
@@ -68,8 +77,8 @@
 	// InBackoff servers failed recently and get no requests until their backoff
 	// ends.
 	InBackoff bool
-	// Age is the age of the agent's report. It is displayed and does not enter
-	// the cost.
+	// Age is the age of the agent's report. Slow and Hold lose weight with it; it
+	// does not enter the cost otherwise.
 	Age time.Duration
 	// Silent servers stand on a machine that has stopped answering; they get no
 	// requests while there are others.
@@ -89,7 +98,9 @@
 	// empty without one.
 	Adapter    string
 	DataCentre string
-	Tokens     int
+	// Prompt is the number of prompt tokens, Tokens that of all tokens.
+	Prompt int
+	Tokens int
 	// Rank is the urgency of the request; 0 goes first.
 	Rank int
 	// Target is the caller's target for the time to the first byte, and Spent how
@@ -282,7 +293,8 @@
 
 // firstByte returns how long the caller would wait for the first byte.
 func firstByte(c *Candidate, r *Request) time.Duration {
-	return startDelay(c, r)*time.Duration(overtaken(r)) + c.Answer + c.WarmUp + residenceTime(c, r)
+	wait := startDelay(c, r)*time.Duration(overtaken(r)) + c.Answer + c.WarmUp + residenceTime(c, r)
+	return max(wait+promptExcess(c, r), 0)
 }
 
 // overtaken returns how many times the announced delay a request waits: agents start
@@ -299,10 +311,11 @@
 // startDelay returns how long the start would be delayed, not counting the load of
 // the adapter.
 func startDelay(c *Candidate, r *Request) time.Duration {
+	delay := c.Delay + hold(c, r)
 	if needsLoad(c, r) {
-		return c.Delay + c.SlotDelay
+		return delay + c.SlotDelay
 	}
-	return c.Delay
+	return delay
 }
 
 func needsLoad(c *Candidate, r *Request) bool {
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -99,7 +99,7 @@
 	if !h.InBackoff(now.Add(maxBackoff-1)) || h.InBackoff(now.Add(maxBackoff)) {
 		t.Error("after many failures the server should be in backoff for the maximum backoff")
 	}
-	h.Answered(time.Millisecond)
+	h.Answered(time.Millisecond, 0)
 	if h.InBackoff(now) {
 		t.Error("the server answered and is still in backoff")
 	}
--- a/coord/dispatch/health.go
+++ b/coord/dispatch/health.go
@@ -29,8 +29,12 @@
 	failureMemory = 2 * time.Second
 )
 
-// Answered records a successful answer and the time to its first byte.
-func (h *Health) Answered(took time.Duration) {
+// Answered records a successful answer and the time to its first byte. slow is the factor that the answer told of
+// its server's machine, 0 where it told none: the average is of the times that usual speed would have given.
+func (h *Health) Answered(took time.Duration, slow float64) {
+	if slow > 0 {
+		took = time.Duration(float64(took) / boundFactor(slow))
+	}
 	h.streak, h.until = 0, time.Time{}
 	h.share -= sampleWeight * h.share
 	if h.answer == 0 {
@@ -66,7 +70,7 @@
 	return h.share
 }
 
-// Answer returns the usual time to the first byte.
+// Answer returns the usual time to the first byte, at the usual speed of the server's machine.
 func (h *Health) Answer() time.Duration { return h.answer }
 
 // commonFailureShare returns the failure share that is not specific to a single
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -21,6 +21,12 @@
 	// LoadTime how long it would then take to load.
 	SlotDelay time.Duration
 	LoadTime  time.Duration
+	// Slow is how long work takes on the engine's machine, as a factor of the usual time; 0 when unknown.
+	Slow float64
+	// HoldAbove is the number of prompt tokens above which a start is held back, 0 for none; Hold is for how
+	// long.
+	HoldAbove int
+	Hold      time.Duration
 }
 
 // Sent counts the starts that an entry has requested since a load was reported, and
@@ -38,6 +44,7 @@
 func (c *Candidate) SetLoad(l *Load, sent Sent, rank int) {
 	c.Batch, c.MemoryTokens, c.Tokens, c.SlotDelay, c.LoadTime = l.Batch, l.MemoryTokens, l.Tokens, l.SlotDelay, l.LoadTime
 	c.Running, c.Waiting = l.Running+sent.Starts, l.Waiting
+	c.PromptTime, c.Slow, c.HoldAbove, c.Hold = l.PromptTime, l.Slow, l.HoldAbove, l.Hold
 	c.Delay = l.delay(rank) + l.PromptTime*time.Duration(sent.Prompt)/promptUnit
 	if sent.Starts > 0 {
 		missing := c.Running + c.Waiting + 1 - c.Batch
--- /dev/null
+++ b/coord/dispatch/speed.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Speed is how long work takes on a server's machine, as a factor of the usual time: 1 is usual, 2.5 is slow. The
+// zero value is that of a server that has not told it.
+type Speed struct {
+	factor float64
+	toldAt time.Time
+}
+
+const (
+	// speedHalfLife is the time in which half of the deviation from the usual speed is expected to have passed:
+	// phases of one speed last 0.2 to 0.7 s.
+	speedHalfLife = 300 * time.Millisecond
+	// minFactor and maxFactor bound the factors that decisions use. 0.6 to 2.5 were seen; a value far outside
+	// of that is a fault of the server that tells it.
+	minFactor = 0.2
+	maxFactor = 8
+)
+
+// Tell records a factor that the server told. Values that are not above 0 are not factors and are ignored.
+func (s *Speed) Tell(factor float64, now time.Time) {
+	if factor > 0 {
+		s.factor, s.toldAt = boundFactor(factor), now
+	}
+}
+
+// Factor returns the factor that was told last, decayed towards 1; 0 while none was told.
+func (s *Speed) Factor(now time.Time) float64 {
+	if s.factor == 0 {
+		return 0
+	}
+	return decayed(s.factor, now.Sub(s.toldAt))
+}
+
+// FactorSince returns the factor that was told last as it was told; 0 if that was before a time.
+func (s *Speed) FactorSince(at time.Time) float64 {
+	if s.toldAt.Before(at) {
+		return 0
+	}
+	return s.factor
+}
+
+// Scale returns how long work takes now that usually takes the given time.
+func (s *Speed) Scale(usual time.Duration, now time.Time) time.Duration {
+	factor := s.Factor(now)
+	if factor == 0 {
+		return usual
+	}
+	return time.Duration(float64(usual) * factor)
+}
+
+// FactorOf returns a factor that was told in percent; 0 where none was.
+func FactorOf(percent int) float64 {
+	if percent <= 0 {
+		return 0
+	}
+	return boundFactor(float64(percent) / 100)
+}
+
+func boundFactor(factor float64) float64 { return min(max(factor, minFactor), maxFactor) }
+
+// decayed returns what is left of a factor after a time.
+func decayed(factor float64, age time.Duration) float64 {
+	return 1 + (factor-1)*math.Exp2(-float64(max(age, 0))/float64(speedHalfLife))
+}
+
+// promptExcess returns how much longer than usual the engine takes to read the request's own prompt. The usual
+// time is part of Candidate.Answer.
+func promptExcess(c *Candidate, r *Request) time.Duration {
+	if c.Slow <= 0 || r.Prompt <= 0 || c.PromptTime <= 0 {
+		return 0
+	}
+	usual := float64(c.PromptTime) * float64(r.Prompt) / promptUnit
+	return time.Duration(usual * (decayed(boundFactor(c.Slow), c.Age) - 1))
+}
+
+// hold returns how long the engine holds the request's prompt back in a slow phase.
+func hold(c *Candidate, r *Request) time.Duration {
+	if c.HoldAbove <= 0 || r.Prompt <= c.HoldAbove {
+		return 0
+	}
+	return max(c.Hold-c.Age, 0)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -121,7 +121,7 @@
 		return x.recordFailure(r.server, r.verdict)
 	}
 	if r.response.Status < http.StatusInternalServerError {
-		x.servers.observe(r.server, r.verdict, func(h *dispatch.Health) { h.Answered(took) })
+		x.servers.observe(r.server, r.verdict, func(h *dispatch.Health) { h.Answered(took, r.verdict.Slow) })
 		return stepDone
 	}
 	x.servers.observe(r.server, r.verdict, func(h *dispatch.Health) { h.Failed(time.Now()) })
