Entry: plain servers, silence and engines by the factor that they tell

Cause: the fourth field of Server-Load was read and not used.

Change: the time to the first byte of a plain server is its usual one times the latest factor. The notification of the first event passes the factor and its age on to the agent, a start names the gap that its route allows, and the choice uses the factor and the hold that an agent publishes. A factor counts from answers that the server signed, or refused.

Measured: go test -race ./internal/gateway passes.

--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -254,6 +254,20 @@
 	return a.state.Known && a.receivedAt.After(at)
 }
 
+// slowSince returns the factor that the agent published last for its engine's machine; 0 if it published none since
+// a time.
+func (a *agentClient) slowSince(at time.Time) float64 {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.receivedAt.Before(at) {
+		return 0
+	}
+	return a.load.Slow
+}
+
 // runs reports whether the agent's engine is the incarnation with a start time, as far as its reports
 // tell one.
 func (a *agentClient) runs(born int64) bool {
@@ -340,9 +354,16 @@
 	}
 }
 
-// notifyFirstEvent notifies the agent that a request has produced its first event.
-func (a *agentClient) notifyFirstEvent(id string, attempt int) {
-	a.notify(wire.MethodStartFirstEvent, wire.StartDone{ID: id, Attempt: attempt})
+// notifyFirstEvent notifies the agent that a request has produced its first event, and passes on the factor that the
+// header of the answer told of the engine's machine (0 for none) with its age.
+func (a *agentClient) notifyFirstEvent(id string, attempt int, slow float64, age time.Duration) {
+	msg := wire.StartDone{ID: id, Attempt: attempt}
+	if slow > 0 {
+		// 0 would mean that no factor was told.
+		msg.SlowPercent = max(percent(slow), 1)
+		msg.SlowAgeMillis = age.Milliseconds()
+	}
+	a.notify(wire.MethodStartFirstEvent, msg)
 }
 
 // notifyDone notifies the agent that a request has ended.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,7 +16,7 @@
 // query describes the request to the choice of a server.
 func (x *exchange) query() dispatch.Request {
 	return dispatch.Request{
-		Adapter: x.call.Adapter, DataCentre: x.options.DataCentre, Tokens: x.tokens(), Tried: x.tried,
+		Adapter: x.call.Adapter, DataCentre: x.options.DataCentre, Prompt: x.call.PromptTokens, Tokens: x.tokens(), Tried: x.tried,
 		Rank: x.rank, Target: x.route.Target, Spent: time.Since(x.arrived), Left: max(time.Until(x.startDeadline()), 0),
 	}
 }
@@ -43,7 +43,7 @@
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
 		ID: x.call.ID, Attempt: x.starts, Engine: v.entry().ID, Born: v.entry().Born, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
 		Rank: x.rank, Team: x.teamName(), Prompt: x.call.PromptTokens, Tokens: x.tokens(),
-		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
+		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), GapMillis: x.route.Gap.Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
 	})
 	switch {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,6 +23,8 @@
 	server   *server
 	response *upstream.Response
 	verdict  Verdict
+	// headerAt is when the header arrived.
+	headerAt time.Time
 	events   eventBuffer
 	// chunk is the buffer for one read of a stream.
 	chunk []byte
@@ -156,7 +158,7 @@
 			return x.recordFailure(r.server, r.verdict)
 		}
 		if len(events) > 0 {
-			x.recordEvent(time.Now())
+			x.recordEvent(r, time.Now())
 			x.proveEarly(r)
 			if pass(events) != nil {
 				r.response.Abort()
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -122,13 +122,14 @@
 // requests.
 func sampled(id string) bool { return xxhash.Sum64String(id)%logSampling == 0 }
 
-// recordEvent measures the time to the first event and the gaps between later events.
-func (x *exchange) recordEvent(now time.Time) {
+// recordEvent measures the time to the first event and the gaps between later events of a stream, of which a reply
+// has brought events.
+func (x *exchange) recordEvent(r *reply, now time.Time) {
 	if x.eventAt.IsZero() {
 		x.first = now.Sub(x.arrived)
 		firstServed.Reach()
 		if x.grantedBy != nil {
-			x.grantedBy.notifyFirstEvent(x.call.ID, x.starts)
+			x.grantedBy.notifyFirstEvent(x.call.ID, x.starts, r.verdict.Slow, now.Sub(r.headerAt))
 		}
 	} else {
 		x.longestGap = max(x.longestGap, now.Sub(x.eventAt))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -79,10 +79,11 @@
 	}
 	x.sends++
 	x.awaited = nil
-	x.servers.headerReceived(v, time.Now())
+	r.headerAt = time.Now()
+	x.servers.headerReceived(v, r.headerAt)
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
 	x.servers.observeRate(v, r.verdict, x.sentAt)
-	x.servers.observeLoadFault(v, r.verdict)
+	x.servers.observeSpeed(v, r.verdict, r.headerAt)
 	x.watchBeginning(r, watched)
 	if next := x.checkHeader(r, time.Since(x.sentAt)); next != stepDone {
 		r.release()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -54,6 +54,8 @@
 	rateName string
 
 	health dispatch.Health
+	// speed is what its answers told of its machine's speed.
+	speed dispatch.Speed
 	// inflight counts this entry's requests that were sent to the server and have not ended.
 	inflight int
 	// running and slots are the load that the server reported with its last answer, at loadAt.
@@ -216,12 +218,14 @@
 	}
 	c.WarmUp = max(c.WarmUp, 0)
 	if service.Engine == nil {
+		applySpeed(v, &c, now)
 		if now.Sub(v.loadAt) < maxLoadAge {
 			c.Running = max(c.Running, v.running)
 		}
 		return c
 	}
 	if !v.agent.describe(&c, r, model, now) {
+		applySpeed(v, &c, now)
 		c.Silent = v.agent.silentAfter(v.answeredAt)
 		s.applyAnnouncement(v, &c, r, model)
 	}
@@ -237,6 +241,7 @@
 		Running: state.Running, Waiting: state.Waiting, Batch: state.Batch, Tokens: state.Tokens, MemoryTokens: state.MemoryTokens,
 		Delay: delay, PromptTime: millis(state.PromptMillis), PlaceTime: millis(state.PlaceMillis),
 		SlotDelay: millis(state.SlotMillis), LoadTime: millis(state.LoadMillis),
+		Slow: dispatch.FactorOf(state.SlowPercent), HoldAbove: state.HoldAbove, Hold: millis(state.HoldMillis),
 	}
 }
 
--- a/internal/gateway/speed.go
+++ b/internal/gateway/speed.go
@@ -1,26 +1,54 @@
 package gateway
 
 import (
+	"math"
+	"time"
+
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 // loadFaultCount counts the answers whose reported load cannot be read completely.
 var loadFaultCount = telemetry.Counter("gateway_loads_unreadable")
 
-// observeLoadFault records a reported load that cannot be read completely. It is logged once for each server and
-// never excludes the server.
-func (s *servers) observeLoadFault(v *server, verdict Verdict) {
-	if verdict.LoadFault == nil {
+// observeSpeed records what an answer told of the speed of its server's machine, and a load that it reported and that
+// cannot be read completely. The latter is logged once for each server; it never excludes the server.
+func (s *servers) observeSpeed(v *server, verdict Verdict, now time.Time) {
+	if verdict.Slow == 0 && verdict.LoadFault == nil {
 		return
 	}
-	loadFaultCount.Add(1)
 	s.mu.Lock()
+	if verdict.Signed || verdict.NotRun {
+		v.speed.Tell(verdict.Slow, now)
+	}
 	logged := v.loadFaultLogged
-	v.loadFaultLogged = true
+	v.loadFaultLogged = logged || verdict.LoadFault != nil
 	s.mu.Unlock()
+	if verdict.LoadFault == nil {
+		return
+	}
+	loadFaultCount.Add(1)
 	if !logged {
 		s.log.Warn("backend server reported a load that cannot be read completely", zap.String("server", v.entry().ID), telemetry.Cause(verdict.LoadFault))
 	}
 }
+
+// applySpeed sets what the server's own answers told of its machine's speed. The caller holds servers.mu.
+func applySpeed(v *server, c *dispatch.Candidate, now time.Time) {
+	c.Slow = v.speed.Factor(now)
+	c.Answer = v.speed.Scale(c.Answer, now)
+}
+
+// slowSince returns the highest factor that a server's last answer and its agent's last report told of its machine
+// since a time; 0 if they told none.
+func (s *servers) slowSince(v *server, at time.Time) float64 {
+	s.mu.Lock()
+	told, agent := v.speed.FactorSince(at), v.agent
+	s.mu.Unlock()
+	return max(told, agent.slowSince(at))
+}
+
+// percent returns a factor in percent.
+func percent(factor float64) int { return int(math.Round(100 * factor)) }
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -39,6 +39,8 @@
 	Tokens int `json:"tokens"`
 	// TargetMillis is the target for the time to the first event.
 	TargetMillis int64 `json:"targetMillis,omitempty"`
+	// GapMillis is the longest pause between two events that the route allows; 0 for no limit.
+	GapMillis int64 `json:"gapMillis,omitempty"`
 	// WaitMillis is how long the caller waits for the start.
 	WaitMillis int64 `json:"waitMillis"`
 	// MaxDelayMillis is the delay of the start beyond which the agent declines at
@@ -75,6 +77,10 @@
 	// no pause was measured.
 	PauseMillis   int64 `json:"pauseMillis,omitempty"`
 	AllowedMillis int64 `json:"allowedMillis,omitempty"`
+	// SlowPercent is how long work takes on the engine's machine, in percent of the usual time, as the header of
+	// the answer told it SlowAgeMillis before the first event; 0 where it told nothing.
+	SlowPercent   int   `json:"slowPercent,omitempty"`
+	SlowAgeMillis int64 `json:"slowAgeMillis,omitempty"`
 }
 
 // StartWatch requests the EngineState once it is newer than Change.
@@ -116,6 +122,13 @@
 	// LoadMillis is how long loading an adapter requested now would take,
 	// including the loads queued before it.
 	LoadMillis int64 `json:"loadMillis"`
+	// SlowPercent is how long work takes on the engine's machine now, in percent of the usual time; 0 when
+	// unknown.
+	SlowPercent int `json:"slowPercent,omitempty"`
+	// HoldAbove is the number of prompt tokens above which a start is held back now, 0 for none; HoldMillis is
+	// for how much longer.
+	HoldAbove  int   `json:"holdAbove,omitempty"`
+	HoldMillis int64 `json:"holdMillis,omitempty"`
 	// Models are the base models that the engine has loaded.
 	Models []string `json:"models,omitempty"`
 	// HeldChange counts the changes of Held and Stale, which are omitted if the
