Agents estimate the current speed of their engines' machines and hold long prompts in slow phases

Cause: machines that engines share with other work change their speed several times a second. Prompts were paced by the baseline reading rate, piled up in slow phases and stalled all streams on an engine for longer than routes allow.

Change: the new package coord/capacity estimates a factor of the baseline from the events of runs in consecutive reports, the reading of prompts, and the speed that engines tell with their answers, which entries pass on in start.begun. coord/residency paces by it, holds prompts that would stall streams in a slow phase, counts the expected hold in the delay beyond which it declines, and publishes slowPercent, holdAbove and holdMillis. Samples of the reading rate are divided by the factor. Source and hold are typed options.

Result: unit tests of coord/capacity, coord/residency, internal/sidecar and internal/wire with -race; in these a change of speed shows within 150 ms. Effect on answers not measured yet.

--- /dev/null
+++ b/coord/capacity/baseline.go
@@ -0,0 +1,66 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+)
+
+// baseline learns the time of a step at normal speed, as a low quantile of the
+// step times over many seconds.
+//
+// The mean or the median would follow slow phases, which can take half of the
+// time on a shared machine. What the server tells of its speed is not used: a
+// false value would make the baseline agree with it.
+type baseline struct {
+	// step is the learned time; 0 while unknown.
+	step time.Duration
+	// took and steps are those of the measurement in progress.
+	took  time.Duration
+	steps int
+	// recent holds the latest measurements, of which next is overwritten first.
+	recent []time.Duration
+	next   int
+	sorted []time.Duration
+}
+
+const (
+	// baselineWindow is the time of one measurement; with steps of 18 ms it is exact
+	// to an eighth.
+	baselineWindow = 140 * time.Millisecond
+	// baselineQuantile is the quantile of the measurements that is the baseline.
+	baselineQuantile = 0.35
+	// baselineSamples is the number of measurements kept, minBaseline the number
+	// from which the baseline is known.
+	baselineSamples = 200
+	minBaseline     = 8
+)
+
+// add records consecutive steps.
+func (b *baseline) add(took time.Duration, steps int) {
+	b.took, b.steps = b.took+took, b.steps+steps
+	if b.took < baselineWindow {
+		return
+	}
+	if b.steps > 0 {
+		b.record(b.took / time.Duration(b.steps))
+	}
+	b.interrupt()
+}
+
+// interrupt discards the measurement in progress.
+func (b *baseline) interrupt() { b.took, b.steps = 0, 0 }
+
+func (b *baseline) record(step time.Duration) {
+	if len(b.recent) < baselineSamples {
+		b.recent = append(b.recent, step)
+	} else {
+		b.recent[b.next] = step
+		b.next = (b.next + 1) % baselineSamples
+	}
+	if len(b.recent) < minBaseline {
+		return
+	}
+	b.sorted = append(b.sorted[:0], b.recent...)
+	slices.Sort(b.sorted)
+	b.step = b.sorted[int(baselineQuantile*float64(len(b.sorted)-1))]
+}
--- a/coord/experiment/fleet.go
+++ b/coord/experiment/fleet.go
@@ -289,7 +289,7 @@
 	t, now := e.table, e.fleet.now()
 	delay := t.Delay(now)
 	return dispatch.Load{Running: t.Running(), Waiting: t.Waiting(), Batch: e.fleet.load.Batch, Tokens: t.Tokens(), MemoryTokens: 1_000_000,
-		Delay: delay[:], PromptTime: t.PromptCost(), PlaceTime: t.PlaceTime(), SlotDelay: t.SlotDelay(), LoadTime: time.Duration(t.LoadBacklog()/2+1) * storeLoadTime}
+		Delay: delay[:], PromptTime: t.PromptCost(now), PlaceTime: t.PlaceTime(), SlotDelay: t.SlotDelay(), LoadTime: time.Duration(t.LoadBacklog()/2+1) * storeLoadTime}
 }
 
 // report passes the engine's report to its agent.
--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -72,6 +72,16 @@
 	f.nt = f.nt*decay + n*t
 }
 
+// constant returns the time that a prompt takes beside its tokens; 0 while
+// unknown.
+func (f *fit) constant() time.Duration {
+	rate := f.rate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(max(f.t/f.weight-f.n/f.weight/rate, 0) * float64(time.Millisecond))
+}
+
 // rate returns the rate in tokens per millisecond; 0 while unknown.
 func (f *fit) rate() float64 {
 	if f.weight < minWeight {
@@ -104,10 +114,21 @@
 	return time.Duration(float64(prompt) / (rate * share) * float64(time.Millisecond))
 }
 
-// recordRead records that a prompt was read during the current busy period.
-func (p *pacer) recordRead(prompt int, now time.Time) {
+// readTime returns the time from the start of a prompt that is read alone to its
+// first event, at baseline speed. It is 0 until the fit separates the rate from
+// the constant, which most of the time of a short prompt consists of.
+func (p *pacer) readTime(prompt int) time.Duration {
+	if p.fit.rate() <= 0 {
+		return 0
+	}
+	return p.cost(prompt, 1) + p.fit.constant()
+}
+
+// recordRead records that a prompt was read during the current busy period, while
+// work took the given multiple of its baseline time.
+func (p *pacer) recordRead(prompt int, factor float64, now time.Time) {
 	p.busyRead += prompt
-	took := float64(now.Sub(p.busySince)) / float64(time.Millisecond)
+	took := float64(now.Sub(p.busySince)) / float64(time.Millisecond) / factor
 	if p.busyRead < minBusyTokens || took <= 0 {
 		return
 	}
@@ -126,11 +147,11 @@
 // nextStart returns when the next prompt may start.
 func (p *pacer) nextStart() time.Time { return p.readUntil.Add(-burst) }
 
-func (p *pacer) start(prompt int, share float64, now time.Time) {
+func (p *pacer) start(prompt int, share, factor float64, now time.Time) {
 	if p.readUntil.Before(now) {
 		p.readUntil = now
 	}
-	p.readUntil = p.readUntil.Add(p.cost(prompt, share))
+	p.readUntil = p.readUntil.Add(scaled(p.cost(prompt, share), factor))
 }
 
 // share returns the share of the read rate that prompts may take now.
@@ -147,13 +168,13 @@
 const Ranks = 3
 
 // Delay returns how long a request of each rank that arrived now would wait for
-// its start, not counting its adapter's load. The last entry applies to all
+// its start at the current speed, not counting its adapter's load. The last entry applies to all
 // higher ranks. Requests that wait for a load to begin are not counted: they keep no
 // one waiting whose adapter is there, and while the store is slow there are many.
 func (t *Table) Delay(now time.Time) [Ranks]time.Duration {
 	var delay [Ranks]time.Duration
 	var ahead [Ranks]int
-	wait, share := max(t.pacer.nextStart().Sub(now), 0), t.share()
+	wait, share, factor := max(t.pacer.nextStart().Sub(now), 0), t.share(), t.publishedFactor(now)
 	for rank := range delay {
 		delay[rank] = wait
 	}
@@ -161,7 +182,7 @@
 		if name := t.waiting[i].Adapter; name != "" && !t.expects(name, now) {
 			continue
 		}
-		cost := t.pacer.cost(t.waiting[i].Prompt, share)
+		cost := scaled(t.pacer.cost(t.waiting[i].Prompt, share), factor)
 		for rank := min(t.waiting[i].Rank, Ranks-1); rank < Ranks; rank++ {
 			delay[rank] += cost
 			ahead[rank]++
@@ -174,8 +195,10 @@
 }
 
 // PromptCost returns how long the start of a prompt of 1,000 tokens delays
-// other starts.
-func (t *Table) PromptCost() time.Duration { return t.pacer.cost(1000, t.share()) }
+// other starts at the current speed.
+func (t *Table) PromptCost(now time.Time) time.Duration {
+	return scaled(t.pacer.cost(1000, t.share()), t.publishedFactor(now))
+}
 
 // Next returns when Tick could start a waiting request; zero when none waits.
 func (t *Table) Next() time.Time {
@@ -193,10 +216,12 @@
 		return
 	}
 	s.prefilled, s.seen = true, true
-	t.pacer.recordRead(s.prompt, now)
+	factor := t.speed.IndependentFactor(now)
+	t.pacer.recordRead(s.prompt, factor, now)
 	if s.alone {
-		t.pacer.fit.add(s.prompt, now.Sub(s.at))
+		t.pacer.fit.add(s.prompt, scaled(now.Sub(s.at), 1/factor))
 	}
+	t.markRead(s, now)
 }
 
 // reading reports whether a started prompt is still being read.
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -18,7 +18,7 @@
 			actions = append(actions, Refuse{ID: r.ID, Reason: ReasonLate})
 			continue
 		}
-		if t.canRun(&r, now) && t.ready(&r, now) {
+		if t.canRun(&r, now) && t.ready(&r, now) && !t.holds(&r, now) {
 			actions = append(actions, t.start(&r, now))
 			continue
 		}
@@ -185,8 +185,8 @@
 	}
 	t.clearAlone()
 	t.turnover.advance(len(t.started), now)
-	t.started[r.ID] = &startedRequest{adapter: r.Adapter, prompt: r.Prompt, tokens: r.Tokens, at: now, alone: alone}
-	t.pacer.start(r.Prompt, share, now)
+	t.started[r.ID] = &startedRequest{adapter: r.Adapter, prompt: r.Prompt, tokens: r.Tokens, gap: r.Gap, at: now, alone: alone}
+	t.pacer.start(r.Prompt, share, t.speed.Factor(now), now)
 	t.tokens += r.Tokens
 	version := int64(0)
 	if a := t.adapters[r.Adapter]; a != nil {
--- a/coord/residency/report.go
+++ b/coord/residency/report.go
@@ -10,6 +10,9 @@
 	Loading map[string]int64
 	// Running holds the IDs of the running requests.
 	Running map[string]bool
+	// Events maps the running requests to the events that they have made; nil when
+	// the report does not tell.
+	Events map[string]int
 	// Waiting is the number of requests queued at the engine.
 	Waiting int
 	// RequestedAt is when the report was requested; later orders may not show in it.
@@ -49,6 +52,7 @@
 	}
 	t.applyEnding(r)
 	t.applyRuns(r, now)
+	t.observeProgress(r, now)
 	return t.plan(now)
 }
 
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -13,6 +13,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/capacity"
 )
 
 // Options describes the engine.
@@ -31,6 +33,10 @@
 	// Grace is how long requests may still start on an outdated version after a
 	// newer one was announced.
 	Grace time.Duration
+	// Speed selects how the speed of the engine's machine is estimated, Hold what
+	// happens to prompts that would stall streams in a slow phase.
+	Speed capacity.Options
+	Hold  HoldPolicy
 }
 
 // Request is a request to be started on the engine.
@@ -56,6 +62,12 @@
 	// OnlyIfHeld refuses the request at once unless the engine holds its adapter or
 	// is loading it.
 	OnlyIfHeld bool
+	// Gap is the longest pause between two events that the route allows; 0 for
+	// none.
+	Gap time.Duration
+	// heldSince is when the start was first held because it would stall streams;
+	// zero while it was not.
+	heldSince time.Time
 	// turn counts the requests of the same team that wait before it among equals.
 	turn int
 	// late is set once a start would miss the target.
@@ -156,6 +168,10 @@
 	// same time.
 	prefilled bool
 	alone     bool
+	// read is set once the prompt is known to be read, also by a report. gap is the
+	// longest pause that the route allows; 0 for none.
+	read bool
+	gap  time.Duration
 	// seen is set once the engine has reported the request.
 	seen bool
 	// missing counts consecutive reports that lack the request.
@@ -182,6 +198,17 @@
 	pacer    pacer
 	pauses   pauses
 	turnover turnover
+	// speed estimates the current speed of the engine's machine.
+	speed *capacity.Speed
+	// readAt is when the latest prompt was read, reportedAt the time of the latest
+	// report with events, and runs is reused between reports.
+	readAt, reportedAt time.Time
+	runs               []capacity.Run
+	// published is the factor that was last published.
+	published float64
+	// held counts the prompts that were held, heldToEnd those started after the
+	// longest time.
+	held, heldToEnd int
 	// reserve is the part of the batch that is kept free for requests that can
 	// still meet their target.
 	reserve reserve
@@ -207,11 +234,15 @@
 
 // New returns a table for an engine that holds no adapters.
 func New(options Options) *Table {
-	return &Table{options: options, adapters: make(map[string]*adapterState), started: make(map[string]*startedRequest), ending: make(map[string]ending), newest: make(map[string]announcedVersion), unloaded: make(map[string]time.Time), pauses: pauses{reduction: initialReduction}}
+	return &Table{options: options, adapters: make(map[string]*adapterState), started: make(map[string]*startedRequest), ending: make(map[string]ending), newest: make(map[string]announcedVersion), unloaded: make(map[string]time.Time), pauses: pauses{reduction: initialReduction},
+		speed: capacity.New(options.Speed), published: 1}
 }
 
 // SetOptions replaces the description of the engine.
-func (t *Table) SetOptions(options Options) { t.options = options }
+func (t *Table) SetOptions(options Options) {
+	t.options = options
+	t.speed.SetOptions(options.Speed)
+}
 
 // Admit queues a request, which starts as soon as the engine can run it.
 func (t *Table) Admit(r Request, now time.Time) []Action {
@@ -242,6 +273,9 @@
 	if !expected {
 		delay += t.SlotDelay()
 	}
+	if t.stalls(r, now) {
+		delay += t.speed.SlowLeft(now)
+	}
 	if delay > r.MaxDelay {
 		return ReasonBusy
 	}
@@ -302,6 +336,8 @@
 	t.tokens = 0
 	t.leaving = false
 	t.pacer = t.pacer.retained()
+	t.speed.Restarted()
+	t.readAt, t.reportedAt = time.Time{}, time.Time{}
 	return t.refuseAll(ReasonRestarted)
 }
 
--- a/coord/residency/residency_test.go
+++ b/coord/residency/residency_test.go
@@ -21,7 +21,7 @@
 func tableWithRate() *Table {
 	table := New(options())
 	table.pacer.busySince = start.Add(-time.Second)
-	table.pacer.recordRead(4000, table.pacer.busySince.Add(400*time.Millisecond))
+	table.pacer.recordRead(4000, 1, table.pacer.busySince.Add(400*time.Millisecond))
 	return table
 }
 
--- /dev/null
+++ b/coord/residency/speed.go
@@ -0,0 +1,244 @@
+package residency
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/capacity"
+)
+
+// HoldPolicy selects what happens to a prompt that would stall the engine's
+// streams for longer than their routes allow.
+type HoldPolicy uint8
+
+const (
+	// HoldAtEngine makes it wait at the engine for a faster phase.
+	HoldAtEngine HoldPolicy = iota
+	// HoldNever starts it; entries are expected to avoid engines in a slow phase.
+	HoldNever
+)
+
+const (
+	// maxHold is how long a prompt is held at most: slow phases last 0.2 to 0.7 s.
+	maxHold = time.Second
+	// holdShare is the share of the allowed pause that a stall may take; the rest is
+	// for the way of an event to the caller.
+	holdShare = 0.9
+	// nearBaseline is the factor up to which waiting gains nothing for a prompt that
+	// stalls the streams at baseline speed too.
+	nearBaseline = 1.1
+	// deadlineReserve is how long before its StartDeadline a held prompt is started:
+	// a hold must not make the agent refuse a request.
+	deadlineReserve = 50 * time.Millisecond
+	// minReadWork is the least reading time, at baseline speed, from which the speed
+	// is derived: a step in progress and the way of the first event take up to 20 ms.
+	minReadWork = 25 * time.Millisecond
+	// factorStep is the step to which the published factor is rounded, and holdStep
+	// and holdTokens are those of the published hold, so that the state changes only
+	// where the choice of an engine does.
+	factorStep = 0.25
+	holdStep   = 100 * time.Millisecond
+	holdTokens = 250
+	// factorChange is the difference from the published factor at which it is
+	// published anew: the error of an estimate by 8 steps is 0.13.
+	factorChange = 0.2
+)
+
+// scaled returns the time that work takes at a factor of its baseline time.
+func scaled(d time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+// publishedFactor returns the factor by which published delays are multiplied. It
+// changes in steps, and only once the estimate has left the current step for
+// certain.
+func (t *Table) publishedFactor(now time.Time) float64 {
+	factor := t.speed.Factor(now)
+	if math.Abs(factor-t.published) > factorChange {
+		t.published = max(math.Round(factor/factorStep)*factorStep, factorStep)
+	}
+	return t.published
+}
+
+// Told records that the engine told an entry its speed, in percent of the baseline
+// time; 0 when it told none.
+func (t *Table) Told(percent int, at, now time.Time) { t.speed.Told(percent, at, now) }
+
+// Factor returns how long work takes on the engine's machine now, as a factor of
+// the baseline. known is false without data.
+func (t *Table) Factor(now time.Time) (factor float64, known bool) {
+	_, known = t.speed.Age(now)
+	return t.speed.Factor(now), known
+}
+
+// SpeedDoubts returns how often the speed that the engine told was found false.
+func (t *Table) SpeedDoubts() int { return t.speed.Doubts() }
+
+// Holds returns how many prompts were held, and how many of these were started
+// because they had been held for the longest time.
+func (t *Table) Holds() (held, toTheEnd int) { return t.held, t.heldToEnd }
+
+// SlowPercent returns the published speed in percent of the baseline time, 0
+// without data.
+func (t *Table) SlowPercent(now time.Time) int {
+	if _, known := t.speed.Age(now); !known {
+		return 0
+	}
+	return int(math.Round(100 * t.publishedFactor(now)))
+}
+
+// Hold returns the number of prompt tokens above which a start is held now, and how
+// long; 0 when none is.
+func (t *Table) Hold(now time.Time) (above int, left time.Duration) {
+	if t.options.Hold != HoldAtEngine {
+		return 0, 0
+	}
+	factor, rate, limit := t.speed.Factor(now), t.pacer.rate(), t.smallestGap()
+	if factor <= nearBaseline || rate <= 0 || limit <= 0 {
+		return 0, 0
+	}
+	budget := float64(limit)*holdShare - float64(t.speed.Step())*factor
+	tokens := int(budget/float64(time.Millisecond)/factor*rate) - t.unreadTokens()
+	return max(tokens/holdTokens*holdTokens, 1), max(t.speed.SlowLeft(now).Round(holdStep), holdStep)
+}
+
+// holds reports whether a request that could start now is held because reading its
+// prompt would stall the engine's streams for too long.
+func (t *Table) holds(r *Request, now time.Time) bool {
+	if !t.stalls(r, now) {
+		return false
+	}
+	if r.heldSince.IsZero() {
+		if !now.Before(r.StartDeadline.Add(-deadlineReserve)) {
+			return false
+		}
+		r.heldSince = now
+		t.held++
+		return true
+	}
+	if now.Sub(r.heldSince) >= maxHold {
+		t.heldToEnd++
+		return false
+	}
+	return now.Before(r.StartDeadline.Add(-deadlineReserve))
+}
+
+// stalls reports whether a start of the prompt would stall a stream for too long,
+// and a faster phase would change that.
+func (t *Table) stalls(r *Request, now time.Time) bool {
+	if t.options.Hold != HoldAtEngine {
+		return false
+	}
+	factor := t.speed.Factor(now)
+	if factor == 1 {
+		return false
+	}
+	limit := time.Duration(holdShare * float64(t.smallestGap()))
+	if limit <= 0 {
+		return false
+	}
+	stall := t.pacer.cost(t.unreadTokens()+r.Prompt, 1) + t.speed.Step()
+	return scaled(stall, factor) > limit && (stall <= limit || factor > nearBaseline)
+}
+
+// smallestGap returns the smallest pause that the streams which have had their
+// first event allow; 0 when there is no such stream.
+func (t *Table) smallestGap() time.Duration {
+	var smallest time.Duration
+	for _, s := range t.started {
+		if s.read && s.gap > 0 && (smallest == 0 || s.gap < smallest) {
+			smallest = s.gap
+		}
+	}
+	return smallest
+}
+
+// unreadTokens returns the tokens of the started prompts that are unread.
+func (t *Table) unreadTokens() int {
+	tokens := 0
+	for _, s := range t.started {
+		if !s.read {
+			tokens += s.prompt
+		}
+	}
+	return tokens
+}
+
+// markRead records that a started prompt is read, as an entry or the engine's
+// report told first.
+func (t *Table) markRead(s *startedRequest, at time.Time) {
+	if s.read {
+		return
+	}
+	s.read = true
+	from := s.at
+	if t.readAt.After(from) {
+		from = t.readAt
+	}
+	t.readAt = at
+	work := t.pacer.readTime(s.prompt)
+	if t.pacer.cost(s.prompt, 1) < minReadWork {
+		work = 0
+	}
+	t.speed.Read(from, at, work, t.unread())
+}
+
+// unread reports whether a started prompt is not known to be read.
+func (t *Table) unread() bool {
+	for _, s := range t.started {
+		if !s.read {
+			return true
+		}
+	}
+	return false
+}
+
+// observeProgress passes what a report tells of the progress of the runs on to the
+// estimate of the speed.
+func (t *Table) observeProgress(r Report, now time.Time) {
+	if r.Events == nil {
+		return
+	}
+	t.runs = t.runs[:0]
+	for id, events := range r.Events {
+		t.runs = append(t.runs, capacity.Run{ID: id, Events: events})
+		if s := t.started[id]; s != nil && events > 0 && !s.read {
+			// The first event came between two reports.
+			at := r.RequestedAt.Add(-min(r.RequestedAt.Sub(t.reportedAt), r.RequestedAt.Sub(s.at)) / 2)
+			if at.Before(s.at) {
+				at = s.at
+			}
+			t.markRead(s, at)
+		}
+	}
+	t.reportedAt = r.RequestedAt
+	t.speed.Report(t.runs, t.unread(), r.RequestedAt, now)
+	t.observeUnread(r, now)
+}
+
+// observeUnread passes on how long the prompts that the engine is reading have
+// been unread.
+func (t *Table) observeUnread(r Report, now time.Time) {
+	var since time.Time
+	var work time.Duration
+	for id, s := range t.started {
+		if s.read {
+			continue
+		}
+		work += t.pacer.readTime(s.prompt)
+		if _, listed := r.Events[id]; listed && r.Waiting == 0 && (since.IsZero() || s.at.Before(since)) {
+			since = s.at
+		}
+	}
+	if since.IsZero() {
+		t.speed.Unread(now, 0, now)
+		return
+	}
+	if t.readAt.After(since) {
+		since = t.readAt
+	}
+	t.speed.Unread(since, work, r.RequestedAt)
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -45,6 +45,7 @@
 		Rank: x.rank, Team: x.teamName(), Prompt: x.call.PromptTokens, Tokens: x.tokens(),
 		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
+		GapMillis: x.route.Gap.Milliseconds(),
 	})
 	switch {
 	case err != nil:
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -73,6 +73,7 @@
 		Target: now.Add(time.Duration(in.TargetMillis) * time.Millisecond),
 		ID:     in.ID, Adapter: in.Adapter, Rank: in.Rank, Team: in.Team, Prompt: in.Prompt, Tokens: in.Tokens, StartDeadline: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
 		MaxDelay: time.Duration(in.MaxDelayMillis) * time.Millisecond, OnlyIfHeld: in.OnlyIfHeld,
+		Gap: time.Duration(in.GapMillis) * time.Millisecond,
 	}, now))
 }
 
@@ -103,6 +104,7 @@
 func (s *Sidecar) firstEvent(_ context.Context, in wire.StartDone) (wire.Empty, error) {
 	now := time.Now()
 	return wire.Empty{}, s.submit(func(l *loop) {
+		l.takeToldSpeed(in, now)
 		if l.attempts[in.ID] == in.Attempt {
 			l.table.FirstEvent(in.ID, now)
 		}
@@ -135,11 +137,13 @@
 	state := wire.EngineState{
 		Known: l.known && l.service != nil, Born: l.report.Born, Leaving: l.report.Leaving,
 		Running: l.table.Running(), Waiting: l.table.Waiting(), Tokens: l.table.Tokens(),
-		DelayMillis: delays(l.table.Delay(now)), PromptMillis: l.table.PromptCost().Round(delayStep / 4).Milliseconds(),
+		DelayMillis: delays(l.table.Delay(now)), PromptMillis: l.table.PromptCost(now).Round(delayStep / 4).Milliseconds(),
 		PlaceMillis: l.table.PlaceTime().Round(delayStep / 4).Milliseconds(), SlotMillis: l.table.SlotDelay().Round(delayStep).Milliseconds(),
 		LoadMillis: l.expectedLoadTime().Round(delayStep).Milliseconds(),
-		Models:     l.report.Models, Held: held, Stale: stale,
+		Models:     l.report.Models, Held: held, Stale: stale, SlowPercent: l.table.SlowPercent(now),
 	}
+	holdAbove, holdLeft := l.table.Hold(now)
+	state.HoldAbove, state.HoldMillis = holdAbove, holdLeft.Milliseconds()
 	if l.service != nil {
 		state.Batch, state.MemoryTokens = l.service.Engine.Batch, l.service.Engine.MemoryTokens
 	}
@@ -149,6 +153,7 @@
 		l.lastSummary = now
 		l.log.Info("engine", zap.Bool("known", state.Known), zap.Bool("leaving", state.Leaving), zap.Int("running", state.Running), zap.Int("waiting", state.Waiting),
 			zap.Int("tokens", state.Tokens), zap.Int("held", len(held)), zap.Int("stale", len(stale)), zap.Int64s("delayMillis", state.DelayMillis), zap.Int64("promptMillis", state.PromptMillis),
+			zap.Int("slowPercent", state.SlowPercent), zap.Int("holdAbove", state.HoldAbove),
 			zap.Int("orders", len(l.orders)), zap.Int("engineRunning", l.report.Running), zap.Int("engineWaiting", l.report.Waiting), zap.Int64("sequence", l.sequence))
 	}
 }
@@ -183,7 +188,8 @@
 
 func equalStates(a, b *wire.EngineState) bool {
 	return a.Known == b.Known && a.Leaving == b.Leaving && a.Running == b.Running && a.Waiting == b.Waiting && a.Tokens == b.Tokens &&
-		a.PlaceMillis == b.PlaceMillis && a.SlotMillis == b.SlotMillis && a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && a.PromptMillis == b.PromptMillis && a.LoadMillis == b.LoadMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
+		a.PlaceMillis == b.PlaceMillis && a.SlotMillis == b.SlotMillis && a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && a.PromptMillis == b.PromptMillis && a.LoadMillis == b.LoadMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange &&
+		a.SlowPercent == b.SlowPercent && a.HoldAbove == b.HoldAbove && a.HoldMillis == b.HoldMillis
 }
 
 // get returns the state, without the lists of adapters if the caller has them as of
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -37,6 +37,9 @@
 	Loading  map[string]int64
 	// RunningIDs are the IDs of the running requests.
 	RunningIDs []string
+	// Events maps the running requests to the events that they have made; nil when
+	// the engine does not tell.
+	Events map[string]int
 	// Running and Waiting count requests; Used and Total are memory in tokens.
 	Running int
 	Waiting int
--- a/internal/sidecar/fake_engine_test.go
+++ b/internal/sidecar/fake_engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -48,6 +49,8 @@
 	id    string
 	// rejected counts the orders with an outdated fencing number or another ID.
 	rejected int
+	// events, if set, returns the running requests and the events that they have made.
+	events func(at time.Time) map[string]int
 }
 
 // errRefused is the error of a call to an engine that is down.
@@ -82,7 +85,12 @@
 		e.mu.Lock()
 		return Report{}, ctx.Err()
 	}
-	return Report{Born: e.born, Sequence: e.sequence, Models: e.models, OnDisk: e.onDisk, Adapters: maps.Clone(e.adapters), Loading: maps.Clone(e.loading)}, nil
+	report := Report{Born: e.born, Sequence: e.sequence, Models: e.models, OnDisk: e.onDisk, Adapters: maps.Clone(e.adapters), Loading: maps.Clone(e.loading)}
+	if e.events != nil {
+		report.Events = e.events(time.Now())
+		report.RunningIDs = slices.Collect(maps.Keys(report.Events))
+	}
+	return report, nil
 }
 
 func (e *fakeEngine) Order(ctx context.Context, o Order) (OrderResult, error) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -126,6 +126,11 @@
 	nextPermitAt time.Time
 	// lastSummary is the time of the last summary in the log.
 	lastSummary time.Time
+	// held, heldToEnd and doubts are what was counted so far of the table's holds and
+	// of the doubts of the told speed.
+	held, heldToEnd, doubts int
+	// doubtLogged is set once a doubt was logged for this incarnation of the engine.
+	doubtLogged bool
 }
 
 // pendingLoad is a load that the engine has accepted.
@@ -258,7 +263,8 @@
 	for _, id := range report.RunningIDs {
 		running[id] = true
 	}
-	l.perform(l.table.Apply(residency.Report{Held: report.Adapters, Loading: report.Loading, Running: running, Waiting: report.Waiting, RequestedAt: r.sentAt}, now))
+	l.perform(l.table.Apply(residency.Report{Held: report.Adapters, Loading: report.Loading, Running: running, Events: report.Events, Waiting: report.Waiting, RequestedAt: r.sentAt}, now))
+	l.countSpeed(now)
 	l.ensureModel(ctx, now)
 }
 
@@ -316,6 +322,7 @@
 	l.orders, l.unanswered = nil, nil
 	clear(l.loads)
 	l.cached = dispatch.Held{}
+	l.doubtLogged = false
 	l.perform(l.table.Restarted())
 }
 
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -46,6 +46,9 @@
 	// adapter or is loading it.
 	MaxDelayMillis int64 `json:"maxDelayMillis,omitempty"`
 	OnlyIfHeld     bool  `json:"onlyIfHeld,omitempty"`
+	// GapMillis is the longest pause between two events that the route allows; 0 for
+	// none.
+	GapMillis int64 `json:"gapMillis,omitempty"`
 	// HeldChange is the EngineState.HeldChange of the adapters that the entry
 	// already has.
 	HeldChange uint64 `json:"heldChange"`
@@ -75,6 +78,11 @@
 	// no pause was measured.
 	PauseMillis   int64 `json:"pauseMillis,omitempty"`
 	AllowedMillis int64 `json:"allowedMillis,omitempty"`
+	// SlowPercent is how long work took on the engine's machine, in percent of the
+	// baseline, as the engine told with its answer; 0 when it told nothing.
+	// SlowAgeMillis is how long before this message the entry received it.
+	SlowPercent   int   `json:"slowPercent,omitempty"`
+	SlowAgeMillis int64 `json:"slowAgeMillis,omitempty"`
 }
 
 // StartWatch requests the EngineState once it is newer than Change.
@@ -116,6 +124,14 @@
 	// LoadMillis is how long loading an adapter requested now would take,
 	// including the loads queued before it.
 	LoadMillis int64 `json:"loadMillis"`
+	// SlowPercent is how long work takes on the engine's machine now, in percent of
+	// the baseline; 0 while unknown. The delays above include it.
+	SlowPercent int `json:"slowPercent,omitempty"`
+	// HoldAbove is the number of prompt tokens above which a start is held now
+	// because reading the prompt would stall streams; 0 when none is held. HoldMillis
+	// is how long such a start is expected to be held.
+	HoldAbove  int   `json:"holdAbove,omitempty"`
+	HoldMillis int64 `json:"holdMillis,omitempty"`
 	// Models are the base models that the engine has loaded.
 	Models []string `json:"models,omitempty"`
 	// HeldChange counts the changes of Held and Stale, which are omitted if the
