--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -77,8 +77,9 @@
 	// no pause was measured.
 	PauseMillis   int64 `json:"pauseMillis,omitempty"`
 	AllowedMillis int64 `json:"allowedMillis,omitempty"`
-	// SlowPercent is how long work takes on the engine's machine, in percent of the usual time, as the header of
-	// the answer told it SlowAgeMillis before the first event; 0 where it told nothing.
+	// SlowPercent is how long work took on the engine's machine, in percent of the
+	// baseline, as the engine told with its answer; 0 when it told nothing.
+	// SlowAgeMillis is how long before this message the entry received it.
 	SlowPercent   int   `json:"slowPercent,omitempty"`
 	SlowAgeMillis int64 `json:"slowAgeMillis,omitempty"`
 }
@@ -122,11 +123,12 @@
 	// LoadMillis is how long loading an adapter requested now would take,
 	// including the loads queued before it.
 	LoadMillis int64 `json:"loadMillis"`
-	// SlowPercent is how long work takes on the engine's machine now, in percent of the usual time; 0 when
-	// unknown.
+	// SlowPercent is how long work takes on the engine's machine now, in percent of
+	// the baseline; 0 while unknown. The delays above include it.
 	SlowPercent int `json:"slowPercent,omitempty"`
-	// HoldAbove is the number of prompt tokens above which a start is held back now, 0 for none; HoldMillis is
-	// for how much longer.
+	// HoldAbove is the number of prompt tokens above which a start is held now
+	// because reading the prompt would stall streams; 0 when none is held. HoldMillis
+	// is how long such a start is expected to be held.
 	HoldAbove  int   `json:"holdAbove,omitempty"`
 	HoldMillis int64 `json:"holdMillis,omitempty"`
 	// Models are the base models that the engine has loaded.
