Entry: late answers and refusals by cause and by rank

Cause: no counter told whether answers were late by their first event or by a pause, nor which ranks were refused and why.

Change: counters of late answers by cause, of answers and refusals by rank, of refusals by a team's limit and of those for want of room. Lines of late and refused requests name their cause, the rank and the factor that was told of the server's machine, and the hold that was known when it was chosen.

Measured: go test -race of internal/gateway, internal/sidecar and internal/telemetry passes.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -32,7 +32,7 @@
 	}
 	left := time.Until(x.startDeadline())
 	if left <= 0 {
-		x.lastReason = "no engine could start it while its caller waits"
+		x.lastReason, x.cause = "no engine could start it while its caller waits", causeNoRoom
 		return false, false
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
@@ -48,7 +48,7 @@
 	})
 	switch {
 	case err != nil:
-		x.lastReason = "the engine's agent did not answer"
+		x.lastReason, x.cause = "the engine's agent did not answer", causeNoServer
 		return false, false
 	case reply.Declined:
 		x.offers.Declined()
@@ -56,11 +56,11 @@
 		delete(x.tried, v.entry().ID)
 		fallthrough
 	case !reply.Start:
-		x.lastReason = "the engine's agent refused the start: " + reply.Reason
+		x.lastReason, x.cause = "the engine's agent refused the start: "+reply.Reason, startCause(&reply)
 		return false, false
 	case x.lineage.bound && !v.agent.runs(v.entry().Born):
 		v.agent.notifyDone(x.call.ID, x.starts)
-		x.lastReason = "the engine has restarted"
+		x.lastReason, x.cause = "the engine has restarted", causeNoServer
 		return false, false
 	}
 	return true, true
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,10 @@
 	// refused caller should retry.
 	lastReason string
 	retryDelay time.Duration
+	// cause is the cause of the refusal if the request is refused for lastReason.
+	cause cause
+	// slow is the factor that the last server's answer told of its machine; 0 where it told none.
+	slow float64
 	// crashes is set once the request is refused for the servers that it has crashed.
 	crashes bool
 	// picked is the chosen server as seen at the choice, offers counts the agents that declined
@@ -140,9 +144,9 @@
 func (x *exchange) precheck() (answer.Answer, bool) {
 	switch {
 	case x.service == nil:
-		return x.refuse(&x.call, "the route's service is not known", minRetryAfter), true
+		return x.refuseFor(causeConfiguration, "the route's service is not known", minRetryAfter), true
 	case x.mayOutlastStop():
-		return x.refuse(&x.call, "this entry stops", 0), true
+		return x.refuseFor(causeStop, "this entry stops", 0), true
 	case x.refusedForCrashes():
 		return x.giveUp(), true
 	case !x.findLineage():
@@ -207,7 +211,7 @@
 // refuseCrashing notes that the request, or a part of its prompt, has crashed too many servers.
 func (x *exchange) refuseCrashing(d suspicion.Decision) {
 	refusedCrashingCount.Add(1)
-	x.crashes = true
+	x.crashes, x.cause = true, causeCrashing
 	x.lastReason = "this request has crashed several backend servers"
 	if d.Part != "" {
 		refusedPartCount.Add(1)
@@ -219,6 +223,7 @@
 // refuseTried notes that the request must wait for the trial of another one.
 func (x *exchange) refuseTried(d suspicion.Decision) {
 	refusedDoubtedCount.Add(1)
+	x.cause = causeDoubted
 	x.lastReason = "several backend servers fell silent while running this request, and a copy of it is on trial"
 	if d.Part != "" {
 		x.lastReason = "several backend servers ended or fell silent under a part of this prompt, and another request with it is on trial"
@@ -238,6 +243,9 @@
 		x.tries++
 		if time.Until(x.startDeadline()) < minRemaining {
 			x.lastReason = "the time was up"
+			if x.cause == "" {
+				x.cause = causeNoRoom
+			}
 			return nil
 		}
 		r, next := x.tryServer()
@@ -274,6 +282,7 @@
 	query := x.query()
 	if wait, hopeless := x.offers.Hopeless(&x.picked.Candidate, &query, time.Until(x.startDeadline())); hopeless {
 		x.lastReason, x.retryDelay = "no engine can start it while its caller waits", wait
+		x.cause = causeNoRoom
 		return nil, stepFail
 	}
 	x.tried[v.entry().ID] = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -357,10 +357,16 @@
 // entry that stops.
 const minRetryAfter = 250 * time.Millisecond
 
-// refuse returns the answer to a request that has not run and will not run.
+// refuse returns the answer to a request that the configuration of this entry does not suffice to serve.
 func (g *Gateway) refuse(call *Call, reason string, after time.Duration) answer.Answer {
+	return g.refuseWith(call, reason, after, zap.String("cause", string(causeConfiguration)))
+}
+
+// refuseWith returns the answer to a request that has not run and will not run; fields tell more of it in the log.
+func (g *Gateway) refuseWith(call *Call, reason string, after time.Duration, fields ...zap.Field) answer.Answer {
 	refusedCount.Add(1)
-	g.log.Info("request refused", zap.String("request", call.ID), zap.String("reason", reason), zap.Duration("retryAfter", after))
+	common := []zap.Field{zap.String("request", call.ID), zap.String("reason", reason), zap.Duration("retryAfter", after)}
+	g.log.Info("request refused", append(common, fields...)...)
 	header := g.ownHeader(call)
 	header.Set("Retry-After", formatSeconds(after))
 	return answer.Text(http.StatusServiceUnavailable, header, reason)
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -94,7 +94,7 @@
 		return true
 	default:
 		versionRefusedCount.Add(1)
-		x.lastReason = d.Reason
+		x.lastReason, x.cause = d.Reason, causeVersion
 		return false
 	}
 }
@@ -218,8 +218,10 @@
 		return x.noTurnReason()
 	}
 	if x.lineage.bound {
+		x.cause = causeVersion
 		versionRefusedCount.Add(1)
 		return "no backend server of the version at which the stream began is there", x.serversRetryAfter()
 	}
+	x.cause = causeNoServer
 	return "no backend server of the service is there", x.serversRetryAfter()
 }
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -21,15 +21,15 @@
 	}
 	if x.runs == 0 {
 		after := x.retryAfter()
-		x.logResult("request not run", nil, http.StatusServiceUnavailable)
-		return x.refuse(&x.call, x.lastReason, after)
+		x.logResult("request not run", x.cause, nil, http.StatusServiceUnavailable)
+		return x.refuseFor(x.cause, x.lastReason, after)
 	}
 	failedCount.Add(1)
 	x.status = http.StatusBadGateway
 	if time.Until(x.deadline) < minRemaining {
 		x.status = http.StatusGatewayTimeout
 	}
-	x.logResult("request failed", nil, x.status)
+	x.logResult("request failed", "", nil, x.status)
 	return answer.Text(x.status, x.ownHeader(&x.call), x.lastReason)
 }
 
@@ -40,7 +40,7 @@
 		return answer.Cut
 	}
 	failedCount.Add(1)
-	x.logResult("stream cut", nil, 0)
+	x.logResult("stream cut", "", nil, 0)
 	return answer.Cut
 }
 
@@ -49,7 +49,7 @@
 	if x.awaited != nil {
 		goneUnansweredCount.Add(1)
 	}
-	x.logResult("caller gone", x.awaited, 0)
+	x.logResult("caller gone", "", x.awaited, 0)
 }
 
 // retryAfterDivisor limits the retry delay: a caller is asked to wait at most this fraction (one
@@ -67,8 +67,9 @@
 	return min(base+spread, max(time.Until(x.deadline)/retryAfterDivisor, 0))
 }
 
-// logResult logs the outcome of the request together with the values that decided it.
-func (x *exchange) logResult(msg string, v *server, status int) {
+// logResult logs the outcome of the request together with the values that decided it. c is the cause of a late answer or
+// a refusal, empty for other outcomes.
+func (x *exchange) logResult(msg string, c cause, v *server, status int) {
 	server := ""
 	if v != nil {
 		server = v.entry().ID
@@ -77,19 +78,22 @@
 	if x.awaited != nil {
 		unanswered = time.Since(x.sentAt)
 	}
-	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.String("service", x.service.Name),
+	fields := []zap.Field{zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.String("service", x.service.Name),
 		zap.Uint64("configuration", x.version), zap.String("adapter", x.call.Adapter), zap.String("server", server), zap.Int("status", status), zap.Int("told", x.status),
 		zap.Int("arrivals", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)),
 		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Duration("unanswered", unanswered),
 		zap.Int("prompt", x.call.PromptTokens), zap.Int("output", x.call.OutputTokens), zap.Strings("parts", x.call.SharedParts),
 		zap.String("lastEvent", x.lastEvent), zap.String("began", x.lineage.began), zap.String("resumes", x.call.Resumes),
 		zap.Uint8("residence", uint8(x.picked.Residence)), zap.Int("running", x.picked.Running), zap.Int("waiting", x.picked.Waiting),
-		zap.Duration("delay", x.picked.Delay), zap.Duration("age", x.picked.Age), zap.Int("declined", x.offers.DeclinedCount()), zap.String("reason", x.lastReason))
+		zap.Duration("delay", x.picked.Delay), zap.Duration("age", x.picked.Age), zap.Int("declined", x.offers.DeclinedCount()), zap.String("reason", x.lastReason),
+		zap.Int("holdAbove", x.picked.HoldAbove), zap.Duration("hold", x.picked.Hold)}
+	x.log.Info(msg, append(fields, x.causeFields(c)...)...)
 }
 
 func (x *exchange) recordAnswer(r *reply) {
 	v, status := r.server, r.response.Status
 	answeredCount.Add(1)
+	countRank(&answeredByRank, x.rank)
 	x.proveWhole(r)
 	if x.route.Kind == route.KindStream && status < http.StatusMultipleChoices {
 		x.durations.record(x.route.Name, time.Since(x.arrived))
@@ -104,13 +108,13 @@
 	if x.grantedBy != nil {
 		startLatency.Record(x.waited)
 	}
-	late := x.first > x.route.Target || x.route.Gap > 0 && x.longestGap > x.route.Gap
+	late := x.lateCause()
 	switch {
-	case late:
-		lateCount.Add(1)
-		x.logResult("request answered late", v, status)
+	case late != "":
+		countLate(late)
+		x.logResult("request answered late", late, v, status)
 	case x.sends > 1 || sampled(x.call.ID):
-		x.logResult("request answered", v, status)
+		x.logResult("request answered", "", v, status)
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -25,7 +25,7 @@
 	}
 	// The server may have announced that it is leaving while the request waited.
 	if !x.mesh.MayServe(v.entry().ID) {
-		x.lastReason = "the backend server leaves"
+		x.lastReason, x.cause = "the backend server leaves", causeNoServer
 		return nil, stepRetry
 	}
 	if !x.takeTurn(v) {
@@ -84,6 +84,7 @@
 	r.response, r.verdict = response, x.edge.Classify(response.Status, response.Header)
 	x.servers.observeRate(v, r.verdict, x.sentAt)
 	x.servers.observeSpeed(v, r.verdict, r.headerAt)
+	x.slow = r.verdict.Slow
 	x.watchBeginning(r, watched)
 	if next := x.checkHeader(r, time.Since(x.sentAt)); next != stepDone {
 		r.release()
@@ -144,7 +145,7 @@
 	x.awaited = nil
 	if !upstream.Sent(err) {
 		x.returnTurn()
-		x.lastReason = "the backend server could not be reached"
+		x.lastReason, x.cause = "the backend server could not be reached", causeNoServer
 		x.servers.observe(v, Verdict{}, func(h *dispatch.Health) { h.Unreachable(time.Now()) })
 		return stepRetry
 	}
@@ -189,7 +190,10 @@
 // handleNotRun handles an answer in which the server states that it did not run the request.
 func (x *exchange) handleNotRun(v *server, response *upstream.Response, verdict Verdict) step {
 	response.Discard()
-	x.lastReason = "the backend server did not take it"
+	x.lastReason, x.cause = "the backend server did not take it", causeNoRoom
+	if verdict.Misdirected {
+		x.cause = causeNoServer
+	}
 	x.servers.observe(v, verdict, func(h *dispatch.Health) {
 		if !verdict.Misdirected {
 			h.Failed(time.Now())
--- a/internal/gateway/speed_test.go
+++ b/internal/gateway/speed_test.go
@@ -244,34 +244,51 @@
 	}
 }
 
-// startAgent serves an agent beside an engine and returns a client that knows its state, and the notifications of
-// first events.
-func startAgent(t *testing.T) (*agentClient, <-chan wire.StartDone, <-chan wire.StartRequest) {
+// testAgent is an agent beside an engine.
+type testAgent struct {
+	*agentClient
+	// refuses is the reason for which it refuses starts; empty to grant them.
+	refuses string
+	// starts and firstEvents are the messages that it has received; those beyond the channel's size are dropped.
+	starts      chan wire.StartRequest
+	firstEvents chan wire.StartDone
+}
+
+// startAgent serves an agent with a client that knows its state.
+func startAgent(t *testing.T) *testAgent {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	firstEvents, starts := make(chan wire.StartDone, 8), make(chan wire.StartRequest, 8)
+	a := &testAgent{
+		agentClient: &agentClient{client: rpc.NewClient(listener.Addr().String()), state: wire.EngineState{Known: true}},
+		starts:      make(chan wire.StartRequest, 8), firstEvents: make(chan wire.StartDone, 8),
+	}
 	server := rpc.NewServer(map[string]rpc.Handler{
 		wire.MethodStartAdmit: rpc.Typed(func(_ context.Context, in wire.StartRequest) (wire.StartReply, error) {
-			starts <- in
-			return wire.StartReply{Start: true}, nil
+			select {
+			case a.starts <- in:
+			default:
+			}
+			return wire.StartReply{Start: a.refuses == "", Reason: a.refuses, State: wire.EngineState{Known: true}}, nil
 		}),
 		wire.MethodStartFirstEvent: rpc.Typed(func(_ context.Context, in wire.StartDone) (wire.Empty, error) {
-			firstEvents <- in
+			select {
+			case a.firstEvents <- in:
+			default:
+			}
 			return wire.Empty{}, nil
 		}),
 		wire.MethodStartDone: rpc.Typed(func(context.Context, wire.StartDone) (wire.Empty, error) { return wire.Empty{}, nil }),
 	})
 	go func() { _ = server.Serve(t.Context(), listener) }()
-	a := &agentClient{client: rpc.NewClient(listener.Addr().String()), state: wire.EngineState{Known: true}}
 	t.Cleanup(func() {
 		a.client.Close()
 		_ = listener.Close()
 		server.Close()
 	})
-	return a, firstEvents, starts
+	return a
 }
 
 // received returns the next message, and fails if none comes.
@@ -288,7 +305,7 @@
 
 // Guards against an agent that does not learn the factor that its engine tells, or learns a wrong age of it.
 func TestFactorIsPassedOnWithFirstEvent(t *testing.T) {
-	agent, firstEvents, _ := startAgent(t)
+	agent := startAgent(t)
 	for _, test := range []struct {
 		slow            float64
 		age             time.Duration
@@ -298,7 +315,7 @@
 	} {
 		agent.notifyFirstEvent("r", 2, test.slow, test.age)
 		want := wire.StartDone{ID: "r", Attempt: 2, SlowPercent: int(test.percent), SlowAgeMillis: test.millis}
-		if got := received(t, firstEvents); got != want {
+		if got := received(t, agent.firstEvents); got != want {
 			t.Errorf("the agent was told %+v, want %+v", got, want)
 		}
 	}
@@ -315,17 +332,17 @@
 		_, _ = fmt.Fprint(w, "id: 1\ndata: word\n\n")
 	}})
 	g.edge = speedEdge{}
-	agent, firstEvents, starts := startAgent(t)
+	agent := startAgent(t)
 	for i := range 4 {
 		v := serverOf(t, g, fmt.Sprint("s", i))
-		v.agent = agent
+		v.agent = agent.agentClient
 	}
 	g.mesh.Documents().Current().Table.Lookup("h", "/draft/").Gap = 300 * time.Millisecond
 	g.ServeHTTP(httptest.NewRecorder(), newPrompt("/draft/"))
-	if got := received(t, starts); got.GapMillis != 300 {
+	if got := received(t, agent.starts); got.GapMillis != 300 {
 		t.Errorf("the start names the gap %d ms, want 300", got.GapMillis)
 	}
-	got := received(t, firstEvents)
+	got := received(t, agent.firstEvents)
 	if age := time.Duration(got.SlowAgeMillis) * time.Millisecond; got.SlowPercent != 250 || age < wait-2*time.Millisecond || age > 10*time.Second {
 		t.Errorf("the agent was told %+v, want 250 percent and an age of %v", got, wait)
 	}
--- a/internal/gateway/team.go
+++ b/internal/gateway/team.go
@@ -101,9 +101,11 @@
 		return x.giveUp(), true
 	}
 	overLimitCount.Add(1)
+	x.countRefused(causeOverShare)
 	after := min(d.RetryAfter+time.Duration(rand.Int64N(int64(d.RetryAfter)/2+1)), max(time.Until(x.deadline)/retryAfterDivisor, 0))
-	x.log.Info("request over its team's limit", zap.String("request", x.call.ID), zap.String("team", x.team.Name), zap.Float64("cost", cost),
-		zap.Float64("rate", d.Standing.Limit.Rate), zap.Float64("left", d.Standing.Level), zap.Int("entries", d.Standing.Entries), zap.Duration("retryAfter", after))
+	fields := []zap.Field{zap.String("request", x.call.ID), zap.String("team", x.team.Name), zap.Float64("cost", cost),
+		zap.Float64("rate", d.Standing.Limit.Rate), zap.Float64("left", d.Standing.Level), zap.Int("entries", d.Standing.Entries), zap.Duration("retryAfter", after)}
+	x.log.Info("request over its team's limit", append(fields, x.causeFields(causeOverShare)...)...)
 	header := x.ownHeader(&x.call)
 	header.Set("Retry-After", formatSeconds(after))
 	return answer.Text(http.StatusTooManyRequests, header, "the limit of the caller's team is used up"), true
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -173,7 +173,7 @@
 		x.turn = v
 		return true
 	}
-	x.lastReason, x.retryDelay = reasonNoTurn, d.RetryAfter
+	x.lastReason, x.retryDelay, x.cause = reasonNoTurn, d.RetryAfter, causeNoTurn
 	return false
 }
 
@@ -212,6 +212,7 @@
 // noTurnReason records a refusal for want of a turn, and returns its reason and when to come back.
 func (x *exchange) noTurnReason() (string, time.Duration) {
 	noTurnCount.Add(1)
+	x.cause = causeNoTurn
 	after := x.servers.recordShortage(x.service.Name, x.rank, x.picked.noTurnUntil, time.Now())
 	x.log.Info("request refused: servers are at the rates that they name", zap.String("request", x.call.ID), zap.String("service", x.service.Name), zap.Int("rank", x.rank),
 		zap.Duration("earliest", time.Until(x.picked.noTurnUntil)), zap.Duration("retryAfter", after))
