Speed of engines counts only where servers tell it, and once

Cause: the progress of runs was read off all engines, so that deployments whose servers tell no speed would have been paced and held by it; and the reading time that agents report at the current speed was multiplied by the factor again at the entry. Change: agents use progress once their engine has told its speed (capacity.Options.OnlyIfTold); the entry divides the reported reading time by the factor.

--- a/coord/capacity/speed.go
+++ b/coord/capacity/speed.go
@@ -29,7 +29,12 @@
 )
 
 // Options selects how the factor is estimated.
-type Options struct{ Source Source }
+type Options struct {
+	Source Source
+	// OnlyIfTold makes progress count only once the server has told its speed: the
+	// machines of all others are taken to have a constant one.
+	OnlyIfTold bool
+}
 
 const (
 	// MinFactor and MaxFactor bound the factor.
@@ -93,8 +98,10 @@
 	interrupted bool
 	progress    reading
 	told        reading
-	doubt       doubt
-	phases      phases
+	// tells is set once the server has told its speed.
+	tells  bool
+	doubt  doubt
+	phases phases
 	// deltas is reused between reports.
 	deltas []int
 }
@@ -224,7 +231,7 @@
 		at = now
 	}
 	factor := bound(float64(percent) / 100)
-	s.told = reading{factor: factor, at: at}
+	s.told, s.tells = reading{factor: factor, at: at}, true
 	if s.options.Source == SourceBoth && !s.progress.at.IsZero() && now.Sub(s.progress.at) <= window {
 		s.doubt.compare(factor/s.progress.factor, now)
 	}
@@ -251,11 +258,17 @@
 }
 
 func (s *Speed) usesProgress() bool {
+	if s.options.OnlyIfTold && !s.tells {
+		return false
+	}
 	return s.options.Source == SourceBoth || s.options.Source == SourceProgress
 }
 
 // latest returns the reading behind the factor, and whether the server told it.
 func (s *Speed) latest(now time.Time) (r reading, told bool) {
+	if s.options.OnlyIfTold && !s.tells {
+		return reading{}, false
+	}
 	switch s.options.Source {
 	case SourceNone:
 		return reading{}, false
--- a/coord/capacity/speed_test.go
+++ b/coord/capacity/speed_test.go
@@ -362,3 +362,24 @@
 		}
 	})
 }
+
+// Guards against servers that tell no speed, and whose decisions change with what is read off their progress.
+func TestProgressCountsOnlyIfTold(t *testing.T) {
+	s := New(Options{OnlyIfTold: true})
+	at := start.Add(190 * time.Millisecond)
+	s.Read(start, at, 76*time.Millisecond, false)
+	s.Unread(at, 10*time.Millisecond, at.Add(100*time.Millisecond))
+	if f := s.Factor(at.Add(100 * time.Millisecond)); f != 1 {
+		t.Errorf("the factor of a server that tells none is %v, want 1", f)
+	}
+	if f := s.IndependentFactor(at); f != 1 {
+		t.Errorf("the factor for samples of a server that tells none is %v, want 1", f)
+	}
+	if _, known := s.Age(at); known {
+		t.Error("the factor of a server that tells none is known")
+	}
+	s.Told(100, at, at)
+	at = at.Add(time.Second)
+	s.Read(at.Add(-190*time.Millisecond), at, 76*time.Millisecond, false)
+	near(t, "once a speed was told", s.Factor(at), 2.5, 0.05)
+}
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -44,7 +44,7 @@
 func (c *Candidate) SetLoad(l *Load, sent Sent, rank int) {
 	c.Batch, c.MemoryTokens, c.Tokens, c.SlotDelay, c.LoadTime = l.Batch, l.MemoryTokens, l.Tokens, l.SlotDelay, l.LoadTime
 	c.Running, c.Waiting = l.Running+sent.Starts, l.Waiting
-	c.PromptTime, c.Slow, c.HoldAbove, c.Hold = l.PromptTime, l.Slow, l.HoldAbove, l.Hold
+	c.PromptTime, c.Slow, c.HoldAbove, c.Hold = l.usualPromptTime(), l.Slow, l.HoldAbove, l.Hold
 	c.Delay = l.delay(rank) + l.PromptTime*time.Duration(sent.Prompt)/promptUnit
 	if sent.Starts > 0 {
 		missing := c.Running + c.Waiting + 1 - c.Batch
@@ -52,6 +52,14 @@
 	}
 }
 
+// usualPromptTime returns PromptTime at the usual speed of the machine: agents report it at the current one.
+func (l *Load) usualPromptTime() time.Duration {
+	if l.Slow <= 0 {
+		return l.PromptTime
+	}
+	return time.Duration(float64(l.PromptTime) / boundFactor(l.Slow))
+}
+
 func (l *Load) delay(rank int) time.Duration {
 	if len(l.Delay) == 0 {
 		return 0
--- a/coord/dispatch/speed_test.go
+++ b/coord/dispatch/speed_test.go
@@ -179,3 +179,13 @@
 		t.Error("a shorter prompt counts as hopeless")
 	}
 }
+
+// Guards against a slow phase that counts twice: agents report the reading time of prompts at the current speed.
+func TestReportedPromptTimeIsOfCurrentSpeed(t *testing.T) {
+	c := candidate("s")
+	c.SetLoad(&Load{PromptTime: 125 * time.Millisecond, Slow: 2.5}, Sent{}, 0)
+	r := Request{Prompt: 2000}
+	if got, want := promptExcess(&c, &r), 150*time.Millisecond; got != want {
+		t.Errorf("2,000 tokens that take 100 ms at the usual speed take %v longer, want %v", got, want)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/backoff"
+	"github.com/rosemarypass/rosemarypass/coord/capacity"
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
 	"github.com/rosemarypass/rosemarypass/coord/residency"
 	"github.com/rosemarypass/rosemarypass/coord/route"
@@ -222,6 +223,7 @@
 		l.table.SetOptions(residency.Options{
 			MaxAdapters: service.Engine.AdapterSlots, Batch: service.Engine.Batch, MemoryTokens: service.Engine.MemoryTokens,
 			Loads: maxConcurrentLoads, Queue: queuePerBatch * service.Engine.Batch, Grace: l.options.VersionGrace,
+			Speed: capacity.Options{OnlyIfTold: true},
 		})
 	}
 }
