Choice of a server: cheaper decay and median of failures

Change: the decay is a parabola between powers of two, within 0.4% of the exponential. The median of the shares is looked for only where more than half of the servers fail; else it is 0.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -59,7 +59,8 @@
 	// unknown.
 	Answer time.Duration
 	// Slow is how long work takes on the server's machine, as a factor of the usual
-	// time, as of the agent's report; 0 when unknown. PromptTime is the usual time
+	// time, as of the agent's report and within the bounds of FactorOf; 0 when
+	// unknown. PromptTime is the usual time
 	// to read 1,000 prompt tokens.
 	Slow       float64
 	PromptTime time.Duration
--- a/coord/dispatch/health.go
+++ b/coord/dispatch/health.go
@@ -78,15 +78,25 @@
 // subtracted, requests that fail on every server would drive other requests from
 // server to server, away from their adapters.
 func commonFailureShare(candidates []Candidate) float64 {
-	shares := make([]float64, 0, len(candidates))
+	serving, failing := 0, 0
 	for i := range candidates {
 		if candidates[i].Model {
-			shares = append(shares, candidates[i].FailureShare)
+			serving++
+			if candidates[i].FailureShare > 0 {
+				failing++
+			}
 		}
 	}
-	if len(shares) == 0 {
+	// While most servers do not fail, the median is 0 and need not be looked for among hundreds.
+	if 2*failing <= serving {
 		return 0
 	}
+	shares := make([]float64, 0, serving)
+	for i := range candidates {
+		if candidates[i].Model {
+			shares = append(shares, candidates[i].FailureShare)
+		}
+	}
 	slices.Sort(shares)
 	median := shares[(len(shares)-1)/2]
 	return median + math.Sqrt(median*(1-median)*sampleWeight/(2-sampleWeight))
--- a/coord/dispatch/speed.go
+++ b/coord/dispatch/speed.go
@@ -65,8 +65,30 @@
 func boundFactor(factor float64) float64 { return min(max(factor, minFactor), maxFactor) }
 
 // decayed returns what is left of a factor after a time.
-func decayed(factor float64, age time.Duration) float64 {
-	return 1 + (factor-1)*math.Exp2(-float64(max(age, 0))/float64(speedHalfLife))
+func decayed(factor float64, age time.Duration) float64 { return 1 + (factor-1)*remaining(max(age, 0)) }
+
+// maxHalvings is the number of half-lives after which nothing of a deviation is left.
+const maxHalvings = 16
+
+// halves holds 2^-i.
+var halves = func() (powers [maxHalvings]float64) {
+	for i := range powers {
+		powers[i] = math.Ldexp(1, -i)
+	}
+	return powers
+}()
+
+// remaining returns which share of a deviation is left after a time: 2^(-age/speedHalfLife) with an error below
+// 0.4%. It is computed for each server of a choice; math.Exp2 doubled the time of a choice among 600.
+func remaining(age time.Duration) float64 {
+	halvings := age / speedHalfLife
+	if halvings >= maxHalvings {
+		return 0
+	}
+	// Within one half-life a parabola through the ends and the middle stands for the exponential.
+	const curvature = 0.1716
+	part := float64(age-halvings*speedHalfLife) * (1 / float64(speedHalfLife))
+	return (1 - part*(0.5+curvature-curvature*part)) * halves[halvings]
 }
 
 // promptExcess returns how much longer than usual the engine takes to read the request's own prompt. The usual
@@ -75,8 +97,8 @@
 	if c.Slow <= 0 || r.Prompt <= 0 || c.PromptTime <= 0 {
 		return 0
 	}
-	usual := float64(c.PromptTime) * float64(r.Prompt) / promptUnit
-	return time.Duration(usual * (decayed(boundFactor(c.Slow), c.Age) - 1))
+	usual := float64(c.PromptTime) * float64(r.Prompt) * (1.0 / promptUnit)
+	return time.Duration(usual * (c.Slow - 1) * remaining(max(c.Age, 0)))
 }
 
 // hold returns how long the engine holds the request's prompt back in a slow phase.
--- a/coord/dispatch/speed_test.go
+++ b/coord/dispatch/speed_test.go
@@ -142,7 +142,7 @@
 		want time.Duration
 	}{
 		{0, 0, 160 * time.Millisecond}, {1, 0, 160 * time.Millisecond}, {2.5, 0, 310 * time.Millisecond}, {2.5, speedHalfLife, 235 * time.Millisecond},
-		{0.6, 0, 120 * time.Millisecond}, {1000, 0, 860 * time.Millisecond}, {-3, 0, 160 * time.Millisecond},
+		{0.6, 0, 120 * time.Millisecond}, {FactorOf(100_000), 0, 860 * time.Millisecond}, {FactorOf(-300), 0, 160 * time.Millisecond},
 	} {
 		c.Slow, c.Age = test.slow, test.age
 		if got := firstByte(&c, &r); (got - test.want).Abs() > time.Microsecond {
@@ -179,3 +179,18 @@
 		t.Error("a shorter prompt counts as hopeless")
 	}
 }
+
+// Guards against a decay that departs from its half-life, jumps or grows.
+func TestRemainingIsExponential(t *testing.T) {
+	before := 1.0
+	for age := time.Duration(0); age < 20*speedHalfLife; age += time.Millisecond {
+		got, want := remaining(age), math.Exp2(-float64(age)/float64(speedHalfLife))
+		if age < maxHalvings*speedHalfLife && math.Abs(got-want) > 0.004*want || got > before || before-got > 0.0025 {
+			t.Fatalf("after %v %v is left and %v 1 ms before, want %v", age, got, before, want)
+		}
+		before = got
+	}
+	if before != 0 {
+		t.Errorf("%v is left in the end", before)
+	}
+}
