Entry: tests of answers in a slow phase and of prompts held back too long

Cause: three changes of the code were found by no test: a sample that is not divided by its factor, a line without the answer's factor, and a choice without the request's prompt.

--- a/internal/gateway/cause_test.go
+++ b/internal/gateway/cause_test.go
@@ -172,12 +172,12 @@
 	}
 }
 
-// Guards against an engine's state that shows no start in time and a refusal that is not counted as want of room.
+// Guards against a prompt that waits at an engine which holds it back for longer than its caller waits, and a refusal that is not counted as want of room.
 func TestHopelessStartIsCountedAsNoRoom(t *testing.T) {
 	g := newTestGateway(t, nil)
 	lines := watchLines(g)
 	v := newServer(roster.Entry{Server: roster.Server{ID: "e", Service: "llm"}}, &agentClient{})
-	v.agent.setState(wire.EngineState{Known: true, DelayMillis: []int64{3000}, SlowPercent: 250, HoldAbove: 100, HoldMillis: 200})
+	v.agent.setState(wire.EngineState{Known: true, DelayMillis: []int64{100}, SlowPercent: 250, HoldAbove: 100, HoldMillis: 3000})
 	g.servers.start(t.Context())
 	g.servers.byService["llm"] = []*server{v}
 	x := &exchange{
@@ -192,7 +192,7 @@
 	for _, line := range []string{"request not run", "request refused"} {
 		checkLine(t, lines, line, map[string]any{"cause": causeNoRoom, "rank": 1, "slowPercent": 250})
 	}
-	checkLine(t, lines, "request not run", map[string]any{"holdAbove": 100, "hold": 200 * time.Millisecond})
+	checkLine(t, lines, "request not run", map[string]any{"holdAbove": 100, "hold": 3 * time.Second})
 }
 
 // Guards against a refusal by a team's limit that is not counted by its cause and rank.
--- a/internal/gateway/speed_test.go
+++ b/internal/gateway/speed_test.go
@@ -185,6 +185,34 @@
 	}
 }
 
+// Guards against answers of a slow phase that count as the server's usual ones, and against lines of late answers that
+// do not tell of the slow phase.
+func TestAnswerInSlowPhase(t *testing.T) {
+	const took = 250 * time.Millisecond
+	g := newTestGateway(t, []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(took)
+		tellSpeed("2.5", "", "body")(w, r)
+	}})
+	g.edge = speedEdge{}
+	lines := watchLines(g)
+	g.mesh.Documents().Current().Table.Lookup("h", "/look/").Target = took / 2
+	g.ServeHTTP(httptest.NewRecorder(), newPrompt("/look/"))
+	checkLine(t, lines, "request answered late", map[string]any{"cause": causeLateFirst, "slowPercent": 250})
+	answered := 0
+	for i := range 4 {
+		v := serverOf(t, g, fmt.Sprint("s", i))
+		if usual := v.health.Answer(); usual > 0 {
+			answered++
+			if usual < took*2/5 || usual >= took {
+				t.Errorf("its usual answer takes %v, want %v", usual, took*2/5)
+			}
+		}
+	}
+	if answered != 1 {
+		t.Errorf("%d servers answered one request", answered)
+	}
+}
+
 // Guards against a factor that comes from something on the way to the server.
 func TestFactorOfUnsignedAnswerIsNotUsed(t *testing.T) {
 	g, now := newTestGateway(t, nil), time.Now()
