--- a/coord/capacity/baseline.go
+++ b/coord/capacity/baseline.go
@@ -27,8 +27,10 @@
 	// baselineWindow is the time of one measurement; with steps of 18 ms it is exact
 	// to an eighth.
 	baselineWindow = 140 * time.Millisecond
-	// baselineQuantile is the quantile of the measurements that is the baseline.
-	baselineQuantile = 0.35
+	// baselineQuantile is the quantile of the measurements that is the baseline. It
+	// is low because prompts are held in slow phases: most times in which none is
+	// read are slow ones. With 0.35 the baseline was 26 ms for steps of 18 ms.
+	baselineQuantile = 0.15
 	// baselineSamples is the number of measurements kept, minBaseline the number
 	// from which the baseline is known.
 	baselineSamples = 200
--- a/coord/capacity/doubt.go
+++ b/coord/capacity/doubt.go
@@ -6,45 +6,68 @@
 )
 
 // doubt finds that the factors which a server tells are false, by comparison with
-// the progress of its work.
+// its steps.
+//
+// A server tells its speed with an answer, when it has just read a prompt, and its
+// steps show between two prompts. So the steps between two told factors are compared
+// with these, where both are about the same.
 type doubt struct {
-	// since is when the comparison in progress began, latest when it got its latest
-	// value; sum is that of the logarithms of the n ratios.
-	since, latest time.Time
-	sum           float64
-	n             int
-	until         time.Time
-	count         int
+	// told is the latest told factor and toldAt its time; seen is the sum of the
+	// logarithms of the n factors by steps since then.
+	told   float64
+	toldAt time.Time
+	seen   float64
+	n      int
+	// since is when the comparison in progress began, and compared the time of its
+	// latest value; sum is the sum of the logarithms of its count ratios.
+	since, compared time.Time
+	sum             float64
+	count           int
+	until           time.Time
+	doubts          int
 }
 
 const (
-	// doubtAfter is how long the progress must contradict the told factors, and
+	// doubtAfter is how long the steps must contradict the told factors, and
 	// doubtRatio by how much. doubtFor is how long they are not used then.
 	doubtAfter = 2 * time.Second
 	doubtRatio = 2.0
 	doubtFor   = 10 * time.Second
-	// minComparisons is the least number of comparisons: a single one is off by the
-	// delay with which the progress shows a change.
+	// minComparisons is the least number of comparisons: a single one can be off by
+	// a phase between the told factors.
 	minComparisons = 5
+	// steadyRange is the ratio up to which two told factors count as the same, and
+	// steadyFor the time between them up to which they tell of the time between: with
+	// a second, phases between them gave doubts about true factors.
+	steadyRange = 1.2
+	steadyFor   = 300 * time.Millisecond
 )
 
-// compare records the ratio of a told factor to the one by progress.
-func (d *doubt) compare(ratio float64, now time.Time) {
-	if d.active(now) {
+// observe records a factor by steps.
+func (d *doubt) observe(steps float64) { d.seen, d.n = d.seen+math.Log(steps), d.n+1 }
+
+// compare records a told factor.
+func (d *doubt) compare(told float64, now time.Time) {
+	before, seen, n := reading{factor: d.told, at: d.toldAt}, d.seen, d.n
+	d.told, d.toldAt, d.seen, d.n = told, now, 0, 0
+	if n == 0 || d.active(now) || before.at.IsZero() || now.Sub(before.at) > steadyFor {
+		return
+	}
+	if change := told / before.factor; change > steadyRange || change < 1/steadyRange {
 		return
 	}
-	if d.n == 0 || now.Sub(d.latest) > doubtAfter {
-		d.since, d.sum, d.n = now, 0, 0
+	if d.count == 0 || now.Sub(d.compared) > doubtAfter {
+		d.since, d.sum, d.count = before.at, 0, 0
 	}
-	d.latest, d.sum, d.n = now, d.sum+math.Log(ratio), d.n+1
-	if now.Sub(d.since) < doubtAfter || d.n < minComparisons {
+	d.compared, d.sum, d.count = now, d.sum+float64(n)*math.Log(told)-seen, d.count+n
+	if now.Sub(d.since) < doubtAfter || d.count < minComparisons {
 		return
 	}
-	if math.Abs(d.sum/float64(d.n)) > math.Log(doubtRatio) {
+	if math.Abs(d.sum/float64(d.count)) > math.Log(doubtRatio) {
 		d.until = now.Add(doubtFor)
-		d.count++
+		d.doubts++
 	}
-	d.n = 0
+	d.count = 0
 }
 
 func (d *doubt) active(now time.Time) bool { return now.Before(d.until) }
--- a/coord/capacity/speed.go
+++ b/coord/capacity/speed.go
@@ -192,6 +192,10 @@
 	if factor, at, ok := s.mean(now, false); ok {
 		s.progress = reading{factor: factor, at: at}
 	}
+	// The reading of prompts is no witness: told factors correct its baseline.
+	if factor, _, ok := s.mean(now, true); ok {
+		s.doubt.observe(factor)
+	}
 	s.phases.observe(s.Factor(now), now)
 }
 
@@ -225,8 +229,8 @@
 	}
 	factor := bound(float64(percent) / 100)
 	s.told = reading{factor: factor, at: at}
-	if s.options.Source == SourceBoth && !s.progress.at.IsZero() && now.Sub(s.progress.at) <= window {
-		s.doubt.compare(factor/s.progress.factor, now)
+	if s.options.Source == SourceBoth {
+		s.doubt.compare(factor, now)
 	}
 	s.phases.observe(s.Factor(now), now)
 }
@@ -277,22 +281,23 @@
 // of prompts. It corrects samples of the reading rate: a factor derived from
 // these would cancel out of them, and a change of the rate would never be learned.
 func (s *Speed) IndependentFactor(now time.Time) float64 {
-	if s.usesProgress() {
-		if factor, at, ok := s.mean(now, true); ok {
+	told := s.told
+	if s.options.Source == SourceNone || s.options.Source == SourceProgress || s.doubt.active(now) {
+		told = reading{}
+	}
+	if s.usesProgress() && (told.at.IsZero() || now.Sub(told.at) > freshness) {
+		if factor, at, ok := s.mean(now, true); ok && at.After(told.at) {
 			return reading{factor: factor, at: at}.decayed(now)
 		}
 	}
-	if s.options.Source == SourceTold || s.options.Source == SourceBoth && !s.doubt.active(now) {
-		return s.told.decayed(now)
-	}
-	return 1
+	return told.decayed(now)
 }
 
 // Step returns the time of a step at baseline speed; 0 while unknown.
 func (s *Speed) Step() time.Duration { return s.baseline.step }
 
 // Doubts returns how often the told factors were found false.
-func (s *Speed) Doubts() int { return s.doubt.count }
+func (s *Speed) Doubts() int { return s.doubt.doubts }
 
 // SlowLeft returns how long the current slow phase is expected to last.
 func (s *Speed) SlowLeft(now time.Time) time.Duration { return s.phases.left(now) }
@@ -304,6 +309,7 @@
 	s.reportedAt, s.unread, s.interrupted, s.pending = time.Time{}, false, false, 0
 	s.samples = s.samples[:0]
 	s.progress, s.told = reading{}, reading{}
+	s.doubt.toldAt, s.doubt.seen, s.doubt.n = time.Time{}, 0, 0
 	s.baseline.interrupt()
 	s.phases.since = time.Time{}
 }
--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -124,6 +124,22 @@
 	return p.cost(prompt, 1) + p.fit.constant()
 }
 
+const (
+	// minReadRatio and maxReadRatio bound a sample of the reading time as a multiple
+	// of the time by the fit, so that a phase which the correction has missed hardly
+	// moves it. A lasting change moves it in some hundred samples.
+	minReadRatio = 0.6
+	maxReadRatio = 1.25
+)
+
+// plausible bounds the time in which a prompt was read.
+func (p *pacer) plausible(prompt int, took time.Duration) time.Duration {
+	if expected := p.readTime(prompt); expected > 0 {
+		return min(max(took, scaled(expected, minReadRatio)), scaled(expected, maxReadRatio))
+	}
+	return took
+}
+
 // recordRead records that a prompt was read during the current busy period, while
 // work took the given multiple of its baseline time.
 func (p *pacer) recordRead(prompt int, factor float64, now time.Time) {
@@ -219,7 +235,11 @@
 	factor := t.speed.IndependentFactor(now)
 	t.pacer.recordRead(s.prompt, factor, now)
 	if s.alone {
-		t.pacer.fit.add(s.prompt, scaled(now.Sub(s.at), 1/factor))
+		took := scaled(now.Sub(s.at), 1/factor)
+		if _, known := t.speed.Age(now); known {
+			took = t.pacer.plausible(s.prompt, took)
+		}
+		t.pacer.fit.add(s.prompt, took)
 	}
 	t.markRead(s, now)
 }
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -186,7 +186,7 @@
 	t.clearAlone()
 	t.turnover.advance(len(t.started), now)
 	t.started[r.ID] = &startedRequest{adapter: r.Adapter, prompt: r.Prompt, tokens: r.Tokens, gap: r.Gap, at: now, alone: alone}
-	t.pacer.start(r.Prompt, share, t.speed.Factor(now), now)
+	t.pacer.start(r.Prompt, share, t.paceFactor(now), now)
 	t.tokens += r.Tokens
 	version := int64(0)
 	if a := t.adapters[r.Adapter]; a != nil {
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -33,9 +33,11 @@
 	// Grace is how long requests may still start on an outdated version after a
 	// newer one was announced.
 	Grace time.Duration
-	// Speed selects how the speed of the engine's machine is estimated, Hold what
-	// happens to prompts that would stall streams in a slow phase.
+	// Speed selects how the speed of the engine's machine is estimated, Pace whether
+	// it paces the starts, and Hold what happens to prompts that would stall streams
+	// in a slow phase.
 	Speed capacity.Options
+	Pace  PacePolicy
 	Hold  HoldPolicy
 }
 
--- a/coord/residency/speed.go
+++ b/coord/residency/speed.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rosemarypass/rosemarypass/coord/capacity"
@@ -18,6 +20,16 @@
 	HoldNever
 )
 
+// PacePolicy selects the speed by which starts are paced and delays published.
+type PacePolicy uint8
+
+const (
+	// PaceBySpeed uses the current speed.
+	PaceBySpeed PacePolicy = iota
+	// PaceByBaseline uses the baseline.
+	PaceByBaseline
+)
+
 const (
 	// maxHold is how long a prompt is held at most: slow phases last 0.2 to 0.7 s.
 	maxHold = time.Second
@@ -52,10 +64,25 @@
 	return time.Duration(float64(d) * factor)
 }
 
-// publishedFactor returns the factor by which published delays are multiplied. It
-// changes in steps, and only once the estimate has left the current step for
-// certain.
+// publishedFactor returns the factor by which published delays are multiplied.
 func (t *Table) publishedFactor(now time.Time) float64 {
+	if t.options.Pace == PaceByBaseline {
+		return 1
+	}
+	return t.roundedFactor(now)
+}
+
+// paceFactor returns the factor by which the cost of a start is multiplied.
+func (t *Table) paceFactor(now time.Time) float64 {
+	if t.options.Pace == PaceByBaseline {
+		return 1
+	}
+	return t.speed.Factor(now)
+}
+
+// roundedFactor returns the factor as it is published. It changes in steps, and only
+// once the estimate has left the current step for certain.
+func (t *Table) roundedFactor(now time.Time) float64 {
 	factor := t.speed.Factor(now)
 	if math.Abs(factor-t.published) > factorChange {
 		t.published = max(math.Round(factor/factorStep)*factorStep, factorStep)
@@ -87,7 +114,7 @@
 	if _, known := t.speed.Age(now); !known {
 		return 0
 	}
-	return int(math.Round(100 * t.publishedFactor(now)))
+	return int(math.Round(100 * t.roundedFactor(now)))
 }
 
 // Hold returns the number of prompt tokens above which a start is held now, and how
@@ -174,13 +201,14 @@
 		return
 	}
 	s.read = true
-	from := s.at
+	from, work := s.at, t.pacer.readTime(s.prompt)
 	if t.readAt.After(from) {
+		// The engine went on with it in the step after, or read it in the same piece.
 		from = t.readAt
+		work += -t.pacer.fit.constant() + min(t.speed.Step(), at.Sub(from))
 	}
 	t.readAt = at
-	work := t.pacer.readTime(s.prompt)
-	if t.pacer.cost(s.prompt, 1) < minReadWork {
+	if t.pacer.cost(s.prompt, 1) < minReadWork || t.pacer.fit.rate() <= 0 {
 		work = 0
 	}
 	t.speed.Read(from, at, work, t.unread())
@@ -205,13 +233,13 @@
 	t.runs = t.runs[:0]
 	for id, events := range r.Events {
 		t.runs = append(t.runs, capacity.Run{ID: id, Events: events})
-		if s := t.started[id]; s != nil && events > 0 && !s.read {
-			// The first event came between two reports.
-			at := r.RequestedAt.Add(-min(r.RequestedAt.Sub(t.reportedAt), r.RequestedAt.Sub(s.at)) / 2)
-			if at.Before(s.at) {
-				at = s.at
-			}
-			t.markRead(s, at)
+	}
+	// The order decides which of the prompts that were read since the last report counts
+	// as the first.
+	slices.SortFunc(t.runs, func(a, b capacity.Run) int { return cmp.Compare(a.ID, b.ID) })
+	for _, run := range t.runs {
+		if s := t.started[run.ID]; s != nil && run.Events > 0 && !s.read {
+			t.markRead(s, firstEventBefore(s, r.RequestedAt, t.reportedAt))
 		}
 	}
 	t.reportedAt = r.RequestedAt
@@ -219,6 +247,18 @@
 	t.observeUnread(r, now)
 }
 
+// firstEventBefore estimates when a request had its first event that only a report
+// tells: in the middle of the time since the report before it, or the start.
+func firstEventBefore(s *startedRequest, reported, before time.Time) time.Time {
+	if before.Before(s.at) {
+		before = s.at
+	}
+	if reported.Before(before) {
+		return before
+	}
+	return before.Add(reported.Sub(before) / 2)
+}
+
 // observeUnread passes on how long the prompts that the engine is reading have
 // been unread.
 func (t *Table) observeUnread(r Report, now time.Time) {
