Gateway: read on for callers that read slowly, within bounds

While a write to a caller waited, the entry did not read from the server. Servers cut off what stays unread for some seconds, so slow callers lost their answers and held a connection and a place at the agent.

A write that takes longer than 100 ms lets a second goroutine read on into a backlog, bounded by stream, team and entry. The server is released when its answer is complete. Callers that read nothing for 10 s are cut. Streams that are read in time have no further goroutine, copy or allocation.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -134,6 +134,7 @@
 	if !isFinal(a.status) {
 		return false
 	}
+	BoundWrite(r.Context(), time.Time{})
 	a.setWriteDeadline(w)
 	header := w.Header()
 	maps.Copy(header, a.header)
@@ -270,6 +271,26 @@
 	return func() { _ = conn.SetReadDeadline(time.Time{}) }
 }
 
+// BoundWrite bounds the time at which what is written to the caller must have been taken, also for a write in progress;
+// a time in the past ends it. The bound applies until the connection's next response. ctx is a request's context
+// under ConnContext.
+func BoundWrite(ctx context.Context, until time.Time) {
+	if conn, found := ctx.Value(connKey{}).(net.Conn); found {
+		// The only error is that the connection is closed already.
+		_ = conn.SetWriteDeadline(until)
+	}
+}
+
+// Acknowledged returns how many bytes the caller's system has taken on the connection; 0 when that is not known. ctx is
+// a request's context under ConnContext.
+func Acknowledged(ctx context.Context) uint64 {
+	conn, found := ctx.Value(connKey{}).(net.Conn)
+	if !found {
+		return 0
+	}
+	return socket.Acknowledged(conn)
+}
+
 // setResetOnClose sets whether closing the connection resets it or closes it
 // orderly.
 func setResetOnClose(ctx context.Context, reset bool) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,8 @@
 	ownBodyTimeout = 30 * time.Second
 	// answerMemoryPart is the part of the memory that incomplete answers of servers may take together.
 	answerMemoryPart = 8
+	// backlogMemoryPart is the part of the memory that what is held for slow callers may take.
+	backlogMemoryPart = 8
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 256 << 10
 	// versionGraceRatio is the fraction of the maximum version delay during which
@@ -235,6 +237,7 @@
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
 		Restarted: !p.settings.Bootstrap,
 		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits, Turns: turns, AnswerBytes: p.settings.MemoryLimit() / answerMemoryPart,
+		BacklogBytes: p.settings.NamedMemory() / backlogMemoryPart,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.goroutines.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,9 +18,12 @@
 // exchange is the state of one request while it is being served.
 type exchange struct {
 	*Gateway
-	ctx   context.Context
-	call  Call
-	route *route.Route
+	ctx context.Context
+	// cancel ends ctx; givenUp is set before that where the entry itself ends the request.
+	cancel  context.CancelFunc
+	givenUp atomic.Bool
+	call    Call
+	route   *route.Route
 	// team is the caller's; nil where the route needs no key. rank is the rank of its requests on the route.
 	team *route.Team
 	rank int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,8 @@
 	Limits *sharedlimit.Limits
 	// AnswerBytes bounds what answers that are not complete hold together; 0 for the default.
 	AnswerBytes int64
+	// BacklogBytes bounds what is held for callers that read slowly; 0 for the default.
+	BacklogBytes int64
 	// Turns keeps the rates that servers name. It is nil where they are not kept.
 	Turns *sharedlimit.Limits
 }
@@ -150,6 +152,7 @@
 	strikes      *strikes
 	startupQueue *startupQueue
 	durations    *durations
+	backlogs     *backlogs
 	underWay     underWay
 	log          *zap.Logger
 	// now returns the time by which the output of servers is measured.
@@ -171,7 +174,7 @@
 	g := &Gateway{
 		options: options, edge: edge, mesh: m, pool: pool, memory: memory, log: log, now: time.Now,
 		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
-		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(),
+		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(), backlogs: newBacklogs(options.BacklogBytes, log),
 	}
 	g.strikes = &strikes{gateway: g, wakeup: make(chan struct{}, 1), followed: make(map[upstream.Target]*followed), unanswered: make(map[*unanswered]bool)}
 	return g
@@ -253,8 +256,9 @@
 	if refused, ok := g.readBody(r, &call, table.Bounds().BodyBytes, deadline); !ok {
 		return refused
 	}
+	ctx, cancel := context.WithCancel(r.Context())
 	x := &exchange{
-		Gateway: g, ctx: r.Context(), call: call, route: found.route, team: found.team, rank: table.Rank(found.team, found.route), table: table, arrived: arrived, deadline: deadline,
+		Gateway: g, ctx: ctx, cancel: cancel, call: call, route: found.route, team: found.team, rank: table.Rank(found.team, found.route), table: table, arrived: arrived, deadline: deadline,
 		service: table.Service(found.route.Pick(rand.Float64())), version: table.Version(), tried: make(map[string]bool),
 	}
 	return x.run()
@@ -383,6 +387,7 @@
 		case now := <-ticker.C:
 			g.pool.Sweep(now, g.servers.keep)
 			g.budget.observeMesh()
+			g.backlogs.sweep(now)
 			g.reportStart(now)
 		}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -118,62 +118,8 @@
 		return answer.Answer{}, x.streamFailed(r, err)
 	}
 	x.status, x.streamHeader = r.response.Status, r.response.Header
-	return answer.Stream(r.response.Status, r.header(), func(pass answer.Pass) answer.End { return x.relayStream(r, events, err, pass) }), stepDone
-}
-
-// relayStream relays the stream that begins with the given events and error, which were read
-// from the first server, and resumes it at other servers where the route allows that. The
-// caller already has the first server's header: only more events of the same stream, its end,
-// or an abort can follow.
-func (x *exchange) relayStream(r *reply, events []byte, err error, pass answer.Pass) answer.End {
-	for {
-		switch x.relayReply(r, events, err, pass) {
-		case stepDone:
-			return answer.Complete(nil)
-		case stepFail:
-			return x.abortStream()
-		}
-		if r = x.resume(); r == nil {
-			return x.abortStream()
-		}
-		events, err = r.read()
-	}
-}
-
-// relayReply relays the stream of one server, of which the given events and error were already
-// read.
-func (x *exchange) relayReply(r *reply, events []byte, err error, pass answer.Pass) step {
-	defer r.release()
-	for {
-		if !r.follows(events) {
-			r.response.Abort()
-			x.lastReason = "the backend server that was to go on with the stream began it anew"
-			return x.recordFailure(r.server, r.verdict)
-		}
-		if len(events) > 0 && !x.checkVersion(r) {
-			r.response.Abort()
-			x.lastReason = "the backend server that was to go on with the stream has restarted"
-			return x.recordFailure(r.server, r.verdict)
-		}
-		if len(events) > 0 {
-			x.recordEvent(time.Now())
-			x.proveEarly(r)
-			if pass(events) != nil {
-				r.response.Abort()
-				return stepFail
-			}
-			x.lastEvent = r.events.lastID(x.lastEvent)
-		}
-		switch {
-		case err == io.EOF:
-			r.response.Release()
-			x.recordAnswer(r)
-			return stepDone
-		case err != nil:
-			return x.streamFailed(r, err)
-		}
-		events, err = r.read()
-	}
+	source := &streamSource{x: x, r: r, events: events, err: err}
+	return answer.Stream(r.response.Status, r.header(), func(pass answer.Pass) answer.End { return x.deliver(source, pass) }), stepDone
 }
 
 // resume finds a server that continues a stream of which the caller already has the beginning.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -192,3 +192,11 @@
 	}
 	return int64(limit * 1e6)
 }
+
+// NamedMemory returns the memory limit that the settings name, in bytes; 0 if they name none.
+func (f *Fleet) NamedMemory() int64 {
+	if f.MemoryMB <= 0 {
+		return 0
+	}
+	return f.MemoryLimit()
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -59,6 +59,17 @@
 	return bytes
 }
 
+// Acknowledged returns how many bytes the peer's system has acknowledged since the connection began. It returns 0
+// when the state cannot be read.
+func Acknowledged(conn net.Conn) uint64 {
+	bytes := uint64(0)
+	ask(conn, func(fd uintptr) bool {
+		bytes = acknowledged(fd)
+		return true
+	})
+	return bytes
+}
+
 // ask asks a question of the connection's socket; false when it cannot be asked.
 func ask(conn net.Conn, question func(fd uintptr) bool) bool {
 	raw, ok := transport(conn).(syscall.Conn)
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -38,6 +38,15 @@
 	return queued
 }
 
+// acknowledged returns the number of bytes that were acknowledged, 0 when it cannot be read.
+func acknowledged(fd uintptr) uint64 {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return info.Bytes_acked
+}
+
 // pending returns the events that are pending on a socket, none when they cannot be read.
 func pending(fd uintptr) int16 {
 	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -19,6 +19,9 @@
 // unacknowledged returns 0: the state cannot be asked.
 func unacknowledged(uintptr) int { return 0 }
 
+// acknowledged returns 0: the state cannot be asked.
+func acknowledged(uintptr) uint64 { return 0 }
+
 // SetUserTimeout does nothing: TCP_USER_TIMEOUT is specific to Linux. Only keep-alive probes
 // detect a silent peer on this platform.
 func SetUserTimeout(syscall.RawConn, time.Duration) error { return nil }
