Gateway: bound whole answers for slow callers too; test the agent's place

An answer that is no stream was kept for its caller without a bound of bytes or time. It now counts as an incomplete answer until it is taken, and as held for a slow caller once its write takes longer than 100 ms.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -172,6 +172,11 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// HasBody reports whether the response to a request of the given method has a body with the given status.
+func HasBody(method string, status int) bool {
+	return method != http.MethodHead && isFinal(status) && allowsBody(status)
+}
+
 func (a Answer) writeStream(w http.ResponseWriter, r *http.Request) bool {
 	controller := http.NewResponseController(w)
 	if a.hasLength && allowsBody(a.status) {
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -13,12 +13,12 @@
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 )
 
-// delivery passes a stream from its source to its caller. While the caller takes each piece in time, the goroutine of
+// delivery passes an answer from its source to its caller. While the caller takes each piece in time, the goroutine of
 // the request reads and writes. Once a write takes longer than backlogs.slowAfter, a second goroutine goes on reading into a
 // backlog, and the goroutine of the request writes from it; this lasts until the stream ends.
 type delivery struct {
 	x      *exchange
-	source *streamSource
+	source source
 	pass   answer.Pass
 	timer  *time.Timer
 	// changed wakes the writer; id, deadline and stopWatch are set together with slow.
@@ -48,8 +48,8 @@
 // their own bytes.
 const maxJoined = 4 << 10
 
-// deliver passes the stream to the caller and returns how it ended.
-func (x *exchange) deliver(source *streamSource, pass answer.Pass) answer.End {
+// deliver passes the answer to the caller and returns how it ended.
+func (x *exchange) deliver(source source, pass answer.Pass) answer.End {
 	d := &delivery{x: x, source: source, pass: pass}
 	defer d.end()
 	for {
@@ -235,7 +235,7 @@
 		}
 		return answer.Cut
 	case d.complete && (err != nil || x.ctx.Err() != nil):
-		x.log.Info("caller left before it had the whole stream", zap.String("request", x.call.ID), zap.String("lastEvent", x.lastEvent))
+		x.log.Info("caller left before it had the whole answer", zap.String("request", x.call.ID), zap.String("lastEvent", x.lastEvent))
 		callersGoneCount.Add(1)
 		return answer.Cut
 	case err != nil || !d.complete:
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -70,6 +70,11 @@
 
 // callSlowly sends a request for a stream from a socket with a small buffer, and reads nothing.
 func callSlowly(t *testing.T, address, proto, id string) net.Conn {
+	t.Helper()
+	return callPathSlowly(t, address, proto, id, "/draft/")
+}
+
+func callPathSlowly(t *testing.T, address, proto, id, path string) net.Conn {
 	t.Helper()
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
@@ -84,7 +89,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	if _, err := fmt.Fprintf(conn, "GET /draft/ HTTP/%s\r\nHost: h\r\nId: %s\r\n\r\n", proto, id); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/%s\r\nHost: h\r\nId: %s\r\n\r\n", path, proto, id); err != nil {
 		t.Fatal(err)
 	}
 	return conn
@@ -273,6 +278,61 @@
 	}
 }
 
+// Guards against a complete answer that is held for a slow caller beyond the request's deadline, although the caller reads.
+func TestDeadlineEndsSlowDelivery(t *testing.T) {
+	for _, proto := range protos {
+		t.Run(proto, func(t *testing.T) {
+			cuts := backlogCutCount.Value()
+			g := newTestGateway(t, []http.HandlerFunc{streamOf(pieceEvents)})
+			began := time.Now()
+			conn := callPathSlowly(t, serveCallers(t, g), proto, "r1", "/brief/")
+			eventually(t, time.Second, "the release of the server", func() bool { bytes, _ := heldBytes(g); return bytes > 0 && inflight(g) == 0 })
+			for backlogCutCount.Value() == cuts && time.Since(began) < 5*time.Second {
+				_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+				time.Sleep(100 * time.Millisecond)
+			}
+			if took := time.Since(began); took < 2900*time.Millisecond || took > 3500*time.Millisecond {
+				t.Errorf("cut after %v, want 3 s", took)
+			}
+			eventually(t, time.Second, "the release of the bytes", func() bool { bytes, streams := heldBytes(g); return bytes == 0 && streams == 0 })
+		})
+	}
+}
+
+// Guards against answers that are no streams and are held for callers that read nothing, without a bound of bytes or time.
+func TestWholeAnswerForSlowCallerIsBounded(t *testing.T) {
+	for _, proto := range protos {
+		t.Run(proto, func(t *testing.T) {
+			const size = 1 << 20
+			cuts := backlogCutCount.Value()
+			g := newTestGateway(t, []http.HandlerFunc{respond(http.StatusOK, "Signed", strings.Repeat("x", size))})
+			g.backlogs.stallTimeout = 2 * time.Second
+			address := serveCallers(t, g)
+			conn, patient := callPathSlowly(t, address, proto, "r1", "/look/"), callPathSlowly(t, address, proto, "r2", "/look/")
+			eventually(t, time.Second, "what is held for both", func() bool { bytes, _ := heldBytes(g); return bytes == 2*size && inflight(g) == 0 })
+			if used := g.memory.Used(); used != 0 {
+				t.Errorf("%d bytes count as incomplete answers too", used)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(patient), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			if err != nil || len(body) != size || response.ContentLength != size {
+				t.Errorf("got %d bytes, %v, want %d", len(body), err, size)
+			}
+			eventually(t, 4*time.Second, "the cut", func() bool { return backlogCutCount.Value() == cuts+1 })
+			response, err = http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return
+			}
+			if body, err := io.ReadAll(response.Body); err == nil {
+				t.Errorf("the cut answer looks complete with %d bytes", len(body))
+			}
+		})
+	}
+}
+
 // Guards against a stream that breaks at its server while events are in the backlog: it must go on behind them, not behind
 // what the caller has read.
 func TestStreamIsResumedBehindBacklog(t *testing.T) {
@@ -297,9 +357,12 @@
 					sendEvents(w, broken+1, pieceEvents)
 				},
 			})
+			proceed := sync.OnceFunc(func() { close(held) })
+			// A server's Close waits for its handlers.
+			t.Cleanup(proceed)
 			conn := callSlowly(t, serveCallers(t, g), proto, "r1")
 			eventually(t, 5*time.Second, "a backlog", func() bool { bytes, _ := heldBytes(g); return bytes > broken/2*eventBytes })
-			close(held)
+			proceed()
 			eventually(t, 5*time.Second, "the end of the second server's answer", func() bool { return inflight(g) == 0 })
 			ids, complete := readRest(t, conn)
 			requireEvents(t, ids, pieceEvents)
@@ -327,9 +390,12 @@
 				<-held
 				panic(http.ErrAbortHandler)
 			}, refuses})
+			proceed := sync.OnceFunc(func() { close(held) })
+			// A server's Close waits for its handlers.
+			t.Cleanup(proceed)
 			conn := callSlowly(t, serveCallers(t, g), proto, "r1")
 			eventually(t, 5*time.Second, "a backlog", func() bool { bytes, _ := heldBytes(g); return bytes > pieceEvents/2*eventBytes })
-			close(held)
+			proceed()
 			ids, complete := readRest(t, conn)
 			if complete {
 				t.Error("the broken stream looks complete")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -83,6 +83,8 @@
 	// streamHeader is the header with which an open stream began.
 	status       int
 	streamHeader http.Header
+	// answered is set once a server's complete answer was recorded.
+	answered bool
 }
 
 // step is the action that follows an offer to a server.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -103,10 +103,23 @@
 		x.lastReason = "the backend server's answer broke off"
 		return answer.Answer{}, x.brokeOff("answer broke off", r, err)
 	}
+	held := x.memory.Hold()
+	if len(body) == 0 || !answer.HasBody(x.call.Method, r.response.Status) {
+		held = nil
+	} else if err := held.Grow(cap(body)); err != nil {
+		r.response.Abort()
+		x.lastReason = "the backend server's answer is too large"
+		x.logBroken("answer given up", r.server, err)
+		return answer.Answer{}, x.recordFailure(r.server, r.verdict)
+	}
 	r.response.Release()
 	x.status = r.response.Status
 	x.recordAnswer(r)
-	return answer.Full(r.response.Status, r.header(), body), stepDone
+	if held == nil {
+		return answer.Full(r.response.Status, r.header(), body), stepDone
+	}
+	source := &bodySource{body: body, held: held}
+	return answer.Stream(r.response.Status, r.header(), func(pass answer.Pass) answer.End { return x.deliver(source, pass) }).WithLength(int64(len(body))), stepDone
 }
 
 // openStream waits for the first events: until they arrive, the request can still be retried at
--- a/internal/gateway/release_test.go
+++ b/internal/gateway/release_test.go
@@ -63,6 +63,7 @@
 		split := []route.Share{{Service: "desk", Weight: 1}}
 		return &route.Document{Version: 1, Services: []route.Service{{Name: "desk"}}, Routes: []route.Route{
 			{Host: "h", Prefix: "/look/", Kind: route.KindSafe, Timeout: time.Minute, Target: time.Second, Split: split, Attempts: 2},
+			{Host: "h", Prefix: "/brief/", Kind: route.KindStream, Resumable: true, Timeout: 3 * time.Second, Target: time.Second, Split: split, Attempts: 3},
 			{Host: "h", Prefix: "/draft/", Kind: route.KindStream, Resumable: true, Timeout: time.Minute, Target: time.Second, Split: split, Attempts: 3},
 		}}, nil
 	}, zap.NewNop())
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -35,6 +35,10 @@
 
 // abortStream ends an open stream before it is complete.
 func (x *exchange) abortStream() answer.End {
+	if x.answered {
+		// The whole answer was recorded before it was passed on.
+		return answer.Cut
+	}
 	if x.callerLeft() {
 		x.callerGone()
 		return answer.Cut
@@ -90,6 +94,7 @@
 func (x *exchange) recordAnswer(r *reply) {
 	v, status := r.server, r.response.Status
 	answeredCount.Add(1)
+	x.answered = true
 	x.proveWhole(r)
 	if x.route.Kind == route.KindStream && status < http.StatusMultipleChoices {
 		x.durations.record(x.route.Name, time.Since(x.arrived))
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -3,8 +3,39 @@
 import (
 	"io"
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/internal/upstream"
 )
 
+// source is what a delivery passes to its caller. It is used by one goroutine at a time.
+type source interface {
+	// next returns the next piece, nil behind the last one. It then reports whether the answer is complete.
+	next() (piece []byte, complete bool)
+	// abort ends the answer before its end; close releases what it holds.
+	abort()
+	close()
+}
+
+// bodySource is an answer that was read whole. held is what it takes of the memory for answers, until its caller has it
+// or it counts as held for a slow one.
+type bodySource struct {
+	body []byte
+	held *upstream.Holding
+}
+
+func (s *bodySource) next() (piece []byte, complete bool) {
+	if s.body == nil {
+		s.close()
+		return nil, true
+	}
+	piece, s.body = s.body, nil
+	return piece, false
+}
+
+func (s *bodySource) abort() { s.close() }
+
+func (s *bodySource) close() { s.held.Release() }
+
 // streamSource reads one stream from its servers, one after the other. It is used by one goroutine at a time.
 type streamSource struct {
 	x *exchange
