--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -35,6 +35,10 @@
 
 // abortStream ends an open stream before it is complete.
 func (x *exchange) abortStream() answer.End {
+	if x.answered {
+		// The whole answer was recorded before it was passed on.
+		return answer.Cut
+	}
 	if x.callerLeft() {
 		x.callerGone()
 		return answer.Cut
@@ -94,6 +98,7 @@
 	v, status := r.server, r.response.Status
 	answeredCount.Add(1)
 	countRank(&answeredByRank, x.rank)
+	x.answered = true
 	x.proveWhole(r)
 	if x.route.Kind == route.KindStream && status < http.StatusMultipleChoices {
 		x.durations.record(x.route.Name, time.Since(x.arrived))
