--- a/internal/sidecar/speed_test.go
+++ b/internal/sidecar/speed_test.go
@@ -113,3 +113,24 @@
 		}
 	})
 }
+
+// Guards against a summary line that does not tell why prompts wait.
+func TestSummaryTellsSpeed(t *testing.T) {
+	runAgent(t, newFakeEngine(t), func(t *testing.T, s *Sidecar) {
+		core, lines := observer.New(zap.InfoLevel)
+		if err := s.submit(func(l *loop) { l.log = zap.New(core) }); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(summaryInterval)
+		notifyFirst(t, s, wire.StartDone{SlowPercent: 250})
+		time.Sleep(summaryInterval)
+		for _, line := range lines.FilterMessage("engine").All() {
+			if fields := line.ContextMap(); fields["slowPercent"] == nil || fields["holdAbove"] == nil {
+				t.Errorf("the summary line is %v", fields)
+			}
+		}
+		if lines.FilterMessage("engine").Len() == 0 {
+			t.Error("no summary line was logged")
+		}
+	})
+}
