A halted stream is no slow machine

Cause: a stream that an engine halts, because its caller does not read, makes no events. Where it was the only one, the factor went to its bound of 8, and prompts were paced and held by that.

Change: a window without a step gives no factor and drops what the beginning of the halt showed.

--- a/coord/capacity/speed.go
+++ b/coord/capacity/speed.go
@@ -189,18 +189,24 @@
 // estimate updates the factor by the progress.
 func (s *Speed) estimate(now time.Time) {
 	s.samples = slices.DeleteFunc(s.samples, func(n sample) bool { return n.outdated(now) })
-	if factor, at, ok := s.mean(now, false); ok {
+	factor, at, ok := s.mean(now, false)
+	switch {
+	case ok && factor > 0:
 		s.progress = reading{factor: factor, at: at}
+	case ok:
+		// Streams are halted, by callers that do not read: that is no speed, and what the
+		// beginning of the halt showed was none.
+		s.progress = reading{}
 	}
 	// The reading of prompts is no witness: told factors correct its baseline.
-	if factor, _, ok := s.mean(now, true); ok {
+	if factor, _, ok := s.mean(now, true); ok && factor > 0 {
 		s.doubt.observe(factor)
 	}
 	s.phases.observe(s.Factor(now), now)
 }
 
-// mean returns the factor by the samples in the window, and the time of the
-// latest one. Reads can be left out.
+// mean returns the factor by the samples in the window, 0 if no work was done in it,
+// and the time of the latest one. Reads can be left out.
 func (s *Speed) mean(now time.Time, stepsOnly bool) (factor float64, at time.Time, ok bool) {
 	var took, work time.Duration
 	for _, n := range s.samples {
@@ -215,7 +221,10 @@
 	if took < minWindow && work < minWindow {
 		return 0, at, false
 	}
-	return bound(float64(took) / float64(max(work, s.baseline.step, time.Millisecond))), at, true
+	if work <= 0 {
+		return 0, at, true
+	}
+	return bound(float64(took) / float64(work)), at, true
 }
 
 // Told records a factor that the server told, in percent, and the time at which
@@ -286,7 +295,7 @@
 		told = reading{}
 	}
 	if s.usesProgress() && (told.at.IsZero() || now.Sub(told.at) > freshness) {
-		if factor, at, ok := s.mean(now, true); ok && at.After(told.at) {
+		if factor, at, ok := s.mean(now, true); ok && factor > 0 && at.After(told.at) {
 			return reading{factor: factor, at: at}.decayed(now)
 		}
 	}
--- a/coord/capacity/speed_test.go
+++ b/coord/capacity/speed_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// Guards against a stream that is halted, since its caller does not read, being taken for a slow
+// machine for as long as it is.
+func TestHaltedStreamIsNoSlowPhase(t *testing.T) {
+	s := newServer(Options{})
+	s.streams = 1
+	s.run(5*time.Second, 1)
+	for range 20 {
+		s.now = s.now.Add(testPoll)
+		s.report(s.now, s.now)
+	}
+	near(t, "a stream halted for a second", s.speed.Factor(s.now), 1, 0.5)
+	// One of two streams is halted.
+	s = newServer(Options{})
+	s.streams = 2
+	s.run(5*time.Second, 1)
+	halted := s.events
+	for range 20 {
+		s.now, s.events = s.now.Add(testPoll), s.events+3
+		s.speed.Report([]Run{{"0", halted}, {"1", s.events + 10}}, false, s.now, s.now)
+		near(t, "one of two streams halted", s.speed.Factor(s.now), 1, 0.25)
+	}
+}
+
 // Guards against engines of which nothing is known while they read prompts one after
 // the other.
 func TestReadingTimeGivesFactor(t *testing.T) {
