Residency: places and memory are kept for urgent ranks

Cause: requests of the most urgent rank with long prompts were refused while shorter ones of the next rank started. A request that was late left as many places free as its kind had missed, and requests of less urgent ranks that were still in time took them; long prompts are late sooner. One that did not fit into the memory was passed by smaller requests, which took what became free.

Change: the reserve of places is counted by rank. Requests leave free what more urgent ranks reserve, and late ones what their own rank does. While a request that fits into the whole memory lacks some of it, none of a less urgent rank starts.

--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,15 +14,21 @@
 	t.markLate(now)
 	t.sortWaiting(now)
 	kept := t.waiting[:0]
+	// lacking is the rank of the most urgent request that lacks memory. What becomes free
+	// is left to it: smaller requests of less urgent ranks would take it each time.
+	lacking := math.MaxInt
 	for _, r := range t.waiting {
 		if now.After(r.StartDeadline) {
 			actions = append(actions, Refuse{ID: r.ID, Reason: ReasonLate})
 			continue
 		}
-		if t.canRun(&r, now) && t.ready(&r, now) {
+		if r.Rank <= lacking && t.canRun(&r, now) && t.ready(&r, now) {
 			actions = append(actions, t.start(&r, now))
 			continue
 		}
+		if t.lacksMemory(&r, now) {
+			lacking = min(lacking, r.Rank)
+		}
 		kept = append(kept, r)
 	}
 	clear(t.waiting[len(kept):])
--- /dev/null
+++ b/coord/residency/rank_test.go
@@ -0,0 +1,170 @@
+package residency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// class is a stream of callers in a simulated load. Callers arrive at random with a mean rate.
+type class struct {
+	name   string
+	rank   int
+	team   string
+	perSec float64
+	prompt int
+	tokens int
+	run    time.Duration
+	target time.Duration
+	wait   time.Duration
+}
+
+type served struct{ arrived, started, refused int }
+
+func (s served) part() float64 { return float64(s.started) / float64(max(s.arrived, 1)) }
+
+// load plays classes of callers against one engine that reads prompts one after the other.
+type load struct {
+	options Options
+	// rate is what the engine reads in tokens a millisecond.
+	rate    float64
+	classes []class
+	length  time.Duration
+	// started is called at every start; nil for none.
+	started func(c *class, tokens int, now time.Time)
+	// restartAt is when the agent restarts with an empty table; zero for never.
+	restartAt time.Duration
+	// arrive lets a test choose what a request carries; nil for nothing.
+	arrive func(c *class, r *Request, now time.Time)
+}
+
+func (l load) play(seed uint64) map[string]*served {
+	draw := rand.New(rand.NewPCG(seed, 1))
+	table := New(l.options)
+	table.pacer.busyRate = l.rate
+	table.Apply(heldReport(start, "m/a"), start)
+	results := make(map[string]*served)
+	next := make([]time.Time, len(l.classes))
+	for i := range l.classes {
+		results[l.classes[i].name] = &served{}
+		next[i] = start
+	}
+	of, requests, first, ends := make(map[string]*class), make(map[string]Request), make(map[string]time.Time), make(map[string]time.Time)
+	readUntil := start
+	take := func(actions []Action, now time.Time) {
+		for _, action := range actions {
+			switch a := action.(type) {
+			case Start:
+				c, r := of[a.ID], requests[a.ID]
+				results[c.name].started++
+				if readUntil.Before(now) {
+					readUntil = now
+				}
+				readUntil = readUntil.Add(time.Duration(float64(r.Prompt) / l.rate * float64(time.Millisecond)))
+				first[a.ID], ends[a.ID] = readUntil, readUntil.Add(c.run)
+				if l.started != nil {
+					l.started(c, r.Tokens, now)
+				}
+			case Refuse:
+				results[of[a.ID].name].refused++
+			}
+		}
+	}
+	n, restarted := 0, false
+	const step = 5 * time.Millisecond
+	for now := start; now.Before(start.Add(l.length)); now = now.Add(step) {
+		if l.restartAt > 0 && !restarted && now.Sub(start) >= l.restartAt {
+			restarted = true
+			take(table.refuseAll(ReasonRestarted), now)
+			table = New(l.options)
+			table.pacer.busyRate = l.rate
+			table.Apply(heldReport(now, "m/a"), now)
+		}
+		for _, id := range sortedKeys(first) {
+			if !first[id].After(now) {
+				delete(first, id)
+				table.FirstEvent(id, now)
+			}
+		}
+		for _, id := range sortedKeys(ends) {
+			if !ends[id].After(now) {
+				delete(ends, id)
+				take(table.Done(id, now), now)
+			}
+		}
+		for i := range l.classes {
+			c := &l.classes[i]
+			for !next[i].After(now) {
+				next[i] = next[i].Add(time.Duration(draw.ExpFloat64() / c.perSec * float64(time.Second)))
+				n++
+				r := Request{
+					ID: fmt.Sprintf("%06d", n), Adapter: "m/a", Rank: c.rank, Team: c.team, Prompt: c.prompt, Tokens: c.tokens,
+					Target: now.Add(c.target), StartDeadline: now.Add(c.wait), MaxDelay: c.wait,
+				}
+				if l.arrive != nil {
+					l.arrive(c, &r, now)
+				}
+				of[r.ID], requests[r.ID] = c, r
+				results[c.name].arrived++
+				take(table.Admit(r, now), now)
+			}
+		}
+		take(table.Tick(now), now)
+	}
+	return results
+}
+
+func sortedKeys(m map[string]time.Time) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Guards against urgent requests with long prompts that are refused while shorter ones of the next rank are served. Two
+// causes: a late request left places free for requests that could be in time, also for those of less urgent ranks; and
+// one that did not fit into the memory was passed by smaller ones, which took what became free.
+func TestUrgentRankWithLongPromptsIsServedFirst(t *testing.T) {
+	for name, limits := range map[string]struct{ batch, memory int }{"few places": {22, 1_000_000}, "little memory": {256, 70_000}} {
+		t.Run(name, func(t *testing.T) {
+			o := options()
+			o.Batch, o.MemoryTokens, o.Queue = limits.batch, limits.memory, 8*limits.batch
+			classes := []class{
+				{name: "urgent", rank: 0, perSec: 8, prompt: 3000, tokens: 3500, run: 2 * time.Second, target: 500 * time.Millisecond, wait: 2 * time.Second},
+				{name: "next", rank: 1, perSec: 12, prompt: 1000, tokens: 1200, run: 2 * time.Second, target: 500 * time.Millisecond, wait: 2 * time.Second},
+			}
+			for seed := range uint64(5) {
+				got := load{options: o, rate: 60, classes: classes, length: 60 * time.Second}.play(seed)
+				t.Logf("seed %d: urgent %.3f of %+v, next %.3f of %+v", seed, got["urgent"].part(), *got["urgent"], got["next"].part(), *got["next"])
+				// The urgent class alone needs less than the engine has.
+				if got["urgent"].part() < 0.95 || got["urgent"].part() < got["next"].part() {
+					t.Errorf("seed %d: %.3f of the urgent class and %.3f of the next were served, want 0.95 and more of the urgent, and no less than of the next", seed, got["urgent"].part(), got["next"].part())
+				}
+			}
+		})
+	}
+}
+
+// Guards against a late urgent request that leaves its place to one of a less urgent rank.
+func TestLateRequestKeepsPlacesForItsOwnRankOnly(t *testing.T) {
+	table := New(options())
+	table.Apply(heldReport(start, "m/a"), start)
+	for i := range 4 {
+		expect(t, "running", table.Admit(request(fmt.Sprint("running", i), "m/a"), start), fmt.Sprint("start running", i))
+	}
+	late := request("urgent", "m/a")
+	late.Target = start
+	expect(t, "a late urgent request", table.Admit(late, start))
+	inTime := request("next", "m/a")
+	inTime.Rank, inTime.Target = 1, start.Add(time.Hour)
+	expect(t, "one in time of the next rank", table.Admit(inTime, start))
+	got := describe(table.Done("running0", start.Add(10*time.Millisecond)))
+	if len(got) > 0 && got[0] == "start next" {
+		t.Errorf("at a free place: %v, want the urgent request or none", got)
+	}
+	expect(t, "two more places", append(table.Done("running1", start.Add(20*time.Millisecond)), table.Done("running2", start.Add(20*time.Millisecond))...), "start urgent", "start next")
+}
--- a/coord/residency/reserve.go
+++ b/coord/residency/reserve.go
@@ -28,7 +28,7 @@
 
 // current returns the number of reserved batch positions.
 func (r *reserve) current(now time.Time) float64 {
-	if r.reserved == 0 {
+	if r == nil || r.reserved == 0 {
 		return 0
 	}
 	return r.reserved * math.Exp2(-float64(now.Sub(r.at))/float64(reserveHalfLife))
@@ -50,16 +50,43 @@
 		}
 		r.late = true
 		if t.ready(r, now) {
-			t.reserve.grow(t.options.Batch, now)
+			t.reserves.of(r.Rank).grow(t.options.Batch, now)
 		}
 	}
 }
 
+// reserves holds the reserve of each rank. A reserve is kept for requests of its own
+// rank: one for all ranks let requests of less urgent ranks take the places that late
+// ones of a more urgent rank had left free.
+type reserves map[int]*reserve
+
+func (v reserves) of(rank int) *reserve {
+	if v[rank] == nil {
+		v[rank] = &reserve{}
+	}
+	return v[rank]
+}
+
+// heldFrom returns the number of positions that a request must leave free: those of
+// more urgent ranks, and if it is late those of its own rank.
+func (v reserves) heldFrom(r *Request, now time.Time) float64 {
+	held := 0.0
+	for rank, reserved := range v {
+		if rank < r.Rank || rank == r.Rank && r.late {
+			held = max(held, reserved.current(now))
+		}
+	}
+	return held
+}
+
 // batchLimit returns the number of running requests below which a request may
 // start.
 func (t *Table) batchLimit(r *Request, now time.Time) int {
-	if !r.late {
-		return t.options.Batch
-	}
-	return max(t.options.Batch-int(math.Round(t.reserve.current(now))), 1)
+	return max(t.options.Batch-int(math.Round(t.reserves.heldFrom(r, now))), 1)
+}
+
+// lacksMemory reports whether a request cannot start only for want of memory. One that
+// is larger than the whole memory waits until nothing runs, and does not count.
+func (t *Table) lacksMemory(r *Request, now time.Time) bool {
+	return r.Tokens <= t.options.MemoryTokens && t.tokens+r.Tokens > t.options.MemoryTokens && t.ready(r, now)
 }
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -182,9 +182,9 @@
 	pacer    pacer
 	pauses   pauses
 	turnover turnover
-	// reserve is the part of the batch that is kept free for requests that can
-	// still meet their target.
-	reserve reserve
+	// reserves are the parts of the batch that are kept free for requests that can
+	// still meet their target, by rank.
+	reserves reserves
 	// unloaded holds the adapters that the engine has dropped, and when: a report
 	// that was requested earlier still lists them.
 	unloaded map[string]time.Time
@@ -207,7 +207,7 @@
 
 // New returns a table for an engine that holds no adapters.
 func New(options Options) *Table {
-	return &Table{options: options, adapters: make(map[string]*adapterState), started: make(map[string]*startedRequest), ending: make(map[string]ending), newest: make(map[string]announcedVersion), unloaded: make(map[string]time.Time), pauses: pauses{reduction: initialReduction}}
+	return &Table{options: options, adapters: make(map[string]*adapterState), started: make(map[string]*startedRequest), ending: make(map[string]ending), newest: make(map[string]announcedVersion), unloaded: make(map[string]time.Time), pauses: pauses{reduction: initialReduction}, reserves: make(reserves)}
 }
 
 // SetOptions replaces the description of the engine.
