Residency, fairshare: teams within their shares go first, and who gives way

Cause: within a rank, requests went by turns of teams at one agent, lateness and arrival. A team with many requests made those of others late, and late ones left places free that its own took. A full queue refused whoever came next. A less urgent rank could wait without end.

Change: a request carries its team's share in percent of an equal part (0: not told). Requests go by rank, then callers that did not return too soon, then by how far their teams are above their shares, then as before. Agents average what entries tell of a team. Each rank that waits gets one start in eight, and one in four while it got less than 0.3 of what all got. A full queue refuses the least urgent, then of the team furthest above its share, then the newest. With shares, memory is left to a request that has lacked it for 0.5 s.

--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -1,6 +1,9 @@
 package residency
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // pacer spreads the prompts that an engine reads (prefill). An engine reads
 // prompts in chunks between the decoding steps of its other requests; several
@@ -150,7 +153,11 @@
 // its start, not counting its adapter's load. The last entry applies to all
 // higher ranks. Requests that wait for a load to begin are not counted: they keep no
 // one waiting whose adapter is there, and while the store is slow there are many.
-func (t *Table) Delay(now time.Time) [Ranks]time.Duration {
+func (t *Table) Delay(now time.Time) [Ranks]time.Duration { return t.delayUpTo(math.MaxInt, now) }
+
+// delayUpTo returns the delay of a request whose team is at most at a level above its
+// share: those of higher levels wait behind it.
+func (t *Table) delayUpTo(level int, now time.Time) [Ranks]time.Duration {
 	var delay [Ranks]time.Duration
 	var ahead [Ranks]int
 	wait, share := max(t.pacer.nextStart().Sub(now), 0), t.share()
@@ -158,7 +165,7 @@
 		delay[rank] = wait
 	}
 	for i := range t.waiting {
-		if name := t.waiting[i].Adapter; name != "" && !t.expects(name, now) {
+		if name := t.waiting[i].Adapter; name != "" && !t.expects(name, now) || t.waiting[i].level() > level {
 			continue
 		}
 		cost := t.pacer.cost(t.waiting[i].Prompt, share)
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -14,20 +13,19 @@
 	t.markLate(now)
 	t.sortWaiting(now)
 	kept := t.waiting[:0]
-	// lacking is the rank of the most urgent request that lacks memory. What becomes free
-	// is left to it: smaller requests of less urgent ranks would take it each time.
-	lacking := math.MaxInt
+	last := t.lastBesideMemory(now)
 	for _, r := range t.waiting {
 		if now.After(r.StartDeadline) {
 			actions = append(actions, Refuse{ID: r.ID, Reason: ReasonLate})
 			continue
 		}
-		if r.Rank <= lacking && t.canRun(&r, now) && t.ready(&r, now) {
+		if r.precedence() <= last && t.canRun(&r, now) && t.ready(&r, now) {
 			actions = append(actions, t.start(&r, now))
+			t.ranks.Started(r.Rank, t.waitingRanks)
 			continue
 		}
 		if t.lacksMemory(&r, now) {
-			lacking = min(lacking, r.Rank)
+			last = min(last, lastOfRank(r.precedence()))
 		}
 		kept = append(kept, r)
 	}
@@ -53,51 +51,59 @@
 	return adapters
 }
 
-// sortWaiting sorts the waiting requests by rank, then those that can still
-// meet their target first, then by the turns of their teams, then by arrival. A
+// sortWaiting sorts the waiting requests by rank, then those whose callers did not
+// return too soon first, then by how far their teams are above their shares, then those
+// that can still meet their target first, then by the turns of their teams, then by
+// arrival. A
 // request that is already late loses less by waiting another second than one that
 // would become late. A team with many requests delays one with few by no more than
 // its turns.
 func (t *Table) sortWaiting(now time.Time) {
 	t.countTurns(now)
 	slices.SortStableFunc(t.waiting, func(a, b Request) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), compareBool(t.missesTarget(&a, now), t.missesTarget(&b, now)), cmp.Compare(a.turn, b.turn))
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.compareClass(&b, now), compareBool(t.missesTarget(&a, now), t.missesTarget(&b, now)), cmp.Compare(a.turn, b.turn))
 	})
 	t.useSlack(now)
+	t.advanceDueRank(now)
 }
 
 // countTurns numbers the waiting requests of each team among those of the same rank
 // that can, or cannot, meet their targets.
 func (t *Table) countTurns(now time.Time) {
-	type class struct {
-		team string
-		rank int
-		late bool
+	if t.turns == nil {
+		t.turns = make(map[turnClass]int)
 	}
-	turns := make(map[class]int, 2)
+	clear(t.turns)
 	for i := range t.waiting {
 		r := &t.waiting[i]
-		c := class{r.Team, r.Rank, t.missesTarget(r, now)}
-		r.turn = turns[c]
-		turns[c]++
+		c := turnClass{r.Team, r.Rank, t.missesTarget(r, now)}
+		r.turn = t.turns[c]
+		t.turns[c]++
 	}
 }
 
-// useSlack moves the first late request before those of its rank that are in time
+// turnClass holds the requests among which a team's are numbered.
+type turnClass struct {
+	team string
+	rank int
+	late bool
+}
+
+// useSlack moves the first late request before those of its class that are in time
 // if all of these still meet their targets behind it. Without that, a late request
 // would wait until no other arrives any more.
 func (t *Table) useSlack(now time.Time) {
 	for first := 0; first < len(t.waiting); {
-		rank, late := t.waiting[first].Rank, first
-		for late < len(t.waiting) && t.waiting[late].Rank == rank && !t.missesTarget(&t.waiting[late], now) {
+		class, late := t.waiting[first], first
+		for late < len(t.waiting) && t.waiting[late].sameClass(&class, now) && !t.missesTarget(&t.waiting[late], now) {
 			late++
 		}
-		if late < len(t.waiting) && t.waiting[late].Rank == rank && t.mayGoLast(t.waiting[first:late], &t.waiting[late], now) {
+		if late < len(t.waiting) && t.waiting[late].sameClass(&class, now) && t.mayGoLast(t.waiting[first:late], &t.waiting[late], now) {
 			moved := t.waiting[late]
 			copy(t.waiting[first+1:late+1], t.waiting[first:late])
 			t.waiting[first] = moved
 		}
-		for first < len(t.waiting) && t.waiting[first].Rank == rank {
+		for first < len(t.waiting) && t.waiting[first].sameClass(&class, now) {
 			first++
 		}
 	}
--- a/coord/residency/reserve.go
+++ b/coord/residency/reserve.go
@@ -50,29 +50,38 @@
 		}
 		r.late = true
 		if t.ready(r, now) {
-			t.reserves.of(r.Rank).grow(t.options.Batch, now)
+			t.reserves.of(r.precedence()).grow(t.options.Batch, now)
 		}
 	}
 }
 
-// reserves holds the reserve of each rank. A reserve is kept for requests of its own
-// rank: one for all ranks let requests of less urgent ranks take the places that late
-// ones of a more urgent rank had left free.
+// levels is the number of levels above a share that reserves distinguish.
+const levels = 8
+
+// precedence orders the kinds of requests that keep places free for each other: by
+// rank, then by how far their teams are above their shares.
+func (r *Request) precedence() int { return levels*r.Rank + min(r.level(), levels-1) }
+
+// reserves holds the reserve of each precedence. A reserve is kept for requests of its
+// own precedence: one for all let requests of less urgent ranks, and of teams above their
+// shares, take the places that late ones had left free.
 type reserves map[int]*reserve
 
-func (v reserves) of(rank int) *reserve {
-	if v[rank] == nil {
-		v[rank] = &reserve{}
+func (v reserves) of(precedence int) *reserve {
+	if v[precedence] == nil {
+		v[precedence] = &reserve{}
 	}
-	return v[rank]
+	return v[precedence]
 }
 
-// heldFrom returns the number of positions that a request must leave free: those of
-// more urgent ranks, and if it is late those of its own rank.
-func (v reserves) heldFrom(r *Request, now time.Time) float64 {
-	held := 0.0
-	for rank, reserved := range v {
-		if rank < r.Rank || rank == r.Rank && r.late {
+// heldFrom returns the number of positions that a request must leave free: those
+// reserved for what precedes it, and if it is late for its own precedence. last is the
+// lowest precedence of which requests wait. While some wait that it precedes, it need
+// not leave its own reserve: these give way instead.
+func (v reserves) heldFrom(r *Request, last int, now time.Time) float64 {
+	held, own := 0.0, r.precedence()
+	for precedence, reserved := range v {
+		if precedence < own || precedence == own && r.late && last <= own {
 			held = max(held, reserved.current(now))
 		}
 	}
@@ -82,11 +91,8 @@
 // batchLimit returns the number of running requests below which a request may
 // start.
 func (t *Table) batchLimit(r *Request, now time.Time) int {
-	return max(t.options.Batch-int(math.Round(t.reserves.heldFrom(r, now))), 1)
-}
-
-// lacksMemory reports whether a request cannot start only for want of memory. One that
-// is larger than the whole memory waits until nothing runs, and does not count.
-func (t *Table) lacksMemory(r *Request, now time.Time) bool {
-	return r.Tokens <= t.options.MemoryTokens && t.tokens+r.Tokens > t.options.MemoryTokens && t.ready(r, now)
+	if r.due {
+		return t.options.Batch
+	}
+	return max(t.options.Batch-int(math.Round(t.reserves.heldFrom(r, t.lastWaiting, now))), 1)
 }
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -13,6 +13,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/coord/fairshare"
 )
 
 // Options describes the engine.
@@ -56,8 +58,20 @@
 	// OnlyIfHeld refuses the request at once unless the engine holds its adapter or
 	// is loading it.
 	OnlyIfHeld bool
+	// Share is the use of the team as a multiple of an equal part of the use of all, in
+	// percent; 0 where it is not told. Among equal ranks, teams within their share go
+	// first.
+	Share int
+	// BehindUntil is the time until which the request goes behind all others of its rank,
+	// since its caller returned too soon.
+	BehindUntil time.Time
 	// turn counts the requests of the same team that wait before it among equals.
 	turn int
+	// admitted numbers the requests in the order in which they were admitted.
+	admitted   uint64
+	admittedAt time.Time
+	// due is set where the request goes first because it is the turn of its rank.
+	due bool
 	// late is set once a start would miss the target.
 	late bool
 }
@@ -77,6 +91,9 @@
 type Refuse struct {
 	ID     string
 	Reason Reason
+	// To describes the request that this one gave way to, and its own place; nil unless
+	// Reason is ReasonGaveWay.
+	To *GaveWay
 }
 
 // Load orders the engine to load an adapter, or to replace the version it
@@ -101,6 +118,9 @@
 const (
 	// ReasonFull means that the queue is full.
 	ReasonFull Reason = "queue_full"
+	// ReasonGaveWay means that the queue is full and a request came that goes first by its
+	// rank or by the share of its team.
+	ReasonGaveWay Reason = "gave_way"
 	// ReasonBusy means that the start would be delayed beyond the request's
 	// MaxDelay.
 	ReasonBusy Reason = "busy"
@@ -183,8 +203,23 @@
 	pauses   pauses
 	turnover turnover
 	// reserves are the parts of the batch that are kept free for requests that can
-	// still meet their target, by rank.
+	// still meet their target.
 	reserves reserves
+	// ranks gives turns to less urgent ranks.
+	ranks fairshare.RankTurns
+	// lastWaiting is the lowest precedence of the waiting requests that could start if
+	// there were room.
+	lastWaiting int
+	// turns counts the waiting requests of each team; kept since a map of all teams for
+	// each decision is garbage of 100 kB at 512 waiting requests.
+	turns map[turnClass]int
+	// told averages the shares of teams.
+	told fairshare.Told
+	// waitingRanks are the ranks of which requests could start if there were room; empty
+	// where only one rank waits.
+	waitingRanks []int
+	// admitted counts the requests that were queued.
+	admitted uint64
 	// unloaded holds the adapters that the engine has dropped, and when: a report
 	// that was requested earlier still lists them.
 	unloaded map[string]time.Time
@@ -218,14 +253,23 @@
 	if t.leaving {
 		return []Action{Refuse{ID: r.ID, Reason: ReasonLeaving}}
 	}
-	if len(t.waiting) >= t.options.Queue {
+	t.ranks.Arrived(r.Rank, now)
+	r.Share = t.told.Add(r.Team, r.Share, now)
+	full := len(t.waiting) >= t.options.Queue
+	if full && t.givesWayTo(&r) < 0 {
 		return []Action{Refuse{ID: r.ID, Reason: ReasonFull}}
 	}
 	if reason := t.decline(&r, now); reason != "" {
 		return []Action{Refuse{ID: r.ID, Reason: reason}}
 	}
+	var actions []Action
+	if full {
+		actions = append(actions, t.giveWay(t.givesWayTo(&r), &r))
+	}
+	t.admitted++
+	r.admitted, r.admittedAt = t.admitted, now
 	t.waiting = append(t.waiting, r)
-	return t.plan(now)
+	return append(actions, t.plan(now)...)
 }
 
 // decline returns the reason for which a request is not taken under its conditions;
@@ -238,7 +282,7 @@
 	if r.MaxDelay == 0 {
 		return ""
 	}
-	delay := t.Delay(now)[min(r.Rank, Ranks-1)]
+	delay := t.delayUpTo(r.level(), now)[min(r.Rank, Ranks-1)]
 	if !expected {
 		delay += t.SlotDelay()
 	}
