Entries tell agents the shares of teams; refusals for want of room; early returns

Cause: an agent sees few requests of a team, so it cannot tell who uses more than others. Entries refused requests of teams within their shares for queues that they do not wait behind. Refused callers were told the whole delay of the best server although they could wait for a part of it, and returned as they liked.

Change: where teams are configured, each StartRequest carries the share of its team by what the entry started, and EngineState the delay within the share. Retry-After is the delay less what the caller may still wait, with a jitter of half of it, a third of the time left at most. A caller that returns before goes behind others of its rank until then; it is known by address, route, team and body. Only requests that found no place make less urgent ones leave places free: requests without a target are late from the beginning.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -96,6 +96,9 @@
 	// much of it has passed.
 	Target time.Duration
 	Spent  time.Duration
+	// WithinShare is set where the request's team is known to be within its share: agents
+	// start it before those of teams above theirs.
+	WithinShare bool
 	// Left is how long the caller still waits for the start; 0 when unknown.
 	Left time.Duration
 	// Tried holds the servers that this request was already offered to.
--- a/coord/residency/rank_test.go
+++ b/coord/residency/rank_test.go
@@ -149,6 +149,28 @@
 	}
 }
 
+// Guards against places that are kept from less urgent ranks although there was one for each urgent request: requests
+// without a target, or that come late from another engine, count as late from the beginning.
+func TestLateRequestsWithRoomReserveNothing(t *testing.T) {
+	o := options()
+	o.Batch = 12
+	table := New(o)
+	table.Apply(heldReport(start, "m/a"), start)
+	for i := range 8 {
+		late := request(fmt.Sprint("urgent", i), "m/a")
+		late.Target = start
+		table.Admit(late, start)
+	}
+	for i := range 4 {
+		lower := request(fmt.Sprint("next", i), "m/a")
+		lower.Rank, lower.Target = 1, start.Add(time.Hour)
+		table.Admit(lower, start)
+	}
+	if table.Running() != o.Batch {
+		t.Errorf("%d of 12 requests run in a batch of 12", table.Running())
+	}
+}
+
 // Guards against ranks that get nothing while more urgent ones send more than there is room for, and against an order of
 // ranks that does not hold. Where an eighth of the starts is more than a rank's part of the requests, the turns of ranks
 // give it more than the rank before it, which is not checked.
--- a/coord/residency/reserve.go
+++ b/coord/residency/reserve.go
@@ -28,7 +28,7 @@
 
 // current returns the number of reserved batch positions.
 func (r *reserve) current(now time.Time) float64 {
-	if r == nil || r.reserved == 0 {
+	if r.reserved == 0 {
 		return 0
 	}
 	return r.reserved * math.Exp2(-float64(now.Sub(r.at))/float64(reserveHalfLife))
@@ -48,9 +48,15 @@
 		if r.late || !t.missesTarget(r, now) {
 			continue
 		}
+		lacksPlace := len(t.started) >= t.batchLimit(r, now)
 		r.late = true
-		if t.ready(r, now) {
-			t.reserves.of(r.precedence()).grow(t.options.Batch, now)
+		if !t.ready(r, now) {
+			continue
+		}
+		v := t.reserves.of(r.precedence())
+		v.own.grow(t.options.Batch, now)
+		if lacksPlace {
+			v.lacked.grow(t.options.Batch, now)
 		}
 	}
 }
@@ -65,11 +71,18 @@
 // reserves holds the reserve of each precedence. A reserve is kept for requests of its
 // own precedence: one for all let requests of less urgent ranks, and of teams above their
 // shares, take the places that late ones had left free.
-type reserves map[int]*reserve
+type reserves map[int]*reserved
+
+type reserved struct {
+	// own is what late requests of the precedence leave free, lacked what requests that it
+	// precedes do. lacked grows only with requests that found no place: others become late
+	// while there is room, or have no target.
+	own, lacked reserve
+}
 
-func (v reserves) of(precedence int) *reserve {
+func (v reserves) of(precedence int) *reserved {
 	if v[precedence] == nil {
-		v[precedence] = &reserve{}
+		v[precedence] = &reserved{}
 	}
 	return v[precedence]
 }
@@ -81,8 +94,11 @@
 func (v reserves) heldFrom(r *Request, last int, now time.Time) float64 {
 	held, own := 0.0, r.precedence()
 	for precedence, reserved := range v {
-		if precedence < own || precedence == own && r.late && last <= own {
-			held = max(held, reserved.current(now))
+		switch {
+		case precedence < own:
+			held = max(held, reserved.lacked.current(now))
+		case precedence == own && r.late && last <= own:
+			held = max(held, reserved.own.current(now))
 		}
 	}
 	return held
--- a/coord/residency/share.go
+++ b/coord/residency/share.go
@@ -72,6 +72,11 @@
 // Delay.
 func (t *Table) DelayWithinShare(now time.Time) [Ranks]time.Duration { return t.delayUpTo(0, now) }
 
+// OverShareWaits reports whether requests of teams above their shares wait.
+func (t *Table) OverShareWaits() bool {
+	return slices.ContainsFunc(t.waiting, func(r Request) bool { return r.Share > 0 && r.level() > 0 })
+}
+
 // advanceDueRank moves a request of the rank whose turn it is to the front: the first one
 // that the memory has room for. waiting is sorted by rank.
 func (t *Table) advanceDueRank(now time.Time) {
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -71,6 +71,8 @@
 	state wire.EngineState
 	// load is the load in state, converted once: each choice reads it of every engine.
 	load dispatch.Load
+	// withinShare is the same for requests of teams within their shares.
+	withinShare dispatch.Load
 	// held records the adapters that the engine has evicted and may still keep in its memory.
 	held dispatch.Held
 	// sent counts the starts that this entry has requested since state was received, at
@@ -222,6 +224,7 @@
 		agentReported.Reach()
 	}
 	a.state, a.load, a.sent, a.receivedAt = state, loadOf(&state), dispatch.Sent{}, time.Now()
+	a.withinShare = loadWithinShare(a.load, &state)
 }
 
 // resetHeld discards the record of what an earlier incarnation of the engine kept in memory.
@@ -273,7 +276,11 @@
 	if !a.state.Known {
 		return false
 	}
-	c.SetLoad(&a.load, a.sent, r.Rank)
+	load := &a.load
+	if r.WithinShare {
+		load = &a.withinShare
+	}
+	c.SetLoad(load, a.sent, r.Rank)
 	c.Age = now.Sub(a.receivedAt)
 	c.Model = holds(a.state.Models, model) && !a.state.Leaving
 	c.Residence = residence(&a.state, r.Adapter)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -17,7 +17,7 @@
 func (x *exchange) query() dispatch.Request {
 	return dispatch.Request{
 		Adapter: x.call.Adapter, DataCentre: x.options.DataCentre, Tokens: x.tokens(), Tried: x.tried,
-		Rank: x.rank, Target: x.route.Target, Spent: time.Since(x.arrived), Left: max(time.Until(x.startDeadline()), 0),
+		Rank: x.rank, Target: x.route.Target, Spent: time.Since(x.arrived), Left: max(time.Until(x.startDeadline()), 0), WithinShare: x.withinShare(),
 	}
 }
 
@@ -33,6 +33,7 @@
 	left := time.Until(x.startDeadline())
 	if left <= 0 {
 		x.lastReason = "no engine could start it while its caller waits"
+		x.noRoom(x.picked.Delay)
 		return false, false
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
@@ -45,6 +46,7 @@
 		Rank: x.rank, Team: x.teamName(), Prompt: x.call.PromptTokens, Tokens: x.tokens(),
 		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
+		Share: x.share(), BehindMillis: x.behind().Milliseconds(),
 	})
 	switch {
 	case err != nil:
@@ -56,6 +58,7 @@
 		delete(x.tried, v.entry().ID)
 		fallthrough
 	case !reply.Start:
+		x.noRoom(max(x.picked.Delay, announcedDelay(&reply.State, x.rank)))
 		x.lastReason = "the engine's agent refused the start: " + reply.Reason
 		return false, false
 	case x.lineage.bound && !v.agent.runs(v.entry().Born):
@@ -63,6 +66,7 @@
 		x.lastReason = "the engine has restarted"
 		return false, false
 	}
+	x.shares.started(x.teamName(), x.tokens(), time.Now())
 	return true, true
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,14 @@
 	// refused caller should retry.
 	lastReason string
 	retryDelay time.Duration
+	// shareNow is the share of the request's team in percent; 0 until it is needed. behindUntil is the time until
+	// which the request goes behind others, since its caller returned too soon; zero for any other.
+	shareNow    int
+	behindUntil time.Time
+	// lacksRoom is set while the last reason is that there was no room in time, roomDelay is what the start would
+	// have waited then.
+	lacksRoom bool
+	roomDelay time.Duration
 	// crashes is set once the request is refused for the servers that it has crashed.
 	crashes bool
 	// picked is the chosen server as seen at the choice, offers counts the agents that declined
@@ -113,6 +121,7 @@
 	if refused, ok := x.chargeTeam(); ok {
 		return refused
 	}
+	x.checkReturn()
 	x.budget.credit(x.service.Name, x.arrived)
 	if x.service.Engine != nil && x.call.Model != "" {
 		x.mesh.RecordDemand(x.call.Model)
@@ -254,6 +263,7 @@
 // tryServer offers the request to one server. If it returns no reply, the step says whether
 // another server may be tried.
 func (x *exchange) tryServer() (*reply, step) {
+	x.lacksRoom = false
 	v, picked := x.awaitConfirmed()
 	if v == nil && x.runs == 0 {
 		chosen := func() bool {
@@ -274,6 +284,7 @@
 	query := x.query()
 	if wait, hopeless := x.offers.Hopeless(&x.picked.Candidate, &query, time.Until(x.startDeadline())); hopeless {
 		x.lastReason, x.retryDelay = "no engine can start it while its caller waits", wait
+		x.noRoom(wait)
 		return nil, stepFail
 	}
 	x.tried[v.entry().ID] = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	startupQueue *startupQueue
 	durations    *durations
 	underWay     underWay
+	shares       *shares
 	log          *zap.Logger
 	// now returns the time by which the output of servers is measured.
 	now  func() time.Time
@@ -171,7 +172,7 @@
 	g := &Gateway{
 		options: options, edge: edge, mesh: m, pool: pool, memory: memory, log: log, now: time.Now,
 		servers: newServers(options, m, pool, log), budget: newBudget(options, m),
-		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(),
+		startupQueue: newStartupQueue(options.Heartbeat), durations: newDurations(), shares: newShares(),
 	}
 	g.strikes = &strikes{gateway: g, wakeup: make(chan struct{}, 1), followed: make(map[upstream.Target]*followed), unanswered: make(map[*unanswered]bool)}
 	return g
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -62,6 +62,9 @@
 	if x.crashes {
 		return crashRetryAfter
 	}
+	if x.lacksRoom {
+		return x.retryAfterRoom()
+	}
 	base := max(x.retryDelay, minRetryAfter)
 	spread := time.Duration(rand.Int64N(int64(base)/2 + 1))
 	return min(base+spread, max(time.Until(x.deadline)/retryAfterDivisor, 0))
@@ -77,7 +80,7 @@
 	if x.awaited != nil {
 		unanswered = time.Since(x.sentAt)
 	}
-	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.String("service", x.service.Name),
+	x.log.Info(msg, zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.Int("share", x.shareNow), zap.String("service", x.service.Name),
 		zap.Uint64("configuration", x.version), zap.String("adapter", x.call.Adapter), zap.String("server", server), zap.Int("status", status), zap.Int("told", x.status),
 		zap.Int("arrivals", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)),
 		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Duration("unanswered", unanswered),
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -73,6 +73,7 @@
 		Target: now.Add(time.Duration(in.TargetMillis) * time.Millisecond),
 		ID:     in.ID, Adapter: in.Adapter, Rank: in.Rank, Team: in.Team, Prompt: in.Prompt, Tokens: in.Tokens, StartDeadline: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
 		MaxDelay: time.Duration(in.MaxDelayMillis) * time.Millisecond, OnlyIfHeld: in.OnlyIfHeld,
+		Share: in.Share, BehindUntil: behindUntil(in.BehindMillis, now),
 	}, now))
 }
 
@@ -136,7 +137,8 @@
 		Known: l.known && l.service != nil, Born: l.report.Born, Leaving: l.report.Leaving,
 		Running: l.table.Running(), Waiting: l.table.Waiting(), Tokens: l.table.Tokens(),
 		DelayMillis: delays(l.table.Delay(now)), PromptMillis: l.table.PromptCost().Round(delayStep / 4).Milliseconds(),
-		PlaceMillis: l.table.PlaceTime().Round(delayStep / 4).Milliseconds(), SlotMillis: l.table.SlotDelay().Round(delayStep).Milliseconds(),
+		WithinShareMillis: l.delaysWithinShare(now),
+		PlaceMillis:       l.table.PlaceTime().Round(delayStep / 4).Milliseconds(), SlotMillis: l.table.SlotDelay().Round(delayStep).Milliseconds(),
 		LoadMillis: l.expectedLoadTime().Round(delayStep).Milliseconds(),
 		Models:     l.report.Models, Held: held, Stale: stale,
 	}
@@ -183,7 +185,7 @@
 
 func equalStates(a, b *wire.EngineState) bool {
 	return a.Known == b.Known && a.Leaving == b.Leaving && a.Running == b.Running && a.Waiting == b.Waiting && a.Tokens == b.Tokens &&
-		a.PlaceMillis == b.PlaceMillis && a.SlotMillis == b.SlotMillis && a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && a.PromptMillis == b.PromptMillis && a.LoadMillis == b.LoadMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
+		a.PlaceMillis == b.PlaceMillis && a.SlotMillis == b.SlotMillis && a.Batch == b.Batch && a.MemoryTokens == b.MemoryTokens && slices.Equal(a.DelayMillis, b.DelayMillis) && slices.Equal(a.WithinShareMillis, b.WithinShareMillis) && a.PromptMillis == b.PromptMillis && a.LoadMillis == b.LoadMillis && slices.Equal(a.Models, b.Models) && a.HeldChange == b.HeldChange
 }
 
 // get returns the state, without the lists of adapters if the caller has them as of
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -332,7 +332,7 @@
 				l.answer(a.ID, wire.StartReply{Reason: string(a.Reason), Declined: true})
 				continue
 			}
-			l.log.Info("start refused", zap.String("request", a.ID), zap.String("reason", string(a.Reason)))
+			l.recordRefusal(a)
 			l.answer(a.ID, wire.StartReply{Reason: string(a.Reason)})
 		case residency.Load:
 			model, adapter, _ := strings.Cut(a.Adapter, "/")
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -33,6 +33,12 @@
 	// turns.
 	Rank int    `json:"rank,omitempty"`
 	Team string `json:"team,omitempty"`
+	// Share is what the team used lately as a multiple of an equal part of the use of all
+	// teams, in percent; 0 where it is not known. Teams within their share go first.
+	Share int `json:"share,omitempty"`
+	// BehindMillis is for how long the request goes behind all others of its rank, since
+	// its caller returned before the time that it was told.
+	BehindMillis int64 `json:"behindMillis,omitempty"`
 	// Prompt is the number of prompt tokens to process, Tokens the maximum engine
 	// memory that the request takes, in tokens.
 	Prompt int `json:"prompt"`
@@ -106,6 +112,9 @@
 	// DelayMillis is the current waiting time of a start by rank, without the time
 	// to load its adapter. The last value applies to all higher ranks.
 	DelayMillis []int64 `json:"delayMillis"`
+	// WithinShareMillis is the same for requests of teams within their shares; omitted where
+	// no team above its share waits.
+	WithinShareMillis []int64 `json:"withinShareMillis,omitempty"`
 	// PromptMillis is the time that 1,000 prompt tokens add to DelayMillis.
 	PromptMillis int64 `json:"promptMillis"`
 	// PlaceMillis is the time in which a place of a full batch becomes free.
