--- a/coord/residency/reserve.go
+++ b/coord/residency/reserve.go
@@ -48,18 +48,74 @@
 		if r.late || !t.missesTarget(r, now) {
 			continue
 		}
+		lacksPlace := len(t.started) >= t.batchLimit(r, now)
 		r.late = true
-		if t.ready(r, now) {
-			t.reserve.grow(t.options.Batch, now)
+		if !t.ready(r, now) {
+			continue
+		}
+		if !t.options.Shares {
+			t.reserves.of(0).own.grow(t.options.Batch, now)
+			continue
+		}
+		v := t.reserves.of(r.precedence())
+		v.own.grow(t.options.Batch, now)
+		if lacksPlace {
+			v.lacked.grow(t.options.Batch, now)
 		}
 	}
 }
 
+// levels is the number of levels above a share that reserves distinguish.
+const levels = 8
+
+// precedence orders the kinds of requests that keep places free for each other: by
+// rank, then by how far their teams are above their shares.
+func (r *Request) precedence() int { return levels*r.Rank + min(r.level(), levels-1) }
+
+// reserves holds the reserve of each precedence. A reserve is kept for requests of its
+// own precedence: one for all let requests of less urgent ranks, and of teams above their
+// shares, take the places that late ones had left free.
+type reserves map[int]*reserved
+
+type reserved struct {
+	// own is what late requests of the precedence leave free, lacked what requests that it
+	// precedes do. lacked grows only with requests that found no place: others become late
+	// while there is room, or have no target.
+	own, lacked reserve
+}
+
+func (v reserves) of(precedence int) *reserved {
+	if v[precedence] == nil {
+		v[precedence] = &reserved{}
+	}
+	return v[precedence]
+}
+
+// heldFrom returns the number of positions that a request must leave free: those
+// reserved for what precedes it, and if it is late for its own precedence. last is the
+// lowest precedence of which requests wait. While some wait that it precedes, it need
+// not leave its own reserve: these give way instead.
+func (v reserves) heldFrom(r *Request, last int, now time.Time) float64 {
+	held, own := 0.0, r.precedence()
+	for precedence, reserved := range v {
+		switch {
+		case precedence < own:
+			held = max(held, reserved.lacked.current(now))
+		case precedence == own && r.late && last <= own:
+			held = max(held, reserved.own.current(now))
+		}
+	}
+	return held
+}
+
 // batchLimit returns the number of running requests below which a request may
 // start.
 func (t *Table) batchLimit(r *Request, now time.Time) int {
-	if !r.late {
+	if r.due || !r.late && !t.options.Shares {
 		return t.options.Batch
 	}
-	return max(t.options.Batch-int(math.Round(t.reserve.current(now))), 1)
+	if !t.options.Shares {
+		return max(t.options.Batch-int(math.Round(t.reserves.of(0).own.current(now))), 1)
+	}
+	return max(t.options.Batch-int(math.Round(t.reserves.heldFrom(r, t.lastWaiting, now))), 1)
 }
--- a/coord/residency/residency_test.go
+++ b/coord/residency/residency_test.go
@@ -13,7 +13,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func options() Options {
-	return Options{MaxAdapters: 2, Batch: 4, MemoryTokens: 10_000, Loads: 2, Queue: 16, Grace: 2 * time.Second}
+	return Options{MaxAdapters: 2, Batch: 4, MemoryTokens: 10_000, Loads: 2, Queue: 16, Grace: 2 * time.Second, Shares: true}
 }
 
 // tableWithRate returns a table for an engine that has read 4,000 tokens at 10
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -223,7 +223,7 @@
 		l.table.SetOptions(residency.Options{
 			MaxAdapters: service.Engine.AdapterSlots, Batch: service.Engine.Batch, MemoryTokens: service.Engine.MemoryTokens,
 			Loads: maxConcurrentLoads, Queue: queuePerBatch * service.Engine.Batch, Grace: l.options.VersionGrace,
-			Speed: capacity.Options{OnlyIfTold: true},
+			Speed: capacity.Options{OnlyIfTold: true}, Shares: table.HasTeams(),
 		})
 	}
 }
@@ -341,7 +341,7 @@
 				l.answer(a.ID, wire.StartReply{Reason: string(a.Reason), Declined: true})
 				continue
 			}
-			l.log.Info("start refused", zap.String("request", a.ID), zap.String("reason", string(a.Reason)))
+			l.recordRefusal(a)
 			l.answer(a.ID, wire.StartReply{Reason: string(a.Reason)})
 		case residency.Load:
 			model, adapter, _ := strings.Cut(a.Adapter, "/")
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		decode := func([]byte) (*route.Document, error) {
-			return &route.Document{Services: []route.Service{{Name: "llm", Engine: &route.Engine{
+			return &route.Document{HasTeams: true, Services: []route.Service{{Name: "llm", Engine: &route.Engine{
 				Batch: 4, MemoryTokens: 10_000, AdapterSlots: testSlots, Models: models,
 			}}}}, nil
 		}
