Tests of the speed catch changes that they missed

Cause: seven of eighteen deliberate changes of the code passed the tests: the longest hold, delays and prompt cost at the current speed, reports that are late in two ways, prompts that only the report shows as unread, the time for which a header is doubted.

Result: each of the seven changes now fails a test.

--- a/coord/capacity/speed_test.go
+++ b/coord/capacity/speed_test.go
@@ -110,12 +110,25 @@
 // Guards against the time in which a prompt is read, when no stream makes an event, being
 // taken for a slow phase.
 func TestIntervalWithUnreadPromptGivesNoStepTime(t *testing.T) {
+	for _, unread := range []bool{true, false} {
+		checkUnread(t, unread)
+	}
+}
+
+// checkUnread has a server read a prompt that its caller knows of, or only the report shows.
+func checkUnread(t *testing.T, unread bool) {
+	t.Helper()
 	s := newServer(Options{})
 	s.run(5*time.Second, 1)
 	before := s.speed.Step()
-	for range 40 {
+	for i := range 40 {
 		s.now = s.now.Add(testPoll)
-		s.speed.Report([]Run{{"0", s.events}, {"1", s.events + 10}, {"new", 0}}, true, s.now, s.now)
+		s.events += i % 2
+		runs := []Run{{"0", s.events}, {"1", s.events + 10}}
+		if !unread {
+			runs = append(runs, Run{"new", 0})
+		}
+		s.speed.Report(runs, unread, s.now, s.now)
 	}
 	if f := s.speed.Factor(s.now); f > 1.01 || s.speed.Step() != before {
 		t.Errorf("the factor is %v and the step %s after a time of reading, want 1 and %s", f, s.speed.Step(), before)
@@ -190,17 +203,27 @@
 	t.Run("gap", func(t *testing.T) {
 		s := newServer(Options{})
 		s.run(5*time.Second, 1)
-		s.now = s.now.Add(250 * time.Millisecond)
-		s.report(s.now, s.now)
-		near(t, "after a gap of 250 ms without an event", s.speed.Factor(s.now), 1, 0.2)
+		before := s.speed.Step()
+		for range 200 {
+			s.now, s.events = s.now.Add(201*time.Millisecond), s.events+40
+			s.report(s.now, s.now)
+			near(t, "after a gap of 201 ms", s.speed.Factor(s.now), 1, 0.2)
+		}
+		if got := s.speed.Step(); got != before {
+			t.Errorf("reports 201 ms apart changed the baseline from %s to %s", before, got)
+		}
 	})
 	t.Run("slow answer", func(t *testing.T) {
 		s := newServer(Options{})
 		s.run(5*time.Second, 1)
-		for range 4 {
-			s.now = s.now.Add(testPoll)
+		before := s.speed.Step()
+		for range 800 {
+			s.now, s.events = s.now.Add(testPoll), s.events+7
 			s.report(s.now, s.now.Add(201*time.Millisecond))
 		}
+		if got := s.speed.Step(); got != before {
+			t.Errorf("answers that took 201 ms changed the baseline from %s to %s", before, got)
+		}
 		near(t, "after answers that took 201 ms", s.speed.Factor(s.now.Add(201*time.Millisecond)), 1, 0.2)
 	})
 }
@@ -290,7 +313,10 @@
 		if s.speed.Doubts() != 1 {
 			t.Errorf("%d doubts, want 1 in 10 s", s.speed.Doubts())
 		}
-		s.run(10*time.Second, test.factor)
+		s.run(9500*time.Millisecond, test.factor)
+		s.speed.Told(test.percent, s.now, s.now)
+		near(t, "told 9.5 s later", s.speed.Factor(s.now), test.factor, 0.35)
+		s.run(500*time.Millisecond, test.factor)
 		s.speed.Told(test.percent, s.now, s.now)
 		near(t, "told 10 s later", s.speed.Factor(s.now), float64(test.percent)/100, 0.001)
 	}
--- a/coord/experiment/server_speed_test.go
+++ b/coord/experiment/server_speed_test.go
@@ -53,7 +53,7 @@
 // Guards against an estimate that errs on machines of constant speed and holds up their prompts.
 func TestConstantSpeedHoldsNothingUp(t *testing.T) {
 	load := shortPhases(6)
-	load.CalmFor = 0
+	load.CalmFor, load.Warm, load.Length = 0, 4*time.Second, 4*time.Second
 	today := RunSpeed(load, speedPolicies[0].SpeedPolicy, seed)
 	for _, policy := range speedPolicies[1:] {
 		r := RunSpeed(load, policy.SpeedPolicy, seed)
--- a/coord/residency/speed_test.go
+++ b/coord/residency/speed_test.go
@@ -112,8 +112,8 @@
 		table.Told(250, at, at)
 		return table.Tick(at)
 	}
-	expect(t, "before the bound", tick(maxHold-time.Millisecond))
-	expect(t, "at the bound", tick(maxHold), "start long")
+	expect(t, "before the bound", tick(time.Second-time.Millisecond))
+	expect(t, "at the bound", tick(time.Second), "start long")
 	if held, toEnd := table.Holds(); held != 1 || toEnd != 1 {
 		t.Errorf("%d held, %d to the end, want 1 and 1", held, toEnd)
 	}
@@ -144,6 +144,22 @@
 	}
 }
 
+// Guards against delays that entries, and the agent's own declines, count at normal speed.
+func TestPublishedDelaysFollowSpeed(t *testing.T) {
+	delay := func(percent int) (waiting, cost time.Duration) {
+		table := slowTable(percent)
+		table.options.Batch = 1
+		table.Admit(prompt("waiting", 1400), start)
+		table.options.Batch = 16
+		return table.Delay(start)[0], table.PromptCost(start)
+	}
+	calm, calmCost := delay(0)
+	slow, slowCost := delay(250)
+	if calm <= 0 || slow != calm*5/2 || calmCost <= 0 || slowCost != calmCost*5/2 {
+		t.Errorf("the delays are %s and %s at normal speed, %s and %s at 2.5 times the time", calm, calmCost, slow, slowCost)
+	}
+}
+
 // Guards against a baseline reading rate that follows the slow phases, in which prompts would be
 // held and paced twice.
 func TestReadingRateIsOfNormalSpeed(t *testing.T) {
