Gateway: at most three requests of an entry for each slot of a plain server

Nothing bounded what one entry sends to a plain server, which queues it or reads its bodies slowly while callers give up.

Where a server reports its slots, it is no candidate beyond three outstanding requests for each; where that holds for all, the request is refused as not run at once. 40 requests at once at four servers of two slots: 24 sent, 16 refused (-race, loopback).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -264,7 +264,7 @@
 	if v == nil && x.runs == 0 {
 		chosen := func() bool {
 			v, picked = x.choose()
-			return v != nil
+			return v != nil || picked.full
 		}
 		x.startupQueue.await(x.ctx, x.startDeadline().Add(-minRemaining), chosen)
 	}
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -212,11 +212,17 @@
 	return nil, pick{}
 }
 
+// reasonFull is the reason for refusing a request for which the entry may send no more to any server.
+const reasonFull = "each backend server has as many requests of this entry as it may"
+
 // noServerReason returns why there is no server, and after which time one may be back.
 func (x *exchange) noServerReason() (string, time.Duration) {
 	if !x.picked.noTurnUntil.IsZero() {
 		return x.noTurnReason()
 	}
+	if x.picked.full {
+		return reasonFull, minRetryAfter
+	}
 	if x.lineage.bound {
 		versionRefusedCount.Add(1)
 		return "no backend server of the version at which the stream began is there", x.serversRetryAfter()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -62,8 +62,12 @@
 				Authenticated: x.table.HasTeams(), Team: x.teamName()})
 		},
 	}
+	if !x.servers.requestSent(v) {
+		x.returnTurn()
+		x.lastReason = reasonFull
+		return nil, stepRetry
+	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
-	x.servers.requestSent(v)
 	held := x.memory.Hold()
 	r := &reply{server: v, now: x.now, held: held, releases: []func(){cancel, func() { x.servers.requestEnded(v) }, held.Release}}
 	x.awaited, x.sentAt = v, time.Now()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/serverrate"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/sharedlimit"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/upstream"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -175,6 +176,7 @@
 	known := s.byService[service.Name]
 	candidates := s.candidates[:0]
 	l.unconfirmed = false
+	full := false
 	turns := s.turnsOf(service.Name, r.Rank, now)
 	for _, v := range known {
 		may, unconfirmed := s.mayServeStream(v, l)
@@ -183,13 +185,19 @@
 		c.Connected = s.pool.Idle(targetOf(v)) > 0
 		rated, hasTurn := turns.judge(v, c.Model && may)
 		c.Excluded = !may || !hasTurn
+		if v.full() {
+			c.Excluded, full = true, full || c.Model && may && !r.Tried[c.ID]
+		}
 		c.Due = rated && now.Sub(v.answeredAt) >= rateDueTime
 		candidates = append(candidates, c)
 	}
 	s.candidates = candidates
+	if full {
+		serversFullCount.Add(1)
+	}
 	choice := dispatch.Pick(candidates, r, rand.Float64)
 	if choice.Index < 0 {
-		return nil, pick{noTurnUntil: turns.earliest}
+		return nil, pick{noTurnUntil: turns.earliest, full: full}
 	}
 	return known[choice.Index], pick{Choice: choice, Candidate: candidates[choice.Index]}
 }
@@ -201,6 +209,20 @@
 	// noTurnUntil is when a turn is expected at a server that could serve the request but for the rate that it
 	// names; zero where there is none such.
 	noTurnUntil time.Time
+	// full is set where none was chosen and a server was left out since it has as many requests as it may.
+	full bool
+}
+
+// maxPerSlot is how many requests of this entry a plain server may have for each slot that it reports, running and
+// waiting. Beyond that they would wait longer than their callers, and hold bodies and connections meanwhile.
+const maxPerSlot = 3
+
+var serversFullCount = telemetry.Counter("gateway_servers_full")
+
+// full reports whether the server has as many of this entry's requests as it may. Agents bound those of engines;
+// a server that reports no slots has no bound. servers.mu must be held.
+func (v *server) full() bool {
+	return v.agent == nil && v.slots > 0 && v.inflight >= maxPerSlot*v.slots
 }
 
 // maxLoadAge is the age up to which a load reported with an answer is used.
@@ -277,15 +299,20 @@
 	}
 }
 
-// requestSent and requestEnded count the requests in flight at a server.
-func (s *servers) requestSent(v *server) {
+// requestSent counts a request in flight at a server until requestEnded. It returns false if the server has as many as it
+// may: others may have been sent since it was chosen.
+func (s *servers) requestSent(v *server) bool {
 	rated := s.isRated(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v.full() {
+		return false
+	}
 	v.inflight++
 	if rated {
 		s.countAtRate(v, time.Now())
 	}
+	return true
 }
 
 func (s *servers) requestEnded(v *server) {
