--- a/coord/residency/giveway_test.go
+++ b/coord/residency/giveway_test.go
@@ -70,6 +70,7 @@
 
 func playLargestTenth(t *testing.T, batch, memory int, shares bool) {
 	t.Helper()
+	t.Parallel()
 	o := options()
 	o.Batch, o.MemoryTokens, o.Queue = batch, memory, 8*batch
 	classes := []class{
--- a/coord/residency/rank_test.go
+++ b/coord/residency/rank_test.go
@@ -129,8 +129,10 @@
 // causes: a late request left places free for requests that could be in time, also for those of less urgent ranks; and
 // one that did not fit into the memory was passed by smaller ones, which took what became free.
 func TestUrgentRankWithLongPromptsIsServedFirst(t *testing.T) {
+	t.Parallel()
 	for name, limits := range map[string]struct{ batch, memory int }{"few places": {22, 1_000_000}, "little memory": {256, 70_000}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			o := options()
 			o.Batch, o.MemoryTokens, o.Queue = limits.batch, limits.memory, 8*limits.batch
 			classes := []class{
@@ -175,8 +177,10 @@
 // ranks that does not hold. Where an eighth of the starts is more than a rank's part of the requests, the turns of ranks
 // give it more than the rank before it, which is not checked.
 func TestEachRankIsServed(t *testing.T) {
+	t.Parallel()
 	for name, perSec := range map[string][]float64{"all above": {20, 20, 20}, "most urgent above": {30, 4, 4}, "least urgent above": {6, 6, 60}, "two ranks": {20, 40}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			o := options()
 			o.Batch, o.MemoryTokens, o.Queue = 32, 1_000_000, 8*32
 			var classes []class
--- a/coord/residency/share_test.go
+++ b/coord/residency/share_test.go
@@ -87,6 +87,7 @@
 // Guards against teams within their share that are refused because another team sends ten times its usual load: also by
 // shares that are 3 s old, by an agent that restarts with an empty table, and where an entry starts in the middle.
 func TestTeamsWithinTheirShareAreServed(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name      string
 		entries   int
@@ -101,6 +102,7 @@
 		{name: "entry starts in the middle", entries: 4, joinAt: 30 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			o := options()
 			// 38 places of 2 s bring 18.5 requests a second; 15 come from the others and 10 from the first team.
 			o.Batch, o.MemoryTokens, o.Queue = 38, 1_000_000, 8*38
@@ -127,6 +129,7 @@
 
 // Guards against teams of equal demand, all of them above what there is room for, of which some get little.
 func TestTeamsAboveTheirShareGetEqualParts(t *testing.T) {
+	t.Parallel()
 	o := options()
 	o.Batch, o.MemoryTokens, o.Queue = 46, 1_000_000, 8*46
 	for seed := range uint64(3) {
