--- /dev/null
+++ b/coord/dispatch/delayfloor.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// DelayFloor is the least delay that a server's declines prove where its reports deny
+// it. An agent declines only what it would delay beyond the offered limit. One whose
+// report still shows a shorter delay reports wrongly, and each entry would offer it
+// one request after the other. Declines that agree with the report change nothing.
+// The zero value is ready to use.
+type DelayFloor struct {
+	delay time.Duration
+	at    time.Time
+}
+
+const (
+	// floorHalfLife is the half-life of the floor: a queue of a second is served in
+	// about that time, and a server that reports correctly again is used again.
+	floorHalfLife = time.Second
+	// minFloor and maxFloor bound a floor when it is set. maxFloor is above the time
+	// that most callers wait.
+	minFloor = 100 * time.Millisecond
+	maxFloor = 4 * time.Second
+	// floorGrowth is the factor by which a floor exceeds the limit that was declined:
+	// the decline proves only that the delay is longer than that.
+	floorGrowth = 2
+)
+
+// Declined records that the agent declined a start within the offered delay, and the
+// delay that its report shows after that.
+func (f *DelayFloor) Declined(offered, reported time.Duration, now time.Time) {
+	// Agents round the delays that they report.
+	if offered <= 0 || reported+offerMargin >= offered {
+		return
+	}
+	proved := floorGrowth * max(offered, f.Delay(now))
+	f.delay, f.at = min(max(proved, minFloor), maxFloor), now
+}
+
+// Delay returns the floor at a time.
+func (f *DelayFloor) Delay(now time.Time) time.Duration {
+	if f.delay == 0 {
+		return 0
+	}
+	return time.Duration(float64(f.delay) * math.Exp2(-float64(now.Sub(f.at))/float64(floorHalfLife)))
+}
+
+// ReportedDelay returns how long the report says that a request's start would be
+// delayed.
+func (l *Load) ReportedDelay(rank int, needsLoad bool) time.Duration {
+	if needsLoad {
+		return l.delay(rank) + l.SlotDelay
+	}
+	return l.delay(rank)
+}
