Entries: the delay that declines prove where an agent's reports deny it

Cause: an engine whose reports show no delay while its agent declines draws each request of each entry again: it is offered there up to four times and then waits there. Change: the entry keeps a floor for the delay of such an engine, which fades by half each second (dispatch.DelayFloor). Declines that the report explains change nothing.

--- a/coord/dispatch/delayfloor.go
+++ b/coord/dispatch/delayfloor.go
@@ -29,14 +29,16 @@
 )
 
 // Declined records that the agent declined a start within the offered delay, and the
-// delay that its report shows after that.
-func (f *DelayFloor) Declined(offered, reported time.Duration, now time.Time) {
+// delay that its report shows after that. It returns whether these contradict each
+// other.
+func (f *DelayFloor) Declined(offered, reported time.Duration, now time.Time) bool {
 	// Agents round the delays that they report.
 	if offered <= 0 || reported+offerMargin >= offered {
-		return
+		return false
 	}
 	proved := floorGrowth * max(offered, f.Delay(now))
 	f.delay, f.at = min(max(proved, minFloor), maxFloor), now
+	return true
 }
 
 // Delay returns the floor at a time.
@@ -55,3 +57,19 @@
 	}
 	return l.delay(rank)
 }
+
+// OtherHolderDelay returns the least delay among the candidates that hold the
+// request's adapter, without the one that was picked; ok is false when there is no
+// other.
+func OtherHolderDelay(candidates []Candidate, picked int) (least time.Duration, ok bool) {
+	for i := range candidates {
+		c := &candidates[i]
+		if i == picked || !c.Model || c.Excluded || c.InBackoff || c.Silent || c.Residence != Resident {
+			continue
+		}
+		if !ok || c.Delay < least {
+			least, ok = c.Delay, true
+		}
+	}
+	return least, ok
+}
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -77,6 +77,8 @@
 	// receivedAt.
 	sent       dispatch.Sent
 	receivedAt time.Time
+	// floor is the delay that declines prove where the agent's reports deny it.
+	floor dispatch.DelayFloor
 	// silentSince is the time since which the agent does not answer although nothing refuses its
 	// connections; zero while it answers. Its machine, and the engine on it, most likely stands
 	// still or is cut off.
@@ -274,6 +276,7 @@
 		return false
 	}
 	c.SetLoad(&a.load, a.sent, r.Rank)
+	c.Delay = max(c.Delay, a.floor.Delay(now))
 	c.Age = now.Sub(a.receivedAt)
 	c.Model = holds(a.state.Models, model) && !a.state.Leaving
 	c.Residence = residence(&a.state, r.Adapter)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -40,12 +40,16 @@
 	x.starts++
 	query := x.query()
 	conditions := x.offers.Conditions(x.picked.Choice, &x.picked.Candidate, left)
+	requestedAt := time.Now()
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
 		ID: x.call.ID, Attempt: x.starts, Engine: v.entry().ID, Born: v.entry().Born, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
 		Rank: x.rank, Team: x.teamName(), Prompt: x.call.PromptTokens, Tokens: x.tokens(),
 		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
 	})
+	if err == nil {
+		v.agent.recordOffer(&x.picked, conditions, x.rank, time.Since(requestedAt), &reply)
+	}
 	switch {
 	case err != nil:
 		x.lastReason = "the engine's agent did not answer"
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -191,13 +191,19 @@
 	if choice.Index < 0 {
 		return nil, pick{noTurnUntil: turns.earliest}
 	}
-	return known[choice.Index], pick{Choice: choice, Candidate: candidates[choice.Index]}
+	p := pick{Choice: choice, Candidate: candidates[choice.Index]}
+	p.otherDelay, p.hasOther = dispatch.OtherHolderDelay(candidates, choice.Index)
+	return known[choice.Index], p
 }
 
 // pick is a chosen server as seen at the choice.
 type pick struct {
 	dispatch.Choice
 	dispatch.Candidate
+	// otherDelay is the least delay of another server that holds the adapter, where
+	// hasOther is set.
+	otherDelay time.Duration
+	hasOther   bool
 	// noTurnUntil is when a turn is expected at a server that could serve the request but for the rate that it
 	// names; zero where there is none such.
 	noTurnUntil time.Time
