Entries: loads of plain servers count own sends, and are filled in where unknown

Cause: a plain server that an entry has not heard from for a second counted as empty, and what the entry had sent since a report did not count: each entry chose the server that it knew least about. Servers that report no load are chosen as before.

--- a/coord/experiment/balance.go
+++ b/coord/experiment/balance.go
@@ -71,6 +71,9 @@
 	// byCost weighs engines by their cost relative to the best one; else the weight
 	// is the free part of the batch.
 	byCost float64
+	// byAnswer weighs engines by their places over the power of the usual time of
+	// an answer, if above 0.
+	byAnswer float64
 	// guarded leaves the choice as it is where the best engine is not a holder.
 	guarded bool
 }
@@ -94,6 +97,12 @@
 	return Balancing{Name: fmt.Sprintf("cost-%d-%g", count, unit), New: func(int, int) Balancer { return &drawn{count: count, byCost: unit, guarded: true} }}
 }
 
+// DrawnByCapacity draws some of the holders with a weight of their places by the
+// usual time of an answer, and picks the one with the lowest cost among these.
+func DrawnByCapacity(count int, power float64) Balancing {
+	return Balancing{Name: fmt.Sprintf("capacity-%d-%g", count, power), New: func(int, int) Balancer { return &drawn{count: count, byAnswer: power, guarded: true} }}
+}
+
 // leastWeight is the weight of an engine without a free place.
 const leastWeight = 0.05
 
@@ -127,6 +136,9 @@
 		if d.byCost > 0 {
 			weight = math.Exp(-(h.cost - lowest) / d.byCost)
 		}
+		if d.byAnswer > 0 && c.Answer > 0 {
+			weight = float64(max(c.Batch, 1)) * math.Pow(c.Answer.Seconds(), -d.byAnswer)
+		}
 		// The smallest values are a weighted sample without replacement.
 		h.value = -math.Log(1-draw()) / max(weight, 1e-12)
 	}
--- a/coord/experiment/even.go
+++ b/coord/experiment/even.go
@@ -387,7 +387,7 @@
 		}
 	}
 	n := float64(len(f.engines))
-	f.result.Unevenness += math.Sqrt(max(squares/n-sum/n*sum/n, 0))
+	f.result.Unevenness += stdDev(sum, squares, n)
 	f.samples++
 	if overrun > 0 {
 		f.result.Overrun += float64(overrun) / n
@@ -396,6 +396,12 @@
 	}
 }
 
+// stdDev returns the standard deviation of n values from their sum and the sum of
+// their squares.
+func stdDev(sum, squares, n float64) float64 {
+	return math.Sqrt(max(squares/n-sum/n*sum/n, 0))
+}
+
 // idleEngines returns the engines that would start a request at once.
 func (f *evenFleet) idleEngines() []*evenEngine {
 	var idle []*evenEngine
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -60,6 +60,8 @@
 	running int
 	slots   int
 	loadAt  time.Time
+	// sentSinceLoad counts this entry's requests that were sent to the server since loadAt.
+	sentSinceLoad int
 	// answeredAt is the time of the last answer's header.
 	answeredAt time.Time
 	// awaiting counts the requests that have chosen it while it names a rate and have no turn yet.
@@ -209,9 +211,6 @@
 	noTurnUntil time.Time
 }
 
-// maxLoadAge is the age up to which a load reported with an answer is used.
-const maxLoadAge = time.Second
-
 func (s *servers) candidate(v *server, service *route.Service, r *dispatch.Request, model string, now time.Time) dispatch.Candidate {
 	c := dispatch.Candidate{
 		ID: v.entry().ID, DataCentre: v.entry().DataCentre, Batch: v.entry().Slots, Running: v.inflight, Residence: dispatch.Resident, Model: true,
@@ -220,9 +219,7 @@
 	}
 	c.WarmUp = max(c.WarmUp, 0)
 	if service.Engine == nil {
-		if now.Sub(v.loadAt) < maxLoadAge {
-			c.Running = max(c.Running, v.running)
-		}
+		c.SetReportedLoad(dispatch.ReportedLoad{Running: v.running, At: v.loadAt, Sent: v.sentSinceLoad}, v.inflight, v.health.Answer() > 0, now)
 		return c
 	}
 	if !v.agent.describe(&c, r, model, now) {
@@ -289,6 +286,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.inflight++
+	v.sentSinceLoad++
 	if rated {
 		s.countAtRate(v, time.Now())
 	}
@@ -336,6 +334,7 @@
 	defer s.mu.Unlock()
 	if verdict.HasLoad {
 		v.running, v.slots, v.loadAt = verdict.Running+verdict.Waiting, verdict.Slots, time.Now()
+		v.sentSinceLoad = 0
 	}
 	if f != nil {
 		f(&v.health)
