--- a/coord/experiment/plain_test.go
+++ b/coord/experiment/plain_test.go
@@ -10,9 +10,9 @@
 		{Name: "30x20", Entries: 30, Servers: 20, Utilisation: 0.8, Length: 12 * time.Second},
 		{Name: "30x6", Entries: 30, Servers: 6, Utilisation: 0.8, Length: 24 * time.Second},
 		{Name: "300x50", Entries: 300, Servers: 50, Utilisation: 0.8, Length: 12 * time.Second},
-		{Name: "30x20/u0.5", Entries: 30, Servers: 20, Utilisation: 0.5, Length: 12 * time.Second},
-		{Name: "30x20/u0.95", Entries: 30, Servers: 20, Utilisation: 0.95, Length: 12 * time.Second},
-		{Name: "30x20/false", Entries: 30, Servers: 20, Utilisation: 0.8, Length: 12 * time.Second, FalseReports: true},
+		{Name: "30x20_u0.5", Entries: 30, Servers: 20, Utilisation: 0.5, Length: 12 * time.Second},
+		{Name: "30x20_u0.95", Entries: 30, Servers: 20, Utilisation: 0.95, Length: 12 * time.Second},
+		{Name: "30x20_false", Entries: 30, Servers: 20, Utilisation: 0.8, Length: 12 * time.Second, FalseReports: true},
 	}
 }
 
@@ -54,7 +54,6 @@
 		}
 		t.Run(load.Name, func(t *testing.T) {
 			t.Parallel()
-			load.Length = 8 * time.Second
 			var before, now PlainResult
 			for seed := range uint64(plainSeeds) {
 				before.add(RunPlain(load, PlainView{Name: "larger"}, LowestEstimate(), seed+1))
