Experiment: the table of plain servers over all views and policies

Cause: the benchmark had one seed and the policies of trials. Change: two seeds; four ways to read loads under four policies.

--- a/coord/experiment/balance.go
+++ b/coord/experiment/balance.go
@@ -71,9 +71,8 @@
 	// byCost weighs engines by their cost relative to the best one; else the weight
 	// is the free part of the batch.
 	byCost float64
-	// byAnswer weighs engines by their places over the power of the usual time of
-	// an answer, if above 0.
-	byAnswer float64
+	// byAnswer weighs engines by their places over the usual time of an answer.
+	byAnswer bool
 	// guarded leaves the choice as it is where the best engine is not a holder.
 	guarded bool
 }
@@ -99,8 +98,8 @@
 
 // DrawnByCapacity draws some of the holders with a weight of their places by the
 // usual time of an answer, and picks the one with the lowest cost among these.
-func DrawnByCapacity(count int, power float64) Balancing {
-	return Balancing{Name: fmt.Sprintf("capacity-%d-%g", count, power), New: func(int, int) Balancer { return &drawn{count: count, byAnswer: power, guarded: true} }}
+func DrawnByCapacity(count int) Balancing {
+	return Balancing{Name: fmt.Sprintf("capacity-%d", count), New: func(int, int) Balancer { return &drawn{count: count, byAnswer: true, guarded: true} }}
 }
 
 // leastWeight is the weight of an engine without a free place.
@@ -136,8 +135,8 @@
 		if d.byCost > 0 {
 			weight = math.Exp(-(h.cost - lowest) / d.byCost)
 		}
-		if d.byAnswer > 0 && c.Answer > 0 {
-			weight = float64(max(c.Batch, 1)) * math.Pow(c.Answer.Seconds(), -d.byAnswer)
+		if d.byAnswer && c.Answer > 0 {
+			weight = float64(max(c.Batch, 1)) / c.Answer.Seconds()
 		}
 		// The smallest values are a weighted sample without replacement.
 		h.value = -math.Log(1-draw()) / max(weight, 1e-12)
--- a/coord/experiment/plain_test.go
+++ b/coord/experiment/plain_test.go
@@ -20,14 +20,17 @@
 func BenchmarkPlain(b *testing.B) {
 	for _, load := range plainLoads() {
 		for _, view := range []PlainView{
-			{Name: "larger"}, {Name: "in-force", InForce: true}, {Name: "filled", SinceReport: true, Fill: true}, {Name: "filled-larger", Fill: true},
-			{Name: "aged-2s", SinceReport: true, Fill: true, HalfLife: 2 * time.Second}, {Name: "aged-500ms", SinceReport: true, Fill: true, HalfLife: 500 * time.Millisecond},
-			{Name: "aged-200ms", SinceReport: true, Fill: true, HalfLife: 200 * time.Millisecond}, {Name: "aged-50ms", SinceReport: true, Fill: true, HalfLife: 50 * time.Millisecond},
+			{Name: "larger"}, {Name: "since", SinceReport: true}, {Name: "in-force", InForce: true},
+			{Name: "aged-500ms", SinceReport: true, Fill: true, HalfLife: 500 * time.Millisecond},
 		} {
-			for _, p := range []Balancing{LowestEstimate(), DrawnByCapacity(3, 1)} {
+			for _, p := range []Balancing{LowestEstimate(), DrawnByWeight(2), DrawnByCapacity(3), Subset(2)} {
 				b.Run(load.Name+"/"+view.Name+"/"+p.Name, func(b *testing.B) {
 					for b.Loop() {
-						reportPlain(b, RunPlain(load, view, p, seed))
+						var sum PlainResult
+						for seed := range uint64(plainSeeds) {
+							sum.add(RunPlain(load, view, p, seed+1))
+						}
+						reportPlain(b, sum)
 					}
 				})
 			}
@@ -39,10 +42,10 @@
 	asked := float64(max(r.Asked, 1))
 	b.ReportMetric(100*float64(r.Late)/asked, "late-%")
 	b.ReportMetric(100*float64(r.BesideIdle)/asked, "beside-idle-%")
-	b.ReportMetric(r.Unevenness, "unevenness")
-	b.ReportMetric(100*r.Overrun, "overrun-%")
-	b.ReportMetric(100*r.Idle, "idle-%")
-	b.ReportMetric(float64(r.P99.Milliseconds()), "p99-ms")
+	b.ReportMetric(r.Unevenness/plainSeeds, "unevenness")
+	b.ReportMetric(100*r.Overrun/plainSeeds, "overrun-%")
+	b.ReportMetric(100*r.Idle/plainSeeds, "idle-%")
+	b.ReportMetric(float64(r.P99.Milliseconds())/plainSeeds, "p99-ms")
 }
 
 // Guards against plain servers that are overrun in turns while others idle: nothing
