Choice: unknown loads are filled in only where servers report theirs

Cause: at a service whose servers report no load, one that has not answered yet was given the mean of the own requests at the others, which changed today's choice. Change: Candidate.LoadSource tells reported loads from own ones; the mean counts reported ones only.

--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -45,9 +45,8 @@
 	Batch   int
 	Running int
 	Waiting int
-	// LoadUnknown is set for a server that reports its load and has not done so for a
-	// while: Running is only what this entry has in flight there.
-	LoadUnknown bool
+	// LoadSource tells what Running is known by.
+	LoadSource LoadSource
 	// Delay is how long the agent would delay the start of a request.
 	Delay time.Duration
 	// SlotDelay is how long an adapter that is requested now would wait for a slot,
@@ -190,8 +189,8 @@
 	MaxDelay time.Duration
 }
 
-// Pick picks the candidate with the lowest cost. It fills in unknown loads. draw returns a random number in
-// [0, 1).
+// Pick picks the candidate with the lowest cost. It fills in
+// unknown loads. draw returns a random number in [0, 1).
 func Pick(candidates []Candidate, r Request, draw func() float64) Choice {
 	fillLoads(candidates)
 	homes := homeOrder(candidates, r.Adapter)
--- a/coord/dispatch/reported.go
+++ b/coord/dispatch/reported.go
@@ -15,6 +15,20 @@
 	Sent int
 }
 
+// LoadSource is how an entry knows the load of a server.
+type LoadSource uint8
+
+const (
+	// LoadOwn is the load of servers that report none, and of engines whose agents
+	// announce delays.
+	LoadOwn LoadSource = iota
+	// LoadReported is a current report and the own requests since.
+	LoadReported
+	// LoadUnknown is that of a server that has not reported its load for a while, or
+	// has not answered yet: Running is what this entry has in flight there.
+	LoadUnknown
+)
+
 // maxReportAge is the age up to which a reported load counts.
 const maxReportAge = time.Second
 
@@ -25,24 +39,26 @@
 func (c *Candidate) SetReportedLoad(l ReportedLoad, inFlight int, answered bool, now time.Time) {
 	c.Running = inFlight
 	if now.Sub(l.At) < maxReportAge {
-		c.Running = max(inFlight, l.Running+l.Sent)
+		c.Running, c.LoadSource = max(inFlight, l.Running+l.Sent), LoadReported
 		return
 	}
 	// Servers that answer without a load report none.
-	c.LoadUnknown = !l.At.IsZero() || !answered
+	if !l.At.IsZero() || !answered {
+		c.LoadSource = LoadUnknown
+	}
 }
 
-// fillLoads sets the load of servers whose load is unknown to the mean use of the
-// others. Without a known one it changes nothing.
+// fillLoads sets the load of servers whose load is unknown to the mean use of those
+// that report it. Without a current report it changes nothing.
 func fillLoads(candidates []Candidate) {
 	sum, known, unknown := 0.0, 0, false
 	for i := range candidates {
 		c := &candidates[i]
 		switch {
 		case !c.Model || c.Excluded || c.InBackoff || c.Silent:
-		case c.LoadUnknown:
+		case c.LoadSource == LoadUnknown:
 			unknown = true
-		default:
+		case c.LoadSource == LoadReported:
 			sum += float64(c.Running) / float64(max(c.Batch, 1))
 			known++
 		}
@@ -51,7 +67,7 @@
 		return
 	}
 	for i := range candidates {
-		if c := &candidates[i]; c.LoadUnknown {
+		if c := &candidates[i]; c.LoadSource == LoadUnknown {
 			c.Running = max(c.Running, int(math.Round(sum/float64(known)*float64(max(c.Batch, 1)))))
 		}
 	}
--- a/coord/dispatch/reported_test.go
+++ b/coord/dispatch/reported_test.go
@@ -15,19 +15,19 @@
 		inFlight int
 		answered bool
 		running  int
-		unknown  bool
+		source   LoadSource
 	}{
-		{"sent since the report", ReportedLoad{Running: 3, At: now, Sent: 2}, 2, true, 5, false},
-		{"more in flight than reported", ReportedLoad{At: now}, 4, true, 4, false},
-		{"old report", ReportedLoad{Running: 3, At: now.Add(-maxReportAge), Sent: 2}, 2, true, 2, true},
-		{"never heard from", ReportedLoad{}, 1, false, 1, true},
-		{"answers without a load", ReportedLoad{}, 1, true, 1, false},
+		{"sent since the report", ReportedLoad{Running: 3, At: now, Sent: 2}, 2, true, 5, LoadReported},
+		{"more in flight than reported", ReportedLoad{At: now}, 4, true, 4, LoadReported},
+		{"old report", ReportedLoad{Running: 3, At: now.Add(-maxReportAge), Sent: 2}, 2, true, 2, LoadUnknown},
+		{"never heard from", ReportedLoad{}, 1, false, 1, LoadUnknown},
+		{"answers without a load", ReportedLoad{}, 1, true, 1, LoadOwn},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := candidate("one")
 			c.SetReportedLoad(test.load, test.inFlight, test.answered, now)
-			if c.Running != test.running || c.LoadUnknown != test.unknown {
-				t.Errorf("%d requests run, unknown: %v; want %d, %v", c.Running, c.LoadUnknown, test.running, test.unknown)
+			if c.Running != test.running || c.LoadSource != test.source {
+				t.Errorf("%d requests run by source %d, want %d by %d", c.Running, c.LoadSource, test.running, test.source)
 			}
 		})
 	}
@@ -38,9 +38,9 @@
 	draw := func() []Candidate {
 		candidates := []Candidate{candidate("one"), candidate("two"), candidate("three")}
 		for i, running := range []int{2, 6, 0} {
-			candidates[i].Batch, candidates[i].Running = 8, running
+			candidates[i].Batch, candidates[i].Running, candidates[i].LoadSource = 8, running, LoadReported
 		}
-		candidates[2].Batch, candidates[2].LoadUnknown = 16, true
+		candidates[2].Batch, candidates[2].LoadSource = 16, LoadUnknown
 		return candidates
 	}
 	candidates := draw()
@@ -52,11 +52,14 @@
 	if fillLoads(candidates); candidates[2].Running != 12 {
 		t.Errorf("%d requests are filled in, want the 12 in flight", candidates[2].Running)
 	}
-	candidates = draw()
-	for i := range candidates {
-		candidates[i].LoadUnknown = true
-	}
-	if fillLoads(candidates); candidates[2].Running != 0 {
-		t.Errorf("%d requests are filled in without a known load, want none", candidates[2].Running)
+	// Where no server reports its load, one that has not answered yet is chosen as before.
+	for _, source := range []LoadSource{LoadOwn, LoadUnknown} {
+		candidates = draw()
+		for i := range candidates[:2] {
+			candidates[i].LoadSource = source
+		}
+		if fillLoads(candidates); candidates[2].Running != 0 {
+			t.Errorf("%d requests are filled in without a report, want none", candidates[2].Running)
+		}
 	}
 }
