--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -45,6 +45,8 @@
 	Batch   int
 	Running int
 	Waiting int
+	// LoadSource tells what Running is known by.
+	LoadSource LoadSource
 	// Delay is how long the agent would delay the start of a request.
 	Delay time.Duration
 	// SlotDelay is how long an adapter that is requested now would wait for a slot,
@@ -202,9 +204,10 @@
 	MaxDelay time.Duration
 }
 
-// Pick picks the candidate with the lowest cost. draw returns a random number in
-// [0, 1).
+// Pick picks the candidate with the lowest cost. It fills in
+// unknown loads. draw returns a random number in [0, 1).
 func Pick(candidates []Candidate, r Request, draw func() float64) Choice {
+	fillLoads(candidates)
 	homes := homeOrder(candidates, r.Adapter)
 	shared := commonFailureShare(candidates)
 	for pass := range 2 {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -63,6 +63,8 @@
 	running int
 	slots   int
 	loadAt  time.Time
+	// sentSinceLoad counts this entry's requests that were sent to the server since loadAt.
+	sentSinceLoad int
 	// answeredAt is the time of the last answer's header.
 	answeredAt time.Time
 	// awaiting counts the requests that have chosen it while it names a rate and have no turn yet.
@@ -203,13 +205,19 @@
 	if choice.Index < 0 {
 		return nil, pick{noTurnUntil: turns.earliest, full: full}
 	}
-	return known[choice.Index], pick{Choice: choice, Candidate: candidates[choice.Index]}
+	p := pick{Choice: choice, Candidate: candidates[choice.Index]}
+	p.otherDelay, p.hasOther = dispatch.OtherHolderDelay(candidates, choice.Index)
+	return known[choice.Index], p
 }
 
 // pick is a chosen server as seen at the choice.
 type pick struct {
 	dispatch.Choice
 	dispatch.Candidate
+	// otherDelay is the least delay of another server that holds the adapter, where
+	// hasOther is set.
+	otherDelay time.Duration
+	hasOther   bool
 	// noTurnUntil is when a turn is expected at a server that could serve the request but for the rate that it
 	// names; zero where there is none such.
 	noTurnUntil time.Time
@@ -229,9 +237,6 @@
 	return v.agent == nil && v.slots > 0 && v.inflight >= maxPerSlot*v.slots
 }
 
-// maxLoadAge is the age up to which a load reported with an answer is used.
-const maxLoadAge = time.Second
-
 func (s *servers) candidate(v *server, service *route.Service, r *dispatch.Request, model string, now time.Time) dispatch.Candidate {
 	c := dispatch.Candidate{
 		ID: v.entry().ID, DataCentre: v.entry().DataCentre, Batch: v.entry().Slots, Running: v.inflight, Residence: dispatch.Resident, Model: true,
@@ -241,9 +246,7 @@
 	c.WarmUp = max(c.WarmUp, 0)
 	if service.Engine == nil {
 		applySpeed(v, &c, now)
-		if now.Sub(v.loadAt) < maxLoadAge {
-			c.Running = max(c.Running, v.running)
-		}
+		c.SetReportedLoad(dispatch.ReportedLoad{Running: v.running, At: v.loadAt, Sent: v.sentSinceLoad}, v.inflight, v.health.Answer() > 0, now)
 		return c
 	}
 	if !v.agent.describe(&c, r, model, now) {
@@ -316,6 +319,7 @@
 		return false
 	}
 	v.inflight++
+	v.sentSinceLoad++
 	if rated {
 		s.countAtRate(v, time.Now())
 	}
@@ -364,6 +368,7 @@
 	defer s.mu.Unlock()
 	if verdict.HasLoad {
 		v.running, v.slots, v.loadAt = verdict.Running+verdict.Waiting, verdict.Slots, time.Now()
+		v.sentSinceLoad = 0
 	}
 	if f != nil {
 		f(&v.health)
--- a/internal/gateway/speed_test.go
+++ b/internal/gateway/speed_test.go
@@ -77,7 +77,7 @@
 		if (c.Answer-test.answer).Abs() > time.Millisecond || c.Slow < test.slow-0.01 || c.Slow > test.slow+0.01 {
 			t.Errorf("after %v it answers in %v at the factor %v, want %v at %v", test.after, c.Answer, c.Slow, test.answer, test.slow)
 		}
-		if want := 5; test.after < maxLoadAge && c.Running != want {
+		if want := 5; test.after < time.Second && c.Running != want {
 			t.Errorf("after %v it runs %d, want %d", test.after, c.Running, want)
 		}
 	}
@@ -102,7 +102,7 @@
 		g.servers.mu.Lock()
 		got := g.servers.candidate(v, &route.Service{Name: "desk"}, &dispatch.Request{Prompt: 1000}, "", now)
 		g.servers.mu.Unlock()
-		want := dispatch.Candidate{ID: "s0", Batch: 8, Running: i%7 + i%3, Residence: dispatch.Resident, Model: true, Answer: usual}
+		want := dispatch.Candidate{LoadSource: dispatch.LoadReported, ID: "s0", Batch: 8, Running: i%7 + i%3, Residence: dispatch.Resident, Model: true, Answer: usual}
 		if got != want {
 			t.Fatalf("after %d answers it is seen as %+v, want %+v", i+1, got, want)
 		}
