--- a/coord/experiment/plain.go
+++ b/coord/experiment/plain.go
@@ -227,7 +227,7 @@
 		k, took := &r.entry.known[r.server], f.at-r.arrived
 		k.inflight--
 		k.reported, k.since, k.at, k.heard = load, 0, f.at, true
-		k.health.Answered(took)
+		k.health.Answered(took, 0)
 		if r.arrived < plainWarmUp {
 			return
 		}
