--- a/coord/backlog/backlog.go
+++ b/coord/backlog/backlog.go
@@ -1,16 +1,16 @@
-// Package backlog decides how much a server may hold for callers that read slowly,
-// and whose stream is cut when a bound is exceeded.
+// Package backlog bounds what a server buffers for callers that read slowly, and
+// selects the streams to be cut when a bound is exceeded.
 //
-// It is deterministic: the caller passes the time. It holds counts of bytes only; the
-// bytes themselves are with its caller.
+// It is deterministic: the caller passes the time. It holds counts of bytes only, not
+// the bytes themselves.
 package backlog
 
 import "time"
 
 // Limits are the bounds in bytes. A bound of 0 or less is none.
 type Limits struct {
-	// Stream bounds what one stream has queued, Team what the streams of one team hold together, and
-	// Total what all hold together.
+	// Stream bounds what one stream has queued, Team what the streams of one team
+	// hold together, and Total what all streams hold together.
 	Stream int64
 	Team   int64
 	Total  int64
@@ -19,12 +19,12 @@
 // ID identifies a stream.
 type ID uint64
 
-// Held is what is held for one stream.
+// Held describes a stream that was removed from the table.
 type Held struct {
 	ID    ID
 	Team  string
 	Bytes int64
-	// Age is the time since its caller became slow.
+	// Age is the time since its caller became slow; 0 if nothing was held.
 	Age time.Duration
 }
 
@@ -33,23 +33,25 @@
 	limits Limits
 	byID   map[ID]*stream
 	teams  map[string]*team
-	// all lists the streams, so that the one to be cut is found without visiting a map.
+	// all lists the streams: a slice is faster to search than a map.
 	all   []*stream
 	total int64
-	// epoch is the time from which those of the streams count.
+	// epoch is the origin of the times in the streams.
 	epoch time.Time
 }
 
 type stream struct {
 	id   ID
 	team *team
-	// bytes is everything that is held, unqueued the part of it that was being written when the stream began.
+	// bytes is the number of bytes held, unqueued the part of it that was being
+	// written when the stream was added.
 	bytes    int64
 	unqueued int64
-	// since is when bytes last rose from 0, movedAt when the caller last read something after that.
+	// since is when bytes last rose from 0, movedAt when the caller last read
+	// something after that.
 	since   time.Duration
 	movedAt time.Duration
-	// at and atTeam are its places in the lists of all streams and of its team's.
+	// at and atTeam are its indexes in Table.all and team.streams.
 	at     int
 	atTeam int
 }
@@ -65,9 +67,10 @@
 	return &Table{limits: limits, byID: make(map[ID]*stream), teams: make(map[string]*team)}
 }
 
-// Begin adds a stream whose caller has not taken a piece of the given size in time. The piece counts towards the bounds
-// of the team and of all, but not towards that of the stream: its size is not for the caller to choose. Begin returns the
-// streams to be cut.
+// Begin adds a stream whose caller has not read a piece of the given size, in bytes, in
+// time. The piece counts towards the bounds of the team and of all streams, but not
+// towards that of the stream, since the caller does not choose its size. Begin returns
+// the streams to be cut.
 func (t *Table) Begin(id ID, teamName string, piece int64, now time.Time) []Held {
 	if t.byID[id] != nil {
 		return nil
@@ -84,8 +87,8 @@
 	return t.grow(s, piece, now)
 }
 
-// Add queues bytes for a stream and returns the streams to be cut, which may include it. It has no effect on a
-// stream that is not in the table.
+// Add queues bytes for a stream and returns the streams to be cut, which may include
+// it. It has no effect on a stream that is not in the table.
 func (t *Table) Add(id ID, bytes int64, now time.Time) []Held {
 	s := t.byID[id]
 	if s == nil {
@@ -115,7 +118,7 @@
 	return cut
 }
 
-// at converts a time to one since the epoch, which takes less time to compare.
+// at converts a time to the duration since the epoch, which is faster to compare.
 func (t *Table) at(now time.Time) time.Duration {
 	if t.epoch.IsZero() {
 		t.epoch = now
@@ -123,8 +126,9 @@
 	return now.Sub(t.epoch)
 }
 
-// heaviest returns the stream with the greatest product of the bytes held and the time since its caller became slow; of
-// equals the one that holds more, then the one with the lowest ID.
+// heaviest returns the stream with the greatest product of the bytes held and the time
+// since its caller became slow. Ties go to the one that holds more, then to the lowest
+// ID.
 func heaviest(streams []*stream, now time.Duration) *stream {
 	best, bestWeight := streams[0], streams[0].weight(now)
 	for _, s := range streams[1:] {
@@ -140,7 +144,8 @@
 
 func (s *stream) age(now time.Duration) time.Duration { return max(now-s.since, 0) }
 
-// Taken notes that a stream's caller has taken bytes, in the order in which they were added.
+// Taken records that a stream's caller has read bytes, in the order in which they were
+// added.
 func (t *Table) Taken(id ID, bytes int64, now time.Time) {
 	s := t.byID[id]
 	if s == nil {
@@ -154,14 +159,16 @@
 	s.movedAt = t.at(now)
 }
 
-// Moved notes that a stream's caller has read something, although nothing could be released yet.
+// Moved records that a stream's caller has read something, although no bytes can be
+// released yet.
 func (t *Table) Moved(id ID, now time.Time) {
 	if s := t.byID[id]; s != nil {
 		s.movedAt = t.at(now)
 	}
 }
 
-// Stalled removes and returns the streams that hold something and whose callers have read nothing for the timeout.
+// Stalled removes and returns the streams that hold bytes and whose callers have read
+// nothing for the timeout.
 func (t *Table) Stalled(at time.Time, timeout time.Duration) []Held {
 	now := t.at(at)
 	var stalled []Held
@@ -173,7 +180,8 @@
 	return stalled
 }
 
-// End removes a stream. It returns false if the stream is not in the table, which is so once it was cut.
+// End removes a stream. It returns false if the stream is not in the table, for example
+// because it was cut.
 func (t *Table) End(id ID, now time.Time) (Held, bool) {
 	s := t.byID[id]
 	if s == nil {
@@ -209,7 +217,7 @@
 	return streams[:last]
 }
 
-// Total returns what is held for all streams, in bytes.
+// Total returns the number of bytes held for all streams.
 func (t *Table) Total() int64 { return t.total }
 
 // Len returns the number of streams.
--- a/coord/capacity/baseline.go
+++ b/coord/capacity/baseline.go
@@ -9,12 +9,12 @@
 // step times over many seconds.
 //
 // The mean or the median would follow slow phases, which can take half of the
-// time on a shared machine. What the server tells of its speed is not used: a
+// time on a shared machine. The factors that the server reports are not used: a
 // false value would make the baseline agree with it.
 type baseline struct {
-	// step is the learned time; 0 while unknown.
+	// step is the learned time of one step; 0 while unknown.
 	step time.Duration
-	// took and steps are those of the measurement in progress.
+	// took and steps are the duration and the steps of the measurement in progress.
 	took  time.Duration
 	steps int
 	// recent holds the latest measurements, of which next is overwritten first.
@@ -24,12 +24,12 @@
 }
 
 const (
-	// baselineWindow is the time of one measurement; with steps of 18 ms it is exact
-	// to an eighth.
+	// baselineWindow is the duration of one measurement. It covers about eight steps
+	// of 18 ms, so the error of one step is an eighth.
 	baselineWindow = 140 * time.Millisecond
 	// baselineQuantile is the quantile of the measurements that is the baseline. It
-	// is low because prompts are held in slow phases: most times in which none is
-	// read are slow ones. With 0.35 the baseline was 26 ms for steps of 18 ms.
+	// is low because prompts are held in slow phases, so most of the time in which
+	// no prompt is read is slow: 0.35 gave 26 ms for steps of 18 ms.
 	baselineQuantile = 0.15
 	// baselineSamples is the number of measurements kept, minBaseline the number
 	// from which the baseline is known.
--- a/coord/capacity/doubt.go
+++ b/coord/capacity/doubt.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// doubt finds that the factors which a server tells are false, by comparison with
-// its steps.
+// plausibility detects that the factors which a server reports are false, by
+// comparison with the progress of its steps.
 //
-// A server tells its speed with an answer, when it has just read a prompt, and its
-// steps show between two prompts. So the steps between two told factors are compared
-// with these, where both are about the same.
-type doubt struct {
-	// told is the latest told factor and toldAt its time; seen is the sum of the
-	// logarithms of the n factors by steps since then.
+// A server reports its speed with an answer, when it has just read a prompt, and its
+// steps can be observed only between two prompts. So the factors observed between two
+// reported ones are compared with these, provided that both are about the same.
+type plausibility struct {
+	// told is the latest reported factor and toldAt its time; seen is the sum of the
+	// logarithms of the n factors observed from steps since then.
 	told   float64
 	toldAt time.Time
 	seen   float64
@@ -23,31 +23,33 @@
 	since, compared time.Time
 	sum             float64
 	count           int
-	until           time.Time
-	doubts          int
+	// until is the time until which reported factors are not used; doubts counts how
+	// often they were found false.
+	until  time.Time
+	doubts int
 }
 
 const (
-	// doubtAfter is how long the steps must contradict the told factors, and
-	// doubtRatio by how much. doubtFor is how long they are not used then.
+	// doubtAfter is how long the steps must contradict the reported factors, and
+	// doubtRatio by how much. doubtFor is how long these are then not used.
 	doubtAfter = 2 * time.Second
 	doubtRatio = 2.0
 	doubtFor   = 10 * time.Second
-	// minComparisons is the least number of comparisons: a single one can be off by
-	// a phase between the told factors.
+	// minComparisons is the least number of comparisons: a phase between two reported
+	// factors can distort a single one.
 	minComparisons = 5
-	// steadyRange is the ratio up to which two told factors count as the same, and
-	// steadyFor the time between them up to which they tell of the time between: with
-	// a second, phases between them gave doubts about true factors.
+	// steadyRange is the ratio up to which two reported factors count as the same, and
+	// steadyFor the time between them up to which they also apply to the time between.
+	// Over longer times, phases between them would make true factors look false.
 	steadyRange = 1.2
 	steadyFor   = 300 * time.Millisecond
 )
 
-// observe records a factor by steps.
-func (d *doubt) observe(steps float64) { d.seen, d.n = d.seen+math.Log(steps), d.n+1 }
+// observe records a factor that was observed from steps.
+func (d *plausibility) observe(steps float64) { d.seen, d.n = d.seen+math.Log(steps), d.n+1 }
 
-// compare records a told factor.
-func (d *doubt) compare(told float64, now time.Time) {
+// compare records a reported factor and compares it with the observed ones.
+func (d *plausibility) compare(told float64, now time.Time) {
 	before, seen, n := reading{factor: d.told, at: d.toldAt}, d.seen, d.n
 	d.told, d.toldAt, d.seen, d.n = told, now, 0, 0
 	if n == 0 || d.active(now) || before.at.IsZero() || now.Sub(before.at) > steadyFor {
@@ -70,7 +72,7 @@
 	d.count = 0
 }
 
-func (d *doubt) active(now time.Time) bool { return now.Before(d.until) }
+func (d *plausibility) active(now time.Time) bool { return now.Before(d.until) }
 
 // phases learns the mean length of slow phases.
 type phases struct {
@@ -79,7 +81,7 @@
 }
 
 const (
-	// initialPhase is the assumed mean length until phases were seen.
+	// initialPhase is the assumed mean length before any phase was observed.
 	initialPhase = 300 * time.Millisecond
 	// slowFrom and slowUntil are the factors at which a phase begins and ends. They
 	// differ so that the error of the estimate does not split a phase.
--- a/coord/capacity/speed.go
+++ b/coord/capacity/speed.go
@@ -17,12 +17,12 @@
 type Source uint8
 
 const (
-	// SourceBoth uses a recent value that the server itself tells, and otherwise
+	// SourceBoth uses a recent value that the server itself reports, and otherwise
 	// the progress of its work.
 	SourceBoth Source = iota
-	// SourceProgress uses the progress of the server's work only.
+	// SourceProgress uses only the progress of the server's work.
 	SourceProgress
-	// SourceTold uses the values that the server itself tells only.
+	// SourceTold uses only the values that the server itself reports.
 	SourceTold
 	// SourceNone uses nothing: the factor is always 1.
 	SourceNone
@@ -31,8 +31,8 @@
 // Options selects how the factor is estimated.
 type Options struct {
 	Source Source
-	// OnlyIfTold makes progress count only once the server has told its speed: the
-	// machines of all others are taken to have a constant one.
+	// OnlyIfTold makes progress count only once the server has reported its speed.
+	// The speed of other servers is assumed to be constant.
 	OnlyIfTold bool
 }
 
@@ -44,14 +44,15 @@
 	// towards 1 with the given half-life: phases last 0.2 to 0.7 s.
 	freshness = 100 * time.Millisecond
 	halfLife  = 300 * time.Millisecond
-	// window is the time that the steps in use lie in, and readWindow the age up to
-	// which a read counts. minWindow is the least time that they must cover: a report covers 0 to 4 steps, and fewer than
-	// three reports determine the step time only within a factor of 2.
+	// window is the time before now in which the steps in use lie, and readWindow the
+	// age up to which a read counts. minWindow is the least time that they must cover:
+	// a report covers 0 to 4 steps, and fewer than three reports determine the step
+	// time only within a factor of 2.
 	window     = 160 * time.Millisecond
 	readWindow = 100 * time.Millisecond
 	minWindow  = 90 * time.Millisecond
-	// maxReportGap is the time between two reports, and of a report's own delay,
-	// above which they are not compared.
+	// maxReportGap is the time between two reports, and the delay of a report, above
+	// which reports are not compared.
 	maxReportGap = 200 * time.Millisecond
 	// joinReads is the time for which a prompt that was read does not count while
 	// others are unread: prompts that are read in one piece end together.
@@ -64,8 +65,8 @@
 	Events int
 }
 
-// sample is a time in which the server did a known amount of work, given as the
-// time that it takes at baseline speed.
+// sample is an interval in which the server did a known amount of work, given as the
+// time that the work takes at baseline speed.
 type sample struct {
 	at         time.Time
 	took, work time.Duration
@@ -89,7 +90,8 @@
 	events     map[string]int
 	reportedAt time.Time
 	samples    []sample
-	// pending is the lower bound of the factor by the prompts that are unread now.
+	// pending is the lower bound of the factor that follows from the prompts that are
+	// unread; 0 for none.
 	pending   float64
 	pendingAt time.Time
 	// unread is set while a prompt is unread; interrupted is set once one was unread
@@ -98,10 +100,10 @@
 	interrupted bool
 	progress    reading
 	told        reading
-	// tells is set once the server has told its speed.
-	tells  bool
-	doubt  doubt
-	phases phases
+	// tells is set once the server has reported its speed.
+	tells        bool
+	plausibility plausibility
+	phases       phases
 	// deltas is reused between reports.
 	deltas []int
 }
@@ -168,8 +170,8 @@
 	return s.deltas[len(s.deltas)/2], true
 }
 
-// Read records that a prompt was read between two times, whose reading takes the
-// given time at baseline speed. unread is set while other prompts are unread.
+// Read records that a prompt was read between two times. work is how long reading it
+// takes at baseline speed. unread is set while other prompts are unread.
 func (s *Speed) Read(from, at time.Time, work time.Duration, unread bool) {
 	s.unread, s.interrupted = unread, true
 	if work <= 0 || at.Before(from) {
@@ -182,8 +184,8 @@
 	}
 }
 
-// Unread records that prompts whose reading takes the given time at baseline
-// speed have been unread since a time at which the server began to read them.
+// Unread records that prompts have been unread since the server began to read them.
+// work is how long reading them takes at baseline speed.
 func (s *Speed) Unread(since time.Time, work time.Duration, now time.Time) {
 	s.pending = 0
 	if work > 0 && now.Sub(since) > work {
@@ -193,7 +195,7 @@
 
 func (s *Speed) add(n sample) { s.samples = append(s.samples, n) }
 
-// estimate updates the factor by the progress.
+// estimate updates the factor from the progress.
 func (s *Speed) estimate(now time.Time) {
 	s.samples = slices.DeleteFunc(s.samples, func(n sample) bool { return n.outdated(now) })
 	factor, at, ok := s.mean(now, false)
@@ -201,19 +203,20 @@
 	case ok && factor > 0:
 		s.progress = reading{factor: factor, at: at}
 	case ok:
-		// Streams are halted, by callers that do not read: that is no speed, and what the
-		// beginning of the halt showed was none.
+		// The streams are halted because their callers do not read. This says nothing
+		// about the speed, and neither did the estimate while the halt began.
 		s.progress = reading{}
 	}
-	// The reading of prompts is no witness: told factors correct its baseline.
+	// Reads are left out: their baseline is corrected by the reported factors.
 	if factor, _, ok := s.mean(now, true); ok && factor > 0 {
-		s.doubt.observe(factor)
+		s.plausibility.observe(factor)
 	}
 	s.phases.observe(s.Factor(now), now)
 }
 
-// mean returns the factor by the samples in the window, 0 if no work was done in it,
-// and the time of the latest one. Reads can be left out.
+// mean returns the factor that follows from the samples in the window, 0 if no work was
+// done in it, and the time of the latest sample. ok is false if the samples cover too
+// little time. stepsOnly leaves reads out.
 func (s *Speed) mean(now time.Time, stepsOnly bool) (factor float64, at time.Time, ok bool) {
 	var took, work time.Duration
 	for _, n := range s.samples {
@@ -234,8 +237,8 @@
 	return bound(float64(took) / float64(work)), at, true
 }
 
-// Told records a factor that the server told, in percent, and the time at which
-// it did. Values of 0 and less mean that it told none.
+// Told records a factor that the server reported at a time, in percent. Values of 0 and
+// less mean that it reported none.
 func (s *Speed) Told(percent int, at, now time.Time) {
 	if percent <= 0 || at.Before(s.told.at) {
 		return
@@ -246,7 +249,7 @@
 	factor := bound(float64(percent) / 100)
 	s.told, s.tells = reading{factor: factor, at: at}, true
 	if s.options.Source == SourceBoth {
-		s.doubt.compare(factor, now)
+		s.plausibility.compare(factor, now)
 	}
 	s.phases.observe(s.Factor(now), now)
 }
@@ -277,7 +280,7 @@
 	return s.options.Source == SourceBoth || s.options.Source == SourceProgress
 }
 
-// latest returns the reading behind the factor, and whether the server told it.
+// latest returns the reading behind the factor, and whether the server reported it.
 func (s *Speed) latest(now time.Time) (r reading, told bool) {
 	if s.options.OnlyIfTold && !s.tells {
 		return reading{}, false
@@ -290,7 +293,7 @@
 	case SourceTold:
 		return s.told, true
 	}
-	if s.doubt.active(now) {
+	if s.plausibility.active(now) {
 		return s.progress, false
 	}
 	if !s.told.at.IsZero() && (now.Sub(s.told.at) <= freshness || s.told.at.After(s.progress.at)) {
@@ -300,11 +303,12 @@
 }
 
 // IndependentFactor returns the factor without what was derived from the reading
-// of prompts. It corrects samples of the reading rate: a factor derived from
-// these would cancel out of them, and a change of the rate would never be learned.
+// of prompts. It is for the correction of samples of the reading rate: a factor derived
+// from the same samples would cancel out, and a change of the rate would never be
+// learned.
 func (s *Speed) IndependentFactor(now time.Time) float64 {
 	told := s.told
-	if s.options.Source == SourceNone || s.options.Source == SourceProgress || s.doubt.active(now) {
+	if s.options.Source == SourceNone || s.options.Source == SourceProgress || s.plausibility.active(now) {
 		told = reading{}
 	}
 	if s.usesProgress() && (told.at.IsZero() || now.Sub(told.at) > freshness) {
@@ -318,8 +322,8 @@
 // Step returns the time of a step at baseline speed; 0 while unknown.
 func (s *Speed) Step() time.Duration { return s.baseline.step }
 
-// Doubts returns how often the told factors were found false.
-func (s *Speed) Doubts() int { return s.doubt.doubts }
+// Doubts returns how often the reported factors were found false.
+func (s *Speed) Doubts() int { return s.plausibility.doubts }
 
 // SlowLeft returns how long the current slow phase is expected to last.
 func (s *Speed) SlowLeft(now time.Time) time.Duration { return s.phases.left(now) }
@@ -331,7 +335,7 @@
 	s.reportedAt, s.unread, s.interrupted, s.pending = time.Time{}, false, false, 0
 	s.samples = s.samples[:0]
 	s.progress, s.told = reading{}, reading{}
-	s.doubt.toldAt, s.doubt.seen, s.doubt.n = time.Time{}, 0, 0
+	s.plausibility.toldAt, s.plausibility.seen, s.plausibility.n = time.Time{}, 0, 0
 	s.baseline.interrupt()
 	s.phases.since = time.Time{}
 }
--- a/coord/dispatch/delayfloor.go
+++ b/coord/dispatch/delayfloor.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// DelayFloor is the least delay that a server's declines prove where its reports deny
-// it. An agent declines only what it would delay beyond the offered limit. One whose
-// report still shows a shorter delay reports wrongly, and each entry would offer it
-// one request after the other. Declines that agree with the report change nothing.
-// The zero value is ready to use.
+// DelayFloor is a lower bound of a server's delay that follows from declines which
+// contradict its reports. An agent declines only what it would delay beyond the offered
+// limit. If its report still shows a shorter delay, the report is wrong, and without
+// the bound entries would keep offering it requests. Declines that agree with the
+// report have no effect. The zero value is ready to use.
 type DelayFloor struct {
 	delay time.Duration
 	at    time.Time
 }
 
 const (
-	// floorHalfLife is the half-life of the floor: a queue of a second is served in
-	// about that time, and a server that reports correctly again is used again.
+	// floorHalfLife is the half-life of the floor. It is about the time in which a
+	// queue drains, so that a server that reports correctly again is soon used again.
 	floorHalfLife = time.Second
-	// minFloor and maxFloor bound a floor when it is set. maxFloor is above the time
-	// that most callers wait.
+	// minFloor and maxFloor bound a floor when it is set. maxFloor is longer than most
+	// callers wait.
 	minFloor = 100 * time.Millisecond
 	maxFloor = 4 * time.Second
 	// floorGrowth is the factor by which a floor exceeds the limit that was declined:
@@ -50,7 +50,8 @@
 }
 
 // ReportedDelay returns how long the report says that the start of a request with the
-// given number of prompt tokens would be delayed.
+// given rank and number of prompt tokens would be delayed. needsLoad is set if its
+// adapter must be loaded.
 func (l *Load) ReportedDelay(rank, prompt int, needsLoad bool) time.Duration {
 	delay := l.delay(rank)
 	if needsLoad {
@@ -63,8 +64,8 @@
 }
 
 // OtherHolderDelay returns the least delay among the candidates that hold the
-// request's adapter, without the one that was picked; ok is false when there is no
-// other.
+// request's adapter, without the one with the index picked; ok is false when there is
+// no other.
 func OtherHolderDelay(candidates []Candidate, picked int) (least time.Duration, ok bool) {
 	for i := range candidates {
 		c := &candidates[i]
--- a/coord/dispatch/dispatch.go
+++ b/coord/dispatch/dispatch.go
@@ -45,7 +45,7 @@
 	Batch   int
 	Running int
 	Waiting int
-	// LoadSource tells what Running is known by.
+	// LoadSource is the origin of Running.
 	LoadSource LoadSource
 	// Delay is how long the agent would delay the start of a request.
 	Delay time.Duration
@@ -62,8 +62,7 @@
 	Answer time.Duration
 	// Slow is how long work takes on the server's machine, as a factor of the usual
 	// time, as of the agent's report and within the bounds of FactorOf; 0 when
-	// unknown. PromptTime is the usual time
-	// to read 1,000 prompt tokens.
+	// unknown. PromptTime is the usual time to read 1,000 prompt tokens.
 	Slow       float64
 	PromptTime time.Duration
 	// HoldAbove is the number of prompt tokens above which the agent holds starts
@@ -101,7 +100,7 @@
 	// empty without one.
 	Adapter    string
 	DataCentre string
-	// Prompt is the number of prompt tokens, Tokens that of all tokens.
+	// Prompt is the number of prompt tokens, Tokens the number of all tokens.
 	Prompt int
 	Tokens int
 	// Rank is the urgency of the request; 0 goes first.
@@ -110,8 +109,8 @@
 	// much of it has passed.
 	Target time.Duration
 	Spent  time.Duration
-	// WithinShare is set where the request's team is known to be within its share: agents
-	// start it before those of teams above theirs.
+	// WithinShare is set if the request's team is known to be within its share: agents
+	// start such requests before those of teams above their shares.
 	WithinShare bool
 	// Left is how long the caller still waits for the start; 0 when unknown.
 	Left time.Duration
@@ -204,8 +203,8 @@
 	MaxDelay time.Duration
 }
 
-// Pick picks the candidate with the lowest cost. It fills in
-// unknown loads. draw returns a random number in [0, 1).
+// Pick picks the candidate with the lowest cost. It replaces unknown loads in
+// candidates by estimates. draw returns a random number in [0, 1).
 func Pick(candidates []Candidate, r Request, draw func() float64) Choice {
 	fillLoads(candidates)
 	homes := homeOrder(candidates, r.Adapter)
--- a/coord/dispatch/health.go
+++ b/coord/dispatch/health.go
@@ -29,8 +29,9 @@
 	failureMemory = 2 * time.Second
 )
 
-// Answered records a successful answer and the time to its first byte. slow is the factor that the answer told of
-// its server's machine, 0 where it told none: the average is of the times that usual speed would have given.
+// Answered records a successful answer and the time to its first byte. slow is the speed
+// factor that the server reported with the answer, 0 for none. The average is of the
+// times at usual speed, so took is divided by the factor.
 func (h *Health) Answered(took time.Duration, slow float64) {
 	if slow > 0 {
 		took = time.Duration(float64(took) / boundFactor(slow))
@@ -87,7 +88,7 @@
 			}
 		}
 	}
-	// While most servers do not fail, the median is 0 and need not be looked for among hundreds.
+	// Unless most servers fail, the median is 0 and the sort is not needed.
 	if 2*failing <= serving {
 		return 0
 	}
--- a/coord/dispatch/load.go
+++ b/coord/dispatch/load.go
@@ -21,10 +21,11 @@
 	// LoadTime how long it would then take to load.
 	SlotDelay time.Duration
 	LoadTime  time.Duration
-	// Slow is how long work takes on the engine's machine, as a factor of the usual time; 0 when unknown.
+	// Slow is how long work takes on the engine's machine, as a factor of the usual
+	// time; 0 when unknown.
 	Slow float64
-	// HoldAbove is the number of prompt tokens above which a start is held back, 0 for none; Hold is for how
-	// long.
+	// HoldAbove is the number of prompt tokens above which a start is held back, 0 for
+	// none; Hold is for how long.
 	HoldAbove int
 	Hold      time.Duration
 }
@@ -52,7 +53,8 @@
 	}
 }
 
-// usualPromptTime returns PromptTime at the usual speed of the machine: agents report it at the current one.
+// usualPromptTime converts PromptTime, which agents report at the current speed of the
+// machine, to the usual speed.
 func (l *Load) usualPromptTime() time.Duration {
 	if l.Slow <= 0 {
 		return l.PromptTime
--- a/coord/dispatch/reported.go
+++ b/coord/dispatch/reported.go
@@ -5,26 +5,27 @@
 	"time"
 )
 
-// ReportedLoad is the load of a server without an agent, as its last answer to this
-// entry told it.
+// ReportedLoad is the load of a server without an agent, as reported with its last
+// answer to this entry.
 type ReportedLoad struct {
-	// Running is the number of requests that the server ran or queued at a time.
+	// Running is the number of requests that the server ran or queued at the time At;
+	// At is zero if it has reported none.
 	Running int
 	At      time.Time
 	// Sent counts the requests that this entry has sent to it since.
 	Sent int
 }
 
-// LoadSource is how an entry knows the load of a server.
+// LoadSource is the origin of a candidate's load.
 type LoadSource uint8
 
 const (
-	// LoadOwn is the load of servers that report none, and of engines whose agents
+	// LoadOwn applies to servers that report no load, and to engines whose agents
 	// announce delays.
 	LoadOwn LoadSource = iota
-	// LoadReported is a current report and the own requests since.
+	// LoadReported is a current report plus the requests that this entry sent since.
 	LoadReported
-	// LoadUnknown is that of a server that has not reported its load for a while, or
+	// LoadUnknown applies to a server that has not reported its load for a while, or
 	// has not answered yet: Running is what this entry has in flight there.
 	LoadUnknown
 )
@@ -33,23 +34,23 @@
 const maxReportAge = time.Second
 
 // SetReportedLoad sets the load of a candidate from its last report and the requests
-// of this entry in flight there. A server that this entry has not heard from has no
-// known load: 0 would make it the choice of all entries that send it little.
-// answered is set for a server that has answered this entry.
+// of this entry in flight there. answered is set for a server that has answered this
+// entry. Without an answer the load is unknown: if it were taken to be 0, all entries
+// that send the server little would choose it.
 func (c *Candidate) SetReportedLoad(l ReportedLoad, inFlight int, answered bool, now time.Time) {
 	c.Running = inFlight
 	if now.Sub(l.At) < maxReportAge {
 		c.Running, c.LoadSource = max(inFlight, l.Running+l.Sent), LoadReported
 		return
 	}
-	// Servers that answer without a load report none.
+	// A server that answers without a load does not report any.
 	if !l.At.IsZero() || !answered {
 		c.LoadSource = LoadUnknown
 	}
 }
 
-// fillLoads sets the load of servers whose load is unknown to the mean use of those
-// that report it. Without a current report it changes nothing.
+// fillLoads sets unknown loads to the mean utilization, in requests per place in the
+// batch, of the servers that report theirs. Without a current report it has no effect.
 func fillLoads(candidates []Candidate) {
 	sum, known, unknown := 0.0, 0, false
 	for i := range candidates {
--- a/coord/fairshare/fairshare_test.go
+++ b/coord/fairshare/fairshare_test.go
@@ -31,7 +31,7 @@
 	if u.Share("", now) != 0 {
 		t.Error("a share was told without a team")
 	}
-	later := now.Add(idleTime + time.Second)
+	later := now.Add(idleTimeout + time.Second)
 	if got := u.Share("hot", later); got != 100 || u.byAge.Len() != 0 || len(u.byTeam) != 0 {
 		t.Errorf("share %d percent after all were idle, with %d teams kept; want 100 and none", got, u.byAge.Len())
 	}
@@ -74,7 +74,7 @@
 	if got := a.Add("calm", 180, start); got < 80 || got > 120 {
 		t.Errorf("average %d of 20 and 180", got)
 	}
-	a.Add("other", 100, start.Add(toldTime+time.Second))
+	a.Add("other", 100, start.Add(toldTimeout+time.Second))
 	if len(a.byTeam) != 1 || a.byAge.Len() != 1 {
 		t.Errorf("%d teams kept, want 1", len(a.byTeam))
 	}
--- a/coord/fairshare/ranks.go
+++ b/coord/fairshare/ranks.go
@@ -7,20 +7,23 @@
 )
 
 const (
-	// startsPerTurn is the number of starts of which a rank that waits gets one at least.
+	// startsPerTurn is the number of consecutive starts of which a waiting rank gets
+	// at least one.
 	startsPerTurn = 8
-	// owedPart is the part of what all ranks got lately, in starts for each arrival, below which a rank gets further
-	// turns: it is owed a quarter, and the rest leaves room for chance. leastPerTurn is the number of starts of which it
-	// then gets one at most.
-	owedPart     = 0.3
-	leastPerTurn = 4
+	// underservedRatio is the part of the mean ratio of starts to arrivals over all
+	// ranks below which a rank is underserved. A rank is to reach a quarter; the
+	// difference allows for chance. underservedStartsPerTurn applies to such a rank
+	// instead of startsPerTurn.
+	underservedRatio         = 0.3
+	underservedStartsPerTurn = 4
 )
 
-// RankTurns sees to it that each rank gets turns while it waits, however many requests of more urgent ranks arrive. The
-// zero value is ready to use.
+// RankTurns prevents the starvation of ranks: each rank gets turns while it waits,
+// however many requests of more urgent ranks arrive. The zero value is ready to use.
 type RankTurns struct {
 	ranks []rankTurn
-	// arrived and started are the decayed numbers of requests of all ranks, at the time at.
+	// arrived and started are the decayed numbers of requests of all ranks at the time
+	// at.
 	arrived float64
 	started float64
 	at      time.Time
@@ -28,9 +31,11 @@
 
 type rankTurn struct {
 	rank int
-	// passed counts the starts of other ranks since the rank's own last one, while it waited.
+	// passed counts the starts of other ranks since the rank's own last one, while it
+	// waited.
 	passed int
-	// arrived and started are the decayed numbers of its requests, at the time RankTurns.at.
+	// arrived and started are the decayed numbers of its requests at the time
+	// RankTurns.at.
 	arrived float64
 	started float64
 }
@@ -59,7 +64,8 @@
 	t.of(rank).arrived++
 }
 
-// Started records the start of a request. waiting are the ranks of which requests could start.
+// Started records the start of a request of a rank. waiting holds the ranks of the
+// requests that could start.
 func (t *RankTurns) Started(rank int, waiting []int) {
 	r := t.of(rank)
 	r.passed = 0
@@ -72,8 +78,9 @@
 	}
 }
 
-// Due returns the rank whose turn it is, and whether there is one. waiting are the ranks of which requests could start,
-// the most urgent first, which needs no turn; ranks that do not wait lose theirs.
+// Due returns the rank whose turn it is, and whether there is one. waiting holds the
+// ranks of the requests that could start, the most urgent first; that one needs no turn.
+// Ranks that do not wait lose theirs.
 func (t *RankTurns) Due(waiting []int) (rank int, due bool) {
 	most := 0
 	for i := range t.ranks {
@@ -82,14 +89,15 @@
 		case !slices.Contains(waiting, r.rank):
 			r.passed = 0
 		case r.rank == waiting[0]:
-		case r.passed > most && (r.passed >= startsPerTurn-1 || r.passed >= leastPerTurn-1 && t.owed(r)):
+		case r.passed > most && (r.passed >= startsPerTurn-1 || r.passed >= underservedStartsPerTurn-1 && t.underserved(r)):
 			rank, most, due = r.rank, r.passed, true
 		}
 	}
 	return rank, due
 }
 
-// owed reports whether a rank got too little of what all got.
-func (t *RankTurns) owed(r *rankTurn) bool {
-	return r.started*t.arrived < owedPart*t.started*r.arrived
+// underserved reports whether a rank had too few starts for its arrivals, compared with
+// all ranks.
+func (t *RankTurns) underserved(r *rankTurn) bool {
+	return r.started*t.arrived < underservedRatio*t.started*r.arrived
 }
--- a/coord/fairshare/told.go
+++ b/coord/fairshare/told.go
@@ -6,17 +6,18 @@
 )
 
 const (
-	// toldWeight is the least weight of the newest share that an entry told of a team. Entries see few requests of a
-	// team each, so single shares scatter; the mean over entries does not.
-	toldWeight = 0.05
-	// toldTime is the time after which what was told of a team is forgotten.
-	toldTime = 2 * useHalfLife
+	// minToldWeight is the least weight of a new share in a team's average. Each entry
+	// sees few requests of a team, so single shares vary much.
+	minToldWeight = 0.05
+	// toldTimeout is the time without a new share after which a team's average is
+	// forgotten.
+	toldTimeout = 2 * useHalfLife
 )
 
-// Told averages the shares that entries told of teams. The zero value is ready to use.
+// Told averages the shares of teams that entries report. The zero value is ready to use.
 type Told struct {
 	byTeam map[string]*list.Element
-	// byAge holds the averages, the longest unchanged first.
+	// byAge holds the averages, the least recently changed first.
 	byAge list.List
 }
 
@@ -27,12 +28,13 @@
 	at    time.Time
 }
 
-// Add adds a share that was told with a request, and returns the team's average. A share of 0 is not told.
+// Add adds a share in percent that was reported with a request, and returns the team's
+// average. It returns 0 without a team or a share.
 func (a *Told) Add(team string, share int, now time.Time) int {
 	if team == "" || share <= 0 {
 		return 0
 	}
-	for e := a.byAge.Front(); e != nil && now.Sub(e.Value.(*told).at) > toldTime; e = a.byAge.Front() {
+	for e := a.byAge.Front(); e != nil && now.Sub(e.Value.(*told).at) > toldTimeout; e = a.byAge.Front() {
 		delete(a.byTeam, a.byAge.Remove(e).(*told).team)
 	}
 	e := a.byTeam[team]
@@ -45,7 +47,7 @@
 	}
 	v := e.Value.(*told)
 	v.count++
-	v.share += max(1/v.count, toldWeight) * (float64(min(share, MaxShare)) - v.share)
+	v.share += max(1/v.count, minToldWeight) * (float64(min(share, MaxShare)) - v.share)
 	v.at = now
 	a.byAge.MoveToBack(e)
 	return max(int(v.share), 1)
--- a/coord/fairshare/uses.go
+++ b/coord/fairshare/uses.go
@@ -1,8 +1,10 @@
-// Package fairshare decides who goes first, who gives way and who comes back later where there is too little room.
+// Package fairshare decides which requests go first, which give way and when refused
+// callers retry while there is too little room.
 //
-// Within a rank, teams get room by max-min fairness in the tokens that were started lately: the team that used least goes
-// first. An entry counts what it started for each team (Uses) and tells the agent a team's share with each request, since
-// an agent sees few requests of a team. The agent keeps nothing of it: an agent that restarts orders as before.
+// Within a rank, teams get room by max-min fairness in the tokens that were started
+// recently: the team that used least goes first. An entry counts what it started for
+// each team (Uses) and sends the agent a team's share with each request, since an agent
+// sees few requests of a team. The agent only averages these shares (Told).
 //
 // All types are pure state machines; none is safe for concurrent use.
 package fairshare
@@ -14,25 +16,31 @@
 )
 
 const (
-	// useHalfLife is the half-life of what a team used: a burst is forgotten within some answers.
+	// useHalfLife is the half-life of what a team used, so that a burst is forgotten
+	// within the time of a few answers.
 	useHalfLife = 4 * time.Second
-	// idleTime is the time after its last use from which a team no longer counts, and is forgotten. It is long since an
-	// entry among many sees a team only now and then, and would else divide among those few that it has just seen.
-	idleTime = 15 * useHalfLife
-	// rebase is the time after which the weights are scaled down, before they grow beyond what a float64 holds exactly.
-	rebase = 30 * useHalfLife
-	// priorRequests is the number of mean requests that each team is assumed to have used. Without it an entry that has
-	// just started, or sees few requests of a team, would tell shares by chance.
+	// idleTimeout is the time after its last use from which a team no longer counts. It
+	// is long because one of many entries sees a team rarely, and would otherwise divide
+	// among the few teams that it has just seen.
+	idleTimeout = 15 * useHalfLife
+	// rebaseInterval is the time after which the weights are scaled down, so that a
+	// float64 keeps its precision.
+	rebaseInterval = 30 * useHalfLife
+	// priorRequests is the number of requests of mean size that each team is assumed to
+	// have used. Without it, the shares of an entry that has just started, or sees few
+	// requests of a team, would depend on chance.
 	priorRequests = 1.0
-	// MaxShare bounds a share in percent.
+	// MaxShare is the greatest share, in percent.
 	MaxShare = 10_000
 )
 
-// Uses counts the tokens that teams used lately. Weights grow with time instead of each use decaying, so that one
-// request changes one team's use and the sum only.
+// Uses counts the tokens that teams used recently. Older uses are not decayed; instead,
+// the weights of new ones grow with time, so that a request changes only the use of its
+// team and the sum.
 type Uses struct {
 	byTeam map[string]*list.Element
-	// byAge holds the uses, the longest idle team first.
+	// byAge holds the uses, the longest idle team first. sum is the weighted number of
+	// their tokens.
 	byAge list.List
 	sum   float64
 	// requests is the weighted number of requests in sum.
@@ -48,10 +56,10 @@
 	at       time.Time
 }
 
-// NewUses returns counts of a process that has started nothing yet.
+// NewUses returns counts without uses.
 func NewUses() *Uses { return &Uses{byTeam: make(map[string]*list.Element)} }
 
-// Record counts a request of a team that was started.
+// Record counts a started request of a team with its tokens.
 func (u *Uses) Record(team string, tokens int, now time.Time) {
 	if team == "" || tokens <= 0 {
 		return
@@ -72,12 +80,12 @@
 	u.byAge.MoveToBack(e)
 }
 
-// weight returns the weight of a use now, relative to those counted.
+// weight returns the weight of a use now, relative to one at base.
 func (u *Uses) weight(now time.Time) float64 {
 	if u.byAge.Len() == 0 {
 		u.base, u.sum, u.requests = now, 0, 0
 	}
-	if now.Sub(u.base) > rebase {
+	if now.Sub(u.base) > rebaseInterval {
 		scale := math.Exp2(-float64(now.Sub(u.base)) / float64(useHalfLife))
 		for e := u.byAge.Front(); e != nil; e = e.Next() {
 			e.Value.(*use).tokens *= scale
@@ -89,15 +97,15 @@
 }
 
 func (u *Uses) forgetIdle(now time.Time) {
-	for e := u.byAge.Front(); e != nil && now.Sub(e.Value.(*use).at) > idleTime; e = u.byAge.Front() {
+	for e := u.byAge.Front(); e != nil && now.Sub(e.Value.(*use).at) > idleTimeout; e = u.byAge.Front() {
 		v := u.byAge.Remove(e).(*use)
 		delete(u.byTeam, v.team)
 		u.sum, u.requests = u.sum-v.tokens, u.requests-v.requests
 	}
 }
 
-// Share returns a team's use as a multiple of an equal part of the use of all, in percent and at least 1; 0 without a
-// team.
+// Share returns a team's use as a percentage of an equal part of the use of all teams, 1
+// to MaxShare; 0 without a team.
 func (u *Uses) Share(team string, now time.Time) int {
 	if team == "" {
 		return 0
--- a/coord/residency/pace.go
+++ b/coord/residency/pace.go
@@ -75,8 +75,8 @@
 	f.nt = f.nt*decay + n*t
 }
 
-// constant returns the time that a prompt takes beside its tokens; 0 while
-// unknown.
+// constant returns the part of a prompt's time that does not depend on its tokens; 0
+// while unknown.
 func (f *fit) constant() time.Duration {
 	rate := f.rate()
 	if rate <= 0 {
@@ -118,8 +118,8 @@
 }
 
 // readTime returns the time from the start of a prompt that is read alone to its
-// first event, at baseline speed. It is 0 until the fit separates the rate from
-// the constant, which most of the time of a short prompt consists of.
+// first event, at baseline speed; 0 until the fit separates the rate from the constant,
+// which dominates the time of short prompts.
 func (p *pacer) readTime(prompt int) time.Duration {
 	if p.fit.rate() <= 0 {
 		return 0
@@ -129,22 +129,22 @@
 
 const (
 	// minReadRatio and maxReadRatio bound a sample of the reading time as a multiple
-	// of the time by the fit, so that a phase which the correction has missed hardly
-	// moves it. A lasting change moves it in some hundred samples.
+	// of the fitted time, so that a phase which the correction missed has little effect
+	// on the fit. A lasting change takes some hundred samples.
 	minReadRatio = 0.6
 	maxReadRatio = 1.25
 )
 
-// plausible bounds the time in which a prompt was read.
-func (p *pacer) plausible(prompt int, took time.Duration) time.Duration {
+// clampReadTime bounds a sample of the time in which a prompt was read.
+func (p *pacer) clampReadTime(prompt int, took time.Duration) time.Duration {
 	if expected := p.readTime(prompt); expected > 0 {
 		return min(max(took, scaled(expected, minReadRatio)), scaled(expected, maxReadRatio))
 	}
 	return took
 }
 
-// recordRead records that a prompt was read during the current busy period, while
-// work took the given multiple of its baseline time.
+// recordRead records that a prompt was read during the current busy period. factor is
+// the multiple of its baseline time that work took.
 func (p *pacer) recordRead(prompt int, factor float64, now time.Time) {
 	p.busyRead += prompt
 	took := float64(now.Sub(p.busySince)) / float64(time.Millisecond) / factor
@@ -186,14 +186,15 @@
 // Ranks is the number of ranks that Delay distinguishes.
 const Ranks = 3
 
-// Delay returns how long a request of each rank that arrived now would wait for
-// its start at the current speed, not counting its adapter's load. The last entry applies to all
-// higher ranks. Requests that wait for a load to begin are not counted: they keep no
-// one waiting whose adapter is there, and while the store is slow there are many.
+// Delay returns how long a request of each rank that arrived now would wait for its
+// start at the current speed, not counting its adapter's load. The last entry applies
+// to all higher ranks. Requests that wait for a load to begin are not counted: they do
+// not delay requests whose adapter is loaded, and while the store is slow there are
+// many.
 func (t *Table) Delay(now time.Time) [Ranks]time.Duration { return t.delayUpTo(math.MaxInt, now) }
 
-// delayUpTo returns the delay of a request whose team is at most at a level above its
-// share: those of higher levels wait behind it.
+// delayUpTo is like Delay for a request of the given level; requests of higher levels wait
+// behind it and are not counted.
 func (t *Table) delayUpTo(level int, now time.Time) [Ranks]time.Duration {
 	var delay [Ranks]time.Duration
 	var ahead [Ranks]int
@@ -244,7 +245,7 @@
 	if s.alone {
 		took := scaled(now.Sub(s.at), 1/factor)
 		if _, known := t.speed.Age(now); known {
-			took = t.pacer.plausible(s.prompt, took)
+			took = t.pacer.clampReadTime(s.prompt, took)
 		}
 		t.pacer.fit.add(s.prompt, took)
 	}
--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -13,7 +13,7 @@
 	t.markLate(now)
 	t.sortWaiting(now)
 	kept := t.waiting[:0]
-	last := t.lastBesideMemory(now)
+	last := t.lowestStartable(now)
 	for _, r := range t.waiting {
 		if now.After(r.StartDeadline) {
 			actions = append(actions, Refuse{ID: r.ID, Reason: ReasonLate})
@@ -25,7 +25,7 @@
 			continue
 		}
 		if t.options.Shares && t.lacksMemory(&r, now) {
-			last = min(last, lastOfRank(r.precedence()))
+			last = min(last, lowestOfRank(r.precedence()))
 		}
 		kept = append(kept, r)
 	}
@@ -54,9 +54,8 @@
 // sortWaiting sorts the waiting requests by rank, then those whose callers did not
 // return too soon first, then by how far their teams are above their shares, then those
 // that can still meet their target first, then by the turns of their teams, then by
-// arrival. A
-// request that is already late loses less by waiting another second than one that
-// would become late. A team with many requests delays one with few by no more than
+// arrival. A request that is already late loses less by waiting another second than one
+// that would become late. A team with many requests delays one with few by no more than
 // its turns.
 func (t *Table) sortWaiting(now time.Time) {
 	t.countTurns(now)
@@ -84,7 +83,7 @@
 	}
 }
 
-// turnClass holds the requests among which a team's are numbered.
+// turnClass identifies the requests that are numbered together.
 type turnClass struct {
 	team string
 	rank int
--- a/coord/residency/report.go
+++ b/coord/residency/report.go
@@ -10,8 +10,8 @@
 	Loading map[string]int64
 	// Running holds the IDs of the running requests.
 	Running map[string]bool
-	// Events maps the running requests to the events that they have made; nil when
-	// the report does not tell.
+	// Events maps the running requests to the numbers of events that they have made;
+	// nil when the report does not contain them.
 	Events map[string]int
 	// Waiting is the number of requests queued at the engine.
 	Waiting int
--- a/coord/residency/reserve.go
+++ b/coord/residency/reserve.go
@@ -65,22 +65,23 @@
 	}
 }
 
-// levels is the number of levels above a share that reserves distinguish.
+// levels is the number of levels of shares that reserves distinguish within a rank;
+// higher levels count as the last one.
 const levels = 8
 
-// precedence orders the kinds of requests that keep places free for each other: by
-// rank, then by how far their teams are above their shares.
+// precedence orders requests by rank, then by how far their teams are above their shares;
+// 0 is the highest. Requests keep places in the batch free for those that precede them.
 func (r *Request) precedence() int { return levels*r.Rank + min(r.level(), levels-1) }
 
-// reserves holds the reserve of each precedence. A reserve is kept for requests of its
-// own precedence: one for all let requests of less urgent ranks, and of teams above their
-// shares, take the places that late ones had left free.
+// reserves holds the reserves by precedence. With one reserve for all, requests of less
+// urgent ranks, and of teams above their shares, would take the places that late requests
+// leave free.
 type reserves map[int]*reserved
 
 type reserved struct {
-	// own is what late requests of the precedence leave free, lacked what requests that it
-	// precedes do. lacked grows only with requests that found no place: others become late
-	// while there is room, or have no target.
+	// own is what late requests of this precedence leave free for those in time, lacked
+	// what requests of lower precedences leave free for it. lacked grows only with
+	// requests that found no place: others become late while there is room.
 	own, lacked reserve
 }
 
@@ -91,11 +92,11 @@
 	return v[precedence]
 }
 
-// heldFrom returns the number of positions that a request must leave free: those
-// reserved for what precedes it, and if it is late for its own precedence. last is the
-// lowest precedence of which requests wait. While some wait that it precedes, it need
-// not leave its own reserve: these give way instead.
-func (v reserves) heldFrom(r *Request, last int, now time.Time) float64 {
+// keptFrom returns the number of places in the batch that a request must leave free: those
+// reserved for higher precedences and, if the request is late, for its own. last is the
+// lowest precedence of which requests wait. While requests of a lower precedence wait, the
+// request need not leave its own reserve free, because they leave theirs.
+func (v reserves) keptFrom(r *Request, last int, now time.Time) float64 {
 	held, own := 0.0, r.precedence()
 	for precedence, reserved := range v {
 		switch {
@@ -117,5 +118,5 @@
 	if !t.options.Shares {
 		return max(t.options.Batch-int(math.Round(t.reserves.of(0).own.current(now))), 1)
 	}
-	return max(t.options.Batch-int(math.Round(t.reserves.heldFrom(r, t.lastWaiting, now))), 1)
+	return max(t.options.Batch-int(math.Round(t.reserves.keptFrom(r, t.lastWaiting, now))), 1)
 }
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -34,9 +34,9 @@
 	// Grace is how long requests may still start on an outdated version after a
 	// newer one was announced.
 	Grace time.Duration
-	// Shares makes ranks and the shares of teams decide where there is too little room.
-	// Without it requests go by rank, target and arrival, and late ones of all ranks keep
-	// places free together.
+	// Shares makes ranks and the shares of teams decide while there is too little room.
+	// Without it, requests go by rank, target and arrival, and late requests of all
+	// ranks have one common reserve.
 	Shares bool
 	// Speed selects how the speed of the engine's machine is estimated, Pace whether
 	// it paces the starts, and Hold what happens to prompts that would stall streams
@@ -69,25 +69,24 @@
 	// OnlyIfHeld refuses the request at once unless the engine holds its adapter or
 	// is loading it.
 	OnlyIfHeld bool
-	// Gap is the longest pause between two events that the route allows; 0 for
-	// none.
+	// Gap is the longest pause between two events that the route allows; 0 for no
+	// limit.
 	Gap time.Duration
-	// heldSince is when the start was first held because it would stall streams;
-	// zero while it was not.
+	// heldSince is when the start was first held because it would stall streams; zero
+	// before that.
 	heldSince time.Time
-	// Share is the use of the team as a multiple of an equal part of the use of all, in
-	// percent; 0 where it is not told. Among equal ranks, teams within their share go
-	// first.
+	// Share is the use of the team as a percentage of an equal part of the use of all
+	// teams; 0 when unknown. Among equal ranks, teams within their share go first.
 	Share int
 	// BehindUntil is the time until which the request goes behind all others of its rank,
-	// since its caller returned too soon.
+	// because its caller returned too soon.
 	BehindUntil time.Time
 	// turn counts the requests of the same team that wait before it among equals.
 	turn int
 	// admitted numbers the requests in the order in which they were admitted.
 	admitted   uint64
 	admittedAt time.Time
-	// due is set where the request goes first because it is the turn of its rank.
+	// due is set if the request goes first because it is the turn of its rank.
 	due bool
 	// late is set once a start would miss the target.
 	late bool
@@ -108,8 +107,8 @@
 type Refuse struct {
 	ID     string
 	Reason Reason
-	// To describes the request that this one gave way to, and its own place; nil unless
-	// Reason is ReasonGaveWay.
+	// To describes why the request gave way to another one; nil unless Reason is
+	// ReasonGaveWay.
 	To *GaveWay
 }
 
@@ -135,8 +134,8 @@
 const (
 	// ReasonFull means that the queue is full.
 	ReasonFull Reason = "queue_full"
-	// ReasonGaveWay means that the queue is full and a request came that goes first by its
-	// rank or by the share of its team.
+	// ReasonGaveWay means that the queue is full and a request arrived that goes first
+	// by its rank or by the share of its team.
 	ReasonGaveWay Reason = "gave_way"
 	// ReasonBusy means that the start would be delayed beyond the request's
 	// MaxDelay.
@@ -193,8 +192,8 @@
 	// same time.
 	prefilled bool
 	alone     bool
-	// read is set once the prompt is known to be read, also by a report. gap is the
-	// longest pause that the route allows; 0 for none.
+	// read is set once the prompt is known to be read, from an event or a report. gap
+	// is the longest pause between two events that the route allows; 0 for no limit.
 	read bool
 	gap  time.Duration
 	// seen is set once the engine has reported the request.
@@ -231,24 +230,24 @@
 	runs               []capacity.Run
 	// published is the factor that was last published.
 	published float64
-	// held counts the prompts that were held, heldToEnd those started after the
-	// longest time.
+	// held counts the prompts that were held, heldToEnd those started because they
+	// had been held for maxHold.
 	held, heldToEnd int
 	// reserves are the parts of the batch that are kept free for requests that can
 	// still meet their target.
 	reserves reserves
 	// ranks gives turns to less urgent ranks.
 	ranks fairshare.RankTurns
-	// lastWaiting is the lowest precedence of the waiting requests that could start if
+	// lastWaiting is the precedence of the last waiting request that could start if
 	// there were room.
 	lastWaiting int
-	// turns counts the waiting requests of each team; kept since a map of all teams for
-	// each decision is garbage of 100 kB at 512 waiting requests.
+	// turns counts the waiting requests of each team. It is reused: a new map for each
+	// decision allocates 100 kB at 512 waiting requests.
 	turns map[turnClass]int
 	// told averages the shares of teams.
 	told fairshare.Told
-	// waitingRanks are the ranks of which requests could start if there were room; empty
-	// where only one rank waits.
+	// waitingRanks holds the ranks of the requests that could start if there were room;
+	// it is empty while only one rank waits.
 	waitingRanks []int
 	// admitted counts the requests that were queued.
 	admitted uint64
--- a/coord/residency/share.go
+++ b/coord/residency/share.go
@@ -14,9 +14,9 @@
 // behind reports whether the request goes behind all others of its rank.
 func (r *Request) behind(now time.Time) bool { return now.Before(r.BehindUntil) }
 
-// compareClass orders requests of equal rank before their targets count. A late request of
-// a team within its share goes before those in time of a team above its own: the latter
-// would else delay it until its caller leaves.
+// compareClass orders requests of equal rank; it takes priority over their targets. A late
+// request of a team within its share goes before requests in time of a team above its own
+// share, which would otherwise delay it until its caller leaves.
 func (r *Request) compareClass(other *Request, now time.Time) int {
 	return cmp.Or(compareBool(r.behind(now), other.behind(now)), cmp.Compare(r.level(), other.level()))
 }
@@ -26,13 +26,13 @@
 	return r.Rank == other.Rank && r.compareClass(other, now) == 0
 }
 
-// GaveWay describes why a request gave way to another one.
+// GaveWay describes a request that gave way to another one, and why.
 type GaveWay struct {
-	// Rank, Team and Share are those of the request that gave way.
+	// Rank, Team and Share, in percent, are those of the request that gave way.
 	Rank  int
 	Team  string
 	Share int
-	// ByRank is set where the other request is of a more urgent rank; otherwise the team of
+	// ByRank is set if the other request is of a more urgent rank; otherwise the team of
 	// this one is further above its share.
 	ByRank bool
 }
@@ -41,8 +41,8 @@
 	return fairshare.Standing{Rank: r.Rank, Level: r.level()}
 }
 
-// givesWayTo returns the index of the waiting request that gives way to a new one; -1 where
-// the new one itself does.
+// givesWayTo returns the index of the waiting request that gives way to a new one; -1 if
+// the new one itself is refused.
 func (t *Table) givesWayTo(r *Request) int {
 	last := -1
 	for i := range t.waiting {
@@ -61,7 +61,8 @@
 	return last
 }
 
-// giveWay refuses a waiting request for one that goes first.
+// giveWay removes the waiting request with an index and returns its refusal in favour of
+// another one.
 func (t *Table) giveWay(i int, to *Request) Action {
 	w := t.waiting[i]
 	t.waiting = slices.Delete(t.waiting, i, i+1)
@@ -78,7 +79,7 @@
 }
 
 // advanceDueRank moves a request of the rank whose turn it is to the front: the first one
-// that the memory has room for. waiting is sorted by rank.
+// for which there is enough memory. waiting must be sorted by rank.
 func (t *Table) advanceDueRank(now time.Time) {
 	t.waitingRanks, t.lastWaiting = t.waitingRanks[:0], 0
 	for i := len(t.waiting) - 1; i >= 0 && t.lastWaiting == 0; i-- {
--- a/coord/residency/speed.go
+++ b/coord/residency/speed.go
@@ -9,14 +9,15 @@
 	"github.com/rosemarypass/rosemarypass/coord/capacity"
 )
 
-// HoldPolicy selects what happens to a prompt that would stall the engine's
+// HoldPolicy selects what happens to a prompt whose reading would stall the engine's
 // streams for longer than their routes allow.
 type HoldPolicy uint8
 
 const (
-	// HoldAtEngine makes it wait at the engine for a faster phase.
+	// HoldAtEngine makes the prompt wait at the agent for a faster phase.
 	HoldAtEngine HoldPolicy = iota
-	// HoldNever starts it; entries are expected to avoid engines in a slow phase.
+	// HoldNever starts the prompt; entries are expected to avoid engines in a slow
+	// phase.
 	HoldNever
 )
 
@@ -34,25 +35,26 @@
 	// maxHold is how long a prompt is held at most: slow phases last 0.2 to 0.7 s.
 	maxHold = time.Second
 	// holdShare is the share of the allowed pause that a stall may take; the rest is
-	// for the way of an event to the caller.
+	// for the transmission of an event to the caller.
 	holdShare = 0.9
-	// nearBaseline is the factor up to which waiting gains nothing for a prompt that
-	// stalls the streams at baseline speed too.
+	// nearBaseline is the factor up to which a prompt that would stall the streams at
+	// baseline speed too is not held.
 	nearBaseline = 1.1
 	// deadlineReserve is how long before its StartDeadline a held prompt is started:
 	// a hold must not make the agent refuse a request.
 	deadlineReserve = 50 * time.Millisecond
 	// minReadWork is the least reading time, at baseline speed, from which the speed
-	// is derived: a step in progress and the way of the first event take up to 20 ms.
+	// is derived: a step in progress and the transmission of the first event take up
+	// to 20 ms.
 	minReadWork = 25 * time.Millisecond
-	// factorStep is the step to which the published factor is rounded, and holdStep
-	// and holdTokens are those of the published hold, so that the state changes only
-	// where the choice of an engine does.
+	// factorStep is the step to which the published factor is rounded. holdStep and
+	// holdTokens are the steps of the published hold. They prevent publications that
+	// would not change the choice of an engine.
 	factorStep = 0.25
 	holdStep   = 100 * time.Millisecond
 	holdTokens = 250
-	// factorChange is the difference from the published factor at which it is
-	// published anew: the error of an estimate by 8 steps is 0.13.
+	// factorChange is the difference from the published factor above which a new one is
+	// published. It is above 0.13, the error of an estimate from 8 steps.
 	factorChange = 0.2
 )
 
@@ -80,8 +82,8 @@
 	return t.speed.Factor(now)
 }
 
-// roundedFactor returns the factor as it is published. It changes in steps, and only
-// once the estimate has left the current step for certain.
+// roundedFactor returns the factor as it is published, in multiples of factorStep. It
+// changes only when the estimate differs from it by more than factorChange.
 func (t *Table) roundedFactor(now time.Time) float64 {
 	factor := t.speed.Factor(now)
 	if math.Abs(factor-t.published) > factorChange {
@@ -90,8 +92,8 @@
 	return t.published
 }
 
-// Told records that the engine told an entry its speed, in percent of the baseline
-// time; 0 when it told none.
+// Told records that the engine reported its speed to an entry at a time, in percent of
+// the baseline time; 0 for none.
 func (t *Table) Told(percent int, at, now time.Time) { t.speed.Told(percent, at, now) }
 
 // Factor returns how long work takes on the engine's machine now, as a factor of
@@ -101,11 +103,11 @@
 	return t.speed.Factor(now), known
 }
 
-// SpeedDoubts returns how often the speed that the engine told was found false.
+// SpeedDoubts returns how often the speed that the engine reported was found false.
 func (t *Table) SpeedDoubts() int { return t.speed.Doubts() }
 
 // Holds returns how many prompts were held, and how many of these were started
-// because they had been held for the longest time.
+// because they had been held for the maximum time.
 func (t *Table) Holds() (held, toTheEnd int) { return t.held, t.heldToEnd }
 
 // SlowPercent returns the published speed in percent of the baseline time, 0
@@ -117,8 +119,8 @@
 	return int(math.Round(100 * t.roundedFactor(now)))
 }
 
-// Hold returns the number of prompt tokens above which a start is held now, and how
-// long; 0 when none is.
+// Hold returns the number of prompt tokens above which a start is held now, and for how
+// long; 0 when no start is held.
 func (t *Table) Hold(now time.Time) (above int, left time.Duration) {
 	if t.options.Hold != HoldAtEngine {
 		return 0, 0
@@ -153,8 +155,8 @@
 	return now.Before(r.StartDeadline.Add(-deadlineReserve))
 }
 
-// stalls reports whether a start of the prompt would stall a stream for too long,
-// and a faster phase would change that.
+// stalls reports whether a start of the prompt would stall a stream for too long now, and
+// waiting for a faster phase would help.
 func (t *Table) stalls(r *Request, now time.Time) bool {
 	if t.options.Hold != HoldAtEngine {
 		return false
@@ -171,8 +173,8 @@
 	return scaled(stall, factor) > limit && (stall <= limit || factor > nearBaseline)
 }
 
-// smallestGap returns the smallest pause that the streams which have had their
-// first event allow; 0 when there is no such stream.
+// smallestGap returns the smallest pause that is allowed to a stream which has had its
+// first event; 0 when no stream has a limit.
 func (t *Table) smallestGap() time.Duration {
 	var smallest time.Duration
 	for _, s := range t.started {
@@ -183,7 +185,7 @@
 	return smallest
 }
 
-// unreadTokens returns the tokens of the started prompts that are unread.
+// unreadTokens returns the number of tokens of the started prompts that are unread.
 func (t *Table) unreadTokens() int {
 	tokens := 0
 	for _, s := range t.started {
@@ -194,8 +196,8 @@
 	return tokens
 }
 
-// markRead records that a started prompt is read, as an entry or the engine's
-// report told first.
+// markRead records that a started prompt was read, from its first event or from a report
+// of the engine, whichever is earlier.
 func (t *Table) markRead(s *startedRequest, at time.Time) {
 	if s.read {
 		return
@@ -203,7 +205,8 @@
 	s.read = true
 	from, work := s.at, t.pacer.readTime(s.prompt)
 	if t.readAt.After(from) {
-		// The engine went on with it in the step after, or read it in the same piece.
+		// The engine began to read it in the step after the previous prompt, or read both
+		// in the same piece.
 		from = t.readAt
 		work += -t.pacer.fit.constant() + min(t.speed.Step(), at.Sub(from))
 	}
@@ -224,8 +227,8 @@
 	return false
 }
 
-// observeProgress passes what a report tells of the progress of the runs on to the
-// estimate of the speed.
+// observeProgress passes the progress of the runs in a report on to the estimate of the
+// speed.
 func (t *Table) observeProgress(r Report, now time.Time) {
 	if r.Events == nil {
 		return
@@ -234,8 +237,8 @@
 	for id, events := range r.Events {
 		t.runs = append(t.runs, capacity.Run{ID: id, Events: events})
 	}
-	// The order decides which of the prompts that were read since the last report counts
-	// as the first.
+	// Sorted because the order of a map is random, and the first of the prompts that were
+	// read since the last report is treated differently.
 	slices.SortFunc(t.runs, func(a, b capacity.Run) int { return cmp.Compare(a.ID, b.ID) })
 	for _, run := range t.runs {
 		if s := t.started[run.ID]; s != nil && run.Events > 0 && !s.read {
@@ -247,8 +250,8 @@
 	t.observeUnread(r, now)
 }
 
-// firstEventBefore estimates when a request had its first event that only a report
-// tells: in the middle of the time since the report before it, or the start.
+// firstEventBefore estimates when a request whose first event is known only from a report
+// had it: halfway between the report before it, or the start, and the report.
 func firstEventBefore(s *startedRequest, reported, before time.Time) time.Time {
 	if before.Before(s.at) {
 		before = s.at
