--- a/coord/capacity/speed_test.go
+++ b/coord/capacity/speed_test.go
@@ -115,7 +115,8 @@
 	}
 }
 
-// checkUnread has a server read a prompt that its caller knows of, or only the report shows.
+// checkUnread makes a server read a prompt that is known to the caller or only shown by
+// the report.
 func checkUnread(t *testing.T, unread bool) {
 	t.Helper()
 	s := newServer(Options{})
@@ -322,7 +323,8 @@
 	}
 }
 
-// Guards against doubts about a header that is right, since the progress shows changes later.
+// Guards against a correct header that is judged false because the progress shows changes
+// later.
 func TestTrueToldFactorIsNotDoubted(t *testing.T) {
 	s := newServer(Options{})
 	s.run(5*time.Second, 1)
@@ -412,7 +414,7 @@
 	})
 }
 
-// Guards against servers that tell no speed, and whose decisions change with what is read off their progress.
+// Guards against decisions that change with the progress of servers that report no speed.
 func TestProgressCountsOnlyIfTold(t *testing.T) {
 	s := New(Options{OnlyIfTold: true})
 	at := start.Add(190 * time.Millisecond)
--- a/coord/dispatch/speed_test.go
+++ b/coord/dispatch/speed_test.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Guards against a slow phase that counts long after it has passed, and against factors that no decision can bear.
+// Guards against a slow phase that counts long after it has passed, and against factors
+// out of bounds.
 func TestFactorDecays(t *testing.T) {
 	at := time.Unix(1000, 0)
 	for _, test := range []struct {
@@ -67,7 +68,8 @@
 	}
 }
 
-// Guards against servers that tell the usual speed and are treated otherwise than those that tell none.
+// Guards against servers that report the usual speed and are treated differently from
+// those that report none.
 func TestFactorOfOneChangesNothing(t *testing.T) {
 	var told, untold Health
 	var speed Speed
--- a/coord/dispatch/unchanged_test.go
+++ b/coord/dispatch/unchanged_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// drawCandidate draws a server that tells no factor. All values have few distinct levels, so that ties occur too.
+// drawCandidate draws a server that reports no factor. All values have few distinct levels, so that ties occur too.
 func drawCandidate(random *rand.Rand, i int) Candidate {
 	var h Health
 	now := time.Unix(1000, 0)
@@ -42,7 +42,7 @@
 	return c
 }
 
-// Guards against decisions that change where no server tells a factor: the digest is that of the decisions at
+// Guards against decisions that change where no server reports a factor: the digest is that of the decisions at
 // d1ea191, before servers' factors were read. It was computed on amd64; a machine that fuses multiplications and
 // additions may round otherwise.
 func TestDecisionsWithoutFactorAreUnchanged(t *testing.T) {
--- a/coord/experiment/balance.go
+++ b/coord/experiment/balance.go
@@ -32,7 +32,7 @@
 // InForce returns the policy that entries use.
 func InForce() Balancing { return LowestEstimate().WithFloors() }
 
-// Balancings returns the policies that are compared, today's first.
+// Balancings returns the policies that are compared, the one in force first.
 func Balancings() []Balancing {
 	return []Balancing{
 		LowestEstimate(), InForce(),
@@ -73,7 +73,7 @@
 	byCost float64
 	// byAnswer weighs engines by their places over the usual time of an answer.
 	byAnswer bool
-	// guarded leaves the choice as it is where the best engine is not a holder.
+	// guarded keeps the choice of Pick if the best engine is not a holder.
 	guarded bool
 }
 
--- a/coord/experiment/even.go
+++ b/coord/experiment/even.go
@@ -59,8 +59,8 @@
 )
 
 // phaseFactors are the times that work takes, relative to the baseline, in the
-// phases of a machine; values and lengths of the phases are those seen at the users'
-// servers. machineFactors are the permanent differences between machines.
+// phases of a machine; the values and lengths are those of production servers.
+// machineFactors are the permanent differences between machines.
 var (
 	phaseFactors   = []float64{0.6, 1, 1, 1, 1, 1, 1.5, 1.5, 2.5, 2.5}
 	machineFactors = []float64{0.75, 1, 1.25}
@@ -71,7 +71,7 @@
 	longestPhase  = 700 * time.Millisecond
 )
 
-// EvenResult tells what callers got and how evenly the engines were loaded, after
+// EvenResult holds what callers got and how evenly the engines were loaded, after
 // the warm-up.
 type EvenResult struct {
 	Asked, InTime, Late, Refused int
@@ -195,7 +195,7 @@
 	maxDelay time.Duration
 }
 
-// RunEven plays a load under a policy in virtual time.
+// RunEven simulates a load under a policy in virtual time.
 func RunEven(load EvenLoad, balancing Balancing, seed uint64) EvenResult {
 	f := &evenFleet{load: load, balancing: balancing, arrivals: newRand(seed, 1), routing: newRand(seed, 2)}
 	f.zipf = newZipf(evenAdapters*load.Engines, evenSkew, newRand(seed, 3))
@@ -347,7 +347,7 @@
 	})
 }
 
-// settle counts what a caller got.
+// settle counts the outcome of a request.
 func (f *evenFleet) settle(r *evenRequest, add func(*EvenResult)) {
 	if r.arrived < evenWarmUp {
 		return
--- a/coord/experiment/even_test.go
+++ b/coord/experiment/even_test.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// Guards against a policy that mends false reports by more loads, declines or offers.
+// Guards against a policy that corrects false reports at the cost of more loads, declines
+// or offers.
 func TestFloorsSaveOffersBesideFalseReports(t *testing.T) {
 	t.Parallel()
 	load := shortEven()
--- a/coord/experiment/plain.go
+++ b/coord/experiment/plain.go
@@ -10,7 +10,7 @@
 )
 
 // PlainLoad describes plain servers without agents: nothing declines a request, and
-// an entry knows of a server's load only what the last answer to itself told.
+// an entry knows of a server's load only what the last answer to itself reported.
 type PlainLoad struct {
 	Name             string
 	Entries, Servers int
@@ -32,7 +32,7 @@
 	plainLoadAge = time.Second
 )
 
-// PlainView says how an entry combines a server's reported load with its own
+// PlainView selects how an entry combines a server's reported load with its own
 // requests.
 type PlainView struct {
 	Name string
@@ -48,7 +48,7 @@
 	HalfLife time.Duration
 }
 
-// PlainResult tells what callers got after the warm-up.
+// PlainResult counts what callers got after the warm-up.
 type PlainResult struct {
 	Asked, Late int
 	// BesideIdle counts the late requests that waited while a server with a free
@@ -105,12 +105,12 @@
 	beside  bool
 }
 
-// RunPlain plays a load under a policy in virtual time.
+// RunPlain simulates a load under a policy in virtual time.
 func RunPlain(load PlainLoad, view PlainView, balancing Balancing, seed uint64) PlainResult {
 	f := &plainFleet{load: load, view: view, arrivals: newRand(seed, 1), routing: newRand(seed, 2)}
 	rate, speeds := 0.0, newRand(seed, 4)
 	for i := range load.Servers {
-		// The machine alone is used of the engine.
+		// Only the machine of the engine is used.
 		machine := &evenEngine{fleet: &evenFleet{}, id: fmt.Sprintf("server-%03d", i), phases: drawPhases(speeds, load.Length+time.Minute)}
 		s := &plainServer{evenEngine: machine, lies: load.FalseReports && i%10 == 0}
 		f.servers = append(f.servers, s)
--- a/coord/experiment/server_speed.go
+++ b/coord/experiment/server_speed.go
@@ -49,14 +49,14 @@
 	}
 }
 
-// SpeedPolicy says how the current speed of an engine is used.
+// SpeedPolicy selects how the current speed of an engine is used.
 type SpeedPolicy struct {
 	Source capacity.Source
 	Pace   residency.PacePolicy
 	Hold   residency.HoldPolicy
 	// Avoid makes entries choose by the speed and the holds that agents publish.
 	Avoid bool
-	// False, unless 0, is the speed in percent that all engines tell whatever it is.
+	// False, unless 0, is the speed in percent that all engines report regardless of their own.
 	False int
 }
 
@@ -130,7 +130,7 @@
 	ticking                  bool
 }
 
-// RunSpeed plays a load in virtual time.
+// RunSpeed simulates a load in virtual time.
 func RunSpeed(load SpeedLoad, policy SpeedPolicy, seed uint64) SpeedResult {
 	f := &speedFleet{load: load, policy: policy, arrivals: newRand(seed, 1)}
 	end := load.Warm + load.Length
--- a/coord/experiment/server_speed_test.go
+++ b/coord/experiment/server_speed_test.go
@@ -37,8 +37,8 @@
 	return load
 }
 
-// Guards against streams that stall because long prompts are read in slow phases, and against a
-// way to prevent this that makes more first events late than it saves.
+// Guards against streams that stall because long prompts are read in slow phases, and
+// against a policy that prevents this but makes more first events late than it saves.
 func TestHoldKeepsStreamsOnTime(t *testing.T) {
 	for _, rate := range []float64{3, 6} {
 		today := RunSpeed(shortPhases(rate), speedPolicies[0].SpeedPolicy, seed)
@@ -64,7 +64,7 @@
 	}
 }
 
-// Guards against engines that always tell a slow phase and hold their prompts for as long as they run.
+// Guards against engines that always report a slow phase and hold their prompts for as long as they run.
 func TestFalseHeaderHoldsLittle(t *testing.T) {
 	load := shortPhases(3)
 	load.CalmFor = 0
--- a/coord/fairshare/fairshare_test.go
+++ b/coord/fairshare/fairshare_test.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// Guards against an entry that has just started and tells shares by its first requests.
+// Guards against an entry that has just started and derives shares from its first
+// requests only.
 func TestFewRequestsTellLittle(t *testing.T) {
 	u := NewUses()
 	u.Record("a", 1000, start)
@@ -50,7 +51,8 @@
 	}
 }
 
-// Guards against an order within a rank that does not rise with the share, or that takes teams of equal use apart.
+// Guards against an order within a rank that does not rise with the share, or that separates teams of
+// equal use.
 func TestLevelsRiseWithShares(t *testing.T) {
 	if Level(0) != 0 || Level(withinShare) != 0 || Level(math.MaxInt) != Level(MaxShare) {
 		t.Error("no share, a share within and one beyond all bounds")
@@ -128,7 +130,8 @@
 	}
 }
 
-// Guards against callers that are held back for a refusal that is over, and against a memory without a bound.
+// Guards against callers that go behind others after the wait of their refusal has ended,
+// and against unbounded memory.
 func TestReturns(t *testing.T) {
 	r := NewReturns()
 	until := start.Add(time.Second)
--- a/coord/residency/rank_test.go
+++ b/coord/residency/rank_test.go
@@ -28,7 +28,7 @@
 // load plays classes of callers against one engine that reads prompts one after the other.
 type load struct {
 	options Options
-	// rate is what the engine reads in tokens a millisecond.
+	// rate is the reading rate of the engine in tokens per millisecond.
 	rate    float64
 	classes []class
 	length  time.Duration
--- a/coord/residency/share_test.go
+++ b/coord/residency/share_test.go
@@ -9,7 +9,8 @@
 	"github.com/rosemarypass/rosemarypass/coord/fairshare"
 )
 
-// entries stands for the entries that tell the shares of teams, each by what it has started itself, lag old.
+// entries simulates the entries that report the shares of teams, each from what it has
+// started itself, delayed by lag.
 type entries struct {
 	uses    []*fairshare.Uses
 	lag     time.Duration
--- a/coord/residency/speed_test.go
+++ b/coord/residency/speed_test.go
@@ -11,7 +11,7 @@
 const allowedGap = 300 * time.Millisecond
 
 // slowTable returns a table for an engine that reads 20 tokens per millisecond, with one
-// stream that allows pauses of 300 ms, and that tells the given speed.
+// stream that allows pauses of 300 ms, and that reports the given speed.
 func slowTable(percent int) *Table {
 	o := options()
 	o.Batch, o.MemoryTokens, o.Queue = 16, 1_000_000, 16
@@ -73,7 +73,7 @@
 	expect(t, "no source", table.Admit(prompt("long", 3000), start), "start long")
 }
 
-// Guards against a prompt that waits although nobody is stalled by it.
+// Guards against a prompt that waits although it would not stall a stream.
 func TestPromptIsHeldOnlyForStreamsPastTheirFirstEvent(t *testing.T) {
 	table := slowTable(250)
 	table.Done("stream", start)
