--- a/coord/dispatch/reported.go
+++ b/coord/dispatch/reported.go
@@ -50,7 +50,9 @@
 }
 
 // fillLoads sets unknown loads to the mean utilization, in requests per place in the
-// batch, of the servers that report theirs. Without a current report it has no effect.
+// batch, of the servers that report theirs, but leaves a place free: where all others are
+// full, a server that has not been asked would otherwise never be. Without a current
+// report it has no effect.
 func fillLoads(candidates []Candidate) {
 	sum, known, unknown := 0.0, 0, false
 	for i := range candidates {
@@ -69,7 +71,9 @@
 	}
 	for i := range candidates {
 		if c := &candidates[i]; c.LoadSource == LoadUnknown {
-			c.Running = max(c.Running, int(math.Round(sum/float64(known)*float64(max(c.Batch, 1)))))
+			places := max(c.Batch, 1)
+			mean := int(math.Round(sum / float64(known) * float64(places)))
+			c.Running = max(c.Running, min(mean, places-1))
 		}
 	}
 }
--- a/coord/dispatch/reported_test.go
+++ b/coord/dispatch/reported_test.go
@@ -63,3 +63,13 @@
 		}
 	}
 }
+
+// Guards against a server that is never asked since all others that report are full: it would count as full itself.
+func TestUnknownLoadLeavesAPlaceFree(t *testing.T) {
+	candidates := []Candidate{candidate("full"), candidate("new")}
+	candidates[0].Batch, candidates[0].Running, candidates[0].LoadSource, candidates[0].Connected = 8, 32, LoadReported, true
+	candidates[1].Batch, candidates[1].LoadSource = 8, LoadUnknown
+	if got := Pick(candidates, Request{DataCentre: "here"}, noJitter).Index; got != 1 {
+		t.Errorf("picked %q beside a server that has not been asked", candidates[got].ID)
+	}
+}
--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -288,6 +288,9 @@
 	if t.leaving {
 		return []Action{Refuse{ID: r.ID, Reason: ReasonLeaving}}
 	}
+	if !t.options.Shares {
+		r.Share, r.BehindUntil = 0, time.Time{}
+	}
 	t.ranks.Arrived(r.Rank, now)
 	r.Share = t.told.Add(r.Team, r.Share, now)
 	full := len(t.waiting) >= t.options.Queue
@@ -321,7 +324,9 @@
 	if !expected {
 		delay += t.SlotDelay()
 	}
-	if t.stalls(r, now) {
+	// Up to nearBaseline no hold is published, and entries take a decline that the state
+	// does not explain for a false report.
+	if t.stalls(r, now) && t.speed.Factor(now) > nearBaseline {
 		delay += t.speed.SlowLeft(now)
 	}
 	if delay > r.MaxDelay {
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -71,7 +71,7 @@
 	}
 	l.perform(l.table.Admit(residency.Request{
 		Target: now.Add(time.Duration(in.TargetMillis) * time.Millisecond),
-		ID:     in.ID, Adapter: in.Adapter, Rank: in.Rank, Team: in.Team, Prompt: in.Prompt, Tokens: in.Tokens, StartDeadline: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
+		ID:     in.ID, Adapter: in.Adapter, Rank: max(in.Rank, 0), Team: in.Team, Prompt: in.Prompt, Tokens: in.Tokens, StartDeadline: now.Add(time.Duration(in.WaitMillis) * time.Millisecond),
 		MaxDelay: time.Duration(in.MaxDelayMillis) * time.Millisecond, OnlyIfHeld: in.OnlyIfHeld,
 		Gap:   time.Duration(in.GapMillis) * time.Millisecond,
 		Share: in.Share, BehindUntil: behindUntil(in.BehindMillis, now),
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -45,10 +45,10 @@
 	Tokens int `json:"tokens"`
 	// TargetMillis is the target for the time to the first event.
 	TargetMillis int64 `json:"targetMillis,omitempty"`
-	// GapMillis is the longest pause between two events that the route allows; 0 for no limit.
-	GapMillis int64 `json:"gapMillis,omitempty"`
 	// WaitMillis is how long the caller waits for the start.
 	WaitMillis int64 `json:"waitMillis"`
+	// GapMillis is the longest pause between two events that the route allows; 0 for no limit.
+	GapMillis int64 `json:"gapMillis,omitempty"`
 	// MaxDelayMillis is the delay of the start beyond which the agent declines at
 	// once; 0 for no limit. OnlyIfHeld makes it decline unless the engine holds the
 	// adapter or is loading it.
