Comments, names and notes of the last changes, read as a newcomer

Comments that restated a name, told how a value was found or had no units are rewritten. slowMemory is now slowReportAge, writesEnded is pastDeadline, noRoom is recordNoRoom, shareNow is teamShare and takeToldSpeed is recordToldSpeed.

No behaviour, wire name, counter or bound changes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,7 +49,7 @@
 	ownBodyTimeout = 30 * time.Second
 	// answerMemoryPart is the part of the memory that incomplete answers of servers may take together.
 	answerMemoryPart = 8
-	// backlogMemoryPart is the part of the memory that what is held for slow callers may take.
+	// backlogMemoryPart is the divisor of the memory limit that bounds what is held for slow callers.
 	backlogMemoryPart = 8
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 256 << 10
--- a/internal/gateway/agents.go
+++ b/internal/gateway/agents.go
@@ -71,7 +71,7 @@
 	state wire.EngineState
 	// load is the load in state, converted once: each choice reads it of every engine.
 	load dispatch.Load
-	// withinShare is the same for requests of teams within their shares.
+	// withinShare is the load as it applies to requests of teams within their shares.
 	withinShare dispatch.Load
 	// held records the adapters that the engine has evicted and may still keep in its memory.
 	held dispatch.Held
@@ -79,7 +79,7 @@
 	// receivedAt.
 	sent       dispatch.Sent
 	receivedAt time.Time
-	// floor is the delay that declines prove where the agent's reports deny it.
+	// floor is the least delay that declined starts prove although the agent reports less.
 	floor dispatch.DelayFloor
 	// silentSince is the time since which the agent does not answer although nothing refuses its
 	// connections; zero while it answers. Its machine, and the engine on it, most likely stands
@@ -259,8 +259,8 @@
 	return a.state.Known && a.receivedAt.After(at)
 }
 
-// slowSince returns the factor that the agent published last for its engine's machine; 0 if it published none since
-// a time.
+// slowSince returns the last published factor by which the engine's machine is slower than usual; 0 if none was
+// published since a time.
 func (a *agentClient) slowSince(at time.Time) float64 {
 	if a == nil {
 		return 0
@@ -364,12 +364,12 @@
 	}
 }
 
-// notifyFirstEvent notifies the agent that a request has produced its first event, and passes on the factor that the
-// header of the answer told of the engine's machine (0 for none) with its age.
+// notifyFirstEvent notifies the agent that a request has produced its first event. slow is the factor by which the
+// engine's machine is slower than usual by the header of the answer, 0 for none, and age is the time since that header.
 func (a *agentClient) notifyFirstEvent(id string, attempt int, slow float64, age time.Duration) {
 	msg := wire.StartDone{ID: id, Attempt: attempt}
 	if slow > 0 {
-		// 0 would mean that no factor was told.
+		// On the wire, 0 means that no factor was told.
 		msg.SlowPercent = max(percent(slow), 1)
 		msg.SlowAgeMillis = age.Milliseconds()
 	}
--- a/internal/gateway/backlogs.go
+++ b/internal/gateway/backlogs.go
@@ -12,12 +12,14 @@
 )
 
 const (
-	// defaultSlowAfter is the time of a write from which its caller is slow. Callers that read take a piece in less
-	// than a round trip, which is below it between all data centres.
+	// defaultSlowAfter is the duration of a write from which its caller counts as slow. Callers that read take a piece
+	// within a round trip, which is shorter than this between all data centres.
 	defaultSlowAfter = 100 * time.Millisecond
 	// defaultStallTimeout is how long a caller may read nothing while something is held for it.
 	defaultStallTimeout = 10 * time.Second
 
+	// Bounds of what is held for slow callers: of one stream, of one team (or of one address without a team), and of
+	// the entry where the settings name no memory limit.
 	streamBacklogBytes  = 256 << 10
 	teamBacklogBytes    = 8 << 20
 	defaultBacklogBytes = 16 << 20
@@ -30,7 +32,8 @@
 	cutDeadline  = "the time was up"
 )
 
-// backlogs holds which streams have slow callers. What is held for them is with their deliveries.
+// backlogs bounds what is held for the streams of slow callers. The held events themselves are in each stream's
+// delivery.
 type backlogs struct {
 	slowAfter    time.Duration
 	stallTimeout time.Duration
@@ -44,7 +47,7 @@
 
 type slowStream struct {
 	delivery *delivery
-	// acknowledged is what the caller's system had acknowledged at the last look.
+	// acknowledged is the number of bytes that the caller's system had acknowledged at the last sweep.
 	acknowledged uint64
 }
 
@@ -54,7 +57,7 @@
 	backlogBytesGauge = telemetry.Counter("gateway_backlog_bytes")
 )
 
-// newBacklogs returns backlogs that hold at most total bytes; 0 for the default.
+// newBacklogs returns backlogs that hold at most total bytes together; 0 for the default.
 func newBacklogs(total int64, log *zap.Logger) *backlogs {
 	if total <= 0 {
 		total = defaultBacklogBytes
@@ -65,7 +68,8 @@
 	}
 }
 
-// begin adds a stream whose caller has not taken a piece of the given size in time. It returns the streams to be cut.
+// begin adds a stream whose caller has not taken a piece of the given size, in bytes, in time. It returns the streams
+// to be cut.
 func (b *backlogs) begin(d *delivery, piece int) []backlog.Held {
 	slowCallersCount.Add(1)
 	b.mu.Lock()
--- a/internal/gateway/cause.go
+++ b/internal/gateway/cause.go
@@ -25,20 +25,22 @@
 
 // Causes of refusals.
 const (
-	// causeOverShare means that the limit of the caller's team does not cover the request, causeNoRoom that no
-	// server can start it while its caller waits.
+	// causeOverShare means that the limit of the caller's team does not cover the request.
 	causeOverShare cause = "over_share"
-	causeNoRoom    cause = "no_room"
+	// causeNoRoom means that no server can start the request while its caller waits.
+	causeNoRoom cause = "no_room"
 	// causeNoTurn means that each server is at the rate that it names.
 	causeNoTurn cause = "no_turn"
 	// causeNoServer means that no server is there or that none could be reached.
 	causeNoServer cause = "no_server"
-	// causeCrashing means that the request has crashed servers, causeDoubted that a copy of it is on trial.
+	// causeCrashing means that the request has crashed servers.
 	causeCrashing cause = "crashing"
-	causeDoubted  cause = "doubted"
+	// causeDoubted means that servers fell silent under the request and a copy of it is on trial.
+	causeDoubted cause = "doubted"
 	// causeVersion means that a stream cannot go on at the software version at which it began.
 	causeVersion cause = "version"
-	causeStop    cause = "stop"
+	// causeStop means that the entry stops before the request could end.
+	causeStop cause = "stop"
 	// causeConfiguration means that the entry's configuration does not suffice to serve.
 	causeConfiguration cause = "configuration"
 )
@@ -116,13 +118,13 @@
 	return x.refuseWith(&x.call, reason, after, x.causeFields(c)...)
 }
 
-// causeFields returns the fields of a log line that lead to the cause of a late or refused request.
+// causeFields returns the log fields that explain a late or refused request.
 func (x *exchange) causeFields(c cause) []zap.Field {
 	return []zap.Field{zap.String("cause", string(c)), zap.Int("rank", x.rank), zap.Int("slowPercent", x.slowPercent())}
 }
 
-// slowPercent returns how long work took on the machine of the request's server, in percent of the usual time: as the
-// server's answer told it, else as it was known when the server was chosen. It is 0 where neither told it.
+// slowPercent returns how long work took on the machine of the request's server, in percent of the usual time: by the
+// server's answer, else as known when the server was chosen; 0 where it is unknown.
 func (x *exchange) slowPercent() int {
 	if x.slow > 0 {
 		return percent(x.slow)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -33,7 +33,7 @@
 	left := time.Until(x.startDeadline())
 	if left <= 0 {
 		x.lastReason, x.cause = "no engine could start it while its caller waits", causeNoRoom
-		x.noRoom(x.picked.Delay)
+		x.recordNoRoom(x.picked.Delay)
 		return false, false
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
@@ -62,7 +62,7 @@
 		delete(x.tried, v.entry().ID)
 		fallthrough
 	case !reply.Start:
-		x.noRoom(max(x.picked.Delay, announcedDelay(&reply.State, x.rank)))
+		x.recordNoRoom(max(x.picked.Delay, announcedDelay(&reply.State, x.rank)))
 		x.lastReason, x.cause = "the engine's agent refused the start: "+reply.Reason, startCause(&reply)
 		return false, false
 	case x.lineage.bound && !v.agent.runs(v.entry().Born):
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -79,7 +79,7 @@
 	if !slow {
 		d.source.close()
 	}
-	// It ends a second goroutine that is still there.
+	// Ends the second goroutine if it still runs.
 	d.x.cancel()
 }
 
@@ -147,7 +147,7 @@
 	}
 }
 
-// enqueue adds events to the backlog; false if the stream is not to go on.
+// enqueue adds events to the backlog. It returns false once the request has been cancelled.
 func (d *delivery) enqueue(events []byte) bool {
 	d.mu.Lock()
 	if d.x.ctx.Err() != nil {
@@ -191,7 +191,7 @@
 	return d.finish(err)
 }
 
-// dequeue returns the next events, nil when there are none or nobody is to get them.
+// dequeue waits for the next events and returns them; nil after the last ones or once the request has been cancelled.
 func (d *delivery) dequeue() []byte {
 	for {
 		d.mu.Lock()
@@ -246,8 +246,8 @@
 	return answer.Complete(nil)
 }
 
-// awaitReader waits until the second goroutine has returned. From then on nothing ends writes to the connection, which may
-// go on to serve another request.
+// awaitReader waits until the second goroutine has stopped reading. After that, nothing may end writes to the connection,
+// which may serve another request.
 func (d *delivery) awaitReader() {
 	for {
 		d.mu.Lock()
@@ -275,7 +275,7 @@
 	return cut
 }
 
-// giveUp ends the stream at its server; interrupt ends the write to the caller then.
+// giveUp cancels the request, which ends the stream at its server and makes interrupt end the write to the caller.
 func (d *delivery) giveUp() {
 	d.x.givenUp.Store(true)
 	d.x.cancel()
@@ -286,11 +286,11 @@
 	d.mu.Lock()
 	if !d.finished {
 		d.queue = nil
-		answer.BoundWrite(d.x.ctx, writesEnded)
+		answer.BoundWrite(d.x.ctx, pastDeadline)
 	}
 	d.mu.Unlock()
 	d.wake()
 }
 
-// writesEnded is a write deadline that has passed.
-var writesEnded = time.Unix(1, 0)
+// pastDeadline is a write deadline in the past, which ends writes at once.
+var pastDeadline = time.Unix(1, 0)
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -21,10 +21,10 @@
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 )
 
-// eventBytes is the size of the events of these streams, close to it. pieceEvents of them are more than the
-// buffers of the sockets hold.
 const (
-	eventBytes  = 1000
+	// eventBytes is the size of the data of each test event.
+	eventBytes = 1000
+	// pieceEvents is a number of events that the buffers of the sockets cannot hold.
 	pieceEvents = 100
 )
 
--- a/internal/gateway/evenness.go
+++ b/internal/gateway/evenness.go
@@ -10,20 +10,21 @@
 )
 
 var (
-	// offersCount counts the starts that were offered to agents, offersDeclinedCount
-	// those that the agents declined, and offersContradictedCount those of the declined
-	// ones whose reply showed a delay within the offered limit.
+	// offersCount counts the starts that were offered to agents and replied to.
+	// offersDeclinedCount counts those that the agents declined.
+	// offersContradictedCount counts the declined ones whose reply reported a delay within
+	// the offered limit.
 	offersCount             = telemetry.Counter("gateway_offers")
 	offersDeclinedCount     = telemetry.Counter("gateway_offers_declined")
 	offersContradictedCount = telemetry.Counter("gateway_offers_contradicted")
 	// delayGapLatency is how much longer an agent took to grant a start, on an engine
-	// that held the adapter, than the best other engine that held it would have by the
-	// reports known at the choice.
+	// that held the adapter, than the least delay that another holder had reported when
+	// the engine was chosen.
 	delayGapLatency = telemetry.LatencyOf("gateway_delay_gap_millis")
 )
 
-// recordOffer records an agent's reply to an offered start, and what a decline proves
-// of its engine.
+// recordOffer counts an agent's reply to an offered start, and raises the floor of its
+// delay where a decline contradicts the reported delay. prompt is in tokens.
 func (a *agentClient) recordOffer(p *pick, offered dispatch.Conditions, rank, prompt int, took time.Duration, reply *wire.StartReply) {
 	offersCount.Add(1)
 	switch {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,14 +52,15 @@
 	retryDelay time.Duration
 	// cause is the cause of the refusal if the request is refused for lastReason.
 	cause cause
-	// slow is the factor that the last server's answer told of its machine; 0 where it told none.
+	// slow is the factor by which the last server's machine is slower than usual by its answer; 0 for none.
 	slow float64
-	// shareNow is the share of the request's team in percent; 0 until it is needed. behindUntil is the time until
-	// which the request goes behind others, since its caller returned too soon; zero for any other.
-	shareNow    int
+	// teamShare is the share of the request's team in percent; 0 until it is needed.
+	teamShare int
+	// behindUntil is the time until which the request goes behind others because its caller returned too soon; zero
+	// for other requests.
 	behindUntil time.Time
-	// lacksRoom is set while the last reason is that there was no room in time, roomDelay is what the start would
-	// have waited then.
+	// lacksRoom is set while the last reason is that no server had room in time. roomDelay is the expected delay of
+	// the start at that moment.
 	lacksRoom bool
 	roomDelay time.Duration
 	// crashes is set once the request is refused for the servers that it has crashed.
@@ -299,7 +300,7 @@
 	if wait, hopeless := x.offers.Hopeless(&x.picked.Candidate, &query, time.Until(x.startDeadline())); hopeless {
 		x.lastReason, x.retryDelay = "no engine can start it while its caller waits", wait
 		x.cause = causeNoRoom
-		x.noRoom(wait)
+		x.recordNoRoom(wait)
 		return nil, stepFail
 	}
 	x.tried[v.entry().ID] = true
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -85,7 +85,7 @@
 	if x.awaited != nil {
 		unanswered = time.Since(x.sentAt)
 	}
-	fields := []zap.Field{zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.Int("share", x.shareNow), zap.String("service", x.service.Name),
+	fields := []zap.Field{zap.String("request", x.call.ID), zap.String("route", x.route.Name), zap.String("team", x.teamName()), zap.Int("share", x.teamShare), zap.String("service", x.service.Name),
 		zap.Uint64("configuration", x.version), zap.String("adapter", x.call.Adapter), zap.String("server", server), zap.Int("status", status), zap.Int("told", x.status),
 		zap.Int("arrivals", x.sends), zap.Int("runs", x.runs), zap.Duration("took", time.Since(x.arrived)),
 		zap.Duration("first", x.first), zap.Duration("waited", x.waited), zap.Duration("longestGap", x.longestGap), zap.Duration("unanswered", unanswered),
@@ -134,8 +134,8 @@
 // requests.
 func sampled(id string) bool { return xxhash.Sum64String(id)%logSampling == 0 }
 
-// recordEvent measures the time to the first event and the gaps between later events of a stream, of which a reply
-// has brought events.
+// recordEvent measures the time to the first event of a stream and the gaps between later ones, when a reply has
+// delivered events.
 func (x *exchange) recordEvent(r *reply, now time.Time) {
 	if x.eventAt.IsZero() {
 		x.first = now.Sub(x.arrived)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -55,7 +55,7 @@
 	rateName string
 
 	health dispatch.Health
-	// speed is what its answers told of its machine's speed.
+	// speed holds the speed of its machine as its answers told it.
 	speed dispatch.Speed
 	// inflight counts this entry's requests that were sent to the server and have not ended.
 	inflight int
@@ -219,20 +219,20 @@
 	otherDelay time.Duration
 	hasOther   bool
 	// noTurnUntil is when a turn is expected at a server that could serve the request but for the rate that it
-	// names; zero where there is none such.
+	// names; zero where there is no such server.
 	noTurnUntil time.Time
-	// full is set where none was chosen and a server was left out since it has as many requests as it may.
+	// full is set if no server was chosen and at least one was excluded by maxPerSlot.
 	full bool
 }
 
-// maxPerSlot is how many requests of this entry a plain server may have for each slot that it reports, running and
-// waiting. Beyond that they would wait longer than their callers, and hold bodies and connections meanwhile.
+// maxPerSlot is the number of this entry's requests, running and waiting, that a plain server may have for each slot that
+// it reports. Further ones would wait longer than their callers do, and hold bodies and connections meanwhile.
 const maxPerSlot = 3
 
 var serversFullCount = telemetry.Counter("gateway_servers_full")
 
-// full reports whether the server has as many of this entry's requests as it may. Agents bound those of engines;
-// a server that reports no slots has no bound. servers.mu must be held.
+// full reports whether the server has as many of this entry's requests as maxPerSlot allows. It is false for engines,
+// whose agents bound their requests, and for servers that report no slots. servers.mu must be held.
 func (v *server) full() bool {
 	return v.agent == nil && v.slots > 0 && v.inflight >= maxPerSlot*v.slots
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -17,7 +17,7 @@
 // before the time that they were told.
 var returnedEarlyCount = telemetry.Counter("gateway_returned_early")
 
-// shares counts what teams used at this entry, and remembers the callers that were refused
+// shares records the tokens that teams used at this entry, and the callers that were refused
 // for want of room. It has no effect where the configuration names no teams.
 type shares struct {
 	mu      sync.Mutex
@@ -39,7 +39,7 @@
 	return s.uses.Share(team, now)
 }
 
-// started records a request that was started.
+// started records a started request of a team and the tokens that it takes.
 func (s *shares) started(team string, tokens int, now time.Time) {
 	if team == "" {
 		return
@@ -49,8 +49,8 @@
 	s.uses.Record(team, tokens, now)
 }
 
-// arrived returns until when a request goes behind others; zero unless its caller returned
-// too soon. key is called only where callers are remembered.
+// arrived returns the time until which a request goes behind others; zero unless its caller
+// returned too soon. key is called only if refused callers are recorded.
 func (s *shares) arrived(key func() uint64, now time.Time) time.Time {
 	s.mu.Lock()
 	empty := s.returns.Empty()
@@ -64,13 +64,14 @@
 	return s.returns.Arrived(k, now)
 }
 
+// refused records a caller that was told to return at the given time.
 func (s *shares) refused(key uint64, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.returns.Refused(key, until)
 }
 
-// callerKey identifies a caller that returns with the same request.
+// callerKey returns a hash that identifies a caller and its request.
 func (x *exchange) callerKey() uint64 {
 	d := xxhash.New()
 	for _, s := range append([]string{x.call.Caller, x.route.Name, x.teamName(), x.call.URI, x.call.Adapter}, x.call.SharedParts...) {
@@ -81,7 +82,7 @@
 	return d.Sum64()
 }
 
-// checkReturn notes whether the caller returned too soon.
+// checkReturn sets behindUntil if the caller returned before the time that it was told.
 func (x *exchange) checkReturn() {
 	if x.team == nil {
 		return
@@ -91,17 +92,17 @@
 	}
 }
 
-// retryAfterRoom returns when a caller that was refused for want of room should return, and
-// remembers it.
+// retryAfterRoom returns after which time a caller that was refused for want of room should
+// return, and records the caller.
 func (x *exchange) retryAfterRoom() time.Duration {
 	after := fairshare.RetryAfter(x.roomDelay, time.Until(x.startDeadline()), minRetryAfter, time.Until(x.deadline), rand.Float64())
 	x.shares.refused(x.callerKey(), time.Now().Add(after))
 	return after
 }
 
-// noRoom notes that a request was not started for want of room, and the delay of the server
-// that was best.
-func (x *exchange) noRoom(delay time.Duration) {
+// recordNoRoom records that a request was not started for want of room, and the expected
+// delay of its start. It has no effect on requests without a team.
+func (x *exchange) recordNoRoom(delay time.Duration) {
 	if x.team != nil {
 		x.lacksRoom, x.roomDelay = true, delay
 	}
@@ -109,10 +110,10 @@
 
 // share returns the share of the request's team in percent, computed once.
 func (x *exchange) share() int {
-	if x.shareNow == 0 {
-		x.shareNow = x.shares.share(x.teamName(), time.Now())
+	if x.teamShare == 0 {
+		x.teamShare = x.shares.share(x.teamName(), time.Now())
 	}
-	return x.shareNow
+	return x.teamShare
 }
 
 func (x *exchange) withinShare() bool { return x.team != nil && fairshare.Level(x.share()) == 0 }
@@ -125,7 +126,7 @@
 	return max(time.Until(x.behindUntil), 0)
 }
 
-// loadWithinShare returns a load as requests of teams within their shares meet it.
+// loadWithinShare returns a load with the delays of requests of teams within their shares.
 func loadWithinShare(load dispatch.Load, state *wire.EngineState) dispatch.Load {
 	if len(state.WithinShareMillis) > 0 {
 		load.Delay = make([]time.Duration, 0, len(state.WithinShareMillis))
@@ -136,7 +137,7 @@
 	return load
 }
 
-// announcedDelay returns how long an agent would delay a start of a rank.
+// announcedDelay returns the delay of a start that an agent reports for a rank.
 func announcedDelay(state *wire.EngineState, rank int) time.Duration {
 	if len(state.DelayMillis) == 0 {
 		return 0
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -16,8 +16,8 @@
 	close()
 }
 
-// bodySource is an answer that was read whole. held is what it takes of the memory for answers, until its caller has it
-// or it counts as held for a slow one.
+// bodySource is an answer that was read whole. held is its part of the memory for incomplete answers; it is released once
+// the caller has the answer, or the answer counts towards the backlogs of slow callers.
 type bodySource struct {
 	body []byte
 	held *upstream.Holding
@@ -41,7 +41,7 @@
 	x *exchange
 	// r is the reply that is being read; nil once the stream has ended.
 	r *reply
-	// events and err are the result of the last read of it, passed is set once next has returned the events.
+	// events and err are the result of its last read. passed is set once next has returned the events.
 	events []byte
 	err    error
 	passed bool
--- a/internal/gateway/speed.go
+++ b/internal/gateway/speed.go
@@ -13,8 +13,8 @@
 // loadFaultCount counts the answers whose reported load cannot be read completely.
 var loadFaultCount = telemetry.Counter("gateway_loads_unreadable")
 
-// observeSpeed records what an answer told of the speed of its server's machine, and a load that it reported and that
-// cannot be read completely. The latter is logged once for each server; it never excludes the server.
+// observeSpeed records the speed of the server's machine that an answer told, and counts a reported load that cannot be
+// read completely. Such a load is logged once for each server and never excludes the server.
 func (s *servers) observeSpeed(v *server, verdict Verdict, now time.Time) {
 	if verdict.Slow == 0 && verdict.LoadFault == nil {
 		return
@@ -35,14 +35,14 @@
 	}
 }
 
-// applySpeed sets what the server's own answers told of its machine's speed. The caller holds servers.mu.
+// applySpeed applies the speed that the server's own answers told to its candidate. servers.mu must be held.
 func applySpeed(v *server, c *dispatch.Candidate, now time.Time) {
 	c.Slow = v.speed.Factor(now)
 	c.Answer = v.speed.Scale(c.Answer, now)
 }
 
-// slowSince returns the highest factor that a server's last answer and its agent's last report told of its machine
-// since a time; 0 if they told none.
+// slowSince returns the higher of the factors that a server's last answer and its agent's last report told of its
+// machine since a time; 0 if they told none.
 func (s *servers) slowSince(v *server, at time.Time) float64 {
 	s.mu.Lock()
 	told, agent := v.speed.FactorSince(at), v.agent
@@ -50,5 +50,5 @@
 	return max(told, agent.slowSince(at))
 }
 
-// percent returns a factor in percent.
+// percent converts a factor to percent, rounded.
 func percent(factor float64) int { return int(math.Round(100 * factor)) }
--- a/internal/gateway/speed_test.go
+++ b/internal/gateway/speed_test.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// Guards against servers that tell no factor and are seen otherwise than before there was one: the expected values
-// are computed as they were at d1ea191.
+// Guards against a change in what the choice sees of servers that tell no factor. The expected values are computed as
+// they were at d1ea191.
 func TestServerWithoutFactorIsSeenAsBefore(t *testing.T) {
 	g := newTestGateway(t, nil)
 	v, now := serverOf(t, g, "s0"), time.Now()
@@ -121,8 +121,8 @@
 	}
 }
 
-// Guards against an engine's hold and factor that do not reach the choice, and against a percentage that no decision
-// can bear.
+// Guards against an engine's hold and factor that do not reach the choice, and against a percentage out of the
+// range of the choice.
 func TestEngineIsSeenWithHoldAndFactor(t *testing.T) {
 	g, now := newTestGateway(t, nil), time.Now()
 	for percent, want := range map[int]float64{-100: 0, 0: 0, 60: 0.6, 250: 2.5, 1 << 40: 8} {
@@ -162,11 +162,11 @@
 		{"the usual speed", 1, 0, 0, silentAfter},
 		{"a fast phase", 0.6, 0, 0, silentAfter},
 		{"a slow phase", 2.5, 0, 0, 2500 * silentAfter / 1000},
-		{"a slow phase, told 1 s before", 2.5, slowMemory, 0, 2500 * silentAfter / 1000},
-		{"a slow phase, told earlier", 2.5, slowMemory + 1, 0, silentAfter},
+		{"a slow phase, told 1 s before", 2.5, slowReportAge, 0, 2500 * silentAfter / 1000},
+		{"a slow phase, told earlier", 2.5, slowReportAge + 1, 0, silentAfter},
 		{"a factor that cannot be", 100, 0, 0, 8 * silentAfter},
 		{"a slow phase that the agent told", 0, 0, 300, 3 * silentAfter},
-		{"a slow phase that the agent told earlier", 0, slowMemory + 1, 300, agentPatience},
+		{"a slow phase that the agent told earlier", 0, slowReportAge + 1, 300, agentPatience},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g, sentAt := newTestGateway(t, nil), time.Now()
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -24,9 +24,9 @@
 	// silentAfter is the time without any sign of a server after which it counts as silent under a
 	// request, on a machine at its usual speed.
 	silentAfter = 750 * time.Millisecond
-	// slowMemory is how long before a request the slow phase of a server may have been told that is taken as the
-	// reason for its silence. On a day of 22 s on shared machines all of 371 doubted servers were heard later.
-	slowMemory = time.Second
+	// slowReportAge is how long before a request was sent a report of a slow phase still extends the time for which its
+	// server may be silent. Without the extension, all of 371 servers doubted on shared machines answered later.
+	slowReportAge = time.Second
 	// agentPatience is the time for which an agent that is not silent itself may owe a report of its
 	// engine: those of other data centres come seldom.
 	agentPatience = 2 * time.Second
@@ -74,9 +74,10 @@
 	delete(s.unanswered, u)
 }
 
-// silenceOf returns the time without a sign of a call's server after which it counts as silent: longer in a slow phase.
+// silenceOf returns the time without a sign of a call's server after which the server counts as silent. It is longer in
+// a slow phase of the server's machine.
 func (s *strikes) silenceOf(u *unanswered) time.Duration {
-	slow := s.gateway.servers.slowSince(u.server, u.sentAt.Add(-slowMemory))
+	slow := s.gateway.servers.slowSince(u.server, u.sentAt.Add(-slowReportAge))
 	return time.Duration(max(slow, 1) * float64(silentAfter))
 }
 
@@ -105,7 +106,7 @@
 		}
 		silentCount.Add(1)
 		s.gateway.log.Info("backend server gives no sign while running a request", zap.Uint64("fingerprint", u.request.Fingerprint), zap.Strings("parts", partIDs(u.request)), zap.String("server", u.server.entry().ID),
-			zap.Duration("after", age), zap.Int("slowPercent", percent(s.gateway.servers.slowSince(u.server, u.sentAt.Add(-slowMemory)))))
+			zap.Duration("after", age), zap.Int("slowPercent", percent(s.gateway.servers.slowSince(u.server, u.sentAt.Add(-slowReportAge)))))
 		strikes := append(mesh.PartStrikes(u.request), suspicion.Strike{Fingerprint: u.request.Fingerprint})
 		for i := range strikes {
 			strikes[i].Server, strikes[i].Silent, strikes[i].AgeMillis = u.server.entry().ID, true, age.Milliseconds()
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -105,7 +105,7 @@
 func (s *Sidecar) firstEvent(_ context.Context, in wire.StartDone) (wire.Empty, error) {
 	now := time.Now()
 	return wire.Empty{}, s.submit(func(l *loop) {
-		l.takeToldSpeed(in, now)
+		l.recordToldSpeed(in, now)
 		if l.attempts[in.ID] == in.Attempt {
 			l.table.FirstEvent(in.ID, now)
 		}
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -37,8 +37,8 @@
 	Loading  map[string]int64
 	// RunningIDs are the IDs of the running requests.
 	RunningIDs []string
-	// Events maps the running requests to the events that they have made; nil when
-	// the engine does not tell.
+	// Events maps the IDs of running requests to the number of events that they have
+	// produced; nil if the engine does not report it.
 	Events map[string]int
 	// Running and Waiting count requests; Used and Total are memory in tokens.
 	Running int
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -10,14 +10,15 @@
 )
 
 var (
-	// gaveWayRankCount counts the waiting requests that were refused for one of a more
-	// urgent rank, gaveWayShareCount those refused for one of a team less far above its
-	// share.
+	// gaveWayRankCount counts the waiting requests that a full queue refused in favour of
+	// one of a more urgent rank. gaveWayShareCount counts those refused in favour of one
+	// of a team less far above its share.
 	gaveWayRankCount  = telemetry.Counter("sidecar_gave_way_rank")
 	gaveWayShareCount = telemetry.Counter("sidecar_gave_way_over_share")
 )
 
-// recordRefusal counts and logs a refused start.
+// recordRefusal counts and logs a refused start. If it gave way to another request, the log
+// line has its own team, share (in percent) and rank.
 func (l *loop) recordRefusal(a residency.Refuse) {
 	if a.To == nil {
 		l.log.Info("start refused", zap.String("request", a.ID), zap.String("reason", string(a.Reason)))
@@ -32,7 +33,8 @@
 		zap.Int("rank", a.To.Rank), zap.Bool("byRank", a.To.ByRank))
 }
 
-// behindUntil returns until when a request goes behind all others of its rank.
+// behindUntil returns the time until which a request goes behind all others of its rank; zero
+// if it does not.
 func behindUntil(millis int64, now time.Time) time.Time {
 	if millis <= 0 {
 		return time.Time{}
@@ -40,8 +42,8 @@
 	return now.Add(time.Duration(millis) * time.Millisecond)
 }
 
-// delaysWithinShare returns the delays for teams within their shares; nil where they are
-// those of all.
+// delaysWithinShare returns the delays by rank, in milliseconds, of teams within their shares;
+// nil if they are the same as for all teams.
 func (l *loop) delaysWithinShare(now time.Time) []int64 {
 	if !l.table.OverShareWaits() {
 		return nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -127,8 +127,8 @@
 	nextPermitAt time.Time
 	// lastSummary is the time of the last summary in the log.
 	lastSummary time.Time
-	// held, heldToEnd and doubts are what was counted so far of the table's holds and
-	// of the doubts of the told speed.
+	// held, heldToEnd and doubts are the table's totals of held prompts and of doubts of
+	// the told speed that the counters already include.
 	held, heldToEnd, doubts int
 	// doubtLogged is set once a doubt was logged for this incarnation of the engine.
 	doubtLogged bool
--- a/internal/sidecar/speed.go
+++ b/internal/sidecar/speed.go
@@ -10,20 +10,22 @@
 )
 
 var (
-	// promptsHeldCount counts the prompts whose start was held in a slow phase,
-	// promptsHeldToEndCount those of them that were started after the longest time.
+	// promptsHeldCount counts the prompts whose start was held in a slow phase.
+	// promptsHeldToEndCount counts those of them that were held for the longest allowed
+	// time.
 	promptsHeldCount      = telemetry.Counter("sidecar_prompts_held")
 	promptsHeldToEndCount = telemetry.Counter("sidecar_prompts_held_to_the_end")
-	// toldSpeedDoubtedCount counts how often the speed that an engine told was found
-	// false.
+	// toldSpeedDoubtedCount counts how often the speed that an engine told contradicted
+	// its progress.
 	toldSpeedDoubtedCount = telemetry.Counter("sidecar_told_speed_doubted")
 	// speedGauge is the current time of work on the engine's machine in percent of the
 	// baseline.
 	speedGauge = telemetry.Counter("sidecar_slow_percent")
 )
 
-// takeToldSpeed passes on the speed that the engine told with an answer.
-func (l *loop) takeToldSpeed(in wire.StartDone, now time.Time) {
+// recordToldSpeed records the speed that the engine told with an answer; values that are
+// invalid or older than maxToldAge are ignored.
+func (l *loop) recordToldSpeed(in wire.StartDone, now time.Time) {
 	if in.SlowPercent <= 0 || in.SlowAgeMillis < 0 || in.SlowAgeMillis > maxToldAge.Milliseconds() {
 		return
 	}
@@ -31,7 +33,8 @@
 	l.countSpeed(now)
 }
 
-// maxToldAge is the age above which a told speed is of no use: phases last 0.2 to 0.7 s.
+// maxToldAge is the age up to which a told speed is used. A machine keeps its speed for 0.2
+// to 0.7 s.
 const maxToldAge = 2 * time.Second
 
 // countSpeed updates the counters of holds and doubts, and the gauge of the speed.
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -38,7 +38,7 @@
 	return queued
 }
 
-// acknowledged returns the number of bytes that were acknowledged, 0 when it cannot be read.
+// acknowledged returns the number of bytes that the peer has acknowledged, 0 when it cannot be read.
 func acknowledged(fd uintptr) uint64 {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
