Refusals for full plain servers name their cause; a restarted server counts as telling no speed until it does

Found by a reader of the whole diff: the line of such a refusal had an empty cause and gateway_refused_no_room did not grow; starts refused by agents that leave or have no report counted as want of room; the estimate went on by progress after a restart of an engine that tells nothing any more. Comments of internal/wire and platform are reworded. Tests: TestPlainServerHasThreeRequestsPerSlotAtMost counts the refusals, TestProgressCountsOnlyIfTold restarts the server.

--- a/coord/capacity/speed.go
+++ b/coord/capacity/speed.go
@@ -334,7 +334,7 @@
 	clear(s.events)
 	s.reportedAt, s.unread, s.interrupted, s.pending = time.Time{}, false, false, 0
 	s.samples = s.samples[:0]
-	s.progress, s.told = reading{}, reading{}
+	s.progress, s.told, s.tells = reading{}, reading{}, false
 	s.plausibility.toldAt, s.plausibility.seen, s.plausibility.n = time.Time{}, 0, 0
 	s.baseline.interrupt()
 	s.phases.since = time.Time{}
--- a/coord/capacity/speed_test.go
+++ b/coord/capacity/speed_test.go
@@ -433,4 +433,9 @@
 	at = at.Add(time.Second)
 	s.Read(at.Add(-190*time.Millisecond), at, 76*time.Millisecond, false)
 	near(t, "once a speed was told", s.Factor(at), 2.5, 0.05)
+	s.Restarted()
+	s.Read(at, at.Add(190*time.Millisecond), 76*time.Millisecond, false)
+	if f := s.Factor(at.Add(190 * time.Millisecond)); f != 1 {
+		t.Errorf("the factor of a restarted server that tells none is %v, want 1", f)
+	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -62,7 +62,9 @@
 		delete(x.tried, v.entry().ID)
 		fallthrough
 	case !reply.Start:
-		x.recordNoRoom(max(x.picked.Delay, announcedDelay(&reply.State, x.rank)))
+		if startCause(&reply) == causeNoRoom {
+			x.recordNoRoom(max(x.picked.Delay, announcedDelay(&reply.State, x.rank)))
+		}
 		x.lastReason, x.cause = "the engine's agent refused the start: "+reply.Reason, startCause(&reply)
 		return false, false
 	case x.lineage.bound && !v.agent.runs(v.entry().Born):
--- a/internal/gateway/full_test.go
+++ b/internal/gateway/full_test.go
@@ -36,6 +36,7 @@
 		return w.Code
 	}
 	const sent, most = 40, servers * slots * maxPerSlot
+	noRoom := refusedNoRoomCount.Value()
 	codes := make(chan int, sent)
 	var requests sync.WaitGroup
 	for i := range sent {
@@ -51,6 +52,9 @@
 			t.Fatal("requests beyond the bound were not refused at once")
 		}
 	}
+	if got := refusedNoRoomCount.Value() - noRoom; got != sent-most {
+		t.Errorf("%d refusals were counted for want of room, want %d", got, sent-most)
+	}
 	g.servers.mu.Lock()
 	for id, v := range g.servers.byID {
 		if v.inflight != slots*maxPerSlot {
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -221,6 +221,7 @@
 		return x.noTurnReason()
 	}
 	if x.picked.full {
+		x.cause = causeNoRoom
 		return reasonFull, minRetryAfter
 	}
 	if x.lineage.bound {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -64,7 +64,7 @@
 	}
 	if !x.servers.requestSent(v) {
 		x.returnTurn()
-		x.lastReason = reasonFull
+		x.lastReason, x.cause = reasonFull, causeNoRoom
 		return nil, stepRetry
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -33,8 +33,8 @@
 	// turns.
 	Rank int    `json:"rank,omitempty"`
 	Team string `json:"team,omitempty"`
-	// Share is what the team used lately as a multiple of an equal part of the use of all
-	// teams, in percent; 0 where it is not known. Teams within their share go first.
+	// Share is the team's recent use in percent of an equal part of the use of all teams;
+	// 0 where it is not known. Teams within their share go first.
 	Share int `json:"share,omitempty"`
 	// BehindMillis is for how long the request goes behind all others of its rank, since
 	// its caller returned before the time that it was told.
@@ -119,8 +119,8 @@
 	// DelayMillis is the current waiting time of a start by rank, without the time
 	// to load its adapter. The last value applies to all higher ranks.
 	DelayMillis []int64 `json:"delayMillis"`
-	// WithinShareMillis is the same for requests of teams within their shares; omitted where
-	// no team above its share waits.
+	// WithinShareMillis is DelayMillis for requests of teams within their shares; omitted while
+	// no request of a team above its share waits.
 	WithinShareMillis []int64 `json:"withinShareMillis,omitempty"`
 	// PromptMillis is the time that 1,000 prompt tokens add to DelayMillis.
 	PromptMillis int64 `json:"promptMillis"`
