--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -3,11 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 )
 
 const (
@@ -65,7 +66,7 @@
 	return []map[string]any{{"name": Model, "version": 1, "adapters": adapters}}
 }
 
-func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) report(*http.Request) answer.Answer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	coming, runs := []string{}, [][]any{}
@@ -75,10 +76,14 @@
 	for id, run := range e.running {
 		runs = append(runs, []any{id, 1500, run.events, 5})
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{
+	report, err := json.Marshal(map[string]any{
 		"stage": "unified", "models": e.modelsLocked(), "busy": false, "sequence": e.sequence, "waiting": 0, "running": len(runs), "kv-used": 1500 * len(runs), "kv-total": 120000,
 		"handles": 0, "coming": coming, "runs": runs, "state": "ready", "born": e.server.born, "available": map[string]any{"in-memory": []string{Model}, "on-disk": []string{Model}},
 	})
+	if err != nil {
+		panic(err)
+	}
+	return answer.Full(http.StatusOK, http.Header{"Content-Type": {"application/json"}}, report)
 }
 
 // inUse must be called with mu held.
@@ -91,7 +96,7 @@
 	return false
 }
 
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) order(r *http.Request) answer.Answer {
 	var o struct {
 		Operation    string `json:"operation"`
 		Model        string `json:"model"`
@@ -117,15 +122,13 @@
 	}
 	e.server.record.Printf("%s gets an order from %s: %s %s version %d, number %d: %d", e.server.Name, o.Holder, o.Operation, o.Adapter, o.Version, o.Token, status)
 	if status != http.StatusAccepted {
-		w.WriteHeader(status)
-		return
+		return answer.Full(status, nil, nil)
 	}
 	e.token = o.Token
 	e.sequence++
 	if o.Operation == "unload" {
 		delete(e.held, o.Adapter)
-		w.WriteHeader(http.StatusOK)
-		return
+		return answer.Full(http.StatusOK, nil, nil)
 	}
 	version := o.Version
 	if version == 0 {
@@ -137,11 +140,11 @@
 	if e.exceeds(o.Adapter) {
 		e.crash(o.Adapter)
 		// The connection ends without an answer.
-		panic(http.ErrAbortHandler)
+		return answer.Answer{}
 	}
 	e.coming[o.Adapter] = version
 	go e.load(o.Adapter, version)
-	w.WriteHeader(status)
+	return answer.Full(status, nil, nil)
 }
 
 // exceeds reports whether one more adapter is beyond what the engine holds. It must be called with mu held.
@@ -189,7 +192,7 @@
 	}
 }
 
-func (e *Engine) serve(w http.ResponseWriter, r *http.Request, id string) {
+func (e *Engine) serve(r *http.Request, id string, header http.Header) answer.Answer {
 	_, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
 	var events int
 	_, _ = fmt.Sscan(r.Header.Get("Events"), &events)
@@ -199,13 +202,11 @@
 	switch {
 	case !held:
 		e.mu.Unlock()
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+		return answer.Full(http.StatusMisdirectedRequest, header, nil)
 	case replaced || len(e.running) >= batch:
 		e.mu.Unlock()
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		header.Set("Not-Executed", "1")
+		return answer.Full(http.StatusServiceUnavailable, header, nil)
 	}
 	run := &engineRun{adapter: adapter}
 	if e.running == nil {
@@ -213,28 +214,34 @@
 	}
 	e.running[id] = run
 	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		delete(e.running, id)
-		e.mu.Unlock()
-	}()
 	e.server.addRun(Run{ID: id, At: time.Now(), Version: version})
-	header := w.Header()
 	header.Set("Response-Signature", "sig."+id)
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Weight-Versions", fmt.Sprint(version))
+	return answer.Stream(http.StatusOK, header, func(pass answer.Pass) answer.End {
+		defer func() {
+			e.mu.Lock()
+			delete(e.running, id)
+			e.mu.Unlock()
+		}()
+		return e.generate(r, run, events, pass)
+	})
+}
+
+// generate makes the events of a run.
+func (e *Engine) generate(r *http.Request, run *engineRun, events int, pass answer.Pass) answer.End {
 	for n := 1; n <= events; n++ {
-		if _, err := io.WriteString(w, fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)); err != nil || r.Context().Err() != nil {
-			return
+		if pass(fmt.Appendf(nil, "id: %d\ndata: token %d\n\n", n, n)) != nil {
+			return answer.Cut
 		}
-		_ = http.NewResponseController(w).Flush()
 		e.mu.Lock()
 		run.events = n
 		e.mu.Unlock()
 		select {
 		case <-time.After(e.Gap):
 		case <-r.Context().Done():
-			return
+			return answer.Cut
 		}
 	}
+	return answer.Complete(nil)
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 )
 
 // Run is one run of a request at a server.
@@ -52,12 +54,14 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/", s.serve)
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", s.ID) })
+	mux.Handle("/", answer.Handler(s.serve))
+	mux.Handle("GET /health", answer.Handler(func(*http.Request) answer.Answer {
+		return answer.Full(http.StatusOK, http.Header{"Instance-Id": {s.ID}}, nil)
+	}))
 	if s.Engine != nil {
 		s.Engine.server = s
-		mux.HandleFunc("GET /report", s.Engine.report)
-		mux.HandleFunc("POST /order", s.Engine.order)
+		mux.Handle("GET /report", answer.Handler(s.Engine.report))
+		mux.Handle("POST /order", answer.Handler(s.Engine.order))
 	}
 	s.http = &http.Server{Handler: mux, IdleTimeout: 30 * time.Second}
 	go func() { _ = s.http.Serve(listener) }()
@@ -142,23 +146,21 @@
 	s.record.At(r.At, "%s runs %s, version %d", s.Name, r.ID, r.Version)
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(r *http.Request) answer.Answer {
 	_, _ = io.Copy(io.Discard, r.Body)
 	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
+	header := http.Header{"Request-Id": {id}}
 	if target := r.Header.Get("Target-Instance"); target != "" && target != s.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+		return answer.Full(http.StatusMisdirectedRequest, header, nil)
 	}
 	if s.Engine != nil {
-		s.Engine.serve(w, r, id)
-		return
+		return s.Engine.serve(r, id, header)
 	}
 	s.addRun(Run{ID: id, At: time.Now()})
 	time.Sleep(s.Work)
-	w.Header().Set("Response-Signature", "sig."+id)
-	w.Header().Set("Server-Load", "1,0,6")
-	_, _ = io.WriteString(w, "done "+id)
+	header.Set("Response-Signature", "sig."+id)
+	header.Set("Server-Load", "1,0,6")
+	return answer.Full(http.StatusOK, header, []byte("done "+id))
 }
 
 // Post sends a call to the control address of an entry and returns the status, 0 without an answer.
