--- a/review/4/main.go
+++ b/review/4/main.go
@@ -9,7 +9,7 @@
 	"github.com/rosemarypass/rosemarypass/review/harness"
 )
 
-func main() { os.Exit(harness.Main("review/4", run)) }
+func main() { os.Exit(harness.Main(run)) }
 
 const (
 	// longEvents are those of a long stream, 12 s, and shortEvents those of the others.
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -12,7 +12,7 @@
 	"github.com/rosemarypass/rosemarypass/review/harness"
 )
 
-func main() { os.Exit(harness.Main("review/5", run)) }
+func main() { os.Exit(harness.Main(run)) }
 
 // linger is how long the leaving server goes on to serve after the acknowledgement: drain-ms and a little longer.
 const linger = 7 * time.Second
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -22,9 +21,9 @@
 	start time.Time
 }
 
-// NewRecord creates record.txt in the folder of a case.
-func NewRecord(folder string) (*Record, error) {
-	file, err := os.Create(filepath.Join(folder, "record.txt"))
+// NewRecord creates the record of a case at a path.
+func NewRecord(path string) (*Record, error) {
+	file, err := os.Create(path)
 	return &Record{file: file, start: time.Now()}, err
 }
 
@@ -41,9 +40,13 @@
 // Trouble reports whether the disruption of the case is to happen.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// Main runs a case within its time and returns its exit code.
-func Main(folder string, run func(f *Fleet) (broken []string, err error)) int {
-	record, err := NewRecord(folder)
+// Main runs a case and returns its exit code. The argument of the command is the path of the record.
+func Main(run func(f *Fleet) (broken []string, err error)) int {
+	if len(os.Args) < 2 {
+		fmt.Println("the path of the record is missing")
+		return NotRun
+	}
+	record, err := NewRecord(os.Args[1])
 	if err != nil {
 		fmt.Println(err)
 		return NotRun
