Departures of servers are acknowledged once most disks hold them

Cause: Leave, and Announce of a draining server, returned once the reachable entries knew of the departure. The file of servers followed up to 0.5 s later and unsynced, so that all entries recalled the server as one that serves. A server that has left sends no heartbeat that would correct it.

Change: an acknowledgement also waits until more than half of the disks hold the departure. The entry that is told asks all entries with a disk to write it (mesh.persistDeparture) and writes its own; the files of servers and strikes are written atomically and synced, at once if somebody waits. After a restart more than half of the entries with a disk meet one that recalls the departure, which wins over an older word. Without disks nothing changes.

--- /dev/null
+++ b/internal/mesh/departures.go
@@ -0,0 +1,182 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
+)
+
+// ErrNotPersisted means that too few disks hold a departure: a restart of all entries could forget it.
+var ErrNotPersisted = errors.New("most disks do not hold the departure yet")
+
+var departuresNotPersistedCount = telemetry.Counter("mesh_departures_not_persisted")
+
+const (
+	// persistDepartureTimeout bounds the wait of a process for its own disk. callDepartureTimeout is
+	// longer, as a call that is aborted closes the connection that other calls share.
+	persistDepartureTimeout = 800 * time.Millisecond
+	callDepartureTimeout    = time.Second
+)
+
+// departure tells a process with a disk that a server leaves or is gone.
+type departure struct {
+	// From is the address of the process that tells it, Spoke as in a greeting.
+	From   string        `json:"from"`
+	Spoke  bool          `json:"spoke,omitempty"`
+	Server roster.Server `json:"server"`
+}
+
+// Leave marks a server as gone. It returns as confirmDeparture does.
+func (m *Mesh) Leave(ctx context.Context, id string, born int64) error {
+	if !m.Connected() {
+		return ErrPartitioned
+	}
+	m.mu.Lock()
+	known, ok := m.roster.Get(id)
+	if !ok || known.Born > born && born != 0 {
+		m.mu.Unlock()
+		return nil
+	}
+	if !known.Gone {
+		m.roster.Leave(id, time.Now())
+		m.heardVia[id] = viaDirect
+		delete(m.diskOnly, id)
+		m.wakeAll()
+		m.notifyProgress()
+	}
+	m.mu.Unlock()
+	m.log.Info("backend server left", zap.String("server", id), zap.Bool("known", known.Gone))
+	return m.confirmDeparture(ctx, id)
+}
+
+// confirmDeparture returns nil once a server's departure may be acknowledged: the reachable entries know
+// of it, and most disks hold it. It does the same for a departure that is told again, since the earlier
+// call may have failed.
+func (m *Mesh) confirmDeparture(ctx context.Context, id string) error {
+	m.mu.Lock()
+	e, ok := m.roster.Get(id)
+	m.mu.Unlock()
+	if !ok || !e.Leaving && !e.Gone {
+		return nil
+	}
+	persisted := make(chan error, 1)
+	go func() { persisted <- m.persistDeparture(ctx, &e) }()
+	if err := m.waitAcked(ctx, e.Material); err != nil {
+		return err
+	}
+	return <-persisted
+}
+
+// persistDeparture returns nil once most of the disks hold a departure. After a restart of all entries,
+// more than half of them meet at least one that recalls it.
+func (m *Mesh) persistDeparture(ctx context.Context, e *roster.Entry) error {
+	others, spoke := m.otherDisks()
+	disks := len(others)
+	results := make(chan error, disks+1)
+	if m.serversFile != nil {
+		disks++
+		go func() { results <- m.serversFile.persist(ctx, e.Material) }()
+	}
+	told := departure{From: m.options.Self.Address, Spoke: spoke, Server: e.Aged(time.Now())}
+	for _, address := range others {
+		go func() {
+			call, cancel := context.WithTimeout(context.Background(), callDepartureTimeout)
+			defer cancel()
+			results <- m.call(call, address, methodPersistDeparture, told, &struct{}{})
+		}()
+	}
+	needed := 0
+	if disks > 0 {
+		needed = disks/2 + 1
+	}
+	var cause error
+	for failed := 0; needed > 0; {
+		select {
+		case err := <-results:
+			if err == nil {
+				needed--
+				continue
+			}
+			cause = err
+			if failed++; failed <= (disks-1)/2 {
+				continue
+			}
+		case <-ctx.Done():
+			cause = ctx.Err()
+		}
+		departuresNotPersistedCount.Add(1)
+		m.log.Warn("too few disks hold a departure", zap.String("server", e.ID), zap.Int("disks", disks), zap.Int("missing", needed), telemetry.Cause(cause))
+		return ErrNotPersisted
+	}
+	return nil
+}
+
+// otherDisks lists the addresses of the other processes with a disk, those included that do not answer at
+// present, and reports whether this process is a spoke. Processes that nobody has heard for long are not
+// counted, as they may have been removed.
+func (m *Mesh) otherDisks() (addresses []string, spoke bool) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, q := range m.peers {
+		if q.process.Started != 0 && q.process.Disk && now.Sub(q.lastHeardAny) < silentRetention {
+			addresses = append(addresses, q.process.Address)
+		}
+	}
+	return addresses, m.spoke
+}
+
+// handlePersistDeparture records a departure and returns once it is on the local disk.
+func (m *Mesh) handlePersistDeparture(ctx context.Context, in departure) (struct{}, error) {
+	if m.serversFile == nil {
+		return struct{}{}, errors.New("this process has no disk")
+	}
+	m.mu.Lock()
+	m.mergeServers(m.peers[in.From], greeting{Spoke: in.Spoke, Servers: []roster.Server{in.Server}}, time.Now())
+	e, _ := m.roster.Get(in.Server.ID)
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, persistDepartureTimeout)
+	defer cancel()
+	return struct{}{}, m.serversFile.persist(ctx, e.Material)
+}
+
+// waitAcked waits until all reachable entries have acknowledged a change. A server that
+// still receives work after it was allowed to leave would end in the middle of a request.
+func (m *Mesh) waitAcked(ctx context.Context, change uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		unacked := m.countUnacked(change, time.Now())
+		progress := m.progress
+		m.mu.Unlock()
+		if unacked == 0 {
+			return nil
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			if m.Connected() {
+				return nil
+			}
+			return ErrPartitioned
+		}
+	}
+}
+
+// countUnacked counts the reachable entries that have not acknowledged a change. The
+// caller holds mu.
+func (m *Mesh) countUnacked(change uint64, now time.Time) int {
+	unacked := 0
+	for _, q := range m.peers {
+		if q.active(now) && q.process.Started != 0 && now.Sub(q.lastHeard) < reachableTimeout && q.acked < change {
+			unacked++
+		}
+	}
+	return unacked
+}
--- /dev/null
+++ b/internal/mesh/departures_test.go
@@ -0,0 +1,204 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/roster"
+	"github.com/rosemarypass/rosemarypass/internal/wal"
+)
+
+// disk is a file system that can hang and counts what was synced.
+type disk struct {
+	wal.OS
+	mu    sync.Mutex
+	hangs chan struct{}
+	// steps are the operations that make a file durable, in order.
+	steps []string
+}
+
+func (d *disk) record(step string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.steps = append(d.steps, step)
+}
+
+// hang makes the next writes wait until the returned function is called.
+func (d *disk) hang() (recover func()) {
+	hangs := make(chan struct{})
+	d.mu.Lock()
+	d.hangs = hangs
+	d.mu.Unlock()
+	return sync.OnceFunc(func() {
+		d.mu.Lock()
+		d.hangs = nil
+		d.mu.Unlock()
+		close(hangs)
+	})
+}
+
+func (d *disk) Create(path string) (wal.File, error) {
+	d.mu.Lock()
+	hangs := d.hangs
+	d.mu.Unlock()
+	if hangs != nil {
+		<-hangs
+	}
+	file, err := d.OS.Create(path)
+	return syncedFile{file, d}, err
+}
+
+func (d *disk) Rename(from, to string) error {
+	d.record("rename")
+	return d.OS.Rename(from, to)
+}
+
+func (d *disk) SyncDir(path string) error {
+	d.record("sync folder")
+	return d.OS.SyncDir(path)
+}
+
+type syncedFile struct {
+	wal.File
+	disk *disk
+}
+
+func (f syncedFile) Sync() error {
+	f.disk.record("sync file")
+	return f.File.Sync()
+}
+
+// startWithServer starts entries with disks and returns once each has a server on its disk.
+func startWithServer(t *testing.T, n int) (*fleet, []*disk, roster.Server) {
+	t.Helper()
+	f := newFleet(t, n, 0)
+	var disks []*disk
+	f.configure = func(m *Mesh) {
+		d := &disk{}
+		m.serversFile.fs = d
+		disks = append(disks, d)
+	}
+	for i := range f.nodes {
+		f.start(i, true)
+	}
+	f.awaitConnected()
+	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1"}
+	if err := f.nodes[0].Announce(context.Background(), server); err != nil {
+		t.Fatal(err)
+	}
+	for i := range f.nodes {
+		eventually(t, func() bool {
+			data, err := os.ReadFile(f.nodes[i].serversFile.path())
+			return err == nil && bytes.Contains(data, []byte(`"id":"s"`))
+		})
+	}
+	return f, disks, server
+}
+
+// awaitConnected waits until the entries reach each other.
+func (f *fleet) awaitConnected() {
+	f.t.Helper()
+	for _, node := range f.nodes {
+		eventually(f.t, func() bool {
+			reached, _ := node.countReached(time.Now())
+			return reached == len(f.nodes)-1
+		})
+	}
+}
+
+// restartAll ends all entries and starts them again with their disks.
+func (f *fleet) restartAll() {
+	f.t.Helper()
+	for i := range f.nodes {
+		f.stop(i)
+	}
+	for i := range f.nodes {
+		f.start(i, false)
+	}
+}
+
+// Guards against requests that are sent to a server whose departure was acknowledged, because all entries were killed right after it and recalled the server as one that serves.
+func TestAcknowledgedDepartureOutlivesRestartOfAll(t *testing.T) {
+	for name, depart := range map[string]func(m *Mesh, s roster.Server) error{
+		"leave": func(m *Mesh, s roster.Server) error { return m.Leave(context.Background(), s.ID, s.Born) },
+		"draining": func(m *Mesh, s roster.Server) error {
+			s.Sequence, s.Leaving = 2, true
+			return m.Announce(context.Background(), s)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _, server := startWithServer(t, 3)
+			if err := depart(f.nodes[1].Mesh, server); err != nil {
+				t.Fatal(err)
+			}
+			f.restartAll()
+			f.awaitConnected()
+			for i := range f.nodes {
+				eventually(t, func() bool { _, known := f.nodes[i].Announced(server.ID); return known })
+				if f.nodes[i].MayServe(server.ID) {
+					t.Errorf("entry %d sends requests to a server that has left", i)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a departure that only a minority of the disks hold when it is acknowledged, and against a single hung disk that delays every acknowledgement.
+func TestDepartureWaitsForMostDisks(t *testing.T) {
+	f, disks, server := startWithServer(t, 3)
+	var recovers []func()
+	for _, d := range disks[1:] {
+		recovers = append(recovers, d.hang())
+		t.Cleanup(recovers[len(recovers)-1])
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := f.nodes[0].Leave(ctx, server.ID, server.Born); !errors.Is(err, ErrNotPersisted) {
+		t.Errorf("while two disks of three hang, a departure is answered with %v, want %v", err, ErrNotPersisted)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := f.nodes[1].Leave(ctx, server.ID, server.Born); !errors.Is(err, ErrNotPersisted) {
+		t.Errorf("the same departure told to another entry is answered with %v, want %v", err, ErrNotPersisted)
+	}
+	recovers[0]()
+	eventually(t, func() bool { return f.nodes[0].Leave(context.Background(), server.ID, server.Born) == nil })
+}
+
+// Guards against a departure that a power loss takes back: until a file and its name are synced, a rename leaves an older or a torn file.
+func TestDepartureIsSyncedBeforeItIsAcknowledged(t *testing.T) {
+	f, disks, server := startWithServer(t, 1)
+	disks[0].mu.Lock()
+	disks[0].steps = nil
+	disks[0].mu.Unlock()
+	if err := f.nodes[0].Leave(context.Background(), server.ID, server.Born); err != nil {
+		t.Fatal(err)
+	}
+	disks[0].mu.Lock()
+	defer disks[0].mu.Unlock()
+	want := []string{"sync file", "rename", "sync folder"}
+	if len(disks[0].steps) < len(want) {
+		t.Fatalf("the departure was acknowledged after %q, want %q", disks[0].steps, want)
+	}
+	for i, step := range want {
+		if disks[0].steps[i] != step {
+			t.Fatalf("the departure was acknowledged after %q, want %q", disks[0].steps, want)
+		}
+	}
+}
+
+// Guards against a departure that waits for a disk where no entry has one.
+func TestDepartureWithoutDisksIsAcknowledged(t *testing.T) {
+	f := startFleet(t, 0, 2)
+	f.awaitConnected()
+	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1", Leaving: true}
+	if err := f.nodes[0].Announce(context.Background(), server); err != nil {
+		t.Errorf("a departure is answered with %v", err)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -88,8 +88,10 @@
 	log       *zap.Logger
 	documents *Documents
 	host      *logHost
-	// configWriter is nil without a disk.
+	// configWriter, serversFile and strikesFile are nil without a disk.
 	configWriter *configWriter
+	serversFile  *diskCopy[[]roster.Server]
+	strikesFile  *diskCopy[refusals]
 	packer       bodyPacker
 	prover       prover
 	pauses       pauseDetector
@@ -161,6 +163,7 @@
 	if options.Folder != "" {
 		m.host = newLogHost(m)
 		m.configWriter = newConfigWriter(options.Folder, log)
+		m.serversFile, m.strikesFile = newServersFile(m), newStrikesFile(m)
 		m.loadServers(time.Now())
 		m.loadStrikes(time.Now())
 		m.streams.file = newStreamsFile(m.streams, options.Folder)
@@ -192,6 +195,8 @@
 		methodAskStream:   rpc.Typed(m.handleAskStream),
 
 		methodPermit: rpc.Typed(newPermits(m).handle),
+
+		methodPersistDeparture: rpc.Typed(m.handlePersistDeparture),
 	}
 	if m.host != nil {
 		m.host.addHandlers(handlers)
@@ -211,8 +216,8 @@
 	if m.host != nil {
 		m.tasks.Go(func() { m.host.run(ctx) })
 		m.tasks.Go(func() { m.configWriter.run(ctx) })
-		m.tasks.Go(func() { m.serversCopy().run(ctx) })
-		m.tasks.Go(func() { m.strikesCopy().run(ctx) })
+		m.tasks.Go(func() { m.serversFile.run(ctx) })
+		m.tasks.Go(func() { m.strikesFile.run(ctx) })
 		m.tasks.Go(func() { m.streams.file.run(ctx) })
 	} else {
 		m.tasks.Go(func() { m.follow(ctx) })
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -24,6 +24,8 @@
 	// methodTellStreams tells a process at which versions streams began, methodAskStream asks it.
 	methodTellStreams = "mesh.tellStreams"
 	methodAskStream   = "mesh.askStream"
+	// methodPersistDeparture makes a process write the departure of a server to its disk.
+	methodPersistDeparture = "mesh.persistDeparture"
 )
 
 // Process is the description of one process, as reported by itself.
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -349,8 +349,7 @@
 }
 
 // Announce records an announcement of a backend server. For a server that leaves it
-// returns once the reachable entries have acknowledged the change, or with
-// ErrPartitioned.
+// returns as confirmDeparture does.
 func (m *Mesh) Announce(ctx context.Context, s roster.Server) error {
 	if !m.Connected() {
 		return ErrPartitioned
@@ -364,44 +363,19 @@
 	m.heardVia[s.ID] = viaDirect
 	delete(m.diskOnly, s.ID)
 	m.heard(s.ID, now)
-	change := m.roster.Change()
 	if material {
 		m.wakeAll()
 		m.notifyProgress()
 	}
 	m.mu.Unlock()
-	if !material {
-		return nil
-	}
-	m.log.Info("backend server announced", zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address),
-		zap.String("version", s.Version), zap.Bool("leaving", s.Leaving), zap.Int64("born", s.Born), zap.Int64("sequence", s.Sequence))
-	if !s.Leaving {
-		return nil
-	}
-	return m.waitAcked(ctx, change)
-}
-
-// Leave marks a server as gone and spreads the change like Announce.
-func (m *Mesh) Leave(ctx context.Context, id string, born int64) error {
-	if !m.Connected() {
-		return ErrPartitioned
-	}
-	m.mu.Lock()
-	if known, ok := m.roster.Get(id); ok && known.Born > born && born != 0 {
-		m.mu.Unlock()
-		return nil
+	if material {
+		m.log.Info("backend server announced", zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address),
+			zap.String("version", s.Version), zap.Bool("leaving", s.Leaving), zap.Int64("born", s.Born), zap.Int64("sequence", s.Sequence))
 	}
-	if _, ok := m.roster.Leave(id, time.Now()); !ok {
-		m.mu.Unlock()
+	if !s.Leaving || !material {
 		return nil
 	}
-	m.heardVia[id] = viaDirect
-	change := m.roster.Change()
-	m.wakeAll()
-	m.notifyProgress()
-	m.mu.Unlock()
-	m.log.Info("backend server left", zap.String("server", id))
-	return m.waitAcked(ctx, change)
+	return m.confirmDeparture(ctx, s.ID)
 }
 
 // wakeAll wakes all active peers. The caller holds mu.
@@ -410,39 +384,3 @@
 		q.wake()
 	}
 }
-
-// waitAcked waits until all reachable entries have acknowledged a change. A server that
-// still receives work after it was allowed to leave would end in the middle of a request.
-func (m *Mesh) waitAcked(ctx context.Context, change uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	for {
-		m.mu.Lock()
-		unacked := m.countUnacked(change, time.Now())
-		progress := m.progress
-		m.mu.Unlock()
-		if unacked == 0 {
-			return nil
-		}
-		select {
-		case <-progress:
-		case <-ctx.Done():
-			if m.Connected() {
-				return nil
-			}
-			return ErrPartitioned
-		}
-	}
-}
-
-// countUnacked counts the reachable entries that have not acknowledged a change. The
-// caller holds mu.
-func (m *Mesh) countUnacked(change uint64, now time.Time) int {
-	unacked := 0
-	for _, q := range m.peers {
-		if q.active(now) && q.process.Started != 0 && now.Sub(q.lastHeard) < reachableTimeout && q.acked < change {
-			unacked++
-		}
-	}
-	return unacked
-}
--- a/internal/mesh/restart_test.go
+++ b/internal/mesh/restart_test.go
@@ -56,7 +56,7 @@
 		t.Fatal(err)
 	}
 	eventually(t, func() bool {
-		data, err := os.ReadFile(f.nodes[0].serversCopy().path())
+		data, err := os.ReadFile(f.nodes[0].serversFile.path())
 		return err == nil && bytes.Contains(data, []byte(`"gone":true`))
 	})
 	f.stop(0)
--- a/internal/mesh/servers_file.go
+++ b/internal/mesh/servers_file.go
@@ -12,31 +12,39 @@
 // heartbeats.
 const diskOnlyTimeout = 4 * time.Second
 
-// serversCopy keeps the known servers on the disk.
-func (m *Mesh) serversCopy() *diskCopy[[]roster.Server] {
-	return &diskCopy[[]roster.Server]{mesh: m, name: "servers.json", change: m.roster.Material, content: m.serversToPersist}
+// newServersFile returns the copy of the known servers on the disk.
+func newServersFile(m *Mesh) *diskCopy[[]roster.Server] {
+	return newDiskCopy(m, "servers.json", m.roster.Material, m.serversToPersist)
 }
 
 // loadServers restores the servers that this process knew before it restarted. Without
 // them it would refuse every request until the servers have announced themselves again.
 // Stale entries are corrected soon: a heartbeat carries newer information, a server that
 // ended does not answer, and another server at its address responds that it is not the
-// addressed one.
+// addressed one. Nothing corrects a server that has left and still answers, so its
+// departure is on the disk before it is acknowledged.
 func (m *Mesh) loadServers(now time.Time) {
-	servers, ok := m.serversCopy().read()
+	servers, ok := m.serversFile.read()
 	if !ok {
 		return
 	}
 	heardAt := now.Add(diskOnlyTimeout - silentRetention)
+	left := 0
 	for _, s := range servers {
+		if departed(&s) {
+			left++
+		}
 		m.roster.Apply(s, heardAt)
 		m.streams.heardVersion(&s, now)
 		m.heardVia[s.ID] = viaDirect
 		m.diskOnly[s.ID] = true
 	}
-	m.log.Info("servers recalled from the disk", zap.Int("servers", len(servers)))
+	m.log.Info("servers recalled from the disk", zap.Int("servers", len(servers)), zap.Int("left", left))
 }
 
+// departed reports whether a server takes no more work.
+func departed(s *roster.Server) bool { return s.Leaving || s.Gone }
+
 // serversToPersist lists all servers that were heard of, including gone ones: a late
 // announcement must not bring them back. Adapters are left out, since the agents of the
 // servers report them. The caller holds mu.
--- a/internal/mesh/strikes_file.go
+++ b/internal/mesh/strikes_file.go
@@ -15,18 +15,18 @@
 	Strikes  []suspicion.Strike `json:"strikes"`
 }
 
-// strikesCopy keeps the strikes of refused requests on the disk: when all entries restart at once,
-// none is left that could tell.
-func (m *Mesh) strikesCopy() *diskCopy[refusals] {
-	return &diskCopy[refusals]{mesh: m, name: "strikes.json", change: m.strikes.Change, content: func() refusals {
+// newStrikesFile returns the copy of the strikes of refused requests on the disk: when all entries restart
+// at once, none is left that could tell.
+func newStrikesFile(m *Mesh) *diskCopy[refusals] {
+	return newDiskCopy(m, "strikes.json", m.strikes.Change, func() refusals {
 		now := time.Now()
 		return refusals{AtMillis: now.UnixMilli(), Strikes: m.strikes.OfRefused(now)}
-	}}
+	})
 }
 
 // loadStrikes restores them.
 func (m *Mesh) loadStrikes(now time.Time) {
-	recalled, ok := m.strikesCopy().read()
+	recalled, ok := m.strikesFile.read()
 	if !ok {
 		return
 	}
