A draining server that announces itself again is confirmed like the first time

What callers would see: a server whose first announcement that it drains was answered 503, as too few entries knew or too few disks held it, was acknowledged at its second try at an entry that had heard of it, and got work until the others heard.

Cause: Announce confirmed only announcements with something new. The state of the first, failed try made the second one a repeat.

Change: every announcement of a server that leaves is confirmed.

Measured: TestRepeatedDrainingIsConfirmedLikeTheFirst fails before ("try 1 ... is answered with <nil>") and passes.

--- a/internal/mesh/departures_test.go
+++ b/internal/mesh/departures_test.go
@@ -171,6 +171,22 @@
 	eventually(t, func() bool { return f.nodes[0].Leave(context.Background(), server.ID, server.Born) == nil })
 }
 
+// Guards against a draining server that is acknowledged at its second try because nothing is new about it, although the first try failed.
+func TestRepeatedDrainingIsConfirmedLikeTheFirst(t *testing.T) {
+	f, disks, server := startWithServer(t, 3)
+	for _, d := range disks[1:] {
+		t.Cleanup(d.hang())
+	}
+	server.Sequence, server.Leaving = 2, true
+	for try := range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		if err := f.nodes[0].Announce(ctx, server); !errors.Is(err, ErrNotPersisted) {
+			t.Errorf("try %d, while two disks of three hang, is answered with %v, want %v", try, err, ErrNotPersisted)
+		}
+	}
+}
+
 // Guards against a departure that a power loss takes back: until a file and its name are synced, a rename leaves an older or a torn file.
 func TestDepartureIsSyncedBeforeItIsAcknowledged(t *testing.T) {
 	f, disks, server := startWithServer(t, 1)
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -372,7 +372,7 @@
 		m.log.Info("backend server announced", zap.String("server", s.ID), zap.String("service", s.Service), zap.String("address", s.Address),
 			zap.String("version", s.Version), zap.Bool("leaving", s.Leaving), zap.Int64("born", s.Born), zap.Int64("sequence", s.Sequence))
 	}
-	if !s.Leaving || !material {
+	if !s.Leaving {
 		return nil
 	}
 	return m.confirmDeparture(ctx, s.ID)
