A departure that is known only from the disk is written again

What callers would see: a server that had left is sent requests after the second of two restarts of all entries, once a late announcement of it arrives.

Cause: what a start recalls and nobody has confirmed since was left out of the next write of the file of servers. That is right for servers that serve, and loses those that have left, of which nobody hears again.

Change: the file keeps departures whether or not they were heard of since the start.

Measured: TestDepartureOutlivesSecondRestart fails before ("a late announcement brought back a server that had left") and passes.

--- a/internal/mesh/departures_test.go
+++ b/internal/mesh/departures_test.go
@@ -149,6 +149,31 @@
 	}
 }
 
+// Guards against a departure that is recalled after one restart and forgotten by the next.
+func TestDepartureOutlivesSecondRestart(t *testing.T) {
+	f, _, server := startWithServer(t, 1)
+	if err := f.nodes[0].Leave(context.Background(), server.ID, server.Born); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		f.restartAll()
+		other := roster.Server{ID: "other", Born: 1, Sequence: int64(i + 1), Service: "x", Address: "a:2", Leaving: i == 1}
+		if err := f.nodes[0].Announce(context.Background(), other); err != nil {
+			t.Fatal(err)
+		}
+		// The file is written anew without what is known only from it.
+		eventually(t, func() bool {
+			data, err := os.ReadFile(f.nodes[0].serversFile.path())
+			return err == nil && bytes.Contains(data, []byte(`"other"`))
+		})
+	}
+	f.restartAll()
+	server.Sequence = 2
+	if err := f.nodes[0].Announce(context.Background(), server); err != nil || f.nodes[0].MayServe(server.ID) {
+		t.Errorf("a late announcement brought back a server that had left: err = %v", err)
+	}
+}
+
 // Guards against a departure that only a minority of the disks hold when it is acknowledged, and against a single hung disk that delays every acknowledgement.
 func TestDepartureWaitsForMostDisks(t *testing.T) {
 	f, disks, server := startWithServer(t, 3)
--- a/internal/mesh/servers_file.go
+++ b/internal/mesh/servers_file.go
@@ -46,12 +46,13 @@
 func departed(s *roster.Server) bool { return s.Leaving || s.Gone }
 
 // serversToPersist lists all servers that were heard of, including gone ones: a late
-// announcement must not bring them back. Adapters are left out, since the agents of the
+// announcement must not bring them back. A departure that is known only from the disk is
+// kept through a second restart too. Adapters are left out, since the agents of the
 // servers report them. The caller holds mu.
 func (m *Mesh) serversToPersist() []roster.Server {
 	var servers []roster.Server
 	for _, e := range m.roster.Since(0) {
-		if !m.diskOnly[e.ID] {
+		if !m.diskOnly[e.ID] || departed(&e.Server) {
 			e.Server.Adapters = nil
 			servers = append(servers, e.Server)
 		}
