The grace period of an adapter's old version counts from its announcement, not from when an agent learned of it

Cause: the agent's table counted the grace period from when it learned of the version. An agent that starts learns of all of them anew; one that stood still learns late.

Change: a process knows how old a version is only where it learned of it while it was up to date. What it finds at its start, or catches up with after a pause, counts as old (ActiveConfig.VersionAge). Entries tell the age with each request for a start, and the table counts from the earliest time that anybody told. A version that was announced within the two seconds before a restart loses what is left of its grace at that engine.

--- a/coord/residency/residency.go
+++ b/coord/residency/residency.go
@@ -216,8 +216,8 @@
 	foreign int
 	tokens  int
 	leaving bool
-	// newest holds the newest announced version of each adapter and when this
-	// table learned of it.
+	// newest holds the newest announced version of each adapter and the earliest time
+	// at which anybody is known to have learned of it.
 	newest   map[string]announcedVersion
 	pacer    pacer
 	pauses   pauses
@@ -365,12 +365,15 @@
 	return t.plan(now)
 }
 
-// VersionAnnounced records that a newer version of an adapter was announced.
-func (t *Table) VersionAnnounced(adapter string, version int64, now time.Time) []Action {
-	if version <= t.newest[adapter].version {
+// VersionAnnounced records that a version of an adapter was announced, at a time or
+// earlier. Others may have learned of it before this table: the grace period counts from
+// the earliest time.
+func (t *Table) VersionAnnounced(adapter string, version int64, at, now time.Time) []Action {
+	known := t.newest[adapter]
+	if version < known.version || version == known.version && !at.Before(known.at) {
 		return nil
 	}
-	t.newest[adapter] = announcedVersion{version: version, at: now}
+	t.newest[adapter] = announcedVersion{version: version, at: at}
 	return t.plan(now)
 }
 
--- a/coord/residency/residency_test.go
+++ b/coord/residency/residency_test.go
@@ -96,7 +96,7 @@
 	table := New(options())
 	table.Apply(heldReport(start, "m/a"), start)
 	table.Admit(request("r1", "m/a"), start)
-	expect(t, "announced", table.VersionAnnounced("m/a", 2, start))
+	expect(t, "announced", table.VersionAnnounced("m/a", 2, start, start))
 	if _, stale := table.Held(start); !slices.Equal(stale, []string{"m/a"}) {
 		t.Errorf("stale adapters are %v, want m/a", stale)
 	}
@@ -114,6 +114,32 @@
 	expect(t, "the replacement is complete", table.Apply(report, done), "start r3", "load m/b@0")
 }
 
+// Guards against a grace period that begins anew when a version that was announced long before is learned of: by an agent that has restarted, or that stood still.
+func TestGraceCountsFromEarliestAnnouncement(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// learned are the times at which the version is said to have been announced, in the order of the reports.
+		learned []time.Duration
+		want    []string
+	}{
+		{"announced now", []time.Duration{0}, []string{"start r"}},
+		{"announced within the grace period", []time.Duration{-time.Second}, []string{"start r"}},
+		{"announced before the grace period", []time.Duration{-2 * time.Second}, nil},
+		{"learned now, and a request tells that it is old", []time.Duration{0, -3 * time.Second}, nil},
+		{"known to be old, and a request tells that it is new", []time.Duration{-3 * time.Second, 0}, nil},
+	} {
+		table := New(options())
+		report := heldReport(start, "m/a")
+		// A request of before the restart keeps the old version in use.
+		report.Running = map[string]bool{"foreign": true}
+		table.Apply(report, start)
+		for _, at := range test.learned {
+			table.VersionAnnounced("m/a", 2, start.Add(at), start)
+		}
+		expect(t, test.name, table.Admit(request("r", "m/a"), start), test.want...)
+	}
+}
+
 func TestRequestsInTimeGoFirstWithinRank(t *testing.T) {
 	table := New(options())
 	table.SetOptions(Options{MaxAdapters: 2, Batch: 1, MemoryTokens: 10_000, Loads: 2, Queue: 16})
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -42,8 +42,10 @@
 	query := x.query()
 	conditions := x.offers.Conditions(x.picked.Choice, &x.picked.Candidate, left)
 	requestedAt := time.Now()
+	config := x.mesh.Documents().Current()
 	reply, err := v.agent.admit(ctx, wire.StartRequest{
-		ID: x.call.ID, Attempt: x.starts, Engine: v.entry().ID, Born: v.entry().Born, Adapter: x.call.Adapter, Version: x.mesh.Documents().Current().State.Adapters[x.call.Adapter],
+		ID: x.call.ID, Attempt: x.starts, Engine: v.entry().ID, Born: v.entry().Born, Adapter: x.call.Adapter,
+		Version: config.State.Adapters[x.call.Adapter], VersionAgeMillis: config.VersionAge(x.call.Adapter, requestedAt).Milliseconds(),
 		Rank: x.rank, Team: x.teamName(), Prompt: x.call.PromptTokens, Tokens: x.tokens(),
 		TargetMillis: max(x.route.Target-query.Spent, 0).Milliseconds(), GapMillis: x.route.Gap.Milliseconds(), WaitMillis: x.offers.Wait(&x.picked.Candidate, &query, left).Milliseconds(),
 		MaxDelayMillis: conditions.MaxDelay.Milliseconds(), OnlyIfHeld: conditions.OnlyIfHeld,
--- a/internal/mesh/documents.go
+++ b/internal/mesh/documents.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -24,12 +25,53 @@
 	// acknowledged, or in force anywhere, before this process started or resumed from a
 	// pause.
 	Confirmed bool
+	// versionTimes holds when this process learned of adapter versions, as far as it knows
+	// that they were announced only then.
+	versionTimes map[string]time.Time
 }
 
 // Usable reports whether requests may be admitted, routed and refused by the
 // configuration.
 func (c *ActiveConfig) Usable() bool { return c.Confirmed && c.Table != nil }
 
+const (
+	// maxVersionAge is the age of a version that was announced at an unknown time, and the
+	// age from which ages do not matter.
+	maxVersionAge = time.Hour
+	// maxVersionTimes bounds the versions whose ages are known.
+	maxVersionTimes = 1 << 14
+)
+
+// VersionAge returns how long ago the newest version of an adapter was announced. A version
+// that was there when this process started, or that it learned of before it caught up after
+// a pause, may have been announced long before, and counts as old.
+func (c *ActiveConfig) VersionAge(adapter string, now time.Time) time.Duration {
+	learned, known := c.versionTimes[adapter]
+	if !known {
+		return maxVersionAge
+	}
+	return min(max(now.Sub(learned), 0), maxVersionAge)
+}
+
+// versionTimesWith returns the version times behind a change to a state.
+func (c *ActiveConfig) versionTimesWith(next *document.State, now time.Time) map[string]time.Time {
+	times := make(map[string]time.Time)
+	for adapter, learned := range c.versionTimes {
+		if now.Sub(learned) < maxVersionAge && next.Adapters[adapter] == c.State.Adapters[adapter] {
+			times[adapter] = learned
+		}
+	}
+	if !c.Confirmed {
+		return times
+	}
+	for adapter, version := range next.Adapters {
+		if version != c.State.Adapters[adapter] && len(times) < maxVersionTimes {
+			times[adapter] = now
+		}
+	}
+	return times
+}
+
 // Documents holds the configuration in force in this process. It never goes back: of two
 // states the one with the higher index wins, whatever its origin.
 type Documents struct {
@@ -75,7 +117,7 @@
 	if state.Index <= held.State.Index {
 		return
 	}
-	next := &ActiveConfig{State: state, Table: held.Table, Confirmed: held.Confirmed}
+	next := &ActiveConfig{State: state, Table: held.Table, Confirmed: held.Confirmed, versionTimes: held.versionTimesWith(&state, time.Now())}
 	switch {
 	case held.Table != nil && state.Version == held.State.Version:
 		next.State.Body = held.State.Body
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -67,7 +67,7 @@
 	}
 	l.waiters[in.ID], l.attempts[in.ID] = reply, in.Attempt
 	if in.Version > 0 {
-		l.perform(l.table.VersionAnnounced(in.Adapter, in.Version, now))
+		l.perform(l.table.VersionAnnounced(in.Adapter, in.Version, now.Add(-time.Duration(in.VersionAgeMillis)*time.Millisecond), now))
 	}
 	l.perform(l.table.Admit(residency.Request{
 		Target: now.Add(time.Duration(in.TargetMillis) * time.Millisecond),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -211,7 +211,7 @@
 	l.configIndex = current.State.Index
 	l.setOptions(current.Table)
 	for adapter, version := range current.State.Adapters {
-		l.perform(l.table.VersionAnnounced(adapter, version, now))
+		l.perform(l.table.VersionAnnounced(adapter, version, now.Add(-current.VersionAge(adapter, now)), now))
 	}
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -85,6 +85,44 @@
 	})
 }
 
+// Guards against an agent that starts behind a restart, or learns late, and grants starts on a version that was replaced long before.
+func TestRestartedAgentStartsNothingOnOutdatedVersion(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// prepare names version 2 before the agent starts; request is what the entry tells of it.
+		prepare func(documents *mesh.Documents)
+		request wire.StartRequest
+		want    bool
+	}{
+		{"named before the agent started", func(documents *mesh.Documents) {
+			documents.Apply(document.State{Index: 2, Version: 1, Adapters: map[string]int64{"m/a": 2}}, "test")
+			documents.Confirm()
+		}, wire.StartRequest{Version: 2, VersionAgeMillis: 0}, false},
+		{"learned late", func(documents *mesh.Documents) {
+			documents.Confirm()
+			documents.Apply(document.State{Index: 2, Version: 1, Adapters: map[string]int64{"m/a": 2}}, "test")
+		}, wire.StartRequest{Version: 2, VersionAgeMillis: 60_000}, false},
+		{"told by the entry alone", (*mesh.Documents).Confirm, wire.StartRequest{Version: 2, VersionAgeMillis: 60_000}, false},
+		{"named now", (*mesh.Documents).Confirm, wire.StartRequest{Version: 2, VersionAgeMillis: 0}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newFakeEngine(t)
+			e.adapters["m/a"] = 1
+			// A request of before the restart keeps the old version in use.
+			e.events = func(time.Time) map[string]int { return map[string]int{"foreign": 1} }
+			runAgentFrom(t, e, Options{}, []route.Model{{Name: "m"}}, test.prepare, func(t *testing.T, s *Sidecar, _ *mesh.Documents) {
+				time.Sleep(500 * time.Millisecond)
+				in := test.request
+				in.ID, in.Adapter, in.Prompt, in.Tokens, in.WaitMillis = "r", "m/a", 10, 20, 400
+				reply, err := s.admit(t.Context(), in)
+				if err != nil || reply.Start != test.want {
+					t.Errorf("the reply is %+v, %v, want start %v", reply, err, test.want)
+				}
+			})
+		})
+	}
+}
+
 func admit(t *testing.T, s *Sidecar, id, adapter string) wire.StartReply {
 	t.Helper()
 	reply, err := s.admit(t.Context(), wire.StartRequest{ID: id, Adapter: adapter, Prompt: 10, Tokens: 20, WaitMillis: 5000})
--- a/internal/wire/starts.go
+++ b/internal/wire/starts.go
@@ -29,6 +29,9 @@
 	// Version is the newest version of the adapter that the entry knows, or 0 if
 	// it knows none. It is sent because the agent may not know that version yet.
 	Version int64 `json:"version,omitempty"`
+	// VersionAgeMillis is how long ago that version was announced, as far as the entry
+	// knows: an agent that has restarted learns of old versions as if they were new.
+	VersionAgeMillis int64 `json:"versionAgeMillis,omitempty"`
 	// Rank orders waiting requests; rank 0 starts first. Among equal ranks, teams take
 	// turns.
 	Rank int    `json:"rank,omitempty"`
