Entries without an agent to ask send nothing to an engine whose adapter version is outdated

Cause: an entry whose agent does not answer sends straight to engines that announce the adapter. It compared the adapter's name, cut its version off, and never looked at the version that was acknowledged. The agent's own check was not made by anybody.

Change: the entry applies the agent's rule (residency.MayStart) to the announced version. It does so at the choice, and again before it sends where the agent has gone since.

--- a/coord/residency/plan.go
+++ b/coord/residency/plan.go
@@ -188,7 +188,13 @@
 		return false
 	}
 	n := t.newest[name]
-	return a.version >= n.version || now.Sub(n.at) < t.options.Grace
+	return MayStart(a.version, n.version, now.Sub(n.at), t.options.Grace)
+}
+
+// MayStart reports whether a request may start on a version of its adapter, given the
+// newest version, how long ago that was announced, and the grace period.
+func MayStart(version, newest int64, age, grace time.Duration) bool {
+	return version >= newest || age < grace
 }
 
 func (t *Table) start(r *Request, now time.Time) Action {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -170,7 +170,7 @@
 	case RoleAgent:
 		s := sidecar.New(sidecar.Options{
 			Name: p.settings.Instance, Service: p.settings.Service,
-			VersionGrace: time.Duration(versionGraceRatio * float64(p.settings.MaxVersionDelay())), Permit: p.mesh.Permit,
+			VersionGrace: p.versionGrace(), Permit: p.mesh.Permit,
 		}, p.platform.Engine(p.settings.Engine), documents, p.log)
 		maps.Copy(handlers, s.Handlers())
 		p.goroutines.Go(func() { s.Run(ctx) })
@@ -189,6 +189,11 @@
 	return nil
 }
 
+// versionGrace returns how long requests may start on an adapter's old version after a newer one was announced.
+func (p *process) versionGrace() time.Duration {
+	return time.Duration(versionGraceRatio * float64(p.settings.MaxVersionDelay()))
+}
+
 // startPeers serves other processes and takes part in the mesh.
 func (p *process) startPeers(ctx context.Context, address string, server *rpc.Server) error {
 	listener, err := mesh.Listen(address)
@@ -235,7 +240,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: p.settings.DataCentre, AgentPort: strconv.Itoa(p.port(RoleAgent)),
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
-		Restarted: !p.settings.Bootstrap,
+		Restarted: !p.settings.Bootstrap, VersionGrace: p.versionGrace(),
 		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits, Turns: turns, AnswerBytes: p.settings.MemoryLimit() / answerMemoryPart,
 		BacklogBytes: p.settings.NamedMemory() / backlogMemoryPart,
 	}, p.platform.Edge, p.mesh, p.log)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -28,7 +28,12 @@
 // a start. ok is false when another server should be tried.
 func (x *exchange) start(v *server) (granted, ok bool) {
 	if !v.agent.isKnown() {
-		return false, true
+		if x.servers.mayStartUnasked(v, x.call.Adapter) {
+			return false, true
+		}
+		// The agent was there when the engine was chosen.
+		x.lastReason, x.cause = "the engine's agent is gone, and the engine has not announced the adapter in a version that may start", causeNoServer
+		return false, false
 	}
 	left := time.Until(x.startDeadline())
 	if left <= 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,9 @@
 	RepeatWindow time.Duration
 	// Restarted is set when an earlier incarnation of this entry may have run.
 	Restarted bool
+	// VersionGrace is how long requests may start on an adapter's old version after a newer one was
+	// announced.
+	VersionGrace time.Duration
 	// Heartbeat is the interval between two announcements of a server.
 	Heartbeat time.Duration
 	// StopTimeout is the maximum duration of a planned stop.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/dispatch"
+	"github.com/rosemarypass/rosemarypass/coord/residency"
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/coord/route"
 	"github.com/rosemarypass/rosemarypass/coord/serverrate"
@@ -282,15 +284,40 @@
 		c.Residence = dispatch.Resident
 		return
 	}
-	for _, held := range announced.Adapters {
-		if name, _, _ := strings.Cut(held, "@"); name == r.Adapter {
-			c.Residence = dispatch.Resident
-		}
+	if s.announcesAdapter(&announced.Server, r.Adapter, time.Now()) {
+		c.Residence = dispatch.Resident
 	}
 	// Without an agent no adapter can be loaded at this engine.
 	c.Model = c.Model && c.Residence == dispatch.Resident
 }
 
+// announcesAdapter reports whether an engine has announced that it holds an adapter in a version on which
+// requests may start. An agent would see to the version; without one the entry has to.
+func (s *servers) announcesAdapter(announced *roster.Server, adapter string, now time.Time) bool {
+	config := s.mesh.Documents().Current()
+	newest, age := config.State.Adapters[adapter], config.VersionAge(adapter, now)
+	for _, held := range announced.Adapters {
+		name, text, _ := strings.Cut(held, "@")
+		if name != adapter {
+			continue
+		}
+		// A version that cannot be read is 0, older than any that was announced.
+		version, _ := strconv.ParseInt(text, 10, 64)
+		return residency.MayStart(version, newest, age, s.options.VersionGrace)
+	}
+	return false
+}
+
+// mayStartUnasked reports whether a request for an adapter may be sent to a server without asking an agent:
+// at every plain server, and at an engine that has announced a version on which it may start.
+func (s *servers) mayStartUnasked(v *server, adapter string) bool {
+	if v.agent == nil || adapter == "" {
+		return true
+	}
+	announced, _ := s.mesh.Announced(v.entry().ID)
+	return s.announcesAdapter(&announced.Server, adapter, time.Now())
+}
+
 func holds(models []string, model string) bool {
 	if model == "" {
 		return true
