Streams from before a second software version go on behind a loss of power of all entries

Cause: while one version serves nobody is told of streams. Behind the restart the first announcement of the second version made all of them streams of unknown version beside two, although each disk held only the first version when its process started.

Change: a process tells in its description the version that was alone on its disk at its start; where more than half of those with a disk name the same, unknown streams go on at it. That ends a minute after the start, and once a process starts or is lost later than 3 s after the second version was heard. So that it is safe, a server of a second version is listed only once most disks hold the version (mesh.persistVersion, once a version); the only server of a service is listed all the same. Versions that have not been heard for a minute leave the file.

Measured: TestStreamsOfTheOnlyVersionOutliveLossOfPower fails before at each of four entries, TestSecondVersionIsUsedOnceMostDisksHoldIt fails before; both pass, as do the tests of what must stay refused (TestLostStreamBesideSeveralVersionsGoesOnNowhere, and TestDisturbanceBesideSeveralVersionsEndsTheOnlyVersion).

--- a/coord/streamversion/decide.go
+++ b/coord/streamversion/decide.go
@@ -11,6 +11,9 @@
 	// other can have served within Retention.
 	Versions []string
 	Complete bool
+	// Only is the version that was the only one before most processes that remember versions started, where
+	// streams that began since are known; empty if there is none.
+	Only string
 	// Unreached is set where a process that may hold the record could not be asked.
 	Unreached bool
 }
@@ -65,6 +68,8 @@
 		return Decision{Reason: ReasonUncertain}
 	case q.Unreached:
 		return Decision{Reason: ReasonUnreached}
+	case q.Only != "":
+		return Decision{Verdict: OneVersion, Version: q.Only}
 	case len(q.Versions) > 1:
 		return Decision{Reason: ReasonUnknown}
 	default:
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -57,7 +57,7 @@
 		known, decided = x.askLineage()
 	}
 	x.log.Info("stream taken up", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("after", x.call.ResumeAfter), zap.String("service", x.service.Name),
-		zap.Bool("found", known.Found), zap.String("began", known.Record.Version), zap.Strings("versions", known.Versions), zap.Bool("complete", known.Complete),
+		zap.Bool("found", known.Found), zap.String("began", known.Record.Version), zap.Strings("versions", known.Versions), zap.Bool("complete", known.Complete), zap.String("only", known.Only),
 		zap.Duration("took", time.Since(started)), zap.String("refused", decided.Reason))
 	return x.bind(decided)
 }
--- a/internal/mesh/departures.go
+++ b/internal/mesh/departures.go
@@ -16,13 +16,6 @@
 
 var departuresNotPersistedCount = telemetry.Counter("mesh_departures_not_persisted")
 
-const (
-	// persistDepartureTimeout bounds the wait of a process for its own disk. callDepartureTimeout is
-	// longer, as a call that is aborted closes the connection that other calls share.
-	persistDepartureTimeout = 800 * time.Millisecond
-	callDepartureTimeout    = time.Second
-)
-
 // departure tells a process with a disk that a server leaves or is gone.
 type departure struct {
 	// From is the address of the process that tells it, Spoke as in a greeting.
@@ -75,72 +68,28 @@
 // persistDeparture returns nil once most of the disks hold a departure. After a restart of all entries,
 // more than half of them meet at least one that recalls it.
 func (m *Mesh) persistDeparture(ctx context.Context, e *roster.Entry) error {
-	others, spoke := m.otherDisks()
-	disks := len(others)
-	results := make(chan error, disks+1)
-	if m.serversFile != nil {
-		disks++
-		go func() { results <- m.serversFile.persist(ctx, e.Material) }()
-	}
-	told := departure{From: m.options.Self.Address, Spoke: spoke, Server: e.Aged(time.Now())}
-	for _, address := range others {
-		go func() {
-			call, cancel := context.WithTimeout(context.Background(), callDepartureTimeout)
-			defer cancel()
-			results <- m.call(call, address, methodPersistDeparture, told, &struct{}{})
-		}()
-	}
-	needed := 0
-	if disks > 0 {
-		needed = disks/2 + 1
-	}
-	var cause error
-	for failed := 0; needed > 0; {
-		select {
-		case err := <-results:
-			if err == nil {
-				needed--
-				continue
-			}
-			cause = err
-			if failed++; failed <= (disks-1)/2 {
-				continue
-			}
-		case <-ctx.Done():
-			cause = ctx.Err()
-		}
+	m.mu.Lock()
+	told := departure{From: m.options.Self.Address, Spoke: m.spoke, Server: e.Aged(time.Now())}
+	m.mu.Unlock()
+	err := m.persistOnMostDisks(ctx, methodPersistDeparture, told, func(ctx context.Context) error { return m.serversFile.persist(ctx, e.Material) })
+	if err != nil {
 		departuresNotPersistedCount.Add(1)
-		m.log.Warn("too few disks hold a departure", zap.String("server", e.ID), zap.Int("disks", disks), zap.Int("missing", needed), telemetry.Cause(cause))
+		m.log.Warn("too few disks hold a departure", zap.String("server", e.ID), telemetry.Cause(err))
 		return ErrNotPersisted
 	}
 	return nil
 }
 
-// otherDisks lists the addresses of the other processes with a disk, those included that do not answer at
-// present, and reports whether this process is a spoke. Processes that nobody has heard for long are not
-// counted, as they may have been removed.
-func (m *Mesh) otherDisks() (addresses []string, spoke bool) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, q := range m.peers {
-		if q.process.Started != 0 && q.process.Disk && now.Sub(q.lastHeardAny) < silentRetention {
-			addresses = append(addresses, q.process.Address)
-		}
-	}
-	return addresses, m.spoke
-}
-
 // handlePersistDeparture records a departure and returns once it is on the local disk.
 func (m *Mesh) handlePersistDeparture(ctx context.Context, in departure) (struct{}, error) {
 	if m.serversFile == nil {
-		return struct{}{}, errors.New("this process has no disk")
+		return struct{}{}, errNoDisk
 	}
 	m.mu.Lock()
 	m.mergeServers(m.peers[in.From], greeting{Spoke: in.Spoke, Servers: []roster.Server{in.Server}}, time.Now())
 	e, _ := m.roster.Get(in.Server.ID)
 	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, persistDepartureTimeout)
+	ctx, cancel := context.WithTimeout(ctx, persistTimeoutOfCall)
 	defer cancel()
 	return struct{}{}, m.serversFile.persist(ctx, e.Material)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -182,6 +182,7 @@
 	if m.host != nil {
 		self.Member, self.Cluster, self.Leads = m.host.identity()
 	}
+	self.OnlyVersions = m.streams.onlyVersions()
 	return self
 }
 
@@ -197,6 +198,7 @@
 		methodPermit: rpc.Typed(newPermits(m).handle),
 
 		methodPersistDeparture: rpc.Typed(m.handlePersistDeparture),
+		methodPersistVersion:   rpc.Typed(m.handlePersistVersion),
 	}
 	if m.host != nil {
 		m.host.addHandlers(handlers)
@@ -277,6 +279,7 @@
 			if now.After(m.mustInform) {
 				m.setInformed("no other entry has told it in time")
 			}
+			m.streams.expireOnlyVersions(now)
 			m.forgetRates()
 			m.forgetSilent()
 			m.chooseLinks(self, now)
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -26,6 +26,8 @@
 	methodAskStream   = "mesh.askStream"
 	// methodPersistDeparture makes a process write the departure of a server to its disk.
 	methodPersistDeparture = "mesh.persistDeparture"
+	// methodPersistVersion makes a process write a software version that serves to its disk.
+	methodPersistVersion = "mesh.persistVersion"
 )
 
 // Process is the description of one process, as reported by itself.
@@ -47,6 +49,8 @@
 	Index uint64 `json:"index,omitempty"`
 	// Started is its start time in Unix nanoseconds. It distinguishes its incarnations.
 	Started int64 `json:"started"`
+	// OnlyVersions names, by service, the version that was the only one on its disk at its start.
+	OnlyVersions map[string]string `json:"onlyVersions,omitempty"`
 	// SilentMillis is the time since it was last heard, as far as the reporting process
 	// knows; 0 from the process itself.
 	SilentMillis int64 `json:"silentMillis,omitempty"`
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -221,6 +221,7 @@
 	if lost {
 		q.lost = true
 		q.resendAll()
+		q.mesh.streams.recordDisturbance(now)
 	}
 	if !q.asked && !q.mesh.Informed() {
 		q.asked = true
@@ -354,6 +355,9 @@
 	if !m.Connected() {
 		return ErrPartitioned
 	}
+	if err := m.persistVersion(ctx, &s); err != nil {
+		return err
+	}
 	now := time.Now()
 	m.mu.Lock()
 	newest, material := m.roster.Apply(s, now)
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -74,6 +74,9 @@
 // setProcess replaces the description of a peer. The caller holds mu.
 func (m *Mesh) setProcess(q *peer, p Process) {
 	p.SilentMillis = 0
+	if q.process.Started != p.Started {
+		m.streams.recordDisturbance(time.Now())
+	}
 	before, after := q.process.digest(), p.digest()
 	q.process = p
 	if before != after {
@@ -93,7 +96,11 @@
 // configuration is excluded and only reported by the process itself: otherwise each
 // configuration change would change all digests.
 func (p *Process) digest() uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s %d %s %s %t", p.Address, p.Started, p.Member, p.Cluster, p.Leads))
+	text := fmt.Sprintf("%s %d %s %s %t", p.Address, p.Started, p.Member, p.Cluster, p.Leads)
+	if len(p.OnlyVersions) > 0 {
+		text += fmt.Sprint(p.OnlyVersions)
+	}
+	return xxhash.Sum64String(text)
 }
 
 // knownDigest returns a digest of all known processes. It is equal on processes that know
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,12 +51,21 @@
 	// complete is set once no version that served before the start of this process can be missing.
 	complete bool
 	started  time.Time
+	// severalSince holds when several versions of a service were heard first, persisted the versions that
+	// most disks are known to hold.
+	severalSince map[string]time.Time
+	persisted    map[streamversion.SeenVersion]bool
+
+	// only holds, by service, the version that was the only one on the disk when this process started; nil
+	// once that tells nothing more.
+	only atomic.Pointer[map[string]string]
 }
 
 func newStreams(m *Mesh) *streams {
 	return &streams{
 		mesh: m, telling: make(chan struct{}, maxTelling), wakeup: make(chan struct{}, 1),
 		table: streamversion.NewTable(maxStreamRecords), seen: streamversion.NewSeen(), complete: m.options.Bootstrap, started: time.Now(),
+		severalSince: make(map[string]time.Time), persisted: make(map[streamversion.SeenVersion]bool),
 	}
 }
 
@@ -69,6 +79,9 @@
 	if !several {
 		return
 	}
+	if s.severalSince[server.Service].IsZero() {
+		s.severalSince[server.Service] = now
+	}
 	s.mesh.log.Info("several software versions serve", zap.String("service", server.Service), zap.Strings("versions", s.seen.Of(server.Service, now)))
 	// Until now nobody needed to know of the streams that are open.
 	s.file.addStreams(s.table.Untold(now, func(service string) bool { return service == server.Service }))
@@ -251,6 +264,7 @@
 	defer m.mu.Unlock()
 	q := streamversion.Question{Service: service, Versions: m.streams.seen.Of(service, now), Complete: connected && m.streams.isComplete(now)}
 	q.Record, q.Found = m.streams.table.Get(stream, now)
+	q.Only = m.onlyVersion(service, now)
 	return q
 }
 
--- a/internal/mesh/streams_file.go
+++ b/internal/mesh/streams_file.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/streamversion"
@@ -36,6 +39,8 @@
 	AtMillis int64                       `json:"at"`
 	Stream   *streamversion.Record       `json:"stream,omitempty"`
 	Versions []streamversion.SeenVersion `json:"versions,omitempty"`
+	// written, if set, receives how the write of the line ended; it has room for that.
+	written chan<- error
 }
 
 // streamsFile keeps streams and versions on the disk: when all entries restart at once, none is left
@@ -47,6 +52,9 @@
 	// file and size are those of the open file; file is nil until the first write and after a failed one.
 	file *os.File
 	size int
+	// waiting are those that wait for the present write, versions are those that the file holds.
+	waiting  []chan<- error
+	versions map[streamversion.SeenVersion]bool
 	// retry is set after a failed write: when it fires, the file is written anew, and no line is before.
 	retry <-chan time.Time
 	// sync makes what was written durable.
@@ -54,19 +62,39 @@
 }
 
 func newStreamsFile(s *streams, folder string) *streamsFile {
-	return &streamsFile{streams: s, path: filepath.Join(folder, streamsFileName), lines: make(chan streamLine, streamsFileQueue), sync: (*os.File).Sync}
+	return &streamsFile{streams: s, path: filepath.Join(folder, streamsFileName), lines: make(chan streamLine, streamsFileQueue), sync: (*os.File).Sync, versions: make(map[streamversion.SeenVersion]bool)}
 }
 
-// add queues a line. A nil file, of a process without a disk, keeps nothing.
-func (f *streamsFile) add(line streamLine) {
+// add queues a line, and reports whether there was room. A nil file, of a process without a disk, keeps
+// nothing.
+func (f *streamsFile) add(line streamLine) bool {
 	if f == nil {
-		return
+		return false
 	}
 	line.AtMillis = time.Now().UnixMilli()
 	select {
 	case f.lines <- line:
+		return true
 	default:
 		streamsUnwrittenCount.Add(1)
+		return false
+	}
+}
+
+// errNotWritten means that a line was not written, as the disk is too slow or refuses writes.
+var errNotWritten = errors.New("the disk does not take the line")
+
+// persist returns once a version is on the disk.
+func (f *streamsFile) persist(ctx context.Context, v streamversion.SeenVersion) error {
+	written := make(chan error, 1)
+	if !f.add(streamLine{Versions: []streamversion.SeenVersion{v}, written: written}) {
+		return errNotWritten
+	}
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
@@ -79,15 +107,22 @@
 // run writes the queued lines until ctx ends.
 func (f *streamsFile) run(ctx context.Context) {
 	defer f.close()
+	expiry := time.NewTicker(streamversion.Retention)
+	defer expiry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-expiry.C:
+			if f.retry == nil && f.holdsExpired() {
+				f.finish(f.rewrite())
+			}
 		case line := <-f.lines:
 			data, durable := f.encodeQueued(line)
 			if f.retry != nil {
 				// The table has it when the file is written anew.
 				streamsUnwrittenCount.Add(1)
+				f.notifyWaiting(errNotWritten)
 				continue
 			}
 			f.finish(f.write(data, durable))
@@ -99,6 +134,7 @@
 
 // finish ends a write, and plans the next one if it failed.
 func (f *streamsFile) finish(err error) {
+	f.notifyWaiting(err)
 	f.retry = nil
 	if err == nil {
 		return
@@ -108,6 +144,22 @@
 	f.streams.mesh.log.Warn("failed to write a file to disk", zap.String("file", streamsFileName), telemetry.Cause(err))
 }
 
+func (f *streamsFile) notifyWaiting(err error) {
+	for _, written := range f.waiting {
+		written <- err
+	}
+	f.waiting = nil
+}
+
+// holdsExpired reports whether the file holds a version that was not heard for long. The next start would take
+// it for one that served until then.
+func (f *streamsFile) holdsExpired() bool {
+	m := f.streams.mesh
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(f.versions) > len(f.streams.seen.List(time.Now()))
+}
+
 func (f *streamsFile) close() {
 	if f.file != nil {
 		_ = f.file.Close()
@@ -122,6 +174,10 @@
 	for {
 		_ = encoder.Encode(line)
 		durable = durable || len(line.Versions) > 0
+		f.holds(line.Versions)
+		if line.written != nil {
+			f.waiting = append(f.waiting, line.written)
+		}
 		select {
 		case line = <-f.lines:
 		default:
@@ -130,6 +186,14 @@
 	}
 }
 
+// holds notes the versions of a line that the file holds.
+func (f *streamsFile) holds(versions []streamversion.SeenVersion) {
+	for _, v := range versions {
+		v.AgeMillis = 0
+		f.versions[v] = true
+	}
+}
+
 // write appends to the file, or writes it anew when it has grown large.
 func (f *streamsFile) write(data []byte, durable bool) error {
 	if f.file == nil || f.size+len(data) > maxStreamsFile {
@@ -152,6 +216,8 @@
 	s.mesh.mu.Lock()
 	records, versions := s.table.All(now), s.seen.List(now)
 	s.mesh.mu.Unlock()
+	clear(f.versions)
+	f.holds(versions)
 	var out bytes.Buffer
 	encoder := json.NewEncoder(&out)
 	_ = encoder.Encode(streamLine{AtMillis: now.UnixMilli(), Versions: versions})
@@ -211,7 +277,11 @@
 			line.Versions[i].AgeMillis = 0
 		}
 		versions += len(line.Versions)
+		f.holds(line.Versions)
 		f.streams.mergeVersions(line.Versions, true, now)
 	}
+	if unread == 0 {
+		f.streams.recallOnlyVersions(slices.Collect(maps.Keys(f.versions)))
+	}
 	f.streams.mesh.log.Info("streams recalled from the disk", zap.Int("streams", streams), zap.Int("versions", versions), zap.Int("unread", unread))
 }
