--- a/internal/mesh/only_versions.go
+++ b/internal/mesh/only_versions.go
@@ -65,7 +65,7 @@
 		return
 	}
 	for _, since := range s.severalSince {
-		if now.Sub(since) >= onlyVersionsSettle {
+		if now.Sub(since) >= s.onlySettle {
 			s.only.Store(nil)
 			return
 		}
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -56,6 +56,8 @@
 	severalSince map[string]time.Time
 	persisted    map[streamversion.SeenVersion]bool
 
+	// onlySettle is onlyVersionsSettle.
+	onlySettle time.Duration
 	// only holds, by service, the version that was the only one on the disk when this process started; nil
 	// once that tells nothing more.
 	only atomic.Pointer[map[string]string]
@@ -64,7 +66,7 @@
 func newStreams(m *Mesh) *streams {
 	return &streams{
 		mesh: m, telling: make(chan struct{}, maxTelling), wakeup: make(chan struct{}, 1),
-		table: streamversion.NewTable(maxStreamRecords), seen: streamversion.NewSeen(), complete: m.options.Bootstrap, started: time.Now(),
+		table: streamversion.NewTable(maxStreamRecords), seen: streamversion.NewSeen(), complete: m.options.Bootstrap, started: time.Now(), onlySettle: onlyVersionsSettle,
 		severalSince: make(map[string]time.Time), persisted: make(map[streamversion.SeenVersion]bool),
 	}
 }
