Streams from before a second software version go on by what was known when it was heard of

Change: each process that knew all versions of a service, and knew one, tells it once it hears of a second one, whether it has started anew or not. An entry that died before the second version was heard of ends nothing, as its streams began at the first one.

Measured: TestStreamsOfTheOnlyVersionOutliveTheirEntry (all entries lose power; three of five are killed), TestEndOfProcessBesideSeveralVersionsEndsTheOnlyVersion and TestEntryThatKnowsNotAllVersionsTellsNoOnlyVersion pass; the tests of streams that must stay refused do.

--- a/coord/streamversion/decide.go
+++ b/coord/streamversion/decide.go
@@ -11,8 +11,8 @@
 	// other can have served within Retention.
 	Versions []string
 	Complete bool
-	// Only is the version that was the only one before most processes that remember versions started, where
-	// streams that began since are known; empty if there is none.
+	// Only is the version that was the only one until another one was heard of, where streams that began since
+	// then have records; empty if there is none.
 	Only string
 	// Unreached is set where a process that may hold the record could not be asked.
 	Unreached bool
--- a/coord/streamversion/streamversion_test.go
+++ b/coord/streamversion/streamversion_test.go
@@ -37,10 +37,10 @@
 		{"unknown, no server tells a version", Question{Service: "llm", Versions: []string{""}}, Decision{Verdict: AnyServer}},
 		{"unknown, holders do not answer", Question{Service: "llm", Versions: []string{"v1", "v2"}, Complete: true, Unreached: true}, Decision{Reason: ReasonUnreached}},
 		{"unknown, one version, holders do not answer", Question{Service: "llm", Versions: []string{"v1"}, Complete: true, Unreached: true}, Decision{Verdict: AnyServer}},
-		{"unknown, several versions, of which one was there before the start", Question{Service: "llm", Versions: []string{"v1", "v2"}, Complete: true, Only: "v1"}, Decision{Verdict: OneVersion, Version: "v1"}},
+		{"unknown, several versions, of which one was the only one before", Question{Service: "llm", Versions: []string{"v1", "v2"}, Complete: true, Only: "v1"}, Decision{Verdict: OneVersion, Version: "v1"}},
 		{"the same, holders do not answer", Question{Service: "llm", Versions: []string{"v1", "v2"}, Complete: true, Only: "v1", Unreached: true}, Decision{Reason: ReasonUnreached}},
-		{"known, another one was there before the start", Question{Service: "llm", Found: true, Record: known, Versions: []string{"v1", "v2"}, Only: "v2"}, Decision{Verdict: OneVersion, Version: "v1"}},
-		{"uncertain, one was there before the start", Question{Service: "llm", Found: true, Record: uncertain, Versions: []string{"v1", "v2"}, Only: "v1"}, Decision{Reason: ReasonUncertain}},
+		{"known, another one was the only one before", Question{Service: "llm", Found: true, Record: known, Versions: []string{"v1", "v2"}, Only: "v2"}, Decision{Verdict: OneVersion, Version: "v1"}},
+		{"uncertain, one was the only one before", Question{Service: "llm", Found: true, Record: uncertain, Versions: []string{"v1", "v2"}, Only: "v1"}, Decision{Reason: ReasonUncertain}},
 		{"unknown, nothing heard yet", Question{Service: "llm"}, Decision{Reason: ReasonIncomplete}},
 	} {
 		if got := Decide(test.q); got != test.want {
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -49,7 +49,7 @@
 	Index uint64 `json:"index,omitempty"`
 	// Started is its start time in Unix nanoseconds. It distinguishes its incarnations.
 	Started int64 `json:"started"`
-	// OnlyVersions names, by service, the version that was the only one on its disk at its start.
+	// OnlyVersions names, by service, the version that was the only one until it heard of a second one.
 	OnlyVersions map[string]string `json:"onlyVersions,omitempty"`
 	// SilentMillis is the time since it was last heard, as far as the reporting process
 	// knows; 0 from the process itself.
--- a/internal/mesh/only_versions.go
+++ b/internal/mesh/only_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,68 +13,75 @@
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
-// A stream that began while one version of its service served is told to nobody. If all entries lose power just
-// when a second version appears, nothing but the disks' lists of versions tells at which version it began: where
-// most disks held one version when their processes started, it was that one. This holds only as long as no record
-// that was made since, with several versions there, can be lost.
+// A stream that began while one version of its service served is told to nobody. If its entry dies before a second
+// version is heard of, nobody has a record of it. It began at the first version all the same: streams that began
+// beside several versions have records at other processes, unless those are lost too.
 
-// onlyVersionsSettle is the time after a second version was heard in which other processes may still start or
-// get lost without ending what this process says of its disk: after a loss of power they do not all start at once.
-const onlyVersionsSettle = 3 * time.Second
+// onlyVersion is the version of a service that was the only one within streamversion.Retention before a second one
+// was heard of.
+type onlyVersion struct {
+	version string
+	// until is when the second version was heard of.
+	until time.Time
+}
 
 // maxPersistedVersions bounds the versions that are known to be on most disks; one that is not known is told again.
 const maxPersistedVersions = 256
 
 var versionsNotPersistedCount = telemetry.Counter("mesh_versions_not_persisted")
 
-// recallOnlyVersions records the versions that the disk held at the start of this process, where it held one
-// version of a service.
-func (s *streams) recallOnlyVersions(recalled []streamversion.SeenVersion) {
-	count := make(map[string]int)
-	for _, v := range recalled {
-		count[v.Service]++
+// endOnlyVersion records that a second version of a service is heard of. The caller holds mesh.mu.
+func (s *streams) endOnlyVersion(service, version string, now time.Time) {
+	if version == "" {
+		return
 	}
-	only := make(map[string]string)
-	for _, v := range recalled {
-		if count[v.Service] == 1 && v.Version != "" {
-			only[v.Service] = v.Version
-		}
+	s.only[service] = onlyVersion{version: version, until: now}
+	s.publishOnlyVersions()
+}
+
+// publishOnlyVersions tells the only versions to those that do not hold mesh.mu. The caller holds it.
+func (s *streams) publishOnlyVersions() {
+	published := make(map[string]string, len(s.only))
+	for service, only := range s.only {
+		published[service] = only.version
 	}
-	s.only.Store(&only)
+	s.published.Store(&published)
 }
 
-// onlyVersions returns what this process says of its disk, for others.
+// onlyVersions returns the only versions, by service.
 func (s *streams) onlyVersions() map[string]string {
-	if only := s.only.Load(); only != nil {
-		return *only
+	if published := s.published.Load(); published != nil {
+		return *published
 	}
 	return nil
 }
 
-// expireOnlyVersions ends what this process says of its disk once no caller can take up a stream from before its
-// start. The caller holds mesh.mu.
-func (s *streams) expireOnlyVersions(now time.Time) {
-	if now.Sub(s.started) >= streamversion.Retention {
-		s.only.Store(nil)
+// dropOnlyVersions drops those that match. The caller holds mesh.mu.
+func (s *streams) dropOnlyVersions(matches func(onlyVersion) bool) {
+	before := len(s.only)
+	maps.DeleteFunc(s.only, func(_ string, only onlyVersion) bool { return matches(only) })
+	if len(s.only) != before {
+		s.publishOnlyVersions()
 	}
 }
 
-// recordDisturbance records that another process has started or is lost: records of streams that began beside
-// several versions may be lost with it. The caller holds mesh.mu.
-func (s *streams) recordDisturbance(now time.Time) {
-	if len(s.onlyVersions()) == 0 {
-		return
-	}
-	for _, since := range s.severalSince {
-		if now.Sub(since) >= s.onlySettle {
-			s.only.Store(nil)
-			return
-		}
-	}
+// expireOnlyVersions drops those from before which no caller can take up a stream any more. The caller holds
+// mesh.mu.
+func (s *streams) expireOnlyVersions(now time.Time) {
+	s.dropOnlyVersions(func(only onlyVersion) bool { return now.Sub(only.until) >= streamversion.Retention })
+}
+
+// processEnded records that another process, which was heard last at a time, has ended or is lost. If it ran beside
+// several versions, records of streams may be lost with it. The caller holds mesh.mu.
+func (s *streams) processEnded(lastHeard time.Time) {
+	s.dropOnlyVersions(func(only onlyVersion) bool { return lastHeard.After(only.until) })
 }
 
-// onlyVersion returns the version of a service that was the only one when most processes with a disk started, as
-// their disks tell; empty if there is none. The caller holds mu.
+// onlyVersion returns the version of a service that was the only one before a second one was heard of, as most
+// processes with a disk say; empty if there is none. The caller holds mu.
+//
+// A second version begins no stream before most disks hold it. So a process that ran beside it, and has started
+// anew, is outvoted: the others have noticed its end, or have it on their disks.
 func (m *Mesh) onlyVersion(service string, now time.Time) string {
 	disks := 0
 	votes := make(map[string]int)
--- a/internal/mesh/only_versions_test.go
+++ b/internal/mesh/only_versions_test.go
@@ -65,28 +65,42 @@
 	return decision
 }
 
-// Guards against callers that cannot take up any stream, because all entries lost power just when servers of a second version appeared: until then nobody was told at which version streams began.
-func TestStreamsOfTheOnlyVersionOutliveLossOfPower(t *testing.T) {
-	f := newFleet(t, 2, 2)
-	// Processes that are slow under other load must not count as lost later.
-	f.configure = func(m *Mesh) { m.streams.onlySettle = time.Hour }
-	for i := range f.nodes {
-		f.start(i, true)
-	}
-	f.announceVersion(0, "a", "v1")
-	f.awaitVersions(1)
-	f.awaitOnDisk("v1")
-	f.recordStream(2, "s", "v1")
-	f.loseStreams()
-	f.announceVersion(0, "a", "v1")
-	f.announceVersion(1, "b", "v2")
-	f.awaitVersions(2)
-	f.awaitConnected()
-	for i := range f.nodes {
-		want := streamversion.Decision{Verdict: streamversion.OneVersion, Version: "v1"}
-		if got := f.decide(i, "s"); got != want {
-			t.Errorf("entry %d lets the stream go on at %+v, want %+v", i, got, want)
-		}
+// Guards against callers that cannot take up any stream of an entry that died just before servers of a second version appeared: until then nobody was told at which version streams began.
+func TestStreamsOfTheOnlyVersionOutliveTheirEntry(t *testing.T) {
+	for name, lose := range map[string]func(f *fleet){
+		"all entries lose power": (*fleet).loseStreams,
+		"some entries are killed": func(f *fleet) {
+			for _, i := range []int{0, 3, 4} {
+				f.stop(i)
+			}
+			for _, i := range []int{0, 3, 4} {
+				f.start(i, false)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 3, 2)
+			f.awaitConnected()
+			f.announceVersion(0, "a", "v1")
+			f.awaitVersions(1)
+			f.awaitOnDisk("v1")
+			f.recordStream(3, "s", "v1")
+			lose(f)
+			f.announceVersion(1, "a", "v1")
+			f.announceVersion(1, "b", "v2")
+			f.awaitVersions(2)
+			f.awaitConnected()
+			for i := range f.nodes {
+				eventually(t, func() bool {
+					q := f.nodes[i].StreamVersion(context.Background(), "s", streamService)
+					return q.Only == "v1"
+				})
+				want := streamversion.Decision{Verdict: streamversion.OneVersion, Version: "v1"}
+				if got := f.decide(i, "s"); got != want {
+					t.Errorf("entry %d lets the stream go on at %+v, want %+v", i, got, want)
+				}
+			}
+		})
 	}
 }
 
@@ -181,41 +195,59 @@
 	f.nodes[0].cancel()
 }
 
-// Guards against a stream that began beside two versions, whose record is lost with other processes, and that then passes for one of the version from before the start.
-func TestDisturbanceBesideSeveralVersionsEndsTheOnlyVersion(t *testing.T) {
+// Guards against a stream that began beside two versions, whose record is lost with other processes, and that then passes for one of the version from before.
+func TestEndOfProcessBesideSeveralVersionsEndsTheOnlyVersion(t *testing.T) {
 	for _, test := range []struct {
-		name    string
-		several bool
-		after   time.Duration
-		want    bool
+		name string
+		// heard is when another process was heard last, from when the second version was heard of; ended is
+		// false if it lives. age is the time since then.
+		heard time.Duration
+		ended bool
+		age   time.Duration
+		want  bool
 	}{
-		{"one version is there", false, time.Minute / 2, true},
-		{"others start as the second version is heard", true, onlyVersionsSettle - time.Millisecond, true},
-		{"others start later", true, onlyVersionsSettle, false},
-		{"nobody can take up a stream from before the start", false, streamversion.Retention, false},
+		{"all live", 0, false, time.Second, true},
+		{"one ended before", -time.Millisecond, true, time.Second, true},
+		{"one ended since", time.Millisecond, true, time.Second, false},
+		{"no caller can take up a stream from before", 0, false, streamversion.Retention, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := New(Options{}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
-				m.streams.recallOnlyVersions([]streamversion.SeenVersion{{Service: streamService, Version: "v1"}, {Service: "other", Version: "v1"}, {Service: "other", Version: "v2"}})
-				m.streams.heardVersion(&roster.Server{Service: streamService, Version: "v1"}, time.Now())
-				if test.several {
-					m.streams.heardVersion(&roster.Server{Service: streamService, Version: "v2"}, time.Now())
+				s := New(Options{Bootstrap: true}, NewDocuments(decode, zap.NewNop()), zap.NewNop()).streams
+				s.heardVersion(&roster.Server{Service: "other", Version: "v1"}, time.Now())
+				s.heardVersion(&roster.Server{Service: streamService, Version: "v1"}, time.Now())
+				time.Sleep(time.Second)
+				if got := s.onlyVersions(); len(got) != 0 {
+					t.Errorf("while one version serves, %v are told", got)
+				}
+				second := time.Now()
+				s.heardVersion(&roster.Server{Service: streamService, Version: "v2"}, second)
+				if got := s.onlyVersions(); len(got) != 1 || got[streamService] != "v1" {
+					t.Errorf("behind the second version %v are told, want v1 of %s", got, streamService)
 				}
-				if got := m.Self().OnlyVersions; len(got) != 1 || got[streamService] != "v1" {
-					t.Fatalf("the disk held %v as only versions, want v1 of %s", got, streamService)
+				time.Sleep(test.age)
+				if test.ended {
+					s.processEnded(second.Add(test.heard))
 				}
-				time.Sleep(test.after)
-				m.streams.recordDisturbance(time.Now())
-				m.streams.expireOnlyVersions(time.Now())
-				if got := m.Self().OnlyVersions[streamService] != ""; got != test.want {
-					t.Errorf("the version from before the start still counts: %v, want %v", got, test.want)
+				s.expireOnlyVersions(time.Now())
+				if got := s.onlyVersions()[streamService] != ""; got != test.want {
+					t.Errorf("the version from before still counts: %v, want %v", got, test.want)
 				}
 			})
 		})
 	}
 }
 
+// Guards against an entry that takes the first version that it hears of for the only one, although it has not been told which others served.
+func TestEntryThatKnowsNotAllVersionsTellsNoOnlyVersion(t *testing.T) {
+	s := New(Options{}, NewDocuments(decode, zap.NewNop()), zap.NewNop()).streams
+	s.heardVersion(&roster.Server{Service: streamService, Version: "v1"}, time.Now())
+	s.heardVersion(&roster.Server{Service: streamService, Version: "v2"}, time.Now())
+	if got := s.onlyVersions(); len(got) != 0 {
+		t.Errorf("%v are told", got)
+	}
+}
+
 // Guards against a version of long ago that stays on the disk and counts as one that served until the next start.
 func TestExpiredVersionLeavesTheDisk(t *testing.T) {
 	folder := t.TempDir()
@@ -242,8 +274,8 @@
 		time.Sleep(time.Second)
 		recalled := newStreams(m)
 		newStreamsFile(recalled, folder).load(time.Now())
-		if got := recalled.onlyVersions()[streamService]; got != "v2" {
-			t.Errorf("the only version on the disk is %q, want v2", got)
+		if got := recalled.seen.Of(streamService, time.Now()); len(got) != 1 || got[0] != "v2" {
+			t.Errorf("the versions on the disk are %v, want v2", got)
 		}
 		cancel()
 		<-done
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -221,7 +221,7 @@
 	if lost {
 		q.lost = true
 		q.resendAll()
-		q.mesh.streams.recordDisturbance(now)
+		q.mesh.streams.processEnded(q.lastHeard)
 	}
 	if !q.asked && !q.mesh.Informed() {
 		q.asked = true
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -74,8 +74,8 @@
 // setProcess replaces the description of a peer. The caller holds mu.
 func (m *Mesh) setProcess(q *peer, p Process) {
 	p.SilentMillis = 0
-	if q.process.Started != p.Started {
-		m.streams.recordDisturbance(time.Now())
+	if q.process.Started != 0 && q.process.Started != p.Started {
+		m.streams.processEnded(q.lastHeardAny)
 	}
 	before, after := q.process.digest(), p.digest()
 	q.process = p
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -51,29 +51,26 @@
 	// complete is set once no version that served before the start of this process can be missing.
 	complete bool
 	started  time.Time
-	// severalSince holds when several versions of a service were heard first, persisted the versions that
-	// most disks are known to hold.
-	severalSince map[string]time.Time
-	persisted    map[streamversion.SeenVersion]bool
+	// only holds, by service, the version that was the only one until a second one was heard of.
+	only map[string]onlyVersion
+	// persisted holds the versions that most disks are known to hold.
+	persisted map[streamversion.SeenVersion]bool
 
-	// onlySettle is onlyVersionsSettle.
-	onlySettle time.Duration
-	// only holds, by service, the version that was the only one on the disk when this process started; nil
-	// once that tells nothing more.
-	only atomic.Pointer[map[string]string]
+	// published is only for those that do not hold mesh.mu.
+	published atomic.Pointer[map[string]string]
 }
 
 func newStreams(m *Mesh) *streams {
 	return &streams{
 		mesh: m, telling: make(chan struct{}, maxTelling), wakeup: make(chan struct{}, 1),
-		table: streamversion.NewTable(maxStreamRecords), seen: streamversion.NewSeen(), complete: m.options.Bootstrap, started: time.Now(), onlySettle: onlyVersionsSettle,
-		severalSince: make(map[string]time.Time), persisted: make(map[streamversion.SeenVersion]bool),
+		table: streamversion.NewTable(maxStreamRecords), seen: streamversion.NewSeen(), complete: m.options.Bootstrap, started: time.Now(),
+		only: make(map[string]onlyVersion), persisted: make(map[streamversion.SeenVersion]bool),
 	}
 }
 
 // heardVersion records that a server was heard. The caller holds mesh.mu.
 func (s *streams) heardVersion(server *roster.Server, now time.Time) {
-	before := s.seen.Change()
+	before, known, complete := s.seen.Change(), s.seen.Of(server.Service, now), s.isComplete(now)
 	several := s.seen.Heard(server.Service, server.Version, now)
 	if s.seen.Change() != before {
 		s.file.add(streamLine{Versions: []streamversion.SeenVersion{{Service: server.Service, Version: server.Version}}})
@@ -81,8 +78,8 @@
 	if !several {
 		return
 	}
-	if s.severalSince[server.Service].IsZero() {
-		s.severalSince[server.Service] = now
+	if complete && len(known) == 1 {
+		s.endOnlyVersion(server.Service, known[0], now)
 	}
 	s.mesh.log.Info("several software versions serve", zap.String("service", server.Service), zap.Strings("versions", s.seen.Of(server.Service, now)))
 	// Until now nobody needed to know of the streams that are open.
--- a/internal/mesh/streams_file.go
+++ b/internal/mesh/streams_file.go
@@ -5,10 +5,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"maps"
 	"os"
 	"path/filepath"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -258,7 +256,8 @@
 	if err != nil {
 		return
 	}
-	streams, versions, unread := 0, 0, 0
+	streams, unread := 0, 0
+	var versions []streamversion.SeenVersion
 	lines := bufio.NewScanner(bytes.NewReader(data))
 	lines.Buffer(nil, maxStreamsFile)
 	for lines.Scan() {
@@ -276,12 +275,10 @@
 			// Servers of it may have been heard until the process ended.
 			line.Versions[i].AgeMillis = 0
 		}
-		versions += len(line.Versions)
-		f.holds(line.Versions)
-		f.streams.mergeVersions(line.Versions, true, now)
-	}
-	if unread == 0 {
-		f.streams.recallOnlyVersions(slices.Collect(maps.Keys(f.versions)))
+		versions = append(versions, line.Versions...)
 	}
-	f.streams.mesh.log.Info("streams recalled from the disk", zap.Int("streams", streams), zap.Int("versions", versions), zap.Int("unread", unread))
+	f.holds(versions)
+	// Only together they are complete.
+	f.streams.mergeVersions(versions, len(versions) > 0, now)
+	f.streams.mesh.log.Info("streams recalled from the disk", zap.Int("streams", streams), zap.Int("versions", len(f.versions)), zap.Int("unread", unread))
 }
