--- a/internal/mesh/departures.go
+++ b/internal/mesh/departures.go
@@ -4,16 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/roster"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
-// ErrNotPersisted means that too few disks hold a departure: a restart of all entries could forget it.
-var ErrNotPersisted = errors.New("most disks do not hold the departure yet")
-
 var departuresNotPersistedCount = telemetry.Counter("mesh_departures_not_persisted")
 
 // departure tells a process with a disk that a server leaves or is gone.
@@ -89,7 +85,7 @@
 	m.mergeServers(m.peers[in.From], greeting{Spoke: in.Spoke, Servers: []roster.Server{in.Server}}, time.Now())
 	e, _ := m.roster.Get(in.Server.ID)
 	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, persistTimeoutOfCall)
+	ctx, cancel := context.WithTimeout(ctx, diskWriteTimeout)
 	defer cancel()
 	return struct{}{}, m.serversFile.persist(ctx, e.Material)
 }
--- a/internal/mesh/disks.go
+++ b/internal/mesh/disks.go
@@ -7,14 +7,17 @@
 	"github.com/pkg/errors"
 )
 
+// ErrNotPersisted means that too few disks hold what is to be acknowledged: a restart of all entries could forget it.
+var ErrNotPersisted = errors.New("most disks do not hold it yet")
+
 // errNoDisk is the answer of a process without a disk that is asked to write something.
 var errNoDisk = errors.New("this process has no disk")
 
 const (
-	// persistTimeoutOfCall bounds the wait of a process that was asked to write something for its disk.
-	// The caller waits longer, as a call that is aborted closes the connection that other calls share.
-	persistTimeoutOfCall = 800 * time.Millisecond
-	persistCallTimeout   = time.Second
+	// diskWriteTimeout bounds the wait of a process that is asked to write something, persistCallTimeout the
+	// call that asks it. The call lasts longer, as one that is aborted closes the connection that others share.
+	diskWriteTimeout   = 800 * time.Millisecond
+	persistCallTimeout = time.Second
 )
 
 // persistOnMostDisks asks all processes with a disk to write something, and this one by own. It returns nil
--- a/internal/mesh/only_versions.go
+++ b/internal/mesh/only_versions.go
@@ -39,7 +39,7 @@
 	s.publishOnlyVersions()
 }
 
-// publishOnlyVersions tells the only versions to those that do not hold mesh.mu. The caller holds it.
+// publishOnlyVersions makes the only versions readable without mesh.mu. The caller holds it.
 func (s *streams) publishOnlyVersions() {
 	published := make(map[string]string, len(s.only))
 	for service, only := range s.only {
@@ -160,7 +160,7 @@
 	m.mu.Lock()
 	m.streams.heardVersion(&roster.Server{Service: v.Service, Version: v.Version}, time.Now())
 	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, persistTimeoutOfCall)
+	ctx, cancel := context.WithTimeout(ctx, diskWriteTimeout)
 	defer cancel()
 	return struct{}{}, m.streams.file.persist(ctx, v)
 }
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +57,7 @@
 	// persisted holds the versions that most disks are known to hold.
 	persisted map[streamversion.SeenVersion]bool
 
-	// published is only for those that do not hold mesh.mu.
+	// published holds the versions in only, readable without mesh.mu.
 	published atomic.Pointer[map[string]string]
 }
 
@@ -70,7 +71,7 @@
 
 // heardVersion records that a server was heard. The caller holds mesh.mu.
 func (s *streams) heardVersion(server *roster.Server, now time.Time) {
-	before, known, complete := s.seen.Change(), s.seen.Of(server.Service, now), s.isComplete(now)
+	before := s.seen.Change()
 	several := s.seen.Heard(server.Service, server.Version, now)
 	if s.seen.Change() != before {
 		s.file.add(streamLine{Versions: []streamversion.SeenVersion{{Service: server.Service, Version: server.Version}}})
@@ -78,8 +79,9 @@
 	if !several {
 		return
 	}
-	if complete && len(known) == 1 {
-		s.endOnlyVersion(server.Service, known[0], now)
+	others := slices.DeleteFunc(s.seen.Of(server.Service, now), func(version string) bool { return version == server.Version })
+	if s.isComplete(now) && len(others) == 1 {
+		s.endOnlyVersion(server.Service, others[0], now)
 	}
 	s.mesh.log.Info("several software versions serve", zap.String("service", server.Service), zap.Strings("versions", s.seen.Of(server.Service, now)))
 	// Until now nobody needed to know of the streams that are open.
