Bodies of callers that are being read or wait for their answers stay within one bound of the process

Cause: an entry read each body whole, whatever the others held; io.ReadAll takes more than the body while it grows, each send copied it once more, and one that announced too much was read up to the limit. Callers saw an entry that is killed at its memory limit.

Bytes are charged as they arrive, with the old and the new buffer while one grows. A quarter is kept for bodies of up to 64 KiB. Where there is no room, bodies that are read more slowly than 64 KiB a second give way, the slowest first; else the newcomer is refused with 503, which is true, and frees its part, so that one of several always becomes whole. A whole body never gives way. Too large an announcement gets 413 unread. Bodies of more than 16 KiB are sent without a copy. Weighed: reserving what is announced lets clients that send nothing hold all; making newcomers wait ends in many halves of which none fits.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -276,6 +276,18 @@
 	return func() { _ = conn.SetReadDeadline(time.Time{}) }
 }
 
+// EndRead ends the reading of a request's body: a read in progress and later ones get a timeout. ctx is a request's context
+// under ConnContext.
+func EndRead(ctx context.Context) {
+	if conn, found := ctx.Value(connKey{}).(net.Conn); found {
+		// The only error is that the connection is closed already.
+		_ = conn.SetReadDeadline(readsEnded)
+	}
+}
+
+// readsEnded is a read deadline that has passed.
+var readsEnded = time.Unix(1, 0)
+
 // BoundWrite bounds the time at which what is written to the caller must have been taken, also for a write in progress;
 // a time in the past ends it. The bound applies until the connection's next response. ctx is a request's context
 // under ConnContext.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/gateway"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
@@ -88,6 +89,8 @@
 	goroutines sync.WaitGroup
 	// control are the connections of operators and backend servers. It is set before callers are served.
 	control *drain.Connections
+	// intake bounds what the process holds of requests that it has not answered.
+	intake *intake.Budget
 
 	// callersMu protects callers, the connections of callers, which is nil before they are served, and
 	// stopping, which is set once they must not be served any more.
@@ -119,7 +122,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryLimit())))
 	log := telemetry.NewSampledLogger(s.Instance, droppedLines)
 	defer func() { _ = log.Sync() }()
-	p := &process{platform: platform, settings: s, log: log}
+	p := &process{platform: platform, settings: s, log: log, intake: intake.NewBudget(s.RequestMemory(), log)}
 	log.Info("start", zap.String("role", role), zap.Strings("seeds", s.Seeds), zap.Bool("bootstrap", s.Bootstrap), zap.String("dataFolder", s.DataFolder))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -242,7 +245,7 @@
 		RepeatRatio: p.settings.RepeatRatio, RepeatSlack: p.settings.RepeatSlack, RepeatWindow: p.settings.RepeatWindow(),
 		Restarted: !p.settings.Bootstrap, VersionGrace: p.versionGrace(),
 		Heartbeat: p.settings.Heartbeat(), StopTimeout: p.settings.StopTimeout() - stopMargin, ConfirmNewest: p.mesh.ConfirmNewest, Limits: limits, Turns: turns, AnswerBytes: p.settings.MemoryLimit() / answerMemoryPart,
-		BacklogBytes: p.settings.NamedMemory() / backlogMemoryPart,
+		BacklogBytes: p.settings.NamedMemory() / backlogMemoryPart, Intake: p.intake,
 	}, p.platform.Edge, p.mesh, p.log)
 	p.goroutines.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
--- a/internal/gateway/cause.go
+++ b/internal/gateway/cause.go
@@ -41,6 +41,8 @@
 	causeVersion cause = "version"
 	// causeStop means that the entry stops before the request could end.
 	causeStop cause = "stop"
+	// causeMemory means that the bodies of requests hold as much memory as they may.
+	causeMemory cause = "memory"
 	// causeConfiguration means that the entry's configuration does not suffice to serve.
 	causeConfiguration cause = "configuration"
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/answer"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/mesh"
 	"github.com/rosemarypass/rosemarypass/internal/sharedlimit"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
@@ -144,6 +144,8 @@
 	BacklogBytes int64
 	// Turns keeps the rates that servers name. It is nil where they are not kept.
 	Turns *sharedlimit.Limits
+	// Intake bounds what the bodies of requests hold together; nil for no bound.
+	Intake *intake.Budget
 }
 
 // Gateway is the HTTP handler that serves callers.
@@ -224,23 +226,27 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.underWay.begin(r.Header.Get(g.edge.IDHeader()))()
-	answer.Handler(g.answer).ServeHTTP(w, r)
+	// The body is held until the answer is written: another server may get the request while it is being written.
+	holding := g.options.Intake.Begin(func() { answer.EndRead(r.Context()) })
+	defer holding.Release()
+	answered := func(r *http.Request) answer.Answer { return g.answer(r, holding) }
+	answer.Handler(answered).ServeHTTP(w, r)
 }
 
 // answer returns the answer to a caller. All answers go through it, so an answer that breaks
 // off can only end in an aborted connection, never in one that looks complete.
-func (g *Gateway) answer(r *http.Request) answer.Answer {
+func (g *Gateway) answer(r *http.Request, holding *intake.Holding) answer.Answer {
 	arrived := time.Now()
 	requestCount.Add(1)
 	firstRequest.Reach()
 	if g.stop.begun() {
-		return g.route(r, arrived).WithConnectionClose()
+		return g.route(r, holding, arrived).WithConnectionClose()
 	}
-	return g.route(r, arrived)
+	return g.route(r, holding, arrived)
 }
 
 // route looks up the route of a request and serves the request.
-func (g *Gateway) route(r *http.Request, arrived time.Time) answer.Answer {
+func (g *Gateway) route(r *http.Request, holding *intake.Holding, arrived time.Time) answer.Answer {
 	call := g.edge.Parse(r)
 	call.Caller = callerAddress(r)
 	if !g.configured() && !g.awaitConfigured(r.Context(), g.startupQueue.options.Latest(arrived, call.MaxWait)) {
@@ -261,7 +267,7 @@
 	if call.MaxWait > 0 && call.MaxWait < found.route.Timeout {
 		deadline = arrived.Add(call.MaxWait)
 	}
-	if refused, ok := g.readBody(r, &call, table.Bounds().BodyBytes, deadline); !ok {
+	if refused, ok := g.readBody(r, holding, &call, table.Bounds().BodyBytes, deadline); !ok {
 		return refused
 	}
 	ctx, cancel := context.WithCancel(r.Context())
@@ -324,7 +330,7 @@
 
 // readBody reads the body of the request into the call, until the deadline at the latest. If that fails, it returns
 // the answer for the caller.
-func (g *Gateway) readBody(r *http.Request, call *Call, limit int64, deadline time.Time) (answer.Answer, bool) {
+func (g *Gateway) readBody(r *http.Request, holding *intake.Holding, call *Call, limit int64, deadline time.Time) (answer.Answer, bool) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return answer.Answer{}, true
 	}
@@ -332,23 +338,31 @@
 		limit = defaultMaxBody
 	}
 	endBound := answer.BoundRead(r.Context(), deadline)
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := holding.ReadBody(r.Body, r.ContentLength, limit)
 	endBound()
+	if err == nil {
+		call.Body = body
+		return answer.Answer{}, true
+	}
+	holding.Release()
+	// On a connection that stays open, the answer would be delayed until the rest of the body is read.
+	return g.refuseBody(r, call, limit, err).WithConnectionClose(), false
+}
+
+// refuseBody returns the answer to a request whose body could not be read for a reason.
+func (g *Gateway) refuseBody(r *http.Request, call *Call, limit int64, reason error) answer.Answer {
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return answer.Text(http.StatusRequestTimeout, g.ownHeader(call), "the body did not arrive in time").WithConnectionClose(), false
-	case err != nil:
+	case errors.Is(reason, intake.ErrNoRoom):
+		return g.refuseWith(call, intake.ErrNoRoom.Error(), minRetryAfter, zap.String("cause", string(causeMemory)))
+	case errors.Is(reason, os.ErrDeadlineExceeded):
+		return answer.Text(http.StatusRequestTimeout, g.ownHeader(call), "the body did not arrive in time")
+	case !errors.Is(reason, intake.ErrTooLarge):
 		// The caller aborted its own request.
-		return answer.Answer{}, false
-	case int64(len(body)) > limit && !(g.confirmNewest(r.Context()) && g.mesh.Documents().Current().Table.Bounds().BodyBytes <= limit):
-		return g.refuse(call, reasonStaleConfig, minRetryAfter).WithConnectionClose(), false
-	case int64(len(body)) > limit:
-		// On a connection that stays open, the answer would be delayed until the rest of the
-		// body is read.
-		return answer.Text(http.StatusRequestEntityTooLarge, g.ownHeader(call), "the body is larger than the configuration allows").WithConnectionClose(), false
+		return answer.Answer{}
+	case !(g.confirmNewest(r.Context()) && g.mesh.Documents().Current().Table.Bounds().BodyBytes <= limit):
+		return g.refuse(call, reasonStaleConfig, minRetryAfter)
 	}
-	call.Body = body
-	return answer.Answer{}, true
+	return answer.Text(http.StatusRequestEntityTooLarge, g.ownHeader(call), "the body is larger than the configuration allows")
 }
 
 // ownHeader returns the header of an answer that this entry produces itself.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -40,6 +40,9 @@
 	DataFolder string `json:"dataFolder"`
 	// MemoryMB is the memory limit of the process, in megabytes.
 	MemoryMB float64 `json:"memoryMB"`
+	// RequestMemoryMB bounds what the process holds of requests that it has not answered, in megabytes; 0 for a fifth
+	// of the memory limit.
+	RequestMemoryMB float64 `json:"requestMemoryMB"`
 	// ToleratedLosses is the number of machines with a disk that the deployment
 	// survives losing at once.
 	ToleratedLosses int `json:"lossesBorne"`
@@ -79,6 +82,7 @@
 	defaultRepeatWindow    = 10 * time.Second
 	defaultHeartbeat       = 1200 * time.Millisecond
 	defaultMemoryMB        = 256
+	requestMemoryPart      = 5
 	portRangeLen           = 2
 )
 
@@ -138,6 +142,9 @@
 	if f.QuotaOver < 0 || f.QuotaSlack < 0 || f.QuotaWindowSeconds < 0 {
 		p.add("quotaOver", "quotaOver, quotaSlack and quotaWindowSeconds must not be below 0")
 	}
+	if f.RequestMemoryMB < 0 || f.RequestMemoryMB > float64(f.MemoryLimit())/1e6/2 {
+		p.add("requestMemoryMB", "must be between 0 and half of memoryMB: answers and connections need the rest")
+	}
 	if f.HeartbeatMillis < 0 {
 		p.add("heartbeatMillis", "must not be below 0")
 	}
@@ -193,6 +200,14 @@
 	return int64(limit * 1e6)
 }
 
+// RequestMemory returns the bound of what the process holds of requests that it has not answered, in bytes.
+func (f *Fleet) RequestMemory() int64 {
+	if f.RequestMemoryMB > 0 {
+		return int64(f.RequestMemoryMB * 1e6)
+	}
+	return f.MemoryLimit() / requestMemoryPart
+}
+
 // NamedMemory returns the memory limit that the settings name, in bytes; 0 if they name none.
 func (f *Fleet) NamedMemory() int64 {
 	if f.MemoryMB <= 0 {
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -26,6 +26,9 @@
 	if f.Instance != "entry-1" || len(f.Seeds) != 2 || f.DataFolder != "" || f.StopTimeout() != 8*time.Second || f.MaxVersionDelay() != 5*time.Second || f.MemoryLimit() != 284e6 {
 		t.Errorf("got %+v, want the values of validFleet", f)
 	}
+	if f.RequestMemory() != 284e6/5 {
+		t.Errorf("requests may hold %d bytes, want a fifth of the memory", f.RequestMemory())
+	}
 	f.StopSeconds, f.VersionMillis, f.MemoryMB = 0, 0, 0
 	if f.StopTimeout() <= 0 || f.MaxVersionDelay() <= 0 || f.MemoryLimit() <= 0 {
 		t.Error("a value that the deployment does not set has no default")
@@ -43,6 +46,8 @@
 		{"a listener with a host name", `"10.1.0.38:8149"`, `"front:8149"`, "callerListen"},
 		{"a ratio below 0", `"repeatRatio": 0.2`, `"repeatRatio": -0.2`, "repeatRatio"},
 		{"losses below 0", `"lossesBorne": 1`, `"lossesBorne": -1`, "lossesBorne"},
+		{"memory of requests below 0", `"lossesBorne": 1`, `"requestMemoryMB": -1`, "requestMemoryMB"},
+		{"memory of requests above half of the memory", `"lossesBorne": 1`, `"requestMemoryMB": 143`, "requestMemoryMB"},
 		{"an unknown key", `"bootstrap"`, `"bootstraps"`, "bootstraps"},
 	}
 	for _, test := range tests {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -101,7 +101,7 @@
 	if r.LateHeader != nil {
 		r.Header = r.LateHeader()
 	}
-	if n, err := c.Write(r.encode()); err != nil {
+	if n, err := r.write(c); err != nil {
 		if n == 0 {
 			return nil, &NotSentError{Cause: err}
 		}
@@ -207,10 +207,28 @@
 	r.conn.abandon()
 }
 
-// encode returns the serialized request, to be sent in a single write.
-func (r *Request) encode() []byte {
+// maxCopiedBody is the size in bytes up to which a body is copied behind its header, to be sent in a single write. A
+// copy of a larger one would cost more memory than a second write costs time.
+const maxCopiedBody = 16 << 10
+
+// write sends the request, and returns how many bytes were written.
+func (r *Request) write(w io.Writer) (int, error) {
+	head := r.encodeHead()
+	if len(r.Body) <= maxCopiedBody {
+		return w.Write(append(head, r.Body...))
+	}
+	written, err := w.Write(head)
+	if err != nil {
+		return written, err
+	}
+	n, err := w.Write(r.Body)
+	return written + n, err
+}
+
+// encodeHead returns the serialized header, with room for a small body behind it.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxCopiedBody))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -231,7 +249,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
