What connections keep unread is bounded at each listener

Cause: bytes that arrive and are not read yet count toward the memory of a process; the system lets the buffer of each connection grow to megabytes.

Change: listeners for callers, operators and backend servers hand their connections a receive buffer of 16 KiB, those between processes 64 KiB (socket.Listen). A caller then sends at most 16 KiB in a round trip.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,6 +12,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -29,7 +29,7 @@
 		AnnounceKeyHashes: s.AnnounceKeyHashes,
 		RPC:               d.rpcOptions(),
 	}, d.log)
-	listener, err := net.Listen("tcp", s.PeerListen)
+	listener, err := socket.Listen(s.PeerListen, socket.PeerUnread)
 	if err != nil {
 		return errors.Wrap(err, "control.peerListen")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/follow"
 	"github.com/rosemarypass/rosemarypass/internal/peertls"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -128,7 +129,7 @@
 // serveHTTP serves handler on address and registers drainRole, which runs before the
 // connections are closed.
 func (d *Daemon) serveHTTP(setting, address string, wrap listenerWrapper, handler http.Handler, drainRole func(context.Context)) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := socket.Listen(address, socket.CallerUnread)
 	if err != nil {
 		return errors.Wrap(err, setting)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/sharedlimit"
 	"github.com/rosemarypass/rosemarypass/internal/sidecar"
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -304,7 +305,7 @@
 	if address == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := socket.Listen(address, socket.CallerUnread)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/serverrate"
 	"github.com/rosemarypass/rosemarypass/coord/suspicion"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
+	"github.com/rosemarypass/rosemarypass/internal/socket"
 )
 
 // Options describes this process and its deployment.
@@ -323,6 +324,6 @@
 
 // Listen opens the listener for calls from other processes.
 func Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := socket.Listen(address, socket.PeerUnread)
 	return listener, errors.Wrap(err, "listen for other processes")
 }
--- a/internal/socket/socket_linux.go
+++ b/internal/socket/socket_linux.go
@@ -73,3 +73,9 @@
 	}
 	return errors.Wrap(sockErr, "set TCP_USER_TIMEOUT")
 }
+
+// setReceiveBuffer sets the size of a socket's receive buffer, in bytes. The system keeps twice that, for its own records
+// beside the bytes, and no longer adapts the size.
+func setReceiveBuffer(fd uintptr, bytes int) error {
+	return errors.Wrap(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes), "set SO_RCVBUF")
+}
--- a/internal/socket/socket_other.go
+++ b/internal/socket/socket_other.go
@@ -25,3 +25,6 @@
 // SetUserTimeout does nothing: TCP_USER_TIMEOUT is specific to Linux. Only keep-alive probes
 // detect a silent peer on this platform.
 func SetUserTimeout(syscall.RawConn, time.Duration) error { return nil }
+
+// setReceiveBuffer does nothing: the size of the system applies.
+func setReceiveBuffer(uintptr, int) error { return nil }
