Entries and agents of `serve` keep the bodies of requests within one bound

Cause: Entry.readBody and the agent's readBody read each body whole, whatever the others held; several entries send to one agent. A process of `serve` did not know its memory limit at all. Callers saw a process killed at its limit.

Change: all roles of a process share one intake.Budget of a fifth of memoryMB (new; else GOMEMLIMIT, else 1,024 MB). Entries refuse with 503 requests_hold_memory, agents with 503, both as not run. The agent holds a body until its run has ended. Too large an announcement is refused unread. The check asks that entry.maxBodyBytes fits where memory is named; where it is not, the bound grows until it does.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wait"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
@@ -47,6 +48,8 @@
 	Suspicions Suspicions
 	// Fencer issues fencing numbers. If nil, orders carry the number 0.
 	Fencer Fencer
+	// Intake bounds what the bodies of requests hold together; nil for no bound.
+	Intake *intake.Budget
 }
 
 // Agent controls the access to one engine.
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -17,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/coord/slots"
 	"github.com/rosemarypass/rosemarypass/internal/answer"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -113,16 +113,23 @@
 	if err != nil {
 		return refusal(http.StatusBadRequest, err.Error())
 	}
-	body, err := readBody(r)
+	holding := a.options.Intake.Begin(func() { answer.EndRead(r.Context()) })
+	body, err := a.readBody(r, holding)
 	if err != nil {
+		holding.Release()
 		// The rest of the body is unread. On a kept-alive connection the server
 		// would have to read it before the refusal could be sent.
-		return refusal(http.StatusBadRequest, err.Error()).WithConnectionClose()
+		return refusal(bodyStatus(err), err.Error()).WithConnectionClose()
 	}
-	leave, err := a.isolation.enter(r.Context(), r.Header.Get(wire.HeaderIsolated) != "")
+	leaveIsolation, err := a.isolation.enter(r.Context(), r.Header.Get(wire.HeaderIsolated) != "")
 	if err != nil {
+		holding.Release()
 		return refusal(http.StatusServiceUnavailable, err.Error())
 	}
+	leave := func() {
+		leaveIsolation()
+		holding.Release()
+	}
 	id := slots.RequestID(requestIDs.Add(1))
 	if err := a.awaitAdmission(r, id, ref); err != nil {
 		leave()
@@ -165,12 +172,25 @@
 
 // readBody reads the whole request body before any other work is done for the
 // request. net/http detects a disconnected client only after the body has been
-// read, and a partial request must never reach the engine.
-func readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+// read, and a partial request must never reach the engine. A body for which the
+// memory limit leaves no room even if it is alone counts as too large.
+func (a *Agent) readBody(r *http.Request, holding *intake.Holding) ([]byte, error) {
+	limit := int64(maxBodyBytes)
+	if largest := a.options.Intake.LargestBody(); largest > 0 {
+		limit = min(limit, largest)
+	}
+	body, err := holding.ReadBody(r.Body, r.ContentLength, limit)
 	return body, errors.Wrap(err, "read body")
 }
 
+// bodyStatus returns the status of the refusal of a request whose body could not be read.
+func bodyStatus(err error) int {
+	if errors.Is(err, intake.ErrNoRoom) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
 // refusal returns the answer to a request that has not run and will not run.
 func refusal(status int, message string) answer.Answer {
 	refusedCount.Add(1)
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -34,6 +34,7 @@
 		Suspicions:       commands,
 		Fencer:           commands,
 		RPC:              d.rpcOptions(),
+		Intake:           d.intake,
 	}, relay.NewClient(engineDialTimeout), d.log)
 	d.background.Go(func() { a.Run(ctx) })
 	d.readiness = append(d.readiness, a.Ready)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/control"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/peertls"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 	"github.com/rosemarypass/rosemarypass/internal/socket"
@@ -52,6 +53,8 @@
 	// identity secures traffic between processes; nil means plaintext.
 	identity *peertls.Identity
 	follower *follow.Follower
+	// intake bounds what all roles hold of requests that are not answered.
+	intake *intake.Budget
 	// addresses holds the bound address of each listener by its settings key. It
 	// differs from the setting when the setting's port is 0.
 	addresses map[string]string
@@ -72,7 +75,7 @@
 
 func start(s settings.Settings, log *zap.Logger, roles ...startRole) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{settings: s, log: log, stop: cancel, addresses: make(map[string]string)}
+	d := &Daemon{settings: s, log: log, stop: cancel, addresses: make(map[string]string), intake: intake.NewBudget(s.RequestMemory(), log)}
 	flush, err := telemetry.StartTraces(ctx, telemetry.TraceOptions{
 		Target:      telemetry.TraceTarget(s.Telemetry.Traces),
 		Path:        s.Telemetry.TraceFile,
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -40,6 +40,7 @@
 	e := entry.New(entry.Options{
 		Admission:        limits,
 		MaxBodyBytes:     s.MaxBodyBytes,
+		Intake:           d.intake,
 		BodyTimeout:      time.Duration(s.BodyTimeout),
 		WriteTimeout:     time.Duration(s.WriteTimeout),
 		FirstByteTimeout: time.Duration(s.FirstByteTimeout),
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/outcome"
 	"github.com/rosemarypass/rosemarypass/internal/agent"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
 
@@ -45,11 +45,19 @@
 	return customer, nil
 }
 
+// readsEnded is a read deadline that has passed.
+var readsEnded = time.Unix(1, 0)
+
+// readBody reads a caller's body, which is held until the answer is complete or cut.
 func (e *Entry) readBody(in *inbound, r *http.Request) ([]byte, *failure) {
 	_ = in.readDeadline(time.Now().Add(e.options.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, e.options.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	holding := e.options.Intake.Begin(func() { _ = in.readDeadline(readsEnded) })
+	in.addCleanup(holding.Release)
+	body, err := holding.ReadBody(r.Body, r.ContentLength, e.options.MaxBodyBytes)
+	if errors.Is(err, intake.ErrNoRoom) {
+		return nil, &failure{status: http.StatusServiceUnavailable, code: codeMemory, message: err.Error(), retryAfter: 1, closeConn: true}
+	}
+	if errors.Is(err, intake.ErrTooLarge) {
 		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, message: "the body is larger than this entry accepts", closeConn: true}
 	}
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/drain"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -39,6 +40,8 @@
 type Options struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// Intake bounds what the bodies of requests hold together; nil for no bound.
+	Intake *intake.Budget
 	// SecureAgents enables TLS for connections to agents.
 	SecureAgents bool
 	// Retries limits the retries of requests on other servers.
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -27,6 +27,7 @@
 	codeUnknownRoute      Code = "unknown_route"
 	codeKeyRequired       Code = "idempotency_key_required"
 	codeNoServer          Code = "no_server"
+	codeMemory            Code = "requests_hold_memory"
 	codeDraining          Code = "entry_draining"
 	codeUnconfirmed       Code = "configuration_unconfirmed"
 	codeUnknownOutcome    Code = "unknown_outcome"
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -82,7 +82,6 @@
 	defaultRepeatWindow    = 10 * time.Second
 	defaultHeartbeat       = 1200 * time.Millisecond
 	defaultMemoryMB        = 256
-	requestMemoryPart      = 5
 	portRangeLen           = 2
 )
 
@@ -142,9 +141,7 @@
 	if f.QuotaOver < 0 || f.QuotaSlack < 0 || f.QuotaWindowSeconds < 0 {
 		p.add("quotaOver", "quotaOver, quotaSlack and quotaWindowSeconds must not be below 0")
 	}
-	if f.RequestMemoryMB < 0 || f.RequestMemoryMB > float64(f.MemoryLimit())/1e6/2 {
-		p.add("requestMemoryMB", "must be between 0 and half of memoryMB: answers and connections need the rest")
-	}
+	checkRequestMemory(p, f.RequestMemoryMB, float64(f.MemoryLimit())/bytesPerMB)
 	if f.HeartbeatMillis < 0 {
 		p.add("heartbeatMillis", "must not be below 0")
 	}
@@ -197,15 +194,12 @@
 	if limit <= 0 {
 		limit = defaultMemoryMB
 	}
-	return int64(limit * 1e6)
+	return int64(limit * bytesPerMB)
 }
 
 // RequestMemory returns the bound of what the process holds of requests that it has not answered, in bytes.
 func (f *Fleet) RequestMemory() int64 {
-	if f.RequestMemoryMB > 0 {
-		return int64(f.RequestMemoryMB * 1e6)
-	}
-	return f.MemoryLimit() / requestMemoryPart
+	return requestMemory(f.RequestMemoryMB, float64(f.MemoryLimit())/bytesPerMB)
 }
 
 // NamedMemory returns the memory limit that the settings name, in bytes; 0 if they name none.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,13 @@
 	// servers as have the capacity for it, so that their batches are full.
 	Packing float64 `json:"packing,omitempty"`
 
+	// MemoryMB is the memory limit of the process, in megabytes; 0 for that of the
+	// environment variable GOMEMLIMIT, and 1,024 without it.
+	MemoryMB float64 `json:"memoryMB,omitempty"`
+	// RequestMemoryMB bounds what the process holds of requests that it has not
+	// answered, in megabytes; 0 for a fifth of the memory limit.
+	RequestMemoryMB float64 `json:"requestMemoryMB,omitempty"`
+
 	Entry     *Entry    `json:"entry,omitempty"`
 	Agent     *Agent    `json:"agent,omitempty"`
 	Control   *Control  `json:"control,omitempty"`
@@ -114,6 +121,7 @@
 	if s.Packing < 0 || s.Packing > 1 {
 		p.add("packing", "is out of range: from 0 (fewest load stalls) to 1 (fullest batches)")
 	}
+	s.checkMemory(p)
 	if s.Entry != nil {
 		s.Entry.check(p)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemarypass/rosemarypass/coord/intake"
 	"github.com/rosemarypass/rosemarypass/internal/settings"
 )
 
@@ -34,6 +35,16 @@
 	}
 }
 
+// Guards against a default bound of requests into which the largest body that an entry accepts does not fit.
+func TestRequestMemoryFitsLargestBody(t *testing.T) {
+	for _, body := range []int64{4 << 20, 1 << 30} {
+		s := settings.Settings{Entry: &settings.Entry{MaxBodyBytes: body}}
+		if largest := intake.DefaultLimits(s.RequestMemory()).LargestBody(); largest < body {
+			t.Errorf("a body of %d bytes is accepted, one of %d fits", body, largest)
+		}
+	}
+}
+
 func TestProblemsReportFileLineAndRemedy(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
 		{"unknown key", `"dialTimeout"`, `"dialTimeuot"`, "f:9: entry.dialTimeuot: is not a known setting; did you mean dialTimeout?"},
@@ -48,6 +59,9 @@
 		{"missing in a role", `"listen": "127.0.0.1:8080",`, ``, "f:7: entry.listen: an address is required"},
 		{"host name", `127.0.0.1:8080`, `localhost:8080`, "must have an IP address as its host"},
 		{"packing", `"plaintextPeers": true,`, `"plaintextPeers": true, "packing": 1.5,`, "f:6: packing: is out of range: from 0"},
+		{"memory below 0", `"plaintextPeers": true,`, `"plaintextPeers": true, "memoryMB": -1,`, "f:6: memoryMB: must not be below 0"},
+		{"memory of requests", `"plaintextPeers": true,`, `"plaintextPeers": true, "memoryMB": 100, "requestMemoryMB": 51,`, "f:6: requestMemoryMB: must be between 0 and half"},
+		{"body larger than the memory of requests", `"plaintextPeers": true,`, `"plaintextPeers": true, "memoryMB": 40,`, "entry.maxBodyBytes: does not fit"},
 		{"no port", `127.0.0.1:8080`, `127.0.0.1`, `f:8: entry.listen: "127.0.0.1" is not an address`},
 		{"set twice", `"dialTimeout": "250ms",`, `"listen": "127.0.0.1:1",`, "f:9: entry.listen: is set twice"},
 		{"no TLS decision", `"plaintextPeers": true,`, ``, "f:1: peerTLS: certificates are required"},
