Bodies of operators and backend servers stay within the bound of the process

Cause: each call of the control interface, on the platform up to 4 MiB and at control instances up to 1 MiB, was read and decoded whole, whatever the others held. Operators and callers saw an entry or control instance killed at its limit.

Change: the bodies of configurations, heartbeats, leaves, versions, announcements and operators' changes are read within the process's intake.Budget before they are decoded.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -25,7 +25,7 @@
 		return
 	}
 	var announcement membership.Announcement
-	if !readBody(w, r, &announcement) {
+	if !c.readBody(w, r, &announcement) {
 		return
 	}
 	if announcement.Kind != membership.KindService || announcement.Agent {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarypass/rosemarypass/coord/contract"
 	"github.com/rosemarypass/rosemarypass/coord/membership"
 	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/wire"
 )
@@ -44,6 +45,8 @@
 	MessageBytes int
 	// RPC are the options of connections to the control instances.
 	RPC []rpc.ClientOption
+	// Intake bounds what the bodies of operators and plain services hold together; nil for no bound.
+	Intake *intake.Budget
 }
 
 const (
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -35,7 +35,7 @@
 // writer read, or 0 to create the contract.
 func (c *Control) putContract(w http.ResponseWriter, r *http.Request) {
 	var next contract.Contract
-	if !readBody(w, r, &next) {
+	if !c.readBody(w, r, &next) {
 		return
 	}
 	next.ID = chi.URLParam(r, "id")
@@ -44,7 +44,7 @@
 
 func (c *Control) changeKeys(w http.ResponseWriter, r *http.Request) {
 	var change operator.KeyChange
-	if !readBody(w, r, &change) {
+	if !c.readBody(w, r, &change) {
 		return
 	}
 	c.propose(w, r, state.Command{ChangeKeys: &state.ChangeKeys{
@@ -62,7 +62,7 @@
 
 func (c *Control) putModel(w http.ResponseWriter, r *http.Request) {
 	var model catalogue.Model
-	if !readBody(w, r, &model) {
+	if !c.readBody(w, r, &model) {
 		return
 	}
 	model.Name = chi.URLParam(r, "name")
@@ -103,7 +103,7 @@
 func (c *Control) putAdapter(w http.ResponseWriter, r *http.Request) {
 	ref, ok := pathRef(w, r)
 	var adapter catalogue.Adapter
-	if !ok || !readBody(w, r, &adapter) {
+	if !ok || !c.readBody(w, r, &adapter) {
 		return
 	}
 	adapter.Ref = ref
@@ -145,7 +145,7 @@
 
 func (c *Control) putService(w http.ResponseWriter, r *http.Request) {
 	var service catalogue.Service
-	if !readBody(w, r, &service) {
+	if !c.readBody(w, r, &service) {
 		return
 	}
 	service.Name = chi.URLParam(r, "name")
@@ -195,7 +195,7 @@
 
 func (c *Control) putServer(w http.ResponseWriter, r *http.Request) {
 	var server state.Server
-	if !readBody(w, r, &server) {
+	if !c.readBody(w, r, &server) {
 		return
 	}
 	server.Name = chi.URLParam(r, "name")
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -13,7 +14,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/coord/state"
+	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/follow"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/operator"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -160,8 +163,22 @@
 	}
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOperatorBody))
+// readBody decodes the body of a request; if that fails, it answers and returns false.
+func (c *Control) readBody(w http.ResponseWriter, r *http.Request, into any) bool {
+	holding := c.options.Intake.Begin(func() { answer.EndRead(r.Context()) })
+	defer holding.Release()
+	body, err := holding.ReadBody(r.Body, r.ContentLength, maxOperatorBody)
+	if err != nil {
+		// The rest of the body is unread.
+		w.Header().Set("Connection", "close")
+		status := http.StatusBadRequest
+		if errors.Is(err, intake.ErrNoRoom) {
+			status = http.StatusServiceUnavailable
+		}
+		writeJSON(w, status, operator.Failure{Error: err.Error(), NotAccepted: true})
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
--- a/internal/control/replicated.go
+++ b/internal/control/replicated.go
@@ -76,7 +76,7 @@
 
 func (c *Control) changeMembers(w http.ResponseWriter, r *http.Request) {
 	var change wire.MemberChange
-	if !readBody(w, r, &change) {
+	if !c.readBody(w, r, &change) {
 		return
 	}
 	if c.members == nil {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,7 @@
 		OperatorKeyHashes: s.OperatorKeyHashes,
 		AnnounceKeyHashes: s.AnnounceKeyHashes,
 		RPC:               d.rpcOptions(),
+		Intake:            d.intake,
 	}, d.log)
 	listener, err := socket.Listen(s.PeerListen, socket.PeerUnread)
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,8 +72,8 @@
 	// Edge reads and writes the headers of requests; Decode decodes configurations.
 	Edge   gateway.Edge
 	Decode mesh.Decode
-	// Control returns the handler that serves backend servers and operators.
-	Control func(m *mesh.Mesh, log *zap.Logger) http.Handler
+	// Control returns the handler that serves backend servers and operators, whose bodies are read within the budget.
+	Control func(m *mesh.Mesh, budget *intake.Budget, log *zap.Logger) http.Handler
 	// Engine returns a client of the engine at the given address.
 	Engine func(address string) sidecar.Engine
 	// ReadyPath is the URL path of the load balancer's readiness check of an entry.
@@ -254,7 +254,7 @@
 	if _, err := p.serve(p.settings.ReadyListen, ready, ownBodyTimeout); err != nil {
 		return err
 	}
-	control, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.log), ownBodyTimeout)
+	control, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.intake, p.log), ownBodyTimeout)
 	p.control = control
 	return err
 }
