Each HTTP listener has a limit of connections, and quiet ones give way to new ones

Cause: no listener bounded its connections. Clients that connect and send half a line took all descriptors, which a process shares among callers, other processes, servers and files. Callers saw connections that nobody accepts until the header's timeout of 30 s.

Change: drain.Track keeps a limit, which settings derive from the descriptors (maxDescriptors, from the platform's max-fds, or what the system grants) and the memory; callerConnections overrides it. At the limit a new connection takes the place of the one that has waited the longest for a request or the rest of its header; if none waits, the most overdue body gives way (Budget.GiveUpSlowest); else the new one is closed. A connection with a request is never ended, and one that gives way gets nothing, as net/http would answer half a header with a 400 that no caller tries again after. Weighed: refusing new connections keeps ordinary callers out behind a silent crowd; a deadline for all cuts slow callers in calm.

--- a/coord/intake/intake.go
+++ b/coord/intake/intake.go
@@ -168,6 +168,17 @@
 	return found
 }
 
+// GiveUpSlowest gives up the growing request that is the furthest behind the slowest rate and returns it, nil if none is
+// behind it. It is for a process that lacks something else that requests hold, such as connections.
+func (t *Table) GiveUpSlowest(now time.Time) *Request {
+	victim := t.mostOverdue(now, func(*Request) bool { return true })
+	if victim != nil {
+		t.remove(victim)
+		victim.givenUp = true
+	}
+	return victim
+}
+
 // due returns the time at which a request that is read at the slowest rate has what was received of it.
 func (t *Table) due(r *Request) time.Time {
 	return r.begun.Add(t.limits.Grace + time.Duration(float64(r.received)/float64(t.limits.Rate)*float64(time.Second)))
--- a/coord/intake/intake_test.go
+++ b/coord/intake/intake_test.go
@@ -165,6 +165,20 @@
 	}
 }
 
+// Guards against requests that keep a connection without moving, and against one that moves and loses it.
+func TestSlowestIsGivenUp(t *testing.T) {
+	table := New(limits)
+	silent, moving := table.Begin(start), table.Begin(start)
+	table.Receive(moving, 1000)
+	if table.GiveUpSlowest(start) != nil {
+		t.Error("a request was given up that has just begun")
+	}
+	later := start.Add(5 * time.Second)
+	if table.GiveUpSlowest(later) != silent || table.GiveUpSlowest(later) != nil || moving.givenUp {
+		t.Error("the silent request alone must be given up")
+	}
+}
+
 // Guards against small requests that wait behind large ones, whole or not.
 func TestSmallRequestsHaveRoomBesideLargeOnes(t *testing.T) {
 	table := New(limits)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -138,7 +138,9 @@
 	}
 	d.addresses[setting] = listener.Addr().String()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: answer.ConnContext}
-	connections, tracked := drain.Track(server, listener)
+	connections, tracked := drain.Track(server, listener, drain.Limit{
+		Connections: d.connectionLimit(setting), Listener: setting, Log: d.log, GiveUpSlowest: d.intake.GiveUpSlowest,
+	})
 	d.background.Go(func() { _ = server.Serve(wrap(tracked)) })
 	d.drains = append(d.drains, func(ctx context.Context) {
 		drainRole(ctx)
@@ -149,6 +151,19 @@
 	return nil
 }
 
+// connectionLimit returns the largest number of connections of a listener.
+func (d *Daemon) connectionLimit(setting string) int {
+	limits := d.settings.ConnectionLimits()
+	switch setting {
+	case operatorListen:
+		return limits.Operators
+	case statusListen:
+		return limits.Status
+	default:
+		return limits.Callers
+	}
+}
+
 // reportAbortedRequests counts and logs the requests that a stop aborted at its deadline.
 func (d *Daemon) reportAbortedRequests(listener string, requests int) {
 	if requests == 0 {
--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemarypass/rosemarypass/internal/answer"
 	"github.com/rosemarypass/rosemarypass/internal/socket"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 // Connections are the connections of an http.Server, which a planned stop ends without losing a
@@ -39,6 +40,11 @@
 	open        map[*connection]struct{}
 	// pendingTimeout is how long a stop goes on to accept connections while more are always waiting.
 	pendingTimeout time.Duration
+
+	limit   Limit
+	atLimit *telemetry.Condition
+	// closed is signalled when a connection is closed.
+	closed chan struct{}
 }
 
 const (
@@ -61,12 +67,16 @@
 	maxLingerStep = 20 * time.Millisecond
 )
 
-// Track follows the connections of a server that has not begun to serve. The server
+// Track follows the connections of a server that has not begun to serve, and keeps a limit of them. The server
 // must then serve the listener that is returned.
-func Track(server *http.Server, listener net.Listener) (*Connections, net.Listener) {
-	c := &Connections{hook: server.ConnState, listener: listener, open: make(map[*connection]struct{}), pendingTimeout: defaultPendingTimeout}
+func Track(server *http.Server, listener net.Listener, limit Limit) (*Connections, net.Listener) {
+	c := &Connections{
+		hook: server.ConnState, listener: listener, open: make(map[*connection]struct{}), pendingTimeout: defaultPendingTimeout,
+		limit: limit, atLimit: newAtLimit(limit), closed: make(chan struct{}, 1),
+	}
 	server.ConnState = c.changed
-	server.Handler = answer.CloseWhile(c.stopping.Load, server.Handler)
+	server.Handler = keepWhileAnswered(answer.CloseWhile(c.stopping.Load, server.Handler))
+	server.ConnContext = withConnection(server.ConnContext)
 	return c, &trackedListener{Listener: listener, connections: c}
 }
 
@@ -77,11 +87,19 @@
 
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	if !l.connections.beginAccept() {
-		return nil, net.ErrClosed
+	for {
+		if !l.connections.beginAccept() {
+			return nil, net.ErrClosed
+		}
+		conn, err := l.Listener.Accept()
+		tracked, err := l.connections.endAccept(conn, err)
+		if err != nil {
+			return nil, err
+		}
+		if l.connections.admit(tracked) {
+			return tracked, nil
+		}
 	}
-	conn, err := l.Listener.Accept()
-	return l.connections.endAccept(conn, err)
 }
 
 // beginAccept counts a call of Accept; false once the listener is closed.
@@ -96,7 +114,7 @@
 }
 
 // endAccept ends the count of a call of Accept and counts its connection instead.
-func (c *Connections) endAccept(conn net.Conn, err error) (net.Conn, error) {
+func (c *Connections) endAccept(conn net.Conn, err error) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.accepting--
@@ -118,15 +136,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.open, conn)
+	select {
+	case c.closed <- struct{}{}:
+	default:
+	}
 }
 
 // changed is the server's ConnState hook.
 func (c *Connections) changed(conn net.Conn, state http.ConnState) {
-	plain := conn
-	if secure, ok := conn.(*tls.Conn); ok {
-		plain = secure.NetConn()
-	}
-	if tracked, ok := plain.(*connection); ok {
+	if tracked, ok := trackedOf(conn); ok {
 		tracked.changeState(state, time.Now())
 	}
 	if c.hook != nil {
@@ -134,6 +152,15 @@
 	}
 }
 
+// trackedOf returns the connection that carries what a server serves.
+func trackedOf(conn net.Conn) (*connection, bool) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	tracked, ok := conn.(*connection)
+	return tracked, ok
+}
+
 // Tally tells how many connections are open, and how many of them are in a state.
 type Tally struct{ Open, New, Active, Idle int }
 
@@ -232,6 +259,8 @@
 	hasRead bool
 	// ended is set while the stop's deadline ends the reads of the connection.
 	ended bool
+	// evicted is set while the connection ends since another one takes its place.
+	evicted bool
 	// resets is set while a close of the connection must reset it.
 	resets bool
 }
@@ -267,9 +296,12 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	if c.mustReset() {
+	switch {
+	case c.isEvicted():
+		// Nothing was written that its caller has to receive.
+	case c.mustReset():
 		c.awaitReceipt(resetTimeout)
-	} else if c.owner.stopping.Load() || socket.HasInput(c.TCPConn) {
+	case c.owner.stopping.Load() || socket.HasInput(c.TCPConn):
 		// The error shows in the close.
 		_ = c.CloseWrite()
 		c.awaitReceipt(lingerTimeout)
@@ -279,6 +311,22 @@
 	return err
 }
 
+func (c *connection) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// SetReadDeadline is that of net.TCPConn. It has no effect while the reads of the connection are ended.
+func (c *connection) SetReadDeadline(until time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(until)
+}
+
 func (c *connection) mustReset() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -292,7 +340,7 @@
 	unneeded := make([]byte, unneededBytes)
 	left, until, step := socket.Unacknowledged(c.TCPConn), time.Now().Add(patience), lingerStep
 	for left > 0 && !c.owner.cut.Load() && time.Now().Before(until) {
-		_ = c.SetReadDeadline(time.Now().Add(step))
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(step))
 		if _, err := c.TCPConn.Read(unneeded); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			time.Sleep(step)
 		}
@@ -325,13 +373,20 @@
 
 // resume takes back the end of a connection that turned out to be in use; mu must be held.
 func (c *connection) resume() {
-	if c.ended {
+	if c.ended && !c.evicted {
 		c.ended = false
 		// The only error is that the connection is closed already.
-		_ = c.SetReadDeadline(time.Time{})
+		_ = c.TCPConn.SetReadDeadline(time.Time{})
 	}
 }
 
+// endReads ends the reads of the connection until it is resumed; mu must be held.
+func (c *connection) endReads() {
+	c.ended = true
+	// The only error is that the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(readsEnded)
+}
+
 // readsEnded is a read deadline that has passed.
 var readsEnded = time.Unix(1, 0)
 
@@ -340,9 +395,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isUnused(now) {
-		c.ended = true
-		// The only error is that the connection is closed already.
-		_ = c.SetReadDeadline(readsEnded)
+		c.endReads()
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,6 +92,8 @@
 	control *drain.Connections
 	// intake bounds what the process holds of requests that it has not answered.
 	intake *intake.Budget
+	// connections bounds the connections of each listener.
+	connections settings.ConnectionLimits
 
 	// callersMu protects callers, the connections of callers, which is nil before they are served, and
 	// stopping, which is set once they must not be served any more.
@@ -123,7 +125,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryLimit())))
 	log := telemetry.NewSampledLogger(s.Instance, droppedLines)
 	defer func() { _ = log.Sync() }()
-	p := &process{platform: platform, settings: s, log: log, intake: intake.NewBudget(s.RequestMemory(), log)}
+	p := &process{platform: platform, settings: s, log: log, intake: intake.NewBudget(s.RequestMemory(), log), connections: s.ConnectionLimits()}
 	log.Info("start", zap.String("role", role), zap.Strings("seeds", s.Seeds), zap.Bool("bootstrap", s.Bootstrap), zap.String("dataFolder", s.DataFolder))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -251,10 +253,10 @@
 	p.goroutines.Go(func() { p.gateway.Run(ctx) })
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+p.platform.ReadyPath, p.ready)
-	if _, err := p.serve(p.settings.ReadyListen, ready, ownBodyTimeout); err != nil {
+	if _, err := p.serve(p.settings.ReadyListen, ready, ownBodyTimeout, p.limit("ready", p.connections.Status)); err != nil {
 		return err
 	}
-	control, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.intake, p.log), ownBodyTimeout)
+	control, err := p.serve(p.settings.ControlListen, p.platform.Control(p.mesh, p.intake, p.log), ownBodyTimeout, p.limit("control", p.connections.Operators))
 	p.control = control
 	return err
 }
@@ -267,7 +269,7 @@
 	if p.stopping {
 		return nil
 	}
-	callers, err := p.serve(p.settings.CallerListen, p.gateway, 0)
+	callers, err := p.serve(p.settings.CallerListen, p.gateway, 0, p.limit("callers", p.connections.Callers))
 	p.callers = callers
 	if err == nil {
 		callersAccepted.Reach()
@@ -290,7 +292,7 @@
 	status := http.NewServeMux()
 	status.Handle("GET /debug/vars", expvar.Handler())
 	status.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	_, err := p.serve(p.settings.StatusListen, status, ownBodyTimeout)
+	_, err := p.serve(p.settings.StatusListen, status, ownBodyTimeout, p.limit("status", p.connections.Status))
 	return err
 }
 
@@ -301,7 +303,7 @@
 }
 
 // serve serves an address. readTimeout bounds the time to read a request, 0 where the handler does.
-func (p *process) serve(address string, handler http.Handler, readTimeout time.Duration) (*drain.Connections, error) {
+func (p *process) serve(address string, handler http.Handler, readTimeout time.Duration, limit drain.Limit) (*drain.Connections, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -313,11 +315,16 @@
 		Handler: p.reportPanics(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: p.serverErrors(), ConnContext: answer.ConnContext,
 	}
-	connections, tracked := drain.Track(server, listener)
+	connections, tracked := drain.Track(server, listener, limit)
 	p.goroutines.Go(func() { _ = server.Serve(tracked) })
 	return connections, nil
 }
 
+// limit returns the limit of a listener's connections.
+func (p *process) limit(listener string, connections int) drain.Limit {
+	return drain.Limit{Connections: connections, Listener: listener, Log: p.log, GiveUpSlowest: p.intake.GiveUpSlowest}
+}
+
 // watchSettings reloads the settings on each signal and periodically, until ctx
 // ends, so that the mesh contacts new seeds. A stop does not wait for a reload in
 // progress: reading the file may hang, and the mesh may be busy.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -34,22 +34,20 @@
 // Budget bounds what the requests of a process hold together. All methods may be called concurrently. A nil budget has no
 // bound.
 type Budget struct {
-	log *zap.Logger
-
 	mu    sync.Mutex
 	table *intake.Table
 	// interrupts ends the reading of each request that can be given up.
 	interrupts map[*intake.Request]func()
-	// underPressure is set from the first request that was refused or given up until none was for pressureEnd.
-	// refused and givenUp are how many there were since it began.
-	underPressure    bool
-	refused, givenUp int
-	calm             *time.Timer
+	// pressure holds from the first request that was refused or given up until none was for pressureEnd.
+	pressure *telemetry.Condition
 }
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(total int64, log *zap.Logger) *Budget {
-	return &Budget{log: log, table: intake.New(intake.DefaultLimits(total)), interrupts: make(map[*intake.Request]func())}
+	return &Budget{
+		table: intake.New(intake.DefaultLimits(total)), interrupts: make(map[*intake.Request]func()),
+		pressure: telemetry.NewCondition(log, "requests hold as much memory as they may", "requests hold less memory than they may again", pressureEnd),
+	}
 }
 
 // LargestBody returns the size in bytes of the largest body that fits; 0 if there is no bound.
@@ -115,25 +113,33 @@
 func (b *Budget) recordPressure(granted bool, givenUp int) {
 	if !granted {
 		refusedCount.Add(1)
-		b.refused++
 	}
 	givenUpCount.Add(int64(givenUp))
-	b.givenUp += givenUp
-	if b.underPressure {
-		b.calm.Reset(pressureEnd)
-		return
+	if b.pressure.Observe(zap.Int64("heldBytes", b.table.Held()), zap.Int64("limitBytes", b.table.Limits().Total)) {
+		pressureCount.Add(1)
 	}
-	b.underPressure = true
-	pressureCount.Add(1)
-	b.log.Warn("requests hold as much memory as they may", zap.Int64("heldBytes", b.table.Held()), zap.Int64("limitBytes", b.table.Limits().Total))
-	b.calm = time.AfterFunc(pressureEnd, b.endPressure)
 }
 
-func (b *Budget) endPressure() {
+// GiveUpSlowest gives up the request that is read the most slowly, and reports whether there was one that is read too slowly.
+func (b *Budget) GiveUpSlowest() bool {
+	if b == nil {
+		return false
+	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.log.Info("requests hold less memory than they may again", zap.Int("refused", b.refused), zap.Int("givenUp", b.givenUp), zap.Int64("heldBytes", b.table.Held()))
-	b.underPressure, b.refused, b.givenUp = false, 0, 0
+	before := b.table.Held()
+	victim := b.table.GiveUpSlowest(time.Now())
+	heldBytes.Add(b.table.Held() - before)
+	interrupt := b.interrupts[victim]
+	delete(b.interrupts, victim)
+	if victim != nil {
+		givenUpCount.Add(1)
+	}
+	b.mu.Unlock()
+	if victim == nil {
+		return false
+	}
+	interrupt()
+	return true
 }
 
 // receive counts bytes that were read.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -43,6 +43,10 @@
 	// RequestMemoryMB bounds what the process holds of requests that it has not answered, in megabytes; 0 for a fifth
 	// of the memory limit.
 	RequestMemoryMB float64 `json:"requestMemoryMB"`
+	// MaxDescriptors is the largest number of open descriptors of the process; 0 for what the system grants.
+	MaxDescriptors int `json:"maxDescriptors"`
+	// CallerConnections is the largest number of callers' connections; 0 for what descriptors and memory allow.
+	CallerConnections int `json:"callerConnections"`
 	// ToleratedLosses is the number of machines with a disk that the deployment
 	// survives losing at once.
 	ToleratedLosses int `json:"lossesBorne"`
@@ -141,6 +145,7 @@
 	if f.QuotaOver < 0 || f.QuotaSlack < 0 || f.QuotaWindowSeconds < 0 {
 		p.add("quotaOver", "quotaOver, quotaSlack and quotaWindowSeconds must not be below 0")
 	}
+	checkConnections(p, f.MaxDescriptors, f.CallerConnections)
 	checkRequestMemory(p, f.RequestMemoryMB, float64(f.MemoryLimit())/bytesPerMB)
 	if f.HeartbeatMillis < 0 {
 		p.add("heartbeatMillis", "must not be below 0")
@@ -202,6 +207,11 @@
 	return requestMemory(f.RequestMemoryMB, float64(f.MemoryLimit())/bytesPerMB)
 }
 
+// ConnectionLimits returns the limits of the process's listeners.
+func (f *Fleet) ConnectionLimits() ConnectionLimits {
+	return connectionLimits(f.MaxDescriptors, f.MemoryLimit(), f.CallerConnections)
+}
+
 // NamedMemory returns the memory limit that the settings name, in bytes; 0 if they name none.
 func (f *Fleet) NamedMemory() int64 {
 	if f.MemoryMB <= 0 {
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -48,6 +48,8 @@
 		{"losses below 0", `"lossesBorne": 1`, `"lossesBorne": -1`, "lossesBorne"},
 		{"memory of requests below 0", `"lossesBorne": 1`, `"requestMemoryMB": -1`, "requestMemoryMB"},
 		{"memory of requests above half of the memory", `"lossesBorne": 1`, `"requestMemoryMB": 143`, "requestMemoryMB"},
+		{"few descriptors", `"lossesBorne": 1`, `"maxDescriptors": 255`, "maxDescriptors"},
+		{"connections below 0", `"lossesBorne": 1`, `"callerConnections": -1`, "callerConnections"},
 		{"an unknown key", `"bootstrap"`, `"bootstraps"`, "bootstraps"},
 	}
 	for _, test := range tests {
--- a/internal/settings/memory.go
+++ b/internal/settings/memory.go
@@ -56,6 +56,11 @@
 	return defaultServeMemoryMB
 }
 
+// ConnectionLimits returns the limits of the process's listeners.
+func (s *Settings) ConnectionLimits() ConnectionLimits {
+	return connectionLimits(s.MaxDescriptors, int64(s.memoryMB()*bytesPerMB), s.CallerConnections)
+}
+
 // RequestMemory returns the bound of what the process holds of requests that it has not answered, in bytes. Where the
 // settings name no memory, it leaves room for the largest body that an entry accepts.
 func (s *Settings) RequestMemory() int64 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,6 +61,12 @@
 	// RequestMemoryMB bounds what the process holds of requests that it has not
 	// answered, in megabytes; 0 for a fifth of the memory limit.
 	RequestMemoryMB float64 `json:"requestMemoryMB,omitempty"`
+	// MaxDescriptors is the largest number of open descriptors of the process; 0 for
+	// what the system grants.
+	MaxDescriptors int `json:"maxDescriptors,omitempty"`
+	// CallerConnections is the largest number of callers' connections, at an agent of
+	// those of entries; 0 for what descriptors and memory allow.
+	CallerConnections int `json:"callerConnections,omitempty"`
 
 	Entry     *Entry    `json:"entry,omitempty"`
 	Agent     *Agent    `json:"agent,omitempty"`
@@ -122,6 +128,7 @@
 		p.add("packing", "is out of range: from 0 (fewest load stalls) to 1 (fullest batches)")
 	}
 	s.checkMemory(p)
+	checkConnections(p, s.MaxDescriptors, s.CallerConnections)
 	if s.Entry != nil {
 		s.Entry.check(p)
 	}
