Messages and connections between processes are bounded together, and silent connections give way

Cause: each connection may announce a message of 16 MiB and hold what has come of it for good, 8,192 connections may be open where a process has 4,096 descriptors, and those in a TLS handshake were not counted. Callers saw an agent that is killed at its limit, or that no entry reaches.

Change: the messages that a server reads share an intake.Budget of twice the largest one; one without room, or that is overdue when another needs its room, ends its connection. At the limit a new one takes the place of the one that has been open the longest without a whole message. A body that ends before its announced length is an error of ReadBody itself now.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -46,7 +46,7 @@
 	d.background.Go(func() { quotas.Run(ctx) })
 	loads := control.NewLoadBroker(broker.Options{})
 	handlers[wire.MethodLoads] = rpc.Typed(loads.Sync)
-	server := rpc.NewServer(handlers, rpc.WithDrain(committingMethods...))
+	server := rpc.NewServer(handlers, rpc.WithDrain(committingMethods...), rpc.WithMaxConns(d.settings.ConnectionLimits().Peers), rpc.WithLog(d.log))
 	d.background.Go(func() { loads.Run(ctx) })
 	d.background.Go(func() { _ = server.Serve(ctx, d.identity.Listen(listener)) })
 	d.background.Go(func() { c.Run(ctx) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -186,7 +186,7 @@
 	if err := p.startStatus(); err != nil {
 		return err
 	}
-	if err := p.startPeers(ctx, peerAddress, rpc.NewServer(handlers)); err != nil {
+	if err := p.startPeers(ctx, peerAddress, rpc.NewServer(handlers, rpc.WithMaxConns(p.connections.Peers), rpc.WithLog(p.log))); err != nil {
 		return err
 	}
 	if role == RoleEntry {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -217,6 +217,8 @@
 		case err == nil:
 		case !errors.Is(err, io.EOF):
 			return nil, h.readError(err)
+		case int64(len(buffer)) < announced:
+			return nil, io.ErrUnexpectedEOF
 		case !h.complete(cap(buffer)):
 			return nil, ErrNoRoom
 		default:
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// Guards against a body that ends before its announced length and passes for whole.
+func TestBodyThatEndsEarlyIsNotWhole(t *testing.T) {
+	h := budgetOf(1 << 20).Begin(func() {})
+	defer h.Release()
+	if _, err := h.ReadBody(strings.NewReader("begin"), 6, 10); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // stalled is a body that stops within, until it is interrupted.
 type stalled struct {
 	begin       io.Reader
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 )
 
 // MaxFrame is the maximum size of a message between processes, in bytes. Without a
@@ -29,6 +31,12 @@
 // of the frames that it reads.
 type boundedCodec struct {
 	jsonrpc2.VSCodeObjectCodec
+	// messages bounds what messages that are being read hold together; nil for no bound.
+	messages *intake.Budget
+	// interrupt ends the connection of a message that is given up for others.
+	interrupt func()
+	// received is called with each message that was read whole; it may be nil.
+	received func()
 }
 
 // maxConcurrentDecodes is the maximum number of messages that a process decodes at the
@@ -41,7 +49,7 @@
 
 // ReadObject implements jsonrpc2.ObjectCodec. It checks the declared length before
 // it reads a frame, and buffers only the bytes that have arrived.
-func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
 	header, length, err := peekLength(stream)
 	if err != nil {
 		return err
@@ -52,13 +60,18 @@
 	if _, err := stream.Discard(header); err != nil {
 		return err
 	}
-	var frame bytes.Buffer
-	if _, err := io.CopyN(&frame, stream, int64(length)); err != nil {
+	holding := c.messages.Begin(c.interrupt)
+	defer holding.Release()
+	frame, err := holding.ReadBody(io.LimitReader(stream, int64(length)), int64(length), MaxFrame)
+	if err != nil {
 		return err
 	}
+	if c.received != nil {
+		c.received()
+	}
 	decodeSlots <- struct{}{}
 	defer func() { <-decodeSlots }()
-	return json.Unmarshal(frame.Bytes(), v)
+	return json.Unmarshal(frame, v)
 }
 
 // peekLength returns the size of the header and its Content-Length, without
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -13,15 +13,19 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/internal/drain"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 const (
-	// maxConns is the maximum number of connections per server. The design size is
+	// defaultMaxConns is the maximum number of connections per server. The design size is
 	// under a thousand daemons and agents with a few connections each.
-	maxConns = 8192
+	defaultMaxConns = 8192
+	// messageMemory bounds what the messages that a server reads hold together, in bytes. It leaves room for a largest one.
+	messageMemory = 2 * MaxFrame
 	// handshakeTimeout bounds the TLS handshake, in which the peer presents its
 	// certificate.
 	handshakeTimeout = 5 * time.Second
@@ -54,9 +58,14 @@
 	// drained holds the methods whose calls calls counts.
 	drained map[string]bool
 	calls   *drain.Gate
-	mu      sync.Mutex
-	conns   map[*jsonrpc2.Conn]struct{}
-	closed  bool
+	// maxConns is the maximum number of connections, with those that are in a handshake.
+	maxConns int
+	messages *intake.Budget
+	log      *zap.Logger
+
+	mu     sync.Mutex
+	open   map[*peerConn]struct{}
+	closed bool
 }
 
 // ServerOption configures a server.
@@ -72,12 +81,27 @@
 	}
 }
 
+// WithMaxConns bounds the connections. At the bound a new one takes the place of the one that has been open the longest
+// without a whole message; if there is none, it is closed.
+func WithMaxConns(connections int) ServerOption {
+	return func(s *Server) { s.maxConns = connections }
+}
+
+// WithLog sets the log of changes between calm and pressure.
+func WithLog(log *zap.Logger) ServerOption {
+	return func(s *Server) { s.log = log }
+}
+
 // NewServer returns a server for the given methods.
 func NewServer(handlers map[string]Handler, options ...ServerOption) *Server {
-	s := &Server{handlers: handlers, drained: make(map[string]bool), calls: drain.NewGate(), conns: make(map[*jsonrpc2.Conn]struct{})}
+	s := &Server{
+		handlers: handlers, drained: make(map[string]bool), calls: drain.NewGate(), maxConns: defaultMaxConns, log: zap.NewNop(),
+		open: make(map[*peerConn]struct{}),
+	}
 	for _, option := range options {
 		option(s)
 	}
+	s.messages = intake.NewBudget(messageMemory, s.log)
 	return s
 }
 
@@ -88,7 +112,13 @@
 		if err != nil {
 			return err
 		}
-		go s.admit(ctx, conn)
+		peer := newPeerConn(conn)
+		if !s.register(peer) {
+			refusedConnCount.Add(1)
+			peer.abandon()
+			continue
+		}
+		go s.admit(ctx, peer)
 	}
 }
 
@@ -96,8 +126,9 @@
 // whose peer presents no valid certificate, or sends nothing, is closed within
 // handshakeTimeout and counted in rpc_handshakes_failed. One that its peer closes before
 // it has sent anything, as when its connect timed out, is counted apart.
-func (s *Server) admit(ctx context.Context, conn net.Conn) {
-	if err := handshake(ctx, conn); err != nil {
+func (s *Server) admit(ctx context.Context, conn *peerConn) {
+	if err := handshake(ctx, conn.Conn); err != nil {
+		s.unregister(conn)
 		if errors.Is(err, io.EOF) {
 			abandonedConnCount.Add(1)
 		} else {
@@ -106,10 +137,7 @@
 		_ = conn.Close()
 		return
 	}
-	if !s.attach(ctx, conn) {
-		refusedConnCount.Add(1)
-		_ = conn.Close()
-	}
+	s.attach(ctx, conn)
 }
 
 func handshake(ctx context.Context, conn net.Conn) error {
@@ -122,19 +150,16 @@
 	return secure.HandshakeContext(ctx)
 }
 
-// attach starts serving a connection and reports whether it did. It does not if the
-// server is closed or has maxConns connections.
-func (s *Server) attach(ctx context.Context, conn net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxConns {
-		return false
-	}
+// attach starts serving a connection.
+func (s *Server) attach(ctx context.Context, conn *peerConn) {
+	codec := boundedCodec{messages: s.messages, interrupt: conn.abandon, received: conn.recordMessage}
+	stream := jsonrpc2.NewBufferedStream(countedConn{conn.Conn}, codec)
 	handler := countedHandler{server: s, next: jsonrpc2.HandlerWithError(s.dispatch)}
-	rpc := jsonrpc2.NewConn(ctx, newStream(conn), handler, jsonrpc2.SetLogger(streamErrorCounter{}))
-	s.conns[rpc] = struct{}{}
-	go s.removeOnDisconnect(rpc)
-	return true
+	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(streamErrorCounter{}))
+	go func() {
+		<-rpc.DisconnectNotify()
+		s.unregister(conn)
+	}()
 }
 
 // countedHandler handles each call in a goroutine of its own, and counts those that a stop
@@ -180,13 +205,6 @@
 // Printf implements jsonrpc2.Logger.
 func (streamErrorCounter) Printf(string, ...any) { streamErrorCount.Add(1) }
 
-func (s *Server) removeOnDisconnect(rpc *jsonrpc2.Conn) {
-	<-rpc.DisconnectNotify()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, rpc)
-}
-
 func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
 	handler, ok := s.handlers[request.Method]
 	if !ok {
@@ -212,8 +230,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for rpc := range s.conns {
-		_ = rpc.Close()
+	for conn := range s.open {
+		_ = conn.Close()
 	}
 }
 
