Headers that are being read stay within the bound of the process

Cause: net/http lets each connection send a header of 256 KiB, for all listeners and whatever the others send, and takes more than its size while it reads. Callers saw a process killed at its limit.

Change: what a connection has read of a header beyond 16 KiB, the usual limit of configurations, is charged twice to the intake.Budget until its request is answered. Without room, or when it is overdue and another needs the room, the connection is closed without an answer, as net/http would send a 400 that no caller tries again after. Headers within 16 KiB are not counted: the limit of connections bounds them. Weighed: a lower MaxHeaderBytes is fixed before the first configuration is known, which may allow more.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,7 +139,7 @@
 	d.addresses[setting] = listener.Addr().String()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: answer.ConnContext}
 	connections, tracked := drain.Track(server, listener, drain.Limit{
-		Connections: d.connectionLimit(setting), Listener: setting, Log: d.log, GiveUpSlowest: d.intake.GiveUpSlowest,
+		Connections: d.connectionLimit(setting), Listener: setting, Log: d.log, Intake: d.intake,
 	})
 	d.background.Go(func() { _ = server.Serve(wrap(tracked)) })
 	d.drains = append(d.drains, func(ctx context.Context) {
--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemarypass/rosemarypass/internal/answer"
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/socket"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -261,6 +262,9 @@
 	ended bool
 	// evicted is set while the connection ends since another one takes its place.
 	evicted bool
+	// headBytes is what was read of the header of the next or present request, head what it holds of the budget.
+	headBytes int
+	head      *intake.Holding
 	// resets is set while a close of the connection must reset it.
 	resets bool
 }
@@ -274,6 +278,9 @@
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.recordRead()
+		if refused := c.chargeHead(n); refused != nil {
+			return 0, refused
+		}
 	}
 	return n, err
 }
@@ -359,6 +366,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.usedAt, c.hasRead = state, now, false
+	c.updateHead(state)
 	if state == http.StateActive {
 		// The request may have been read together with the one before.
 		c.resume()
--- a/internal/drain/limit.go
+++ b/internal/drain/limit.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rosemarypass/rosemarypass/internal/intake"
 	"github.com/rosemarypass/rosemarypass/internal/socket"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -20,9 +21,9 @@
 	// Listener names the listener in the log.
 	Listener string
 	Log      *zap.Logger
-	// GiveUpSlowest, if set, ends the request whose body is read the most slowly, and reports whether there was one that is
-	// read too slowly. It is called when no connection waits for a request.
-	GiveUpSlowest func() bool
+	// Intake bounds what headers hold, and gives up the request that is read the most slowly when no connection waits for
+	// one; nil for neither.
+	Intake *intake.Budget
 }
 
 var (
@@ -58,7 +59,7 @@
 	c.atLimit.Observe()
 	if c.endLongestQuiet(conn) {
 		connectionsEndedCount.Add(1)
-	} else if c.limit.GiveUpSlowest == nil || !c.limit.GiveUpSlowest() {
+	} else if !c.limit.Intake.GiveUpSlowest() {
 		c.refuse(conn)
 		return false
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -322,7 +322,7 @@
 
 // limit returns the limit of a listener's connections.
 func (p *process) limit(listener string, connections int) drain.Limit {
-	return drain.Limit{Connections: connections, Listener: listener, Log: p.log, GiveUpSlowest: p.intake.GiveUpSlowest}
+	return drain.Limit{Connections: connections, Listener: listener, Log: p.log, Intake: p.intake}
 }
 
 // watchSettings reloads the settings on each signal and periodically, until ctx
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -142,8 +143,8 @@
 	return true
 }
 
-// receive counts bytes that were read.
-func (h *Holding) receive(bytes int) {
+// Receive counts bytes that were read.
+func (h *Holding) Receive(bytes int) {
 	if h == nil {
 		return
 	}
@@ -152,6 +153,9 @@
 	h.budget.table.Receive(h.request, int64(bytes))
 }
 
+// Complete records that the request is whole. From then on it is not given up for others.
+func (h *Holding) Complete() { h.complete(math.MaxInt) }
+
 // complete records that the request is whole and holds a size in bytes. It returns false if it was given up before.
 func (h *Holding) complete(size int) bool {
 	if h == nil {
@@ -212,7 +216,7 @@
 			return nil, ErrTooLarge
 		}
 		buffer = buffer[:len(buffer)+n]
-		h.receive(n)
+		h.Receive(n)
 		switch {
 		case err == nil:
 		case !errors.Is(err, io.EOF):
