Bodies are taken apart in turns, so that tiny chunks leave the processor to everything else

Cause: net/http takes a chunked body apart chunk by chunk, and the scheduler lets each of hundreds of such bodies run for 10 ms before heartbeats, confirmations and small requests get their turn. Ordinary callers got no answer, or 503 from an entry that believed itself out of touch.

Change: while a body is read, each read of its connection passes a gate: it gives its turn back before it waits, and takes one of two for each processor once it has bytes, at most 4 KiB of them for a chunked body. Who had to wait also yields to all other goroutines, as a turn that is given back otherwise goes straight to the next body. Weighed: a bound on the number of bodies that are read keeps small ones waiting for a stalled client; a bound on the cost of chunks refuses single callers inside the limits.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -179,7 +179,7 @@
 	if largest := a.options.Intake.LargestBody(); largest > 0 {
 		limit = min(limit, largest)
 	}
-	body, err := holding.ReadBody(r.Body, r.ContentLength, limit)
+	body, err := holding.ReadRequest(r, limit)
 	return body, errors.Wrap(err, "read body")
 }
 
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -125,6 +125,14 @@
 	})
 }
 
+// Before returns a handler that calls begin with the context of each request before it is answered.
+func Before(begin func(context.Context), handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begin(r.Context())
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // framingHeaders are the headers that delimit a response. Only this package sets
 // them.
 var framingHeaders = []string{"Content-Length", "Transfer-Encoding", "Trailer"}
@@ -276,6 +284,24 @@
 	return func() { _ = conn.SetReadDeadline(time.Time{}) }
 }
 
+// ReadGate is passed by whoever reads a connection: Release before it waits for bytes, Acquire once it has some.
+type ReadGate interface {
+	Release()
+	Acquire()
+}
+
+// GateReads makes the reads of the connection pass a gate, until the returned function is called. It returns false if the
+// connection has no gates. ctx is a request's context under ConnContext.
+func GateReads(ctx context.Context, gate ReadGate) (end func(), gated bool) {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	gates, found := socket.Transport(conn).(interface{ SetReadGate(gate ReadGate) })
+	if !found {
+		return func() {}, false
+	}
+	gates.SetReadGate(gate)
+	return func() { gates.SetReadGate(nil) }, true
+}
+
 // EndRead ends the reading of a request's body: a read in progress and later ones get a timeout. ctx is a request's context
 // under ConnContext.
 func EndRead(ctx context.Context) {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -167,7 +167,7 @@
 func (c *Control) readBody(w http.ResponseWriter, r *http.Request, into any) bool {
 	holding := c.options.Intake.Begin(func() { answer.EndRead(r.Context()) })
 	defer holding.Release()
-	body, err := holding.ReadBody(r.Body, r.ContentLength, maxOperatorBody)
+	body, err := holding.ReadRequest(r, maxOperatorBody)
 	if err != nil {
 		// The rest of the body is unread.
 		w.Header().Set("Connection", "close")
--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -76,7 +76,7 @@
 		limit: limit, atLimit: newAtLimit(limit), closed: make(chan struct{}, 1),
 	}
 	server.ConnState = c.changed
-	server.Handler = keepWhileAnswered(answer.CloseWhile(c.stopping.Load, server.Handler))
+	server.Handler = answer.Before(keepConnection, answer.CloseWhile(c.stopping.Load, server.Handler))
 	server.ConnContext = withConnection(server.ConnContext)
 	return c, &trackedListener{Listener: listener, connections: c}
 }
@@ -262,6 +262,8 @@
 	ended bool
 	// evicted is set while the connection ends since another one takes its place.
 	evicted bool
+	// gate is passed by each read; nil if there is none.
+	gate answer.ReadGate
 	// headBytes is what was read of the header of the next or present request, head what it holds of the budget.
 	headBytes int
 	head      *intake.Holding
@@ -275,7 +277,14 @@
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
+	gate := c.readGate()
+	if gate != nil {
+		gate.Release()
+	}
 	n, err := c.TCPConn.Read(p)
+	if gate != nil {
+		gate.Acquire()
+	}
 	if n > 0 {
 		c.recordRead()
 		if refused := c.chargeHead(n); refused != nil {
@@ -285,6 +294,19 @@
 	return n, err
 }
 
+// SetReadGate sets the gate that reads pass; nil for none.
+func (c *connection) SetReadGate(gate answer.ReadGate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gate = gate
+}
+
+func (c *connection) readGate() answer.ReadGate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate
+}
+
 // recordRead records that bytes were read: the connection is in use.
 func (c *connection) recordRead() {
 	c.mu.Lock()
--- a/internal/drain/limit.go
+++ b/internal/drain/limit.go
@@ -186,7 +186,7 @@
 
 type connectionKey struct{}
 
-// withConnection returns a ConnContext that also names the tracked connection to keepWhileAnswered.
+// withConnection returns a ConnContext that also names the tracked connection to keepConnection.
 func withConnection(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
 	return func(ctx context.Context, conn net.Conn) context.Context {
 		if next != nil {
@@ -199,12 +199,9 @@
 	}
 }
 
-// keepWhileAnswered returns a handler that keeps the connection of each request.
-func keepWhileAnswered(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if tracked, ok := r.Context().Value(connectionKey{}).(*connection); ok {
-			tracked.keep()
-		}
-		handler.ServeHTTP(w, r)
-	})
+// keepConnection keeps the connection of a request with this context.
+func keepConnection(ctx context.Context) {
+	if tracked, ok := ctx.Value(connectionKey{}).(*connection); ok {
+		tracked.keep()
+	}
 }
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -53,7 +53,7 @@
 	_ = in.readDeadline(time.Now().Add(e.options.BodyTimeout))
 	holding := e.options.Intake.Begin(func() { _ = in.readDeadline(readsEnded) })
 	in.addCleanup(holding.Release)
-	body, err := holding.ReadBody(r.Body, r.ContentLength, e.options.MaxBodyBytes)
+	body, err := holding.ReadRequest(r, e.options.MaxBodyBytes)
 	if errors.Is(err, intake.ErrNoRoom) {
 		return nil, &failure{status: http.StatusServiceUnavailable, code: codeMemory, message: err.Error(), retryAfter: 1, closeConn: true}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -338,7 +338,7 @@
 		limit = defaultMaxBody
 	}
 	endBound := answer.BoundRead(r.Context(), deadline)
-	body, err := holding.ReadBody(r.Body, r.ContentLength, limit)
+	body, err := holding.ReadRequest(r, limit)
 	endBound()
 	if err == nil {
 		call.Body = body
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,12 +41,14 @@
 	interrupts map[*intake.Request]func()
 	// pressure holds from the first request that was refused or given up until none was for pressureEnd.
 	pressure *telemetry.Condition
+	// turns holds an element for each body that is being taken apart.
+	turns chan struct{}
 }
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(total int64, log *zap.Logger) *Budget {
 	return &Budget{
-		table: intake.New(intake.DefaultLimits(total)), interrupts: make(map[*intake.Request]func()),
+		table: intake.New(intake.DefaultLimits(total)), interrupts: make(map[*intake.Request]func()), turns: newTurns(),
 		pressure: telemetry.NewCondition(log, "requests hold as much memory as they may", "requests hold less memory than they may again", pressureEnd),
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -11,7 +11,7 @@
 // has not received yet; without it, the system still delivers that after the close. It has no
 // effect on connections other than TCP.
 func SetResetOnClose(conn net.Conn, reset bool) {
-	plain, ok := transport(conn).(interface{ SetLinger(seconds int) error })
+	plain, ok := Transport(conn).(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return
 	}
@@ -72,7 +72,7 @@
 
 // ask asks a question of the connection's socket; false when it cannot be asked.
 func ask(conn net.Conn, question func(fd uintptr) bool) bool {
-	raw, ok := transport(conn).(syscall.Conn)
+	raw, ok := Transport(conn).(syscall.Conn)
 	return ok && askSocket(raw, question)
 }
 
@@ -87,8 +87,8 @@
 	return err == nil && answer
 }
 
-// transport returns the connection that carries a TLS connection, and others unchanged.
-func transport(conn net.Conn) net.Conn {
+// Transport returns the connection that carries a TLS connection, and others unchanged.
+func Transport(conn net.Conn) net.Conn {
 	if secure, ok := conn.(*tls.Conn); ok {
 		return secure.NetConn()
 	}
