--- a/internal/drain/limit.go
+++ b/internal/drain/limit.go
@@ -59,12 +59,12 @@
 	c.atLimit.Observe()
 	if c.endLongestQuiet(conn) {
 		connectionsEndedCount.Add(1)
-	} else if !c.limit.Intake.GiveUpSlowest() {
-		c.refuse(conn)
-		return false
-	}
-	if c.awaitRoom() {
-		return true
+		if c.awaitRoom() {
+			return true
+		}
+	} else {
+		// Its caller is answered first, so that the room comes too late for this connection.
+		c.limit.Intake.GiveUpSlowest()
 	}
 	c.refuse(conn)
 	return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,8 +226,12 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.underWay.begin(r.Header.Get(g.edge.IDHeader()))()
-	// The body is held until the answer is written: another server may get the request while it is being written.
-	holding := g.options.Intake.Begin(func() { answer.EndRead(r.Context()) })
+	// The body is held until the answer is written: another server may get the request while it is being written. A request
+	// without a body must not be given up for others, as that ends its context.
+	var holding *intake.Holding
+	if r.ContentLength != 0 {
+		holding = g.options.Intake.Begin(func() { answer.EndRead(r.Context()) })
+	}
 	defer holding.Release()
 	answered := func(r *http.Request) answer.Answer { return g.answer(r, holding) }
 	answer.Handler(answered).ServeHTTP(w, r)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -97,19 +97,27 @@
 
 // grow returns the interrupts of the requests that are given up.
 func (b *Budget) grow(r *intake.Request, size int64) (interrupts []func(), granted bool) {
+	b.change(func() {
+		var victims []*intake.Request
+		victims, granted = b.table.Grow(r, size, time.Now())
+		for _, victim := range victims {
+			interrupts = append(interrupts, b.interrupts[victim])
+			delete(b.interrupts, victim)
+		}
+		if !granted || len(victims) > 0 {
+			b.recordPressure(granted, len(victims))
+		}
+	})
+	return interrupts, granted
+}
+
+// change makes a change of the table and counts what is held after it.
+func (b *Budget) change(make func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before := b.table.Held()
-	victims, granted := b.table.Grow(r, size, time.Now())
+	make()
 	heldBytes.Add(b.table.Held() - before)
-	for _, victim := range victims {
-		interrupts = append(interrupts, b.interrupts[victim])
-		delete(b.interrupts, victim)
-	}
-	if !granted || len(victims) > 0 {
-		b.recordPressure(granted, len(victims))
-	}
-	return interrupts, granted
 }
 
 // recordPressure counts a request that was refused, or those given up for it; mu must be held.
@@ -128,17 +136,17 @@
 	if b == nil {
 		return false
 	}
-	b.mu.Lock()
-	before := b.table.Held()
-	victim := b.table.GiveUpSlowest(time.Now())
-	heldBytes.Add(b.table.Held() - before)
-	interrupt := b.interrupts[victim]
-	delete(b.interrupts, victim)
-	if victim != nil {
+	var interrupt func()
+	b.change(func() {
+		victim := b.table.GiveUpSlowest(time.Now())
+		if victim == nil {
+			return
+		}
 		givenUpCount.Add(1)
-	}
-	b.mu.Unlock()
-	if victim == nil {
+		interrupt = b.interrupts[victim]
+		delete(b.interrupts, victim)
+	})
+	if interrupt == nil {
 		return false
 	}
 	interrupt()
@@ -159,17 +167,14 @@
 func (h *Holding) Complete() { h.complete(math.MaxInt) }
 
 // complete records that the request is whole and holds a size in bytes. It returns false if it was given up before.
-func (h *Holding) complete(size int) bool {
+func (h *Holding) complete(size int) (whole bool) {
 	if h == nil {
 		return true
 	}
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.table.Held()
-	whole := b.table.Complete(h.request, int64(size))
-	heldBytes.Add(b.table.Held() - before)
-	delete(b.interrupts, h.request)
+	h.budget.change(func() {
+		whole = h.budget.table.Complete(h.request, int64(size))
+		delete(h.budget.interrupts, h.request)
+	})
 	return whole
 }
 
@@ -178,13 +183,10 @@
 	if h == nil {
 		return
 	}
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.table.Held()
-	b.table.Release(h.request)
-	heldBytes.Add(b.table.Held() - before)
-	delete(b.interrupts, h.request)
+	h.budget.change(func() {
+		h.budget.table.Release(h.request)
+		delete(h.budget.interrupts, h.request)
+	})
 }
 
 // ReadBody reads a body to its end, within the holding. announced is its length in bytes, negative if that is not known. It
@@ -249,12 +251,7 @@
 	if h == nil {
 		return
 	}
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.table.Held()
-	b.table.Shrink(h.request, size)
-	heldBytes.Add(b.table.Held() - before)
+	h.budget.change(func() { h.budget.table.Shrink(h.request, size) })
 }
 
 // readError returns ErrNoRoom if the reading was interrupted since the request was given up, and else the error of the read.
