A header that is refused gives its room back at once; a test of connections fixes its order

The trace: the server read the half line of the one connection after it had answered the other, so that the other had waited longer and gave way, which is right; the test took the order for given. The same tests, twelve at once, then showed a second fault, of the product: a header that found no room kept what it held until its connection was closed, and the next header was refused too.

Change: the holding is released with the refusal. The test waits until the half line is read before it sends the other request; what it checks is the same.

--- a/internal/drain/head.go
+++ b/internal/drain/head.go
@@ -31,6 +31,8 @@
 	}
 	held.Receive(n)
 	if err := held.Grow(int64(size) * headMemoryFactor); err != nil {
+		// Others may need the room before the connection is closed.
+		held.Release()
 		c.evict()
 		// net/http closes the connection after an error of this kind, and answers others with a 400.
 		return &net.OpError{Op: "read", Net: "tcp", Err: err}
--- a/internal/drain/limit_test.go
+++ b/internal/drain/limit_test.go
@@ -103,12 +103,13 @@
 	if _, err := io.WriteString(begun, "GET /be"); err != nil {
 		t.Fatal(err)
 	}
+	// It has waited the longest only if it is read before the other one gets its answer.
+	s.awaitBegun(t)
 	send(t, kept, "/first")
 	if body, _ := receive(t, kept.reader); body != "/first" {
 		t.Fatalf("got %q", body)
 	}
 	s.awaitIdle(t, 1)
-	s.awaitBegun(t)
 	for _, evicted := range []*client{begun, kept} {
 		newcomer := s.client(t)
 		send(t, newcomer, "/new")
