A leave before the first heartbeat is recorded like any other departure

What servers saw: a server whose first heartbeat was 2.5 s late left before it arrived. Its leave was answered 200, the heartbeat listed it afterwards, and 516 requests reached it more than drain-ms after the acknowledgement.

Cause: Mesh.Leave answered nil for an ID that it did not know and recorded nothing, and Roster.Leave marked the known incarnation although a later one left.

Change: the directory records the departure of an incarnation that it does not know; it is told to the other entries and written to most disks before it is acknowledged. A leave without a start time of an unknown server holds for each incarnation of that ID until it expires. An earlier incarnation's leave is acknowledged once the others know the later one. A draining server behind a later one at its address is recorded too.

--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -74,6 +75,17 @@
 	return s.Sequence > b.Sequence
 }
 
+// undescribed reports whether s is a departure that was recorded before any announcement
+// of the server had arrived.
+func (s *Server) undescribed() bool { return s.Gone && s.Address == "" }
+
+// departed returns b as gone, with the ages of its departure.
+func (b *Server) departed(departure *Server) Server {
+	gone := *b
+	gone.Leaving, gone.Gone, gone.Ages = true, true, departure.Ages
+	return gone
+}
+
 // Heartbeat reports only that an incarnation is alive. Most announcements contain
 // no other change that daemons need.
 type Heartbeat struct {
@@ -88,6 +100,10 @@
 // one heartbeat per second from each of 600 servers would be most of that traffic.
 const heartbeatInterval = 4 * time.Second
 
+// anyIncarnation is the start time under which the departure of an unknown server is
+// recorded that did not name its incarnation. No announcement of that ID supersedes it.
+const anyIncarnation = math.MaxInt64
+
 // Entry is a server as known to this daemon.
 type Entry struct {
 	Server
@@ -154,8 +170,11 @@
 	if ok && !s.newer(&known.Server) {
 		return false, false
 	}
+	if ok && known.Born == s.Born && s.undescribed() {
+		s = known.departed(&s)
+	}
 	if r.superseded(&s) {
-		if !ok {
+		if !ok && !s.Leaving && !s.Gone {
 			return false, false
 		}
 		s.Gone = true
@@ -227,12 +246,15 @@
 	e.Change, e.Material, e.changedAt = r.change, r.change, now
 }
 
-// put stores an entry and indexes it by its address.
+// put stores an entry and indexes it by its address, if that is known.
 func (r *Roster) put(e *Entry) {
 	if old := r.entries[e.ID]; old != nil && old.Address != e.Address {
 		r.forgetAddress(old)
 	}
 	r.entries[e.ID] = e
+	if e.Address == "" {
+		return
+	}
 	if ids := r.addresses[e.Address]; !slices.Contains(ids, e.ID) {
 		r.addresses[e.Address] = append(ids, e.ID)
 	}
@@ -269,18 +291,30 @@
 	}
 }
 
-// Leave marks a server as gone permanently. It reports whether the server was
-// known.
-func (r *Roster) Leave(id string, now time.Time) (Server, bool) {
-	e, ok := r.entries[id]
-	if !ok {
-		return Server{}, false
+// Leave records that an incarnation of a server has left permanently, whether it is
+// known or not: its first announcement may still be on its way and must not list it
+// afterwards. Without a born time (0) the known incarnation leaves; if none is known, any.
+// It reports whether this changed the roster.
+func (r *Roster) Leave(id string, born int64, now time.Time) (changed bool) {
+	known, ok := r.entries[id]
+	if ok && (born == 0 || born == known.Born) {
+		if known.Gone {
+			return false
+		}
+		known.Gone, known.Leaving, known.LastHeard = true, true, now
+		r.recordMaterial(known, now)
+		return true
+	}
+	if ok && known.Born > born {
+		return false
 	}
-	if !e.Gone {
-		e.Gone, e.Leaving, e.LastHeard = true, true, now
-		r.recordMaterial(e, now)
+	if born == 0 {
+		born = anyIncarnation
 	}
-	return e.Server, true
+	departed := &Entry{Server: Server{ID: id, Born: born, Leaving: true, Gone: true}, LastHeard: now}
+	r.recordMaterial(departed, now)
+	r.put(departed)
+	return true
 }
 
 // Change returns the number of the last change.
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -115,8 +115,9 @@
 	if r.Material() != material {
 		t.Error("heartbeats changed the number of the last material change")
 	}
-	if server, known := r.Leave("b", later); !known || !server.Gone {
-		t.Errorf("Leave returned %v, %v", server, known)
+	left := r.Leave("b", 1, later)
+	if server, known := r.Get("b"); !left || !known || !server.Gone {
+		t.Errorf("Leave returned %v, the server is %v", left, server)
 	}
 	if changed = r.Since(seen + 1); len(changed) != 1 || changed[0].Material <= seen || r.Material() != r.Change() {
 		t.Errorf("changed are %v, want the material change of b leaving", changed)
@@ -153,7 +154,7 @@
 	if e, _ := r.Get("a"); !e.LastHeard.Equal(now) || e.ColdMillis != 2000 {
 		t.Errorf("after the heartbeat: %+v, want it heard now and cold for 2 s more", e)
 	}
-	r.Leave("a", now)
+	r.Leave("a", 2, now)
 	r.ApplyHeartbeat(Heartbeat{ID: "a", Born: 2, Sequence: 8}, now)
 	if len(r.Serving()) != 0 {
 		t.Error("a heartbeat revived a server that had left")
--- a/internal/mesh/departures.go
+++ b/internal/mesh/departures.go
@@ -20,37 +20,36 @@
 	Server roster.Server `json:"server"`
 }
 
-// Leave marks a server as gone. It returns as confirmDeparture does.
+// Leave records that a server has left, also if this process does not know it: its first
+// announcement may still be on its way. It returns as confirmDeparture does.
 func (m *Mesh) Leave(ctx context.Context, id string, born int64) error {
 	if !m.Connected() {
 		return ErrPartitioned
 	}
+	now := time.Now()
 	m.mu.Lock()
-	known, ok := m.roster.Get(id)
-	if !ok || known.Born > born && born != 0 {
-		m.mu.Unlock()
-		return nil
-	}
-	if !known.Gone {
-		m.roster.Leave(id, time.Now())
+	before, known := m.roster.Get(id)
+	changed := m.roster.Leave(id, born, now)
+	if changed {
 		m.heardVia[id] = viaDirect
 		delete(m.diskOnly, id)
 		m.wakeAll()
 		m.notifyProgress()
 	}
 	m.mu.Unlock()
-	m.log.Info("backend server left", zap.String("server", id), zap.Bool("known", known.Gone))
+	m.log.Info("backend server left", zap.String("server", id), zap.Int64("born", born), zap.Bool("known", known),
+		zap.Int64("knownBorn", before.Born), zap.Bool("repeated", !changed))
 	return m.confirmDeparture(ctx, id)
 }
 
-// confirmDeparture returns nil once a server's departure may be acknowledged: the reachable entries know
-// of it, and most disks hold it. It does the same for a departure that is told again, since the earlier
-// call may have failed.
+// confirmDeparture returns nil once the departure of a server may be acknowledged: the reachable entries
+// know of it, or of a later incarnation, and most disks hold that. It does the same for a departure that is
+// told again, since the earlier call may have failed.
 func (m *Mesh) confirmDeparture(ctx context.Context, id string) error {
 	m.mu.Lock()
 	e, ok := m.roster.Get(id)
 	m.mu.Unlock()
-	if !ok || !e.Leaving && !e.Gone {
+	if !ok {
 		return nil
 	}
 	persisted := make(chan error, 1)
--- a/internal/mesh/departures_test.go
+++ b/internal/mesh/departures_test.go
@@ -233,3 +233,73 @@
 	server := roster.Server{ID: "s", Born: 1, Sequence: 1, Service: "x", Address: "a:1", Leaving: true}
 	eventually(t, func() bool { return f.nodes[0].Announce(context.Background(), server) == nil })
 }
+
+// Guards against requests that are sent to a server whose leave was acknowledged before its first heartbeat, or the first one of its incarnation, had arrived anywhere.
+func TestLeaveBeforeFirstHeartbeatIsRecorded(t *testing.T) {
+	for name, earlier := range map[string]bool{"unknown server": false, "later incarnation": true} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 3, 1)
+			f.awaitConnected()
+			if earlier {
+				f.announce(0, roster.Server{ID: "s", Born: 1, Sequence: 3, Service: "x", Address: "a:1"})
+				f.awaitServing("s", 1)
+			}
+			eventually(t, func() bool { return f.nodes[1].Leave(context.Background(), "s", 2) == nil })
+			f.announce(2, roster.Server{ID: "s", Born: 2, Sequence: 1, Service: "x", Address: "a:1"})
+			f.refuseServing(t, "s")
+			f.restartAll()
+			f.awaitConnected()
+			f.announce(0, roster.Server{ID: "s", Born: 2, Sequence: 2, Service: "x", Address: "a:1"})
+			f.refuseServing(t, "s")
+			f.announce(0, roster.Server{ID: "s", Born: 3, Sequence: 1, Service: "x", Address: "a:1"})
+			f.awaitServing("s", 3)
+		})
+	}
+}
+
+// Guards against a leave that is acknowledged because this entry knows a later incarnation, while the others still send requests to the one that leaves.
+func TestLeaveBehindLaterIncarnationIsConfirmed(t *testing.T) {
+	f, disks, server := startWithServer(t, 3)
+	for _, d := range disks[1:] {
+		t.Cleanup(d.hang())
+	}
+	later := server
+	later.Born = 2
+	f.announce(0, later)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := f.nodes[0].Leave(ctx, server.ID, server.Born); err == nil {
+		t.Error("a leave is acknowledged while two disks of three recall the server as one that serves")
+	}
+}
+
+// announce announces a server at an entry until it is acknowledged.
+func (f *fleet) announce(i int, s roster.Server) {
+	f.t.Helper()
+	eventually(f.t, func() bool { return f.nodes[i].Announce(context.Background(), s) == nil })
+}
+
+// awaitServing waits until all entries list an incarnation as one that serves.
+func (f *fleet) awaitServing(id string, born int64) {
+	f.t.Helper()
+	for i := range f.nodes {
+		eventually(f.t, func() bool {
+			e, _ := f.nodes[i].Announced(id)
+			return f.nodes[i].MayServe(id) && e.Born == born
+		})
+	}
+}
+
+// refuseServing fails the test if an entry lists a server as one that serves after the entries have told each other
+// what they know.
+func (f *fleet) refuseServing(t *testing.T, id string) {
+	t.Helper()
+	marker := roster.Server{ID: "marker", Born: time.Now().UnixNano(), Sequence: 1, Service: "x", Address: "m:1"}
+	f.announce(2, marker)
+	f.awaitServing(marker.ID, marker.Born)
+	for i := range f.nodes {
+		if f.nodes[i].MayServe(id) {
+			t.Errorf("entry %d sends requests to a server that has left", i)
+		}
+	}
+}
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -69,8 +69,12 @@
 	}
 }
 
-// heardVersion records that a server was heard. The caller holds mesh.mu.
+// heardVersion records that a server was heard, unless all that is known of it is that it has left. The caller
+// holds mesh.mu.
 func (s *streams) heardVersion(server *roster.Server, now time.Time) {
+	if server.Service == "" {
+		return
+	}
 	before := s.seen.Change()
 	several := s.seen.Heard(server.Service, server.Version, now)
 	if s.seen.Change() != before {
