A change that is in force is acknowledged without another round through the log

What operators saw: a configuration with 3,100 routes was in force within two seconds and never acknowledged.

Cause: Propose looked at the answer of the log alone. What is in force was committed, but a process that held it proposed it again, and one in which it came into force while the answer was late still said 503. The new lines 'a member of the log did not confirm a change' showed it on a trial copy: 568,356 bytes at two members, 450 to 723 ms each, 'context deadline exceeded', with the version in force at the asked entry at each try.

Change: a command that the held state includes is acknowledged at once, and one that comes into force during a try as soon as it does; both still wait the short time in which most members learn of the commit. A try is not cut off with its caller, as that closed the connection on which other calls waited. The same holds for versions of adapters.

--- a/coord/document/document.go
+++ b/coord/document/document.go
@@ -45,6 +45,19 @@
 	Adapters map[string]int64 `json:"adapters,omitempty"`
 }
 
+// Includes reports whether a command would not change s: it was applied, or is overtaken.
+func (s *State) Includes(c Command) bool {
+	return !s.acceptsPut(c.Put) && !s.acceptsVersion(c.AdapterVersion)
+}
+
+func (s *State) acceptsPut(p *Put) bool {
+	return p != nil && (s.Body == nil || p.Version > s.Version)
+}
+
+func (s *State) acceptsVersion(v *AdapterVersion) bool {
+	return v != nil && v.Version > s.Adapters[v.Adapter]
+}
+
 // Clone returns a copy that shares no mutable data with s.
 func (s State) Clone() State {
 	s.Adapters = maps.Clone(s.Adapters)
@@ -74,7 +87,7 @@
 }
 
 func (m *Machine) put(p *Put) bool {
-	if p == nil || m.state.Body != nil && p.Version <= m.state.Version {
+	if !m.state.acceptsPut(p) {
 		return false
 	}
 	m.state.Version, m.state.Body = p.Version, p.Body
@@ -82,7 +95,7 @@
 }
 
 func (m *Machine) setAdapterVersion(v *AdapterVersion) bool {
-	if v == nil || v.Version <= m.state.Adapters[v.Adapter] {
+	if !m.state.acceptsVersion(v) {
 		return false
 	}
 	if m.state.Adapters == nil {
--- a/coord/document/document_test.go
+++ b/coord/document/document_test.go
@@ -91,3 +91,23 @@
 		t.Errorf("Apply returned changed = %v, error %v", changed, err)
 	}
 }
+
+// Guards against a command that is acknowledged as applied although it would still change the state, and against one that is proposed again although it cannot.
+func TestIncludedCommandsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Machine
+		for index := range uint64(rapid.IntRange(1, 20).Draw(t, "commands")) {
+			command := Command{Put: &Put{Version: rapid.Uint64Range(0, 4).Draw(t, "version"), Body: json.RawMessage(`{}`)}}
+			if rapid.Bool().Draw(t, "adapter version") {
+				command = Command{AdapterVersion: &AdapterVersion{Adapter: "m/a", Version: rapid.Int64Range(0, 4).Draw(t, "version")}}
+			}
+			data, _ := json.Marshal(command)
+			state := m.State()
+			included := state.Includes(command)
+			changed, err := m.Apply(index+1, data)
+			if err != nil || changed == included {
+				t.Fatalf("a command is included: %v, and changed the state: %v, error %v", included, changed, err)
+			}
+		}
+	})
+}
--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -33,6 +33,8 @@
 	losses int
 	// configure, when set, changes a process before it runs.
 	configure func(*Mesh)
+	// handlers, when set, changes the methods of a process.
+	handlers func(*Mesh, map[string]rpc.Handler)
 }
 
 func decode(body []byte) (*route.Document, error) {
@@ -80,9 +82,10 @@
 		Self:  Process{Name: fmt.Sprint("p", i), Address: f.addresses[i], Entry: true, Disk: f.folders[i] != "", Started: time.Now().UnixNano()},
 		Seeds: f.addresses[:1], Bootstrap: bootstrap, Folder: f.folders[i], ToleratedLosses: f.losses,
 	}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	// A disk that is slow under other load must not count as hung.
+	m.quorumWait = time.Minute
 	if m.host != nil {
-		// A disk that is slow under other load must not count as hung.
-		m.configWriter.timeout, m.host.quorumWait = time.Minute, time.Minute
+		m.configWriter.timeout = time.Minute
 	}
 	if f.configure != nil {
 		f.configure(m)
@@ -92,7 +95,11 @@
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	server := rpc.NewServer(m.Handlers())
+	handlers := m.Handlers()
+	if f.handlers != nil {
+		f.handlers(m, handlers)
+	}
+	server := rpc.NewServer(handlers)
 	go func() { _ = server.Serve(ctx, listener) }()
 	n := &node{Mesh: m, cancel: cancel, stopped: make(chan struct{})}
 	go func() {
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -38,8 +38,6 @@
 type logHost struct {
 	mesh   *Mesh
 	prover prover
-	// quorumWait bounds how long an acknowledgement waits for a majority.
-	quorumWait time.Duration
 	current    atomic.Pointer[replica.Replica]
 	// opened is when the disk was last opened. Only the goroutine that runs the host uses
 	// it.
@@ -47,7 +45,7 @@
 }
 
 func newLogHost(m *Mesh) *logHost {
-	h := &logHost{mesh: m, quorumWait: quorumWait}
+	h := &logHost{mesh: m}
 	h.prover.round = h.proveByQuorum
 	h.prover.interval = func(failingFor time.Duration) time.Duration {
 		// One round asks the other voters however many callers wait for it, so the number
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -98,6 +98,8 @@
 	pauses       pauseDetector
 	// forwardTimeout bounds one attempt at one member of the log.
 	forwardTimeout time.Duration
+	// quorumWait bounds how long an acknowledgement waits for a majority.
+	quorumWait time.Duration
 
 	// informed is set once no strike from before the start of this process can be missing;
 	// mustInform is when it is set at the latest.
@@ -148,7 +150,7 @@
 	m := &Mesh{
 		options: options, log: log, documents: documents,
 		peers: make(map[string]*peer), roster: roster.New(), heardVia: make(map[string]via), strikes: suspicion.NewStrikes(), rates: serverrate.NewTable(),
-		progress: make(chan struct{}), diskOnly: make(map[string]bool), forwardTimeout: forwardTimeout,
+		progress: make(chan struct{}), diskOnly: make(map[string]bool), forwardTimeout: forwardTimeout, quorumWait: quorumWait,
 	}
 	m.publishRates()
 	if options.informedAtStart() {
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
 // ErrUnconfirmed means that the log did not answer in time: whether a change was
@@ -20,23 +22,85 @@
 const forwardTimeout = 450 * time.Millisecond
 
 // Propose commits a command. It returns nil only when the command is durable, and in
-// force here or about to be.
+// force here or about to be. A state that is in force was committed, so a command that it
+// includes is not sent through the log again: an operator that got no answer would else
+// wait for the whole configuration anew each time.
 func (m *Mesh) Propose(ctx context.Context, command document.Command) error {
+	if m.includes(command) {
+		m.awaitHeld(ctx)
+		return nil
+	}
 	data, err := json.Marshal(command)
 	if err != nil {
 		return errors.Wrap(err, "encode a command")
 	}
+	confirmed := make(chan error, 1)
+	go func() {
+		// A call that is cut off closes the connection, on which other calls wait for their answers.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*m.forwardTimeout)
+		defer cancel()
+		confirmed <- m.propose(ctx, data)
+	}()
+	for {
+		changed := m.documents.Changed()
+		if m.includes(command) {
+			return m.awaitConfirmation(ctx, confirmed)
+		}
+		select {
+		case err := <-confirmed:
+			return err
+		case <-changed:
+		case <-ctx.Done():
+			return ErrUnconfirmed
+		}
+	}
+}
+
+// includes reports whether the held state, which is always a committed one, includes a command.
+func (m *Mesh) includes(command document.Command) bool {
+	return m.documents.Current().State.Includes(command)
+}
+
+// awaitHeld does for the held state what awaitQuorum does for a new entry.
+func (m *Mesh) awaitHeld(ctx context.Context) {
+	if m.host != nil && m.host.isMember() {
+		m.host.awaitQuorum(ctx, m.documents.Current().State.Index)
+	}
+}
+
+// awaitConfirmation waits a short time for the confirmation of a command that is in force:
+// until then few processes may know that it is committed.
+func (m *Mesh) awaitConfirmation(ctx context.Context, confirmed <-chan error) error {
+	timer := time.NewTimer(m.quorumWait)
+	defer timer.Stop()
+	select {
+	case <-confirmed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// propose commits a command by the local part of the log, or by a member of it.
+func (m *Mesh) propose(ctx context.Context, data []byte) error {
 	if m.host != nil && m.host.isMember() {
-		if result := m.host.propose(ctx, data); result.Committed {
+		start := time.Now()
+		result := m.host.propose(ctx, data)
+		if result.Committed {
 			return nil
 		}
+		m.log.Info("the log did not confirm a change", zap.Int("bytes", len(data)), zap.Duration("took", time.Since(start)), zap.String("message", result.Message))
 		return ErrUnconfirmed
 	}
 	for _, address := range m.members() {
 		var reply proposalResult
-		if err := m.forward(ctx, address, methodPropose, proposal{Command: data}, &reply); err == nil && reply.Committed {
+		start := time.Now()
+		err := m.forward(ctx, address, methodPropose, proposal{Command: data}, &reply)
+		if err == nil && reply.Committed {
 			return nil
 		}
+		m.log.Info("a member of the log did not confirm a change", zap.String("member", address), zap.Int("bytes", len(data)), zap.Duration("took", time.Since(start)),
+			zap.String("message", reply.Message), telemetry.Cause(err))
 		if ctx.Err() != nil {
 			break
 		}
@@ -122,7 +186,7 @@
 // then stop and the leader is lost, the remaining ones can prove their state without
 // electing a new leader first.
 func (h *logHost) awaitQuorum(ctx context.Context, index uint64) {
-	timeout := h.quorumWait
+	timeout := h.mesh.quorumWait
 	if deadline, ok := ctx.Deadline(); ok {
 		// Leave half of the remaining time for the answer.
 		timeout = min(timeout, time.Until(deadline)/2)
