A large change reaches the log over a slow link

What operators saw: a configuration of some hundred kilobytes was answered 503 by entries without a disk at each try, and another change got 'jsonrpc2: connection is closed' at the same member.

Cause: an entry sent the body to a member of the log within 450 ms, whatever its size and the link, then began anew at the next member; a message of the log had two seconds. A try that timed out closed the connection that other calls to that member shared.

Change: the bounds of a try, of its call and of the log's messages grow with the size, by 2 s a megabyte. A change from 1 KiB on is packed on its way to the log, where the member says that it reads that, and has a connection of its own. A try goes on when its caller has left; 16 MiB of changes are proposed at a time. Entries of the log stay as they are, so that a version before reads them.

--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/coord/route"
@@ -35,6 +37,48 @@
 	configure func(*Mesh)
 	// handlers, when set, changes the methods of a process.
 	handlers func(*Mesh, map[string]rpc.Handler)
+	// links are the rates, in bytes per second and each way, of the connections to a process, by its number; without
+	// one they are as fast as they can be.
+	links map[int]rate.Limit
+}
+
+// slowListener limits the rate of its connections, as a slow link does.
+type slowListener struct {
+	net.Listener
+	limit rate.Limit
+}
+
+// slowChunk is the most, in bytes, that a slow connection carries at once.
+const slowChunk = 4 << 10
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{conn, rate.NewLimiter(l.limit, slowChunk), rate.NewLimiter(l.limit, slowChunk)}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	in, out *rate.Limiter
+}
+
+func (c slowConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data[:min(len(data), slowChunk)])
+	_ = c.in.WaitN(context.Background(), n)
+	return n, err
+}
+
+func (c slowConn) Write(data []byte) (written int, err error) {
+	for written < len(data) && err == nil {
+		chunk := data[written:min(len(data), written+slowChunk)]
+		_ = c.out.WaitN(context.Background(), len(chunk))
+		var n int
+		n, err = c.Conn.Write(chunk)
+		written += n
+	}
+	return written, err
 }
 
 func decode(body []byte) (*route.Document, error) {
@@ -94,6 +138,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if limit := f.links[i]; limit > 0 {
+		listener = slowListener{listener, limit}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	handlers := m.Handlers()
 	if f.handlers != nil {
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -36,9 +36,9 @@
 // logHost runs the local replica of the replicated log, and reopens it after the disk has
 // failed: the replica may then rely only on what is still on the disk.
 type logHost struct {
-	mesh   *Mesh
-	prover prover
-	current    atomic.Pointer[replica.Replica]
+	mesh    *Mesh
+	prover  prover
+	current atomic.Pointer[replica.Replica]
 	// opened is when the disk was last opened. Only the goroutine that runs the host uses
 	// it.
 	opened time.Time
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -138,6 +138,8 @@
 	demand modelplan.Demand
 	// diskOnly holds the servers that are known only from the disk.
 	diskOnly map[string]bool
+	// proposing is the number of bytes of the changes that are being proposed.
+	proposing int
 	// progress is closed and replaced when a peer acknowledges a change or updates
 	// arrive.
 	progress chan struct{}
@@ -185,7 +187,7 @@
 	if m.host != nil {
 		self.Member, self.Cluster, self.Leads = m.host.identity()
 	}
-	self.OnlyVersions = m.streams.onlyVersions()
+	self.Unpacks, self.OnlyVersions = true, m.streams.onlyVersions()
 	return self
 }
 
--- a/internal/mesh/messages.go
+++ b/internal/mesh/messages.go
@@ -49,6 +49,8 @@
 	Index uint64 `json:"index,omitempty"`
 	// Started is its start time in Unix nanoseconds. It distinguishes its incarnations.
 	Started int64 `json:"started"`
+	// Unpacks is true when it can read packed proposals.
+	Unpacks bool `json:"unpacks,omitempty"`
 	// OnlyVersions names, by service, the version that was the only one until it heard of a second one.
 	OnlyVersions map[string]string `json:"onlyVersions,omitempty"`
 	// SilentMillis is the time since it was last heard, as far as the reporting process
@@ -169,9 +171,10 @@
 // standingRequest asks a member of the log for its standing.
 type standingRequest struct{}
 
-// proposal is a command for the log.
+// proposal is a command for the log, packed or not.
 type proposal struct {
-	Command json.RawMessage `json:"command"`
+	Command json.RawMessage `json:"command,omitempty"`
+	Packed  []byte          `json:"packed,omitempty"`
 }
 
 // permitRequest asks which model an engine without one may load.
--- a/internal/mesh/packed.go
+++ b/internal/mesh/packed.go
@@ -23,8 +23,8 @@
 }
 
 const (
-	// minPackedBody is the size in bytes from which a body is packed: below it, the
-	// packet that carries it is sent anyway.
+	// minPackedBody is the size in bytes from which a body or a proposal is packed: below
+	// it, the packet that carries it is sent anyway.
 	minPackedBody = 1 << 10
 	// maxBody bounds the unpacked size of a body in bytes, so that a small message
 	// cannot exhaust the memory.
@@ -56,10 +56,10 @@
 func inflate(packed []byte) (json.RawMessage, error) {
 	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxBody+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "unpack the configuration")
+		return nil, errors.Wrap(err, "unpack a message")
 	}
 	if len(body) > maxBody {
-		return nil, errors.Errorf("the configuration unpacks to more than %d bytes", maxBody)
+		return nil, errors.Errorf("a message unpacks to more than %d bytes", maxBody)
 	}
 	return body, nil
 }
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
 
@@ -21,6 +23,21 @@
 // still be asked within one second, the time that an operator waits.
 const forwardTimeout = 450 * time.Millisecond
 
+const (
+	// transferRate is the rate, in bytes per second, at which a change crosses a slow link
+	// that also carries callers' streams.
+	transferRate = 500_000
+	// maxProposing bounds the bytes of the changes that one process proposes at a time: a
+	// change goes on after its caller has left.
+	maxProposing = 16 << 20
+)
+
+// TransferTime returns how much longer a change of some bytes may take than a small one, on
+// its way to a member of the log and from there to the others.
+func TransferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / transferRate
+}
+
 // Propose commits a command. It returns nil only when the command is durable, and in
 // force here or about to be. A state that is in force was committed, so a command that it
 // includes is not sent through the log again: an operator that got no answer would else
@@ -34,10 +51,15 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a command")
 	}
+	if !m.beginProposal(len(data)) {
+		m.log.Warn("a change is not proposed, as too many others are in progress", zap.Int("bytes", len(data)))
+		return ErrUnconfirmed
+	}
 	confirmed := make(chan error, 1)
 	go func() {
-		// A call that is cut off closes the connection, on which other calls wait for their answers.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*m.forwardTimeout)
+		defer m.endProposal(len(data))
+		// A caller that leaves early would cut off a transfer that it then asks for anew.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*m.attemptTimeout(len(data)))
 		defer cancel()
 		confirmed <- m.propose(ctx, data)
 	}()
@@ -56,6 +78,26 @@
 	}
 }
 
+// attemptTimeout bounds one attempt to commit a command of some bytes.
+func (m *Mesh) attemptTimeout(bytes int) time.Duration { return m.forwardTimeout + TransferTime(bytes) }
+
+// beginProposal reports whether there is room for another proposal, which endProposal ends.
+func (m *Mesh) beginProposal(bytes int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.proposing+bytes > maxProposing {
+		return false
+	}
+	m.proposing += bytes
+	return true
+}
+
+func (m *Mesh) endProposal(bytes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.proposing -= bytes
+}
+
 // includes reports whether the held state, which is always a committed one, includes a command.
 func (m *Mesh) includes(command document.Command) bool {
 	return m.documents.Current().State.Includes(command)
@@ -92,10 +134,10 @@
 		m.log.Info("the log did not confirm a change", zap.Int("bytes", len(data)), zap.Duration("took", time.Since(start)), zap.String("message", result.Message))
 		return ErrUnconfirmed
 	}
+	packed := sync.OnceValue(func() []byte { return deflate(data) })
 	for _, address := range m.members() {
-		var reply proposalResult
 		start := time.Now()
-		err := m.forward(ctx, address, methodPropose, proposal{Command: data}, &reply)
+		reply, err := m.forwardProposal(ctx, address, data, packed)
 		if err == nil && reply.Committed {
 			return nil
 		}
@@ -108,6 +150,47 @@
 	return ErrUnconfirmed
 }
 
+// forwardProposal sends a command to a member of the log. A large one has a connection of its
+// own: when it times out, the connection is closed.
+func (m *Mesh) forwardProposal(ctx context.Context, address string, data []byte, packed func() []byte) (reply proposalResult, err error) {
+	ctx, cancel := context.WithTimeout(ctx, m.attemptTimeout(len(data)))
+	defer cancel()
+	message := m.proposalTo(address, data, packed)
+	if len(data) < minPackedBody {
+		err = m.call(ctx, address, methodPropose, message, &reply)
+		return reply, err
+	}
+	client := rpc.NewClient(address)
+	defer client.Close()
+	err = client.Call(ctx, methodPropose, message, &reply)
+	return reply, err
+}
+
+// proposalTo returns the message that carries a command to a member of the log: a large one is
+// packed, if the member can read that.
+func (m *Mesh) proposalTo(address string, data []byte, packed func() []byte) proposal {
+	if len(data) < minPackedBody || !m.unpacks(address) {
+		return proposal{Command: data}
+	}
+	return proposal{Packed: packed()}
+}
+
+// data returns the command.
+func (p *proposal) data() ([]byte, error) {
+	if p.Packed == nil {
+		return p.Command, nil
+	}
+	return inflate(p.Packed)
+}
+
+// unpacks reports whether a peer can read packed proposals.
+func (m *Mesh) unpacks(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	q := m.peers[address]
+	return q != nil && q.process.Unpacks
+}
+
 // Read returns a state that includes every change that was acknowledged before the call,
 // or ErrUnconfirmed.
 func (m *Mesh) Read(ctx context.Context) (document.State, error) {
@@ -220,9 +303,13 @@
 }
 
 func (h *logHost) handlePropose(ctx context.Context, in proposal) (proposalResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, h.mesh.forwardTimeout)
+	data, err := in.data()
+	if err != nil {
+		return proposalResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.mesh.attemptTimeout(len(data)))
 	defer cancel()
-	return h.propose(ctx, in.Command), nil
+	return h.propose(ctx, data), nil
 }
 
 // read waits until every entry that was committed before the call is applied here, and
--- a/internal/mesh/propose_test.go
+++ b/internal/mesh/propose_test.go
@@ -1,12 +1,18 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
 	"github.com/rosemarypass/rosemarypass/coord/document"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
@@ -78,3 +84,82 @@
 		}
 	}
 }
+
+// changeOf returns a configuration of some bytes, of which packing leaves about half.
+func changeOf(version uint64, bytes int) []byte {
+	filler := make([]byte, bytes/2)
+	random := rand.NewChaCha8([32]byte{byte(version)})
+	_, _ = random.Read(filler)
+	return fmt.Appendf(nil, `{"Version":%d,"Filler":"%s"}`, version, hex.EncodeToString(filler))
+}
+
+// slowLink is the rate, in bytes per second, of a link of 7.5 Mbit/s.
+const slowLink = 7_500_000 / 8
+
+// Guards against a large configuration that crosses a slow link to the log in more time than a try has, so that each try begins anew and none arrives.
+func TestLargeChangeCrossesSlowLink(t *testing.T) {
+	for name, slow := range map[string]int{"to the log": 0, "within the log": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 1)
+			f.links = map[int]rate.Limit{slow: slowLink}
+			for i := range f.nodes {
+				f.start(i, true)
+			}
+			f.put(0, 1)
+			eventually(t, func() bool {
+				return f.voters(0) == 2 && f.nodes[2].Documents().Current().State.Version == 1
+			})
+			put := document.Command{Put: &document.Put{Version: 2, Body: changeOf(2, 2<<20)}}
+			eventually(t, func() bool { return f.nodes[2].Propose(t.Context(), put) == nil })
+			for i := range f.nodes {
+				eventually(t, func() bool { return f.nodes[i].Documents().Current().State.Version == 2 })
+			}
+		})
+	}
+}
+
+// Guards against an upgrade during which processes of the version before are sent packed changes, which they cannot read.
+func TestPackedChangeIsSentOnlyToThoseThatReadIt(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	f.put(0, 1)
+	member := f.addresses[0]
+	eventually(t, func() bool { return f.nodes[1].unpacks(member) })
+	large, small := changeOf(2, 2*minPackedBody), changeOf(2, minPackedBody/2)
+	for _, test := range []struct {
+		name    string
+		unpacks bool
+		data    []byte
+		packed  bool
+	}{
+		{"large, to a process that unpacks", true, large, true},
+		{"small, to a process that unpacks", true, small, false},
+		{"large, to a process that does not", false, large, false},
+	} {
+		f.nodes[1].mu.Lock()
+		f.nodes[1].peers[member].process.Unpacks = test.unpacks
+		f.nodes[1].mu.Unlock()
+		message := f.nodes[1].proposalTo(member, test.data, func() []byte { return deflate(test.data) })
+		if packed := message.Packed != nil; packed != test.packed || packed == (message.Command != nil) {
+			t.Errorf("%s: packed is %v", test.name, packed)
+		}
+		if data, err := message.data(); err != nil || !bytes.Equal(data, test.data) {
+			t.Errorf("%s: it arrives changed, %v", test.name, err)
+		}
+	}
+}
+
+// Guards against a process whose memory is filled by changes that wait for a log that does not answer.
+func TestProposalsInProgressAreBounded(t *testing.T) {
+	m := New(Options{}, NewDocuments(decode, zap.NewNop()), zap.NewNop())
+	begun := 0
+	for m.beginProposal(4 << 20) {
+		begun++
+	}
+	if begun != maxProposing/(4<<20) {
+		t.Errorf("%d changes of 4 MiB are proposed at once", begun)
+	}
+	m.endProposal(4 << 20)
+	if !m.beginProposal(4 << 20) {
+		t.Error("an ended proposal leaves no room for another")
+	}
+}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -32,8 +32,10 @@
 	// configuration.
 	maxLearned = 64
 	// callTimeout limits the duration of one call, also to a peer that is partitioned
-	// without a connection error.
-	callTimeout = 2 * time.Second
+	// without a connection error. Entries add to it the time in which they cross a slow
+	// link at transferRate, in bytes per second: a large one would else never arrive.
+	callTimeout  = 2 * time.Second
+	transferRate = 500_000
 	// retryDelay is the wait after a failed call, so that a peer that is down is not
 	// dialled in a tight loop.
 	retryDelay = 50 * time.Millisecond
@@ -159,9 +161,7 @@
 			return messages, &m
 		}
 		messages = append(messages, m)
-		for _, e := range m.Entries {
-			size += len(e.Data)
-		}
+		size += entryBytes(m)
 		if len(messages) >= envelopeMessages || size >= envelopeBytes {
 			return messages, nil
 		}
@@ -173,11 +173,28 @@
 	}
 }
 
+// entryBytes returns the size of the entries that a message carries.
+func entryBytes(m replog.Message) int {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	return size
+}
+
+func transferTime(messages []replog.Message) time.Duration {
+	size := 0
+	for _, m := range messages {
+		size += entryBytes(m)
+	}
+	return time.Duration(size) * time.Second / transferRate
+}
+
 func (p *peers) call(client *rpc.Client, messages []replog.Message) error {
 	if len(messages) == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout+transferTime(messages))
 	defer cancel()
 	sentCalls.Add(1)
 	sentMessages.Add(int64(len(messages)))
