A large configuration is pulled over a slow link

What callers saw: a process without a log never gets a configuration that takes longer than half a second on its link; it acts by an older one for good.

Cause: a pull had 1.2 s, of which it may wait 0.7 s for a newer state. What arrives later was cut and asked for anew.

Change: a pull goes on while its answer arrives, for up to 30 s, and ends once nothing has arrived for 1.2 s, so that a silent source is left as fast as before. A single pull has a connection of its own.

--- a/internal/mesh/follow.go
+++ b/internal/mesh/follow.go
@@ -17,8 +17,10 @@
 const (
 	// pullWait is how long a pull waits for a newer configuration.
 	pullWait = 700 * time.Millisecond
-	// pullTimeout leaves additional time for the answer after pullWait.
+	// pullTimeout leaves additional time for the answer to begin after pullWait. A large
+	// configuration may then arrive for longer, up to maxPullTime.
 	pullTimeout = pullWait + 500*time.Millisecond
+	maxPullTime = 30 * time.Second
 )
 
 var (
@@ -105,11 +107,11 @@
 		if m.needsFirstConfig() {
 			waitTime = 0
 		}
-		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, maxPullTime)
 		var reply pullReply
 		request := m.newPullRequest()
 		request.Digest, request.Cursor, request.WaitMillis = digest, cursor, waitTime.Milliseconds()
-		err := client.Call(callCtx, methodPull, request, &reply)
+		err := client.CallReceiving(callCtx, pullTimeout, methodPull, request, &reply)
 		cancel()
 		if err != nil {
 			return progressed
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -263,12 +263,15 @@
 	}
 }
 
-// pullOnce pulls the state of one peer.
+// pullOnce pulls the state of one peer. It has a connection of its own: a large state may
+// arrive for long.
 func (m *Mesh) pullOnce(ctx context.Context, address string) {
-	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, maxPullTime)
 	defer cancel()
+	client := rpc.NewClient(address)
+	defer client.Close()
 	var reply pullReply
-	err := m.call(callCtx, address, methodPull, m.newPullRequest(), &reply)
+	err := client.CallReceiving(callCtx, pullTimeout, methodPull, m.newPullRequest(), &reply)
 	if err == nil {
 		err = m.applyReply(&reply, originPull+address)
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/rosemarypass/rosemarypass/internal/peertls"
+	"github.com/rosemarypass/rosemarypass/internal/wait"
 )
 
 // Client calls one address and reconnects when the connection is lost.
@@ -68,6 +69,54 @@
 	return nil
 }
 
+// CallReceiving is like Call for responses that may be large: it waits for as long as data
+// arrives on the connection, and ends once none has arrived for the time idle.
+func (c *Client) CallReceiving(ctx context.Context, idle time.Duration, method string, in, out any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go c.cancelWhenIdle(ctx, cancel, idle)
+	err := c.Call(ctx, method, in, out)
+	if err != nil && errors.Is(context.Cause(ctx), errIdle) {
+		return errors.Wrapf(errIdle, "%s at %s", method, c.address)
+	}
+	return err
+}
+
+// errIdle is the cause of a call that CallReceiving ended.
+var errIdle = errors.New("no data arrived in time")
+
+// cancelWhenIdle cancels a call once no data has arrived for the time idle.
+func (c *Client) cancelWhenIdle(ctx context.Context, cancel context.CancelCauseFunc, idle time.Duration) {
+	lastArrival := time.Now()
+	for {
+		rest := idle - time.Since(lastArrival)
+		if rest <= 0 {
+			cancel(errIdle)
+			return
+		}
+		if wait.For(ctx, rest) != nil {
+			return
+		}
+		if last := c.lastActivity(); last.After(lastArrival) {
+			lastArrival = last
+		}
+	}
+}
+
+// lastActivity returns when data last arrived on the current connection; zero if there is
+// no connection or no data has arrived.
+func (c *Client) lastActivity() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return time.Time{}
+	}
+	if last := c.conn.activity.last.Load(); last != nil {
+		return *last
+	}
+	return time.Time{}
+}
+
 // IsPeerError reports whether a call's error was returned by the peer. After any other
 // error the peer may have executed the call.
 func IsPeerError(err error) bool {
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// Guards against a call for a large response that waits for a silent peer until its caller gives up.
+func TestReceivingCallToSilentPeerEnds(t *testing.T) {
+	listener := serve(t, map[string]Handler{"any": func(ctx context.Context, _ json.RawMessage) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	client := NewClient(listener.Addr().String())
+	defer client.Close()
+	if err := client.CallReceiving(t.Context(), 50*time.Millisecond, "any", nil, nil); !errors.Is(err, errIdle) {
+		t.Errorf("call to a silent peer ended with %v", err)
+	}
+}
+
 // Many calls are made to a machine without power. They must share one dial: otherwise each would wait for the dials of
 // all others before its own.
 func TestCallsToUnreachableAddressShareDial(t *testing.T) {
