A stream goes on at any server only if most disks say that no other version serves

Cause: with one version known and the entry connected, StreamVersion asked nobody. Greetings from before the pause, which it reads first, make it look connected.

Change: the entry asks the processes with a disk, after the stream was taken up, for the versions that they heard of. No server of a second version begins a stream before most disks hold it, so more than half of the answers name each version that matters, and neither a clock nor the length of a pause enters into it. One round serves all streams that wait. An entry to which most others count as lost takes a record that it does not find for unreached.

Measured: TestEntryOutOfStepJoinsNoVersions (3 of 3 forms, at the first try) and TestEntryCutOffFromDisksIsNotSure fail on and pass with the race detector. A real process that is stopped is not played by them.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -95,7 +95,9 @@
 	strikesFile  *diskCopy[refusals]
 	packer       bodyPacker
 	prover       prover
-	pauses       pauseDetector
+	// versionProver asks for the software versions that serve.
+	versionProver prover
+	pauses        pauseDetector
 	// forwardTimeout bounds one attempt at one member of the log.
 	forwardTimeout time.Duration
 	// quorumWait bounds how long an acknowledgement waits for a majority.
@@ -164,6 +166,7 @@
 	m.prover.interval = func(failingFor time.Duration) time.Duration {
 		return proofBackoff.Pause(failingFor, m.size(), rand.Float64())
 	}
+	m.versionProver = newVersionProver(m)
 	m.pauses.clock = bootTime
 	if options.Folder != "" {
 		m.host = newLogHost(m)
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -243,14 +243,19 @@
 func (m *Mesh) StreamVersion(ctx context.Context, attempt, service string) streamversion.Question {
 	stream := streamversion.Of(attempt)
 	q := m.knownOfStream(stream, service)
-	if q.Found || q.Complete && len(q.Versions) <= 1 {
+	if q.Found {
+		return q
+	}
+	proven := m.knowsVersions(ctx)
+	if q = m.knownOfStream(stream, service); proven && q.Complete && len(q.Versions) <= 1 {
 		return q
 	}
 	unreached := stream != 0 && m.streams.ask(ctx, stream)
 	// Those that were asked also told of the versions that they heard of.
 	q = m.knownOfStream(stream, service)
+	q.Complete = q.Complete && proven
 	if !q.Found {
-		q.Unreached = unreached
+		q.Unreached = unreached || !proven
 		streamsUnknownCount.Add(1)
 	}
 	return q
@@ -278,7 +283,10 @@
 func (s *streams) ask(ctx context.Context, stream streamversion.Stream) (unreached bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	holders := streamversion.Asked(stream, s.nodes())
+	nodes := s.nodes()
+	// Where most others count as lost, this process may be the one that was cut off or stood still.
+	unreached = 2*len(nodes) < len(s.mesh.otherEntries())
+	holders := streamversion.Asked(stream, nodes)
 	replies := make(chan *streamReply, len(holders))
 	for _, holder := range holders {
 		go func() {
--- /dev/null
+++ b/internal/mesh/version_proof_test.go
@@ -0,0 +1,89 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemarypass/rosemarypass/coord/streamversion"
+	"github.com/rosemarypass/rosemarypass/internal/rpc"
+)
+
+var errDeaf = errors.New("out of step")
+
+// startBesideDeaf starts entries that know one version, of which the last one then hears of nothing new, while its own
+// greetings are answered: to itself it looks connected, as after a pause in which messages from before it waited. A
+// second version begins to serve at the others.
+func startBesideDeaf(t *testing.T, disks, others int) (f *fleet, deaf int) {
+	t.Helper()
+	f = newFleet(t, disks, others)
+	deaf = disks + others - 1
+	var outOfStep atomic.Bool
+	f.handlers = func(m *Mesh, handlers map[string]rpc.Handler) {
+		if m.options.Self.Address != f.addresses[deaf] {
+			return
+		}
+		for _, method := range []string{methodSync, methodPersistVersion, methodTellStreams} {
+			handle := handlers[method]
+			handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+				if outOfStep.Load() {
+					return nil, errDeaf
+				}
+				return handle(ctx, params)
+			}
+		}
+	}
+	for i := range f.nodes {
+		f.start(i, true)
+	}
+	f.awaitConnected()
+	f.announceVersion(0, "a", "v1")
+	f.awaitVersions(1)
+	outOfStep.Store(true)
+	f.announceVersion(0, "b", "v2")
+	for i := range deaf {
+		eventually(t, func() bool { return len(f.nodes[i].KnownVersions(streamService).Versions) == 2 })
+	}
+	if versions := f.nodes[deaf].KnownVersions(streamService).Versions; len(versions) != 1 {
+		t.Fatalf("the entry that is out of step knows versions %v", versions)
+	}
+	return f, deaf
+}
+
+// Guards against a stream of a second version that goes on at the first one, as the entry at which its caller takes it up was out of step while servers of the second version joined.
+func TestEntryOutOfStepJoinsNoVersions(t *testing.T) {
+	for name, sizes := range map[string][2]int{"with a disk": {4, 0}, "without a disk": {3, 1}, "no entry with a disk": {0, 4}} {
+		t.Run(name, func(t *testing.T) {
+			f, deaf := startBesideDeaf(t, sizes[0], sizes[1])
+			f.recordStream(1, "second", "v2")
+			for i := range 20 {
+				for _, attempt := range []string{"second", "unknown"} {
+					decision := streamversion.Decide(f.nodes[deaf].StreamVersion(t.Context(), attempt, streamService))
+					if decision.Verdict == streamversion.AnyServer || decision.Verdict == streamversion.OneVersion && decision.Version != "v2" {
+						t.Fatalf("try %d: the stream %q goes on by %+v", i, attempt, decision)
+					}
+				}
+			}
+			f.awaitVersionOf(deaf, "second", "v2")
+		})
+	}
+}
+
+// Guards against a stream that goes on at any server while this process is cut off from most disks, and cannot know which versions serve.
+func TestEntryCutOffFromDisksIsNotSure(t *testing.T) {
+	f := startFleet(t, 3, 2)
+	f.awaitConnected()
+	f.announceVersion(0, "a", "v1")
+	f.awaitVersions(1)
+	eventually(t, func() bool {
+		return streamversion.Decide(f.nodes[4].StreamVersion(t.Context(), "any", streamService)).Verdict == streamversion.AnyServer
+	})
+	f.stop(1)
+	f.stop(2)
+	if q := f.nodes[4].StreamVersion(t.Context(), "any", streamService); !streamversion.Decide(q).MayChange() {
+		t.Errorf("without two of three disks it decides by %+v", q)
+	}
+}
