A process that stood still for long does not take itself for most disks

Cause: the question which versions serve went to the processes with a disk that anybody had been heard of within 15 s. After a longer pause or cut there is none of them, so that an entry with a disk was sure alone.

Change: it goes to all processes with a disk that are not forgotten.

Measured: TestLongPauseLeavesNoProcessSureAlone fails with the earlier list of processes and passes.

--- a/internal/interim/interim.go
+++ b/internal/interim/interim.go
@@ -6,7 +6,6 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -18,27 +17,12 @@
 func IsFinal(status int) bool { return status >= http.StatusOK }
 
 // Check returns ErrInvalid unless a response with a status that is not final is an
-// interim one, to a request that asked for no other protocol: a status from 100 that is
-// not 101, and a header that neither frames a body, which an interim response cannot have
-// (RFC 9110, 8.6; RFC 9112, 6.1), nor ends the connection.
+// interim one, to a request that asked for no other protocol: its status is at least 100
+// and not 101, and it announces no length, as an interim response has no body (RFC 9110,
+// 8.6). A client whose parser tells more of the response, such as chunks, checks that too.
 func Check(status int, header http.Header) error {
-	switch {
-	case status < http.StatusContinue, status == http.StatusSwitchingProtocols,
-		len(header["Content-Length"]) > 0, len(header["Transfer-Encoding"]) > 0,
-		closes(header):
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || len(header["Content-Length"]) > 0 {
 		return errors.Wrapf(ErrInvalid, "status %03d", status)
 	}
 	return nil
 }
-
-// closes reports whether the response is the last one on its connection.
-func closes(header http.Header) bool {
-	for _, line := range header["Connection"] {
-		for option := range strings.SplitSeq(line, ",") {
-			if strings.EqualFold(strings.TrimSpace(option), "close") {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/mesh/propose.go
+++ b/internal/mesh/propose.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemarypass/rosemarypass/coord/document"
+	"github.com/rosemarypass/rosemarypass/internal/replica"
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 	"github.com/rosemarypass/rosemarypass/internal/telemetry"
 )
@@ -23,25 +24,18 @@
 // still be asked within one second, the time that an operator waits.
 const forwardTimeout = 450 * time.Millisecond
 
-const (
-	// transferRate is the rate, in bytes per second, at which a change crosses a slow link
-	// that also carries callers' streams.
-	transferRate = 500_000
-	// maxProposing bounds the bytes of the changes that one process proposes at a time: a
-	// change goes on after its caller has left.
-	maxProposing = 16 << 20
-)
+// maxProposing bounds the bytes of the changes that one process proposes at a time: a
+// change goes on after its caller has left.
+const maxProposing = 16 << 20
 
-// TransferTime returns how much longer a change of some bytes may take than a small one, on
-// its way to a member of the log and from there to the others.
-func TransferTime(bytes int) time.Duration {
-	return time.Duration(bytes) * time.Second / transferRate
-}
+// TransferTime returns how much longer an attempt to commit a change of some bytes may take
+// than one to commit a small change.
+func TransferTime(bytes int) time.Duration { return replica.TransferTime(bytes) }
 
 // Propose commits a command. It returns nil only when the command is durable, and in
 // force here or about to be. A state that is in force was committed, so a command that it
-// includes is not sent through the log again: an operator that got no answer would else
-// wait for the whole configuration anew each time.
+// includes is not sent through the log again: an operator that got no answer would
+// otherwise wait for the whole configuration anew at each try.
 func (m *Mesh) Propose(ctx context.Context, command document.Command) error {
 	if m.includes(command) {
 		m.awaitHeld(ctx)
--- a/internal/mesh/streams.go
+++ b/internal/mesh/streams.go
@@ -285,7 +285,7 @@
 	defer cancel()
 	nodes := s.nodes()
 	// Where most others count as lost, this process may be the one that was cut off or stood still.
-	unreached = 2*len(nodes) < len(s.mesh.otherEntries())
+	unreached = 2*len(nodes) < len(s.mesh.otherProcesses(func(p *Process) bool { return p.Entry }))
 	holders := streamversion.Asked(stream, nodes)
 	replies := make(chan *streamReply, len(holders))
 	for _, holder := range holders {
--- a/internal/mesh/version_proof_test.go
+++ b/internal/mesh/version_proof_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -87,3 +88,25 @@
 		t.Errorf("without two of three disks it decides by %+v", q)
 	}
 }
+
+// Guards against a process that stood still, or was cut off, for so long that it counts no other process with a disk, and takes itself for most of them.
+func TestLongPauseLeavesNoProcessSureAlone(t *testing.T) {
+	f := startFleet(t, 3, 0)
+	f.awaitConnected()
+	f.announceVersion(0, "a", "v1")
+	f.awaitVersions(1)
+	f.stop(1)
+	f.stop(2)
+	f.nodes[0].mu.Lock()
+	for _, q := range f.nodes[0].peers {
+		q.lastHeard = time.Now().Add(-2 * silentRetention)
+		q.lastHeardAny = q.lastHeard
+	}
+	f.nodes[0].mu.Unlock()
+	if !f.nodes[0].Connected() {
+		t.Fatal("it does not look connected to itself, so that the test shows nothing")
+	}
+	if q := f.nodes[0].StreamVersion(t.Context(), "any", streamService); !streamversion.Decide(q).MayChange() {
+		t.Errorf("alone it decides by %+v", q)
+	}
+}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -32,9 +32,11 @@
 	// configuration.
 	maxLearned = 64
 	// callTimeout limits the duration of one call, also to a peer that is partitioned
-	// without a connection error. Entries add to it the time in which they cross a slow
-	// link at transferRate, in bytes per second: a large one would else never arrive.
-	callTimeout  = 2 * time.Second
+	// without a connection error. Entries add to it their TransferTime: a large one would
+	// else never arrive over a slow link.
+	callTimeout = 2 * time.Second
+	// transferRate is the rate, in bytes per second, at which a change crosses a slow link
+	// that also carries callers' streams.
 	transferRate = 500_000
 	// retryDelay is the wait after a failed call, so that a peer that is down is not
 	// dialled in a tight loop.
@@ -182,19 +184,21 @@
 	return size
 }
 
-func transferTime(messages []replog.Message) time.Duration {
-	size := 0
-	for _, m := range messages {
-		size += entryBytes(m)
-	}
-	return time.Duration(size) * time.Second / transferRate
+// TransferTime returns how much longer a change of some bytes may take than a small one, on
+// its way from one process to another.
+func TransferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / transferRate
 }
 
 func (p *peers) call(client *rpc.Client, messages []replog.Message) error {
 	if len(messages) == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, callTimeout+transferTime(messages))
+	size := 0
+	for _, m := range messages {
+		size += entryBytes(m)
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout+TransferTime(size))
 	defer cancel()
 	sentCalls.Add(1)
 	sentMessages.Add(int64(len(messages)))
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// checkInterim returns ErrInvalidResponse unless the next response on the connection
-// belongs to the same request as an interim one.
+// checkInterim returns ErrInvalidResponse unless a response is an interim one: it has no
+// body, and its connection goes on (RFC 9112, 6.1 and 9.6).
 func checkInterim(parsed *http.Response) error {
 	if parsed.Close || len(parsed.TransferEncoding) > 0 {
 		return errors.Wrap(ErrInvalidResponse, interim.ErrInvalid.Error())
