--- a/internal/mesh/departures_test.go
+++ b/internal/mesh/departures_test.go
@@ -246,11 +246,11 @@
 			}
 			eventually(t, func() bool { return f.nodes[1].Leave(context.Background(), "s", 2) == nil })
 			f.announce(2, roster.Server{ID: "s", Born: 2, Sequence: 1, Service: "x", Address: "a:1"})
-			f.refuseServing(t, "s")
+			f.expectDeparted(t, "s")
 			f.restartAll()
 			f.awaitConnected()
 			f.announce(0, roster.Server{ID: "s", Born: 2, Sequence: 2, Service: "x", Address: "a:1"})
-			f.refuseServing(t, "s")
+			f.expectDeparted(t, "s")
 			f.announce(0, roster.Server{ID: "s", Born: 3, Sequence: 1, Service: "x", Address: "a:1"})
 			f.awaitServing("s", 3)
 		})
@@ -290,9 +290,9 @@
 	}
 }
 
-// refuseServing fails the test if an entry lists a server as one that serves after the entries have told each other
+// expectDeparted fails the test if an entry lists a server as one that serves after the entries have told each other
 // what they know.
-func (f *fleet) refuseServing(t *testing.T, id string) {
+func (f *fleet) expectDeparted(t *testing.T, id string) {
 	t.Helper()
 	marker := roster.Server{ID: "marker", Born: time.Now().UnixNano(), Sequence: 1, Service: "x", Address: "m:1"}
 	f.announce(2, marker)
--- a/internal/mesh/version_proof_test.go
+++ b/internal/mesh/version_proof_test.go
@@ -13,25 +13,25 @@
 	"github.com/rosemarypass/rosemarypass/internal/rpc"
 )
 
-var errDeaf = errors.New("out of step")
+var errOutOfStep = errors.New("out of step")
 
-// startBesideDeaf starts entries that know one version, of which the last one then hears of nothing new, while its own
+// startBesideStale starts entries that know one version, of which the last one then hears of nothing new, while its own
 // greetings are answered: to itself it looks connected, as after a pause in which messages from before it waited. A
 // second version begins to serve at the others.
-func startBesideDeaf(t *testing.T, disks, others int) (f *fleet, deaf int) {
+func startBesideStale(t *testing.T, disks, others int) (f *fleet, stale int) {
 	t.Helper()
 	f = newFleet(t, disks, others)
-	deaf = disks + others - 1
+	stale = disks + others - 1
 	var outOfStep atomic.Bool
 	f.handlers = func(m *Mesh, handlers map[string]rpc.Handler) {
-		if m.options.Self.Address != f.addresses[deaf] {
+		if m.options.Self.Address != f.addresses[stale] {
 			return
 		}
 		for _, method := range []string{methodSync, methodPersistVersion, methodTellStreams} {
 			handle := handlers[method]
 			handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
 				if outOfStep.Load() {
-					return nil, errDeaf
+					return nil, errOutOfStep
 				}
 				return handle(ctx, params)
 			}
@@ -45,30 +45,30 @@
 	f.awaitVersions(1)
 	outOfStep.Store(true)
 	f.announceVersion(0, "b", "v2")
-	for i := range deaf {
+	for i := range stale {
 		eventually(t, func() bool { return len(f.nodes[i].KnownVersions(streamService).Versions) == 2 })
 	}
-	if versions := f.nodes[deaf].KnownVersions(streamService).Versions; len(versions) != 1 {
+	if versions := f.nodes[stale].KnownVersions(streamService).Versions; len(versions) != 1 {
 		t.Fatalf("the entry that is out of step knows versions %v", versions)
 	}
-	return f, deaf
+	return f, stale
 }
 
 // Guards against a stream of a second version that goes on at the first one, as the entry at which its caller takes it up was out of step while servers of the second version joined.
 func TestEntryOutOfStepJoinsNoVersions(t *testing.T) {
 	for name, sizes := range map[string][2]int{"with a disk": {4, 0}, "without a disk": {3, 1}, "no entry with a disk": {0, 4}} {
 		t.Run(name, func(t *testing.T) {
-			f, deaf := startBesideDeaf(t, sizes[0], sizes[1])
+			f, stale := startBesideStale(t, sizes[0], sizes[1])
 			f.recordStream(1, "second", "v2")
 			for i := range 20 {
 				for _, attempt := range []string{"second", "unknown"} {
-					decision := streamversion.Decide(f.nodes[deaf].StreamVersion(t.Context(), attempt, streamService))
+					decision := streamversion.Decide(f.nodes[stale].StreamVersion(t.Context(), attempt, streamService))
 					if decision.Verdict == streamversion.AnyServer || decision.Verdict == streamversion.OneVersion && decision.Version != "v2" {
 						t.Fatalf("try %d: the stream %q goes on by %+v", i, attempt, decision)
 					}
 				}
 			}
-			f.awaitVersionOf(deaf, "second", "v2")
+			f.awaitVersionOf(stale, "second", "v2")
 		})
 	}
 }
