--- a/internal/mesh/version_proof.go
+++ b/internal/mesh/version_proof.go
@@ -74,8 +74,8 @@
 	return needed <= 0
 }
 
-// otherProcesses lists the addresses of the other processes that match. Those that nobody was heard of for long are
-// included: to a process that stood still they all look so.
+// otherProcesses lists the addresses of the other processes that match, also of those that have not been heard for a
+// long time: after a pause of this process that applies to all of them.
 func (m *Mesh) otherProcesses(matches func(*Process) bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
