A stream does not count as begun by the version that its server ran before

Callers got answers of two software versions: a plain service's server that is back under its ID as another version may give a stream its first event before its next announcement, and the entry recorded the version that was announced before. When the stream broke before the announcement came, it went on at that version.

A record now names the server, the start that it had announced and the time of the event. Before a stream goes on, an announcement of another version whose start lies between the two leaves the version uncertain. Engines are not concerned: their agents name the start with each grant.

Records of earlier releases are read as before.

--- a/coord/streamversion/streamversion_test.go
+++ b/coord/streamversion/streamversion_test.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -63,6 +64,48 @@
 	}
 }
 
+// Guards against a stream that counts as begun by the incarnation that was announced before, and against refusing one whose server restarted after it.
+func TestOriginRestarted(t *testing.T) {
+	origin := Origin{Server: "s", Born: 1_000, AtMillis: 5_000}
+	for _, test := range []struct {
+		name   string
+		origin Origin
+		born   int64
+		want   bool
+	}{
+		{"the same start", origin, 1_000, false},
+		{"a start before the event", origin, 4_900, true},
+		{"a start with the event", origin, 5_000, true},
+		{"a start after the event", origin, 5_001, false},
+		{"an earlier incarnation, heard late", origin, 900, false},
+		{"no server known", Origin{}, 0, false},
+	} {
+		if got := test.origin.Restarted(test.born); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// Guards against a record that other processes and the disk hold without its origin, and against one of an earlier release that cannot be read.
+func TestOriginIsKept(t *testing.T) {
+	r := record("a", "v1")
+	r.Origin = Origin{Server: "s", Born: 1, AtMillis: 2}
+	table := NewTable(4)
+	table.Put(r, false, start)
+	kept, _ := table.Get(r.Stream, start)
+	data, err := json.Marshal(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read Record
+	if err := json.Unmarshal(data, &read); err != nil || read != r {
+		t.Errorf("read back %+v, %v, want %+v", read, err, r)
+	}
+	if err := json.Unmarshal([]byte(`{"stream":7,"service":"llm","version":"v1","left":1000}`), &read); err != nil || read.Version != "v1" {
+		t.Errorf("a record without an origin is read as %+v, %v", read, err)
+	}
+}
+
 // Guards against two reports of one stream that differ, of which one would be believed.
 func TestContradictionLeavesVersionUncertain(t *testing.T) {
 	table := NewTable(4)
--- a/coord/streamversion/table.go
+++ b/coord/streamversion/table.go
@@ -44,6 +44,24 @@
 	Version string `json:"version,omitempty"`
 	// LeftMillis is how much longer the caller may take up the stream.
 	LeftMillis int64 `json:"left"`
+	// Origin is the server that gave the stream its first event.
+	Origin Origin `json:"origin,omitzero"`
+}
+
+// Origin is the server that gave a stream its first event, as it was announced then.
+type Origin struct {
+	// Server is its ID; empty if none is known.
+	Server string `json:"server"`
+	// Born is its start, by its own clock, and AtMillis the time of the event, by the clock of the entry; both in
+	// Unix milliseconds.
+	Born     int64 `json:"born"`
+	AtMillis int64 `json:"at"`
+}
+
+// Restarted reports whether a later start of the server, which it announces since, lies before the event: what gave
+// the event had not been announced. While the two clocks differ, this is wrong for a restart within the difference.
+func (o *Origin) Restarted(born int64) bool {
+	return o.Server != "" && born > o.Born && born <= o.AtMillis
 }
 
 // Left returns how much longer the caller may take up the stream.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -296,6 +296,9 @@
 		x.lastReason, x.retryDelay = x.noServerReason()
 		return nil, stepFail
 	}
+	if x.originRestarted() {
+		return nil, stepFail
+	}
 	query := x.query()
 	if wait, hopeless := x.offers.Hopeless(&x.picked.Candidate, &query, time.Until(x.startDeadline())); hopeless {
 		x.lastReason, x.retryDelay = "no engine can start it while its caller waits", wait
--- a/internal/gateway/lineage.go
+++ b/internal/gateway/lineage.go
@@ -26,6 +26,8 @@
 	// began is the version of the server that gave the first event of this answer; empty before it, and
 	// where it is not certain.
 	began string
+	// origin is the server that gave the stream's first event.
+	origin streamversion.Origin
 	// unconfirmed is set while servers of the version are known, but none that was heard after since.
 	unconfirmed bool
 }
@@ -59,6 +61,7 @@
 	x.log.Info("stream taken up", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("after", x.call.ResumeAfter), zap.String("service", x.service.Name),
 		zap.Bool("found", known.Found), zap.String("began", known.Record.Version), zap.Strings("versions", known.Versions), zap.Bool("complete", known.Complete), zap.String("only", known.Only),
 		zap.Duration("took", time.Since(started)), zap.String("refused", decided.Reason))
+	x.lineage.origin = known.Record.Origin
 	return x.bind(decided)
 }
 
@@ -160,6 +163,7 @@
 // any entry.
 func (x *exchange) recordBegin(r *reply, certain bool) {
 	x.lineage.began = r.server.entry().Version
+	x.lineage.origin = streamversion.Origin{Server: r.server.entry().ID, Born: r.server.entry().Born, AtMillis: time.Now().UnixMilli()}
 	if !certain {
 		x.lineage.began = ""
 	}
@@ -172,7 +176,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, time.Until(x.deadline))
 	defer cancel()
-	x.mesh.RecordStream(ctx, streamversion.Record{Stream: x.lineage.stream, Service: x.service.Name, Version: x.lineage.began, LeftMillis: left.Milliseconds()})
+	x.mesh.RecordStream(ctx, streamversion.Record{Stream: x.lineage.stream, Service: x.service.Name, Version: x.lineage.began, LeftMillis: left.Milliseconds(), Origin: x.lineage.origin})
 }
 
 // noteContinuation logs at which version a stream goes on.
@@ -212,6 +216,21 @@
 	return nil, pick{}
 }
 
+// originRestarted reports whether the server that gave the stream's first event had restarted as another version by
+// then, and has announced it only since. The stream must not go on at the version that was announced before.
+func (x *exchange) originRestarted() bool {
+	if !x.lineage.bound {
+		return false
+	}
+	e, ok := x.mesh.Announced(x.lineage.origin.Server)
+	if !ok || e.Version == x.lineage.version || !x.lineage.origin.Restarted(e.Born) {
+		return false
+	}
+	versionRefusedCount.Add(1)
+	x.lastReason, x.cause = streamversion.ReasonUncertain, causeVersion
+	return true
+}
+
 // reasonFull is the reason for refusing a request for which the entry may send no more to any server.
 const reasonFull = "each backend server has as many requests of this entry as it may"
 
